core: set down tables, events, effects and the reducer's frame

Every later part hangs on these types, so they come first: generic table with generation handles and reference counts, flat events and effects with at most one array of flat rows, error and refusal enums with name tables, clock vtable, timer heap. Flat values were chosen over pointers so that a recorded run can be compared byte for byte.

--- /dev/null
+++ b/core/counter.h
@@ -0,0 +1,52 @@
+#ifndef CT_COUNTER_H
+#define CT_COUNTER_H
+
+#include <stdint.h>
+
+#include "refusal.h"
+
+/* Counters of the reducer besides the one per refusal reason. X(name, text) */
+#define CT_COUNTERS(X)                                                        \
+    X(CALLS, "calls_total")                                                   \
+    X(ANSWERS_WHOLE, "answers_whole_total")                                   \
+    X(ANSWERS_BROKEN, "answers_broken_total")                                 \
+    X(CALLERS_GONE, "callers_gone_total")                                     \
+    X(ATTEMPTS, "attempts_total")                                             \
+    X(RETRY_NOT_SENT, "retries_not_sent_total")                               \
+    X(RETRY_DECLINED, "retries_declined_total")                               \
+    X(RETRY_FAILED, "retries_failed_total")                                   \
+    X(RETRY_BROKEN, "retries_broken_total")                                   \
+    X(RETRY_SILENT, "retries_silent_total")                                   \
+    X(RETRY_MISMATCH, "retries_mismatch_total")                               \
+    X(RETRY_EXPIRED, "retries_expired_total")                                 \
+    X(RETRY_OVER_BUDGET, "retries_over_budget_total")                         \
+    X(RESUMES, "resumes_total")                                               \
+    X(HEDGES, "hedges_total")                                                 \
+    X(HEDGES_WASTED, "hedges_wasted_total")                                   \
+    X(LATE_EVENTS, "late_attempt_events_total")                               \
+    X(TIER_INVERSIONS, "tier_inversions_total")                               \
+    X(TOKENS_IN, "tokens_in_total")                                           \
+    X(TOKENS_OUT, "tokens_out_total")                                         \
+    X(TOKENS_WASTED, "tokens_wasted_total")                                   \
+    X(LOG_ENTRIES, "log_entries_total")                                       \
+    X(LOG_REJECTED, "log_entries_rejected_total")                             \
+    X(PEER_MESSAGES, "peer_messages_total")                                   \
+    X(ORDERS, "orders_total")                                                 \
+    X(ORDERS_EXPIRED, "orders_expired_total")                                 \
+    X(REPORTS, "reports_total")
+
+enum ct_counter {
+#define X(name, text) CT_COUNTER_##name,
+    CT_COUNTERS(X)
+#undef X
+        CT_COUNTER_COUNT
+};
+
+struct ct_counters {
+    uint64_t values[CT_COUNTER_COUNT];
+    uint64_t refusals[CT_REFUSAL_COUNT];
+};
+
+const char *ct_counter_text(enum ct_counter counter);
+
+#endif
--- /dev/null
+++ b/core/effect.c
@@ -0,0 +1,119 @@
+#include "effect.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+
+#define FIRST_CAP 16
+
+static struct ct_effect scratch;
+
+void
+ct_effects_init(struct ct_effects *list)
+{
+    memset(list, 0, sizeof(*list));
+}
+
+void
+ct_effects_clear(struct ct_effects *list)
+{
+    uint32_t i;
+
+    for (i = 0; i < list->n; i++) {
+        free((void *)list->items[i].rows.data);
+    }
+    list->n = 0;
+    list->err = CT_OK;
+}
+
+void
+ct_effects_free(struct ct_effects *list)
+{
+    ct_effects_clear(list);
+    free(list->items);
+    memset(list, 0, sizeof(*list));
+}
+
+static int
+grow(struct ct_effects *list)
+{
+    uint32_t cap = list->cap ? list->cap * 2 : FIRST_CAP;
+    struct ct_effect *items;
+
+    items = realloc(list->items, cap * sizeof(*items));
+    if (!items) {
+        return CT_ERR_NO_MEMORY;
+    }
+    list->items = items;
+    list->cap = cap;
+    return CT_OK;
+}
+
+struct ct_effect *
+ct_effects_add(struct ct_effects *list, enum ct_effect_type type)
+{
+    struct ct_effect *effect = &scratch;
+
+    if (list->n < list->cap || grow(list) == CT_OK) {
+        effect = &list->items[list->n++];
+    }
+    else {
+        list->err = CT_ERR_NO_MEMORY;
+    }
+    memset(effect, 0, sizeof(*effect));
+    effect->type = type;
+    return effect;
+}
+
+int
+ct_effect_set_rows(struct ct_effects *list, struct ct_effect *effect,
+                   struct ct_rows rows)
+{
+    size_t bytes = (size_t)rows.n * rows.row_size;
+    void *data;
+
+    if (bytes == 0 || effect == &scratch) {
+        return CT_OK;
+    }
+    data = malloc(bytes);
+    if (!data) {
+        list->err = CT_ERR_NO_MEMORY;
+        return CT_ERR_NO_MEMORY;
+    }
+    memcpy(data, rows.data, bytes);
+    effect->rows = (struct ct_rows){data, rows.n, rows.row_size};
+    return CT_OK;
+}
+
+const char *
+ct_effect_name(enum ct_effect_type type)
+{
+    static const char *const names[] = {
+        [CT_EFFECT_WAKE] = "wake",
+        [CT_EFFECT_WRITE_HEAD] = "write-head",
+        [CT_EFFECT_WRITE_DATA] = "write-data",
+        [CT_EFFECT_WRITE_END] = "write-end",
+        [CT_EFFECT_REFUSE] = "refuse",
+        [CT_EFFECT_REPLY_ADDRESSES] = "reply-addresses",
+        [CT_EFFECT_REPLY_EXPLAIN] = "reply-explain",
+        [CT_EFFECT_REDIRECT] = "redirect",
+        [CT_EFFECT_REPLY_WITHDRAWN] = "reply-withdrawn",
+        [CT_EFFECT_START_ATTEMPT] = "start-attempt",
+        [CT_EFFECT_CANCEL_ATTEMPT] = "cancel-attempt",
+        [CT_EFFECT_DROP_ANSWER] = "drop-answer",
+        [CT_EFFECT_READ_LOG] = "read-log",
+        [CT_EFFECT_APPEND] = "append",
+        [CT_EFFECT_ORDER] = "order",
+        [CT_EFFECT_REPORT] = "report",
+        [CT_EFFECT_PEER_SEND] = "peer-send",
+        [CT_EFFECT_PEERS] = "peers",
+        [CT_EFFECT_DRAINED] = "drained",
+        [CT_EFFECT_LOG_EVENT] = "log-event",
+    };
+
+    if (type < CT_EFFECT_WAKE || type > CT_EFFECT_LOG_EVENT) {
+        return "unknown";
+    }
+    return names[type];
+}
--- /dev/null
+++ b/core/event.h
@@ -0,0 +1,224 @@
+#ifndef CT_EVENT_H
+#define CT_EVENT_H
+
+#include "clock.h"
+#include "config-row.h"
+#include "name.h"
+#include "peer-message.h"
+#include "record.h"
+#include "rows.h"
+#include "table.h"
+
+/*
+ * Everything that happens to a host. Events are flat values: the fixed part
+ * and at most one array of flat rows. All times in them come from the host's
+ * clocks at the moment the event was made.
+ */
+
+enum ct_event_type {
+    /* Time passed; sent at or after the time of the last CT_EFFECT_WAKE. */
+    CT_EVENT_TICK = 1,
+
+    /* Callers. */
+    CT_EVENT_CALL_ARRIVED,
+    /* Rejected by the front end before it could be understood. */
+    CT_EVENT_CALL_REJECTED,
+    CT_EVENT_CALL_GONE,
+    /* A caller asks again for the answer of an earlier request. */
+    CT_EVENT_ANSWER_ASKED,
+    CT_EVENT_ADDRESSES_ASKED,
+    CT_EVENT_EXPLAIN_ASKED,
+
+    /* Upstream attempts. */
+    CT_EVENT_ATTEMPT_SENT,
+    CT_EVENT_ATTEMPT_HEAD,
+    CT_EVENT_ATTEMPT_DATA,
+    CT_EVENT_ATTEMPT_DONE,
+    CT_EVENT_LOAD_REPORT,
+
+    /* The platform's log. */
+    CT_EVENT_LOG_ENTRY,
+    CT_EVENT_LOG_HEAD,
+    CT_EVENT_LOG_FAILED,
+    CT_EVENT_APPEND_DONE,
+
+    /* Peers. */
+    CT_EVENT_PEER_UP,
+    CT_EVENT_PEER_DOWN,
+    CT_EVENT_PEER_MESSAGE,
+    /* rows: struct ct_host_row, the platform's lagging list */
+    CT_EVENT_HOST_LIST,
+
+    /* Orders and reports to the platform. */
+    CT_EVENT_ORDER_DONE,
+    CT_EVENT_REPORT_DONE,
+
+    /* Operators. */
+    CT_EVENT_DRAIN,
+    CT_EVENT_KEY_HANDED,
+};
+
+enum ct_call_kind {
+    /* Chat completion with a model engine behind it. */
+    CT_CALL_CHAT = 1,
+    CT_CALL_PLAIN,
+};
+
+struct ct_call {
+    /* The front end's own number for this caller's request. */
+    uint64_t caller;
+    enum ct_call_kind kind;
+    struct ct_request_id request_id;
+    bool has_key;
+    struct ct_digest key;
+    struct ct_path path;
+    struct ct_name model;
+    bool has_idempotency_key;
+    /* SHA-256 of the idempotency key, and the time inside it (UUIDv7). */
+    struct ct_digest idempotency_key;
+    ct_ms idempotency_wall_ms;
+    /* Hash over the first part of the prompt, for prefix affinity. */
+    uint64_t prefix_hash;
+    uint32_t body_bytes;
+    uint32_t prompt_tokens;
+    /* Upper bound that the caller gave; 0 for none. */
+    uint32_t max_tokens;
+    bool stream;
+};
+
+struct ct_call_rejected {
+    uint64_t caller;
+    struct ct_request_id request_id;
+    enum ct_refusal reason;
+};
+
+struct ct_answer_ask {
+    uint64_t caller;
+    struct ct_request_id request_id;
+    bool has_key;
+    struct ct_digest key;
+    /* First byte of the answer that the caller lacks. */
+    uint64_t offset;
+};
+
+/* How an attempt ended. */
+enum ct_outcome {
+    CT_OUTCOME_COMPLETE = 1,
+    /* No byte of the request left this host. */
+    CT_OUTCOME_NOT_SENT,
+    /* The upstream itself said that it did not run the request. */
+    CT_OUTCOME_DECLINED,
+    /* The upstream answered with an error after running, or perhaps. */
+    CT_OUTCOME_FAILED,
+    /* The connection broke after bytes had left. */
+    CT_OUTCOME_BROKEN,
+    /* Nothing came for the gap time-out. */
+    CT_OUTCOME_SILENT,
+    /* The answer named another request; it was dropped. */
+    CT_OUTCOME_MISMATCH,
+    CT_OUTCOME_CANCELLED,
+    /* Not started before not_after_ms. */
+    CT_OUTCOME_EXPIRED,
+};
+
+struct ct_attempt_event {
+    struct ct_handle attempt;
+    /* CT_EVENT_ATTEMPT_HEAD */
+    uint32_t status;
+    /* CT_EVENT_ATTEMPT_DATA: place in the answer body. */
+    uint64_t offset;
+    uint32_t bytes;
+    uint32_t tokens;
+    /* CT_EVENT_ATTEMPT_DONE */
+    enum ct_outcome outcome;
+    uint32_t prompt_tokens;
+    uint32_t total_tokens;
+};
+
+struct ct_load_report {
+    struct ct_name upstream;
+    uint32_t running;
+    uint32_t waiting;
+    /* Age of the figures when they were received. */
+    ct_ms age_ms;
+};
+
+struct ct_log_entry {
+    int64_t offset;
+    struct ct_record record;
+};
+
+struct ct_log_head {
+    /* Newest offset, 0 when the log is empty. */
+    int64_t head;
+    /* Oldest offset still kept. */
+    int64_t first;
+};
+
+struct ct_append_done {
+    uint64_t sequence;
+    /* CT_OK; CT_ERR_LOG_UNAVAILABLE where the result is not known. */
+    int32_t result;
+    int64_t offset;
+};
+
+struct ct_host_row {
+    struct ct_name name;
+    bool leaving;
+};
+
+struct ct_order_done {
+    uint64_t order_id;
+    int32_t result;
+};
+
+struct ct_report_done {
+    ct_ms window_start_ms;
+    int32_t result;
+};
+
+struct ct_key_handed {
+    /* Operator's connection that waits for the confirmation. */
+    uint64_t caller;
+    struct ct_digest key;
+};
+
+struct ct_explain_ask {
+    uint64_t caller;
+    struct ct_request_id request_id;
+};
+
+struct ct_peer_event {
+    struct ct_name peer;
+    struct ct_peer_message message;
+};
+
+struct ct_event {
+    enum ct_event_type type;
+    /* Monotonic and wall time of this event. */
+    ct_ms now_ms;
+    ct_ms wall_ms;
+    union {
+        struct ct_call call;
+        struct ct_call_rejected rejected;
+        /* CT_EVENT_CALL_GONE, CT_EVENT_ADDRESSES_ASKED */
+        uint64_t caller;
+        struct ct_answer_ask answer_ask;
+        struct ct_explain_ask explain_ask;
+        struct ct_attempt_event attempt;
+        struct ct_load_report load;
+        struct ct_log_entry entry;
+        struct ct_log_head head;
+        struct ct_append_done append;
+        struct ct_peer_event peer;
+        struct ct_order_done order;
+        struct ct_report_done report;
+        struct ct_key_handed key;
+    } u;
+    /* Rows of CT_EVENT_HOST_LIST; records and messages hold their own. */
+    struct ct_rows rows;
+};
+
+const char *ct_event_name(enum ct_event_type type);
+
+#endif
--- /dev/null
+++ b/core/name.c
@@ -0,0 +1,49 @@
+#include "name.h"
+
+#include <string.h>
+
+#include "error.h"
+
+#define FNV_PRIME UINT64_C(1099511628211)
+
+int
+ct_text_set(char *field, uint32_t size, const char *text)
+{
+    size_t n = strlen(text);
+
+    memset(field, 0, size);
+    if (n >= size) {
+        return CT_ERR_TOO_LARGE;
+    }
+    memcpy(field, text, n + 1);
+    return CT_OK;
+}
+
+bool
+ct_name_eq(const struct ct_name *a, const struct ct_name *b)
+{
+    return strncmp(a->text, b->text, sizeof(a->text)) == 0;
+}
+
+bool
+ct_digest_eq(const struct ct_digest *a, const struct ct_digest *b)
+{
+    return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
+}
+
+uint64_t
+ct_hash_bytes(uint64_t seed, const void *bytes, uint32_t n)
+{
+    const uint8_t *p = bytes;
+    uint64_t h = seed;
+    uint32_t i;
+
+    for (i = 0; i < n; i++) {
+        h = (h ^ p[i]) * FNV_PRIME;
+    }
+    /* FNV leaves the high bits weak for short inputs; mix them. */
+    h ^= h >> 33;
+    h *= UINT64_C(0xff51afd7ed558ccd);
+    h ^= h >> 33;
+    return h;
+}
--- /dev/null
+++ b/core/name.h
@@ -0,0 +1,55 @@
+#ifndef CT_NAME_H
+#define CT_NAME_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Fixed-size texts and digests, so that events and rows are flat values. */
+
+#define CT_NAME_MAX 48
+#define CT_PATH_MAX 96
+#define CT_ADDRESS_MAX 56
+#define CT_DIGEST_BYTES 32
+#define CT_REQUEST_ID_MAX 40
+
+/* The name of a host, organisation, class, pool or upstream; NUL padded. */
+struct ct_name {
+    char text[CT_NAME_MAX];
+};
+
+struct ct_path {
+    char text[CT_PATH_MAX];
+};
+
+/* "IP:port" */
+struct ct_address {
+    char text[CT_ADDRESS_MAX];
+};
+
+/* SHA-256 of a caller's key or of an idempotency key. */
+struct ct_digest {
+    uint8_t bytes[CT_DIGEST_BYTES];
+};
+
+/* UUIDv7 in its text form. */
+struct ct_request_id {
+    char text[CT_REQUEST_ID_MAX];
+};
+
+/*
+ * Copies text into a fixed field and pads it with NUL bytes.
+ * Errors: CT_ERR_TOO_LARGE; the field is then empty.
+ */
+int ct_text_set(char *field, uint32_t size, const char *text);
+
+#define CT_TEXT_SET(field, value)                                             \
+    ct_text_set((field).text, sizeof((field).text), (value))
+
+bool ct_name_eq(const struct ct_name *a, const struct ct_name *b);
+bool ct_digest_eq(const struct ct_digest *a, const struct ct_digest *b);
+
+/* FNV-1a, 64 bits; used for rendezvous hashing. */
+uint64_t ct_hash_bytes(uint64_t seed, const void *bytes, uint32_t n);
+#define CT_HASH_SEED UINT64_C(14695981039346656037)
+
+#endif
--- /dev/null
+++ b/core/peer-message.h
@@ -0,0 +1,63 @@
+#ifndef CT_PEER_MESSAGE_H
+#define CT_PEER_MESSAGE_H
+
+#include "clock.h"
+#include "name.h"
+#include "record.h"
+#include "rows.h"
+
+/* Messages between hosts. */
+enum ct_peer_message_type {
+    CT_PEER_HEARTBEAT = 1,
+    /* A key withdrawn while the log may be down, and its confirmation. */
+    CT_PEER_WITHDRAW,
+    CT_PEER_WITHDRAWN,
+    /* rows: struct ct_usage_row, running totals of the sender */
+    CT_PEER_USAGE_COPY,
+    /* rows: struct ct_refusal_row not yet in the log */
+    CT_PEER_REFUSAL_COPY,
+    /* Slots of a pool that the sender wants, or gives. */
+    CT_PEER_SHARE_ASK,
+    CT_PEER_SHARE_GIVE,
+    /* Who keeps the answer of a request? */
+    CT_PEER_ANSWER_ASK,
+    CT_PEER_ANSWER_HERE,
+    /* rows: struct ct_snapshot_row; state for a host that starts */
+    CT_PEER_STATE_ASK,
+    CT_PEER_STATE,
+};
+
+/* Demand and use of one pool at the sender, for sharing its slots. */
+struct ct_share_row {
+    struct ct_name pool;
+    uint32_t slots_held;
+    uint32_t slots_busy;
+    /* Requests waiting, by tier. */
+    uint32_t waiting[CT_TIERS];
+};
+
+struct ct_peer_heartbeat {
+    int64_t applied_offset;
+    int64_t known_head;
+    /* How long ago the sender last heard from the log. */
+    ct_ms log_age_ms;
+    /* Number of keys withdrawn directly that the sender knows of. */
+    uint32_t direct_withdrawals;
+    bool draining;
+};
+
+struct ct_peer_message {
+    enum ct_peer_message_type type;
+    struct ct_name sender;
+    union {
+        struct ct_peer_heartbeat heartbeat;
+        struct ct_digest digest;
+        struct ct_share_row share;
+        struct ct_request_id request_id;
+        /* Offset up to which a CT_PEER_STATE was applied. */
+        int64_t offset;
+    } u;
+    struct ct_rows rows;
+};
+
+#endif
--- /dev/null
+++ b/core/state.h
@@ -0,0 +1,49 @@
+#ifndef CT_STATE_H
+#define CT_STATE_H
+
+#include "counter.h"
+#include "effect.h"
+#include "event.h"
+#include "reduce.h"
+#include "timer.h"
+
+/*
+ * The whole state of one host. Each module owns the members of its own type
+ * and changes no others except through the owner's functions.
+ */
+struct ct_state {
+    struct ct_self self;
+    /* Times of the event that is being applied. */
+    ct_ms now_ms;
+    ct_ms wall_ms;
+    /* Where the effects of the event go; set only within ct_reduce(). */
+    struct ct_effects *out;
+    struct ct_timers timers;
+    /* Due time of the last CT_EFFECT_WAKE. */
+    ct_ms wake_ms;
+    struct ct_counters counters;
+    uint64_t random;
+};
+
+/* The next number of the state's own repeatable random sequence. */
+uint64_t ct_state_random(struct ct_state *state);
+
+/* Adds an effect of the event that is being applied. */
+struct ct_effect *ct_emit(struct ct_state *state, enum ct_effect_type type);
+
+/* Adds a log event about name; reason may be NULL. */
+void ct_emit_log(struct ct_state *state, enum ct_log_event event,
+                 const struct ct_name *name, const char *reason,
+                 int64_t number);
+
+/* Arms a timer of the reducer, delay_ms after the current event. */
+void ct_arm(struct ct_state *state, ct_ms delay_ms, enum ct_timer_kind kind,
+            struct ct_handle handle);
+
+static inline void
+ct_count(struct ct_state *state, enum ct_counter counter)
+{
+    state->counters.values[counter]++;
+}
+
+#endif
--- /dev/null
+++ b/core/timer.h
@@ -0,0 +1,60 @@
+#ifndef CT_TIMER_H
+#define CT_TIMER_H
+
+#include <stdint.h>
+
+#include "clock.h"
+#include "table.h"
+
+/*
+ * Timers of the reducer: a heap of due times. A timer is not cancelled; its
+ * owner checks, when it fires, whether the row still exists and still waits.
+ */
+
+enum ct_timer_kind {
+    CT_TIMER_QUEUE = 1,
+    CT_TIMER_HEDGE,
+    CT_TIMER_RETRY,
+    CT_TIMER_ANSWER_KEPT,
+    CT_TIMER_CLAIM,
+    CT_TIMER_HEARTBEAT,
+    CT_TIMER_LOG,
+    CT_TIMER_REFUSALS,
+    CT_TIMER_LEASE,
+    CT_TIMER_USAGE,
+    CT_TIMER_ORDERS,
+    CT_TIMER_SNAPSHOT,
+    CT_TIMER_SHARES,
+    CT_TIMER_PROBE,
+};
+
+struct ct_timer {
+    ct_ms due_ms;
+    /* Order of insertion; decides between equal due times. */
+    uint64_t sequence;
+    enum ct_timer_kind kind;
+    struct ct_handle handle;
+};
+
+struct ct_timers {
+    struct ct_timer *heap;
+    uint32_t n;
+    uint32_t cap;
+    uint64_t next_sequence;
+};
+
+void ct_timers_init(struct ct_timers *timers);
+void ct_timers_free(struct ct_timers *timers);
+
+/* Errors: CT_ERR_NO_MEMORY. */
+int ct_timers_add(struct ct_timers *timers, ct_ms due_ms,
+                  enum ct_timer_kind kind, struct ct_handle handle);
+
+/* Due time of the earliest timer, CT_MS_NEVER when there is none. */
+ct_ms ct_timers_next_ms(const struct ct_timers *timers);
+
+/* Removes the earliest timer due at now_ms; returns 1, or 0 for none. */
+int ct_timers_pop(struct ct_timers *timers, ct_ms now_ms,
+                  struct ct_timer *timer);
+
+#endif
