--- /dev/null
+++ b/core/balance-policy.h
@@ -0,0 +1,92 @@
+#ifndef CT_BALANCE_POLICY_H
+#define CT_BALANCE_POLICY_H
+
+#include "clock.h"
+#include "event.h"
+#include "table.h"
+
+/*
+ * Choice of an upstream for an attempt. The owner says what may be chosen
+ * from; the policy keeps what it has seen of each upstream (own requests in
+ * flight, load reports, token gaps, failures) in rows of its own.
+ */
+
+struct ct_candidate {
+    /* The owner's handle; the policy's row follows its index. */
+    struct ct_handle upstream;
+    /* Requests that the upstream serves at the same time. */
+    uint32_t slots;
+    bool cheap;
+    /* In the availability zone of this host. */
+    bool same_zone;
+    /* Not for this request: tried already, or leaving. */
+    bool excluded;
+};
+
+struct ct_balance_ask {
+    ct_ms now_ms;
+    /* Hash over the first part of the prompt; 0 for none. */
+    uint64_t prefix_hash;
+    uint32_t tier;
+    /* May run on an upstream that can be reclaimed on short notice. */
+    bool cheap_allowed;
+    /* May be sent to an ejected upstream to see whether it is back. */
+    bool may_probe;
+};
+
+struct ct_balance_policy;
+
+struct ct_balance_policy_ops {
+    /*
+     * Returns the place of the chosen one in the array. Errors:
+     * CT_ERR_NOT_FOUND where none can take the request; CT_ERR_NO_MEMORY.
+     */
+    int (*choose)(struct ct_balance_policy *policy,
+                  const struct ct_balance_ask *ask,
+                  const struct ct_candidate *candidates, uint32_t n);
+
+    /* An attempt was started at, and ended at, the upstream. */
+    void (*started)(struct ct_balance_policy *policy,
+                    struct ct_handle upstream, ct_ms now_ms);
+    void (*ended)(struct ct_balance_policy *policy, struct ct_handle upstream,
+                  enum ct_outcome outcome, ct_ms now_ms);
+
+    /* The first token came wait_ms after the start. */
+    void (*first_token)(struct ct_balance_policy *policy,
+                        struct ct_handle upstream, ct_ms wait_ms,
+                        ct_ms now_ms);
+    /* A number of tokens came gap_ms after the token before them. */
+    void (*token_gap)(struct ct_balance_policy *policy,
+                      struct ct_handle upstream, uint32_t tokens, ct_ms gap_ms,
+                      ct_ms now_ms);
+
+    /* Figures of the upstream that were true at at_ms. */
+    void (*reported)(struct ct_balance_policy *policy,
+                     struct ct_handle upstream, uint32_t running,
+                     uint32_t waiting, ct_ms at_ms);
+
+    /* Whether the upstream is not ejected; its slots count as usable. */
+    bool (*usable)(struct ct_balance_policy *policy, struct ct_handle upstream,
+                   ct_ms now_ms);
+
+    /* Heap bytes held. */
+    size_t (*bytes)(const struct ct_balance_policy *policy);
+    void (*free)(struct ct_balance_policy *policy);
+};
+
+struct ct_balance_policy {
+    const struct ct_balance_policy_ops *ops;
+};
+
+/* The policies. NULL where memory is gone. */
+
+/* One upstream after the other. */
+struct ct_balance_policy *ct_balance_round_robin_new(void);
+
+/* Fewest own requests in flight a slot. */
+struct ct_balance_policy *ct_balance_least_new(void);
+
+/* The product's own policy; see balance-affinity.h. */
+struct ct_balance_policy *ct_balance_affinity_new(uint64_t seed);
+
+#endif
