core: queueing and balancing policies behind their vtables

Two plain baselines (first-in-first-out with round robin, static priority with least outstanding) and the product's own pair. The baselines keep the queue bound, the queue limit, the rule for cheap upstreams and a passive health check, so that a comparison is fair. Not measured yet.

--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -14,6 +14,8 @@
 struct ct_candidate {
     /* The owner's handle; the policy's row follows its index. */
     struct ct_handle upstream;
+    /* Hash of the upstream's name, the same on all hosts. */
+    uint64_t name_hash;
     /* Requests that the upstream serves at the same time. */
     uint32_t slots;
     bool cheap;
--- /dev/null
+++ b/core/queue-levels.c
@@ -0,0 +1,318 @@
+#include "queue-levels.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+
+/* Retry-after of a refusal while the queue is full. */
+#define FULL_RETRY_AFTER_MS 1000
+
+static struct ct_queue_list *
+list_of(struct ct_queue_levels *q, const struct ct_queue_row *row)
+{
+    return &q->lists[row->w.pool * CT_TIERS + q->levels_ops->level(row)];
+}
+
+static int
+levels_set_class(struct ct_queue_policy *policy, uint32_t klass,
+                 const struct ct_class *settings)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+
+    return ct_queue_rows_set_class(&q->rows, klass, settings);
+}
+
+static int
+levels_set_organisation(struct ct_queue_policy *policy, uint32_t organisation,
+                        uint32_t weight)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+
+    return ct_queue_rows_set_organisation(&q->rows, organisation, weight);
+}
+
+static int
+levels_set_pool(struct ct_queue_policy *policy, uint32_t pool,
+                uint32_t firm_slots, uint32_t cheap_slots)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+    int err = ct_queue_grow((void **)&q->lists, &q->n_lists,
+                            (pool + 1) * CT_TIERS, sizeof(*q->lists));
+
+    if (err < 0) {
+        return err;
+    }
+    return ct_queue_rows_set_pool(&q->rows, pool, firm_slots, cheap_slots);
+}
+
+static void
+refuse(struct ct_queue_levels *q, struct ct_handle handle,
+       struct ct_queue_decision *decision)
+{
+    ct_queue_rows_drop(&q->rows, handle);
+    decision->admission = CT_REFUSED;
+    decision->reason = CT_REFUSAL_OVERLOAD;
+    decision->retry_after_ms = FULL_RETRY_AFTER_MS;
+}
+
+/* Frees one place for the row; returns false where there is none to free. */
+static bool
+make_room(struct ct_queue_levels *q, const struct ct_queue_row *row,
+          struct ct_queue_decision *decision)
+{
+    int level = q->levels_ops->shed_level(q, row);
+    struct ct_queue_list *list;
+    struct ct_handle victim;
+
+    if (level < 0) {
+        return false;
+    }
+    list = &q->lists[row->w.pool * CT_TIERS + (uint32_t)level];
+    victim = list->tail;
+    decision->has_shed = true;
+    decision->shed.request = ct_queue_row_get(&q->rows, victim)->w.request;
+    decision->shed.reason = CT_REFUSAL_OVERLOAD;
+    decision->shed.retry_after_ms = FULL_RETRY_AFTER_MS;
+    ct_queue_list_remove(&q->rows, list, victim);
+    ct_queue_rows_drop(&q->rows, victim);
+    return true;
+}
+
+/* The first row of a list that may use one of the free slots. */
+static struct ct_handle
+first_startable(const struct ct_queue_levels *q,
+                const struct ct_queue_list *list)
+{
+    struct ct_handle handle = list->head;
+    const struct ct_queue_row *row;
+
+    while ((row = ct_queue_row_get(&q->rows, handle))) {
+        if (ct_queue_slot_free(&q->rows.pools[row->w.pool],
+                               row->cheap_allowed)) {
+            return handle;
+        }
+        handle = row->next;
+    }
+    return CT_NO_HANDLE;
+}
+
+/* Whether nothing that waits would get the slot that the row may use. */
+static bool
+may_start_now(const struct ct_queue_levels *q, const struct ct_queue_row *row)
+{
+    uint32_t pool = row->w.pool;
+
+    if (!ct_queue_slot_free(&q->rows.pools[pool], row->cheap_allowed)) {
+        return false;
+    }
+    for (uint32_t level = 0; level <= q->levels_ops->level(row); level++) {
+        if (!ct_handle_is_none(
+                first_startable(q, ct_queue_levels_list(q, pool, level)))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static int
+levels_arrive(struct ct_queue_policy *policy, const struct ct_waiting *w,
+              ct_ms now_ms, struct ct_queue_decision *decision)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+    struct ct_queue_pool *pool;
+    struct ct_queue_list *list;
+    struct ct_queue_row *row;
+    struct ct_handle handle;
+    int err = ct_queue_rows_add(&q->rows, w, &handle);
+
+    memset(decision, 0, sizeof(*decision));
+    if (err < 0) {
+        return err;
+    }
+    pool = &q->rows.pools[w->pool];
+    row = ct_queue_row_get(&q->rows, handle);
+    list = list_of(q, row);
+    decision->queue_length = pool->queued;
+    decision->give_up_ms = row->give_up_ms;
+    if (may_start_now(q, row)) {
+        ct_queue_rows_start(&q->rows, row, now_ms);
+        decision->admission = CT_ADMITTED;
+        return CT_OK;
+    }
+    if (pool->queued >= q->rows.max_queued && !make_room(q, row, decision)) {
+        refuse(q, handle, decision);
+        return CT_OK;
+    }
+    ct_queue_list_insert(&q->rows, list, list->tail, handle);
+    decision->admission = CT_QUEUED;
+    return CT_OK;
+}
+
+static int
+levels_next(struct ct_queue_policy *policy, uint32_t pool, ct_ms now_ms,
+            struct ct_waiting *w)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+
+    if (pool >= q->rows.n_pools ||
+        !ct_queue_slot_free(&q->rows.pools[pool], true)) {
+        return 0;
+    }
+    for (uint32_t level = 0; level < CT_TIERS; level++) {
+        struct ct_queue_list *list = &q->lists[pool * CT_TIERS + level];
+        struct ct_handle handle = first_startable(q, list);
+        struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+
+        if (!row) {
+            continue;
+        }
+        ct_queue_list_remove(&q->rows, list, handle);
+        ct_queue_rows_start(&q->rows, row, now_ms);
+        *w = row->w;
+        return 1;
+    }
+    return 0;
+}
+
+static int
+levels_expire(struct ct_queue_policy *policy, ct_ms now_ms,
+              struct ct_shed *shed)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+    uint32_t cursor = 0;
+    struct ct_handle handle;
+    struct ct_queue_row *row;
+
+    while ((row = ct_table_next(&q->rows.table, &cursor, &handle))) {
+        if (row->state != CT_QUEUE_ROW_WAITING || row->give_up_ms > now_ms) {
+            continue;
+        }
+        shed->request = row->w.request;
+        shed->reason = CT_REFUSAL_QUEUE_TIMEOUT;
+        shed->retry_after_ms = FULL_RETRY_AFTER_MS;
+        ct_queue_list_remove(&q->rows, list_of(q, row), handle);
+        ct_queue_rows_drop(&q->rows, handle);
+        return 1;
+    }
+    return 0;
+}
+
+static void
+levels_placed(struct ct_queue_policy *policy, struct ct_handle request,
+              bool cheap)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+
+    ct_queue_rows_placed(&q->rows, request, cheap);
+}
+
+static int
+levels_give_back(struct ct_queue_policy *policy, struct ct_handle request,
+                 ct_ms now_ms)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+    struct ct_handle handle;
+    struct ct_queue_row *row =
+        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
+
+    (void)now_ms;
+    if (!row) {
+        return CT_ERR_NOT_FOUND;
+    }
+    ct_queue_rows_stop(&q->rows, row);
+    ct_queue_list_insert(&q->rows, list_of(q, row), CT_NO_HANDLE, handle);
+    return CT_OK;
+}
+
+static int
+levels_finished(struct ct_queue_policy *policy, const struct ct_served *served,
+                ct_ms now_ms)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+    struct ct_handle handle;
+    struct ct_queue_row *row = ct_queue_rows_find(
+        &q->rows, served->request, CT_QUEUE_ROW_RUNNING, &handle);
+
+    (void)now_ms;
+    if (!row) {
+        return CT_ERR_NOT_FOUND;
+    }
+    ct_queue_rows_stop(&q->rows, row);
+    ct_queue_rows_drop(&q->rows, handle);
+    return CT_OK;
+}
+
+static int
+levels_gone(struct ct_queue_policy *policy, struct ct_handle request)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+    struct ct_handle handle;
+    struct ct_queue_row *row =
+        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_WAITING, &handle);
+
+    if (!row) {
+        return CT_ERR_NOT_FOUND;
+    }
+    ct_queue_list_remove(&q->rows, list_of(q, row), handle);
+    ct_queue_rows_drop(&q->rows, handle);
+    return CT_OK;
+}
+
+static void
+levels_totals(const struct ct_queue_policy *policy, uint32_t pool,
+              struct ct_queue_totals *totals)
+{
+    const struct ct_queue_levels *q = (const struct ct_queue_levels *)policy;
+
+    ct_queue_rows_totals(&q->rows, pool, totals);
+}
+
+static size_t
+levels_bytes(const struct ct_queue_policy *policy)
+{
+    const struct ct_queue_levels *q = (const struct ct_queue_levels *)policy;
+
+    return sizeof(*q) + ct_queue_rows_bytes(&q->rows) +
+           q->n_lists * sizeof(*q->lists);
+}
+
+static void
+levels_free(struct ct_queue_policy *policy)
+{
+    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
+
+    ct_queue_rows_free(&q->rows);
+    free(q->lists);
+    free(q);
+}
+
+static const struct ct_queue_policy_ops levels_policy_ops = {
+    .set_class = levels_set_class,
+    .set_organisation = levels_set_organisation,
+    .set_pool = levels_set_pool,
+    .arrive = levels_arrive,
+    .next = levels_next,
+    .expire = levels_expire,
+    .placed = levels_placed,
+    .give_back = levels_give_back,
+    .finished = levels_finished,
+    .gone = levels_gone,
+    .totals = levels_totals,
+    .bytes = levels_bytes,
+    .free = levels_free,
+};
+
+struct ct_queue_policy *
+ct_queue_levels_new(const struct ct_queue_levels_ops *ops, uint32_t max_queued)
+{
+    struct ct_queue_levels *q = calloc(1, sizeof(*q));
+
+    if (!q) {
+        return NULL;
+    }
+    q->policy.ops = &levels_policy_ops;
+    q->levels_ops = ops;
+    ct_queue_rows_init(&q->rows, max_queued);
+    return &q->policy;
+}
--- a/core/queue-policy.h
+++ b/core/queue-policy.h
@@ -25,7 +25,8 @@
  *      timer for decision.give_up_ms. CT_REFUSED: refuse. A request that was
  *      shed to make room is refused with the reason given.
  *   3. placed() once an upstream was chosen; give_back() where none could be
- *      chosen, or the upstream did not run the request.
+ *      chosen, or the upstream did not run the request. After that wait for
+ *      another event before next(), or the same request comes out again.
  *   4. finished() when the request leaves its slot, for whatever reason, then
  *      next() until it returns 0; expire() until it returns 0 after next()
  *      and at give_up_ms.
--- /dev/null
+++ b/core/queue-predict.c
@@ -0,0 +1,140 @@
+#include "queue-tiered.h"
+
+/* Slot time of a request before anything was learnt. */
+#define DEFAULT_HOLD_MS 1000
+/* Which of the seen lengths and times a prediction takes. */
+#define PREDICT_PERMILLE 500
+/* A new value counts for one part of this in the moving average. */
+#define HOLD_SCALE 16
+
+static ct_ms
+pool_hold_ms(const struct ct_queue_tiered *q, uint32_t pool)
+{
+    return q->pools[pool].scaled_hold_ms / HOLD_SCALE;
+}
+
+static ct_ms
+class_hold_ms(const struct ct_queue_class *klass)
+{
+    uint64_t mean = ct_histogram_mean(&klass->hold_ms);
+
+    return mean > 0 ? (ct_ms)mean : DEFAULT_HOLD_MS;
+}
+
+void
+ct_predict_row(struct ct_queue_tiered *q, struct ct_queue_row *row)
+{
+    const struct ct_queue_class *klass = &q->rows.classes[row->w.klass];
+    const struct ct_class *settings = &klass->settings;
+    uint64_t mean = ct_histogram_mean(&klass->output_tokens);
+    uint64_t tokens = mean;
+    ct_ms hold_ms;
+    ct_ms total_by_ms;
+
+    row->expected_hold_ms = class_hold_ms(klass);
+    if (row->w.max_tokens > 0 && row->w.max_tokens < mean) {
+        tokens = row->w.max_tokens;
+        row->expected_hold_ms =
+            row->expected_hold_ms * (ct_ms)tokens / (ct_ms)mean;
+    }
+    row->expected_tokens = (uint32_t)tokens + row->w.prompt_tokens / 16 + 1;
+    row->start_by_ms =
+        row->w.arrived_ms + settings->first_token_target_ms -
+        (ct_ms)ct_histogram_quantile(&klass->first_token_ms, PREDICT_PERMILLE);
+    if (settings->total_target_ms > 0) {
+        hold_ms =
+            (ct_ms)ct_histogram_quantile(&klass->hold_ms, PREDICT_PERMILLE);
+        total_by_ms = row->w.arrived_ms + settings->total_target_ms - hold_ms;
+        if (total_by_ms < row->start_by_ms) {
+            row->start_by_ms = total_by_ms;
+        }
+    }
+}
+
+/* Expected slot time of what fair queueing serves before the row. */
+static ct_ms
+work_ahead_ms(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
+{
+    const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+    uint32_t own_weight = ct_lane_weight(q, row->w.organisation);
+    ct_ms own_ms = tp->lanes[row->lane].queued_ms + row->expected_hold_ms;
+    ct_ms ahead_ms = tp->lanes[row->lane].queued_ms;
+
+    for (uint32_t i = 0; i < tp->n_lanes; i++) {
+        const struct ct_queue_lane *lane = &tp->lanes[i];
+        ct_ms fair_ms;
+
+        if (lane->list.n == 0 || i == row->lane || lane->tier > row->tier) {
+            continue;
+        }
+        fair_ms = own_ms * ct_lane_weight(q, lane->organisation) / own_weight;
+        if (lane->tier < row->tier || lane->queued_ms < fair_ms) {
+            ahead_ms += lane->queued_ms;
+        }
+        else {
+            ahead_ms += fair_ms;
+        }
+    }
+    return ahead_ms;
+}
+
+/* Wait for service from the reserve of the class. */
+static ct_ms
+reserve_wait_ms(const struct ct_queue_tiered *q,
+                const struct ct_queue_row *row, uint32_t slots)
+{
+    const struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
+    ct_ms rate =
+        (ct_ms)slots * q->rows.classes[row->w.klass].settings.reserve_percent;
+    ct_ms work_ms = use->queued * row->expected_hold_ms;
+
+    if (rate == 0) {
+        return CT_MS_NEVER;
+    }
+    if (use->credit < 0) {
+        work_ms -= use->credit;
+    }
+    return work_ms * 100 / rate + pool_hold_ms(q, row->w.pool) / slots;
+}
+
+ct_ms
+ct_predict_wait(const struct ct_queue_tiered *q,
+                const struct ct_queue_row *row)
+{
+    const struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    uint32_t slots = pool->firm_slots;
+    ct_ms wait_ms;
+    ct_ms reserve_ms;
+
+    if (row->cheap_allowed) {
+        slots += pool->cheap_slots;
+    }
+    if (slots == 0) {
+        return CT_MS_NEVER;
+    }
+    wait_ms = (work_ahead_ms(q, row) + pool_hold_ms(q, row->w.pool)) / slots;
+    reserve_ms = reserve_wait_ms(q, row, slots);
+    return reserve_ms < wait_ms ? reserve_ms : wait_ms;
+}
+
+void
+ct_predict_learn(struct ct_queue_tiered *q, const struct ct_queue_row *row,
+                 const struct ct_served *served, ct_ms hold_ms)
+{
+    struct ct_queue_class *klass = &q->rows.classes[row->w.klass];
+    struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+
+    if (served->first_token_ms >= 0) {
+        ct_histogram_add(&klass->first_token_ms,
+                         (uint64_t)served->first_token_ms);
+    }
+    if (!served->whole) {
+        return;
+    }
+    ct_histogram_add(&klass->output_tokens, served->output_tokens);
+    ct_histogram_add(&klass->hold_ms, (uint64_t)hold_ms);
+    if (tp->scaled_hold_ms == 0) {
+        tp->scaled_hold_ms = hold_ms * HOLD_SCALE;
+    }
+    tp->scaled_hold_ms += hold_ms - tp->scaled_hold_ms / HOLD_SCALE;
+}
--- /dev/null
+++ b/core/queue-tiered.c
@@ -0,0 +1,593 @@
+#include "queue-tiered.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+
+#define MIN_RETRY_AFTER_MS 200
+#define MAX_RETRY_AFTER_MS 60000
+
+static int
+tiered_set_class(struct ct_queue_policy *policy, uint32_t klass,
+                 const struct ct_class *settings)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+
+    return ct_queue_rows_set_class(&q->rows, klass, settings);
+}
+
+static int
+tiered_set_organisation(struct ct_queue_policy *policy, uint32_t organisation,
+                        uint32_t weight)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+
+    return ct_queue_rows_set_organisation(&q->rows, organisation, weight);
+}
+
+static int
+tiered_set_pool(struct ct_queue_policy *policy, uint32_t pool,
+                uint32_t firm_slots, uint32_t cheap_slots)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    int err = ct_queue_grow((void **)&q->pools, &q->n_pools, pool + 1,
+                            sizeof(*q->pools));
+
+    if (err < 0) {
+        return err;
+    }
+    return ct_queue_rows_set_pool(&q->rows, pool, firm_slots, cheap_slots);
+}
+
+/* Counts the refusal of a row where it is an inversion (see the header). */
+static void
+count_inversion(struct ct_queue_tiered *q, const struct ct_queue_row *row,
+                enum ct_refusal reason)
+{
+    struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+    const uint64_t *starts =
+        row->cheap_allowed ? tp->last_start : tp->last_firm_start;
+    bool inverted = false;
+
+    for (uint32_t tier = row->tier + 1; tier < CT_TIERS; tier++) {
+        inverted = inverted || starts[tier] >= row->sequence;
+    }
+    if (reason == CT_REFUSAL_OVERLOAD || reason == CT_REFUSAL_OVER_SHARE) {
+        inverted = inverted ||
+                   ct_reserve_exceeded_below(q, row->w.pool, row->tier, false);
+    }
+    if (reason == CT_REFUSAL_TARGET_UNREACHABLE) {
+        inverted = inverted ||
+                   ct_reserve_exceeded_below(q, row->w.pool, row->tier, true);
+    }
+    pool->inversions += inverted ? 1 : 0;
+}
+
+/* When the backlog should have shrunk enough for a request like this one. */
+static ct_ms
+retry_after_ms(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
+{
+    ct_ms wait_ms = ct_predict_wait(q, row);
+    ct_ms usual_ms = row->start_by_ms - row->w.arrived_ms;
+
+    if (wait_ms == CT_MS_NEVER || wait_ms - usual_ms > MAX_RETRY_AFTER_MS) {
+        return MAX_RETRY_AFTER_MS;
+    }
+    if (wait_ms - usual_ms < MIN_RETRY_AFTER_MS) {
+        return MIN_RETRY_AFTER_MS;
+    }
+    return wait_ms - usual_ms;
+}
+
+/* Drops a row that waits in its lane. */
+static void
+shed_row(struct ct_queue_tiered *q, struct ct_handle handle,
+         enum ct_refusal reason, struct ct_shed *shed)
+{
+    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+
+    shed->request = row->w.request;
+    shed->reason = reason;
+    shed->retry_after_ms = retry_after_ms(q, row);
+    ct_lane_remove(q, handle);
+    count_inversion(q, row, reason);
+    ct_queue_rows_drop(&q->rows, handle);
+}
+
+/* Refuses a row that has just arrived and is in no lane. */
+static void
+refuse(struct ct_queue_tiered *q, struct ct_handle handle,
+       enum ct_refusal reason, struct ct_queue_decision *decision)
+{
+    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+
+    decision->admission = CT_REFUSED;
+    decision->reason = reason;
+    decision->retry_after_ms = retry_after_ms(q, row);
+    count_inversion(q, row, reason);
+    ct_queue_rows_drop(&q->rows, handle);
+}
+
+static void
+start(struct ct_queue_tiered *q, struct ct_queue_row *row, bool from_reserve,
+      ct_ms now_ms)
+{
+    struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+    struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    struct ct_class_use *use = &tp->uses[row->w.klass];
+    struct ct_queue_lane *lane = &tp->lanes[row->lane];
+    bool firm_free = ct_queue_slot_free(pool, false);
+
+    ct_reserve_accrue(q, row->w.pool, row->w.klass, now_ms);
+    use->running++;
+    use->reserve_running += from_reserve ? 1 : 0;
+    lane->running++;
+    row->from_reserve = from_reserve;
+    if (!from_reserve) {
+        tp->last_start[row->tier] = q->rows.next_sequence;
+        if (firm_free) {
+            tp->last_firm_start[row->tier] = q->rows.next_sequence;
+        }
+    }
+    if (lane->tag > tp->virtual_time[row->tier]) {
+        tp->virtual_time[row->tier] = lane->tag;
+    }
+    ct_lane_charge(q, row, row->expected_tokens);
+    ct_queue_rows_start(&q->rows, row, now_ms);
+}
+
+/* Takes a row out of its slot; its class and lane no longer use it. */
+static void
+stop(struct ct_queue_tiered *q, struct ct_queue_row *row, ct_ms now_ms)
+{
+    struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+    struct ct_class_use *use = &tp->uses[row->w.klass];
+
+    ct_reserve_accrue(q, row->w.pool, row->w.klass, now_ms);
+    use->running--;
+    use->reserve_running -= row->from_reserve ? 1 : 0;
+    tp->lanes[row->lane].running--;
+    ct_queue_rows_stop(&q->rows, row);
+}
+
+/* Whether a slot is free that nothing of this tier or above waits for. */
+static bool
+may_start_now(struct ct_queue_tiered *q, const struct ct_queue_row *row)
+{
+    uint32_t pool = row->w.pool;
+
+    if (!ct_queue_slot_free(&q->rows.pools[pool], row->cheap_allowed)) {
+        return false;
+    }
+    for (uint32_t tier = 0; tier <= row->tier; tier++) {
+        if (q->rows.pools[pool].queued_by_tier[tier] > 0 &&
+            !ct_handle_is_none(ct_lane_select(q, pool, tier, -1))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Whether the row may be refused because its target cannot be met: not
+ * within the places that its class owns, and not while lower tiers hold more
+ * than theirs.
+ */
+static bool
+may_refuse_as_unreachable(const struct ct_queue_tiered *q,
+                          const struct ct_queue_row *row, uint32_t queued)
+{
+    if (queued < ct_reserve_places(q, row->w.klass)) {
+        return false;
+    }
+    return !ct_reserve_exceeded_below(q, row->w.pool, row->tier, true);
+}
+
+/* The lowest tier below the row's with more in the queue than it owns. */
+static bool
+lower_victim_tier(const struct ct_queue_tiered *q,
+                  const struct ct_queue_row *row, uint32_t *tier)
+{
+    for (*tier = CT_TIERS - 1; *tier > row->tier; (*tier)--) {
+        const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+
+        for (uint32_t klass = 0; klass < tp->n_uses; klass++) {
+            if (tp->uses[klass].seen &&
+                q->rows.classes[klass].settings.tier == *tier &&
+                tp->uses[klass].queued > ct_reserve_places(q, klass)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/*
+ * The lane of the tier whose organisation is furthest above its fair share
+ * and whose class waits beyond its places; -1 for none.
+ */
+static int
+victim_lane(struct ct_queue_tiered *q, uint32_t pool, uint32_t tier,
+            uint64_t *share, ct_ms now_ms)
+{
+    struct ct_tiered_pool *tp = &q->pools[pool];
+    int victim = -1;
+
+    *share = 0;
+    for (uint32_t i = 0; i < tp->n_lanes; i++) {
+        const struct ct_queue_lane *lane = &tp->lanes[i];
+        uint64_t lane_share;
+
+        if (lane->list.n == 0 || lane->tier != tier ||
+            tp->uses[lane->klass].queued <=
+                ct_reserve_places(q, lane->klass)) {
+            continue;
+        }
+        lane_share = ct_lane_share(q, pool, lane->organisation, tier, now_ms);
+        if (victim < 0 || lane_share > *share) {
+            victim = (int)i;
+            *share = lane_share;
+        }
+    }
+    return victim;
+}
+
+/*
+ * Frees one place for the row by shedding another. The last of a lane has
+ * the least chance: it is late or has the longest wait before it. Returns
+ * CT_OK, or the negated reason for refusing the row itself.
+ */
+static int
+make_room(struct ct_queue_tiered *q, const struct ct_queue_row *row,
+          struct ct_queue_decision *decision, ct_ms now_ms)
+{
+    enum ct_refusal reason = CT_REFUSAL_OVERLOAD;
+    uint32_t pool = row->w.pool;
+    uint32_t tier;
+    uint64_t share;
+    uint64_t own;
+    int victim;
+
+    if (!lower_victim_tier(q, row, &tier)) {
+        tier = row->tier;
+        reason = CT_REFUSAL_OVER_SHARE;
+    }
+    victim = victim_lane(q, pool, tier, &share, now_ms);
+    if (victim < 0) {
+        return -CT_REFUSAL_OVERLOAD;
+    }
+    if (tier == row->tier) {
+        own = ct_lane_share(q, pool, row->w.organisation, tier, now_ms);
+        if (q->pools[pool].lanes[victim].organisation == row->w.organisation) {
+            return -CT_REFUSAL_OVER_SHARE;
+        }
+        if (own >= share) {
+            return -CT_REFUSAL_OVERLOAD;
+        }
+    }
+    decision->has_shed = true;
+    shed_row(q, q->pools[pool].lanes[victim].list.tail, reason,
+             &decision->shed);
+    return CT_OK;
+}
+
+/* Arms the timers that end or demote a wait. Errors: CT_ERR_NO_MEMORY. */
+static int
+arm(struct ct_queue_tiered *q, struct ct_handle handle)
+{
+    const struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    int err =
+        ct_timers_add(&q->timers, row->give_up_ms, CT_TIMER_QUEUE, handle);
+
+    if (err < 0 || row->start_by_ms >= row->give_up_ms) {
+        return err;
+    }
+    return ct_timers_add(&q->timers, row->start_by_ms, CT_TIMER_QUEUE, handle);
+}
+
+static int
+queue_row(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
+          struct ct_queue_decision *decision)
+{
+    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
+    const struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    int reason;
+    int err;
+
+    decision->expected_wait_ms = ct_predict_wait(q, row);
+    if (decision->expected_wait_ms > row->start_by_ms - now_ms &&
+        may_refuse_as_unreachable(q, row, use->queued)) {
+        refuse(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, decision);
+        return CT_OK;
+    }
+    if (use->queued >= ct_reserve_places(q, row->w.klass) &&
+        pool->queued + ct_reserve_unused_places(q, row->w.pool) >=
+            q->rows.max_queued) {
+        reason = make_room(q, row, decision, now_ms);
+        if (reason < 0) {
+            refuse(q, handle, (enum ct_refusal) - reason, decision);
+            return CT_OK;
+        }
+    }
+    err = arm(q, handle);
+    if (err < 0) {
+        ct_queue_rows_drop(&q->rows, handle);
+        return err;
+    }
+    ct_lane_insert(q, handle, false);
+    decision->admission = CT_QUEUED;
+    return CT_OK;
+}
+
+/* Makes the arrays hold the row's class, organisation and lane. */
+static int
+enter(struct ct_queue_tiered *q, struct ct_queue_row *row, ct_ms now_ms)
+{
+    struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+    int err = ct_queue_grow((void **)&tp->uses, &tp->n_uses, row->w.klass + 1,
+                            sizeof(*tp->uses));
+
+    if (err < 0) {
+        return err;
+    }
+    if (!tp->uses[row->w.klass].seen) {
+        tp->uses[row->w.klass].seen = true;
+        tp->uses[row->w.klass].credit_at_ms = now_ms;
+    }
+    err = ct_queue_grow((void **)&q->organisations, &q->n_organisations,
+                        row->w.organisation + 1, sizeof(*q->organisations));
+    if (err < 0) {
+        return err;
+    }
+    ct_predict_row(q, row);
+    return ct_lane_enter(q, row);
+}
+
+static int
+tiered_arrive(struct ct_queue_policy *policy, const struct ct_waiting *w,
+              ct_ms now_ms, struct ct_queue_decision *decision)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_queue_row *row;
+    struct ct_handle handle;
+    int err = ct_queue_rows_add(&q->rows, w, &handle);
+
+    memset(decision, 0, sizeof(*decision));
+    if (err < 0) {
+        return err;
+    }
+    row = ct_queue_row_get(&q->rows, handle);
+    err = enter(q, row, now_ms);
+    if (err < 0) {
+        ct_queue_rows_drop(&q->rows, handle);
+        return err;
+    }
+    decision->queue_length = q->rows.pools[w->pool].queued;
+    decision->give_up_ms = row->give_up_ms;
+    if (may_start_now(q, row)) {
+        start(q, row, false, now_ms);
+        decision->admission = CT_ADMITTED;
+        return CT_OK;
+    }
+    return queue_row(q, handle, now_ms, decision);
+}
+
+static int
+tiered_next(struct ct_queue_policy *policy, uint32_t pool, ct_ms now_ms,
+            struct ct_waiting *w)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_handle chosen = CT_NO_HANDLE;
+    struct ct_handle reserved = CT_NO_HANDLE;
+    struct ct_queue_row *row;
+    uint32_t tier;
+    int klass;
+
+    if (pool >= q->n_pools ||
+        !ct_queue_slot_free(&q->rows.pools[pool], true)) {
+        return 0;
+    }
+    for (tier = 0; tier < CT_TIERS && ct_handle_is_none(chosen); tier++) {
+        if (q->rows.pools[pool].queued_by_tier[tier] > 0) {
+            chosen = ct_lane_select(q, pool, tier, -1);
+        }
+    }
+    row = ct_queue_row_get(&q->rows, chosen);
+    if (!row) {
+        return 0;
+    }
+    klass = ct_reserve_class(q, row, now_ms);
+    if (klass >= 0) {
+        reserved = ct_lane_select(q, pool,
+                                  q->rows.classes[klass].settings.tier, klass);
+    }
+    if (!ct_handle_is_none(reserved)) {
+        chosen = reserved;
+        row = ct_queue_row_get(&q->rows, chosen);
+    }
+    ct_lane_remove(q, chosen);
+    start(q, row, !ct_handle_is_none(reserved), now_ms);
+    *w = row->w;
+    return 1;
+}
+
+/* Ends or demotes the wait of a row whose timer is due; 1 where it ended. */
+static int
+wait_due(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
+         struct ct_shed *shed)
+{
+    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    const struct ct_class_use *use;
+
+    if (!row || row->state != CT_QUEUE_ROW_WAITING) {
+        return 0;
+    }
+    if (row->give_up_ms <= now_ms) {
+        shed_row(q, handle, CT_REFUSAL_QUEUE_TIMEOUT, shed);
+        return 1;
+    }
+    if (row->start_by_ms > now_ms || row->late) {
+        return 0;
+    }
+    use = &q->pools[row->w.pool].uses[row->w.klass];
+    if (may_refuse_as_unreachable(q, row, use->queued - 1)) {
+        shed_row(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, shed);
+        return 1;
+    }
+    ct_lane_remove(q, handle);
+    row->late = true;
+    ct_lane_insert(q, handle, false);
+    return 0;
+}
+
+static int
+tiered_expire(struct ct_queue_policy *policy, ct_ms now_ms,
+              struct ct_shed *shed)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_timer timer;
+
+    while (ct_timers_pop(&q->timers, now_ms, &timer)) {
+        if (wait_due(q, timer.handle, now_ms, shed)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static void
+tiered_placed(struct ct_queue_policy *policy, struct ct_handle request,
+              bool cheap)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+
+    ct_queue_rows_placed(&q->rows, request, cheap);
+}
+
+static int
+tiered_give_back(struct ct_queue_policy *policy, struct ct_handle request,
+                 ct_ms now_ms)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_handle handle;
+    struct ct_queue_row *row =
+        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
+
+    if (!row) {
+        return CT_ERR_NOT_FOUND;
+    }
+    stop(q, row, now_ms);
+    ct_lane_charge(q, row, -(int64_t)row->expected_tokens);
+    ct_lane_insert(q, handle, true);
+    return arm(q, handle);
+}
+
+static int
+tiered_finished(struct ct_queue_policy *policy, const struct ct_served *served,
+                ct_ms now_ms)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_handle handle;
+    struct ct_queue_row *row = ct_queue_rows_find(
+        &q->rows, served->request, CT_QUEUE_ROW_RUNNING, &handle);
+    int64_t tokens;
+
+    if (!row) {
+        return CT_ERR_NOT_FOUND;
+    }
+    tokens = 1 + (int64_t)served->output_tokens + served->prompt_tokens / 16;
+    ct_predict_learn(q, row, served, now_ms - row->started_ms);
+    ct_lane_charge(q, row, tokens - row->expected_tokens);
+    ct_lane_use(q, row->w.organisation, (uint64_t)tokens, now_ms);
+    stop(q, row, now_ms);
+    ct_queue_rows_drop(&q->rows, handle);
+    return CT_OK;
+}
+
+static int
+tiered_gone(struct ct_queue_policy *policy, struct ct_handle request)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_handle handle;
+
+    if (!ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_WAITING,
+                            &handle)) {
+        return CT_ERR_NOT_FOUND;
+    }
+    ct_lane_remove(q, handle);
+    ct_queue_rows_drop(&q->rows, handle);
+    return CT_OK;
+}
+
+static void
+tiered_totals(const struct ct_queue_policy *policy, uint32_t pool,
+              struct ct_queue_totals *totals)
+{
+    const struct ct_queue_tiered *q = (const struct ct_queue_tiered *)policy;
+
+    ct_queue_rows_totals(&q->rows, pool, totals);
+}
+
+static size_t
+tiered_bytes(const struct ct_queue_policy *policy)
+{
+    const struct ct_queue_tiered *q = (const struct ct_queue_tiered *)policy;
+    size_t bytes = sizeof(*q) + ct_queue_rows_bytes(&q->rows);
+
+    for (uint32_t i = 0; i < q->n_pools; i++) {
+        bytes += q->pools[i].n_lanes * sizeof(*q->pools[i].lanes) +
+                 q->pools[i].n_uses * sizeof(*q->pools[i].uses);
+    }
+    return bytes + q->n_pools * sizeof(*q->pools) +
+           q->n_organisations * sizeof(*q->organisations) +
+           q->timers.cap * sizeof(*q->timers.heap);
+}
+
+static void
+tiered_free(struct ct_queue_policy *policy)
+{
+    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+
+    for (uint32_t i = 0; i < q->n_pools; i++) {
+        free(q->pools[i].lanes);
+        free(q->pools[i].uses);
+    }
+    free(q->pools);
+    free(q->organisations);
+    ct_timers_free(&q->timers);
+    ct_queue_rows_free(&q->rows);
+    free(q);
+}
+
+static const struct ct_queue_policy_ops tiered_ops = {
+    .set_class = tiered_set_class,
+    .set_organisation = tiered_set_organisation,
+    .set_pool = tiered_set_pool,
+    .arrive = tiered_arrive,
+    .next = tiered_next,
+    .expire = tiered_expire,
+    .placed = tiered_placed,
+    .give_back = tiered_give_back,
+    .finished = tiered_finished,
+    .gone = tiered_gone,
+    .totals = tiered_totals,
+    .bytes = tiered_bytes,
+    .free = tiered_free,
+};
+
+struct ct_queue_policy *
+ct_queue_tiered_new(uint32_t max_queued)
+{
+    struct ct_queue_tiered *q = calloc(1, sizeof(*q));
+
+    if (!q) {
+        return NULL;
+    }
+    q->policy.ops = &tiered_ops;
+    ct_queue_rows_init(&q->rows, max_queued);
+    ct_timers_init(&q->timers);
+    return &q->policy;
+}
--- /dev/null
+++ b/core/queue-tiered.h
@@ -0,0 +1,144 @@
+#ifndef CT_QUEUE_TIERED_H
+#define CT_QUEUE_TIERED_H
+
+#include "queue-rows.h"
+#include "timer.h"
+
+/*
+ * Admission and queueing by tier, class target and organisation.
+ *
+ * Order of service: the highest tier with a startable request; in it the
+ * organisation with the fewest tokens in service and served, by weight
+ * (start-time fair queueing); of organisations that are about level, the
+ * request whose last useful start comes first. Requests past their last
+ * useful start are served after the others of their lane.
+ *
+ * Reserve: a class with reserve_percent owns that part of a pool, at least
+ * one slot and one place in the queue. A waiting request of the class is
+ * started before higher tiers while the class holds fewer slots than its
+ * reserve and its credit is not negative. Credit grows by the reserve's slot
+ * time, falls by the slot time that the class uses, and is bounded by
+ * RESERVE_WINDOW_MS of growth. No class starves: within its reserved places
+ * a request is never refused but for its queue limit, and after at most
+ * hold time / reserve the class is started again.
+ *
+ * Tier inversion: a request R of tier T is refused at a host under load (any
+ * of overload, over-fair-share, target-unreachable, queue-timeout), and
+ *
+ *   (a) place: for overload and over-fair-share, a class of a lower tier has
+ *       more requests in the queue of that pool than its reserved places; or
+ *   (b) slot: since R arrived a request of a lower tier was given a slot of
+ *       the pool that R could have used, and not from the reserve; or
+ *   (c) at once: for target-unreachable, a class of a lower tier has more
+ *       requests in slots or in the queue of the pool than its reserve.
+ *
+ * The policy keeps this at 0, and counts it all the same. So "no request of
+ * a higher tier is shed for a lower one" and "no class starves" agree: what
+ * lies within a reserve is the class's own and was never the higher tier's.
+ * Work that runs is not cut: a slot taken before R arrived is no inversion
+ * where R waits out its queue limit.
+ */
+
+struct ct_queue_lane {
+    bool used;
+    uint32_t organisation;
+    uint32_t klass;
+    uint32_t tier;
+    struct ct_queue_list list;
+    /* Expected slot time of the rows that wait. */
+    ct_ms queued_ms;
+    uint32_t running;
+    /* Virtual start of the next request, in scaled tokens. */
+    uint64_t tag;
+};
+
+/* Use of a pool by a class. */
+struct ct_class_use {
+    bool seen;
+    uint32_t queued;
+    uint32_t running;
+    /* Of these, started from the reserve. */
+    uint32_t reserve_running;
+    /* Slot milliseconds, and the time up to which they are counted. */
+    int64_t credit;
+    ct_ms credit_at_ms;
+};
+
+struct ct_tiered_pool {
+    struct ct_queue_lane *lanes;
+    uint32_t n_lanes;
+    struct ct_class_use *uses;
+    uint32_t n_uses;
+    /* Virtual time of fair queueing. */
+    uint64_t virtual_time[CT_TIERS];
+    /* Number of rows that had arrived at the last ordinary start. */
+    uint64_t last_start[CT_TIERS];
+    uint64_t last_firm_start[CT_TIERS];
+    /* Slot time of a request, moving average; scaled by queue-predict.c. */
+    ct_ms scaled_hold_ms;
+};
+
+/* Tokens of an organisation, losing half each USAGE_HALF_LIFE_MS. */
+struct ct_organisation_use {
+    uint64_t tokens;
+    ct_ms at_ms;
+};
+
+struct ct_queue_tiered {
+    struct ct_queue_policy policy;
+    struct ct_queue_rows rows;
+    struct ct_tiered_pool *pools;
+    uint32_t n_pools;
+    struct ct_organisation_use *organisations;
+    uint32_t n_organisations;
+    /* Last useful starts and ends of waits. */
+    struct ct_timers timers;
+};
+
+/* queue-reserve.c: what a class owns of a pool. */
+uint32_t ct_reserve_places(const struct ct_queue_tiered *q, uint32_t klass);
+uint32_t ct_reserve_slots(const struct ct_queue_tiered *q, uint32_t pool,
+                          uint32_t klass);
+/* Places that classes own and do not use. */
+uint32_t ct_reserve_unused_places(const struct ct_queue_tiered *q,
+                                  uint32_t pool);
+void ct_reserve_accrue(struct ct_queue_tiered *q, uint32_t pool,
+                       uint32_t klass, ct_ms now_ms);
+/*
+ * The class, other than that of the chosen row, of its tier or below that
+ * may start from its reserve; -1 for none.
+ */
+int ct_reserve_class(struct ct_queue_tiered *q,
+                     const struct ct_queue_row *chosen, ct_ms now_ms);
+/* Whether a class below the tier holds more than its reserve. */
+bool ct_reserve_exceeded_below(const struct ct_queue_tiered *q, uint32_t pool,
+                               uint32_t tier, bool with_slots);
+
+/* queue-lane.c: one lane an organisation and class; fair queueing. */
+int ct_lane_enter(struct ct_queue_tiered *q, struct ct_queue_row *row);
+void ct_lane_insert(struct ct_queue_tiered *q, struct ct_handle handle,
+                    bool at_head);
+void ct_lane_remove(struct ct_queue_tiered *q, struct ct_handle handle);
+/* Charges tokens of the row's organisation; negative to correct. */
+void ct_lane_charge(struct ct_queue_tiered *q, const struct ct_queue_row *row,
+                    int64_t tokens);
+/* Best row of the tier for a free slot; of one class only unless -1. */
+struct ct_handle ct_lane_select(struct ct_queue_tiered *q, uint32_t pool,
+                                uint32_t tier, int klass);
+/* Decayed tokens by weight; queued work of the pool and tier counts too. */
+uint64_t ct_lane_share(struct ct_queue_tiered *q, uint32_t pool,
+                       uint32_t organisation, uint32_t tier, ct_ms now_ms);
+uint32_t ct_lane_weight(const struct ct_queue_tiered *q,
+                        uint32_t organisation);
+void ct_lane_use(struct ct_queue_tiered *q, uint32_t organisation,
+                 uint64_t tokens, ct_ms now_ms);
+
+/* queue-predict.c: what will a request need, how long will it wait. */
+void ct_predict_row(struct ct_queue_tiered *q, struct ct_queue_row *row);
+ct_ms ct_predict_wait(const struct ct_queue_tiered *q,
+                      const struct ct_queue_row *row);
+void ct_predict_learn(struct ct_queue_tiered *q,
+                      const struct ct_queue_row *row,
+                      const struct ct_served *served, ct_ms hold_ms);
+
+#endif
--- /dev/null
+++ b/core/retry.c
@@ -0,0 +1,117 @@
+#include "retry.h"
+
+#define UNITS_PER_REPEAT 100
+/* Repeats that a class may save up: bounds a burst after a quiet time. */
+#define MAX_SAVED_REPEATS 10
+/* Repeats that a class may make before it has earned any. */
+#define INITIAL_REPEATS 2
+
+/* Late enough that about one request in twenty gets a hedge. */
+#define HEDGE_QUANTILE_PERMILLE 950
+#define HEDGE_MIN_SAMPLES 20
+#define HEDGE_MIN_DELAY_MS 20
+
+void
+ct_retry_set_class(struct ct_retry_class *rc, const struct ct_class *settings)
+{
+    bool known = rc->first_token_target_ms != 0;
+
+    rc->retry_percent = settings->retry_budget_percent;
+    rc->hedge_percent = settings->hedge_budget_percent;
+    rc->first_token_target_ms = settings->first_token_target_ms;
+    if (known) {
+        return;
+    }
+    if (rc->retry_percent > 0) {
+        rc->budget.retry_units = INITIAL_REPEATS * UNITS_PER_REPEAT;
+    }
+    if (rc->hedge_percent > 0) {
+        rc->budget.hedge_units = INITIAL_REPEATS * UNITS_PER_REPEAT;
+    }
+}
+
+static void
+earn(uint32_t *units, uint32_t percent)
+{
+    *units += percent;
+    if (*units > MAX_SAVED_REPEATS * UNITS_PER_REPEAT) {
+        *units = MAX_SAVED_REPEATS * UNITS_PER_REPEAT;
+    }
+}
+
+static bool
+spend(uint32_t *units)
+{
+    if (*units < UNITS_PER_REPEAT) {
+        return false;
+    }
+    *units -= UNITS_PER_REPEAT;
+    return true;
+}
+
+void
+ct_retry_first_attempt(struct ct_retry_class *rc)
+{
+    earn(&rc->budget.retry_units, rc->retry_percent);
+    earn(&rc->budget.hedge_units, rc->hedge_percent);
+}
+
+void
+ct_retry_first_token(struct ct_retry_class *rc, ct_ms wait_ms)
+{
+    if (wait_ms >= 0) {
+        ct_histogram_add(&rc->first_token, (uint64_t)wait_ms);
+    }
+}
+
+bool
+ct_outcome_may_have_run(enum ct_outcome outcome)
+{
+    switch (outcome) {
+    case CT_OUTCOME_NOT_SENT:
+    case CT_OUTCOME_DECLINED:
+    case CT_OUTCOME_EXPIRED:
+        return false;
+    default:
+        return true;
+    }
+}
+
+bool
+ct_retry_allowed(struct ct_retry_class *rc, enum ct_outcome outcome,
+                 bool idempotent)
+{
+    if (outcome == CT_OUTCOME_COMPLETE || outcome == CT_OUTCOME_CANCELLED) {
+        return false;
+    }
+    if (!idempotent && ct_outcome_may_have_run(outcome)) {
+        return false;
+    }
+    return spend(&rc->budget.retry_units);
+}
+
+ct_ms
+ct_hedge_delay_ms(const struct ct_retry_class *rc, bool idempotent)
+{
+    ct_ms delay_ms;
+
+    if (!idempotent || rc->hedge_percent == 0 ||
+        rc->first_token.total < HEDGE_MIN_SAMPLES) {
+        return -1;
+    }
+    delay_ms = (ct_ms)ct_histogram_quantile(&rc->first_token,
+                                            HEDGE_QUANTILE_PERMILLE);
+    if (delay_ms < HEDGE_MIN_DELAY_MS) {
+        return HEDGE_MIN_DELAY_MS;
+    }
+    return delay_ms;
+}
+
+bool
+ct_hedge_allowed(struct ct_retry_class *rc, bool idempotent)
+{
+    if (!idempotent || rc->hedge_percent == 0) {
+        return false;
+    }
+    return spend(&rc->budget.hedge_units);
+}
