core: hold configuration and keys in tables

A configuration is a flat list of rows; applying one keeps the handles of everything whose name it repeats, so running requests keep their class and pool. Withdrawn keys stay as tombstones, so that a grant that lands late in the log cannot revive one.

--- /dev/null
+++ b/core/config.c
@@ -0,0 +1,545 @@
+#include "config.h"
+
+#include <string.h>
+
+#include "error.h"
+
+static gpointer
+pack(struct ct_handle handle)
+{
+    return GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation);
+}
+
+static struct ct_handle
+unpack(gpointer value)
+{
+    gsize packed = GPOINTER_TO_SIZE(value);
+
+    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
+}
+
+static guint
+name_hash(gconstpointer key)
+{
+    const struct ct_name *name = key;
+
+    return g_str_hash(name->text);
+}
+
+static gboolean
+name_equal(gconstpointer a, gconstpointer b)
+{
+    return ct_name_eq(a, b);
+}
+
+static guint
+route_hash(gconstpointer key)
+{
+    const struct ct_route *route = key;
+
+    return g_str_hash(route->path.text) * 31 + g_str_hash(route->model.text);
+}
+
+static gboolean
+route_equal(gconstpointer a, gconstpointer b)
+{
+    const struct ct_route *x = a;
+    const struct ct_route *y = b;
+
+    return strcmp(x->path.text, y->path.text) == 0 &&
+           ct_name_eq(&x->model, &y->model);
+}
+
+static void
+clear_route(void *row)
+{
+    g_free(((struct ct_route_row *)row)->allowed);
+}
+
+static void
+clear_pool(void *row)
+{
+    g_free(((struct ct_pool_row *)row)->upstreams);
+}
+
+void
+ct_config_init(struct ct_config *config)
+{
+    memset(config, 0, sizeof(*config));
+    ct_table_init(&config->organisations, sizeof(struct ct_organisation_row),
+                  0, NULL);
+    ct_table_init(&config->classes, sizeof(struct ct_class_row), 0, NULL);
+    ct_table_init(&config->pools, sizeof(struct ct_pool_row), 0, clear_pool);
+    ct_table_init(&config->routes, sizeof(struct ct_route_row), 0,
+                  clear_route);
+    ct_table_init(&config->hosts, sizeof(struct ct_host_conf_row), 0, NULL);
+    ct_table_init(&config->upstreams, sizeof(struct ct_upstream_row), 0, NULL);
+    config->organisation_by_name = g_hash_table_new(name_hash, name_equal);
+    config->class_by_name = g_hash_table_new(name_hash, name_equal);
+    config->pool_by_name = g_hash_table_new(name_hash, name_equal);
+    config->host_by_name = g_hash_table_new(name_hash, name_equal);
+    config->upstream_by_name = g_hash_table_new(name_hash, name_equal);
+    config->route_by_key = g_hash_table_new(route_hash, route_equal);
+}
+
+void
+ct_config_free(struct ct_config *config)
+{
+    g_hash_table_destroy(config->organisation_by_name);
+    g_hash_table_destroy(config->class_by_name);
+    g_hash_table_destroy(config->pool_by_name);
+    g_hash_table_destroy(config->host_by_name);
+    g_hash_table_destroy(config->upstream_by_name);
+    g_hash_table_destroy(config->route_by_key);
+    ct_table_free(&config->organisations);
+    ct_table_free(&config->classes);
+    ct_table_free(&config->pools);
+    ct_table_free(&config->routes);
+    ct_table_free(&config->hosts);
+    ct_table_free(&config->upstreams);
+}
+
+static struct ct_handle
+look_up(GHashTable *index, const void *key)
+{
+    gpointer value = g_hash_table_lookup(index, key);
+
+    return value ? unpack(value) : CT_NO_HANDLE;
+}
+
+struct ct_handle
+ct_config_organisation(const struct ct_config *config,
+                       const struct ct_name *name)
+{
+    return look_up(config->organisation_by_name, name);
+}
+
+struct ct_handle
+ct_config_pool(const struct ct_config *config, const struct ct_name *name)
+{
+    return look_up(config->pool_by_name, name);
+}
+
+struct ct_handle
+ct_config_host(const struct ct_config *config, const struct ct_name *name)
+{
+    return look_up(config->host_by_name, name);
+}
+
+struct ct_handle
+ct_config_upstream(const struct ct_config *config, const struct ct_name *name)
+{
+    return look_up(config->upstream_by_name, name);
+}
+
+struct ct_handle
+ct_config_route(const struct ct_config *config, const struct ct_path *path,
+                const struct ct_name *model)
+{
+    struct ct_route key = {.path = *path, .model = *model};
+    struct ct_handle handle = look_up(config->route_by_key, &key);
+
+    if (!ct_handle_is_none(handle)) {
+        return handle;
+    }
+    memset(&key.model, 0, sizeof(key.model));
+    return look_up(config->route_by_key, &key);
+}
+
+bool
+ct_config_may_call(const struct ct_config *config, struct ct_handle route,
+                   struct ct_handle organisation)
+{
+    const struct ct_route_row *row = ct_table_get(&config->routes, route);
+    uint32_t byte = organisation.index / 8;
+
+    if (!row) {
+        return false;
+    }
+    if (row->conf.open_to_all) {
+        return true;
+    }
+    return byte < row->allowed_bytes &&
+           (row->allowed[byte] >> (organisation.index % 8) & 1);
+}
+
+/*
+ * How the rows of one table are found, marked and indexed. All row types
+ * start with their conf struct and its key.
+ */
+struct row_kind {
+    struct ct_table *table;
+    GHashTable *index;
+    size_t conf_bytes;
+    size_t configured_at;
+};
+
+#define ROW_KIND(config, member, names, type)                                 \
+    ((struct row_kind){&(config)->member, (config)->names,                    \
+                       sizeof(((type *)0)->conf),                             \
+                       offsetof(type, configured)})
+
+static bool *
+configured_flag(const struct row_kind *kind, void *row)
+{
+    return (bool *)((uint8_t *)row + kind->configured_at);
+}
+
+static void
+mark_all(const struct row_kind *kind)
+{
+    uint32_t cursor = 0;
+    void *row;
+
+    while ((row = ct_table_next(kind->table, &cursor, NULL))) {
+        *configured_flag(kind, row) = false;
+    }
+}
+
+/* Drops the configuration's reference to each row that was not repeated. */
+static void
+sweep(const struct row_kind *kind)
+{
+    uint32_t cursor = 0;
+    struct ct_handle handle;
+    void *row;
+
+    while ((row = ct_table_next(kind->table, &cursor, &handle))) {
+        if (*configured_flag(kind, row)) {
+            continue;
+        }
+        if (ct_handle_eq(look_up(kind->index, row), handle)) {
+            g_hash_table_remove(kind->index, row);
+            ct_table_unref(kind->table, handle);
+        }
+    }
+}
+
+/* Finds or adds the row of this key and takes over the new values. */
+static void *
+keep_row(const struct row_kind *kind, const void *conf,
+         struct ct_handle *handle)
+{
+    void *row;
+
+    *handle = look_up(kind->index, conf);
+    row = ct_table_get(kind->table, *handle);
+    if (!row) {
+        if (ct_table_add(kind->table, handle) < 0) {
+            return NULL;
+        }
+        row = ct_table_get(kind->table, *handle);
+        memcpy(row, conf, kind->conf_bytes);
+        g_hash_table_insert(kind->index, row, pack(*handle));
+    }
+    else {
+        memcpy(row, conf, kind->conf_bytes);
+    }
+    *configured_flag(kind, row) = true;
+    return row;
+}
+
+static struct row_kind
+kind_of(struct ct_config *config, enum ct_config_kind kind)
+{
+    switch (kind) {
+    case CT_CONFIG_ORGANISATION:
+        return ROW_KIND(config, organisations, organisation_by_name,
+                        struct ct_organisation_row);
+    case CT_CONFIG_HOST:
+        return ROW_KIND(config, hosts, host_by_name, struct ct_host_conf_row);
+    case CT_CONFIG_CLASS:
+        return ROW_KIND(config, classes, class_by_name, struct ct_class_row);
+    case CT_CONFIG_POOL:
+        return ROW_KIND(config, pools, pool_by_name, struct ct_pool_row);
+    case CT_CONFIG_UPSTREAM:
+        return ROW_KIND(config, upstreams, upstream_by_name,
+                        struct ct_upstream_row);
+    case CT_CONFIG_ROUTE:
+    case CT_CONFIG_ACCESS:
+    default:
+        return ROW_KIND(config, routes, route_by_key, struct ct_route_row);
+    }
+}
+
+static const enum ct_config_kind table_kinds[] = {
+    CT_CONFIG_ORGANISATION, CT_CONFIG_HOST,     CT_CONFIG_CLASS,
+    CT_CONFIG_POOL,         CT_CONFIG_UPSTREAM, CT_CONFIG_ROUTE,
+};
+
+/* Names of one kind that a list of rows declares. */
+static bool
+declares(struct ct_rows rows, enum ct_config_kind kind,
+         const struct ct_name *name)
+{
+    const struct ct_config_row *row = rows.data;
+    uint32_t i;
+
+    for (i = 0; i < rows.n; i++) {
+        /* Each of these types starts with its name. */
+        if (row[i].kind == kind &&
+            ct_name_eq((const struct ct_name *)&row[i].u, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+check_row(struct ct_rows rows, const struct ct_config_row *row)
+{
+    bool known = true;
+
+    switch (row->kind) {
+    case CT_CONFIG_ROUTE:
+        known = declares(rows, CT_CONFIG_CLASS, &row->u.route.class_name) &&
+                declares(rows, CT_CONFIG_POOL, &row->u.route.pool);
+        break;
+    case CT_CONFIG_ACCESS:
+        known = declares(rows, CT_CONFIG_ORGANISATION,
+                         &row->u.access.organisation);
+        break;
+    case CT_CONFIG_UPSTREAM:
+        known = declares(rows, CT_CONFIG_POOL, &row->u.upstream.pool);
+        break;
+    case CT_CONFIG_CLASS:
+        if (row->u.klass.tier >= CT_TIERS) {
+            return CT_ERR_INVALID;
+        }
+        break;
+    case CT_CONFIG_ORGANISATION:
+    case CT_CONFIG_HOST:
+    case CT_CONFIG_POOL:
+        break;
+    default:
+        return CT_ERR_INVALID;
+    }
+    return known ? CT_OK : CT_ERR_REFERENCE_UNKNOWN;
+}
+
+static int
+check_rows(struct ct_rows rows)
+{
+    const struct ct_config_row *row = rows.data;
+    uint32_t i;
+    int err;
+
+    if (rows.n && rows.row_size != sizeof(*row)) {
+        return CT_ERR_INVALID;
+    }
+    for (i = 0; i < rows.n; i++) {
+        err = check_row(rows, &row[i]);
+        if (err < 0) {
+            return err;
+        }
+    }
+    return CT_OK;
+}
+
+static void
+allow(struct ct_config *config, const struct ct_access *access)
+{
+    struct ct_route key = {.path = access->path, .model = access->model};
+    struct ct_handle organisation =
+        ct_config_organisation(config, &access->organisation);
+    struct ct_route_row *route =
+        ct_table_get(&config->routes, look_up(config->route_by_key, &key));
+    uint32_t byte = organisation.index / 8;
+
+    if (!route || ct_handle_is_none(organisation)) {
+        return;
+    }
+    if (byte >= route->allowed_bytes) {
+        route->allowed = g_realloc(route->allowed, byte + 1);
+        memset(route->allowed + route->allowed_bytes, 0,
+               byte + 1 - route->allowed_bytes);
+        route->allowed_bytes = byte + 1;
+    }
+    route->allowed[byte] |= (uint8_t)(1U << (organisation.index % 8));
+}
+
+static void
+link_route(struct ct_config *config, struct ct_route_row *route)
+{
+    route->klass = look_up(config->class_by_name, &route->conf.class_name);
+    route->pool = look_up(config->pool_by_name, &route->conf.pool);
+    g_free(route->allowed);
+    route->allowed = NULL;
+    route->allowed_bytes = 0;
+}
+
+static void
+add_to_pool(struct ct_config *config, struct ct_handle handle,
+            struct ct_upstream_row *upstream)
+{
+    struct ct_pool_row *pool;
+
+    upstream->pool = look_up(config->pool_by_name, &upstream->conf.pool);
+    pool = ct_table_get(&config->pools, upstream->pool);
+    if (!pool || !upstream->configured) {
+        return;
+    }
+    pool->upstreams =
+        g_renew(struct ct_handle, pool->upstreams, pool->n_upstreams + 1);
+    pool->upstreams[pool->n_upstreams++] = handle;
+}
+
+static void
+link_upstreams(struct ct_config *config)
+{
+    struct ct_upstream_row *upstream;
+    struct ct_pool_row *pool;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((pool = ct_table_next(&config->pools, &cursor, NULL))) {
+        pool->n_upstreams = 0;
+    }
+    cursor = 0;
+    while ((upstream = ct_table_next(&config->upstreams, &cursor, &handle))) {
+        add_to_pool(config, handle, upstream);
+    }
+}
+
+/* Sets the handles between rows, once all rows of all kinds are there. */
+static void
+link_rows(struct ct_config *config, struct ct_rows rows)
+{
+    const struct ct_config_row *row = rows.data;
+    struct ct_class_row *klass;
+    struct ct_route_row *route;
+    uint32_t cursor = 0;
+    uint32_t i;
+
+    while ((route = ct_table_next(&config->routes, &cursor, NULL))) {
+        link_route(config, route);
+    }
+    cursor = 0;
+    while ((klass = ct_table_next(&config->classes, &cursor, NULL))) {
+        ct_retry_set_class(&klass->retry, &klass->conf);
+    }
+    link_upstreams(config);
+    for (i = 0; i < rows.n; i++) {
+        if (row[i].kind == CT_CONFIG_ACCESS) {
+            allow(config, &row[i].u.access);
+        }
+    }
+}
+
+int
+ct_config_apply(struct ct_config *config, int64_t offset, struct ct_rows rows)
+{
+    const struct ct_config_row *row = rows.data;
+    struct ct_handle handle;
+    struct row_kind kind;
+    uint32_t i;
+    int err;
+
+    err = check_rows(rows);
+    if (err < 0) {
+        return err;
+    }
+    for (i = 0; i < G_N_ELEMENTS(table_kinds); i++) {
+        kind = kind_of(config, table_kinds[i]);
+        mark_all(&kind);
+    }
+    for (i = 0; i < rows.n; i++) {
+        if (row[i].kind == CT_CONFIG_ACCESS) {
+            continue;
+        }
+        kind = kind_of(config, row[i].kind);
+        if (!keep_row(&kind, &row[i].u, &handle)) {
+            return CT_ERR_NO_MEMORY;
+        }
+    }
+    for (i = 0; i < G_N_ELEMENTS(table_kinds); i++) {
+        kind = kind_of(config, table_kinds[i]);
+        sweep(&kind);
+    }
+    link_rows(config, rows);
+    config->offset = offset;
+    return CT_OK;
+}
+
+static void
+export_table(struct ct_config *config, enum ct_config_kind kind, GArray *out)
+{
+    struct row_kind rows = kind_of(config, kind);
+    uint32_t cursor = 0;
+    void *row;
+
+    while ((row = ct_table_next(rows.table, &cursor, NULL))) {
+        struct ct_config_row copy;
+
+        if (!*configured_flag(&rows, row)) {
+            continue;
+        }
+        memset(&copy, 0, sizeof(copy));
+        copy.kind = kind;
+        memcpy(&copy.u, row, rows.conf_bytes);
+        g_array_append_val(out, copy);
+    }
+}
+
+static void
+export_access(const struct ct_config *config, GArray *out)
+{
+    const struct ct_organisation_row *organisation;
+    const struct ct_route_row *route;
+    struct ct_handle route_handle;
+    uint32_t cursor = 0;
+
+    while ((route = ct_table_next(&config->routes, &cursor, &route_handle))) {
+        struct ct_handle handle;
+        uint32_t inner = 0;
+
+        if (!route->configured || route->conf.open_to_all) {
+            continue;
+        }
+        while ((organisation =
+                    ct_table_next(&config->organisations, &inner, &handle))) {
+            struct ct_config_row copy;
+
+            if (!ct_config_may_call(config, route_handle, handle)) {
+                continue;
+            }
+            memset(&copy, 0, sizeof(copy));
+            copy.kind = CT_CONFIG_ACCESS;
+            copy.u.access.path = route->conf.path;
+            copy.u.access.model = route->conf.model;
+            copy.u.access.organisation = organisation->conf.name;
+            g_array_append_val(out, copy);
+        }
+    }
+}
+
+struct ct_config_row *
+ct_config_export(const struct ct_config *config, uint32_t *n)
+{
+    GArray *out = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    uint32_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(table_kinds); i++) {
+        export_table((struct ct_config *)config, table_kinds[i], out);
+    }
+    export_access(config, out);
+    *n = out->len;
+    return (struct ct_config_row *)(void *)g_array_free(out, FALSE);
+}
+
+size_t
+ct_config_bytes(const struct ct_config *config)
+{
+    const struct ct_route_row *route;
+    uint32_t cursor = 0;
+    size_t n;
+
+    n = ct_table_bytes(&config->organisations) +
+        ct_table_bytes(&config->classes) + ct_table_bytes(&config->pools) +
+        ct_table_bytes(&config->routes) + ct_table_bytes(&config->hosts) +
+        ct_table_bytes(&config->upstreams);
+    while ((route = ct_table_next(&config->routes, &cursor, NULL))) {
+        n += route->allowed_bytes;
+    }
+    return n;
+}
--- /dev/null
+++ b/core/config.h
@@ -0,0 +1,130 @@
+#ifndef CT_CONFIG_H
+#define CT_CONFIG_H
+
+#include <glib.h>
+
+#include "config-row.h"
+#include "retry.h"
+#include "rows.h"
+#include "table.h"
+
+/*
+ * The configuration in force, as tables. A new configuration keeps the rows
+ * (and handles) of things whose names it repeats; rows of things that went
+ * away live on while requests refer to them, marked as not configured.
+ */
+
+struct ct_organisation_row {
+    struct ct_organisation conf;
+    bool configured;
+};
+
+struct ct_class_row {
+    struct ct_class conf;
+    bool configured;
+    /* Budgets for repeats and the times that they rest on. */
+    struct ct_retry_class retry;
+};
+
+struct ct_pool_row {
+    struct ct_pool conf;
+    bool configured;
+    /* Its upstreams in force. */
+    struct ct_handle *upstreams;
+    uint32_t n_upstreams;
+    /* Requests of this host that hold a slot here. */
+    uint32_t slots_busy;
+    uint32_t slots_total;
+};
+
+struct ct_route_row {
+    struct ct_route conf;
+    bool configured;
+    struct ct_handle klass;
+    struct ct_handle pool;
+    /* One bit an organisation, by table index. */
+    uint8_t *allowed;
+    uint32_t allowed_bytes;
+};
+
+struct ct_host_conf_row {
+    struct ct_host conf;
+    bool configured;
+};
+
+enum ct_upstream_state {
+    /* Takes new work. */
+    CT_UPSTREAM_RUNNING = 0,
+    /* Finishes what it has, takes nothing new. */
+    CT_UPSTREAM_LEAVING,
+};
+
+struct ct_upstream_row {
+    struct ct_upstream conf;
+    bool configured;
+    enum ct_upstream_state state;
+    struct ct_handle pool;
+    /* Attempts of this host that run there now. */
+    uint32_t in_flight;
+};
+
+struct ct_config {
+    /* Offset of the record in force; 0 for none. */
+    int64_t offset;
+    struct ct_table organisations;
+    struct ct_table classes;
+    struct ct_table pools;
+    struct ct_table routes;
+    struct ct_table hosts;
+    struct ct_table upstreams;
+    /* From name to packed handle, one a table; keys live in the rows. */
+    GHashTable *organisation_by_name;
+    GHashTable *class_by_name;
+    GHashTable *pool_by_name;
+    GHashTable *host_by_name;
+    GHashTable *upstream_by_name;
+    /* From path and model to packed handle. */
+    GHashTable *route_by_key;
+};
+
+struct ct_state;
+
+void ct_config_init(struct ct_config *config);
+void ct_config_free(struct ct_config *config);
+
+/*
+ * Puts a configuration in force. The rows were checked by the publisher and
+ * are checked again: a row that refers to something unknown is an error and
+ * nothing is changed. Errors: CT_ERR_REFERENCE_UNKNOWN, CT_ERR_INVALID,
+ * CT_ERR_NO_MEMORY.
+ */
+int ct_config_apply(struct ct_config *config, int64_t offset,
+                    struct ct_rows rows);
+
+/* Look-ups by name; CT_NO_HANDLE where nothing of that name is in force. */
+struct ct_handle ct_config_organisation(const struct ct_config *config,
+                                        const struct ct_name *name);
+struct ct_handle ct_config_pool(const struct ct_config *config,
+                                const struct ct_name *name);
+struct ct_handle ct_config_host(const struct ct_config *config,
+                                const struct ct_name *name);
+struct ct_handle ct_config_upstream(const struct ct_config *config,
+                                    const struct ct_name *name);
+
+/* Route for a path and model; a route without a model matches any model. */
+struct ct_handle ct_config_route(const struct ct_config *config,
+                                 const struct ct_path *path,
+                                 const struct ct_name *model);
+
+/* Whether the organisation may call the route. */
+bool ct_config_may_call(const struct ct_config *config, struct ct_handle route,
+                        struct ct_handle organisation);
+
+/* The rows of the configuration in force, for a snapshot; free with g_free. */
+struct ct_config_row *ct_config_export(const struct ct_config *config,
+                                       uint32_t *n);
+
+/* Heap bytes held, without the allocator's overhead. */
+size_t ct_config_bytes(const struct ct_config *config);
+
+#endif
--- /dev/null
+++ b/core/keys.c
@@ -0,0 +1,122 @@
+#include "keys.h"
+
+#include <string.h>
+
+#include "error.h"
+
+static guint
+digest_hash(gconstpointer key)
+{
+    guint h;
+
+    /* A digest is uniform already. */
+    memcpy(&h, key, sizeof(h));
+    return h;
+}
+
+static gboolean
+digest_equal(gconstpointer a, gconstpointer b)
+{
+    return ct_digest_eq(a, b);
+}
+
+void
+ct_keys_init(struct ct_keys *keys)
+{
+    memset(keys, 0, sizeof(*keys));
+    ct_table_init(&keys->rows, sizeof(struct ct_key_row), 0, NULL);
+    keys->by_digest = g_hash_table_new(digest_hash, digest_equal);
+}
+
+void
+ct_keys_free(struct ct_keys *keys)
+{
+    g_hash_table_destroy(keys->by_digest);
+    ct_table_free(&keys->rows);
+}
+
+struct ct_handle
+ct_keys_find(const struct ct_keys *keys, const struct ct_digest *digest)
+{
+    gsize packed =
+        GPOINTER_TO_SIZE(g_hash_table_lookup(keys->by_digest, digest));
+
+    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
+}
+
+static struct ct_key_row *
+find_or_add(struct ct_keys *keys, const struct ct_digest *digest)
+{
+    struct ct_handle handle = ct_keys_find(keys, digest);
+    struct ct_key_row *row = ct_table_get(&keys->rows, handle);
+
+    if (row) {
+        return row;
+    }
+    if (ct_table_add(&keys->rows, &handle) < 0) {
+        return NULL;
+    }
+    row = ct_table_get(&keys->rows, handle);
+    row->key.digest = *digest;
+    g_hash_table_insert(
+        keys->by_digest, &row->key.digest,
+        GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation));
+    return row;
+}
+
+int
+ct_keys_grant(struct ct_keys *keys, const struct ct_key *key, int64_t offset)
+{
+    struct ct_key_row *row = find_or_add(keys, &key->digest);
+    bool withdrawn;
+
+    if (!row) {
+        return CT_ERR_NO_MEMORY;
+    }
+    if (row->offset) {
+        return 0;
+    }
+    withdrawn = row->key.withdrawn;
+    row->key = *key;
+    row->key.withdrawn = withdrawn;
+    row->offset = offset;
+    return 1;
+}
+
+int
+ct_keys_withdraw(struct ct_keys *keys, const struct ct_digest *digest)
+{
+    struct ct_key_row *row = find_or_add(keys, digest);
+
+    if (!row) {
+        return CT_ERR_NO_MEMORY;
+    }
+    if (row->key.withdrawn) {
+        return 0;
+    }
+    row->key.withdrawn = true;
+    return 1;
+}
+
+int
+ct_keys_withdraw_direct(struct ct_keys *keys, const struct ct_digest *digest)
+{
+    struct ct_key_row *row = find_or_add(keys, digest);
+
+    if (!row) {
+        return CT_ERR_NO_MEMORY;
+    }
+    if (!row->direct) {
+        row->direct = true;
+        keys->direct_count++;
+    }
+    return ct_keys_withdraw(keys, digest);
+}
+
+bool
+ct_keys_usable(const struct ct_keys *keys, struct ct_handle handle)
+{
+    const struct ct_key_row *row = ct_table_get(&keys->rows, handle);
+
+    return row && row->offset && !row->key.withdrawn;
+}
--- a/core/state.c
+++ b/core/state.c
@@ -2,6 +2,9 @@
 
 #include <stdlib.h>
 
+/* Requests that wait for one pool. */
+#define QUEUED_MAX 4096
+
 uint64_t
 ct_state_random(struct ct_state *state)
 {
@@ -35,6 +38,21 @@
     effect->u.log.number = number;
 }
 
+void
+ct_emit_refusal(struct ct_state *state, uint64_t caller,
+                const struct ct_request_id *id, enum ct_refusal reason,
+                enum ct_run_state run_state, ct_ms retry_after_ms)
+{
+    struct ct_refuse_effect *refuse =
+        &ct_emit(state, CT_EFFECT_REFUSE)->u.refuse;
+
+    refuse->caller = caller;
+    refuse->request_id = *id;
+    refuse->reason = reason;
+    refuse->run_state = run_state;
+    refuse->retry_after_ms = retry_after_ms;
+}
+
 void
 ct_arm(struct ct_state *state, ct_ms delay_ms, enum ct_timer_kind kind,
        struct ct_handle handle)
@@ -60,6 +78,17 @@
     state->random = self->seed;
     state->wake_ms = CT_MS_NEVER;
     ct_timers_init(&state->timers);
+    ct_config_init(&state->config);
+    ct_keys_init(&state->keys);
+    ct_claims_init(&state->claims);
+    ct_requests_init(&state->requests);
+    ct_refusal_log_init(&state->refusals);
+    state->queue = ct_queue_fifo_new(QUEUED_MAX);
+    state->balance = ct_balance_least_new();
+    if (!state->queue || !state->balance) {
+        ct_state_free(state);
+        return NULL;
+    }
     return state;
 }
 
@@ -69,6 +98,17 @@
     if (!state) {
         return;
     }
+    if (state->balance) {
+        state->balance->ops->free(state->balance);
+    }
+    if (state->queue) {
+        state->queue->ops->free(state->queue);
+    }
+    ct_refusal_log_free(&state->refusals);
+    ct_requests_free(&state->requests);
+    ct_claims_free(&state->claims);
+    ct_keys_free(&state->keys);
+    ct_config_free(&state->config);
     ct_timers_free(&state->timers);
     free(state);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -1,10 +1,18 @@
 #ifndef CT_STATE_H
 #define CT_STATE_H
 
+#include "balance-policy.h"
+#include "claim.h"
+#include "config.h"
 #include "counter.h"
 #include "effect.h"
 #include "event.h"
+#include "keys.h"
+#include "log-replay.h"
+#include "queue-policy.h"
 #include "reduce.h"
+#include "refusal-log.h"
+#include "request.h"
 #include "timer.h"
 
 /*
@@ -23,6 +31,22 @@
     ct_ms wake_ms;
     struct ct_counters counters;
     uint64_t random;
+
+    /* Agreed through the log. */
+    struct ct_log log;
+    struct ct_config config;
+    struct ct_keys keys;
+    struct ct_claims claims;
+
+    /* This host's own. */
+    struct ct_requests requests;
+    struct ct_refusal_log refusals;
+    struct ct_queue_policy *queue;
+    struct ct_balance_policy *balance;
+    /* The probe timer is armed. */
+    bool probing;
+    bool draining;
+    bool drained;
 };
 
 /* The next number of the state's own repeatable random sequence. */
@@ -36,6 +60,11 @@
                  const struct ct_name *name, const char *reason,
                  int64_t number);
 
+/* Answers a caller with a refusal; counting and recording is the caller's. */
+void ct_emit_refusal(struct ct_state *state, uint64_t caller,
+                     const struct ct_request_id *id, enum ct_refusal reason,
+                     enum ct_run_state run_state, ct_ms retry_after_ms);
+
 /* Arms a timer of the reducer, delay_ms after the current event. */
 void ct_arm(struct ct_state *state, ct_ms delay_ms, enum ct_timer_kind kind,
             struct ct_handle handle);
--- a/core/timer.h
+++ b/core/timer.h
@@ -26,6 +26,7 @@
     CT_TIMER_SNAPSHOT,
     CT_TIMER_SHARES,
     CT_TIMER_PROBE,
+    CT_TIMER_DRAIN,
 };
 
 struct ct_timer {
