core: replay the log, claim keyed requests, record refusals

Agreement is replay alone: records name the offset they build on.

A claim is ended only by the process that wrote it: a restarted process that reads the claim of its predecessor must not free it, since that request may have run (test /claim/earlier-process).

--- /dev/null
+++ b/core/log-replay.c
@@ -0,0 +1,266 @@
+#include "log-replay.h"
+
+#include <string.h>
+
+#include "error.h"
+#include "request.h"
+#include "refusal-log.h"
+#include "snapshot.h"
+#include "state.h"
+
+static const struct ct_name *
+label_of(const struct ct_record *record)
+{
+    return &record->writer;
+}
+
+static void
+apply_config(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    const struct ct_record *record = &entry->record;
+    int err = CT_ERR_LOG_LOST_RACE;
+
+    if (record->base_offset == state->config.offset) {
+        err = ct_config_apply(&state->config, entry->offset, record->rows);
+    }
+    if (err < 0) {
+        ct_count(state, CT_COUNTER_LOG_REJECTED);
+        ct_emit_log(state, CT_LOG_CONFIG_REJECTED, label_of(record),
+                    ct_err_name(err), entry->offset);
+        return;
+    }
+    ct_emit_log(state, CT_LOG_CONFIG_ACCEPTED, label_of(record), NULL,
+                entry->offset);
+    ct_requests_config_changed(state);
+}
+
+static void
+apply_grant(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    const struct ct_key *key = &entry->record.u.key;
+
+    if (ct_keys_grant(&state->keys, key, entry->offset) == 1) {
+        ct_emit_log(state, CT_LOG_KEY_GRANTED, &key->label, NULL,
+                    entry->offset);
+    }
+}
+
+static void
+apply_withdraw(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    const struct ct_key *key = &entry->record.u.key;
+
+    if (ct_keys_withdraw(&state->keys, &key->digest) == 1) {
+        ct_emit_log(state, CT_LOG_KEY_WITHDRAWN, &key->label, NULL,
+                    entry->offset);
+        ct_requests_key_withdrawn(state,
+                                  ct_keys_find(&state->keys, &key->digest));
+    }
+}
+
+static void
+apply_claim(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    const struct ct_claim *claim = &entry->record.u.claim;
+    int result = ct_claims_apply(&state->claims, claim, entry->offset);
+
+    if (result < 0) {
+        state->out->err = result;
+        return;
+    }
+    ct_requests_claim_read(state, &entry->record,
+                           (enum ct_claim_result)result);
+}
+
+static void
+apply_snapshot(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    const struct ct_record *record = &entry->record;
+
+    /* A snapshot of what this host has applied itself tells nothing new. */
+    if (record->base_offset > state->log.snapshot_base) {
+        state->log.snapshot_base = record->base_offset;
+        state->log.snapshot_offset = entry->offset;
+    }
+}
+
+static void
+apply_record(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    switch (entry->record.type) {
+    case CT_RECORD_CONFIG:
+        apply_config(state, entry);
+        return;
+    case CT_RECORD_KEY_GRANT:
+        apply_grant(state, entry);
+        return;
+    case CT_RECORD_KEY_WITHDRAW:
+        apply_withdraw(state, entry);
+        return;
+    case CT_RECORD_CLAIM:
+        apply_claim(state, entry);
+        return;
+    case CT_RECORD_CLAIM_DONE:
+        ct_claims_done(&state->claims, &entry->record.u.claim);
+        return;
+    case CT_RECORD_REFUSALS:
+        ct_refusal_log_apply(state, &entry->record);
+        return;
+    case CT_RECORD_SNAPSHOT:
+        apply_snapshot(state, entry);
+        return;
+    case CT_RECORD_LEASE:
+    case CT_RECORD_USAGE_FINAL:
+    case CT_RECORD_USAGE_ACCEPTED:
+    case CT_RECORD_ORDER_INTENT:
+    case CT_RECORD_ORDER_DONE:
+        return;
+    default:
+        /* Unknown to this version; every host of it skips it alike. */
+        ct_count(state, CT_COUNTER_LOG_REJECTED);
+        ct_emit_log(state, CT_LOG_RECORD_BAD, label_of(&entry->record),
+                    ct_err_name(CT_ERR_LOG_BAD_RECORD), entry->offset);
+        return;
+    }
+}
+
+static void
+heard(struct ct_state *state)
+{
+    state->log.heard_ms = state->now_ms;
+    if (state->log.failing) {
+        state->log.failing = false;
+        ct_emit_log(state, CT_LOG_LOG_BACK, NULL, NULL, state->log.applied);
+    }
+}
+
+static void
+update_ready(struct ct_state *state)
+{
+    struct ct_log *log = &state->log;
+
+    if (log->ready || log->seeking_snapshot || log->applied < log->head) {
+        return;
+    }
+    log->ready = true;
+    ct_emit_log(state, CT_LOG_READY, &state->self.host, NULL, log->applied);
+}
+
+static void
+read_from(struct ct_state *state, int64_t offset)
+{
+    ct_emit(state, CT_EFFECT_READ_LOG)->u.offset = offset;
+}
+
+void
+ct_log_on_head(struct ct_state *state, const struct ct_log_head *head)
+{
+    struct ct_log *log = &state->log;
+
+    heard(state);
+    if (head->head > log->head) {
+        log->head = head->head;
+    }
+    log->first = head->first;
+    if (head->first > log->applied + 1 && !log->seeking_snapshot) {
+        log->seeking_snapshot = true;
+        log->ready = false;
+        read_from(state, head->first);
+        return;
+    }
+    update_ready(state);
+}
+
+/* Starts from a snapshot found while older entries are gone. */
+static void
+use_snapshot(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    const struct ct_record *record = &entry->record;
+    struct ct_log *log = &state->log;
+    int err;
+
+    if (record->base_offset + 1 < log->first ||
+        record->base_offset < log->applied) {
+        return;
+    }
+    err = ct_snapshot_import(state, record->base_offset, record->rows);
+    if (err < 0) {
+        ct_emit_log(state, CT_LOG_RECORD_BAD, label_of(record),
+                    ct_err_name(err), entry->offset);
+        return;
+    }
+    log->applied = record->base_offset;
+    log->snapshot_base = record->base_offset;
+    log->snapshot_offset = entry->offset;
+    log->seeking_snapshot = false;
+    ct_emit_log(state, CT_LOG_SNAPSHOT_USED, label_of(record), NULL,
+                record->base_offset);
+    ct_requests_config_changed(state);
+    read_from(state, log->applied + 1);
+}
+
+void
+ct_log_on_entry(struct ct_state *state, const struct ct_log_entry *entry)
+{
+    struct ct_log *log = &state->log;
+
+    heard(state);
+    if (entry->offset > log->head) {
+        log->head = entry->offset;
+    }
+    if (log->seeking_snapshot) {
+        if (entry->record.type == CT_RECORD_SNAPSHOT) {
+            use_snapshot(state, entry);
+        }
+        return;
+    }
+    if (entry->offset <= log->applied) {
+        return;
+    }
+    if (entry->offset != log->applied + 1) {
+        read_from(state, log->applied + 1);
+        return;
+    }
+    log->applied = entry->offset;
+    ct_count(state, CT_COUNTER_LOG_ENTRIES);
+    ct_claims_advance(&state->claims, entry->record.wall_ms);
+    apply_record(state, entry);
+    update_ready(state);
+}
+
+void
+ct_log_on_failed(struct ct_state *state)
+{
+    if (state->log.failing) {
+        return;
+    }
+    state->log.failing = true;
+    ct_emit_log(state, CT_LOG_LOG_OUTAGE, NULL, NULL, state->log.applied);
+}
+
+uint64_t
+ct_log_append(struct ct_state *state, const struct ct_record *record,
+              ct_ms not_after_ms)
+{
+    struct ct_effect *effect = ct_emit(state, CT_EFFECT_APPEND);
+    struct ct_record *copy = &effect->u.append.record;
+    uint64_t sequence = ++state->log.next_sequence;
+
+    *copy = *record;
+    copy->writer = state->self.writer;
+    copy->sequence = sequence;
+    copy->wall_ms = state->wall_ms;
+    copy->rows = CT_NO_ROWS;
+    effect->u.append.not_after_ms = not_after_ms;
+    ct_effect_set_rows(state->out, effect, record->rows);
+    return sequence;
+}
+
+ct_ms
+ct_log_age_ms(const struct ct_state *state)
+{
+    if (state->log.head == 0 && state->log.heard_ms == 0) {
+        return CT_MS_NEVER;
+    }
+    return state->now_ms - state->log.heard_ms;
+}
--- /dev/null
+++ b/core/refusal-log.c
@@ -0,0 +1,140 @@
+#include "refusal-log.h"
+
+#include <string.h>
+
+#include "error.h"
+#include "log-replay.h"
+#include "state.h"
+
+/* Longest time a refusal waits for its batch. */
+#define FLUSH_MS 500
+#define RETRY_MS 2000
+#define APPEND_LIMIT_MS 5000
+#define BATCH_ROWS 128
+
+void
+ct_refusal_log_init(struct ct_refusal_log *log)
+{
+    memset(log, 0, sizeof(*log));
+    log->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    log->pending = g_array_new(FALSE, TRUE, sizeof(struct ct_refusal_row));
+}
+
+void
+ct_refusal_log_free(struct ct_refusal_log *log)
+{
+    g_hash_table_destroy(log->by_id);
+    g_array_free(log->pending, TRUE);
+    g_free(log->kept);
+}
+
+const struct ct_refusal_row *
+ct_refusal_log_find(const struct ct_refusal_log *log,
+                    const struct ct_request_id *id)
+{
+    return g_hash_table_lookup(log->by_id, id->text);
+}
+
+static void
+keep(struct ct_refusal_log *log, const struct ct_refusal_row *row)
+{
+    struct ct_refusal_row *slot;
+
+    if (ct_refusal_log_find(log, &row->request_id)) {
+        return;
+    }
+    if (!log->kept) {
+        log->kept = g_new0(struct ct_refusal_row, CT_REFUSALS_KEPT);
+    }
+    slot = &log->kept[log->next];
+    log->next = (log->next + 1) % CT_REFUSALS_KEPT;
+    if (log->n == CT_REFUSALS_KEPT) {
+        g_hash_table_remove(log->by_id, slot->request_id.text);
+    }
+    else {
+        log->n++;
+    }
+    *slot = *row;
+    g_hash_table_insert(log->by_id, slot->request_id.text, slot);
+}
+
+static void
+arm(struct ct_state *state, ct_ms delay_ms)
+{
+    struct ct_refusal_log *log = &state->refusals;
+
+    if (!log->armed && log->pending->len) {
+        log->armed = true;
+        ct_arm(state, delay_ms, CT_TIMER_REFUSALS, CT_NO_HANDLE);
+    }
+}
+
+void
+ct_refusal_log_add(struct ct_state *state, const struct ct_refusal_row *row,
+                   bool logged)
+{
+    struct ct_refusal_log *log = &state->refusals;
+
+    keep(log, row);
+    if (!logged) {
+        return;
+    }
+    if (log->pending->len >= CT_REFUSALS_PENDING_MAX) {
+        log->overflow++;
+        return;
+    }
+    g_array_append_vals(log->pending, row, 1);
+    arm(state, FLUSH_MS);
+}
+
+void
+ct_refusal_log_on_timer(struct ct_state *state)
+{
+    struct ct_refusal_log *log = &state->refusals;
+    struct ct_record record;
+
+    log->armed = false;
+    if (log->in_flight || log->pending->len == 0) {
+        return;
+    }
+    log->in_flight = MIN(log->pending->len, BATCH_ROWS);
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_REFUSALS;
+    record.rows = CT_ROWS((struct ct_refusal_row *)(void *)log->pending->data,
+                          log->in_flight);
+    log->in_flight_sequence =
+        ct_log_append(state, &record, state->now_ms + APPEND_LIMIT_MS);
+}
+
+void
+ct_refusal_log_on_append_done(struct ct_state *state,
+                              const struct ct_append_done *done)
+{
+    struct ct_refusal_log *log = &state->refusals;
+
+    if (!log->in_flight || done->sequence != log->in_flight_sequence ||
+        done->result == CT_OK) {
+        return;
+    }
+    /* It may have taken effect; the same rows twice do no harm. */
+    log->in_flight = 0;
+    arm(state, RETRY_MS);
+}
+
+void
+ct_refusal_log_apply(struct ct_state *state, const struct ct_record *record)
+{
+    const struct ct_refusal_row *row = record->rows.data;
+    struct ct_refusal_log *log = &state->refusals;
+    uint32_t i;
+
+    for (i = 0; i < record->rows.n; i++) {
+        keep(log, &row[i]);
+    }
+    if (log->in_flight && record->sequence == log->in_flight_sequence &&
+        ct_name_eq(&record->writer, &state->self.writer)) {
+        g_array_remove_range(log->pending, 0, log->in_flight);
+        log->in_flight = 0;
+        arm(state, FLUSH_MS);
+    }
+}
--- /dev/null
+++ b/core/snapshot.c
@@ -0,0 +1,159 @@
+#include "snapshot.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "error.h"
+#include "state.h"
+
+static void
+add_config(const struct ct_state *state, GArray *out)
+{
+    struct ct_config_row *rows;
+    struct ct_snapshot_row row;
+    uint32_t n;
+    uint32_t i;
+
+    rows = ct_config_export(&state->config, &n);
+    for (i = 0; i < n; i++) {
+        memset(&row, 0, sizeof(row));
+        row.kind = CT_SNAPSHOT_CONFIG;
+        row.offset = state->config.offset;
+        row.u.config = rows[i];
+        g_array_append_val(out, row);
+    }
+    g_free(rows);
+}
+
+static void
+add_keys(const struct ct_state *state, GArray *out)
+{
+    const struct ct_key_row *key;
+    struct ct_snapshot_row row;
+    uint32_t cursor = 0;
+
+    while ((key = ct_table_next(&state->keys.rows, &cursor, NULL))) {
+        memset(&row, 0, sizeof(row));
+        row.kind = CT_SNAPSHOT_KEY;
+        row.offset = key->offset;
+        row.u.key = key->key;
+        g_array_append_val(out, row);
+    }
+}
+
+static void
+add_claims(const struct ct_state *state, GArray *out)
+{
+    const struct ct_claim_row *claim;
+    struct ct_snapshot_row row;
+    uint32_t cursor = 0;
+
+    while ((claim = ct_table_next(&state->claims.rows, &cursor, NULL))) {
+        memset(&row, 0, sizeof(row));
+        row.kind = CT_SNAPSHOT_CLAIM;
+        row.offset = claim->offset;
+        row.u.claim = claim->claim;
+        g_array_append_val(out, row);
+    }
+}
+
+struct ct_snapshot_row *
+ct_snapshot_export(const struct ct_state *state, uint32_t *n)
+{
+    GArray *out = g_array_new(FALSE, TRUE, sizeof(struct ct_snapshot_row));
+
+    add_config(state, out);
+    add_keys(state, out);
+    add_claims(state, out);
+    *n = out->len;
+    return (struct ct_snapshot_row *)(void *)g_array_free(out, FALSE);
+}
+
+static int
+import_config(struct ct_state *state, struct ct_rows rows)
+{
+    const struct ct_snapshot_row *row = rows.data;
+    GArray *config = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    int64_t offset = 0;
+    uint32_t i;
+    int err;
+
+    for (i = 0; i < rows.n; i++) {
+        if (row[i].kind == CT_SNAPSHOT_CONFIG) {
+            g_array_append_val(config, row[i].u.config);
+            offset = row[i].offset;
+        }
+    }
+    err = ct_config_apply(
+        &state->config, offset,
+        CT_ROWS((struct ct_config_row *)(void *)config->data, config->len));
+    g_array_free(config, TRUE);
+    return err;
+}
+
+static int
+import_row(struct ct_state *state, const struct ct_snapshot_row *row)
+{
+    int err;
+
+    switch (row->kind) {
+    case CT_SNAPSHOT_KEY:
+        err = ct_keys_grant(&state->keys, &row->u.key, row->offset);
+        if (err >= 0 && row->u.key.withdrawn) {
+            err = ct_keys_withdraw(&state->keys, &row->u.key.digest);
+        }
+        return err;
+    case CT_SNAPSHOT_CLAIM:
+        err = ct_claims_apply(&state->claims, &row->u.claim, row->offset);
+        if (err >= 0 && row->u.claim.done) {
+            ct_claims_done(&state->claims, &row->u.claim);
+        }
+        return err;
+    case CT_SNAPSHOT_CONFIG:
+    case CT_SNAPSHOT_LEASE:
+    case CT_SNAPSHOT_USAGE_WINDOW:
+    case CT_SNAPSHOT_USAGE_ROW:
+    case CT_SNAPSHOT_ORDER:
+        return CT_OK;
+    default:
+        return CT_ERR_INVALID;
+    }
+}
+
+int
+ct_snapshot_import(struct ct_state *state, int64_t offset, struct ct_rows rows)
+{
+    const struct ct_snapshot_row *row = rows.data;
+    uint32_t i;
+    int err;
+
+    (void)offset;
+    if (rows.n && rows.row_size != sizeof(*row)) {
+        return CT_ERR_INVALID;
+    }
+    err = import_config(state, rows);
+    for (i = 0; i < rows.n && err >= 0; i++) {
+        err = import_row(state, &row[i]);
+    }
+    return err < 0 ? err : CT_OK;
+}
+
+void
+ct_snapshot_maybe_append(struct ct_state *state)
+{
+    struct ct_snapshot_row *rows;
+    struct ct_record record;
+    uint32_t n;
+
+    if (state->log.applied - state->log.snapshot_base <
+        CT_SNAPSHOT_EVERY_OFFSETS) {
+        return;
+    }
+    rows = ct_snapshot_export(state, &n);
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_SNAPSHOT;
+    record.base_offset = state->log.applied;
+    record.rows = CT_ROWS(rows, n);
+    ct_log_append(state, &record, CT_MS_NEVER);
+    g_free(rows);
+}
--- /dev/null
+++ b/t/lib-core.c
@@ -0,0 +1,273 @@
+#include "lib-core.h"
+
+#include <string.h>
+
+#define WALL_MS ((ct_ms)1700000000000)
+
+void
+t_core_init(struct t_core *core)
+{
+    struct ct_self self;
+    struct ct_event event;
+
+    memset(core, 0, sizeof(*core));
+    memset(&self, 0, sizeof(self));
+    CT_TEXT_SET(self.host, "h1");
+    CT_TEXT_SET(self.zone, "zone-a");
+    CT_TEXT_SET(self.writer, "h1-1");
+    self.seed = 1;
+    core->state = ct_state_new(&self);
+    g_assert_nonnull(core->state);
+    ct_effects_init(&core->effects);
+    core->now_ms = 1000;
+    core->wall_ms = WALL_MS;
+    core->next_offset = 1;
+    core->next_caller = 1;
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_HEAD;
+    event.u.head.first = 1;
+    t_core_post(core, &event);
+}
+
+void
+t_core_free(struct t_core *core)
+{
+    ct_state_free(core->state);
+    ct_effects_free(&core->effects);
+}
+
+void
+t_core_post(struct t_core *core, struct ct_event *event)
+{
+    event->now_ms = core->now_ms;
+    event->wall_ms = core->wall_ms;
+    ct_effects_clear(&core->effects);
+    g_assert_cmpint(ct_reduce(core->state, event, &core->effects), ==, CT_OK);
+}
+
+void
+t_core_tick(struct t_core *core, ct_ms by_ms)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_TICK;
+    core->now_ms += by_ms;
+    core->wall_ms += by_ms;
+    t_core_post(core, &event);
+}
+
+void
+t_core_entry(struct t_core *core, const struct ct_record *record)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_ENTRY;
+    event.u.entry.offset = core->next_offset++;
+    event.u.entry.record = *record;
+    event.u.entry.record.wall_ms = core->wall_ms;
+    t_core_post(core, &event);
+}
+
+struct ct_digest
+t_digest(uint8_t n)
+{
+    struct ct_digest digest;
+
+    memset(digest.bytes, n, sizeof(digest.bytes));
+    return digest;
+}
+
+static struct ct_config_row *
+add(GArray *rows, enum ct_config_kind kind)
+{
+    g_array_set_size(rows, rows->len + 1);
+    g_array_index(rows, struct ct_config_row, rows->len - 1).kind = kind;
+    return &g_array_index(rows, struct ct_config_row, rows->len - 1);
+}
+
+static void
+add_organisation(GArray *rows, const char *name)
+{
+    struct ct_organisation *organisation =
+        &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+
+    CT_TEXT_SET(organisation->name, name);
+    organisation->weight = 1;
+}
+
+static void
+add_class(GArray *rows, const char *name, uint32_t tier, bool cheap)
+{
+    struct ct_class *klass = &add(rows, CT_CONFIG_CLASS)->u.klass;
+
+    CT_TEXT_SET(klass->name, name);
+    klass->tier = tier;
+    klass->first_token_target_ms = 1000;
+    klass->token_gap_target_ms = 100;
+    klass->gap_timeout_ms = 3000;
+    klass->queue_limit_ms = 2000;
+    klass->retry_budget_percent = 100;
+    klass->cheap_allowed = cheap;
+}
+
+static void
+add_pool(GArray *rows, const char *name, enum ct_pool_kind kind,
+         uint32_t n_upstreams, uint32_t slots)
+{
+    struct ct_pool *pool = &add(rows, CT_CONFIG_POOL)->u.pool;
+    uint32_t i;
+
+    CT_TEXT_SET(pool->name, name);
+    pool->kind = kind;
+    for (i = 0; i < n_upstreams; i++) {
+        struct ct_upstream *upstream =
+            &add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
+
+        g_snprintf(upstream->name.text, sizeof(upstream->name.text), "%s-%u",
+                   name, i);
+        g_snprintf(upstream->address.text, sizeof(upstream->address.text),
+                   "127.0.0.1:%u", 9000 + i);
+        CT_TEXT_SET(upstream->pool, name);
+        CT_TEXT_SET(upstream->zone, "zone-a");
+        upstream->slots = slots;
+    }
+}
+
+static void
+add_route(GArray *rows, const char *path, const char *klass, const char *pool,
+          bool open, bool idempotent)
+{
+    struct ct_route *route = &add(rows, CT_CONFIG_ROUTE)->u.route;
+
+    CT_TEXT_SET(route->path, path);
+    CT_TEXT_SET(route->class_name, klass);
+    CT_TEXT_SET(route->pool, pool);
+    route->open_to_all = open;
+    route->idempotent = idempotent;
+}
+
+static void
+add_host(GArray *rows, const char *name)
+{
+    struct ct_host *host = &add(rows, CT_CONFIG_HOST)->u.host;
+
+    CT_TEXT_SET(host->name, name);
+    CT_TEXT_SET(host->zone, "zone-a");
+    CT_TEXT_SET(host->caller_address, "127.0.0.1:1");
+}
+
+static void
+grant(struct t_core *core, uint8_t n, const char *organisation)
+{
+    struct ct_record record;
+
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_KEY_GRANT;
+    record.u.key.digest = t_digest(n);
+    CT_TEXT_SET(record.u.key.organisation, organisation);
+    t_core_entry(core, &record);
+}
+
+void
+t_core_configure(struct t_core *core, uint32_t n_upstreams, uint32_t slots)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    struct ct_record record;
+    struct ct_access *access;
+
+    add_organisation(rows, "acme");
+    add_organisation(rows, "zeta");
+    add_class(rows, "chat", 1, true);
+    add_class(rows, "hold", 0, false);
+    add_pool(rows, "engines", CT_POOL_ENGINE, n_upstreams, slots);
+    add_pool(rows, "plain", CT_POOL_PLAIN, n_upstreams, slots);
+    add_route(rows, T_CHAT_PATH, "chat", "engines", true, true);
+    add_route(rows, T_PLAIN_PATH, "hold", "plain", false, false);
+    access = &add(rows, CT_CONFIG_ACCESS)->u.access;
+    CT_TEXT_SET(access->path, T_PLAIN_PATH);
+    CT_TEXT_SET(access->organisation, "acme");
+    add_host(rows, "h1");
+    add_host(rows, "h2");
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CONFIG;
+    record.base_offset = core->state->config.offset;
+    record.rows =
+        CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
+    t_core_entry(core, &record);
+    g_array_free(rows, TRUE);
+    grant(core, 1, "acme");
+    grant(core, 2, "zeta");
+}
+
+struct ct_event
+t_call(struct t_core *core, uint8_t key, const char *path)
+{
+    struct ct_event event;
+    struct ct_call *call = &event.u.call;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_CALL_ARRIVED;
+    call->caller = core->next_caller++;
+    g_snprintf(call->request_id.text, sizeof(call->request_id.text),
+               "request-%" G_GUINT64_FORMAT, call->caller);
+    call->kind = strcmp(path, T_CHAT_PATH) ? CT_CALL_PLAIN : CT_CALL_CHAT;
+    call->has_key = key != 0;
+    call->key = t_digest(key);
+    CT_TEXT_SET(call->path, path);
+    call->stream = call->kind == CT_CALL_CHAT;
+    call->prompt_tokens = 10;
+    if (call->kind == CT_CALL_PLAIN) {
+        call->has_idempotency_key = true;
+        call->idempotency_key = t_digest((uint8_t)call->caller);
+        call->idempotency_wall_ms = core->wall_ms;
+    }
+    return event;
+}
+
+uint64_t
+t_core_call(struct t_core *core, uint8_t key, const char *path)
+{
+    struct ct_event event = t_call(core, key, path);
+
+    t_core_post(core, &event);
+    return event.u.call.caller;
+}
+
+const struct ct_effect *
+t_core_effect(const struct t_core *core, enum ct_effect_type type,
+              uint32_t nth)
+{
+    uint32_t i;
+
+    for (i = 0; i < core->effects.n; i++) {
+        if (core->effects.items[i].type == type && nth-- == 0) {
+            return &core->effects.items[i];
+        }
+    }
+    return NULL;
+}
+
+uint32_t
+t_core_count(const struct t_core *core, enum ct_effect_type type)
+{
+    uint32_t n = 0;
+
+    while (t_core_effect(core, type, n)) {
+        n++;
+    }
+    return n;
+}
+
+void
+t_core_attempt(struct t_core *core, enum ct_event_type type,
+               struct ct_attempt_event attempt)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = type;
+    event.u.attempt = attempt;
+    t_core_post(core, &event);
+}
--- /dev/null
+++ b/t/lib-core.h
@@ -0,0 +1,68 @@
+#ifndef T_LIB_CORE_H
+#define T_LIB_CORE_H
+
+#include <glib.h>
+
+#include "error.h"
+#include "reduce.h"
+#include "state.h"
+
+/*
+ * A host's state driven by hand: events go in, the effects of the last event
+ * can be looked at. Time moves only by t_core_tick().
+ */
+struct t_core {
+    struct ct_state *state;
+    struct ct_effects effects;
+    ct_ms now_ms;
+    ct_ms wall_ms;
+    int64_t next_offset;
+    uint64_t next_caller;
+};
+
+/* What a test configuration holds; see t_core_configure(). */
+#define T_PLAIN_PATH "/hold"
+#define T_CHAT_PATH "/v1/chat/completions"
+
+/* A state that has read an empty log; not configured. */
+void t_core_init(struct t_core *core);
+void t_core_free(struct t_core *core);
+
+/*
+ * Appends a configuration: organisations "acme" and "zeta", classes "chat"
+ * (tier 1) and "hold" (tier 0), an engine pool and a plain pool of
+ * n_upstreams upstreams with the given slots each; routes T_CHAT_PATH (open
+ * to all, idempotent) and T_PLAIN_PATH (acme only, non-idempotent). Grants
+ * the keys 1 (acme) and 2 (zeta).
+ */
+void t_core_configure(struct t_core *core, uint32_t n_upstreams,
+                      uint32_t slots);
+
+/* Gives an event to the reducer; the former effects are forgotten. */
+void t_core_post(struct t_core *core, struct ct_event *event);
+
+/* Moves the time and posts a tick. */
+void t_core_tick(struct t_core *core, ct_ms by_ms);
+
+/* Posts a record as the next entry of the log. */
+void t_core_entry(struct t_core *core, const struct ct_record *record);
+
+/* A digest all of whose bytes are n. */
+struct ct_digest t_digest(uint8_t n);
+
+/* A call of the key's owner on a path; not posted. */
+struct ct_event t_call(struct t_core *core, uint8_t key, const char *path);
+
+/* Posts a call and returns the caller number. */
+uint64_t t_core_call(struct t_core *core, uint8_t key, const char *path);
+
+/* The nth effect of a type after the last event, or NULL. */
+const struct ct_effect *t_core_effect(const struct t_core *core,
+                                      enum ct_effect_type type, uint32_t nth);
+uint32_t t_core_count(const struct t_core *core, enum ct_effect_type type);
+
+/* Posts an event about an attempt. */
+void t_core_attempt(struct t_core *core, enum ct_event_type type,
+                    struct ct_attempt_event attempt);
+
+#endif
--- /dev/null
+++ b/t/test-claim.c
@@ -0,0 +1,239 @@
+/* Tests of claim.h and its use: a keyed request runs at most once. */
+#include <string.h>
+
+#include "claim.h"
+#include "lib-core.h"
+
+/* Returns the record that the reducer wants appended. */
+static struct ct_record
+appended(const struct t_core *core, enum ct_record_type type)
+{
+    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_APPEND, 0);
+
+    g_assert_nonnull(effect);
+    g_assert_cmpint(effect->u.append.record.type, ==, type);
+    return effect->u.append.record;
+}
+
+static void
+append_done(struct t_core *core, uint64_t sequence, int32_t result)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_APPEND_DONE;
+    event.u.append.sequence = sequence;
+    event.u.append.result = result;
+    t_core_post(core, &event);
+}
+
+static void
+assert_refused(const struct t_core *core, enum ct_refusal reason,
+               enum ct_run_state run_state)
+{
+    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
+
+    g_assert_nonnull(effect);
+    g_assert_cmpint(effect->u.refuse.reason, ==, reason);
+    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
+}
+
+/* Nothing is sent before the claim was read back from the log. */
+static void
+test_claim_before_dispatch(void)
+{
+    struct t_core core;
+    struct ct_record claim;
+    const struct ct_effect *effect;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 2);
+    t_core_call(&core, 1, T_PLAIN_PATH);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    claim = appended(&core, CT_RECORD_CLAIM);
+    append_done(&core, claim.sequence, CT_OK);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    t_core_entry(&core, &claim);
+    effect = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0);
+    g_assert_nonnull(effect);
+    g_assert_true(effect->u.attempt.once);
+    t_core_free(&core);
+}
+
+/* Two hosts claim one key: the one whose record comes second never sends. */
+static void
+test_race(void)
+{
+    struct t_core core;
+    struct ct_record mine;
+    struct ct_record other;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 2);
+    t_core_call(&core, 1, T_PLAIN_PATH);
+    mine = appended(&core, CT_RECORD_CLAIM);
+    other = mine;
+    CT_TEXT_SET(other.writer, "h2-1");
+    CT_TEXT_SET(other.u.claim.host, "h2");
+    CT_TEXT_SET(other.u.claim.request_id, "request-other");
+    t_core_entry(&core, &other);
+    t_core_entry(&core, &mine);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    assert_refused(&core, CT_REFUSAL_DUPLICATE, CT_MAY_HAVE_RUN);
+    t_core_free(&core);
+}
+
+/* Refused because the log did not answer; the claim that lands is freed. */
+static void
+test_late_claim(void)
+{
+    struct t_core core;
+    struct ct_record claim;
+    struct ct_record done;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 2);
+    t_core_call(&core, 1, T_PLAIN_PATH);
+    claim = appended(&core, CT_RECORD_CLAIM);
+    append_done(&core, claim.sequence, CT_ERR_LOG_UNAVAILABLE);
+    assert_refused(&core, CT_REFUSAL_LOG_UNAVAILABLE, CT_NOT_RUN);
+    t_core_entry(&core, &claim);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    done = appended(&core, CT_RECORD_CLAIM_DONE);
+    g_assert_cmpint(done.u.claim.status, ==, CT_CLAIM_NOT_RUN);
+    t_core_entry(&core, &done);
+    g_assert_null(ct_claims_find(&core.state->claims, &claim.u.claim.digest));
+    t_core_free(&core);
+}
+
+/* A claim of this host's earlier process is left alone. */
+static void
+test_earlier_process(void)
+{
+    struct t_core core;
+    struct ct_record claim;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 2);
+    t_core_call(&core, 1, T_PLAIN_PATH);
+    claim = appended(&core, CT_RECORD_CLAIM);
+    CT_TEXT_SET(claim.writer, "h1-0");
+    CT_TEXT_SET(claim.u.claim.request_id, "request-earlier");
+    memset(&claim.u.claim.digest, 77, sizeof(claim.u.claim.digest));
+    t_core_entry(&core, &claim);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_APPEND, 0));
+    g_assert_nonnull(
+        ct_claims_find(&core.state->claims, &claim.u.claim.digest));
+    t_core_free(&core);
+}
+
+/* Once a byte may have left, the call is never sent again. */
+static void
+test_no_repeat(void)
+{
+    static const enum ct_outcome outcomes[] = {
+        CT_OUTCOME_FAILED,
+        CT_OUTCOME_BROKEN,
+        CT_OUTCOME_SILENT,
+        CT_OUTCOME_MISMATCH,
+    };
+    struct t_core core;
+
+    for (gsize i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+        struct ct_record claim;
+        struct ct_handle attempt;
+        uint64_t caller;
+
+        t_core_init(&core);
+        t_core_configure(&core, 3, 2);
+        caller = t_core_call(&core, 1, T_PLAIN_PATH);
+        claim = appended(&core, CT_RECORD_CLAIM);
+        t_core_entry(&core, &claim);
+        attempt = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)
+                      ->u.attempt.attempt;
+        t_core_attempt(&core, CT_EVENT_ATTEMPT_SENT,
+                       (struct ct_attempt_event){.attempt = attempt});
+        t_core_attempt(&core, CT_EVENT_ATTEMPT_DONE,
+                       (struct ct_attempt_event){.attempt = attempt,
+                                                 .outcome = outcomes[i]});
+        g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+        g_assert_cmpint(
+            t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.run_state, ==,
+            CT_MAY_HAVE_RUN);
+        claim = appended(&core, CT_RECORD_CLAIM_DONE);
+        g_assert_cmpint(claim.u.claim.status, !=, CT_CLAIM_NOT_RUN);
+        t_core_entry(&core, &claim);
+        t_core_tick(&core, 100);
+        g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+        /* The caller's own repeat does not run either. */
+        {
+            struct ct_event event = t_call(&core, 1, T_PLAIN_PATH);
+
+            event.u.call.idempotency_key = t_digest((uint8_t)caller);
+            t_core_post(&core, &event);
+            g_assert_null(t_core_effect(&core, CT_EFFECT_APPEND, 0));
+            g_assert_cmpint(
+                t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.run_state,
+                ==, CT_MAY_HAVE_RUN);
+        }
+        t_core_free(&core);
+    }
+}
+
+/* Declined by the upstream itself: it may be tried elsewhere. */
+static void
+test_declined_is_repeated(void)
+{
+    struct t_core core;
+    struct ct_record claim;
+    struct ct_handle attempt;
+
+    t_core_init(&core);
+    t_core_configure(&core, 3, 2);
+    t_core_call(&core, 1, T_PLAIN_PATH);
+    claim = appended(&core, CT_RECORD_CLAIM);
+    t_core_entry(&core, &claim);
+    attempt =
+        t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)->u.attempt.attempt;
+    t_core_attempt(&core, CT_EVENT_ATTEMPT_SENT,
+                   (struct ct_attempt_event){.attempt = attempt});
+    t_core_attempt(&core, CT_EVENT_ATTEMPT_DONE,
+                   (struct ct_attempt_event){.attempt = attempt,
+                                             .outcome = CT_OUTCOME_DECLINED});
+    g_assert_nonnull(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    t_core_free(&core);
+}
+
+/* Claims past the horizon are dropped and cannot be claimed again. */
+static void
+test_horizon(void)
+{
+    struct ct_claims claims;
+    struct ct_claim claim;
+
+    memset(&claim, 0, sizeof(claim));
+    claim.key_wall_ms = 1000;
+    ct_claims_init(&claims);
+    ct_claims_advance(&claims, 1000);
+    g_assert_cmpint(ct_claims_apply(&claims, &claim, 1), ==, CT_CLAIM_WON);
+    g_assert_cmpint(ct_claims_apply(&claims, &claim, 2), ==, CT_CLAIM_LOST);
+    ct_claims_advance(&claims, 1000 + CT_CLAIM_HORIZON_MS);
+    g_assert_null(ct_claims_find(&claims, &claim.digest));
+    g_assert_cmpint(ct_claims_apply(&claims, &claim, 3), ==, CT_CLAIM_TOO_OLD);
+    g_assert_cmpuint(claims.rows.live, ==, 0);
+    ct_claims_free(&claims);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/claim/before-dispatch", test_claim_before_dispatch);
+    g_test_add_func("/claim/race", test_race);
+    g_test_add_func("/claim/late", test_late_claim);
+    g_test_add_func("/claim/earlier-process", test_earlier_process);
+    g_test_add_func("/claim/no-repeat", test_no_repeat);
+    g_test_add_func("/claim/declined", test_declined_is_repeated);
+    g_test_add_func("/claim/horizon", test_horizon);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-log-replay.c
@@ -0,0 +1,201 @@
+/* Tests of log-replay.h and snapshot.h: order, races, retention. */
+#include <string.h>
+
+#include "lib-core.h"
+#include "snapshot.h"
+
+static void
+post_head(struct t_core *core, int64_t first, int64_t head)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_HEAD;
+    event.u.head.first = first;
+    event.u.head.head = head;
+    t_core_post(core, &event);
+}
+
+/* Of two configurations made from the same one, the first in order wins. */
+static void
+test_config_race(void)
+{
+    struct t_core core;
+    struct ct_record record;
+    int64_t before;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    before = core.state->config.offset;
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CONFIG;
+    record.base_offset = before;
+    CT_TEXT_SET(record.writer, "operator-a");
+    t_core_entry(&core, &record);
+    g_assert_cmpint(core.state->config.offset, ==, core.next_offset - 1);
+    before = core.state->config.offset;
+    CT_TEXT_SET(record.writer, "operator-b");
+    t_core_entry(&core, &record);
+    g_assert_cmpint(core.state->config.offset, ==, before);
+    g_assert_cmpuint(core.state->counters.values[CT_COUNTER_LOG_REJECTED], ==,
+                     1);
+    t_core_free(&core);
+}
+
+/* A broken configuration changes nothing. */
+static void
+test_config_broken(void)
+{
+    struct t_core core;
+    struct ct_config_row row;
+    struct ct_record record;
+    int64_t before;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    before = core.state->config.offset;
+    memset(&row, 0, sizeof(row));
+    row.kind = CT_CONFIG_ROUTE;
+    CT_TEXT_SET(row.u.route.class_name, "nowhere");
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CONFIG;
+    record.base_offset = before;
+    record.rows = CT_ROWS(&row, 1);
+    t_core_entry(&core, &record);
+    g_assert_cmpint(core.state->config.offset, ==, before);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    g_assert_nonnull(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    t_core_free(&core);
+}
+
+/* Entries are applied in order only; a gap is read again. */
+static void
+test_gap(void)
+{
+    struct t_core core;
+    struct ct_event event;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_ENTRY;
+    event.u.entry.offset = core.next_offset + 3;
+    event.u.entry.record.type = CT_RECORD_KEY_WITHDRAW;
+    event.u.entry.record.u.key.digest = t_digest(1);
+    t_core_post(&core, &event);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_READ_LOG, 0)->u.offset, ==,
+                    core.next_offset);
+    g_assert_cmpint(core.state->log.applied, ==, core.next_offset - 1);
+    event.u.entry.offset = 1;
+    t_core_post(&core, &event);
+    g_assert_true(ct_keys_usable(
+        &core.state->keys,
+        ct_keys_find(&core.state->keys, &event.u.entry.record.u.key.digest)));
+    t_core_free(&core);
+}
+
+/* A host that starts serves nobody before it has read to the head. */
+static void
+test_not_ready(void)
+{
+    struct t_core core;
+
+    t_core_init(&core);
+    core.state->log.ready = false;
+    post_head(&core, 1, 100);
+    t_core_configure(&core, 1, 1);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.reason,
+                    ==, CT_REFUSAL_NOT_READY);
+    t_core_free(&core);
+}
+
+/* Older entries are gone: state comes from the newest snapshot. */
+static void
+test_snapshot_start(void)
+{
+    struct t_core old;
+    struct t_core core;
+    struct ct_record record;
+    struct ct_event event;
+    struct ct_snapshot_row *rows;
+    uint32_t n;
+
+    t_core_init(&old);
+    t_core_configure(&old, 2, 2);
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_KEY_WITHDRAW;
+    record.u.key.digest = t_digest(2);
+    t_core_entry(&old, &record);
+    rows = ct_snapshot_export(old.state, &n);
+
+    t_core_init(&core);
+    core.state->log.ready = false;
+    post_head(&core, 3, 10);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_READ_LOG, 0)->u.offset, ==,
+                    3);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_ENTRY;
+    event.u.entry.offset = 8;
+    event.u.entry.record.type = CT_RECORD_SNAPSHOT;
+    event.u.entry.record.base_offset = 7;
+    event.u.entry.record.rows = CT_ROWS(rows, n);
+    t_core_post(&core, &event);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_READ_LOG, 0)->u.offset, ==,
+                    8);
+    g_assert_false(core.state->log.ready);
+    core.next_offset = 8;
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CLAIM_DONE;
+    while (core.next_offset <= 10) {
+        t_core_entry(&core, &record);
+    }
+    g_assert_true(core.state->log.ready);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    g_assert_nonnull(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    t_core_call(&core, 2, T_CHAT_PATH);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.reason,
+                    ==, CT_REFUSAL_KEY_WITHDRAWN);
+    g_free(rows);
+    t_core_free(&core);
+    t_core_free(&old);
+}
+
+/* What a snapshot brings back is what was put in. */
+static void
+test_snapshot_round_trip(void)
+{
+    struct t_core a;
+    struct t_core b;
+    struct ct_snapshot_row *first;
+    struct ct_snapshot_row *second;
+    uint32_t n;
+    uint32_t m;
+
+    t_core_init(&a);
+    t_core_configure(&a, 3, 2);
+    first = ct_snapshot_export(a.state, &n);
+    t_core_init(&b);
+    g_assert_cmpint(ct_snapshot_import(b.state, 3, CT_ROWS(first, n)), ==,
+                    CT_OK);
+    second = ct_snapshot_export(b.state, &m);
+    g_assert_cmpmem(first, n * sizeof(*first), second, m * sizeof(*second));
+    g_free(first);
+    g_free(second);
+    t_core_free(&a);
+    t_core_free(&b);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/log-replay/config-race", test_config_race);
+    g_test_add_func("/log-replay/config-broken", test_config_broken);
+    g_test_add_func("/log-replay/gap", test_gap);
+    g_test_add_func("/log-replay/not-ready", test_not_ready);
+    g_test_add_func("/log-replay/snapshot-start", test_snapshot_start);
+    g_test_add_func("/log-replay/snapshot-round-trip",
+                    test_snapshot_round_trip);
+    return g_test_run();
+}
