--- /dev/null
+++ b/core/addresses.h
@@ -0,0 +1,18 @@
+#ifndef CT_ADDRESSES_H
+#define CT_ADDRESSES_H
+
+#include <stdint.h>
+
+/*
+ * Which hosts a caller shall use. There is no balancer: callers ask any host
+ * and keep the answer for its lifetime.
+ */
+
+/* How long callers keep an answer. */
+#define CT_ADDRESSES_LIFETIME_MS 10000
+
+struct ct_state;
+
+void ct_addresses_on_asked(struct ct_state *state, uint64_t caller);
+
+#endif
--- /dev/null
+++ b/core/attempt.c
@@ -0,0 +1,457 @@
+#include "attempt.h"
+
+#include <string.h>
+
+#include "dispatch.h"
+#include "error.h"
+#include "retry.h"
+#include "state.h"
+
+#define ATTEMPTS_MAX 4
+/* Longest time from the decision to the first byte of the request. */
+#define START_LIMIT_MS 5000
+#define BACKOFF_MS 20
+#define DEFAULT_GAP_TIMEOUT_MS 10000
+
+static struct ct_attempt *
+attempt_get(const struct ct_state *state, struct ct_handle handle)
+{
+    return ct_table_get(&state->requests.attempts, handle);
+}
+
+static struct ct_class_row *
+class_of(const struct ct_state *state, const struct ct_request *request)
+{
+    return ct_table_get(&state->config.classes, request->klass);
+}
+
+static void
+emit_start(struct ct_state *state, struct ct_handle handle,
+           const struct ct_attempt *attempt)
+{
+    const struct ct_request *request = ct_request_get(state, attempt->request);
+    const struct ct_upstream_row *upstream =
+        ct_table_get(&state->config.upstreams, attempt->upstream);
+    const struct ct_route_row *route =
+        ct_table_get(&state->config.routes, request->route);
+    const struct ct_class_row *klass = class_of(state, request);
+    ct_ms gap_ms = klass->conf.gap_timeout_ms;
+    struct ct_attempt_effect *start =
+        &ct_emit(state, CT_EFFECT_START_ATTEMPT)->u.attempt;
+
+    start->attempt = handle;
+    start->request = attempt->request;
+    start->caller = request->body_caller;
+    start->request_id = request->id;
+    start->kind = request->kind;
+    start->path = route->conf.path;
+    start->upstream = upstream->conf.name;
+    start->pool = upstream->conf.pool;
+    start->address = upstream->conf.address;
+    start->priority = request->tier;
+    start->once = !request->idempotent;
+    start->resume_offset = request->answer_bytes;
+    start->gap_timeout_ms = gap_ms ? gap_ms : DEFAULT_GAP_TIMEOUT_MS;
+    start->not_after_ms = state->now_ms + START_LIMIT_MS;
+}
+
+struct ct_handle
+ct_attempt_start(struct ct_state *state, struct ct_handle request_handle,
+                 struct ct_handle upstream_handle)
+{
+    struct ct_request *request = ct_request_get(state, request_handle);
+    struct ct_class_row *klass = class_of(state, request);
+    struct ct_upstream_row *upstream;
+    struct ct_attempt *attempt;
+    struct ct_handle handle;
+    ct_ms hedge_ms;
+    int err;
+
+    err = ct_table_add(&state->requests.attempts, &handle);
+    if (err < 0) {
+        state->out->err = err;
+        return CT_NO_HANDLE;
+    }
+    attempt = attempt_get(state, handle);
+    attempt->request = request_handle;
+    attempt->upstream = upstream_handle;
+    attempt->started_ms = state->now_ms;
+    attempt->last_token_ms = state->now_ms;
+    ct_table_ref(&state->config.upstreams, upstream_handle);
+    upstream = ct_table_get(&state->config.upstreams, upstream_handle);
+    upstream->in_flight++;
+    ct_count(state, CT_COUNTER_ATTEMPTS);
+    state->balance->ops->started(state->balance, upstream_handle,
+                                 state->now_ms);
+    if (request->attempts++ == 0) {
+        ct_retry_first_attempt(&klass->retry);
+        hedge_ms = ct_hedge_delay_ms(&klass->retry, request->idempotent);
+        if (hedge_ms >= 0) {
+            ct_arm(state, hedge_ms, CT_TIMER_HEDGE, request_handle);
+        }
+    }
+    emit_start(state, handle, attempt);
+    return handle;
+}
+
+/* Forgets an attempt; later events of it are dropped. */
+static void
+end_attempt(struct ct_state *state, struct ct_handle handle,
+            enum ct_outcome outcome)
+{
+    struct ct_attempt *attempt = attempt_get(state, handle);
+    struct ct_upstream_row *upstream;
+
+    if (!attempt) {
+        return;
+    }
+    upstream = ct_table_get(&state->config.upstreams, attempt->upstream);
+    upstream->in_flight--;
+    state->balance->ops->ended(state->balance, attempt->upstream, outcome,
+                               state->now_ms);
+    ct_table_unref(&state->config.upstreams, attempt->upstream);
+    ct_table_unref(&state->requests.attempts, handle);
+}
+
+static void
+cancel(struct ct_state *state, struct ct_handle *handle)
+{
+    const struct ct_request *request;
+    const struct ct_attempt *attempt = attempt_get(state, *handle);
+    struct ct_effect *effect;
+
+    if (attempt) {
+        request = ct_request_get(state, attempt->request);
+        effect = ct_emit(state, CT_EFFECT_CANCEL_ATTEMPT);
+        effect->u.attempt.attempt = *handle;
+        effect->u.attempt.request = attempt->request;
+        effect->u.attempt.kind = request->kind;
+        effect->u.attempt.request_id = request->id;
+        end_attempt(state, *handle, CT_OUTCOME_CANCELLED);
+    }
+    *handle = CT_NO_HANDLE;
+}
+
+void
+ct_attempts_cancel(struct ct_state *state, struct ct_handle request_handle)
+{
+    struct ct_request *request = ct_request_get(state, request_handle);
+
+    cancel(state, &request->attempt);
+    cancel(state, &request->hedge);
+}
+
+/* The request of a live attempt; counts events that come too late. */
+static struct ct_request *
+request_of_event(struct ct_state *state, const struct ct_attempt_event *event)
+{
+    const struct ct_attempt *attempt = attempt_get(state, event->attempt);
+
+    if (!attempt) {
+        ct_count(state, CT_COUNTER_LATE_EVENTS);
+        return NULL;
+    }
+    return ct_request_get(state, attempt->request);
+}
+
+void
+ct_attempt_on_sent(struct ct_state *state,
+                   const struct ct_attempt_event *event)
+{
+    struct ct_request *request = request_of_event(state, event);
+
+    if (request) {
+        request->may_have_run = true;
+        attempt_get(state, event->attempt)->sent = true;
+    }
+}
+
+void
+ct_attempt_on_head(struct ct_state *state,
+                   const struct ct_attempt_event *event)
+{
+    if (request_of_event(state, event)) {
+        attempt_get(state, event->attempt)->status = event->status;
+    }
+}
+
+/* The first of two attempts that shows data keeps the request. */
+static void
+settle_hedge(struct ct_state *state, struct ct_request *request,
+             struct ct_handle winner)
+{
+    struct ct_handle loser;
+
+    if (ct_handle_is_none(request->hedge)) {
+        return;
+    }
+    loser = ct_handle_eq(request->attempt, winner) ? request->hedge
+                                                   : request->attempt;
+    ct_count(state, CT_COUNTER_HEDGES_WASTED);
+    cancel(state, &loser);
+    request->attempt = winner;
+    request->hedge = CT_NO_HANDLE;
+}
+
+static void
+learn_tokens(struct ct_state *state, struct ct_request *request,
+             struct ct_attempt *attempt, uint32_t tokens)
+{
+    ct_ms wait_ms = state->now_ms - attempt->started_ms;
+
+    if (tokens == 0) {
+        return;
+    }
+    if (!attempt->got_data) {
+        attempt->got_data = true;
+        state->balance->ops->first_token(state->balance, attempt->upstream,
+                                         wait_ms, state->now_ms);
+        ct_retry_first_token(&class_of(state, request)->retry, wait_ms);
+        if (request->first_token_ms < 0) {
+            request->first_token_ms = wait_ms;
+        }
+    }
+    else {
+        state->balance->ops->token_gap(
+            state->balance, attempt->upstream, tokens,
+            state->now_ms - attempt->last_token_ms, state->now_ms);
+    }
+    attempt->last_token_ms = state->now_ms;
+    request->answer_tokens += tokens;
+    state->counters.values[CT_COUNTER_TOKENS_OUT] += tokens;
+}
+
+void
+ct_attempt_on_data(struct ct_state *state,
+                   const struct ct_attempt_event *event)
+{
+    struct ct_request *request = request_of_event(state, event);
+    struct ct_attempt *attempt;
+
+    if (!request) {
+        return;
+    }
+    attempt = attempt_get(state, event->attempt);
+    settle_hedge(state, request, event->attempt);
+    if (event->offset != request->answer_bytes) {
+        /* A part is missing or doubled; what follows cannot be placed. */
+        ct_count(state, CT_COUNTER_LATE_EVENTS);
+        return;
+    }
+    request->status = attempt->status;
+    request->answer_bytes = event->offset + event->bytes;
+    learn_tokens(state, request, attempt, event->tokens);
+    ct_request_progress(state, attempt->request);
+}
+
+static enum ct_counter
+retry_counter(enum ct_outcome outcome)
+{
+    switch (outcome) {
+    case CT_OUTCOME_NOT_SENT:
+        return CT_COUNTER_RETRY_NOT_SENT;
+    case CT_OUTCOME_DECLINED:
+        return CT_COUNTER_RETRY_DECLINED;
+    case CT_OUTCOME_FAILED:
+        return CT_COUNTER_RETRY_FAILED;
+    case CT_OUTCOME_SILENT:
+        return CT_COUNTER_RETRY_SILENT;
+    case CT_OUTCOME_MISMATCH:
+        return CT_COUNTER_RETRY_MISMATCH;
+    case CT_OUTCOME_EXPIRED:
+        return CT_COUNTER_RETRY_EXPIRED;
+    case CT_OUTCOME_BROKEN:
+    case CT_OUTCOME_COMPLETE:
+    case CT_OUTCOME_CANCELLED:
+    default:
+        return CT_COUNTER_RETRY_BROKEN;
+    }
+}
+
+static enum ct_refusal
+failure_reason(enum ct_outcome outcome)
+{
+    switch (outcome) {
+    case CT_OUTCOME_NOT_SENT:
+    case CT_OUTCOME_DECLINED:
+    case CT_OUTCOME_EXPIRED:
+        return CT_REFUSAL_NO_UPSTREAM;
+    case CT_OUTCOME_SILENT:
+        return CT_REFUSAL_UPSTREAM_SILENT;
+    case CT_OUTCOME_COMPLETE:
+    case CT_OUTCOME_FAILED:
+    case CT_OUTCOME_BROKEN:
+    case CT_OUTCOME_MISMATCH:
+    case CT_OUTCOME_CANCELLED:
+    default:
+        return CT_REFUSAL_UPSTREAM_FAILED;
+    }
+}
+
+/*
+ * Whether another attempt can go on with the answer. Engines resume a
+ * stream at a byte; anything else starts anew, which the caller must not
+ * notice.
+ */
+static bool
+can_continue(struct ct_request *request)
+{
+    if (request->answer_bytes == 0) {
+        return true;
+    }
+    if (request->kind == CT_CALL_CHAT && request->stream) {
+        return true;
+    }
+    if (request->written_bytes == 0) {
+        request->answer_bytes = 0;
+        request->answer_tokens = 0;
+        return true;
+    }
+    return false;
+}
+
+static bool
+may_repeat(struct ct_state *state, struct ct_request *request,
+           enum ct_outcome outcome)
+{
+    struct ct_class_row *klass = class_of(state, request);
+
+    if (request->attempts >= ATTEMPTS_MAX || !can_continue(request)) {
+        return false;
+    }
+    if (!ct_retry_allowed(&klass->retry, outcome, request->idempotent)) {
+        if (request->idempotent) {
+            ct_count(state, CT_COUNTER_RETRY_OVER_BUDGET);
+        }
+        return false;
+    }
+    return true;
+}
+
+static void
+note_tried(struct ct_request *request, struct ct_handle upstream)
+{
+    if (request->n_tried < G_N_ELEMENTS(request->tried)) {
+        request->tried[request->n_tried++] = upstream;
+    }
+}
+
+/* Tries again elsewhere, after a delay from the third attempt on. */
+static void
+repeat(struct ct_state *state, struct ct_handle handle,
+       enum ct_outcome outcome)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    ct_ms delay_ms;
+
+    ct_count(state, retry_counter(outcome));
+    if (request->answer_bytes) {
+        ct_count(state, CT_COUNTER_RESUMES);
+    }
+    if (request->attempts < 2) {
+        ct_dispatch_attempt(state, handle);
+        return;
+    }
+    request->state = CT_REQUEST_BACKOFF;
+    delay_ms = (ct_ms)BACKOFF_MS << request->attempts;
+    delay_ms += (ct_ms)(ct_state_random(state) % (uint64_t)delay_ms);
+    ct_arm(state, delay_ms, CT_TIMER_RETRY, handle);
+}
+
+/* An attempt that the upstream declined leaves no doubt behind. */
+static void
+update_may_have_run(const struct ct_state *state, struct ct_request *request)
+{
+    const struct ct_attempt *other = attempt_get(state, request->attempt);
+
+    request->may_have_run = request->ran_before || (other && other->sent);
+}
+
+static void
+attempt_failed(struct ct_state *state, struct ct_handle attempt_handle,
+               enum ct_outcome outcome)
+{
+    const struct ct_attempt *attempt = attempt_get(state, attempt_handle);
+    struct ct_handle handle = attempt->request;
+    struct ct_request *request = ct_request_get(state, handle);
+    struct ct_handle pool = request->pool;
+    const struct ct_upstream_row *upstream =
+        ct_table_get(&state->config.upstreams, attempt->upstream);
+
+    ct_emit_log(state, CT_LOG_ATTEMPT_FAILED, &upstream->conf.name,
+                ct_refusal_text(failure_reason(outcome)), outcome);
+    request->ran_before |= attempt->sent && ct_outcome_may_have_run(outcome);
+    note_tried(request, attempt->upstream);
+    end_attempt(state, attempt_handle, outcome);
+    ct_dispatch_update_slots(state, pool);
+    if (ct_handle_eq(request->attempt, attempt_handle)) {
+        request->attempt = request->hedge;
+    }
+    request->hedge = CT_NO_HANDLE;
+    update_may_have_run(state, request);
+    if (!ct_handle_is_none(request->attempt)) {
+        return;
+    }
+    if (may_repeat(state, request, outcome)) {
+        repeat(state, handle, outcome);
+        return;
+    }
+    ct_request_fail(state, handle, failure_reason(outcome), 0);
+}
+
+void
+ct_attempt_on_done(struct ct_state *state,
+                   const struct ct_attempt_event *event)
+{
+    struct ct_request *request = request_of_event(state, event);
+    const struct ct_attempt *attempt;
+    struct ct_handle handle;
+
+    if (!request) {
+        return;
+    }
+    if (event->outcome != CT_OUTCOME_COMPLETE) {
+        attempt_failed(state, event->attempt, event->outcome);
+        return;
+    }
+    attempt = attempt_get(state, event->attempt);
+    handle = attempt->request;
+    settle_hedge(state, request, event->attempt);
+    request->status = attempt->status;
+    if (event->total_tokens) {
+        request->answer_tokens = event->total_tokens;
+    }
+    if (event->prompt_tokens) {
+        request->prompt_tokens = event->prompt_tokens;
+    }
+    state->counters.values[CT_COUNTER_TOKENS_IN] += request->prompt_tokens;
+    end_attempt(state, event->attempt, event->outcome);
+    request->attempt = CT_NO_HANDLE;
+    ct_request_complete(state, handle);
+}
+
+void
+ct_attempt_on_hedge_timer(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    const struct ct_attempt *first;
+    struct ct_handle upstream;
+
+    if (!request || request->state != CT_REQUEST_RUNNING ||
+        request->answer_bytes || request->attempts != 1) {
+        return;
+    }
+    first = attempt_get(state, request->attempt);
+    if (!first) {
+        return;
+    }
+    note_tried(request, first->upstream);
+    upstream = ct_dispatch_choose_other(state, handle);
+    if (ct_handle_is_none(upstream) ||
+        !ct_hedge_allowed(&class_of(state, request)->retry,
+                          request->idempotent)) {
+        return;
+    }
+    ct_count(state, CT_COUNTER_HEDGES);
+    request->hedge = ct_attempt_start(state, handle, upstream);
+}
--- /dev/null
+++ b/core/dispatch.c
@@ -0,0 +1,392 @@
+#include "dispatch.h"
+
+#include <string.h>
+
+#include "attempt.h"
+#include "error.h"
+#include "state.h"
+
+/* How long a claim may take to be read back from the log. */
+#define CLAIM_TIMEOUT_MS 4000
+
+/* How often slots are counted anew. */
+#define PROBE_PERIOD_MS 1000
+
+#define CANDIDATES_MAX 1024
+#define BACKOFF_RETRY_AFTER_MS 1000
+
+static struct ct_waiting
+waiting_of(const struct ct_request *request, struct ct_handle handle)
+{
+    return (struct ct_waiting){
+        .request = handle,
+        .organisation = request->organisation.index,
+        .klass = request->klass.index,
+        .pool = request->pool.index,
+        .arrived_ms = request->arrived_ms,
+        .prompt_tokens = request->prompt_tokens,
+        .max_tokens = request->max_tokens,
+    };
+}
+
+/* The request holds a slot now; claims it first where it may run once. */
+static void
+place(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    struct ct_record record;
+
+    request->placed_ms = state->now_ms;
+    if (request->idempotent) {
+        ct_dispatch_attempt(state, handle);
+        return;
+    }
+    request->state = CT_REQUEST_CLAIMING;
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CLAIM;
+    record.u.claim.digest = request->claim;
+    record.u.claim.request_id = request->id;
+    record.u.claim.host = state->self.host;
+    record.u.claim.key_wall_ms = request->key_wall_ms;
+    request->claim_sequence =
+        ct_log_append(state, &record, state->now_ms + CLAIM_TIMEOUT_MS);
+    ct_arm(state, CLAIM_TIMEOUT_MS, CT_TIMER_CLAIM, handle);
+}
+
+void
+ct_dispatch_claim_done(struct ct_state *state, const struct ct_claim *claim,
+                       int32_t status)
+{
+    struct ct_record record;
+
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CLAIM_DONE;
+    record.u.claim = *claim;
+    record.u.claim.done = true;
+    record.u.claim.status = status;
+    ct_log_append(state, &record, CT_MS_NEVER);
+}
+
+static void
+refuse_shed(struct ct_state *state, const struct ct_shed *shed)
+{
+    ct_request_fail(state, shed->request, shed->reason, shed->retry_after_ms);
+}
+
+void
+ct_dispatch_arrived(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    struct ct_waiting w = waiting_of(request, handle);
+    struct ct_queue_decision decision;
+    int err;
+
+    memset(&decision, 0, sizeof(decision));
+    request->state = CT_REQUEST_QUEUED;
+    err =
+        state->queue->ops->arrive(state->queue, &w, state->now_ms, &decision);
+    if (err < 0) {
+        ct_request_fail(state, handle, CT_REFUSAL_TABLE_FULL,
+                        BACKOFF_RETRY_AFTER_MS);
+        return;
+    }
+    if (decision.has_shed) {
+        refuse_shed(state, &decision.shed);
+    }
+    switch (decision.admission) {
+    case CT_ADMITTED:
+        place(state, handle);
+        return;
+    case CT_QUEUED:
+        ct_arm(state, decision.give_up_ms - state->now_ms, CT_TIMER_QUEUE,
+               handle);
+        return;
+    case CT_REFUSED:
+    default:
+        request->expected_wait_ms = decision.expected_wait_ms;
+        ct_request_fail(state, handle, decision.reason,
+                        decision.retry_after_ms);
+        return;
+    }
+}
+
+static bool
+was_tried(const struct ct_request *request, struct ct_handle upstream)
+{
+    uint32_t i;
+
+    for (i = 0; i < request->n_tried; i++) {
+        if (ct_handle_eq(request->tried[i], upstream)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Upstreams of the request's pool that may take new work. */
+static uint32_t
+candidates_of(const struct ct_state *state, const struct ct_request *request,
+              struct ct_candidate *out)
+{
+    const struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, request->pool);
+    const struct ct_host_conf_row *self;
+    uint32_t n = 0;
+    uint32_t i;
+
+    self = ct_table_get(&state->config.hosts,
+                        ct_config_host(&state->config, &state->self.host));
+    for (i = 0; i < pool->n_upstreams && n < CANDIDATES_MAX; i++) {
+        const struct ct_upstream_row *upstream =
+            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+
+        if (!upstream || upstream->state != CT_UPSTREAM_RUNNING) {
+            continue;
+        }
+        out[n++] = (struct ct_candidate){
+            .upstream = pool->upstreams[i],
+            .slots = upstream->conf.slots,
+            .cheap = upstream->conf.cheap,
+            .same_zone =
+                self && ct_name_eq(&self->conf.zone, &upstream->conf.zone),
+            .excluded = was_tried(request, pool->upstreams[i]),
+        };
+    }
+    return n;
+}
+
+/* Chooses an upstream; those that failed the request only as a last resort. */
+static struct ct_handle
+choose(struct ct_state *state, const struct ct_request *request)
+{
+    const struct ct_class_row *klass =
+        ct_table_get(&state->config.classes, request->klass);
+    struct ct_candidate candidates[CANDIDATES_MAX];
+    uint32_t n = candidates_of(state, request, candidates);
+    struct ct_balance_ask ask = {
+        .now_ms = state->now_ms,
+        .prefix_hash = request->prefix_hash,
+        .tier = request->tier,
+        .cheap_allowed = klass->conf.cheap_allowed,
+        .may_probe = request->idempotent,
+    };
+    uint32_t i;
+    int chosen;
+
+    chosen = state->balance->ops->choose(state->balance, &ask, candidates, n);
+    if (chosen < 0 && request->n_tried) {
+        for (i = 0; i < n; i++) {
+            candidates[i].excluded = false;
+        }
+        chosen =
+            state->balance->ops->choose(state->balance, &ask, candidates, n);
+    }
+    return chosen < 0 ? CT_NO_HANDLE : candidates[chosen].upstream;
+}
+
+void
+ct_dispatch_attempt(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    const struct ct_upstream_row *row;
+    struct ct_handle upstream;
+
+    upstream = choose(state, request);
+    row = ct_table_get(&state->config.upstreams, upstream);
+    if (!row) {
+        ct_request_fail(state, handle, CT_REFUSAL_NO_UPSTREAM,
+                        BACKOFF_RETRY_AFTER_MS);
+        return;
+    }
+    state->queue->ops->placed(state->queue, handle, row->conf.cheap);
+    request->state = CT_REQUEST_RUNNING;
+    request->attempt = ct_attempt_start(state, handle, upstream);
+}
+
+struct ct_handle
+ct_dispatch_choose_other(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_request *request = ct_request_get(state, handle);
+    struct ct_handle upstream = choose(state, request);
+
+    return was_tried(request, upstream) ? CT_NO_HANDLE : upstream;
+}
+
+static void
+count_busy(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_pool_row *pool = ct_table_get(&state->config.pools, handle);
+    struct ct_queue_totals totals = {0};
+
+    if (pool) {
+        state->queue->ops->totals(state->queue, handle.index, &totals);
+        pool->slots_busy = totals.running;
+    }
+}
+
+void
+ct_dispatch_pool(struct ct_state *state, struct ct_handle pool)
+{
+    struct ct_waiting w;
+    struct ct_shed shed;
+
+    while (state->queue->ops->expire(state->queue, state->now_ms, &shed) > 0) {
+        refuse_shed(state, &shed);
+    }
+    while (state->queue->ops->next(state->queue, pool.index, state->now_ms,
+                                   &w) > 0) {
+        place(state, w.request);
+    }
+    count_busy(state, pool);
+}
+
+void
+ct_dispatch_finished(struct ct_state *state, struct ct_handle handle,
+                     bool whole)
+{
+    const struct ct_request *request = ct_request_get(state, handle);
+    struct ct_served served = {
+        .request = handle,
+        .first_token_ms = request->first_token_ms,
+        .prompt_tokens = request->prompt_tokens,
+        .output_tokens = request->answer_tokens,
+        .whole = whole,
+    };
+
+    state->queue->ops->finished(state->queue, &served, state->now_ms);
+    ct_dispatch_pool(state, request->pool);
+}
+
+void
+ct_dispatch_gone(struct ct_state *state, struct ct_handle handle)
+{
+    /* Not found where the queue itself gave the request up. */
+    state->queue->ops->gone(state->queue, handle);
+}
+
+void
+ct_dispatch_update_slots(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_pool_row *pool = ct_table_get(&state->config.pools, handle);
+    uint32_t firm = 0;
+    uint32_t cheap = 0;
+    uint32_t i;
+
+    if (!pool) {
+        return;
+    }
+    for (i = 0; i < pool->n_upstreams; i++) {
+        const struct ct_upstream_row *row =
+            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+
+        if (!row || row->state != CT_UPSTREAM_RUNNING ||
+            !state->balance->ops->usable(state->balance, pool->upstreams[i],
+                                         state->now_ms)) {
+            continue;
+        }
+        if (row->conf.cheap) {
+            cheap += row->conf.slots;
+        }
+        else {
+            firm += row->conf.slots;
+        }
+    }
+    pool->slots_total = firm + cheap;
+    state->queue->ops->set_pool(state->queue, handle.index, firm, cheap);
+}
+
+void
+ct_dispatch_configure(struct ct_state *state)
+{
+    struct ct_queue_policy *queue = state->queue;
+    const struct ct_organisation_row *organisation;
+    const struct ct_class_row *klass;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((organisation = ct_table_next(&state->config.organisations, &cursor,
+                                         &handle))) {
+        queue->ops->set_organisation(queue, handle.index,
+                                     organisation->conf.weight);
+    }
+    cursor = 0;
+    while ((klass = ct_table_next(&state->config.classes, &cursor, &handle))) {
+        queue->ops->set_class(queue, handle.index, &klass->conf);
+    }
+    if (!state->probing) {
+        state->probing = true;
+        ct_dispatch_on_probe_timer(state);
+        return;
+    }
+    cursor = 0;
+    while (ct_table_next(&state->config.pools, &cursor, &handle)) {
+        ct_dispatch_update_slots(state, handle);
+        ct_dispatch_pool(state, handle);
+    }
+}
+
+void
+ct_dispatch_on_queue_timer(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_request *request = ct_request_get(state, handle);
+
+    if (request && request->state == CT_REQUEST_QUEUED) {
+        ct_dispatch_pool(state, request->pool);
+    }
+}
+
+void
+ct_dispatch_on_claim_timer(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_request *request = ct_request_get(state, handle);
+
+    if (request && request->state == CT_REQUEST_CLAIMING) {
+        ct_request_fail(state, handle, CT_REFUSAL_LOG_UNAVAILABLE,
+                        BACKOFF_RETRY_AFTER_MS);
+    }
+}
+
+void
+ct_dispatch_on_append_done(struct ct_state *state,
+                           const struct ct_append_done *done)
+{
+    const struct ct_request *request;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    if (done->result == CT_OK) {
+        return;
+    }
+    while (
+        (request = ct_table_next(&state->requests.rows, &cursor, &handle))) {
+        if (request->state == CT_REQUEST_CLAIMING &&
+            request->claim_sequence == done->sequence) {
+            ct_request_fail(state, handle, CT_REFUSAL_LOG_UNAVAILABLE,
+                            BACKOFF_RETRY_AFTER_MS);
+            return;
+        }
+    }
+}
+
+void
+ct_dispatch_on_probe_timer(struct ct_state *state)
+{
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while (ct_table_next(&state->config.pools, &cursor, &handle)) {
+        ct_dispatch_update_slots(state, handle);
+        ct_dispatch_pool(state, handle);
+    }
+    ct_arm(state, PROBE_PERIOD_MS, CT_TIMER_PROBE, CT_NO_HANDLE);
+}
+
+void
+ct_dispatch_on_retry_timer(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_request *request = ct_request_get(state, handle);
+
+    if (request && request->state == CT_REQUEST_BACKOFF) {
+        ct_dispatch_attempt(state, handle);
+    }
+}
--- /dev/null
+++ b/core/drain.c
@@ -0,0 +1,49 @@
+#include "drain.h"
+
+#include "state.h"
+
+/* Time without a new caller before the process may end. */
+#define QUIET_MS 500
+#define CHECK_MS 100
+
+/* Refusals wait for the log unless it is down: a stop must come to an end. */
+static bool
+refusals_kept(const struct ct_state *state)
+{
+    return state->refusals.pending->len == 0 || state->log.failing;
+}
+
+static bool
+is_idle(const struct ct_state *state)
+{
+    return state->requests.active == 0 && refusals_kept(state) &&
+           state->now_ms - state->requests.last_arrival_ms >= QUIET_MS;
+}
+
+void
+ct_drain_start(struct ct_state *state)
+{
+    if (state->draining) {
+        return;
+    }
+    state->draining = true;
+    state->requests.last_arrival_ms = state->now_ms;
+    ct_emit_log(state, CT_LOG_DRAIN_STARTED, &state->self.host, NULL,
+                state->requests.active);
+    ct_arm(state, CHECK_MS, CT_TIMER_DRAIN, CT_NO_HANDLE);
+}
+
+void
+ct_drain_on_timer(struct ct_state *state)
+{
+    if (state->drained) {
+        return;
+    }
+    if (!is_idle(state)) {
+        ct_arm(state, CHECK_MS, CT_TIMER_DRAIN, CT_NO_HANDLE);
+        return;
+    }
+    state->drained = true;
+    ct_emit_log(state, CT_LOG_DRAIN_DONE, &state->self.host, NULL, 0);
+    ct_emit(state, CT_EFFECT_DRAINED);
+}
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -1,13 +1,163 @@
 #include "reduce.h"
 
+#include "addresses.h"
+#include "answer.h"
+#include "attempt.h"
+#include "dispatch.h"
+#include "drain.h"
 #include "error.h"
 #include "state.h"
 
+static void
+on_timer(struct ct_state *state, const struct ct_timer *timer)
+{
+    switch (timer->kind) {
+    case CT_TIMER_QUEUE:
+        ct_dispatch_on_queue_timer(state, timer->handle);
+        return;
+    case CT_TIMER_HEDGE:
+        ct_attempt_on_hedge_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RETRY:
+        ct_dispatch_on_retry_timer(state, timer->handle);
+        return;
+    case CT_TIMER_ANSWER_KEPT:
+        ct_answer_on_kept_timer(state, timer->handle);
+        return;
+    case CT_TIMER_CLAIM:
+        ct_dispatch_on_claim_timer(state, timer->handle);
+        return;
+    case CT_TIMER_REFUSALS:
+        ct_refusal_log_on_timer(state);
+        return;
+    case CT_TIMER_PROBE:
+        ct_dispatch_on_probe_timer(state);
+        return;
+    case CT_TIMER_DRAIN:
+        ct_drain_on_timer(state);
+        return;
+    case CT_TIMER_HEARTBEAT:
+    case CT_TIMER_LOG:
+    case CT_TIMER_LEASE:
+    case CT_TIMER_USAGE:
+    case CT_TIMER_ORDERS:
+    case CT_TIMER_SNAPSHOT:
+    case CT_TIMER_SHARES:
+    default:
+        return;
+    }
+}
+
+static void
+on_tick(struct ct_state *state)
+{
+    struct ct_timer timer;
+
+    /* The tick may have come early; ask for the next one in any case. */
+    state->wake_ms = CT_MS_NEVER;
+    while (ct_timers_pop(&state->timers, state->now_ms, &timer)) {
+        on_timer(state, &timer);
+    }
+}
+
+static void
+on_append_done(struct ct_state *state, const struct ct_append_done *done)
+{
+    ct_refusal_log_on_append_done(state, done);
+    ct_dispatch_on_append_done(state, done);
+}
+
+static void
+on_load_report(struct ct_state *state, const struct ct_load_report *load)
+{
+    struct ct_handle upstream =
+        ct_config_upstream(&state->config, &load->upstream);
+
+    if (!ct_handle_is_none(upstream)) {
+        state->balance->ops->reported(state->balance, upstream, load->running,
+                                      load->waiting,
+                                      state->now_ms - load->age_ms);
+    }
+}
+
+static void
+on_explain_asked(struct ct_state *state, const struct ct_explain_ask *ask)
+{
+    const struct ct_refusal_row *row =
+        ct_refusal_log_find(&state->refusals, &ask->request_id);
+    struct ct_effect *effect = ct_emit(state, CT_EFFECT_REPLY_EXPLAIN);
+
+    effect->u.explain.caller = ask->caller;
+    if (row) {
+        effect->u.explain.found = true;
+        effect->u.explain.refusal = *row;
+    }
+}
+
+/* Hands the event to the module that decides about it. */
 static int
 apply(struct ct_state *state, const struct ct_event *event)
 {
-    (void)state;
     switch (event->type) {
+    case CT_EVENT_TICK:
+        on_tick(state);
+        return CT_OK;
+    case CT_EVENT_CALL_ARRIVED:
+        ct_requests_on_arrived(state, &event->u.call);
+        return CT_OK;
+    case CT_EVENT_CALL_REJECTED:
+        ct_requests_on_rejected(state, &event->u.rejected);
+        return CT_OK;
+    case CT_EVENT_CALL_GONE:
+        ct_requests_on_gone(state, event->u.caller);
+        return CT_OK;
+    case CT_EVENT_ANSWER_ASKED:
+        ct_answer_on_asked(state, &event->u.answer_ask);
+        return CT_OK;
+    case CT_EVENT_ADDRESSES_ASKED:
+        ct_addresses_on_asked(state, event->u.caller);
+        return CT_OK;
+    case CT_EVENT_EXPLAIN_ASKED:
+        on_explain_asked(state, &event->u.explain_ask);
+        return CT_OK;
+    case CT_EVENT_ATTEMPT_SENT:
+        ct_attempt_on_sent(state, &event->u.attempt);
+        return CT_OK;
+    case CT_EVENT_ATTEMPT_HEAD:
+        ct_attempt_on_head(state, &event->u.attempt);
+        return CT_OK;
+    case CT_EVENT_ATTEMPT_DATA:
+        ct_attempt_on_data(state, &event->u.attempt);
+        return CT_OK;
+    case CT_EVENT_ATTEMPT_DONE:
+        ct_attempt_on_done(state, &event->u.attempt);
+        return CT_OK;
+    case CT_EVENT_LOAD_REPORT:
+        on_load_report(state, &event->u.load);
+        return CT_OK;
+    case CT_EVENT_LOG_ENTRY:
+        ct_log_on_entry(state, &event->u.entry);
+        return CT_OK;
+    case CT_EVENT_LOG_HEAD:
+        ct_log_on_head(state, &event->u.head);
+        return CT_OK;
+    case CT_EVENT_LOG_FAILED:
+        ct_log_on_failed(state);
+        return CT_OK;
+    case CT_EVENT_APPEND_DONE:
+        on_append_done(state, &event->u.append);
+        return CT_OK;
+    case CT_EVENT_DRAIN:
+        ct_drain_start(state);
+        return CT_OK;
+    case CT_EVENT_PEER_UP:
+    case CT_EVENT_PEER_DOWN:
+    case CT_EVENT_PEER_MESSAGE:
+    case CT_EVENT_HOST_LIST:
+    case CT_EVENT_ORDER_DONE:
+    case CT_EVENT_REPORT_DONE:
+    case CT_EVENT_KEY_HANDED:
+        return CT_OK;
     default:
         return CT_ERR_INVALID;
     }
--- /dev/null
+++ b/core/request.c
@@ -0,0 +1,678 @@
+#include "request.h"
+
+#include <string.h>
+
+#include "answer.h"
+#include "attempt.h"
+#include "dispatch.h"
+#include "error.h"
+#include "state.h"
+
+/* Longest time without news of the log after which callers are refused. */
+#define CURRENT_LIMIT_MS 8000
+
+#define RETRY_AFTER_MS 1000
+
+void
+ct_requests_init(struct ct_requests *requests)
+{
+    memset(requests, 0, sizeof(*requests));
+    ct_table_init(&requests->rows, sizeof(struct ct_request), CT_REQUESTS_MAX,
+                  NULL);
+    ct_table_init(&requests->attempts, sizeof(struct ct_attempt), 0, NULL);
+    requests->by_caller = g_hash_table_new(g_int64_hash, g_int64_equal);
+    requests->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+void
+ct_requests_free(struct ct_requests *requests)
+{
+    g_hash_table_destroy(requests->by_caller);
+    g_hash_table_destroy(requests->by_id);
+    ct_table_free(&requests->attempts);
+    ct_table_free(&requests->rows);
+}
+
+struct ct_request *
+ct_request_get(const struct ct_state *state, struct ct_handle handle)
+{
+    return ct_table_get(&state->requests.rows, handle);
+}
+
+static struct ct_handle
+unpack(gpointer value)
+{
+    gsize packed = GPOINTER_TO_SIZE(value);
+
+    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
+}
+
+static gpointer
+pack(struct ct_handle handle)
+{
+    return GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation);
+}
+
+struct ct_handle
+ct_request_find(const struct ct_state *state, const struct ct_request_id *id)
+{
+    return unpack(g_hash_table_lookup(state->requests.by_id, id->text));
+}
+
+static void
+set_caller(struct ct_state *state, struct ct_handle handle,
+           struct ct_request *request, uint64_t caller)
+{
+    struct ct_requests *requests = &state->requests;
+
+    if (request->caller) {
+        g_hash_table_remove(requests->by_caller, &request->caller);
+    }
+    request->caller = caller;
+    if (caller) {
+        g_hash_table_insert(requests->by_caller, &request->caller,
+                            pack(handle));
+    }
+}
+
+/* What is recorded of a refusal besides the request's own fields. */
+static void
+fill_known(const struct ct_state *state, const struct ct_request *request,
+           struct ct_refusal_row *row)
+{
+    const struct ct_organisation_row *organisation =
+        ct_table_get(&state->config.organisations, request->organisation);
+    const struct ct_class_row *klass =
+        ct_table_get(&state->config.classes, request->klass);
+    const struct ct_route_row *route =
+        ct_table_get(&state->config.routes, request->route);
+    const struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, request->pool);
+    struct ct_queue_totals totals = {0};
+
+    if (organisation) {
+        row->organisation = organisation->conf.name;
+    }
+    if (klass) {
+        row->class_name = klass->conf.name;
+        row->tier = klass->conf.tier;
+    }
+    if (route) {
+        row->path = route->conf.path;
+    }
+    if (pool) {
+        state->queue->ops->totals(state->queue, request->pool.index, &totals);
+        row->queue_length = totals.queued;
+        row->slots_busy = pool->slots_busy;
+        row->slots_total = pool->slots_total;
+    }
+    row->waited_ms = state->now_ms - request->arrived_ms;
+}
+
+/* Answers a caller with a refusal, counts and records it. */
+static void
+refuse(struct ct_state *state, const struct ct_request *request,
+       enum ct_refusal reason, ct_ms retry_after_ms)
+{
+    struct ct_refusal_row row;
+    struct ct_effect *effect;
+
+    memset(&row, 0, sizeof(row));
+    row.request_id = request->id;
+    row.host = state->self.host;
+    row.wall_ms = state->wall_ms;
+    row.reason = reason;
+    row.run_state = request->may_have_run ? CT_MAY_HAVE_RUN : CT_NOT_RUN;
+    row.expected_wait_ms = request->expected_wait_ms;
+    row.log_offset = state->log.applied;
+    fill_known(state, request, &row);
+    state->counters.refusals[reason]++;
+    ct_refusal_log_add(state, &row, row.organisation.text[0] != '\0');
+    effect = ct_emit(state, CT_EFFECT_LOG_EVENT);
+    effect->u.log.event = CT_LOG_REFUSED;
+    effect->u.log.request_id = request->id;
+    effect->u.log.name = row.organisation;
+    effect->u.log.other = row.class_name;
+    CT_TEXT_SET(effect->u.log.reason, ct_refusal_text(reason));
+    if (request->caller) {
+        ct_emit_refusal(state, request->caller, &request->id, reason,
+                        row.run_state, retry_after_ms);
+    }
+}
+
+/* Whether this host may serve callers at all; CT_REFUSAL_COUNT for yes. */
+static enum ct_refusal
+host_refusal(const struct ct_state *state)
+{
+    if (!state->log.ready) {
+        return CT_REFUSAL_NOT_READY;
+    }
+    if (state->draining) {
+        return CT_REFUSAL_DRAINING;
+    }
+    if (ct_log_age_ms(state) > CURRENT_LIMIT_MS) {
+        return CT_REFUSAL_NOT_CURRENT;
+    }
+    return CT_REFUSAL_COUNT;
+}
+
+/* The caller's key and organisation. */
+static enum ct_refusal
+authenticate(const struct ct_state *state, const struct ct_call *call,
+             struct ct_request *request)
+{
+    const struct ct_key_row *key;
+
+    if (!call->has_key) {
+        return CT_REFUSAL_NO_KEY;
+    }
+    request->key = ct_keys_find(&state->keys, &call->key);
+    key = ct_table_get(&state->keys.rows, request->key);
+    if (!key || (!key->offset && !key->key.withdrawn)) {
+        return CT_REFUSAL_UNKNOWN_KEY;
+    }
+    request->organisation =
+        ct_config_organisation(&state->config, &key->key.organisation);
+    if (key->key.withdrawn) {
+        return CT_REFUSAL_KEY_WITHDRAWN;
+    }
+    if (ct_handle_is_none(request->organisation)) {
+        return CT_REFUSAL_UNKNOWN_KEY;
+    }
+    return CT_REFUSAL_COUNT;
+}
+
+static enum ct_refusal
+authorise(const struct ct_state *state, const struct ct_call *call,
+          struct ct_request *request)
+{
+    const struct ct_route_row *route;
+    const struct ct_class_row *klass;
+    const struct ct_pool_row *pool;
+
+    request->route =
+        ct_config_route(&state->config, &call->path, &call->model);
+    route = ct_table_get(&state->config.routes, request->route);
+    if (!route) {
+        return CT_REFUSAL_ROUTE_UNKNOWN;
+    }
+    request->klass = route->klass;
+    request->pool = route->pool;
+    request->idempotent = route->conf.idempotent;
+    klass = ct_table_get(&state->config.classes, route->klass);
+    pool = ct_table_get(&state->config.pools, route->pool);
+    if (!klass || !pool) {
+        return CT_REFUSAL_ROUTE_UNKNOWN;
+    }
+    request->tier = klass->conf.tier;
+    if (!ct_config_may_call(&state->config, request->route,
+                            request->organisation)) {
+        return CT_REFUSAL_ROUTE_FORBIDDEN;
+    }
+    if (pool->conf.kind == CT_POOL_ENGINE && call->kind != CT_CALL_CHAT) {
+        return CT_REFUSAL_BAD_REQUEST;
+    }
+    request->kind =
+        pool->conf.kind == CT_POOL_ENGINE ? CT_CALL_CHAT : CT_CALL_PLAIN;
+    return CT_REFUSAL_COUNT;
+}
+
+/* A key names one request of one organisation on one route. */
+static struct ct_digest
+claim_digest(const struct ct_state *state, const struct ct_call *call,
+             const struct ct_request *request)
+{
+    const struct ct_organisation_row *organisation =
+        ct_table_get(&state->config.organisations, request->organisation);
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+    struct ct_digest digest;
+    gsize n = sizeof(digest.bytes);
+
+    g_checksum_update(sum, (const guchar *)organisation->conf.name.text,
+                      sizeof(organisation->conf.name.text));
+    g_checksum_update(sum, (const guchar *)call->path.text,
+                      sizeof(call->path.text));
+    g_checksum_update(sum, call->idempotency_key.bytes,
+                      sizeof(call->idempotency_key.bytes));
+    g_checksum_get_digest(sum, digest.bytes, &n);
+    g_checksum_free(sum);
+    return digest;
+}
+
+static enum ct_refusal
+check_idempotency_key(const struct ct_state *state, const struct ct_call *call,
+                      struct ct_request *request)
+{
+    if (request->idempotent) {
+        return CT_REFUSAL_COUNT;
+    }
+    if (!call->has_idempotency_key) {
+        return CT_REFUSAL_KEY_REQUIRED;
+    }
+    if (!ct_claim_in_horizon(call->idempotency_wall_ms, state->wall_ms)) {
+        return CT_REFUSAL_KEY_TOO_OLD;
+    }
+    request->key_wall_ms = call->idempotency_wall_ms;
+    request->claim = claim_digest(state, call, request);
+    return CT_REFUSAL_COUNT;
+}
+
+/* All checks that need no slot. */
+static enum ct_refusal
+check_call(const struct ct_state *state, const struct ct_call *call,
+           struct ct_request *request)
+{
+    enum ct_refusal reason = host_refusal(state);
+
+    if (reason == CT_REFUSAL_COUNT) {
+        reason = authenticate(state, call, request);
+    }
+    if (reason == CT_REFUSAL_COUNT) {
+        reason = authorise(state, call, request);
+    }
+    if (reason == CT_REFUSAL_COUNT) {
+        reason = check_idempotency_key(state, call, request);
+    }
+    return reason;
+}
+
+/* Keeps the rows that a request refers to while it lives. */
+static void
+hold_rows(struct ct_state *state, const struct ct_request *request)
+{
+    ct_table_ref(&state->config.organisations, request->organisation);
+    ct_table_ref(&state->config.classes, request->klass);
+    ct_table_ref(&state->config.routes, request->route);
+    ct_table_ref(&state->config.pools, request->pool);
+}
+
+static void
+release_rows(struct ct_state *state, const struct ct_request *request)
+{
+    ct_table_unref(&state->config.organisations, request->organisation);
+    ct_table_unref(&state->config.classes, request->klass);
+    ct_table_unref(&state->config.routes, request->route);
+    ct_table_unref(&state->config.pools, request->pool);
+}
+
+/*
+ * A second request with a claimed key: its answer is given again where it is
+ * here, else the caller learns that it may have run.
+ */
+static bool
+answer_duplicate(struct ct_state *state, const struct ct_call *call,
+                 struct ct_request *request)
+{
+    const struct ct_claim_row *claim;
+    struct ct_handle first;
+
+    if (request->idempotent) {
+        return false;
+    }
+    claim = ct_claims_find(&state->claims, &request->claim);
+    if (!claim) {
+        return false;
+    }
+    first = ct_request_find(state, &claim->claim.request_id);
+    if (ct_request_get(state, first)) {
+        ct_request_attach(state, first, call->caller, 0);
+        return true;
+    }
+    request->may_have_run = true;
+    refuse(state, request, CT_REFUSAL_DUPLICATE, 0);
+    return true;
+}
+
+void
+ct_requests_on_arrived(struct ct_state *state, const struct ct_call *call)
+{
+    struct ct_requests *requests = &state->requests;
+    struct ct_request request;
+    enum ct_refusal reason;
+    struct ct_handle handle;
+    struct ct_request *row;
+
+    ct_count(state, CT_COUNTER_CALLS);
+    requests->last_arrival_ms = state->now_ms;
+    memset(&request, 0, sizeof(request));
+    request.id = call->request_id;
+    request.caller = call->caller;
+    request.body_caller = call->caller;
+    request.stream = call->stream;
+    request.prefix_hash = call->prefix_hash;
+    request.prompt_tokens = call->prompt_tokens;
+    request.max_tokens = call->max_tokens;
+    request.arrived_ms = state->now_ms;
+    request.first_token_ms = -1;
+    reason = check_call(state, call, &request);
+    if (reason != CT_REFUSAL_COUNT) {
+        refuse(state, &request, reason, RETRY_AFTER_MS);
+        return;
+    }
+    if (answer_duplicate(state, call, &request)) {
+        return;
+    }
+    if (ct_table_add(&requests->rows, &handle) < 0) {
+        refuse(state, &request, CT_REFUSAL_TABLE_FULL, RETRY_AFTER_MS);
+        return;
+    }
+    row = ct_table_get(&requests->rows, handle);
+    *row = request;
+    row->caller = 0;
+    set_caller(state, handle, row, call->caller);
+    g_hash_table_insert(requests->by_id, row->id.text, pack(handle));
+    hold_rows(state, row);
+    requests->active++;
+    ct_dispatch_arrived(state, handle);
+}
+
+void
+ct_requests_on_rejected(struct ct_state *state,
+                        const struct ct_call_rejected *rejected)
+{
+    struct ct_request request;
+
+    memset(&request, 0, sizeof(request));
+    request.id = rejected->request_id;
+    request.caller = rejected->caller;
+    request.arrived_ms = state->now_ms;
+    refuse(state, &request, rejected->reason, 0);
+}
+
+/* Tells all hosts how a claimed request ended. */
+static void
+end_claim(struct ct_state *state, const struct ct_request *request)
+{
+    struct ct_claim claim = {
+        .digest = request->claim,
+        .request_id = request->id,
+        .host = state->self.host,
+        .key_wall_ms = request->key_wall_ms,
+    };
+    int32_t status = CT_CLAIM_NOT_RUN;
+
+    if (request->may_have_run) {
+        status = request->status ? (int32_t)request->status : CT_CLAIM_UNKNOWN;
+    }
+    ct_dispatch_claim_done(state, &claim, status);
+}
+
+/* Moves a request to its final state and arms the timer that drops it. */
+static void
+finish(struct ct_state *state, struct ct_handle handle, bool whole)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    enum ct_request_state before = request->state;
+
+    request->state = CT_REQUEST_KEPT;
+    request->whole = whole;
+    request->finished_ms = state->now_ms;
+    state->requests.active--;
+    set_caller(state, handle, request, 0);
+    if (request->claimed) {
+        end_claim(state, request);
+    }
+    ct_arm(state, CT_ANSWER_KEPT_MS, CT_TIMER_ANSWER_KEPT, handle);
+    if (before == CT_REQUEST_QUEUED) {
+        ct_dispatch_gone(state, handle);
+        return;
+    }
+    ct_attempts_cancel(state, handle);
+    ct_dispatch_finished(state, handle, whole);
+}
+
+static void
+write_end(struct ct_state *state, const struct ct_request *request, bool whole,
+          enum ct_refusal reason)
+{
+    struct ct_effect *effect = ct_emit(state, CT_EFFECT_WRITE_END);
+
+    effect->u.write.caller = request->caller;
+    effect->u.write.request_id = request->id;
+    effect->u.write.whole = whole;
+    effect->u.write.reason = reason;
+}
+
+void
+ct_request_fail(struct ct_state *state, struct ct_handle handle,
+                enum ct_refusal reason, ct_ms retry_after_ms)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+
+    if (!request || request->state == CT_REQUEST_KEPT) {
+        return;
+    }
+    request->reason = reason;
+    if (!request->head_written) {
+        refuse(state, request, reason, retry_after_ms);
+    }
+    else {
+        ct_count(state, CT_COUNTER_ANSWERS_BROKEN);
+        ct_emit_log(state, CT_LOG_ANSWER_BROKEN, NULL, ct_refusal_text(reason),
+                    (int64_t)request->answer_bytes);
+        if (request->caller) {
+            write_end(state, request, false, reason);
+        }
+    }
+    finish(state, handle, false);
+}
+
+/* Writes the answer from the caller's place on, with its head if needed. */
+static void
+write_answer(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    struct ct_effect *effect;
+
+    if (!request->head_written) {
+        request->head_written = true;
+        effect = ct_emit(state, CT_EFFECT_WRITE_HEAD);
+        effect->u.write.caller = request->caller;
+        effect->u.write.request = handle;
+        effect->u.write.request_id = request->id;
+        effect->u.write.status = request->status;
+        effect->u.write.stream = request->stream;
+    }
+    if (request->answer_bytes > request->written_bytes) {
+        effect = ct_emit(state, CT_EFFECT_WRITE_DATA);
+        effect->u.write.caller = request->caller;
+        effect->u.write.request = handle;
+        effect->u.write.request_id = request->id;
+        effect->u.write.offset = request->written_bytes;
+        effect->u.write.bytes =
+            (uint32_t)(request->answer_bytes - request->written_bytes);
+        request->written_bytes = request->answer_bytes;
+    }
+}
+
+void
+ct_request_complete(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+
+    ct_count(state, CT_COUNTER_ANSWERS_WHOLE);
+    if (request->caller) {
+        write_answer(state, handle);
+        write_end(state, request, true, CT_REFUSAL_COUNT);
+    }
+    finish(state, handle, true);
+}
+
+void
+ct_request_progress(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_request *request = ct_request_get(state, handle);
+
+    /* Without streaming nothing is written before the answer is whole. */
+    if (request->caller && request->stream) {
+        write_answer(state, handle);
+    }
+}
+
+/* Ends the answer to a caller whose request another connection took over. */
+static void
+detach(struct ct_state *state, const struct ct_request *request)
+{
+    if (request->head_written) {
+        write_end(state, request, false, CT_REFUSAL_DUPLICATE);
+        return;
+    }
+    ct_emit_refusal(state, request->caller, &request->id, CT_REFUSAL_DUPLICATE,
+                    CT_MAY_HAVE_RUN, 0);
+}
+
+/* Goes on with a request that was stopped because its caller had left. */
+static void
+restart(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+
+    request->abandoned = false;
+    request->attempts = 0;
+    request->n_tried = 0;
+    if (request->kind != CT_CALL_CHAT || !request->stream) {
+        request->answer_bytes = 0;
+    }
+    state->requests.active++;
+    ct_dispatch_arrived(state, handle);
+    request = ct_request_get(state, handle);
+    if (request && request->state != CT_REQUEST_KEPT &&
+        request->answer_bytes) {
+        ct_request_progress(state, handle);
+    }
+}
+
+void
+ct_request_attach(struct ct_state *state, struct ct_handle handle,
+                  uint64_t caller, uint64_t offset)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+
+    if (request->caller) {
+        detach(state, request);
+    }
+    set_caller(state, handle, request, caller);
+    request->head_written = false;
+    request->written_bytes = offset;
+    if (request->state != CT_REQUEST_KEPT) {
+        if (request->answer_bytes) {
+            ct_request_progress(state, handle);
+        }
+        return;
+    }
+    if (request->abandoned) {
+        restart(state, handle);
+        return;
+    }
+    if (request->whole) {
+        write_answer(state, handle);
+        write_end(state, request, true, CT_REFUSAL_COUNT);
+    }
+    else {
+        refuse(state, request, request->reason, 0);
+    }
+    set_caller(state, handle, request, 0);
+}
+
+void
+ct_requests_on_gone(struct ct_state *state, uint64_t caller)
+{
+    struct ct_handle handle =
+        unpack(g_hash_table_lookup(state->requests.by_caller, &caller));
+    struct ct_request *request = ct_request_get(state, handle);
+
+    if (!request) {
+        return;
+    }
+    ct_count(state, CT_COUNTER_CALLERS_GONE);
+    set_caller(state, handle, request, 0);
+    /* A call that may not be repeated is let finish; its answer is kept. */
+    if (!request->idempotent && request->may_have_run) {
+        return;
+    }
+    request->reason = CT_REFUSAL_UPSTREAM_FAILED;
+    request->abandoned = request->idempotent;
+    finish(state, handle, false);
+}
+
+void
+ct_requests_key_withdrawn(struct ct_state *state, struct ct_handle key)
+{
+    struct ct_request *request;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while (
+        (request = ct_table_next(&state->requests.rows, &cursor, &handle))) {
+        if (!ct_handle_eq(request->key, key) ||
+            request->state == CT_REQUEST_KEPT) {
+            continue;
+        }
+        if (request->idempotent || !request->may_have_run) {
+            ct_request_fail(state, handle, CT_REFUSAL_KEY_WITHDRAWN, 0);
+            continue;
+        }
+        /* The upstream call is let finish; the caller gets nothing of it. */
+        if (request->caller && request->head_written) {
+            write_end(state, request, false, CT_REFUSAL_KEY_WITHDRAWN);
+        }
+        else if (request->caller) {
+            refuse(state, request, CT_REFUSAL_KEY_WITHDRAWN, 0);
+        }
+        set_caller(state, handle, request, 0);
+    }
+}
+
+void
+ct_requests_config_changed(struct ct_state *state)
+{
+    ct_dispatch_configure(state);
+}
+
+void
+ct_requests_claim_read(struct ct_state *state, const struct ct_record *record,
+                       enum ct_claim_result result)
+{
+    const struct ct_claim *claim = &record->u.claim;
+    struct ct_handle handle = ct_request_find(state, &claim->request_id);
+    struct ct_request *request = ct_request_get(state, handle);
+
+    /* Claims of an earlier process on this host are not this one's to end. */
+    if (!ct_name_eq(&record->writer, &state->self.writer)) {
+        return;
+    }
+    if (!request || request->state != CT_REQUEST_CLAIMING) {
+        /* It came too late for its request, which was refused as not run. */
+        if (result == CT_CLAIM_WON && (!request || !request->may_have_run)) {
+            ct_dispatch_claim_done(state, claim, CT_CLAIM_NOT_RUN);
+        }
+        return;
+    }
+    if (result == CT_CLAIM_WON) {
+        request->claimed = true;
+        ct_dispatch_attempt(state, handle);
+        return;
+    }
+    if (result == CT_CLAIM_LOST) {
+        /* The request that won has the same key and may have run. */
+        request->may_have_run = true;
+        ct_request_fail(state, handle, CT_REFUSAL_DUPLICATE, 0);
+        return;
+    }
+    ct_request_fail(state, handle, CT_REFUSAL_KEY_TOO_OLD, 0);
+}
+
+void
+ct_request_drop(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+
+    if (!request || request->state != CT_REQUEST_KEPT) {
+        return;
+    }
+    set_caller(state, handle, request, 0);
+    g_hash_table_remove(state->requests.by_id, request->id.text);
+    release_rows(state, request);
+    ct_emit(state, CT_EFFECT_DROP_ANSWER)->u.request = handle;
+    ct_table_unref(&state->requests.rows, handle);
+}
--- /dev/null
+++ b/t/test-request.c
@@ -0,0 +1,283 @@
+/* Tests of request.h: from arrival to the end of the answer. */
+#include <string.h>
+
+#include "lib-core.h"
+
+static struct ct_handle
+started(const struct t_core *core)
+{
+    const struct ct_effect *effect =
+        t_core_effect(core, CT_EFFECT_START_ATTEMPT, 0);
+
+    g_assert_nonnull(effect);
+    return effect->u.attempt.attempt;
+}
+
+static void
+sent(struct t_core *core, struct ct_handle attempt)
+{
+    t_core_attempt(core, CT_EVENT_ATTEMPT_SENT,
+                   (struct ct_attempt_event){.attempt = attempt});
+}
+
+static void
+head(struct t_core *core, struct ct_handle attempt, uint32_t status)
+{
+    t_core_attempt(
+        core, CT_EVENT_ATTEMPT_HEAD,
+        (struct ct_attempt_event){.attempt = attempt, .status = status});
+}
+
+static void
+data(struct t_core *core, struct ct_handle attempt, uint64_t offset,
+     uint32_t bytes)
+{
+    t_core_attempt(core, CT_EVENT_ATTEMPT_DATA,
+                   (struct ct_attempt_event){.attempt = attempt,
+                                             .offset = offset,
+                                             .bytes = bytes,
+                                             .tokens = 1});
+}
+
+static void
+done(struct t_core *core, struct ct_handle attempt, enum ct_outcome outcome)
+{
+    t_core_attempt(
+        core, CT_EVENT_ATTEMPT_DONE,
+        (struct ct_attempt_event){.attempt = attempt, .outcome = outcome});
+}
+
+static void
+assert_refused(const struct t_core *core, enum ct_refusal reason,
+               enum ct_run_state run_state)
+{
+    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
+
+    g_assert_nonnull(effect);
+    g_assert_cmpstr(ct_refusal_text(effect->u.refuse.reason), ==,
+                    ct_refusal_text(reason));
+    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
+    g_assert_cmpuint(core->state->counters.refusals[reason], >=, 1);
+}
+
+static void
+test_stream(void)
+{
+    struct t_core core;
+    struct ct_handle attempt;
+    const struct ct_effect *effect;
+
+    t_core_init(&core);
+    t_core_configure(&core, 2, 4);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    attempt = started(&core);
+    sent(&core, attempt);
+    head(&core, attempt, 200);
+    data(&core, attempt, 0, 100);
+    effect = t_core_effect(&core, CT_EFFECT_WRITE_HEAD, 0);
+    g_assert_nonnull(effect);
+    g_assert_cmpuint(effect->u.write.status, ==, 200);
+    data(&core, attempt, 100, 50);
+    effect = t_core_effect(&core, CT_EFFECT_WRITE_DATA, 0);
+    g_assert_cmpuint(effect->u.write.offset, ==, 100);
+    g_assert_cmpuint(effect->u.write.bytes, ==, 50);
+    done(&core, attempt, CT_OUTCOME_COMPLETE);
+    effect = t_core_effect(&core, CT_EFFECT_WRITE_END, 0);
+    g_assert_true(effect->u.write.whole);
+    t_core_tick(&core, 61000);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_DROP_ANSWER), ==, 1);
+    g_assert_cmpuint(core.state->requests.rows.live, ==, 0);
+    g_assert_cmpuint(core.state->requests.attempts.live, ==, 0);
+    t_core_free(&core);
+}
+
+/* Checks at arrival, in the order in which they are made. */
+static void
+test_checks(void)
+{
+    static const struct {
+        uint8_t key;
+        const char *path;
+        bool idempotency_key;
+        ct_ms key_age_ms;
+        enum ct_refusal reason;
+    } cases[] = {
+        {0, T_CHAT_PATH, false, 0, CT_REFUSAL_NO_KEY},
+        {9, T_CHAT_PATH, false, 0, CT_REFUSAL_UNKNOWN_KEY},
+        {1, "/nowhere", false, 0, CT_REFUSAL_ROUTE_UNKNOWN},
+        {2, T_PLAIN_PATH, true, 0, CT_REFUSAL_ROUTE_FORBIDDEN},
+        {1, T_PLAIN_PATH, false, 0, CT_REFUSAL_KEY_REQUIRED},
+        {1, T_PLAIN_PATH, true, CT_CLAIM_HORIZON_MS, CT_REFUSAL_KEY_TOO_OLD},
+    };
+    struct t_core core;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_event event = t_call(&core, cases[i].key, cases[i].path);
+
+        event.u.call.has_idempotency_key = cases[i].idempotency_key;
+        event.u.call.idempotency_wall_ms -= cases[i].key_age_ms;
+        t_core_post(&core, &event);
+        assert_refused(&core, cases[i].reason, CT_NOT_RUN);
+        g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    }
+    g_assert_cmpuint(core.state->requests.rows.live, ==, 0);
+    t_core_free(&core);
+}
+
+/* A host that cannot know whether it is current refuses as not run. */
+static void
+test_not_current(void)
+{
+    struct t_core core;
+    struct ct_event event;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    t_core_tick(&core, 60000);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    assert_refused(&core, CT_REFUSAL_NOT_CURRENT, CT_NOT_RUN);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_HEAD;
+    event.u.head.first = 1;
+    event.u.head.head = core.next_offset - 1;
+    t_core_post(&core, &event);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    started(&core);
+    t_core_free(&core);
+}
+
+/* Not sent: tried elsewhere. Sent and broken: resumed at the known byte. */
+static void
+test_retry_and_resume(void)
+{
+    struct t_core core;
+    struct ct_handle attempt;
+    const struct ct_effect *effect;
+
+    t_core_init(&core);
+    t_core_configure(&core, 3, 4);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    attempt = started(&core);
+    done(&core, attempt, CT_OUTCOME_NOT_SENT);
+    attempt = started(&core);
+    sent(&core, attempt);
+    head(&core, attempt, 200);
+    data(&core, attempt, 0, 70);
+    done(&core, attempt, CT_OUTCOME_SILENT);
+    t_core_tick(&core, 1000);
+    effect = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0);
+    g_assert_nonnull(effect);
+    g_assert_cmpuint(effect->u.attempt.resume_offset, ==, 70);
+    /* What the silent attempt still says is dropped. */
+    data(&core, attempt, 70, 10);
+    g_assert_cmpuint(core.effects.n, ==, 0);
+    g_assert_cmpuint(core.state->counters.values[CT_COUNTER_LATE_EVENTS], ==,
+                     1);
+    t_core_free(&core);
+}
+
+/* When nothing is left to try, the answer ends as not whole. */
+static void
+test_broken_end(void)
+{
+    struct t_core core;
+    struct ct_handle attempt;
+    const struct ct_effect *effect;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 4);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    attempt = started(&core);
+    sent(&core, attempt);
+    head(&core, attempt, 200);
+    data(&core, attempt, 0, 70);
+    for (int i = 0; i < 4; i++) {
+        done(&core, attempt, CT_OUTCOME_BROKEN);
+        effect = t_core_effect(&core, CT_EFFECT_WRITE_END, 0);
+        if (effect) {
+            break;
+        }
+        if (!t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)) {
+            t_core_tick(&core, 1000);
+        }
+        attempt = started(&core);
+    }
+    g_assert_nonnull(effect);
+    g_assert_false(effect->u.write.whole);
+    t_core_free(&core);
+}
+
+static void
+test_caller_gone(void)
+{
+    struct t_core core;
+    struct ct_event event;
+    struct ct_handle attempt;
+    uint64_t caller;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    caller = t_core_call(&core, 1, T_CHAT_PATH);
+    attempt = started(&core);
+    sent(&core, attempt);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_CALL_GONE;
+    event.u.caller = caller;
+    t_core_post(&core, &event);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_CANCEL_ATTEMPT), ==, 1);
+    /* Its slot is free again. */
+    t_core_call(&core, 1, T_CHAT_PATH);
+    started(&core);
+    t_core_free(&core);
+}
+
+static void
+test_key_withdrawn(void)
+{
+    struct t_core core;
+    struct ct_handle attempt;
+    struct ct_record record;
+    const struct ct_effect *effect;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    attempt = started(&core);
+    head(&core, attempt, 200);
+    data(&core, attempt, 0, 10);
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_KEY_WITHDRAW;
+    record.u.key.digest = t_digest(1);
+    t_core_entry(&core, &record);
+    effect = t_core_effect(&core, CT_EFFECT_WRITE_END, 0);
+    g_assert_nonnull(effect);
+    g_assert_false(effect->u.write.whole);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_CANCEL_ATTEMPT), ==, 1);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    assert_refused(&core, CT_REFUSAL_KEY_WITHDRAWN, CT_NOT_RUN);
+    /* A grant that lands late does not revive the key. */
+    record.type = CT_RECORD_KEY_GRANT;
+    CT_TEXT_SET(record.u.key.organisation, "acme");
+    t_core_entry(&core, &record);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    assert_refused(&core, CT_REFUSAL_KEY_WITHDRAWN, CT_NOT_RUN);
+    t_core_call(&core, 2, T_CHAT_PATH);
+    started(&core);
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/request/stream", test_stream);
+    g_test_add_func("/request/checks", test_checks);
+    g_test_add_func("/request/not-current", test_not_current);
+    g_test_add_func("/request/retry-and-resume", test_retry_and_resume);
+    g_test_add_func("/request/broken-end", test_broken_end);
+    g_test_add_func("/request/caller-gone", test_caller_gone);
+    g_test_add_func("/request/key-withdrawn", test_key_withdrawn);
+    return g_test_run();
+}
