--- a/core/request.c
+++ b/core/request.c
@@ -140,6 +140,12 @@
     }
 }
 
+bool
+ct_requests_may_serve(const struct ct_state *state, ct_ms now_ms)
+{
+    return now_ms - state->log.heard_ms <= CURRENT_LIMIT_MS;
+}
+
 /* Whether this host may serve callers at all; CT_REFUSAL_COUNT for yes. */
 static enum ct_refusal
 host_refusal(const struct ct_state *state)
@@ -150,7 +156,7 @@
     if (state->draining) {
         return CT_REFUSAL_DRAINING;
     }
-    if (ct_log_age_ms(state) > CURRENT_LIMIT_MS) {
+    if (!ct_requests_may_serve(state, state->now_ms)) {
         return CT_REFUSAL_NOT_CURRENT;
     }
     return CT_REFUSAL_COUNT;
