core: follow the platform's list of upstreams

Leaving upstreams take nothing new from the next list on, ordered ones come into force with it. What a configuration declares stays when the list does not name it, so an outage of the list takes nothing away.

--- a/core/config.c
+++ b/core/config.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "error.h"
+#include "event.h"
 
 static gpointer
 pack(struct ct_handle handle)
@@ -426,6 +427,65 @@
     }
 }
 
+/* Upstreams that the platform lists stay, declared or not. */
+static void
+keep_listed(struct ct_config *config)
+{
+    struct ct_upstream_row *upstream;
+    uint32_t cursor = 0;
+
+    while ((upstream = ct_table_next(&config->upstreams, &cursor, NULL))) {
+        upstream->declared = upstream->configured;
+        upstream->configured = upstream->declared || upstream->listed;
+    }
+}
+
+static int
+list_upstream(struct ct_config *config, const struct ct_listed_upstream *item)
+{
+    struct row_kind kind = kind_of(config, CT_CONFIG_UPSTREAM);
+    struct ct_upstream_row *row;
+    struct ct_handle handle;
+
+    row = ct_table_get(&config->upstreams,
+                       ct_config_upstream(config, &item->upstream.name));
+    if (!row) {
+        row = keep_row(&kind, &item->upstream, &handle);
+    }
+    if (!row) {
+        return CT_ERR_NO_MEMORY;
+    }
+    row->configured = true;
+    row->listed = true;
+    row->state = item->leaving ? CT_UPSTREAM_LEAVING : CT_UPSTREAM_RUNNING;
+    return CT_OK;
+}
+
+int
+ct_config_list_upstreams(struct ct_config *config, struct ct_rows rows)
+{
+    const struct ct_listed_upstream *item = rows.data;
+    struct row_kind kind = kind_of(config, CT_CONFIG_UPSTREAM);
+    struct ct_upstream_row *upstream;
+    uint32_t cursor = 0;
+    uint32_t i;
+    int err = CT_OK;
+
+    if (rows.n && rows.row_size != sizeof(*item)) {
+        return CT_ERR_INVALID;
+    }
+    while ((upstream = ct_table_next(&config->upstreams, &cursor, NULL))) {
+        upstream->listed = false;
+        upstream->configured = upstream->declared;
+    }
+    for (i = 0; i < rows.n && err == CT_OK; i++) {
+        err = list_upstream(config, &item[i]);
+    }
+    sweep(&kind);
+    link_upstreams(config);
+    return err;
+}
+
 int
 ct_config_apply(struct ct_config *config, int64_t offset, struct ct_rows rows)
 {
@@ -452,6 +512,7 @@
             return CT_ERR_NO_MEMORY;
         }
     }
+    keep_listed(config);
     for (i = 0; i < G_N_ELEMENTS(table_kinds); i++) {
         kind = kind_of(config, table_kinds[i]);
         sweep(&kind);
@@ -471,7 +532,9 @@
     while ((row = ct_table_next(rows.table, &cursor, NULL))) {
         struct ct_config_row copy;
 
-        if (!*configured_flag(&rows, row)) {
+        if (!*configured_flag(&rows, row) ||
+            (kind == CT_CONFIG_UPSTREAM &&
+             !((const struct ct_upstream_row *)row)->declared)) {
             continue;
         }
         memset(&copy, 0, sizeof(copy));
--- a/core/config.h
+++ b/core/config.h
@@ -61,7 +61,10 @@
 
 struct ct_upstream_row {
     struct ct_upstream conf;
+    /* In force: declared by the configuration or listed by the platform. */
     bool configured;
+    bool declared;
+    bool listed;
     enum ct_upstream_state state;
     struct ct_handle pool;
     /* Attempts of this host that run there now. */
@@ -101,6 +104,14 @@
 int ct_config_apply(struct ct_config *config, int64_t offset,
                     struct ct_rows rows);
 
+/*
+ * Takes over the platform's list of upstreams: those that leave take nothing
+ * new, those that were ordered come into force. An upstream that only the
+ * list named goes when the list drops it. Errors: CT_ERR_NO_MEMORY,
+ * CT_ERR_INVALID.
+ */
+int ct_config_list_upstreams(struct ct_config *config, struct ct_rows rows);
+
 /* Look-ups by name; CT_NO_HANDLE where nothing of that name is in force. */
 struct ct_handle ct_config_organisation(const struct ct_config *config,
                                         const struct ct_name *name);
--- a/core/event.c
+++ b/core/event.c
@@ -24,6 +24,7 @@
         [CT_EVENT_PEER_DOWN] = "peer-down",
         [CT_EVENT_PEER_MESSAGE] = "peer-message",
         [CT_EVENT_HOST_LIST] = "host-list",
+        [CT_EVENT_UPSTREAM_LIST] = "upstream-list",
         [CT_EVENT_ORDER_DONE] = "order-done",
         [CT_EVENT_REPORT_DONE] = "report-done",
         [CT_EVENT_DRAIN] = "drain",
--- a/core/event.h
+++ b/core/event.h
@@ -48,6 +48,8 @@
     CT_EVENT_PEER_MESSAGE,
     /* rows: struct ct_host_row, the platform's lagging list */
     CT_EVENT_HOST_LIST,
+    /* rows: struct ct_listed_upstream, the platform's list */
+    CT_EVENT_UPSTREAM_LIST,
 
     /* Orders and reports to the platform. */
     CT_EVENT_ORDER_DONE,
@@ -167,6 +169,12 @@
     bool leaving;
 };
 
+struct ct_listed_upstream {
+    struct ct_upstream upstream;
+    /* Will go soon; takes nothing new. */
+    bool leaving;
+};
+
 struct ct_order_done {
     uint64_t order_id;
     int32_t result;
@@ -215,7 +223,7 @@
         struct ct_report_done report;
         struct ct_key_handed key;
     } u;
-    /* Rows of CT_EVENT_HOST_LIST; records and messages hold their own. */
+    /* Rows of the platform's lists; records and messages hold their own. */
     struct ct_rows rows;
 };
 
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -80,6 +80,15 @@
     }
 }
 
+static int
+on_upstream_list(struct ct_state *state, const struct ct_event *event)
+{
+    int err = ct_config_list_upstreams(&state->config, event->rows);
+
+    ct_requests_config_changed(state);
+    return err;
+}
+
 static void
 on_explain_asked(struct ct_state *state, const struct ct_explain_ask *ask)
 {
@@ -150,6 +159,8 @@
     case CT_EVENT_DRAIN:
         ct_drain_start(state);
         return CT_OK;
+    case CT_EVENT_UPSTREAM_LIST:
+        return on_upstream_list(state, event);
     case CT_EVENT_PEER_UP:
     case CT_EVENT_PEER_DOWN:
     case CT_EVENT_PEER_MESSAGE:
