conf: read settings and service files from schema tables

Each field is one line of a table: name, type, range, place. One reader reports unknown, missing, mistyped and out-of-range fields with file, line and path, and goes on, so that an operator sees all findings at once.

--- /dev/null
+++ b/conf/schema.h
@@ -0,0 +1,97 @@
+#ifndef CT_SCHEMA_H
+#define CT_SCHEMA_H
+
+#include <stdbool.h>
+
+#include "json-file.h"
+#include "name.h"
+
+#define CT_SECRET_MAX 128
+
+struct ct_secret {
+    char text[CT_SECRET_MAX];
+};
+
+/* A secret under a name. */
+struct ct_named_secret {
+    struct ct_name name;
+    struct ct_secret secret;
+};
+
+/*
+ * Tables that say which fields an object has, of which type and range, and
+ * where each goes in a flat struct. One reader walks them.
+ */
+
+enum ct_schema_kind {
+    /* Letters, digits, '.', '_' and '-'; not empty. */
+    CT_SCHEMA_NAME = 1,
+    /* Printable text without spaces and quotes of min..max characters. */
+    CT_SCHEMA_TEXT,
+    /* Like CT_SCHEMA_TEXT; never shown in a finding. */
+    CT_SCHEMA_SECRET,
+    /* Absolute path of a request, "/..." */
+    CT_SCHEMA_PATH,
+    /* "IP:port" or "[IPv6]:port"; min is the smallest port. */
+    CT_SCHEMA_ADDRESS,
+    /* "http://IP:port" */
+    CT_SCHEMA_URL,
+    CT_SCHEMA_BOOL,
+    CT_SCHEMA_U32,
+    CT_SCHEMA_MS,
+    /* One of the words; stored as an int. */
+    CT_SCHEMA_WORD,
+    /* Another object, embedded. */
+    CT_SCHEMA_OBJECT,
+    /* List of names; a GArray of struct ct_name, NULL where missing. */
+    CT_SCHEMA_NAMES,
+    /* Object of free names with secrets; a GArray of struct ct_named_secret.
+     */
+    CT_SCHEMA_SECRETS,
+};
+
+enum ct_schema_need {
+    CT_SCHEMA_OPTIONAL,
+    CT_SCHEMA_REQUIRED,
+};
+
+struct ct_schema_word {
+    const char *text;
+    int value;
+};
+
+struct ct_schema;
+
+struct ct_schema_field {
+    const char *name;
+    enum ct_schema_kind kind;
+    enum ct_schema_need need;
+    size_t offset;
+    /* Capacity of a text with its NUL. */
+    size_t size;
+    int64_t min;
+    int64_t max;
+    /* Value of a number that is not given. */
+    int64_t fallback;
+    const struct ct_schema_word *words;
+    const struct ct_schema *object;
+};
+
+struct ct_schema {
+    size_t n;
+    const struct ct_schema_field *fields;
+};
+
+/*
+ * Reads an object into out, which is zeroed memory. path is the object's own
+ * place in the file, "" for the root. Every finding goes to diags; returns
+ * the first error.
+ */
+int ct_schema_read(const struct ct_schema *schema,
+                   const struct ct_json_file *file, JsonObject *object,
+                   const char *path, void *out, struct ct_diags *diags);
+
+/* Whether the text is a name as of CT_SCHEMA_NAME. */
+bool ct_schema_is_name(const char *text);
+
+#endif
--- a/wire/json-text.c
+++ b/wire/json-text.c
@@ -206,16 +206,24 @@
     }
 }
 
+/* The line is known only while the parser runs. */
+static void
+on_error(JsonParser *parser, gpointer error, struct scan *scan)
+{
+    (void)error;
+    scan->json->fault_line = json_parser_get_current_line(parser);
+}
+
 static int
 parse_scanned(struct ct_json *json, struct scan *scan, const char *text,
               size_t n)
 {
     g_signal_connect(json->parser, "object-member", G_CALLBACK(on_member),
                      scan);
+    g_signal_connect(json->parser, "error", G_CALLBACK(on_error), scan);
     g_signal_connect(json->parser, "object-end", G_CALLBACK(on_object_end),
                      scan);
     if (!json_parser_load_from_data(json->parser, text, (gssize)n, NULL)) {
-        json->fault_line = json_parser_get_current_line(json->parser);
         return CT_ERR_JSON_SYNTAX;
     }
     if (scan->doubled) {
