wire: read and write the bodies of the platform's interface

Both the host's executor and the command line speak to the platform, so its JSON is kept apart from the transport. An entry that is no record of this version gets type 0 and is passed over by every reader alike.

--- /dev/null
+++ b/wire/platform-body.c
@@ -0,0 +1,252 @@
+#include "platform-body.h"
+
+#include "error.h"
+#include "event.h"
+#include "json-text.h"
+
+static void
+decode_entry(const char *data, struct ct_decoded_record *decoded)
+{
+    gsize n = 0;
+    guchar *bytes = data ? g_base64_decode(data, &n) : NULL;
+
+    if (ct_record_decode(bytes, n, decoded) < 0) {
+        ct_decoded_record_free(decoded);
+        decoded->record = (struct ct_record){.type = 0};
+    }
+    g_free(bytes);
+}
+
+static int
+add_entry(struct ct_log_page *page, JsonObject *object)
+{
+    struct ct_log_page_entry entry = {0};
+    int err;
+
+    if (!object) {
+        return CT_ERR_FIELD_TYPE;
+    }
+    err = ct_json_get_int(object, "offset", 1, INT64_MAX, &entry.offset);
+    if (err < 0) {
+        return err;
+    }
+    decode_entry(ct_json_get_string(object, "data"), &entry.decoded);
+    g_array_append_val(page->entries, entry);
+    return CT_OK;
+}
+
+static int
+read_page(JsonObject *object, struct ct_log_page *page)
+{
+    JsonArray *entries;
+    int err;
+
+    if (!object) {
+        return CT_ERR_FIELD_TYPE;
+    }
+    err = ct_json_get_int(object, "first", 0, INT64_MAX, &page->first);
+    if (err < 0) {
+        return err;
+    }
+    err = ct_json_get_int(object, "head", 0, INT64_MAX, &page->head);
+    entries = ct_json_get_array(object, "entries");
+    if (err < 0 || !entries) {
+        return err;
+    }
+    for (guint i = 0; i < json_array_get_length(entries); i++) {
+        err = add_entry(page, ct_json_element_object(entries, i));
+        if (err < 0) {
+            return err;
+        }
+    }
+    return CT_OK;
+}
+
+int
+ct_log_page_parse(const char *text, size_t n, struct ct_log_page *page)
+{
+    struct ct_json json;
+    int err;
+
+    page->entries =
+        g_array_new(FALSE, FALSE, sizeof(struct ct_log_page_entry));
+    err = ct_json_parse(&json, text, n);
+    if (err == CT_OK) {
+        err = read_page(ct_json_object(&json), page);
+    }
+    ct_json_free(&json);
+    return err;
+}
+
+void
+ct_log_page_free(struct ct_log_page *page)
+{
+    for (guint i = 0; i < page->entries->len; i++) {
+        ct_decoded_record_free(
+            &g_array_index(page->entries, struct ct_log_page_entry, i)
+                 .decoded);
+    }
+    g_clear_pointer(&page->entries, g_array_unref);
+}
+
+int
+ct_append_body(const struct ct_record *record, GString *out)
+{
+    GByteArray *bytes = g_byte_array_new();
+    int err = ct_record_encode(record, bytes);
+    char *data;
+
+    if (err == CT_OK) {
+        data = g_base64_encode(bytes->data, bytes->len);
+        g_string_append_printf(out, "{\"data\":\"%s\"}", data);
+        g_free(data);
+    }
+    g_byte_array_unref(bytes);
+    return err;
+}
+
+int
+ct_append_answer_parse(const char *text, size_t n, int64_t *offset)
+{
+    struct ct_json json;
+    JsonObject *object;
+    int err = ct_json_parse(&json, text, n);
+
+    if (err == CT_OK) {
+        object = ct_json_object(&json);
+        err = object ? ct_json_get_int(object, "offset", 1, INT64_MAX, offset)
+                     : CT_ERR_FIELD_TYPE;
+    }
+    ct_json_free(&json);
+    return err;
+}
+
+static void
+set_text(JsonBuilder *builder, const char *name, const char *value)
+{
+    json_builder_set_member_name(builder, name);
+    json_builder_add_string_value(builder, value);
+}
+
+static void
+set_int(JsonBuilder *builder, const char *name, int64_t value)
+{
+    json_builder_set_member_name(builder, name);
+    json_builder_add_int_value(builder, value);
+}
+
+/* Appends the built object and frees the builder. */
+static void
+finish(JsonBuilder *builder, GString *out)
+{
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+
+    g_string_append(out, text);
+    g_free(text);
+    json_node_unref(root);
+    g_object_unref(builder);
+}
+
+static const char *
+order_kind_text(enum ct_order_kind kind)
+{
+    switch (kind) {
+    case CT_ORDER_START:
+        return "start";
+    case CT_ORDER_STOP:
+        return "stop";
+    case CT_ORDER_LOAD_MODEL:
+        return "load-model";
+    case CT_ORDER_ROLE:
+        return "role";
+    }
+    return "";
+}
+
+void
+ct_order_body(const struct ct_order *order, GString *out)
+{
+    JsonBuilder *builder = json_builder_new();
+
+    json_builder_begin_object(builder);
+    set_int(builder, "order_id", (int64_t)order->order_id);
+    set_int(builder, "term", order->term);
+    set_text(builder, "kind", order_kind_text(order->kind));
+    set_text(builder, "pool", order->pool.text);
+    set_text(builder, "zone", order->zone.text);
+    set_text(builder, "upstream", order->upstream.text);
+    set_text(builder, "model", order->model.text);
+    json_builder_set_member_name(builder, "cheap");
+    json_builder_add_boolean_value(builder, order->cheap);
+    json_builder_end_object(builder);
+    finish(builder, out);
+}
+
+static void
+add_usage_row(JsonBuilder *builder, const struct ct_usage_row *row)
+{
+    json_builder_begin_object(builder);
+    set_text(builder, "organisation", row->organisation.text);
+    set_int(builder, "requests", (int64_t)row->requests);
+    set_int(builder, "tokens_in", (int64_t)row->tokens_in);
+    set_int(builder, "tokens_out", (int64_t)row->tokens_out);
+    set_int(builder, "late_requests", (int64_t)row->late_requests);
+    json_builder_end_object(builder);
+}
+
+void
+ct_usage_body(const struct ct_usage_window *window,
+              const struct ct_usage_row *rows, uint32_t n, GString *out)
+{
+    JsonBuilder *builder = json_builder_new();
+
+    json_builder_begin_object(builder);
+    set_int(builder, "window_start_ms", window->window_start_ms);
+    set_int(builder, "term", window->term);
+    json_builder_set_member_name(builder, "rows");
+    json_builder_begin_array(builder);
+    for (uint32_t i = 0; i < n; i++) {
+        add_usage_row(builder, &rows[i]);
+    }
+    json_builder_end_array(builder);
+    json_builder_end_object(builder);
+    finish(builder, out);
+}
+
+static void
+add_hosts(JsonArray *hosts, GArray *rows)
+{
+    for (guint i = 0; i < json_array_get_length(hosts); i++) {
+        JsonObject *object = ct_json_element_object(hosts, i);
+        const char *name = object ? ct_json_get_string(object, "name") : NULL;
+        struct ct_host_row row = {.leaving = false};
+
+        if (!name || CT_TEXT_SET(row.name, name) < 0) {
+            continue;
+        }
+        ct_json_get_bool(object, "leaving", &row.leaving);
+        g_array_append_val(rows, row);
+    }
+}
+
+int
+ct_host_list_parse(const char *text, size_t n, GArray **rows)
+{
+    JsonArray *hosts = NULL;
+    struct ct_json json;
+    int err = ct_json_parse(&json, text, n);
+
+    *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_host_row));
+    if (err == CT_OK && ct_json_object(&json)) {
+        hosts = ct_json_get_array(ct_json_object(&json), "hosts");
+    }
+    if (hosts) {
+        add_hosts(hosts, *rows);
+    }
+    else if (err == CT_OK) {
+        err = CT_ERR_FIELD_MISSING;
+    }
+    ct_json_free(&json);
+    return err;
+}
