wire: encode log records and peer frames from tables of fields

Tables pair each protobuf-c field with the core's; one walker in each direction checks lengths, printable characters, ranges and kinds. Decoding takes its memory from an arena bounded by the input's length, so that many empty rows in a short message are refused. Generated code is committed; 'make proto' makes it again.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 	@git ls-files '*.c' | grep -v '\.pb-c\.' \
 		| xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
+# The generated code is committed; this needs protobuf-c-compiler.
+proto:
+	@cd wire && protoc-c --c_out=. coriandertrack.proto
+
 install: build
 	cmake --install $(BUILD)
 
--- /dev/null
+++ b/t/test-peer-codec.c
@@ -0,0 +1,191 @@
+/* Tests of peer-codec.h: every frame both ways, and bad frames. */
+#include <glib.h>
+#include <string.h>
+
+#include "error.h"
+#include "peer-codec.h"
+
+static struct ct_usage_row usage[2];
+static struct ct_refusal_row refusal;
+static struct ct_snapshot_row snapshot;
+
+static void
+fill_message(struct ct_peer_message *m, enum ct_peer_message_type type)
+{
+    m->type = type;
+    CT_TEXT_SET(m->sender, "h2");
+    switch (type) {
+    case CT_PEER_HEARTBEAT:
+        m->u.heartbeat =
+            (struct ct_peer_heartbeat){7, 9, CT_MS_NEVER, 2, true};
+        break;
+    case CT_PEER_WITHDRAW:
+    case CT_PEER_WITHDRAWN:
+        memset(&m->u.digest, 0x5a, sizeof(m->u.digest));
+        break;
+    case CT_PEER_SHARE_ASK:
+    case CT_PEER_SHARE_GIVE:
+        CT_TEXT_SET(m->u.share.pool, "draft");
+        m->u.share.waiting[CT_TIERS - 1] = 4;
+        break;
+    case CT_PEER_ANSWER_ASK:
+    case CT_PEER_ANSWER_HERE:
+        CT_TEXT_SET(m->u.request_id, "0190");
+        break;
+    case CT_PEER_USAGE_COPY:
+        usage[1].requests = 3;
+        m->rows = CT_ROWS(usage, 2);
+        break;
+    case CT_PEER_REFUSAL_COPY:
+        refusal.run_state = CT_NOT_RUN;
+        m->rows = CT_ROWS(&refusal, 1);
+        break;
+    case CT_PEER_STATE:
+        m->u.offset = 99;
+        snapshot.kind = CT_SNAPSHOT_KEY;
+        m->rows = CT_ROWS(&snapshot, 1);
+        break;
+    case CT_PEER_STATE_ASK:
+        break;
+    }
+}
+
+/* Frame i of all kinds and message types; returns false after the last. */
+static gboolean
+fill_frame(struct ct_peer_frame *f, int i)
+{
+    memset(f, 0, sizeof(*f));
+    f->kind = CT_PEER_FRAME_MESSAGE;
+    if (i == 0) {
+        f->kind = CT_PEER_FRAME_HELLO;
+        CT_TEXT_SET(f->u.hello.host, "h1");
+        CT_TEXT_SET(f->u.hello.zone, "Konya");
+        memset(f->u.hello.nonce, 3, CT_NONCE_BYTES);
+    }
+    else if (i == 1) {
+        f->kind = CT_PEER_FRAME_PROOF;
+        memset(f->u.proof.hmac, 4, CT_HMAC_BYTES);
+    }
+    else {
+        fill_message(&f->u.message, i - 1);
+    }
+    return i - 1 <= CT_PEER_STATE;
+}
+
+static void
+assert_same(struct ct_peer_frame a, struct ct_peer_frame b)
+{
+    if (a.kind == CT_PEER_FRAME_MESSAGE) {
+        struct ct_rows *x = &a.u.message.rows;
+        struct ct_rows *y = &b.u.message.rows;
+
+        g_assert_cmpmem(x->data, (size_t)x->n * x->row_size, y->data,
+                        (size_t)y->n * y->row_size);
+        *x = CT_NO_ROWS;
+        *y = CT_NO_ROWS;
+    }
+    g_assert_cmpmem(&a, sizeof(a), &b, sizeof(b));
+}
+
+static void
+test_both_ways(void)
+{
+    struct ct_decoded_peer_frame decoded;
+    struct ct_peer_frame frame;
+
+    for (int i = 0; fill_frame(&frame, i); i++) {
+        GByteArray *bytes = g_byte_array_new();
+
+        g_assert_cmpint(ct_peer_encode(&frame, bytes), ==, CT_OK);
+        g_assert_cmpint(ct_peer_decode(bytes->data, bytes->len, &decoded), ==,
+                        CT_OK);
+        assert_same(frame, decoded.frame);
+        ct_decoded_peer_frame_free(&decoded);
+        g_byte_array_unref(bytes);
+    }
+}
+
+static void
+test_damaged(void)
+{
+    GRand *random = g_rand_new_with_seed(12);
+    struct ct_decoded_peer_frame decoded;
+    struct ct_peer_frame frame;
+
+    for (int i = 0; fill_frame(&frame, i); i++) {
+        GByteArray *bytes = g_byte_array_new();
+
+        ct_peer_encode(&frame, bytes);
+        for (guint at = 0; at < bytes->len; at++) {
+            uint8_t old = bytes->data[at];
+            int err;
+
+            err = ct_peer_decode(bytes->data, at, &decoded);
+            g_assert_true(err == CT_OK || err == CT_ERR_DECODE);
+            ct_decoded_peer_frame_free(&decoded);
+            bytes->data[at] ^= (uint8_t)g_rand_int_range(random, 1, 256);
+            err = ct_peer_decode(bytes->data, bytes->len, &decoded);
+            g_assert_true(err == CT_OK || err == CT_ERR_DECODE);
+            ct_decoded_peer_frame_free(&decoded);
+            bytes->data[at] = old;
+        }
+        g_byte_array_unref(bytes);
+    }
+    g_rand_free(random);
+}
+
+static void
+test_refused(void)
+{
+    static const struct {
+        const char *name;
+        const char *bytes;
+        size_t n;
+    } cases[] = {
+        {"empty", "", 0},
+        {"empty message", "\x1a\x00", 2},
+        {"unknown message type", "\x1a\x02\x08\x63", 4},
+        {"message without its body", "\x1a\x02\x08\x01", 4},
+        {"hello without a nonce", "\x0a\x04\x0a\x02h1", 6},
+        {"proof without a digest", "\x12\x00", 2},
+        {"no protobuf", "\xff\xff\xff\xff", 4},
+    };
+    struct ct_decoded_peer_frame decoded;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        g_assert_cmpint(ct_peer_decode((const uint8_t *)cases[i].bytes,
+                                       cases[i].n, &decoded),
+                        ==, CT_ERR_DECODE);
+        ct_decoded_peer_frame_free(&decoded);
+    }
+}
+
+/* Many empty rows are short on the wire, but must not take much memory. */
+static void
+test_row_bomb(void)
+{
+    GByteArray *rows = g_byte_array_new();
+    const uint8_t head[] = {0x1a, 0x82, 0x80, 0x28, 0x08, CT_PEER_USAGE_COPY};
+    struct ct_decoded_peer_frame decoded;
+
+    g_byte_array_append(rows, head, sizeof(head));
+    for (int i = 0; i < 0x50000; i++) {
+        g_byte_array_append(rows, (const uint8_t *)"\x42\x00", 2);
+    }
+    g_assert_cmpint(ct_peer_decode(rows->data, rows->len, &decoded), ==,
+                    CT_ERR_DECODE);
+    ct_decoded_peer_frame_free(&decoded);
+    g_byte_array_unref(rows);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/peer-codec/both-ways", test_both_ways);
+    g_test_add_func("/peer-codec/damaged", test_damaged);
+    g_test_add_func("/peer-codec/refused", test_refused);
+    g_test_add_func("/peer-codec/row-bomb", test_row_bomb);
+    return g_test_run();
+}
--- /dev/null
+++ b/wire/message-map.c
@@ -0,0 +1,364 @@
+#include "message-map.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#include "error.h"
+#include "rows.h"
+
+/* Memory allowed for decoding n bytes. */
+#define DECODE_LIMIT_BASE_BYTES 65536
+#define DECODE_LIMIT_FACTOR 64
+
+/* Layout of every repeated message field of protobuf-c. */
+struct wire_rows {
+    size_t n;
+    ProtobufCMessage **items;
+};
+
+struct wire_u32s {
+    size_t n;
+    uint32_t *items;
+};
+
+static int
+text_to_wire(const struct ct_map_field *field, char **wire, const char *core)
+{
+    if (!memchr(core, '\0', field->size)) {
+        return CT_ERR_INVALID;
+    }
+    *wire = (char *)core;
+    return CT_OK;
+}
+
+static void
+bytes_to_wire(const struct ct_map_field *field, ProtobufCBinaryData *wire,
+              const uint8_t *core)
+{
+    wire->len = field->size;
+    wire->data = (uint8_t *)core;
+}
+
+static int
+field_to_wire(const struct ct_map_field *field, void *wire, const void *core)
+{
+    struct wire_u32s *array = wire;
+
+    switch (field->kind) {
+    case CT_MAP_TEXT:
+        return text_to_wire(field, wire, core);
+    case CT_MAP_BYTES:
+        bytes_to_wire(field, wire, core);
+        return CT_OK;
+    case CT_MAP_BOOL:
+        *(protobuf_c_boolean *)wire = *(const bool *)core;
+        return CT_OK;
+    case CT_MAP_U32:
+    case CT_MAP_I32:
+        memcpy(wire, core, sizeof(uint32_t));
+        return CT_OK;
+    case CT_MAP_U64:
+    case CT_MAP_I64:
+        memcpy(wire, core, sizeof(uint64_t));
+        return CT_OK;
+    case CT_MAP_U32_ARRAY:
+        array->n = field->size;
+        array->items = (uint32_t *)core;
+        return CT_OK;
+    }
+    return CT_ERR_INVALID;
+}
+
+static const struct ct_map_variant *
+find_variant(const struct ct_map *map, uint32_t type)
+{
+    return type > 0 && type < map->variants->n ? &map->variants->items[type]
+                                               : NULL;
+}
+
+static int to_wire(struct ct_arena *arena, const struct ct_map *map,
+                   const uint8_t *core, ProtobufCMessage **out);
+
+static int
+rows_to_wire(struct ct_arena *arena, const struct ct_map *map,
+             const struct ct_rows *rows, struct wire_rows *wire)
+{
+    const uint8_t *row = rows->data;
+    int err;
+
+    if (rows->n == 0) {
+        return CT_OK;
+    }
+    if (rows->row_size != map->core_size) {
+        return CT_ERR_INVALID;
+    }
+    wire->items = ct_arena_alloc(arena, rows->n * sizeof(*wire->items));
+    if (!wire->items) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (wire->n = 0; wire->n < rows->n; wire->n++) {
+        err = to_wire(arena, map, row, &wire->items[wire->n]);
+        if (err < 0) {
+            return err;
+        }
+        row += rows->row_size;
+    }
+    return CT_OK;
+}
+
+static int
+variant_to_wire(struct ct_arena *arena, const struct ct_map *map,
+                const uint8_t *core, uint8_t *wire)
+{
+    const struct ct_map_variants *variants = map->variants;
+    const struct ct_map_variant *variant;
+    ProtobufCMessage *body;
+    uint32_t type;
+    int err;
+
+    memcpy(&type, core + variants->core_type_offset, sizeof(type));
+    variant = find_variant(map, type);
+    if (!variant) {
+        return CT_ERR_INVALID;
+    }
+    memcpy(wire + variants->wire_type_offset, &type, sizeof(type));
+    if (variant->body) {
+        err = to_wire(arena, variant->body, core + variant->body_core_offset,
+                      &body);
+        if (err < 0) {
+            return err;
+        }
+        memcpy(wire + variant->body_wire_offset, &body, sizeof(body));
+    }
+    if (variant->rows) {
+        return rows_to_wire(arena, variant->rows,
+                            (const void *)(core + variants->core_rows_offset),
+                            (void *)(wire + variant->rows_wire_offset));
+    }
+    return CT_OK;
+}
+
+static int
+to_wire(struct ct_arena *arena, const struct ct_map *map, const uint8_t *core,
+        ProtobufCMessage **out)
+{
+    ProtobufCMessage *message;
+    uint8_t *wire;
+    uint32_t i;
+    int err;
+
+    message = ct_arena_alloc(arena, map->wire->sizeof_message);
+    if (!message) {
+        return CT_ERR_NO_MEMORY;
+    }
+    map->wire->message_init(message);
+    wire = (uint8_t *)message;
+    for (i = 0; i < map->n_fields; i++) {
+        const struct ct_map_field *field = &map->fields[i];
+
+        err = field_to_wire(field, wire + field->wire_offset,
+                            core + field->core_offset);
+        if (err < 0) {
+            return err;
+        }
+    }
+    *out = message;
+    return map->variants ? variant_to_wire(arena, map, core, wire) : CT_OK;
+}
+
+int
+ct_map_encode(const struct ct_map *map, const void *core, GByteArray *out)
+{
+    struct ct_arena arena;
+    ProtobufCMessage *message;
+    guint start = out->len;
+    int err;
+
+    ct_arena_init(&arena, SIZE_MAX);
+    err = to_wire(&arena, map, core, &message);
+    if (err == CT_OK) {
+        g_byte_array_set_size(
+            out, start + (guint)protobuf_c_message_get_packed_size(message));
+        protobuf_c_message_pack(message, out->data + start);
+    }
+    ct_arena_free(&arena);
+    return err;
+}
+
+static int
+text_from_wire(const struct ct_map_field *field, const char *wire, char *core)
+{
+    size_t i;
+
+    for (i = 0; wire[i]; i++) {
+        if (i + 1 >= field->size || wire[i] < ' ' || wire[i] > '~') {
+            return CT_ERR_DECODE;
+        }
+        core[i] = wire[i];
+    }
+    return CT_OK;
+}
+
+static int
+bytes_from_wire(const struct ct_map_field *field,
+                const ProtobufCBinaryData *wire, uint8_t *core)
+{
+    if (wire->len != field->size) {
+        return CT_ERR_DECODE;
+    }
+    memcpy(core, wire->data, field->size);
+    return CT_OK;
+}
+
+static int
+check_range(const struct ct_map_field *field, int64_t value)
+{
+    return value < field->min || value > field->max ? CT_ERR_DECODE : CT_OK;
+}
+
+static int
+field_from_wire(const struct ct_map_field *field, const void *wire, void *core)
+{
+    const struct wire_u32s *array = wire;
+
+    switch (field->kind) {
+    case CT_MAP_TEXT:
+        return text_from_wire(field, *(char *const *)wire, core);
+    case CT_MAP_BYTES:
+        return bytes_from_wire(field, wire, core);
+    case CT_MAP_BOOL:
+        *(bool *)core = *(const protobuf_c_boolean *)wire != 0;
+        return CT_OK;
+    case CT_MAP_U32:
+        memcpy(core, wire, sizeof(uint32_t));
+        return check_range(field, *(const uint32_t *)wire);
+    case CT_MAP_I32:
+        memcpy(core, wire, sizeof(int32_t));
+        return CT_OK;
+    case CT_MAP_U64:
+        memcpy(core, wire, sizeof(uint64_t));
+        return CT_OK;
+    case CT_MAP_I64:
+        memcpy(core, wire, sizeof(int64_t));
+        return check_range(field, *(const int64_t *)wire);
+    case CT_MAP_U32_ARRAY:
+        if (array->n != field->size) {
+            return CT_ERR_DECODE;
+        }
+        memcpy(core, array->items, field->size * sizeof(uint32_t));
+        return CT_OK;
+    }
+    return CT_ERR_DECODE;
+}
+
+static int from_wire(struct ct_arena *arena, const struct ct_map *map,
+                     const uint8_t *wire, uint8_t *core);
+
+static int
+rows_from_wire(struct ct_arena *arena, const struct ct_map *map,
+               const struct wire_rows *wire, struct ct_rows *rows)
+{
+    uint8_t *row;
+    int err;
+
+    if (wire->n == 0) {
+        return CT_OK;
+    }
+    row = ct_arena_alloc(arena, wire->n * map->core_size);
+    if (!row) {
+        return CT_ERR_DECODE;
+    }
+    *rows = (struct ct_rows){row, (uint32_t)wire->n, (uint32_t)map->core_size};
+    for (size_t i = 0; i < wire->n; i++) {
+        err = from_wire(arena, map, (const uint8_t *)wire->items[i], row);
+        if (err < 0) {
+            return err;
+        }
+        row += map->core_size;
+    }
+    return CT_OK;
+}
+
+static int
+variant_from_wire(struct ct_arena *arena, const struct ct_map *map,
+                  const uint8_t *wire, uint8_t *core)
+{
+    const struct ct_map_variants *variants = map->variants;
+    const struct ct_map_variant *variant;
+    const uint8_t *body;
+    uint32_t type;
+    int err;
+
+    memcpy(&type, wire + variants->wire_type_offset, sizeof(type));
+    variant = find_variant(map, type);
+    if (!variant) {
+        return CT_ERR_DECODE;
+    }
+    memcpy(core + variants->core_type_offset, &type, sizeof(type));
+    if (variant->body) {
+        memcpy(&body, wire + variant->body_wire_offset, sizeof(body));
+        if (!body) {
+            return CT_ERR_DECODE;
+        }
+        err = from_wire(arena, variant->body, body,
+                        core + variant->body_core_offset);
+        if (err < 0) {
+            return err;
+        }
+    }
+    if (variant->rows) {
+        return rows_from_wire(arena, variant->rows,
+                              (const void *)(wire + variant->rows_wire_offset),
+                              (void *)(core + variants->core_rows_offset));
+    }
+    return CT_OK;
+}
+
+/* core is zeroed memory. */
+static int
+from_wire(struct ct_arena *arena, const struct ct_map *map,
+          const uint8_t *wire, uint8_t *core)
+{
+    uint32_t i;
+    int err;
+
+    for (i = 0; i < map->n_fields; i++) {
+        const struct ct_map_field *field = &map->fields[i];
+
+        err = field_from_wire(field, wire + field->wire_offset,
+                              core + field->core_offset);
+        if (err < 0) {
+            return err;
+        }
+    }
+    return map->variants ? variant_from_wire(arena, map, wire, core) : CT_OK;
+}
+
+static void *
+unpack_alloc(void *arena, size_t n)
+{
+    return ct_arena_alloc(arena, n);
+}
+
+static void
+unpack_free(void *arena, void *p)
+{
+    (void)arena;
+    (void)p;
+}
+
+int
+ct_map_decode(const struct ct_map *map, const uint8_t *bytes, size_t n,
+              void *core, struct ct_arena *arena)
+{
+    ProtobufCAllocator allocator = {unpack_alloc, unpack_free, arena};
+    ProtobufCMessage *message;
+
+    memset(core, 0, map->core_size);
+    ct_arena_init(arena, DECODE_LIMIT_BASE_BYTES + n * DECODE_LIMIT_FACTOR);
+    message = protobuf_c_message_unpack(map->wire, &allocator, n, bytes);
+    if (!message) {
+        return CT_ERR_DECODE;
+    }
+    return from_wire(arena, map, (const uint8_t *)message, core);
+}
--- /dev/null
+++ b/wire/peer-codec.c
@@ -0,0 +1,138 @@
+#include "peer-codec.h"
+
+#include "coriandertrack.pb-c.h"
+#include "error.h"
+#include "row-maps.h"
+
+static const struct ct_map_field heartbeat_fields[] = {
+    CT_MAP_F_OFFSET(Heartbeat, peer_heartbeat, applied_offset),
+    CT_MAP_F_OFFSET(Heartbeat, peer_heartbeat, known_head),
+    /* CT_MS_NEVER where the sender never heard from the log. */
+    CT_MAP_F_I64(Heartbeat, peer_heartbeat, log_age_ms, 0, CT_MS_NEVER),
+    CT_MAP_F_U32(Heartbeat, peer_heartbeat, direct_withdrawals, 0, UINT32_MAX),
+    CT_MAP_F_BOOL(Heartbeat, peer_heartbeat, draining),
+};
+static const struct ct_map heartbeat_map = {
+    &ct__heartbeat__descriptor, sizeof(struct ct_peer_heartbeat),
+    CT_MAP_COUNT(heartbeat_fields), heartbeat_fields, NULL};
+
+static const struct ct_map_field digest_fields[] = {
+    CT_MAP_F_BYTES(Digest, digest, bytes),
+};
+static const struct ct_map digest_map = {
+    &ct__digest__descriptor, sizeof(struct ct_digest),
+    CT_MAP_COUNT(digest_fields), digest_fields, NULL};
+
+static const struct ct_map_field share_fields[] = {
+    CT_MAP_F_TEXT(ShareRow, share_row, pool),
+    CT_MAP_F_U32(ShareRow, share_row, slots_held, 0, UINT32_MAX),
+    CT_MAP_F_U32(ShareRow, share_row, slots_busy, 0, UINT32_MAX),
+    {CT_MAP_U32_ARRAY, offsetof(Ct__ShareRow, n_waiting),
+     offsetof(struct ct_share_row, waiting), CT_TIERS, 0, 0},
+};
+static const struct ct_map share_map = {
+    &ct__share_row__descriptor, sizeof(struct ct_share_row),
+    CT_MAP_COUNT(share_fields), share_fields, NULL};
+
+static const struct ct_map_field request_id_fields[] = {
+    CT_MAP_F_TEXT(RequestId, request_id, text),
+};
+static const struct ct_map request_id_map = {
+    &ct__request_id__descriptor, sizeof(struct ct_request_id),
+    CT_MAP_COUNT(request_id_fields), request_id_fields, NULL};
+
+static const struct ct_map_field state_fields[] = {
+    {CT_MAP_I64, offsetof(Ct__StateOffset, offset), 0, 0, 0, INT64_MAX},
+};
+static const struct ct_map state_map = {
+    &ct__state_offset__descriptor, sizeof(int64_t), CT_MAP_COUNT(state_fields),
+    state_fields, NULL};
+
+#define BODY(map, wire_member, member)                                        \
+    .body = &(map),                                                           \
+    .body_wire_offset = offsetof(Ct__PeerMessage, wire_member),               \
+    .body_core_offset = offsetof(struct ct_peer_message, u.member)
+#define ROWS(map, member)                                                     \
+    .rows = &(map), .rows_wire_offset = offsetof(Ct__PeerMessage, n_##member)
+
+static const struct ct_map_variant message_variants[] = {
+    [CT_PEER_HEARTBEAT] = {BODY(heartbeat_map, heartbeat, heartbeat)},
+    [CT_PEER_WITHDRAW] = {BODY(digest_map, digest, digest)},
+    [CT_PEER_WITHDRAWN] = {BODY(digest_map, digest, digest)},
+    [CT_PEER_USAGE_COPY] = {ROWS(ct_map_usage_row, usage_rows)},
+    [CT_PEER_REFUSAL_COPY] = {ROWS(ct_map_refusal_row, refusal_rows)},
+    [CT_PEER_SHARE_ASK] = {BODY(share_map, share, share)},
+    [CT_PEER_SHARE_GIVE] = {BODY(share_map, share, share)},
+    [CT_PEER_ANSWER_ASK] = {BODY(request_id_map, request_id, request_id)},
+    [CT_PEER_ANSWER_HERE] = {BODY(request_id_map, request_id, request_id)},
+    [CT_PEER_STATE_ASK] = {NULL},
+    [CT_PEER_STATE] = {BODY(state_map, state, offset),
+                       ROWS(ct_map_snapshot_row, snapshot_rows)},
+};
+
+static const struct ct_map_variants message_choice = {
+    offsetof(Ct__PeerMessage, type), offsetof(struct ct_peer_message, type),
+    offsetof(struct ct_peer_message, rows), CT_MAP_COUNT(message_variants),
+    message_variants};
+
+static const struct ct_map_field message_fields[] = {
+    CT_MAP_F_TEXT(PeerMessage, peer_message, sender),
+};
+static const struct ct_map message_map = {
+    &ct__peer_message__descriptor, sizeof(struct ct_peer_message),
+    CT_MAP_COUNT(message_fields), message_fields, &message_choice};
+
+static const struct ct_map_field hello_fields[] = {
+    CT_MAP_F_TEXT(Hello, hello, host),
+    CT_MAP_F_TEXT(Hello, hello, zone),
+    CT_MAP_F_BYTES(Hello, hello, nonce),
+};
+static const struct ct_map hello_map = {
+    &ct__hello__descriptor, sizeof(struct ct_hello),
+    CT_MAP_COUNT(hello_fields), hello_fields, NULL};
+
+static const struct ct_map_field proof_fields[] = {
+    CT_MAP_F_BYTES(Proof, proof, hmac),
+};
+static const struct ct_map proof_map = {
+    &ct__proof__descriptor, sizeof(struct ct_proof),
+    CT_MAP_COUNT(proof_fields), proof_fields, NULL};
+
+#define FRAME_VARIANT(map, member)                                            \
+    {                                                                         \
+        &(map), offsetof(Ct__PeerFrame, hello),                               \
+            offsetof(struct ct_peer_frame, u.member), NULL, 0                 \
+    }
+
+static const struct ct_map_variant frame_variants[] = {
+    [CT_PEER_FRAME_HELLO] = FRAME_VARIANT(hello_map, hello),
+    [CT_PEER_FRAME_PROOF] = FRAME_VARIANT(proof_map, proof),
+    [CT_PEER_FRAME_MESSAGE] = FRAME_VARIANT(message_map, message),
+};
+
+static const struct ct_map_variants frame_choice = {
+    offsetof(Ct__PeerFrame, frame_case), offsetof(struct ct_peer_frame, kind),
+    0, CT_MAP_COUNT(frame_variants), frame_variants};
+
+static const struct ct_map frame_map = {&ct__peer_frame__descriptor,
+                                        sizeof(struct ct_peer_frame), 0, NULL,
+                                        &frame_choice};
+
+int
+ct_peer_encode(const struct ct_peer_frame *frame, GByteArray *out)
+{
+    return ct_map_encode(&frame_map, frame, out);
+}
+
+int
+ct_peer_decode(const uint8_t *bytes, size_t n,
+               struct ct_decoded_peer_frame *out)
+{
+    return ct_map_decode(&frame_map, bytes, n, &out->frame, &out->arena);
+}
+
+void
+ct_decoded_peer_frame_free(struct ct_decoded_peer_frame *decoded)
+{
+    ct_arena_free(&decoded->arena);
+}
