--- a/wire/message-map.c
+++ b/wire/message-map.c
@@ -92,7 +92,7 @@
     if (rows->row_size != map->core_size) {
         return CT_ERR_INVALID;
     }
-    wire->items = ct_arena_alloc(arena, rows->n * sizeof(*wire->items));
+    wire->items = ct_arena_alloc(arena, rows->n * sizeof(void *));
     if (!wire->items) {
         return CT_ERR_NO_MEMORY;
     }
@@ -128,7 +128,7 @@
         if (err < 0) {
             return err;
         }
-        memcpy(wire + variant->body_wire_offset, &body, sizeof(body));
+        *(ProtobufCMessage **)(wire + variant->body_wire_offset) = body;
     }
     if (variant->rows) {
         return rows_to_wire(arena, variant->rows,
@@ -296,7 +296,7 @@
     }
     memcpy(core + variants->core_type_offset, &type, sizeof(type));
     if (variant->body) {
-        memcpy(&body, wire + variant->body_wire_offset, sizeof(body));
+        body = *(const uint8_t *const *)(wire + variant->body_wire_offset);
         if (!body) {
             return CT_ERR_DECODE;
         }
