--- /dev/null
+++ b/shell/http.h
@@ -0,0 +1,70 @@
+#ifndef CT_HTTP_H
+#define CT_HTTP_H
+
+#include <stddef.h>
+#include <curl/curl.h>
+
+#include "loop.h"
+
+/*
+ * HTTP requests to others: a libcurl multi handle driven by the loop. What
+ * becomes of a response is up to the vtable of the transfer.
+ */
+
+struct ct_http;
+struct ct_transfer;
+
+struct ct_transfer_ops {
+    /*
+     * The connection stands and nothing was written yet. A negative error
+     * stops the transfer before any byte leaves. May be NULL.
+     */
+    int (*before_send)(struct ct_transfer *transfer);
+    /* One header line, or the status line, with its CRLF. May be NULL. */
+    int (*header)(struct ct_transfer *transfer, const char *line, size_t n);
+    /* A part of the body; a negative error stops the transfer. */
+    int (*data)(struct ct_transfer *transfer, const char *data, size_t n);
+    /*
+     * The transfer is over and out of the multi handle. Called once, not
+     * after ct_http_cancel(). It frees the transfer.
+     */
+    void (*done)(struct ct_transfer *transfer, CURLcode result);
+};
+
+/* First member of each kind of transfer. */
+struct ct_transfer {
+    const struct ct_transfer_ops *ops;
+    struct ct_http *http;
+    CURL *easy;
+    struct curl_slist *headers;
+    /* In the multi handle now. */
+    bool running;
+};
+
+struct ct_http *ct_http_new(struct ct_loop *loop);
+/* All transfers must be over or cancelled. */
+void ct_http_free(struct ct_http *http);
+
+/*
+ * Prepares a request of "http://address/path"; nothing is sent. The body is
+ * copied where it is not NULL; then the method is POST.
+ * Errors: CT_ERR_NO_MEMORY.
+ */
+int ct_transfer_init(struct ct_transfer *transfer, struct ct_http *http,
+                     const struct ct_transfer_ops *ops, const char *address,
+                     const char *path);
+int ct_transfer_header(struct ct_transfer *transfer, const char *name,
+                       const char *value);
+void ct_transfer_body(struct ct_transfer *transfer, const void *body,
+                      size_t n);
+/* A connection of its own, so that libcurl never sends it a second time. */
+void ct_transfer_once(struct ct_transfer *transfer);
+/* The handle and headers; cancels it where it still runs. */
+void ct_transfer_clear(struct ct_transfer *transfer);
+
+/* Errors: CT_ERR_IO. */
+int ct_http_start(struct ct_http *http, struct ct_transfer *transfer);
+/* Stops a transfer; none of its functions are called any more. */
+void ct_http_cancel(struct ct_http *http, struct ct_transfer *transfer);
+
+#endif
