--- a/core/event.c
+++ b/core/event.c
@@ -35,3 +35,16 @@
     }
     return names[type];
 }
+
+struct ct_rows *
+ct_event_rows(struct ct_event *event)
+{
+    switch (event->type) {
+    case CT_EVENT_LOG_ENTRY:
+        return &event->u.entry.record.rows;
+    case CT_EVENT_PEER_MESSAGE:
+        return &event->u.peer.message.rows;
+    default:
+        return &event->rows;
+    }
+}
--- a/core/event.h
+++ b/core/event.h
@@ -221,4 +221,7 @@
 
 const char *ct_event_name(enum ct_event_type type);
 
+/* The one array of rows that an event of this type may have. */
+struct ct_rows *ct_event_rows(struct ct_event *event);
+
 #endif
--- /dev/null
+++ b/shell/http.c
@@ -0,0 +1,307 @@
+#include "http.h"
+
+#include <ev.h>
+#include <glib.h>
+
+#include "error.h"
+
+/* An upstream that accepts no connection for this long counts as down. */
+#define CONNECT_TIMEOUT_MS 1000
+/* Idle connections kept open to all upstreams together. */
+#define KEPT_CONNECTIONS 512
+
+struct ct_http {
+    struct ct_loop *loop;
+    CURLM *multi;
+    ev_timer timer;
+};
+
+/* libev's watcher of one of libcurl's sockets. */
+struct socket_watch {
+    ev_io io;
+    struct ct_http *http;
+};
+
+/* Ends the transfers that libcurl reports as over. */
+static void
+finish_transfers(struct ct_http *http)
+{
+    CURLMsg *message;
+    int left;
+
+    while ((message = curl_multi_info_read(http->multi, &left)) != NULL) {
+        struct ct_transfer *transfer;
+        CURLcode result = message->data.result;
+
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+                          (char **)&transfer);
+        curl_multi_remove_handle(http->multi, transfer->easy);
+        transfer->running = false;
+        transfer->ops->done(transfer, result);
+    }
+}
+
+/* Lets libcurl work; effects wait until it may be called again. */
+static void
+act(struct ct_http *http, curl_socket_t fd, int flags)
+{
+    int running;
+
+    ct_loop_hold(http->loop);
+    curl_multi_socket_action(http->multi, fd, flags, &running);
+    finish_transfers(http);
+    ct_loop_release(http->loop);
+}
+
+static void
+on_socket(struct ev_loop *ev, ev_io *io, int events)
+{
+    struct socket_watch *watch = (struct socket_watch *)io;
+    int flags = 0;
+
+    (void)ev;
+    if (events & EV_READ) {
+        flags |= CURL_CSELECT_IN;
+    }
+    if (events & EV_WRITE) {
+        flags |= CURL_CSELECT_OUT;
+    }
+    act(watch->http, io->fd, flags);
+}
+
+static void
+on_timer(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    (void)ev;
+    (void)events;
+    act(timer->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+set_timer(CURLM *multi, long timeout_ms, void *arg)
+{
+    struct ct_http *http = arg;
+    struct ev_loop *ev = ct_loop_ev(http->loop);
+
+    (void)multi;
+    ev_timer_stop(ev, &http->timer);
+    if (timeout_ms >= 0) {
+        ev_now_update(ev);
+        ev_timer_set(&http->timer, (ev_tstamp)timeout_ms / 1e3, 0);
+        ev_timer_start(ev, &http->timer);
+    }
+    return 0;
+}
+
+static int
+set_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *watch_arg)
+{
+    struct ct_http *http = arg;
+    struct socket_watch *watch = watch_arg;
+    struct ev_loop *ev = ct_loop_ev(http->loop);
+    int events = 0;
+
+    (void)easy;
+    if (what == CURL_POLL_REMOVE) {
+        if (watch != NULL) {
+            ev_io_stop(ev, &watch->io);
+            curl_multi_assign(http->multi, fd, NULL);
+            g_free(watch);
+        }
+        return 0;
+    }
+    if (watch == NULL) {
+        watch = g_new0(struct socket_watch, 1);
+        watch->http = http;
+        ev_io_init(&watch->io, on_socket, fd, 0);
+        curl_multi_assign(http->multi, fd, watch);
+    }
+    if (what & CURL_POLL_IN) {
+        events |= EV_READ;
+    }
+    if (what & CURL_POLL_OUT) {
+        events |= EV_WRITE;
+    }
+    ev_io_stop(ev, &watch->io);
+    ev_io_set(&watch->io, fd, events);
+    ev_io_start(ev, &watch->io);
+    return 0;
+}
+
+struct ct_http *
+ct_http_new(struct ct_loop *loop)
+{
+    struct ct_http *http = g_try_new0(struct ct_http, 1);
+
+    if (http == NULL) {
+        return NULL;
+    }
+    http->multi = curl_multi_init();
+    if (http->multi == NULL) {
+        g_free(http);
+        return NULL;
+    }
+    http->loop = loop;
+    ev_timer_init(&http->timer, on_timer, 0, 0);
+    http->timer.data = http;
+    curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+    curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
+    curl_multi_setopt(http->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(http->multi, CURLMOPT_TIMERDATA, http);
+    curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS,
+                      (long)KEPT_CONNECTIONS);
+    return http;
+}
+
+void
+ct_http_free(struct ct_http *http)
+{
+    if (http == NULL) {
+        return;
+    }
+    curl_multi_cleanup(http->multi);
+    ev_timer_stop(ct_loop_ev(http->loop), &http->timer);
+    g_free(http);
+}
+
+static int
+on_before_send(void *arg, char *remote_ip, char *local_ip, int remote_port,
+               int local_port)
+{
+    struct ct_transfer *transfer = arg;
+
+    (void)remote_ip;
+    (void)local_ip;
+    (void)remote_port;
+    (void)local_port;
+    if (transfer->ops->before_send != NULL &&
+        transfer->ops->before_send(transfer) < 0) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
+/* libcurl stops a transfer whose callback takes another number of bytes. */
+static size_t
+on_header(char *line, size_t size, size_t n, void *arg)
+{
+    struct ct_transfer *transfer = arg;
+
+    if (transfer->ops->header != NULL &&
+        transfer->ops->header(transfer, line, size * n) < 0) {
+        return 0;
+    }
+    return size * n;
+}
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *arg)
+{
+    struct ct_transfer *transfer = arg;
+
+    if (transfer->ops->data(transfer, data, size * n) < 0) {
+        return 0;
+    }
+    return size * n;
+}
+
+int
+ct_transfer_init(struct ct_transfer *transfer, struct ct_http *http,
+                 const struct ct_transfer_ops *ops, const char *address,
+                 const char *path)
+{
+    CURL *easy = curl_easy_init();
+    char *url;
+
+    if (easy == NULL) {
+        return CT_ERR_NO_MEMORY;
+    }
+    url = g_strconcat("http://", address, path, NULL);
+    transfer->ops = ops;
+    transfer->http = http;
+    transfer->easy = easy;
+    transfer->headers = NULL;
+    transfer->running = false;
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    g_free(url);
+    return ct_transfer_header(transfer, "Expect", "");
+}
+
+int
+ct_transfer_header(struct ct_transfer *transfer, const char *name,
+                   const char *value)
+{
+    char *line =
+        g_strdup_printf(*value != '\0' ? "%s: %s" : "%s:", name, value);
+    struct curl_slist *headers = curl_slist_append(transfer->headers, line);
+
+    g_free(line);
+    if (headers == NULL) {
+        return CT_ERR_NO_MEMORY;
+    }
+    transfer->headers = headers;
+    return CT_OK;
+}
+
+void
+ct_transfer_body(struct ct_transfer *transfer, const void *body, size_t n)
+{
+    curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     (curl_off_t)n);
+    curl_easy_setopt(transfer->easy, CURLOPT_COPYPOSTFIELDS,
+                     n > 0 ? body : "");
+}
+
+void
+ct_transfer_once(struct ct_transfer *transfer)
+{
+    curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
+void
+ct_transfer_clear(struct ct_transfer *transfer)
+{
+    ct_http_cancel(transfer->http, transfer);
+    curl_easy_cleanup(transfer->easy);
+    curl_slist_free_all(transfer->headers);
+    transfer->easy = NULL;
+    transfer->headers = NULL;
+}
+
+int
+ct_http_start(struct ct_http *http, struct ct_transfer *transfer)
+{
+    curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+    if (curl_multi_add_handle(http->multi, transfer->easy) != CURLM_OK) {
+        return CT_ERR_IO;
+    }
+    transfer->running = true;
+    return CT_OK;
+}
+
+void
+ct_http_cancel(struct ct_http *http, struct ct_transfer *transfer)
+{
+    if (transfer->running) {
+        transfer->running = false;
+        curl_multi_remove_handle(http->multi, transfer->easy);
+    }
+}
