--- /dev/null
+++ b/shell/answers.h
@@ -0,0 +1,70 @@
+#ifndef CT_ANSWERS_H
+#define CT_ANSWERS_H
+
+#include <glib.h>
+
+#include "executor.h"
+#include "table.h"
+
+/*
+ * The bytes of bodies: of requests by caller, and of answers by request. The
+ * reducer knows only lengths and offsets. It is the executor of
+ * CT_EFFECT_DROP_ANSWER; add it to the loop before those that use it.
+ */
+
+struct ct_answers;
+
+struct ct_answers *ct_answers_new(void);
+struct ct_executor *ct_answers_executor(struct ct_answers *answers);
+
+/* Keeps the body of a caller's request until it is dropped. */
+void ct_answers_put_body(struct ct_answers *answers, uint64_t caller,
+                         GBytes *body);
+/* Forgets the body unless a request was bound to it. */
+void ct_answers_drop_body(struct ct_answers *answers, uint64_t caller);
+
+/*
+ * Binds the caller's body to the request, which keeps it until
+ * CT_EFFECT_DROP_ANSWER. Returns it, borrowed, or NULL where there is none.
+ */
+GBytes *ct_answers_body(struct ct_answers *answers, struct ct_handle request,
+                        uint64_t caller);
+
+/*
+ * Makes the attempt the writer of the answer, from offset on; what was
+ * stored after it is cut off.
+ * Errors: CT_ERR_EXISTS while another attempt writes, CT_ERR_INVALID where
+ * the answer ends before offset, CT_ERR_NOT_FOUND for an unknown request.
+ */
+int ct_answers_begin(struct ct_answers *answers, struct ct_handle request,
+                     struct ct_handle attempt, uint64_t offset);
+/* Errors: CT_ERR_EXISTS where the attempt is not the writer. */
+int ct_answers_append(struct ct_answers *answers, struct ct_handle request,
+                      struct ct_handle attempt, const void *data, uint32_t n);
+/* The attempt writes no more; does nothing where it is not the writer. */
+void ct_answers_end(struct ct_answers *answers, struct ct_handle request,
+                    struct ct_handle attempt);
+
+/* The media type that the answer was given with, "" when not known. */
+#define CT_MEDIA_TYPE_MAX 64
+void ct_answers_set_type(struct ct_answers *answers, struct ct_handle request,
+                         const char *type);
+
+/*
+ * A reader keeps the bytes alive after CT_EFFECT_DROP_ANSWER. Returns
+ * CT_NO_HANDLE for an unknown request.
+ */
+struct ct_handle ct_answers_open(struct ct_answers *answers,
+                                 struct ct_handle request);
+void ct_answers_close(struct ct_answers *answers, struct ct_handle reader);
+/* Copies up to max bytes from offset on; returns how many. */
+uint32_t ct_answers_read(const struct ct_answers *answers,
+                         struct ct_handle reader, uint64_t offset, void *out,
+                         uint32_t max);
+const char *ct_answers_type(const struct ct_answers *answers,
+                            struct ct_handle reader);
+
+/* Bodies and answers held now, for tests and the operators' port. */
+uint32_t ct_answers_count(const struct ct_answers *answers);
+
+#endif
