--- a/core/log-replay.c
+++ b/core/log-replay.c
@@ -169,6 +169,7 @@
         return;
     }
     update_ready(state);
+    ct_snapshot_check(state);
 }
 
 /* Starts from a snapshot found while older entries are gone. */
@@ -226,6 +227,7 @@
     ct_claims_advance(&state->claims, entry->record.wall_ms);
     apply_record(state, entry);
     update_ready(state);
+    ct_snapshot_check(state);
 }
 
 void
--- a/core/log-replay.h
+++ b/core/log-replay.h
@@ -29,6 +29,7 @@
     /* Base of the newest snapshot in the log, and its own offset. */
     int64_t snapshot_base;
     int64_t snapshot_offset;
+    bool snapshot_armed;
     /* Sequence of this host's own records. */
     uint64_t next_sequence;
 };
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -6,6 +6,7 @@
 #include "dispatch.h"
 #include "drain.h"
 #include "error.h"
+#include "snapshot.h"
 #include "state.h"
 
 static void
@@ -33,6 +34,9 @@
     case CT_TIMER_PROBE:
         ct_dispatch_on_probe_timer(state);
         return;
+    case CT_TIMER_SNAPSHOT:
+        ct_snapshot_on_timer(state);
+        return;
     case CT_TIMER_DRAIN:
         ct_drain_on_timer(state);
         return;
@@ -41,7 +45,6 @@
     case CT_TIMER_LEASE:
     case CT_TIMER_USAGE:
     case CT_TIMER_ORDERS:
-    case CT_TIMER_SNAPSHOT:
     case CT_TIMER_SHARES:
     default:
         return;
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -6,6 +6,14 @@
 #include "error.h"
 #include "state.h"
 
+/* Entries before the first snapshot of a log that drops nothing yet. */
+#define FIRST_SNAPSHOT_OFFSETS 200
+/* Fewer entries than this are never worth a snapshot. */
+#define MIN_OFFSETS 8
+/* Hosts that find one due spread over this time. */
+#define SPREAD_MS 10000
+#define APPEND_LIMIT_MS 5000
+
 static void
 add_config(const struct ct_state *state, GArray *out)
 {
@@ -138,15 +146,45 @@
     return err < 0 ? err : CT_OK;
 }
 
+static bool
+is_due(const struct ct_log *log)
+{
+    int64_t quarter = (log->head - log->first) / 4;
+    int64_t interval = quarter;
+
+    /* Nothing was dropped yet, so it is not known how much is kept. */
+    if (log->first <= 1) {
+        interval = MAX(quarter, FIRST_SNAPSHOT_OFFSETS);
+    }
+    if (log->applied - log->snapshot_base > MAX(interval, MIN_OFFSETS)) {
+        return true;
+    }
+    return log->first > 1 && log->snapshot_offset < log->first + quarter &&
+           log->applied > log->snapshot_offset;
+}
+
+void
+ct_snapshot_check(struct ct_state *state)
+{
+    struct ct_log *log = &state->log;
+
+    if (!log->ready || log->snapshot_armed || !is_due(log)) {
+        return;
+    }
+    log->snapshot_armed = true;
+    ct_arm(state, (ct_ms)(ct_state_random(state) % SPREAD_MS),
+           CT_TIMER_SNAPSHOT, CT_NO_HANDLE);
+}
+
 void
-ct_snapshot_maybe_append(struct ct_state *state)
+ct_snapshot_on_timer(struct ct_state *state)
 {
     struct ct_snapshot_row *rows;
     struct ct_record record;
     uint32_t n;
 
-    if (state->log.applied - state->log.snapshot_base <
-        CT_SNAPSHOT_EVERY_OFFSETS) {
+    state->log.snapshot_armed = false;
+    if (!state->log.ready || !is_due(&state->log)) {
         return;
     }
     rows = ct_snapshot_export(state, &n);
@@ -154,6 +192,6 @@
     record.type = CT_RECORD_SNAPSHOT;
     record.base_offset = state->log.applied;
     record.rows = CT_ROWS(rows, n);
-    ct_log_append(state, &record, CT_MS_NEVER);
+    ct_log_append(state, &record, state->now_ms + APPEND_LIMIT_MS);
     g_free(rows);
 }
--- a/core/snapshot.h
+++ b/core/snapshot.h
@@ -9,9 +9,6 @@
  * it holds; entries after that offset still apply.
  */
 
-/* Entries after which a new snapshot is appended. */
-#define CT_SNAPSHOT_EVERY_OFFSETS 200
-
 struct ct_state;
 
 /* All rows; free with g_free(). */
@@ -25,7 +22,17 @@
 int ct_snapshot_import(struct ct_state *state, int64_t offset,
                        struct ct_rows rows);
 
-/* Appends a snapshot when this host has the duty and one is due. */
-void ct_snapshot_maybe_append(struct ct_state *state);
+/*
+ * Looks, after an entry was applied or the log told its bounds, whether a new
+ * snapshot is due, and arms CT_TIMER_SNAPSHOT. Every host does so after a
+ * random delay; the first record that is read saves the others theirs.
+ *
+ * Due means: a quarter of what the log keeps lies behind the last one, or the
+ * last one itself is in the oldest quarter.
+ */
+void ct_snapshot_check(struct ct_state *state);
+
+/* CT_TIMER_SNAPSHOT */
+void ct_snapshot_on_timer(struct ct_state *state);
 
 #endif
--- a/t/test-log-replay.c
+++ b/t/test-log-replay.c
@@ -186,6 +186,39 @@
     t_core_free(&b);
 }
 
+/* A snapshot is appended well before the log drops what it replaces. */
+static void
+test_snapshot_due(void)
+{
+    struct t_core core;
+    struct ct_record record;
+    const struct ct_effect *append = NULL;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 1);
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_CLAIM_DONE;
+    for (int i = 0; i < 20; i++) {
+        t_core_entry(&core, &record);
+    }
+    t_core_tick(&core, 10000);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_APPEND, 0));
+    /* The log keeps 20 entries: now a snapshot is due. */
+    post_head(&core, core.next_offset - 20, core.next_offset - 1);
+    t_core_tick(&core, 10000);
+    append = t_core_effect(&core, CT_EFFECT_APPEND, 0);
+    g_assert_nonnull(append);
+    g_assert_cmpint(append->u.append.record.type, ==, CT_RECORD_SNAPSHOT);
+    g_assert_cmpint(append->u.append.record.base_offset, ==,
+                    core.next_offset - 1);
+    g_assert_cmpuint(append->rows.n, >, 0);
+    record = append->u.append.record;
+    t_core_entry(&core, &record);
+    t_core_tick(&core, 10000);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_APPEND, 0));
+    t_core_free(&core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,5 +230,6 @@
     g_test_add_func("/log-replay/snapshot-start", test_snapshot_start);
     g_test_add_func("/log-replay/snapshot-round-trip",
                     test_snapshot_round_trip);
+    g_test_add_func("/log-replay/snapshot-due", test_snapshot_due);
     return g_test_run();
 }
