core: refuse queued requests of a withdrawn key before they get a slot

Cause: a withdrawal ends the running requests of the key one by one, and each end gives its slot to the next in the queue, which could be a request of the same key that the walk had not reached. Its upstream then got new work for a withdrawn key. Now the key is looked at again when an attempt starts.

Also: an attempt that leaves out a part of the answer is stopped and resumed at the last known byte; before, what followed was dropped and the end was taken for whole.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -113,20 +113,25 @@
     ct_table_unref(&state->requests.attempts, handle);
 }
 
+static void
+emit_cancel(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_attempt *attempt = attempt_get(state, handle);
+    const struct ct_request *request = ct_request_get(state, attempt->request);
+    struct ct_attempt_effect *effect =
+        &ct_emit(state, CT_EFFECT_CANCEL_ATTEMPT)->u.attempt;
+
+    effect->attempt = handle;
+    effect->request = attempt->request;
+    effect->kind = request->kind;
+    effect->request_id = request->id;
+}
+
 static void
 cancel(struct ct_state *state, struct ct_handle *handle)
 {
-    const struct ct_request *request;
-    const struct ct_attempt *attempt = attempt_get(state, *handle);
-    struct ct_effect *effect;
-
-    if (attempt) {
-        request = ct_request_get(state, attempt->request);
-        effect = ct_emit(state, CT_EFFECT_CANCEL_ATTEMPT);
-        effect->u.attempt.attempt = *handle;
-        effect->u.attempt.request = attempt->request;
-        effect->u.attempt.kind = request->kind;
-        effect->u.attempt.request_id = request->id;
+    if (attempt_get(state, *handle)) {
+        emit_cancel(state, *handle);
         end_attempt(state, *handle, CT_OUTCOME_CANCELLED);
     }
     *handle = CT_NO_HANDLE;
@@ -221,29 +226,6 @@
     state->counters.values[CT_COUNTER_TOKENS_OUT] += tokens;
 }
 
-void
-ct_attempt_on_data(struct ct_state *state,
-                   const struct ct_attempt_event *event)
-{
-    struct ct_request *request = request_of_event(state, event);
-    struct ct_attempt *attempt;
-
-    if (!request) {
-        return;
-    }
-    attempt = attempt_get(state, event->attempt);
-    settle_hedge(state, request, event->attempt);
-    if (event->offset != request->answer_bytes) {
-        /* A part is missing or doubled; what follows cannot be placed. */
-        ct_count(state, CT_COUNTER_LATE_EVENTS);
-        return;
-    }
-    request->status = attempt->status;
-    request->answer_bytes = event->offset + event->bytes;
-    learn_tokens(state, request, attempt, event->tokens);
-    ct_request_progress(state, attempt->request);
-}
-
 static enum ct_counter
 retry_counter(enum ct_outcome outcome)
 {
@@ -399,6 +381,34 @@
     ct_request_fail(state, handle, failure_reason(outcome), 0);
 }
 
+void
+ct_attempt_on_data(struct ct_state *state,
+                   const struct ct_attempt_event *event)
+{
+    struct ct_request *request = request_of_event(state, event);
+    struct ct_attempt *attempt;
+
+    if (!request) {
+        return;
+    }
+    attempt = attempt_get(state, event->attempt);
+    settle_hedge(state, request, event->attempt);
+    if (event->offset < request->answer_bytes) {
+        ct_count(state, CT_COUNTER_LATE_EVENTS);
+        return;
+    }
+    if (event->offset > request->answer_bytes) {
+        /* A part is missing; go on elsewhere from the last known byte. */
+        emit_cancel(state, event->attempt);
+        attempt_failed(state, event->attempt, CT_OUTCOME_MISMATCH);
+        return;
+    }
+    request->status = attempt->status;
+    request->answer_bytes = event->offset + event->bytes;
+    learn_tokens(state, request, attempt, event->tokens);
+    ct_request_progress(state, attempt->request);
+}
+
 void
 ct_attempt_on_done(struct ct_state *state,
                    const struct ct_attempt_event *event)
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -191,6 +191,11 @@
     const struct ct_upstream_row *row;
     struct ct_handle upstream;
 
+    /* The key may have been withdrawn while the request waited. */
+    if (!ct_keys_usable(&state->keys, request->key)) {
+        ct_request_fail(state, handle, CT_REFUSAL_KEY_WITHDRAWN, 0);
+        return;
+    }
     upstream = choose(state, request);
     row = ct_table_get(&state->config.upstreams, upstream);
     if (!row) {
--- /dev/null
+++ b/t/lib-world.c
@@ -0,0 +1,635 @@
+#include "lib-world.h"
+
+#include <string.h>
+
+#include "lib-core.h"
+
+#define HOSTS 2
+#define CALLS_MAX 4096
+#define KEYS 4
+#define ANSWER_PARTS 3
+#define PART_BYTES 10
+
+/* What a caller has seen of one call. */
+struct call {
+    uint32_t host;
+    uint64_t caller;
+    struct ct_request_id id;
+    uint8_t key;
+    /* 0 for calls that may be repeated. */
+    uint8_t idempotency_key;
+    bool over;
+    uint64_t got_bytes;
+};
+
+/* One attempt as the upstream sees it. */
+struct run {
+    uint32_t host;
+    uint32_t life;
+    struct ct_attempt_effect effect;
+    bool sent;
+    bool cancelled;
+    uint32_t parts;
+    uint64_t at;
+};
+
+struct world {
+    struct t_world_choices *choices;
+    struct t_world_stats *stats;
+    struct t_core hosts[HOSTS];
+    /* Counts restarts; an effect of an earlier life is void. */
+    uint32_t life[HOSTS];
+    /* The log, and how far each host has read. */
+    GArray *log;
+    /* Appends that may still land. */
+    GArray *in_flight;
+    uint32_t read[HOSTS];
+    GArray *calls;
+    GArray *runs;
+    /* Runs by idempotency key and by request id. */
+    uint32_t runs_of_key[256];
+    GHashTable *runs_of_request;
+    bool withdrawn[HOSTS][KEYS + 1];
+    struct ct_record config;
+    uint32_t next_id;
+    uint8_t next_key;
+};
+
+struct flight {
+    uint32_t host;
+    uint32_t life;
+    struct ct_record record;
+};
+
+static uint32_t
+pick(struct world *w, uint32_t n)
+{
+    return w->choices->next(w->choices, n);
+}
+
+static struct call *
+find_call(struct world *w, uint32_t host, uint64_t caller)
+{
+    for (guint i = 0; i < w->calls->len; i++) {
+        struct call *call = &g_array_index(w->calls, struct call, i);
+
+        if (call->host == host && call->caller == caller) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static uint32_t
+runs_of(const struct world *w, const struct ct_request_id *id)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(w->runs_of_request, id->text));
+}
+
+static void
+on_refuse(struct world *w, uint32_t host, const struct ct_refuse_effect *e)
+{
+    struct call *call = find_call(w, host, e->caller);
+
+    g_assert_nonnull(call);
+    g_assert_false(call->over);
+    call->over = true;
+    g_assert_cmpuint(call->got_bytes, ==, 0);
+    if (e->run_state == CT_NOT_RUN) {
+        /* A refusal that says "not run" is true. */
+        g_assert_cmpuint(runs_of(w, &call->id), ==, 0);
+        w->stats->refused_not_run++;
+        return;
+    }
+    w->stats->refused_may_have_run++;
+}
+
+static void
+on_write(struct world *w, uint32_t host, const struct ct_effect *effect)
+{
+    const struct ct_write_effect *e = &effect->u.write;
+    struct call *call = find_call(w, host, e->caller);
+
+    g_assert_nonnull(call);
+    g_assert_false(call->over);
+    if (effect->type == CT_EFFECT_WRITE_DATA) {
+        /* A withdrawn key gets nothing more. */
+        g_assert_false(w->withdrawn[host][call->key]);
+        g_assert_cmpuint(e->offset, ==, call->got_bytes);
+        call->got_bytes += e->bytes;
+    }
+    if (effect->type == CT_EFFECT_WRITE_END) {
+        call->over = true;
+        if (e->whole) {
+            g_assert_cmpuint(call->got_bytes, ==, ANSWER_PARTS * PART_BYTES);
+            w->stats->whole++;
+        }
+        else {
+            w->stats->broken++;
+        }
+    }
+}
+
+static void
+on_start(struct world *w, uint32_t host, const struct ct_attempt_effect *e)
+{
+    struct run run = {.host = host, .life = w->life[host], .effect = *e};
+    const struct call *call = find_call(w, host, e->caller);
+
+    g_assert_nonnull(call);
+    /* No upstream gets work for a withdrawn key. */
+    g_assert_false(w->withdrawn[host][call->key]);
+    run.at = e->resume_offset;
+    g_array_append_val(w->runs, run);
+}
+
+static void
+on_cancel(struct world *w, uint32_t host, const struct ct_attempt_effect *e)
+{
+    for (guint i = 0; i < w->runs->len; i++) {
+        struct run *run = &g_array_index(w->runs, struct run, i);
+
+        if (run->host == host && run->life == w->life[host] &&
+            ct_handle_eq(run->effect.attempt, e->attempt)) {
+            run->cancelled = true;
+        }
+    }
+}
+
+static void
+take_effects(struct world *w, uint32_t host)
+{
+    const struct ct_effects *effects = &w->hosts[host].effects;
+
+    for (uint32_t i = 0; i < effects->n; i++) {
+        const struct ct_effect *effect = &effects->items[i];
+        struct flight flight = {.host = host, .life = w->life[host]};
+
+        switch (effect->type) {
+        case CT_EFFECT_REFUSE:
+            on_refuse(w, host, &effect->u.refuse);
+            break;
+        case CT_EFFECT_WRITE_DATA:
+        case CT_EFFECT_WRITE_END:
+            on_write(w, host, effect);
+            break;
+        case CT_EFFECT_START_ATTEMPT:
+            on_start(w, host, &effect->u.attempt);
+            break;
+        case CT_EFFECT_CANCEL_ATTEMPT:
+            on_cancel(w, host, &effect->u.attempt);
+            break;
+        case CT_EFFECT_APPEND:
+            flight.record = effect->u.append.record;
+            if (flight.record.type == CT_RECORD_CLAIM ||
+                flight.record.type == CT_RECORD_CLAIM_DONE) {
+                g_array_append_val(w->in_flight, flight);
+            }
+            break;
+        default:
+            break;
+        }
+    }
+}
+
+static void
+post(struct world *w, uint32_t host, struct ct_event *event)
+{
+    t_core_post(&w->hosts[host], event);
+    take_effects(w, host);
+}
+
+/* Gives a host the next entry of the log that it has not read. */
+static bool
+read_entry(struct world *w, uint32_t host)
+{
+    struct ct_event event;
+
+    if (w->read[host] == w->log->len) {
+        return false;
+    }
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_LOG_ENTRY;
+    event.u.entry.offset = w->read[host] + 1;
+    event.u.entry.record =
+        g_array_index(w->log, struct ct_record, w->read[host]++);
+    if (event.u.entry.record.type == CT_RECORD_KEY_WITHDRAW) {
+        w->withdrawn[host][event.u.entry.record.u.key.digest.bytes[0]] = true;
+    }
+    post(w, host, &event);
+    return true;
+}
+
+static void
+append(struct world *w, const struct ct_record *record)
+{
+    struct ct_record copy = *record;
+
+    copy.wall_ms = w->hosts[0].wall_ms;
+    g_array_append_val(w->log, copy);
+}
+
+/* An append that is in flight lands, is lost, or is reported as unknown. */
+static void
+settle_append(struct world *w)
+{
+    struct ct_event event;
+    struct flight *flight;
+    guint at;
+
+    if (w->in_flight->len == 0) {
+        return;
+    }
+    at = pick(w, w->in_flight->len);
+    flight = &g_array_index(w->in_flight, struct flight, at);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_APPEND_DONE;
+    event.u.append.sequence = flight->record.sequence;
+    if (pick(w, 4) == 0) {
+        /* The answer is lost; the append may land later, or never. */
+        event.u.append.result = CT_ERR_LOG_UNAVAILABLE;
+        if (flight->life == w->life[flight->host]) {
+            post(w, flight->host, &event);
+        }
+        if (pick(w, 2) == 0) {
+            g_array_remove_index(w->in_flight, at);
+        }
+        return;
+    }
+    append(w, &flight->record);
+    /* The same append may land a second time. */
+    if (pick(w, 8) != 0) {
+        g_array_remove_index(w->in_flight, at);
+    }
+}
+
+static void
+new_call(struct world *w)
+{
+    uint32_t host = pick(w, HOSTS);
+    bool keyed = pick(w, 2);
+    uint8_t key = (uint8_t)(1 + pick(w, KEYS));
+    struct ct_event event;
+    struct call call;
+
+    if (w->calls->len == CALLS_MAX) {
+        return;
+    }
+    event = t_call(&w->hosts[host], key, keyed ? T_PLAIN_PATH : T_CHAT_PATH);
+    g_snprintf(event.u.call.request_id.text,
+               sizeof(event.u.call.request_id.text), "request-%u",
+               w->next_id++);
+    memset(&call, 0, sizeof(call));
+    if (keyed) {
+        /* Often the key of an earlier call: the caller's own repeat. */
+        call.idempotency_key =
+            pick(w, 3) ? (uint8_t)(1 + pick(w, w->next_key)) : w->next_key;
+        if (call.idempotency_key == w->next_key && w->next_key < 250) {
+            w->next_key++;
+        }
+        event.u.call.idempotency_key = t_digest(call.idempotency_key);
+        event.u.call.idempotency_wall_ms = 1700000000000;
+    }
+    call.host = host;
+    call.caller = event.u.call.caller;
+    call.id = event.u.call.request_id;
+    call.key = key;
+    g_array_append_val(w->calls, call);
+    w->stats->calls++;
+    post(w, host, &event);
+}
+
+static void
+caller_leaves(struct world *w)
+{
+    struct ct_event event;
+    struct call *call;
+
+    if (w->calls->len == 0) {
+        return;
+    }
+    call = &g_array_index(w->calls, struct call, pick(w, w->calls->len));
+    if (call->over) {
+        return;
+    }
+    call->over = true;
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_CALL_GONE;
+    event.u.caller = call->caller;
+    post(w, call->host, &event);
+}
+
+/* A byte of the request leaves: the upstream runs it. */
+static void
+count_run(struct world *w, const struct run *run)
+{
+    const struct call *call = find_call(w, run->host, run->effect.caller);
+
+    w->stats->runs++;
+    g_hash_table_insert(
+        w->runs_of_request, g_strdup(run->effect.request_id.text),
+        GUINT_TO_POINTER(runs_of(w, &run->effect.request_id) + 1));
+    if (call->idempotency_key) {
+        /* A request that may not be repeated runs at most once. */
+        g_assert_cmpuint(++w->runs_of_key[call->idempotency_key], ==, 1);
+    }
+}
+
+static void
+post_attempt(struct world *w, const struct run *run, enum ct_event_type type,
+             struct ct_attempt_event attempt)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = type;
+    event.u.attempt = attempt;
+    event.u.attempt.attempt = run->effect.attempt;
+    post(w, run->host, &event);
+}
+
+static void
+end_run(struct world *w, guint at, enum ct_outcome outcome)
+{
+    struct run run = g_array_index(w->runs, struct run, at);
+
+    g_array_remove_index(w->runs, at);
+    post_attempt(w, &run, CT_EVENT_ATTEMPT_DONE,
+                 (struct ct_attempt_event){.outcome = outcome});
+}
+
+/* The next thing that an upstream does for one attempt. */
+static void
+step_run(struct world *w, bool fair)
+{
+    static const enum ct_outcome failures[] = {
+        CT_OUTCOME_FAILED,
+        CT_OUTCOME_BROKEN,
+        CT_OUTCOME_SILENT,
+        CT_OUTCOME_MISMATCH,
+    };
+    struct run *run;
+    guint at;
+
+    if (w->runs->len == 0) {
+        return;
+    }
+    at = pick(w, w->runs->len);
+    run = &g_array_index(w->runs, struct run, at);
+    if (run->life != w->life[run->host] || run->cancelled) {
+        /* Now and then a cancelled attempt still says something. */
+        if (run->life == w->life[run->host] && pick(w, 2)) {
+            post_attempt(w, run, CT_EVENT_ATTEMPT_DATA,
+                         (struct ct_attempt_event){.bytes = PART_BYTES});
+            return;
+        }
+        g_array_remove_index(w->runs, at);
+        return;
+    }
+    if (!run->sent) {
+        if (!fair && pick(w, 6) == 0) {
+            end_run(w, at,
+                    pick(w, 2) ? CT_OUTCOME_NOT_SENT : CT_OUTCOME_EXPIRED);
+            return;
+        }
+        run->sent = true;
+        post_attempt(w, run, CT_EVENT_ATTEMPT_SENT,
+                     (struct ct_attempt_event){.tokens = 0});
+        if (!fair && pick(w, 6) == 0) {
+            end_run(w, at, CT_OUTCOME_DECLINED);
+            return;
+        }
+        run = &g_array_index(w->runs, struct run, at);
+        count_run(w, run);
+        post_attempt(w, run, CT_EVENT_ATTEMPT_HEAD,
+                     (struct ct_attempt_event){.status = 200});
+        return;
+    }
+    if (!fair && pick(w, 6) == 0) {
+        end_run(w, at, failures[pick(w, G_N_ELEMENTS(failures))]);
+        return;
+    }
+    if (!fair && pick(w, 8) == 0) {
+        /* A part comes twice, or one is missing. */
+        post_attempt(
+            w, run, CT_EVENT_ATTEMPT_DATA,
+            (struct ct_attempt_event){
+                .offset = run->at && pick(w, 2) ? 0 : run->at + PART_BYTES,
+                .bytes = PART_BYTES,
+            });
+        return;
+    }
+    if (run->at < ANSWER_PARTS * PART_BYTES) {
+        struct ct_attempt_event event = {
+            .offset = run->at, .bytes = PART_BYTES, .tokens = 1};
+
+        run->at += PART_BYTES;
+        post_attempt(w, run, CT_EVENT_ATTEMPT_DATA, event);
+        return;
+    }
+    end_run(w, at, CT_OUTCOME_COMPLETE);
+}
+
+/* The process dies with all it knows; a new one reads the log. */
+static void
+restart(struct world *w)
+{
+    uint32_t host = pick(w, HOSTS);
+    struct t_core *core = &w->hosts[host];
+    uint64_t next_caller = core->next_caller;
+    ct_ms now_ms = core->now_ms;
+    ct_ms wall_ms = core->wall_ms;
+
+    for (guint i = 0; i < w->calls->len; i++) {
+        struct call *call = &g_array_index(w->calls, struct call, i);
+
+        if (call->host == host) {
+            call->over = true;
+        }
+    }
+    t_core_free(core);
+    t_core_init(core);
+    core->next_caller = next_caller;
+    core->now_ms = now_ms;
+    core->wall_ms = wall_ms;
+    w->life[host]++;
+    w->stats->restarts++;
+    g_snprintf(core->state->self.host.text, CT_NAME_MAX, "h%u", host);
+    g_snprintf(core->state->self.writer.text, CT_NAME_MAX, "h%u-%u", host,
+               w->life[host]);
+    memset(w->withdrawn[host], 0, sizeof(w->withdrawn[host]));
+    w->read[host] = 0;
+    /* It serves nobody before it has read to the head. */
+    while (read_entry(w, host)) {
+    }
+}
+
+static void
+withdraw_key(struct world *w)
+{
+    struct ct_record record;
+
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_KEY_WITHDRAW;
+    record.u.key.digest = t_digest((uint8_t)(1 + pick(w, KEYS)));
+    append(w, &record);
+    w->stats->withdrawn++;
+}
+
+static void
+grant_key(struct world *w, uint8_t n)
+{
+    struct ct_record record;
+
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_KEY_GRANT;
+    record.u.key.digest = t_digest(n);
+    CT_TEXT_SET(record.u.key.organisation, "acme");
+    append(w, &record);
+}
+
+static void
+tick(struct world *w, ct_ms by_ms)
+{
+    struct ct_event event;
+
+    for (uint32_t host = 0; host < HOSTS; host++) {
+        memset(&event, 0, sizeof(event));
+        event.type = CT_EVENT_LOG_HEAD;
+        event.u.head.first = 1;
+        post(w, host, &event);
+        t_core_tick(&w->hosts[host], by_ms);
+        take_effects(w, host);
+    }
+}
+
+static void
+step(struct world *w)
+{
+    switch (pick(w, 32)) {
+    case 0:
+        tick(w, 1 + pick(w, 400));
+        return;
+    case 1:
+        caller_leaves(w);
+        return;
+    case 2:
+        if (pick(w, 16) == 0) {
+            restart(w);
+        }
+        return;
+    case 3:
+        if (pick(w, 64) == 0) {
+            withdraw_key(w);
+        }
+        return;
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+        new_call(w);
+        return;
+    case 8:
+    case 9:
+    case 10:
+    case 11:
+        settle_append(w);
+        return;
+    case 12:
+    case 13:
+    case 14:
+    case 15:
+        read_entry(w, pick(w, HOSTS));
+        return;
+    default:
+        step_run(w, false);
+        return;
+    }
+}
+
+/* Nothing goes wrong any more: all calls must end and all rows be freed. */
+static void
+settle(struct world *w)
+{
+    for (int i = 0; i < 4000; i++) {
+        step_run(w, true);
+        for (uint32_t host = 0; host < HOSTS; host++) {
+            read_entry(w, host);
+        }
+        if (w->in_flight->len) {
+            append(w, &g_array_index(w->in_flight, struct flight, 0).record);
+            g_array_remove_index(w->in_flight, 0);
+        }
+        tick(w, 20);
+    }
+    for (guint i = 0; i < w->calls->len; i++) {
+        g_assert_true(g_array_index(w->calls, struct call, i).over);
+    }
+    tick(w, 61000);
+    for (uint32_t host = 0; host < HOSTS; host++) {
+        const struct ct_state *state = w->hosts[host].state;
+
+        g_assert_cmpuint(state->requests.rows.live, ==, 0);
+        g_assert_cmpuint(state->requests.attempts.live, ==, 0);
+        g_assert_cmpuint(state->requests.active, ==, 0);
+    }
+}
+
+static void
+start_hosts(struct world *w)
+{
+    for (uint32_t host = 0; host < HOSTS; host++) {
+        struct t_core *core = &w->hosts[host];
+
+        t_core_init(core);
+        g_snprintf(core->state->self.host.text, CT_NAME_MAX, "h%u", host);
+        g_snprintf(core->state->self.writer.text, CT_NAME_MAX, "h%u-0", host);
+        while (read_entry(w, host)) {
+        }
+    }
+}
+
+void
+t_world_run(struct t_world_choices *choices, uint32_t steps,
+            struct t_world_stats *stats)
+{
+    struct ct_config_row *rows;
+    struct t_core first;
+    struct world w;
+    uint32_t n;
+
+    memset(&w, 0, sizeof(w));
+    w.choices = choices;
+    w.stats = stats;
+    w.next_key = 1;
+    w.log = g_array_new(FALSE, TRUE, sizeof(struct ct_record));
+    w.in_flight = g_array_new(FALSE, TRUE, sizeof(struct flight));
+    w.calls = g_array_new(FALSE, TRUE, sizeof(struct call));
+    w.runs = g_array_new(FALSE, TRUE, sizeof(struct run));
+    w.runs_of_request =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    t_core_init(&first);
+    t_core_configure(&first, 3, 2);
+    rows = ct_config_export(&first.state->config, &n);
+    w.config.type = CT_RECORD_CONFIG;
+    w.config.rows = CT_ROWS(rows, n);
+    g_array_append_val(w.log, w.config);
+    t_core_free(&first);
+    for (uint8_t key = 1; key <= KEYS; key++) {
+        grant_key(&w, key);
+    }
+    start_hosts(&w);
+    while (steps-- > 0) {
+        step(&w);
+    }
+    settle(&w);
+    for (uint32_t host = 0; host < HOSTS; host++) {
+        t_core_free(&w.hosts[host]);
+    }
+    g_free(rows);
+    g_hash_table_destroy(w.runs_of_request);
+    g_array_free(w.log, TRUE);
+    g_array_free(w.in_flight, TRUE);
+    g_array_free(w.calls, TRUE);
+    g_array_free(w.runs, TRUE);
+}
