shell: read the platform's log, append, order and report

Everything with a consequence goes over a connection of its own, since libcurl sends a request again on a reused one that turns out dead; the time limit is checked when the connection stands. A failed read posts an event and waits with doubled pause and jitter; an empty answer that came at once is followed by a pause, so that a stand-in which ignores wait_ms cannot make it spin.

--- /dev/null
+++ b/shell/platform.c
@@ -0,0 +1,534 @@
+#include "platform.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "error.h"
+#include "platform-body.h"
+
+/* Entries asked for at once, and how long a read waits for one. */
+#define READ_ENTRIES 256
+#define READ_WAIT_MS 1000
+/* A read that is not answered this long after its wait has failed. */
+#define READ_TIMEOUT_MS 2000
+#define APPEND_TIMEOUT_MS 3000
+#define HOSTS_PERIOD_MS 2000
+#define HOSTS_TIMEOUT_MS 1500
+/* Pause between reads that fail; doubled up to the limit. */
+#define BACKOFF_MIN_MS 50
+#define BACKOFF_MAX_MS 1000
+/* Pause after an empty answer that came without waiting. */
+#define EMPTY_PAUSE_MS 50
+#define ANSWER_BYTES_MAX (64 * 1024 * 1024)
+
+#define STATUS_OK 200
+#define STATUS_CONFLICT 409
+#define STATUS_GONE 410
+#define MS_PER_S 1e3
+
+struct ct_platform {
+    struct ct_executor executor;
+    struct ct_loop *loop;
+    struct ct_http *http;
+    char *address;
+    /* Every struct call that runs. */
+    GHashTable *calls;
+    struct call *read;
+    int64_t next_offset;
+    ct_ms backoff_ms;
+    ev_timer read_timer;
+    ev_timer hosts_timer;
+};
+
+/* One request to the platform. */
+struct call {
+    struct ct_transfer transfer;
+    struct ct_platform *platform;
+    GString *body;
+    GString *answer;
+    ct_ms started_ms;
+    ct_ms not_after_ms;
+    bool expired;
+    /* What the result is about. */
+    union {
+        uint64_t sequence;
+        uint64_t order_id;
+        ct_ms window_start_ms;
+    } u;
+};
+
+static ct_ms
+now_ms(const struct ct_platform *platform)
+{
+    return ct_clock_steady_ms(ct_loop_clock(platform->loop));
+}
+
+/* The last check, when the connection stands and nothing was written. */
+static int
+on_before_send(struct ct_transfer *transfer)
+{
+    struct call *call = (struct call *)transfer;
+
+    if (now_ms(call->platform) >= call->not_after_ms) {
+        call->expired = true;
+        return CT_ERR_TIMEOUT;
+    }
+    return CT_OK;
+}
+
+static int
+on_data(struct ct_transfer *transfer, const char *data, size_t n)
+{
+    struct call *call = (struct call *)transfer;
+
+    if (n > ANSWER_BYTES_MAX - call->answer->len) {
+        return CT_ERR_TOO_LARGE;
+    }
+    g_string_append_len(call->answer, data, (gssize)n);
+    return CT_OK;
+}
+
+static void
+free_call(gpointer data)
+{
+    struct call *call = data;
+
+    ct_transfer_clear(&call->transfer);
+    g_string_free(call->body, TRUE);
+    g_string_free(call->answer, TRUE);
+    g_free(call);
+}
+
+/* HTTP status of a whole answer, 0 where there was none. */
+static long
+status_of(const struct call *call, CURLcode result)
+{
+    long status = 0;
+
+    if (result == CURLE_OK) {
+        curl_easy_getinfo(call->transfer.easy, CURLINFO_RESPONSE_CODE,
+                          &status);
+    }
+    return status;
+}
+
+/* Takes over the body, which may be NULL for a GET. */
+static struct call *
+new_call(struct ct_platform *platform, const struct ct_transfer_ops *ops,
+         const char *path, GString *body, ct_ms timeout_ms)
+{
+    struct call *call = g_new0(struct call, 1);
+
+    call->platform = platform;
+    call->body = body ? body : g_string_new(NULL);
+    call->answer = g_string_new(NULL);
+    call->started_ms = now_ms(platform);
+    call->not_after_ms = CT_MS_NEVER;
+    if (ct_transfer_init(&call->transfer, platform->http, ops,
+                         platform->address, path) < 0) {
+        g_error("libcurl: no memory");
+    }
+    curl_easy_setopt(call->transfer.easy, CURLOPT_TIMEOUT_MS,
+                     (long)timeout_ms);
+    if (body) {
+        ct_transfer_header(&call->transfer, "Content-Type",
+                           "application/json");
+        ct_transfer_body(&call->transfer, call->body->str, call->body->len);
+    }
+    g_hash_table_add(platform->calls, call);
+    return call;
+}
+
+static void
+start_call(struct call *call)
+{
+    if (ct_http_start(call->platform->http, &call->transfer) < 0) {
+        call->transfer.ops->done(&call->transfer, CURLE_FAILED_INIT);
+    }
+}
+
+static void
+end_call(struct call *call)
+{
+    g_hash_table_remove(call->platform->calls, call);
+}
+
+/* Sends a request that must not be sent again or late. */
+static void
+start_once(struct call *call, ct_ms not_after_ms)
+{
+    call->not_after_ms = not_after_ms;
+    ct_transfer_once(&call->transfer);
+    start_call(call);
+}
+
+static void
+arm(struct ct_platform *platform, ev_timer *timer, ct_ms delay_ms)
+{
+    struct ev_loop *ev = ct_loop_ev(platform->loop);
+
+    ev_timer_stop(ev, timer);
+    ev_now_update(ev);
+    ev_timer_set(timer, (double)delay_ms / MS_PER_S, 0);
+    ev_timer_start(ev, timer);
+}
+
+/* Doubles the pause up to its limit; the jitter keeps hosts apart. */
+static void
+retry_read(struct ct_platform *platform)
+{
+    gint32 pause_ms = (gint32)platform->backoff_ms;
+
+    arm(platform, &platform->read_timer,
+        g_random_int_range(pause_ms / 2, pause_ms + 1));
+    platform->backoff_ms = MIN(2 * platform->backoff_ms, BACKOFF_MAX_MS);
+}
+
+static void
+post_page(struct ct_platform *platform, const struct ct_log_page *page)
+{
+    struct ct_event event = {.type = CT_EVENT_LOG_HEAD};
+
+    event.u.head.head = page->head;
+    event.u.head.first = page->first;
+    ct_loop_post(platform->loop, &event);
+    for (guint i = 0; i < page->entries->len; i++) {
+        const struct ct_log_page_entry *entry =
+            &g_array_index(page->entries, struct ct_log_page_entry, i);
+
+        event = (struct ct_event){.type = CT_EVENT_LOG_ENTRY};
+        event.u.entry.offset = entry->offset;
+        event.u.entry.record = entry->decoded.record;
+        platform->next_offset = entry->offset + 1;
+        ct_loop_post(platform->loop, &event);
+    }
+}
+
+static void read_log(struct ct_platform *platform);
+
+static void
+on_page(struct ct_platform *platform, const struct ct_log_page *page,
+        bool gone, ct_ms took_ms)
+{
+    post_page(platform, page);
+    if (gone) {
+        /* The reducer says where to go on; ask again if it does not. */
+        retry_read(platform);
+        return;
+    }
+    platform->backoff_ms = BACKOFF_MIN_MS;
+    if (page->entries->len == 0 && took_ms < EMPTY_PAUSE_MS) {
+        arm(platform, &platform->read_timer, EMPTY_PAUSE_MS);
+        return;
+    }
+    read_log(platform);
+}
+
+static void
+on_read_done(struct ct_transfer *transfer, CURLcode result)
+{
+    struct call *call = (struct call *)transfer;
+    struct ct_platform *platform = call->platform;
+    struct ct_event failed = {.type = CT_EVENT_LOG_FAILED};
+    long status = status_of(call, result);
+    ct_ms took_ms = now_ms(platform) - call->started_ms;
+    struct ct_log_page page;
+    int err = CT_ERR_IO;
+
+    platform->read = NULL;
+    if (status == STATUS_OK || status == STATUS_GONE) {
+        err = ct_log_page_parse(call->answer->str, call->answer->len, &page);
+        if (err == CT_OK) {
+            on_page(platform, &page, status == STATUS_GONE, took_ms);
+        }
+        ct_log_page_free(&page);
+    }
+    end_call(call);
+    if (err < 0) {
+        ct_loop_post(platform->loop, &failed);
+        retry_read(platform);
+    }
+}
+
+static void
+read_log(struct ct_platform *platform)
+{
+    static const struct ct_transfer_ops ops = {
+        .data = on_data,
+        .done = on_read_done,
+    };
+    char path[128];
+
+    g_snprintf(path, sizeof(path),
+               "/log/read?from=%" G_GINT64_FORMAT "&max=%d&wait_ms=%d",
+               platform->next_offset, READ_ENTRIES, READ_WAIT_MS);
+    platform->read =
+        new_call(platform, &ops, path, NULL, READ_WAIT_MS + READ_TIMEOUT_MS);
+    start_call(platform->read);
+}
+
+static void
+on_read_timer(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    (void)ev;
+    (void)events;
+    read_log(timer->data);
+}
+
+/* The reducer wants another offset than the one that is being read. */
+static void
+seek_log(struct ct_platform *platform, int64_t offset)
+{
+    if (platform->next_offset == offset && platform->read) {
+        return;
+    }
+    platform->next_offset = offset;
+    ev_timer_stop(ct_loop_ev(platform->loop), &platform->read_timer);
+    if (platform->read) {
+        end_call(platform->read);
+    }
+    read_log(platform);
+}
+
+static void
+post_append_done(struct ct_platform *platform, uint64_t sequence, int result,
+                 int64_t offset)
+{
+    struct ct_event event = {.type = CT_EVENT_APPEND_DONE};
+
+    event.u.append = (struct ct_append_done){sequence, result, offset};
+    ct_loop_post(platform->loop, &event);
+}
+
+static void
+on_append_done(struct ct_transfer *transfer, CURLcode curl_result)
+{
+    struct call *call = (struct call *)transfer;
+    int result = CT_ERR_LOG_UNAVAILABLE;
+    int64_t offset = 0;
+
+    if (call->expired) {
+        result = CT_ERR_TIMEOUT;
+    }
+    else if (status_of(call, curl_result) == STATUS_OK &&
+             ct_append_answer_parse(call->answer->str, call->answer->len,
+                                    &offset) == CT_OK) {
+        result = CT_OK;
+    }
+    post_append_done(call->platform, call->u.sequence, result, offset);
+    end_call(call);
+}
+
+static void
+append(struct ct_platform *platform, const struct ct_effect *effect)
+{
+    static const struct ct_transfer_ops ops = {
+        .before_send = on_before_send,
+        .data = on_data,
+        .done = on_append_done,
+    };
+    struct ct_record record = effect->u.append.record;
+    GString *body = g_string_new(NULL);
+    struct call *call;
+    int err;
+
+    record.rows = effect->rows;
+    err = ct_append_body(&record, body);
+    if (err < 0) {
+        post_append_done(platform, record.sequence, err, 0);
+        g_string_free(body, TRUE);
+        return;
+    }
+    call = new_call(platform, &ops, "/log/append", body, APPEND_TIMEOUT_MS);
+    call->u.sequence = record.sequence;
+    start_once(call, effect->u.append.not_after_ms);
+}
+
+/* Result of an order or report; conflict says what a 409 means. */
+static int
+consequence(const struct call *call, CURLcode curl_result, int conflict)
+{
+    if (call->expired) {
+        return CT_ERR_TIMEOUT;
+    }
+    switch (status_of(call, curl_result)) {
+    case STATUS_OK:
+        return CT_OK;
+    case STATUS_CONFLICT:
+        return conflict;
+    default:
+        return CT_ERR_IO;
+    }
+}
+
+static void
+on_order_done(struct ct_transfer *transfer, CURLcode curl_result)
+{
+    struct call *call = (struct call *)transfer;
+    struct ct_event event = {.type = CT_EVENT_ORDER_DONE};
+
+    event.u.order.order_id = call->u.order_id;
+    event.u.order.result =
+        consequence(call, curl_result, CT_ERR_LEASE_NOT_HELD);
+    ct_loop_post(call->platform->loop, &event);
+    end_call(call);
+}
+
+static void
+send_order(struct ct_platform *platform, const struct ct_order_effect *effect)
+{
+    static const struct ct_transfer_ops ops = {
+        .before_send = on_before_send,
+        .data = on_data,
+        .done = on_order_done,
+    };
+    GString *body = g_string_new(NULL);
+    struct call *call;
+
+    ct_order_body(&effect->order, body);
+    call =
+        new_call(platform, &ops, "/upstreams/order", body, effect->timeout_ms);
+    call->u.order_id = effect->order.order_id;
+    start_once(call, effect->not_after_ms);
+}
+
+static void
+on_report_done(struct ct_transfer *transfer, CURLcode curl_result)
+{
+    struct call *call = (struct call *)transfer;
+    struct ct_event event = {.type = CT_EVENT_REPORT_DONE};
+
+    event.u.report.window_start_ms = call->u.window_start_ms;
+    event.u.report.result = consequence(call, curl_result, CT_ERR_EXISTS);
+    ct_loop_post(call->platform->loop, &event);
+    end_call(call);
+}
+
+static void
+send_report(struct ct_platform *platform, const struct ct_effect *effect)
+{
+    static const struct ct_transfer_ops ops = {
+        .before_send = on_before_send,
+        .data = on_data,
+        .done = on_report_done,
+    };
+    const struct ct_report_effect *report = &effect->u.report;
+    GString *body = g_string_new(NULL);
+    struct call *call;
+
+    ct_usage_body(&report->window, effect->rows.data, effect->rows.n, body);
+    call = new_call(platform, &ops, "/usage", body, report->timeout_ms);
+    call->u.window_start_ms = report->window.window_start_ms;
+    start_once(call, report->not_after_ms);
+}
+
+static void
+on_hosts_done(struct ct_transfer *transfer, CURLcode result)
+{
+    struct call *call = (struct call *)transfer;
+    struct ct_event event = {.type = CT_EVENT_HOST_LIST};
+    GArray *rows;
+
+    if (status_of(call, result) == STATUS_OK) {
+        if (ct_host_list_parse(call->answer->str, call->answer->len, &rows) ==
+            CT_OK) {
+            event.rows =
+                CT_ROWS((struct ct_host_row *)(void *)rows->data, rows->len);
+            ct_loop_post(call->platform->loop, &event);
+        }
+        g_array_unref(rows);
+    }
+    end_call(call);
+}
+
+static void
+on_hosts_timer(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    static const struct ct_transfer_ops ops = {
+        .data = on_data,
+        .done = on_hosts_done,
+    };
+    struct ct_platform *platform = timer->data;
+
+    (void)ev;
+    (void)events;
+    start_call(new_call(platform, &ops, "/hosts", NULL, HOSTS_TIMEOUT_MS));
+    arm(platform, timer, HOSTS_PERIOD_MS);
+}
+
+static bool
+run(struct ct_executor *executor, const struct ct_effect *effect)
+{
+    struct ct_platform *platform = (struct ct_platform *)executor;
+
+    switch (effect->type) {
+    case CT_EFFECT_READ_LOG:
+        seek_log(platform, effect->u.offset);
+        return true;
+    case CT_EFFECT_APPEND:
+        append(platform, effect);
+        return true;
+    case CT_EFFECT_ORDER:
+        send_order(platform, &effect->u.order);
+        return true;
+    case CT_EFFECT_REPORT:
+        send_report(platform, effect);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+free_platform(struct ct_executor *executor)
+{
+    struct ct_platform *platform = (struct ct_platform *)executor;
+    struct ev_loop *ev = ct_loop_ev(platform->loop);
+
+    ev_timer_stop(ev, &platform->read_timer);
+    ev_timer_stop(ev, &platform->hosts_timer);
+    g_hash_table_unref(platform->calls);
+    g_free(platform->address);
+    g_free(platform);
+}
+
+struct ct_platform *
+ct_platform_new(struct ct_loop *loop, struct ct_http *http,
+                const char *address)
+{
+    static const struct ct_executor_ops ops = {
+        .run = run,
+        .free = free_platform,
+    };
+    struct ct_platform *platform = g_try_new0(struct ct_platform, 1);
+
+    if (!platform) {
+        return NULL;
+    }
+    platform->executor.ops = &ops;
+    platform->loop = loop;
+    platform->http = http;
+    platform->address = g_strdup(address);
+    platform->calls = g_hash_table_new_full(NULL, NULL, free_call, NULL);
+    platform->next_offset = 1;
+    platform->backoff_ms = BACKOFF_MIN_MS;
+    ev_timer_init(&platform->read_timer, on_read_timer, 0, 0);
+    platform->read_timer.data = platform;
+    ev_timer_init(&platform->hosts_timer, on_hosts_timer, 0, 0);
+    platform->hosts_timer.data = platform;
+    return platform;
+}
+
+struct ct_executor *
+ct_platform_executor(struct ct_platform *platform)
+{
+    return &platform->executor;
+}
+
+void
+ct_platform_start(struct ct_platform *platform)
+{
+    arm(platform, &platform->read_timer, 0);
+    arm(platform, &platform->hosts_timer, 0);
+}
