--- a/shell/platform.c
+++ b/shell/platform.c
@@ -13,8 +13,9 @@
 /* A read that is not answered this long after its wait has failed. */
 #define READ_TIMEOUT_MS 2000
 #define APPEND_TIMEOUT_MS 3000
-#define HOSTS_PERIOD_MS 2000
-#define HOSTS_TIMEOUT_MS 1500
+/* A leaving upstream has to be known within a few seconds. */
+#define LISTS_PERIOD_MS 1000
+#define LISTS_TIMEOUT_MS 900
 /* Pause between reads that fail; doubled up to the limit. */
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 1000
@@ -38,7 +39,14 @@
     int64_t next_offset;
     ct_ms backoff_ms;
     ev_timer read_timer;
-    ev_timer hosts_timer;
+    ev_timer lists_timer;
+};
+
+/* One of the platform's lists that are asked for again and again. */
+struct list {
+    const char *path;
+    enum ct_event_type event;
+    int (*parse)(const char *text, size_t n, GArray **rows);
 };
 
 /* One request to the platform. */
@@ -55,6 +63,7 @@
         uint64_t sequence;
         uint64_t order_id;
         ct_ms window_start_ms;
+        const struct list *list;
     } u;
 };
 
@@ -424,17 +433,17 @@
 }
 
 static void
-on_hosts_done(struct ct_transfer *transfer, CURLcode result)
+on_list_done(struct ct_transfer *transfer, CURLcode result)
 {
     struct call *call = (struct call *)transfer;
-    struct ct_event event = {.type = CT_EVENT_HOST_LIST};
+    struct ct_event event = {.type = call->u.list->event};
     GArray *rows;
 
     if (status_of(call, result) == STATUS_OK) {
-        if (ct_host_list_parse(call->answer->str, call->answer->len, &rows) ==
+        if (call->u.list->parse(call->answer->str, call->answer->len, &rows) ==
             CT_OK) {
-            event.rows =
-                CT_ROWS((struct ct_host_row *)(void *)rows->data, rows->len);
+            event.rows = (struct ct_rows){rows->data, rows->len,
+                                          g_array_get_element_size(rows)};
             ct_loop_post(call->platform->loop, &event);
         }
         g_array_unref(rows);
@@ -443,18 +452,28 @@
 }
 
 static void
-on_hosts_timer(struct ev_loop *ev, ev_timer *timer, int events)
+on_lists_timer(struct ev_loop *ev, ev_timer *timer, int events)
 {
     static const struct ct_transfer_ops ops = {
         .data = on_data,
-        .done = on_hosts_done,
+        .done = on_list_done,
+    };
+    static const struct list lists[] = {
+        {"/hosts", CT_EVENT_HOST_LIST, ct_host_list_parse},
+        {"/upstreams", CT_EVENT_UPSTREAM_LIST, ct_upstream_list_parse},
     };
     struct ct_platform *platform = timer->data;
 
     (void)ev;
     (void)events;
-    start_call(new_call(platform, &ops, "/hosts", NULL, HOSTS_TIMEOUT_MS));
-    arm(platform, timer, HOSTS_PERIOD_MS);
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        struct call *call =
+            new_call(platform, &ops, lists[i].path, NULL, LISTS_TIMEOUT_MS);
+
+        call->u.list = &lists[i];
+        start_call(call);
+    }
+    arm(platform, timer, LISTS_PERIOD_MS);
 }
 
 static bool
@@ -487,7 +506,7 @@
     struct ev_loop *ev = ct_loop_ev(platform->loop);
 
     ev_timer_stop(ev, &platform->read_timer);
-    ev_timer_stop(ev, &platform->hosts_timer);
+    ev_timer_stop(ev, &platform->lists_timer);
     g_hash_table_unref(platform->calls);
     g_free(platform->address);
     g_free(platform);
@@ -515,8 +534,8 @@
     platform->backoff_ms = BACKOFF_MIN_MS;
     ev_timer_init(&platform->read_timer, on_read_timer, 0, 0);
     platform->read_timer.data = platform;
-    ev_timer_init(&platform->hosts_timer, on_hosts_timer, 0, 0);
-    platform->hosts_timer.data = platform;
+    ev_timer_init(&platform->lists_timer, on_lists_timer, 0, 0);
+    platform->lists_timer.data = platform;
     return platform;
 }
 
@@ -530,5 +549,5 @@
 ct_platform_start(struct ct_platform *platform)
 {
     arm(platform, &platform->read_timer, 0);
-    arm(platform, &platform->hosts_timer, 0);
+    arm(platform, &platform->lists_timer, 0);
 }
--- a/shell/platform.h
+++ b/shell/platform.h
@@ -6,8 +6,9 @@
 
 /*
  * The executor towards the platform: reads the log for ever, appends to it,
- * sends orders and usage reports, and asks for the list of hosts. Nothing
- * with a consequence is sent twice, and nothing is sent after its time.
+ * sends orders and usage reports, and asks for the lists of hosts and
+ * upstreams. Nothing with a consequence is sent twice, and nothing is sent
+ * after its time.
  *
  * Results of CT_EVENT_APPEND_DONE: CT_OK; CT_ERR_TIMEOUT where not_after_ms
  * had passed and nothing was sent; CT_ERR_LOG_UNAVAILABLE where it failed or
@@ -28,7 +29,7 @@
                                     const char *address);
 struct ct_executor *ct_platform_executor(struct ct_platform *platform);
 
-/* Starts to read the log from its first entry, and the list of hosts. */
+/* Starts to read the log from its first entry, and the lists. */
 void ct_platform_start(struct ct_platform *platform);
 
 #endif
--- a/t/test-platform-body.c
+++ b/t/test-platform-body.c
@@ -137,6 +137,34 @@
     g_array_unref(rows);
 }
 
+static void
+test_upstreams(void)
+{
+#define FIELDS "\"pool\":\"p\",\"zone\":\"Z\",\"address\":\"127.0.0.1:1\","
+    static const char text[] =
+        "{\"upstreams\":["
+        "{\"name\":\"a\"," FIELDS "\"slots\":4,\"state\":\"running\"},"
+        "{\"name\":\"b\"," FIELDS "\"slots\":4,\"state\":\"starting\"},"
+        "{\"name\":\"c\"," FIELDS "\"slots\":0,\"state\":\"running\"},"
+        "{" FIELDS "\"slots\":4,\"state\":\"running\"},"
+        "{\"name\":\"d\"," FIELDS
+        "\"slots\":4,\"cheap\":true,\"state\":\"leaving\"}]}";
+    const struct ct_listed_upstream *row;
+    GArray *rows;
+
+    g_assert_cmpint(ct_upstream_list_parse(text, strlen(text), &rows), ==,
+                    CT_OK);
+    g_assert_cmpuint(rows->len, ==, 2);
+    row = &g_array_index(rows, struct ct_listed_upstream, 0);
+    g_assert_cmpstr(row[0].upstream.name.text, ==, "a");
+    g_assert_cmpuint(row[0].upstream.slots, ==, 4);
+    g_assert_false(row[0].leaving);
+    g_assert_cmpstr(row[1].upstream.name.text, ==, "d");
+    g_assert_true(row[1].leaving);
+    g_assert_true(row[1].upstream.cheap);
+    g_array_unref(rows);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -147,5 +175,6 @@
     g_test_add_func("/platform-body/order", test_order);
     g_test_add_func("/platform-body/usage", test_usage);
     g_test_add_func("/platform-body/hosts", test_hosts);
+    g_test_add_func("/platform-body/upstreams", test_upstreams);
     return g_test_run();
 }
--- a/wire/platform-body.c
+++ b/wire/platform-body.c
@@ -1,5 +1,7 @@
 #include "platform-body.h"
 
+#include <string.h>
+
 #include "error.h"
 #include "event.h"
 #include "json-text.h"
@@ -214,39 +216,84 @@
     finish(builder, out);
 }
 
+static bool
+get_name(JsonObject *object, const char *name, struct ct_name *out)
+{
+    const char *text = ct_json_get_string(object, name);
+
+    return text && *text && CT_TEXT_SET(*out, text) == CT_OK;
+}
+
 static void
-add_hosts(JsonArray *hosts, GArray *rows)
+add_host(JsonObject *object, GArray *rows)
 {
-    for (guint i = 0; i < json_array_get_length(hosts); i++) {
-        JsonObject *object = ct_json_element_object(hosts, i);
-        const char *name = object ? ct_json_get_string(object, "name") : NULL;
-        struct ct_host_row row = {.leaving = false};
+    struct ct_host_row row = {.leaving = false};
 
-        if (!name || CT_TEXT_SET(row.name, name) < 0) {
-            continue;
-        }
+    if (get_name(object, "name", &row.name)) {
         ct_json_get_bool(object, "leaving", &row.leaving);
         g_array_append_val(rows, row);
     }
 }
 
-int
-ct_host_list_parse(const char *text, size_t n, GArray **rows)
+static void
+add_upstream(JsonObject *object, GArray *rows)
+{
+    const char *address = ct_json_get_string(object, "address");
+    const char *state = ct_json_get_string(object, "state");
+    struct ct_listed_upstream row = {.leaving = false};
+    int64_t slots;
+
+    if (!state || !address || CT_TEXT_SET(row.upstream.address, address) < 0 ||
+        !get_name(object, "name", &row.upstream.name) ||
+        !get_name(object, "pool", &row.upstream.pool) ||
+        !get_name(object, "zone", &row.upstream.zone) ||
+        ct_json_get_int(object, "slots", 1, UINT32_MAX, &slots) < 0) {
+        return;
+    }
+    row.upstream.slots = (uint32_t)slots;
+    row.leaving = strcmp(state, "leaving") == 0;
+    ct_json_get_bool(object, "cheap", &row.upstream.cheap);
+    if (row.leaving || strcmp(state, "running") == 0) {
+        g_array_append_val(rows, row);
+    }
+}
+
+/* Parses an object whose one member is a list of objects. */
+static int
+parse_list(const char *text, size_t n, const char *name,
+           void (*add)(JsonObject *object, GArray *rows), GArray *rows)
 {
-    JsonArray *hosts = NULL;
+    JsonArray *list = NULL;
     struct ct_json json;
     int err = ct_json_parse(&json, text, n);
 
-    *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_host_row));
     if (err == CT_OK && ct_json_object(&json)) {
-        hosts = ct_json_get_array(ct_json_object(&json), "hosts");
+        list = ct_json_get_array(ct_json_object(&json), name);
     }
-    if (hosts) {
-        add_hosts(hosts, *rows);
-    }
-    else if (err == CT_OK) {
+    if (err == CT_OK && !list) {
         err = CT_ERR_FIELD_MISSING;
     }
+    for (guint i = 0; list && i < json_array_get_length(list); i++) {
+        JsonObject *object = ct_json_element_object(list, i);
+
+        if (object) {
+            add(object, rows);
+        }
+    }
     ct_json_free(&json);
     return err;
 }
+
+int
+ct_host_list_parse(const char *text, size_t n, GArray **rows)
+{
+    *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_host_row));
+    return parse_list(text, n, "hosts", add_host, *rows);
+}
+
+int
+ct_upstream_list_parse(const char *text, size_t n, GArray **rows)
+{
+    *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_listed_upstream));
+    return parse_list(text, n, "upstreams", add_upstream, *rows);
+}
--- a/wire/platform-body.h
+++ b/wire/platform-body.h
@@ -50,4 +50,11 @@
  */
 int ct_host_list_parse(const char *text, size_t n, GArray **rows);
 
+/*
+ * Parses the list of upstreams into a new array of struct
+ * ct_listed_upstream. Those that do not run yet and those that lack a name,
+ * pool, address or slots are left out. Errors as of ct_log_page_parse().
+ */
+int ct_upstream_list_parse(const char *text, size_t n, GArray **rows);
+
 #endif
