--- /dev/null
+++ b/coriandertrack/arguments.c
@@ -0,0 +1,105 @@
+#include "arguments.h"
+
+#include <glib.h>
+#include <popt.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "error.h"
+
+#define URL_SCHEME "http://"
+#define TIMEOUT_MS 10000
+
+struct option_text {
+    enum ct_option option;
+    const char *text;
+};
+
+static const struct option_text option_texts[] = {
+    {CT_OPTION_PLATFORM, "--platform=URL    the platform, http://IP:port"},
+    {CT_OPTION_BASE, "--base=N          publish only on top of offset N"},
+    {CT_OPTION_LABEL, "--label=L         name of the key in lists"},
+    {CT_OPTION_DIGEST, "--digest=HEX      SHA-256 of the key"},
+    {CT_OPTION_HOST, "--host=IP:port    a host's operators' address; may be "
+                     "repeated"},
+    {CT_OPTION_TIMEOUT, "--timeout=MS      wait this long for the log or a "
+                        "host (10000)"},
+};
+
+void
+ct_arguments_print_options(unsigned options)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(option_texts); i++) {
+        if (options & option_texts[i].option) {
+            printf("    %s\n", option_texts[i].text);
+        }
+    }
+}
+
+static int
+take_words(poptContext context, struct ct_arguments *arguments)
+{
+    arguments->words = (const char *const *)poptGetArgs(context);
+    while (arguments->words && arguments->words[arguments->n_words]) {
+        arguments->n_words++;
+    }
+    return CT_OK;
+}
+
+static int
+check_values(struct ct_arguments *arguments)
+{
+    if (arguments->platform) {
+        if (!g_str_has_prefix(arguments->platform, URL_SCHEME)) {
+            fprintf(stderr,
+                    "coriandertrack: --platform: not http://IP:port\n");
+            return CT_ERR_INVALID;
+        }
+        arguments->platform += strlen(URL_SCHEME);
+    }
+    if (arguments->base_offset < 0 || arguments->timeout_ms < 1) {
+        fprintf(stderr, "coriandertrack: number out of range\n");
+        return CT_ERR_INVALID;
+    }
+    return CT_OK;
+}
+
+int
+ct_arguments_parse(int argc, const char **argv, struct ct_arguments *arguments)
+{
+    long long base = 0;
+    long long timeout_ms = TIMEOUT_MS;
+    const struct poptOption options[] = {
+        {"platform", '\0', POPT_ARG_STRING, &arguments->platform,
+         CT_OPTION_PLATFORM, NULL, NULL},
+        {"base", '\0', POPT_ARG_LONGLONG, &base, CT_OPTION_BASE, NULL, NULL},
+        {"label", '\0', POPT_ARG_STRING, &arguments->label, CT_OPTION_LABEL,
+         NULL, NULL},
+        {"digest", '\0', POPT_ARG_STRING, &arguments->digest, CT_OPTION_DIGEST,
+         NULL, NULL},
+        {"host", '\0', POPT_ARG_ARGV, &arguments->hosts, CT_OPTION_HOST, NULL,
+         NULL},
+        {"timeout", '\0', POPT_ARG_LONGLONG, &timeout_ms, CT_OPTION_TIMEOUT,
+         NULL, NULL},
+        {"help", '?', POPT_ARG_NONE, NULL, CT_OPTION_HELP, NULL, NULL},
+        POPT_TABLEEND,
+    };
+    poptContext context;
+    int option;
+
+    memset(arguments, 0, sizeof(*arguments));
+    context = poptGetContext("coriandertrack", argc, argv, options, 0);
+    while ((option = poptGetNextOpt(context)) > 0) {
+        arguments->given |= (unsigned)option;
+    }
+    if (option < -1) {
+        fprintf(stderr, "coriandertrack: %s: %s\n",
+                poptBadOption(context, POPT_BADOPTION_NOALIAS),
+                poptStrerror(option));
+        return CT_ERR_INVALID;
+    }
+    arguments->base_offset = base;
+    arguments->timeout_ms = timeout_ms;
+    take_words(context, arguments);
+    return check_values(arguments);
+}
--- /dev/null
+++ b/coriandertrack/arguments.h
@@ -0,0 +1,44 @@
+#ifndef CT_ARGUMENTS_H
+#define CT_ARGUMENTS_H
+
+#include <stdint.h>
+
+/* The command line, taken apart by popt. */
+
+enum ct_option {
+    CT_OPTION_PLATFORM = 1 << 0,
+    CT_OPTION_BASE = 1 << 1,
+    CT_OPTION_LABEL = 1 << 2,
+    CT_OPTION_DIGEST = 1 << 3,
+    CT_OPTION_HOST = 1 << 4,
+    CT_OPTION_TIMEOUT = 1 << 5,
+    CT_OPTION_HELP = 1 << 6,
+};
+
+struct ct_arguments {
+    /* Options that were given, of enum ct_option. */
+    unsigned given;
+    /* Address of the platform, "IP:port". */
+    const char *platform;
+    int64_t base_offset;
+    const char *label;
+    const char *digest;
+    /* Operators' addresses of hosts, NULL-terminated; NULL for none. */
+    char **hosts;
+    int64_t timeout_ms;
+    /* What follows the command's name, NULL-terminated. */
+    const char *const *words;
+    int n_words;
+};
+
+/* "--name=VALUE" lines of the options in the set, for help texts. */
+void ct_arguments_print_options(unsigned options);
+
+/*
+ * Parses argv. The words point into a context that lives until the process
+ * ends. Errors: CT_ERR_INVALID; a message was written to stderr.
+ */
+int ct_arguments_parse(int argc, const char **argv,
+                       struct ct_arguments *arguments);
+
+#endif
--- /dev/null
+++ b/coriandertrack/hosts.c
@@ -0,0 +1,191 @@
+/* The commands status, explain and drain. */
+#include <stdio.h>
+
+#include "command.h"
+#include "error.h"
+#include "host-call.h"
+
+#define STATUS_OK 200
+#define STATUS_ACCEPTED 202
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+
+/* Prints the numbers, texts and truth values of an object, "name=value". */
+static void
+print_values(JsonObject *object, const char *separator)
+{
+    GList *names = json_object_get_members(object);
+
+    for (GList *item = names; item; item = item->next) {
+        JsonNode *node = json_object_get_member(object, item->data);
+        char *text;
+
+        if (!JSON_NODE_HOLDS_VALUE(node)) {
+            continue;
+        }
+        text = json_to_string(node, FALSE);
+        printf("%s%s=%s", separator, (const char *)item->data, text);
+        g_free(text);
+    }
+    g_list_free(names);
+}
+
+static int
+print_health(const char *host, ct_ms timeout_ms)
+{
+    struct ct_host_answer answer;
+    const char *state = NULL;
+    int err = ct_host_call(host, "/health", NULL, timeout_ms, &answer);
+
+    if (err == CT_OK && answer.object) {
+        state = ct_json_get_string(answer.object, "state");
+    }
+    printf("%s %s", host, state ? state : "unknown");
+    ct_host_answer_free(&answer);
+    return err;
+}
+
+static int
+print_status(const char *host, ct_ms timeout_ms)
+{
+    struct ct_host_answer answer;
+    int err = print_health(host, timeout_ms);
+
+    if (err == CT_OK) {
+        err = ct_host_call(host, "/state", NULL, timeout_ms, &answer);
+        if (answer.object) {
+            print_values(answer.object, " ");
+        }
+        ct_host_answer_free(&answer);
+    }
+    printf("\n");
+    return err;
+}
+
+static enum ct_exit
+run_status(const struct ct_arguments *arguments)
+{
+    int failed = 0;
+    int n;
+
+    for (n = 0; arguments->hosts[n]; n++) {
+        failed += print_status(arguments->hosts[n], arguments->timeout_ms) < 0;
+    }
+    if (failed == 0) {
+        return CT_EXIT_OK;
+    }
+    return failed < n ? CT_EXIT_PARTIAL : CT_EXIT_UNAVAILABLE;
+}
+
+/* Request ids go into a path, so they hold nothing but their own letters. */
+static bool
+is_request_id(const char *text)
+{
+    const char *p = text;
+
+    while (g_ascii_isalnum(*p) || *p == '-') {
+        p++;
+    }
+    return p > text && *p == '\0';
+}
+
+static enum ct_exit
+run_explain(const struct ct_arguments *arguments)
+{
+    enum ct_exit code = CT_EXIT_UNAVAILABLE;
+    char path[128];
+
+    if (!is_request_id(arguments->words[0])) {
+        fprintf(stderr, "coriandertrack: not a request id\n");
+        return CT_EXIT_USAGE;
+    }
+    g_snprintf(path, sizeof(path), "/explain/%s", arguments->words[0]);
+    for (int i = 0; arguments->hosts[i] && code != CT_EXIT_OK; i++) {
+        struct ct_host_answer answer;
+        int err = ct_host_call(arguments->hosts[i], path, NULL,
+                               arguments->timeout_ms, &answer);
+
+        if (err == CT_OK && answer.status == STATUS_OK && answer.object) {
+            print_values(answer.object, "\n");
+            printf("\n");
+            code = CT_EXIT_OK;
+        }
+        else if (err == CT_OK && answer.status == STATUS_NOT_FOUND) {
+            code = CT_EXIT_NOT_FOUND;
+        }
+        ct_host_answer_free(&answer);
+    }
+    if (code == CT_EXIT_NOT_FOUND) {
+        fprintf(stderr, "coriandertrack: no refusal of this request is "
+                        "known\n");
+    }
+    return code;
+}
+
+static enum ct_exit
+run_drain(const struct ct_arguments *arguments)
+{
+    int failed = 0;
+    int n;
+
+    for (n = 0; arguments->hosts[n]; n++) {
+        struct ct_host_answer answer;
+        int err = ct_host_call(arguments->hosts[n], "/drain", "",
+                               arguments->timeout_ms, &answer);
+
+        if (err == CT_OK && answer.status == STATUS_ACCEPTED) {
+            printf("%s draining\n", arguments->hosts[n]);
+        }
+        else {
+            printf("%s not draining\n", arguments->hosts[n]);
+            failed++;
+        }
+        ct_host_answer_free(&answer);
+    }
+    if (failed == 0) {
+        return CT_EXIT_OK;
+    }
+    return failed < n ? CT_EXIT_PARTIAL : CT_EXIT_UNAVAILABLE;
+}
+
+static const struct ct_command_ops status_ops = {run_status};
+static const struct ct_command_ops explain_ops = {run_explain};
+static const struct ct_command_ops drain_ops = {run_drain};
+
+const struct ct_command ct_command_status = {
+    .ops = &status_ops,
+    .name = "status",
+    .synopsis = "--host=IP:port... [--timeout=MS]",
+    .summary = "show the state of hosts",
+    .text = "    Prints one line a host: its address, ready, starting,\n"
+            "    not-current or draining, and the figures of its state.\n",
+    .options = CT_OPTION_HOST | CT_OPTION_TIMEOUT,
+    .required_options = CT_OPTION_HOST,
+};
+
+const struct ct_command ct_command_explain = {
+    .ops = &explain_ops,
+    .name = "explain",
+    .synopsis = "REQUEST-ID --host=IP:port... [--timeout=MS]",
+    .summary = "tell why a request was refused",
+    .text =
+        "    Asks the hosts in turn until one knows the refusal, and prints\n"
+        "    who was refused, when, why, and what was known then. Any host\n"
+        "    will do once the refusal has reached the log.\n",
+    .options = CT_OPTION_HOST | CT_OPTION_TIMEOUT,
+    .required_options = CT_OPTION_HOST,
+    .min_words = 1,
+    .max_words = 1,
+};
+
+const struct ct_command ct_command_drain = {
+    .ops = &drain_ops,
+    .name = "drain",
+    .synopsis = "--host=IP:port... [--timeout=MS]",
+    .summary = "let hosts finish their requests and stop",
+    .text =
+        "    The host refuses new requests as not run, leaves itself out of\n"
+        "    the addresses it gives, finishes what it has, and ends.\n",
+    .options = CT_OPTION_HOST | CT_OPTION_TIMEOUT,
+    .required_options = CT_OPTION_HOST,
+};
--- /dev/null
+++ b/coriandertrack/log-view.c
@@ -0,0 +1,214 @@
+#include "log-view.h"
+
+#include <sys/random.h>
+
+#include "error.h"
+#include "http-call.h"
+#include "loop.h"
+#include "platform-body.h"
+
+#define READ_ENTRIES 512
+/* How long one read waits for an entry that is looked for. */
+#define READ_WAIT_MS 500
+#define STATUS_OK 200
+#define STATUS_GONE 410
+
+static ct_ms
+now_ms(void)
+{
+    return ct_clock_steady_ms(ct_system_clock());
+}
+
+static int
+apply(struct ct_log_view *view, struct ct_event *event)
+{
+    int err;
+
+    event->now_ms = now_ms();
+    event->wall_ms = ct_clock_wall_ms(ct_system_clock());
+    ct_effects_clear(&view->effects);
+    err = ct_reduce(view->state, event, &view->effects);
+    for (uint32_t i = 0; i < view->effects.n; i++) {
+        if (view->effects.items[i].type == CT_EFFECT_READ_LOG) {
+            view->next_offset = view->effects.items[i].u.offset;
+        }
+    }
+    return err;
+}
+
+static bool
+is_own(const struct ct_log_view *view, const struct ct_record *record)
+{
+    return view->sequence > 0 && record->sequence == view->sequence &&
+           ct_name_eq(&record->writer, &view->state->self.writer);
+}
+
+static int
+apply_entry(struct ct_log_view *view, const struct ct_log_page_entry *entry)
+{
+    struct ct_event event = {.type = CT_EVENT_LOG_ENTRY};
+    int err;
+
+    view->next_offset = entry->offset + 1;
+    event.u.entry.offset = entry->offset;
+    event.u.entry.record = entry->decoded.record;
+    err = apply(view, &event);
+    if (is_own(view, &entry->decoded.record) && view->own_offset == 0) {
+        view->own_offset = entry->offset;
+        view->config_after = view->state->config.offset;
+    }
+    return err;
+}
+
+static int
+apply_page(struct ct_log_view *view, const struct ct_log_page *page)
+{
+    struct ct_event event = {.type = CT_EVENT_LOG_HEAD};
+    int64_t expected;
+    int err;
+
+    event.u.head.head = page->head;
+    event.u.head.first = page->first;
+    expected = view->next_offset;
+    err = apply(view, &event);
+    for (guint i = 0; err == CT_OK && i < page->entries->len; i++) {
+        /* The reducer may want to go on from another offset. */
+        if (view->next_offset != expected) {
+            break;
+        }
+        err = apply_entry(
+            view, &g_array_index(page->entries, struct ct_log_page_entry, i));
+        expected =
+            g_array_index(page->entries, struct ct_log_page_entry, i).offset +
+            1;
+    }
+    return err;
+}
+
+/* Reads one page from the next offset on. */
+static int
+read_page(struct ct_log_view *view, ct_ms wait_ms)
+{
+    struct ct_http_answer answer;
+    struct ct_log_page page;
+    char path[128];
+    int err;
+
+    g_snprintf(path, sizeof(path),
+               "/log/read?from=%" G_GINT64_FORMAT "&max=%d&wait_ms=%d",
+               view->next_offset, READ_ENTRIES, (int)wait_ms);
+    err = ct_http_call(view->platform, path, NULL, view->timeout_ms + wait_ms,
+                       &answer);
+    if (err == CT_OK && answer.status != STATUS_OK &&
+        answer.status != STATUS_GONE) {
+        err = CT_ERR_IO;
+    }
+    if (err == CT_OK) {
+        err = ct_log_page_parse(answer.body->str, answer.body->len, &page);
+        if (err == CT_OK) {
+            err = apply_page(view, &page);
+        }
+        ct_log_page_free(&page);
+    }
+    ct_http_answer_free(&answer);
+    return err < 0 ? CT_ERR_LOG_UNAVAILABLE : CT_OK;
+}
+
+static int
+read_to_head(struct ct_log_view *view)
+{
+    ct_ms deadline_ms = now_ms() + view->timeout_ms;
+    int err;
+
+    do {
+        err = read_page(view, 0);
+        if (err < 0) {
+            return err;
+        }
+    } while (!view->state->log.ready && now_ms() < deadline_ms);
+    return view->state->log.ready ? CT_OK : CT_ERR_LOG_UNAVAILABLE;
+}
+
+/* Each run is a writer of its own, so its sequence numbers are never reused.
+ */
+static int
+set_writer(struct ct_self *self)
+{
+    char text[CT_NAME_MAX];
+    uint64_t number;
+
+    if (getrandom(&number, sizeof(number), 0) != sizeof(number)) {
+        return CT_ERR_IO;
+    }
+    g_snprintf(text, sizeof(text), "operator/%016" G_GINT64_MODIFIER "x",
+               number);
+    return CT_TEXT_SET(self->writer, text);
+}
+
+int
+ct_log_view_open(struct ct_log_view *view,
+                 const struct ct_arguments *arguments)
+{
+    struct ct_self self = {.seed = 0};
+    int err;
+
+    *view = (struct ct_log_view){
+        .platform = arguments->platform,
+        .timeout_ms = arguments->timeout_ms,
+        .next_offset = 1,
+    };
+    ct_effects_init(&view->effects);
+    err = set_writer(&self);
+    if (err < 0) {
+        return err;
+    }
+    view->state = ct_state_new(&self);
+    return view->state ? read_to_head(view) : CT_ERR_NO_MEMORY;
+}
+
+void
+ct_log_view_close(struct ct_log_view *view)
+{
+    ct_state_free(view->state);
+    ct_effects_free(&view->effects);
+}
+
+/* Reads on until the own record was applied. */
+static int
+find_own(struct ct_log_view *view)
+{
+    ct_ms deadline_ms = now_ms() + view->timeout_ms;
+
+    while (view->own_offset == 0 && now_ms() < deadline_ms) {
+        if (read_page(view, READ_WAIT_MS) < 0) {
+            /* The log may be back before the time-out. */
+            g_usleep(READ_WAIT_MS * 1000);
+        }
+    }
+    return view->own_offset > 0 ? CT_OK : CT_ERR_TIMEOUT;
+}
+
+int
+ct_log_view_append(struct ct_log_view *view, struct ct_record *record)
+{
+    struct ct_http_answer answer;
+    GString *body = g_string_new(NULL);
+    int err;
+
+    record->writer = view->state->self.writer;
+    record->sequence = ++view->sequence;
+    record->wall_ms = ct_clock_wall_ms(ct_system_clock());
+    view->own_offset = 0;
+    err = ct_append_body(record, body);
+    if (err < 0) {
+        goto out;
+    }
+    err = ct_http_call(view->platform, "/log/append", body, view->timeout_ms,
+                       &answer);
+    /* An error status does not tell whether the append took effect. */
+    err = err < 0 && !answer.sent ? CT_ERR_LOG_UNAVAILABLE : find_own(view);
+    ct_http_answer_free(&answer);
+out:
+    g_string_free(body, TRUE);
+    return err;
+}
--- /dev/null
+++ b/coriandertrack/publish.c
@@ -0,0 +1,168 @@
+/* The commands check and publish. */
+#include <stdio.h>
+
+#include "command.h"
+#include "error.h"
+#include "log-view.h"
+#include "service-files.h"
+
+/* Reads and checks the directories and prints every finding. */
+static int
+load(const struct ct_arguments *arguments, struct ct_service_files *files)
+{
+    GString *line = g_string_new(NULL);
+    struct ct_diags diags;
+    int err;
+
+    ct_diags_init(&diags);
+    err = ct_service_files_load(files, arguments->words,
+                                (size_t)arguments->n_words, &diags);
+    for (guint i = 0; i < ct_diags_count(&diags); i++) {
+        g_string_truncate(line, 0);
+        ct_diag_format(ct_diags_get(&diags, i), line);
+        fprintf(stderr, "%s\n", line->str);
+    }
+    ct_diags_free(&diags);
+    g_string_free(line, TRUE);
+    return err;
+}
+
+static guint
+count(const struct ct_service_files *files, enum ct_config_kind kind)
+{
+    guint n = 0;
+
+    for (guint i = 0; i < files->rows->len; i++) {
+        n += g_array_index(files->rows, struct ct_config_row, i).kind == kind;
+    }
+    return n;
+}
+
+static enum ct_exit
+run_check(const struct ct_arguments *arguments)
+{
+    struct ct_service_files files;
+    int err = load(arguments, &files);
+
+    if (err == CT_OK) {
+        printf("ok: %u classes, %u routes, %u organisations, %u hosts, "
+               "%u pools, %u upstreams\n",
+               count(&files, CT_CONFIG_CLASS), count(&files, CT_CONFIG_ROUTE),
+               count(&files, CT_CONFIG_ORGANISATION),
+               count(&files, CT_CONFIG_HOST), count(&files, CT_CONFIG_POOL),
+               count(&files, CT_CONFIG_UPSTREAM));
+    }
+    ct_service_files_free(&files);
+    return err < 0 ? CT_EXIT_REFUSED : CT_EXIT_OK;
+}
+
+static enum ct_exit
+lost_to(int64_t offset)
+{
+    printf("lost to offset %" G_GINT64_FORMAT "\n", offset);
+    return CT_EXIT_LOST;
+}
+
+static enum ct_exit
+append_failed(int err)
+{
+    if (err == CT_ERR_TIMEOUT) {
+        fprintf(stderr, "coriandertrack: sent, but not found in the log yet; "
+                        "it may still come into force\n");
+        return CT_EXIT_UNKNOWN;
+    }
+    fprintf(stderr, "coriandertrack: nothing was published: %s\n",
+            ct_err_name(err));
+    return err == CT_ERR_LOG_UNAVAILABLE ? CT_EXIT_UNAVAILABLE
+                                         : CT_EXIT_REFUSED;
+}
+
+/* Appends the configuration and tells what the replay made of it. */
+static enum ct_exit
+append(struct ct_log_view *view, int64_t base_offset,
+       const struct ct_service_files *files)
+{
+    struct ct_record record = {.type = CT_RECORD_CONFIG};
+    int err;
+
+    record.base_offset = base_offset;
+    record.rows = (struct ct_rows){files->rows->data, files->rows->len,
+                                   sizeof(struct ct_config_row)};
+    err = ct_log_view_append(view, &record);
+    if (err < 0) {
+        return append_failed(err);
+    }
+    if (view->config_after == view->own_offset) {
+        printf("in force at offset %" G_GINT64_FORMAT "\n", view->own_offset);
+        return CT_EXIT_OK;
+    }
+    if (view->config_after == base_offset) {
+        fprintf(stderr, "coriandertrack: rejected by every host\n");
+        return CT_EXIT_REFUSED;
+    }
+    return lost_to(view->config_after);
+}
+
+static enum ct_exit
+run_publish(const struct ct_arguments *arguments)
+{
+    struct ct_service_files files;
+    struct ct_log_view view;
+    enum ct_exit code = CT_EXIT_REFUSED;
+    int64_t base_offset;
+    int err;
+
+    if (load(arguments, &files) < 0) {
+        ct_service_files_free(&files);
+        return CT_EXIT_REFUSED;
+    }
+    err = ct_log_view_open(&view, arguments);
+    if (err < 0) {
+        code = append_failed(err);
+        goto out;
+    }
+    base_offset = view.state->config.offset;
+    if ((arguments->given & CT_OPTION_BASE) &&
+        arguments->base_offset != base_offset) {
+        code = lost_to(base_offset);
+        goto out;
+    }
+    code = append(&view, base_offset, &files);
+out:
+    ct_log_view_close(&view);
+    ct_service_files_free(&files);
+    return code;
+}
+
+static const struct ct_command_ops check_ops = {run_check};
+static const struct ct_command_ops publish_ops = {run_publish};
+
+const struct ct_command ct_command_check = {
+    .ops = &check_ops,
+    .name = "check",
+    .synopsis = "DIR...",
+    .summary = "check service files",
+    .text = "    Reads every *.json file of the directories, merges them and\n"
+            "    checks the whole. Each finding is one line on the standard\n"
+            "    error: FILE:LINE: FIELD: what is wrong (value).\n",
+    .min_words = 1,
+    .max_words = INT32_MAX,
+};
+
+const struct ct_command ct_command_publish = {
+    .ops = &publish_ops,
+    .name = "publish",
+    .synopsis = "DIR... --platform=URL [--base=N] [--timeout=MS]",
+    .summary = "put service files in force as the configuration",
+    .text =
+        "    Checks the files as the command check does and appends them\n"
+        "    to the log as one record that names the configuration it was\n"
+        "    made from: the one in force now, or that of --base. Then reads\n"
+        "    its own record back and says \"in force at offset N\", or\n"
+        "    \"lost to offset N\" where another operator's came first.\n"
+        "    A record whose answer was lost is looked for in the log.\n",
+    .options = CT_OPTION_PLATFORM | CT_OPTION_BASE | CT_OPTION_TIMEOUT,
+    .required_options = CT_OPTION_PLATFORM,
+    .min_words = 1,
+    .max_words = INT32_MAX,
+};
