--- a/t/test-settings.c
+++ b/t/test-settings.c
@@ -147,6 +147,29 @@
     ct_diags_free(&diags);
 }
 
+/* The settings of the example deployments stay good. */
+static void
+test_examples(void)
+{
+    static const char *const files[] = {
+        "examples/lagos/settings/lagos-host-1.json",
+        "examples/anatolia/settings/anatolia-host-1.json",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(files); i++) {
+        const char *source = g_getenv("CT_SOURCE_DIR");
+        g_autofree char *file =
+            g_build_filename(source ? source : ".", files[i], NULL);
+        struct ct_settings settings;
+        struct ct_diags diags;
+
+        ct_diags_init(&diags);
+        g_assert_cmpint(ct_settings_load(file, &settings, &diags), ==, CT_OK);
+        ct_settings_free(&settings);
+        ct_diags_free(&diags);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,6 +181,7 @@
     g_test_add_func("/settings/good", test_good);
     g_test_add_func("/settings/bad", test_bad);
     g_test_add_func("/settings/secret-not-shown", test_secret_not_shown);
+    g_test_add_func("/settings/examples", test_examples);
     result = g_test_run();
     g_unlink(path);
     g_rmdir(dir);
