shell: serve callers over libmicrohttpd

Requests wait suspended. Two gaps of the library are closed here: it does not look at a suspended connection, so a caller's leaving is watched for on the socket (by the connection's state where pipelined data hide the end), and it closes half a request without an answer, so the 408 is written on the socket. Without threads it has no wake-up for a resumed connection either: the first run of test-callers waited for ever on its first answer; now the loop is told.

--- a/shell/answers.c
+++ b/shell/answers.c
@@ -7,7 +7,7 @@
 struct answer {
     /* The request's handle in one number: key of the index. */
     gint64 key;
-    struct ct_call_body *body;
+    struct ct_stored_call *body;
     GByteArray *bytes;
     /* The attempt that may append, if any. */
     struct ct_handle writer;
@@ -20,14 +20,14 @@
     struct ct_table table;
     /* From the request's handle to struct answer. */
     GHashTable *by_request;
-    /* From the caller's number to struct ct_call_body. */
+    /* From the caller's number to struct ct_stored_call. */
     GHashTable *bodies;
 };
 
 static void
 clear_body(void *box)
 {
-    struct ct_call_body *body = box;
+    struct ct_stored_call *body = box;
 
     g_free(body->query);
     if (body->bytes != NULL) {
@@ -36,7 +36,7 @@
 }
 
 void
-ct_call_body_unref(struct ct_call_body *body)
+ct_stored_call_unref(struct ct_stored_call *body)
 {
     g_rc_box_release_full(body, clear_body);
 }
@@ -61,7 +61,7 @@
     struct answer *answer = row;
 
     if (answer->body != NULL) {
-        ct_call_body_unref(answer->body);
+        ct_stored_call_unref(answer->body);
     }
     if (answer->bytes != NULL) {
         g_byte_array_unref(answer->bytes);
@@ -115,7 +115,7 @@
     answers->by_request = g_hash_table_new(g_int64_hash, g_int64_equal);
     answers->bodies =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                              (GDestroyNotify)ct_call_body_unref);
+                              (GDestroyNotify)ct_stored_call_unref);
     return answers;
 }
 
@@ -127,7 +127,7 @@
 
 void
 ct_answers_put_body(struct ct_answers *answers, uint64_t caller,
-                    struct ct_call_body *body)
+                    struct ct_stored_call *body)
 {
     g_hash_table_replace(answers->bodies, g_memdup2(&caller, sizeof(caller)),
                          body);
@@ -159,12 +159,12 @@
     return answer;
 }
 
-struct ct_call_body *
+struct ct_stored_call *
 ct_answers_body(struct ct_answers *answers, struct ct_handle request,
                 uint64_t caller)
 {
     struct answer *answer = ensure(answers, request);
-    struct ct_call_body *body;
+    struct ct_stored_call *body;
 
     if (answer == NULL || answer->body != NULL) {
         return answer != NULL ? answer->body : NULL;
--- a/shell/answers.h
+++ b/shell/answers.h
@@ -18,7 +18,7 @@
 #define CT_METHOD_MAX 12
 
 /* What is passed on of a caller's request; made with g_rc_box_new0(). */
-struct ct_call_body {
+struct ct_stored_call {
     char method[CT_METHOD_MAX];
     char media_type[CT_MEDIA_TYPE_MAX];
     /* As the caller gave it; empty for none. */
@@ -28,14 +28,14 @@
     GBytes *bytes;
 };
 
-void ct_call_body_unref(struct ct_call_body *body);
+void ct_stored_call_unref(struct ct_stored_call *body);
 
 struct ct_answers *ct_answers_new(void);
 struct ct_executor *ct_answers_executor(struct ct_answers *answers);
 
 /* Takes over the body of a caller's request, until it is dropped. */
 void ct_answers_put_body(struct ct_answers *answers, uint64_t caller,
-                         struct ct_call_body *body);
+                         struct ct_stored_call *body);
 /* Forgets the body unless a request was bound to it. */
 void ct_answers_drop_body(struct ct_answers *answers, uint64_t caller);
 
@@ -43,9 +43,9 @@
  * Binds the caller's body to the request, which keeps it until
  * CT_EFFECT_DROP_ANSWER. Returns it, borrowed, or NULL where there is none.
  */
-struct ct_call_body *ct_answers_body(struct ct_answers *answers,
-                                     struct ct_handle request,
-                                     uint64_t caller);
+struct ct_stored_call *ct_answers_body(struct ct_answers *answers,
+                                       struct ct_handle request,
+                                       uint64_t caller);
 
 /*
  * Makes the attempt the writer of the answer, from offset on; what was
--- a/shell/attempt.h
+++ b/shell/attempt.h
@@ -27,7 +27,7 @@
     /* Row in the executor's own table. */
     struct ct_handle row;
     struct ct_attempt_effect effect;
-    struct ct_call_body *body;
+    struct ct_stored_call *body;
     ev_timer gap;
     bool sent;
     /* It is the writer of the answer. */
--- /dev/null
+++ b/shell/caller-connection.c
@@ -0,0 +1,104 @@
+#include <netinet/in.h>
+#include <linux/tcp.h>
+#include <sys/socket.h>
+
+#include "caller.h"
+
+static uint64_t
+bytes_received(int fd)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_received;
+}
+
+/*
+ * Half a request and then silence gets a typed answer. libmicrohttpd would
+ * only close the connection, so the refusal is written on the bare socket.
+ * A connection on which nothing was begun is closed without a word.
+ */
+static void
+on_idle(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    struct ct_caller_connection *connection = timer->data;
+    struct ct_callers *callers = connection->callers;
+    struct ct_caller *caller =
+        ct_table_get(&callers->requests, connection->reading);
+
+    (void)events;
+    ev_timer_stop(ev, timer);
+    if (caller == NULL &&
+        bytes_received(connection->fd) > connection->received) {
+        caller = ct_caller_add(callers);
+    }
+    if (caller == NULL) {
+        shutdown(connection->fd, SHUT_RDWR);
+        return;
+    }
+    caller->fd = connection->fd;
+    caller->phase = CT_CALLER_CUT;
+    ct_caller_reject(caller, CT_REFUSAL_REQUEST_TIMEOUT);
+}
+
+void
+ct_caller_connection_wait(struct ct_caller_connection *connection,
+                          struct ct_handle reading)
+{
+    connection->reading = reading;
+    connection->received = bytes_received(connection->fd);
+    ev_timer_again(ct_loop_ev(connection->callers->loop), &connection->idle);
+}
+
+void
+ct_caller_connection_stop(struct ct_caller_connection *connection)
+{
+    connection->reading = CT_NO_HANDLE;
+    ev_timer_stop(ct_loop_ev(connection->callers->loop), &connection->idle);
+}
+
+struct ct_caller_connection *
+ct_caller_connection_of(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
+static void
+start(struct ct_callers *callers, struct MHD_Connection *mhd, void **context)
+{
+    struct ct_caller_connection *connection =
+        g_new0(struct ct_caller_connection, 1);
+
+    connection->callers = callers;
+    connection->fd =
+        MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    ev_timer_init(&connection->idle, on_idle, 0,
+                  callers->limits.idle_timeout_ms / 1e3);
+    connection->idle.data = connection;
+    ev_timer_again(ct_loop_ev(callers->loop), &connection->idle);
+    callers->connections++;
+    *context = connection;
+}
+
+void
+ct_caller_connection_notify(void *arg, struct MHD_Connection *connection,
+                            void **context,
+                            enum MHD_ConnectionNotificationCode code)
+{
+    struct ct_callers *callers = arg;
+
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        start(callers, connection, context);
+        return;
+    }
+    ct_caller_connection_stop(*context);
+    callers->connections--;
+    g_free(*context);
+    *context = NULL;
+}
--- /dev/null
+++ b/shell/callers.c
@@ -0,0 +1,196 @@
+#include "callers.h"
+
+#include <sys/random.h>
+
+#include "caller.h"
+#include "error.h"
+#include "uuid.h"
+
+#define MS_PER_S 1000
+/* Beyond the head: room for the response's head and for a part to write. */
+#define CONNECTION_EXTRA_BYTES (4 * 1024)
+
+struct ct_caller *
+ct_caller_find(const struct ct_callers *callers, uint64_t number)
+{
+    struct ct_handle handle = {
+        .index = (uint32_t)number,
+        .generation = (uint32_t)(number >> 32),
+    };
+
+    return ct_table_get(&callers->requests, handle);
+}
+
+struct ct_caller *
+ct_caller_add(struct ct_callers *callers)
+{
+    uint8_t random[CT_UUID7_RANDOM_BYTES];
+    struct ct_caller *caller;
+    struct ct_handle handle;
+
+    if (ct_table_add(&callers->requests, &handle) < 0 ||
+        getrandom(random, sizeof(random), 0) != sizeof(random)) {
+        return NULL;
+    }
+    caller = ct_table_get(&callers->requests, handle);
+    caller->callers = callers;
+    caller->handle = handle;
+    ct_uuid7_format(ct_clock_wall_ms(ct_loop_clock(callers->loop)), random,
+                    &caller->request_id);
+    return caller;
+}
+
+static void
+clear_caller(void *row)
+{
+    struct ct_caller *caller = row;
+
+    g_free(caller->query);
+    if (caller->body != NULL) {
+        g_byte_array_unref(caller->body);
+    }
+    if (caller->response != NULL) {
+        MHD_destroy_response(caller->response);
+    }
+    if (caller->tail != NULL) {
+        g_string_free(caller->tail, TRUE);
+    }
+}
+
+static void
+tell_finished(struct ct_callers *callers)
+{
+    if (callers->finished != NULL && callers->requests.live == 0) {
+        void (*finished)(void *arg) = callers->finished;
+
+        callers->finished = NULL;
+        finished(callers->finished_arg);
+    }
+}
+
+void
+ct_caller_remove(struct ct_caller *caller)
+{
+    struct ct_callers *callers = caller->callers;
+    struct ct_event event = {.type = CT_EVENT_CALL_GONE};
+
+    event.u.caller = ct_caller_number(caller);
+    if (caller->open) {
+        ct_loop_post(callers->loop, &event);
+    }
+    ct_answers_drop_body(callers->answers, event.u.caller);
+    ct_answers_close(callers->answers, caller->reader);
+    ct_table_unref(&callers->requests, caller->handle);
+    tell_finished(callers);
+}
+
+/* Resumes what is suspended, as libmicrohttpd wants it before its end. */
+static void
+free_callers(struct ct_executor *executor)
+{
+    struct ct_callers *callers = (struct ct_callers *)executor;
+    struct ct_caller *caller;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    callers->finished = NULL;
+    while ((caller = ct_table_next(&callers->requests, &cursor, &handle))) {
+        caller->gone = true;
+        ct_caller_resume(caller);
+    }
+    ct_http_server_stop(&callers->server);
+    ct_table_free(&callers->requests);
+    g_free(callers);
+}
+
+static int
+start_server(struct ct_callers *callers, const char *address)
+{
+    const struct ct_caller_limits *limits = &callers->limits;
+    /* After our own limit, which answers; it ends stuck writes as well. */
+    const intptr_t timeout_s =
+        (intptr_t)(2 * limits->idle_timeout_ms / MS_PER_S + 1);
+    const struct MHD_OptionItem options[] = {
+        {MHD_OPTION_CONNECTION_LIMIT, limits->max_connections, NULL},
+        {MHD_OPTION_CONNECTION_TIMEOUT, timeout_s, NULL},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+         (intptr_t)limits->head_bytes + CONNECTION_EXTRA_BYTES, NULL},
+        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ct_caller_uri, callers},
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)ct_caller_completed, callers},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)ct_caller_connection_notify,
+         callers},
+        {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
+        {MHD_OPTION_END, 0, NULL},
+    };
+
+    return ct_http_server_start(&callers->server, callers->loop, address,
+                                ct_caller_handle, callers, options);
+}
+
+int
+ct_callers_new(struct ct_loop *loop, struct ct_answers *answers,
+               const char *address, const struct ct_caller_limits *limits,
+               struct ct_callers **out)
+{
+    static const struct ct_executor_ops ops = {
+        .run = ct_caller_run,
+        .free = free_callers,
+    };
+    struct ct_callers *callers = g_new0(struct ct_callers, 1);
+    int err;
+
+    callers->executor.ops = &ops;
+    callers->loop = loop;
+    callers->answers = answers;
+    callers->limits = *limits;
+    ct_table_init(&callers->requests, sizeof(struct ct_caller), 0,
+                  clear_caller);
+    err = start_server(callers, address);
+    if (err < 0) {
+        ct_table_free(&callers->requests);
+        g_free(callers);
+        return err;
+    }
+    *out = callers;
+    return CT_OK;
+}
+
+struct ct_executor *
+ct_callers_executor(struct ct_callers *callers)
+{
+    return &callers->executor;
+}
+
+uint16_t
+ct_callers_port(const struct ct_callers *callers)
+{
+    return callers->server.port;
+}
+
+void
+ct_callers_drain(struct ct_callers *callers)
+{
+    callers->draining = true;
+}
+
+void
+ct_callers_finish(struct ct_callers *callers, void (*done)(void *arg),
+                  void *arg)
+{
+    ct_http_server_quiesce(&callers->server);
+    callers->finished = done;
+    callers->finished_arg = arg;
+    tell_finished(callers);
+}
+
+uint32_t
+ct_callers_requests(const struct ct_callers *callers)
+{
+    return callers->requests.live;
+}
+
+uint32_t
+ct_callers_connections(const struct ct_callers *callers)
+{
+    return callers->connections;
+}
--- /dev/null
+++ b/shell/http-server.c
@@ -0,0 +1,163 @@
+#include "http-server.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "error.h"
+
+#define PORT_MAX 65535
+
+/* Lets the library work; effects wait until its callbacks have returned. */
+static void
+act(struct ct_http_server *server)
+{
+    ct_loop_hold(server->loop);
+    MHD_run(server->daemon);
+    ct_loop_release(server->loop);
+}
+
+static void
+on_io(struct ev_loop *ev, ev_io *io, int events)
+{
+    (void)ev;
+    (void)events;
+    act(io->data);
+}
+
+static void
+on_timer(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    (void)ev;
+    (void)events;
+    act(timer->data);
+}
+
+/* Before the loop sleeps: wake it when the library next has work. */
+static void
+on_prepare(struct ev_loop *ev, ev_prepare *prepare, int events)
+{
+    struct ct_http_server *server = prepare->data;
+    MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+    (void)events;
+    ev_timer_stop(ev, &server->timer);
+    if (MHD_get_timeout(server->daemon, &timeout_ms) == MHD_YES) {
+        ev_timer_set(&server->timer, (ev_tstamp)timeout_ms / 1e3, 0);
+        ev_timer_start(ev, &server->timer);
+    }
+}
+
+static int
+parse_address(const char *text, struct sockaddr_in *address)
+{
+    const char *colon = strrchr(text, ':');
+    guint64 port;
+    char *ip;
+    int ok;
+
+    if (colon == NULL ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 0, PORT_MAX, &port, NULL)) {
+        return CT_ERR_INVALID;
+    }
+    memset(address, 0, sizeof(*address));
+    address->sin_family = AF_INET;
+    address->sin_port = htons((uint16_t)port);
+    ip = g_strndup(text, (gsize)(colon - text));
+    ok = inet_pton(AF_INET, ip, &address->sin_addr);
+    g_free(ip);
+    return ok == 1 ? CT_OK : CT_ERR_INVALID;
+}
+
+/* Returns a listening socket, or an error. */
+static int
+open_socket(const char *text, uint16_t *port)
+{
+    struct sockaddr_in address;
+    socklen_t size = sizeof(address);
+    int on = 1;
+    int fd;
+
+    if (parse_address(text, &address) < 0) {
+        return CT_ERR_INVALID;
+    }
+    fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return CT_ERR_IO;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&address, size) < 0 ||
+        listen(fd, SOMAXCONN) < 0 ||
+        getsockname(fd, (struct sockaddr *)&address, &size) < 0) {
+        close(fd);
+        return CT_ERR_IO;
+    }
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+int
+ct_http_server_start(struct ct_http_server *server, struct ct_loop *loop,
+                     const char *address, MHD_AccessHandlerCallback handler,
+                     void *arg, const struct MHD_OptionItem *options)
+{
+    struct ev_loop *ev = ct_loop_ev(loop);
+    int fd = open_socket(address, &server->port);
+
+    if (fd < 0) {
+        return fd;
+    }
+    server->loop = loop;
+    server->daemon =
+        MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+                         NULL, handler, arg, MHD_OPTION_LISTEN_SOCKET, fd,
+                         MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    if (server->daemon == NULL) {
+        close(fd);
+        return CT_ERR_IO;
+    }
+    ev_io_init(&server->io, on_io,
+               MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+                   ->epoll_fd,
+               EV_READ);
+    ev_timer_init(&server->timer, on_timer, 0, 0);
+    ev_prepare_init(&server->prepare, on_prepare);
+    server->io.data = server->timer.data = server->prepare.data = server;
+    ev_io_start(ev, &server->io);
+    ev_prepare_start(ev, &server->prepare);
+    return CT_OK;
+}
+
+void
+ct_http_server_wake(struct ct_http_server *server)
+{
+    /* Without threads the library has nothing that tells it of a resume. */
+    ev_feed_event(ct_loop_ev(server->loop), &server->io, EV_READ);
+}
+
+void
+ct_http_server_quiesce(struct ct_http_server *server)
+{
+    MHD_socket fd = MHD_quiesce_daemon(server->daemon);
+
+    if (fd != MHD_INVALID_SOCKET) {
+        close(fd);
+    }
+}
+
+void
+ct_http_server_stop(struct ct_http_server *server)
+{
+    struct ev_loop *ev = ct_loop_ev(server->loop);
+
+    if (server->daemon == NULL) {
+        return;
+    }
+    ev_io_stop(ev, &server->io);
+    ev_timer_stop(ev, &server->timer);
+    ev_prepare_stop(ev, &server->prepare);
+    MHD_stop_daemon(server->daemon);
+    server->daemon = NULL;
+}
--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -67,7 +67,7 @@
     ct_answers_end(up->answers, attempt->effect.request,
                    attempt->effect.attempt);
     if (attempt->body != NULL) {
-        ct_call_body_unref(attempt->body);
+        ct_stored_call_unref(attempt->body);
     }
     g_hash_table_remove(up->by_handle, &attempt->effect.attempt);
     ct_table_unref(&up->attempts, attempt->row);
@@ -370,7 +370,7 @@
 add_headers(struct ct_attempt *attempt)
 {
     const struct ct_attempt_effect *effect = &attempt->effect;
-    const struct ct_call_body *body = attempt->body;
+    const struct ct_stored_call *body = attempt->body;
     struct ct_transfer *transfer = &attempt->transfer;
     char number[24];
     int err;
@@ -406,7 +406,7 @@
         .data = on_data,
         .done = on_done,
     };
-    const struct ct_call_body *body = attempt->body;
+    const struct ct_stored_call *body = attempt->body;
     char *target;
     size_t n = 0;
     const void *bytes;
--- a/t/test-answers.c
+++ b/t/test-answers.c
@@ -67,7 +67,7 @@
 test_body_outlives_caller(void)
 {
     struct ct_answers *answers = ct_answers_new();
-    struct ct_call_body *body = g_rc_box_new0(struct ct_call_body);
+    struct ct_stored_call *body = g_rc_box_new0(struct ct_stored_call);
 
     body->bytes = g_bytes_new_static("body", 4);
     ct_answers_put_body(answers, 9, body);
--- a/t/test-upstreams.c
+++ b/t/test-upstreams.c
@@ -26,7 +26,7 @@
 {
     struct ct_http *http;
     struct ct_attempt_effect *attempt = &f->start.u.attempt;
-    struct ct_call_body *body = g_rc_box_new0(struct ct_call_body);
+    struct ct_stored_call *body = g_rc_box_new0(struct ct_stored_call);
 
     memset(f, 0, sizeof(*f));
     f->script = script_new();
--- /dev/null
+++ b/wire/reply-body.c
@@ -0,0 +1,97 @@
+#include "reply-body.h"
+
+#include "config-row.h"
+#include "event.h"
+
+/* Appends a JSON string. */
+static void
+append_text(GString *out, const char *text)
+{
+    g_string_append_c(out, '"');
+    for (; *text; text++) {
+        unsigned char c = (unsigned char)*text;
+
+        if (c == '"' || c == '\\') {
+            g_string_append_c(out, '\\');
+            g_string_append_c(out, *text);
+        }
+        else if (c < ' ') {
+            g_string_append_printf(out, "\\u%04x", c);
+        }
+        else {
+            g_string_append_c(out, *text);
+        }
+    }
+    g_string_append_c(out, '"');
+}
+
+static void
+append_member(GString *out, const char *name, const char *text)
+{
+    g_string_append_printf(out, ",\"%s\":", name);
+    append_text(out, text);
+}
+
+void
+ct_addresses_body(ct_ms lifetime_ms, struct ct_rows rows, GString *out)
+{
+    const struct ct_host *hosts = rows.data;
+
+    g_string_append_printf(
+        out, "{\"lifetime_ms\":%" G_GINT64_FORMAT ",\"addresses\":[",
+        lifetime_ms);
+    for (uint32_t i = 0; i < rows.n; i++) {
+        if (i > 0) {
+            g_string_append_c(out, ',');
+        }
+        append_text(out, hosts[i].caller_address.text);
+    }
+    g_string_append(out, "]}");
+}
+
+static void
+append_hosts(struct ct_rows rows, bool missing, GString *out)
+{
+    const struct ct_host_row *hosts = rows.data;
+    const char *separator = "";
+
+    for (uint32_t i = 0; i < rows.n; i++) {
+        if (hosts[i].leaving != missing) {
+            continue;
+        }
+        g_string_append(out, separator);
+        append_text(out, hosts[i].name.text);
+        separator = ",";
+    }
+}
+
+void
+ct_withdrawn_body(struct ct_rows rows, GString *out)
+{
+    g_string_append(out, "{\"confirmed\":[");
+    append_hosts(rows, false, out);
+    g_string_append(out, "],\"missing\":[");
+    append_hosts(rows, true, out);
+    g_string_append(out, "]}");
+}
+
+void
+ct_explain_body(const struct ct_refusal_row *r, GString *out)
+{
+    g_string_append(out, "{\"request_id\":");
+    append_text(out, r->request_id.text);
+    append_member(out, "organisation", r->organisation.text);
+    append_member(out, "class", r->class_name.text);
+    append_member(out, "host", r->host.text);
+    append_member(out, "path", r->path.text);
+    append_member(out, "type", ct_refusal_text(r->reason));
+    append_member(out, "run_state", ct_run_state_text(r->run_state));
+    g_string_append_printf(
+        out,
+        ",\"wall_ms\":%" G_GINT64_FORMAT ",\"tier\":%u,\"queue_length\":%u,"
+        "\"slots_busy\":%u,\"slots_total\":%u,\"waited_ms\":%" G_GINT64_FORMAT
+        ",\"expected_wait_ms\":%" G_GINT64_FORMAT
+        ",\"log_offset\":%" G_GINT64_FORMAT "}",
+        r->wall_ms, r->tier, r->queue_length, r->slots_busy, r->slots_total,
+        r->waited_ms, r->expected_wait_ms, r->log_offset);
+}
--- /dev/null
+++ b/wire/reply-body.h
@@ -0,0 +1,19 @@
+#ifndef CT_REPLY_BODY_H
+#define CT_REPLY_BODY_H
+
+#include <glib.h>
+
+#include "refusal.h"
+#include "rows.h"
+
+/* JSON bodies of answers that a host makes itself. */
+
+/* rows: struct ct_host */
+void ct_addresses_body(ct_ms lifetime_ms, struct ct_rows rows, GString *out);
+
+/* rows: struct ct_host_row; a host with "leaving" set did not confirm. */
+void ct_withdrawn_body(struct ct_rows rows, GString *out);
+
+void ct_explain_body(const struct ct_refusal_row *refusal, GString *out);
+
+#endif
