--- /dev/null
+++ b/shell/logger.c
@@ -0,0 +1,168 @@
+#include "logger.h"
+
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "json-out.h"
+
+#define FIELDS_MAX 10
+
+struct entry {
+    GLogField fields[FIELDS_MAX];
+    gsize n;
+};
+
+static void
+add(struct entry *entry, const char *key, const char *value)
+{
+    if (value[0] != '\0') {
+        entry->fields[entry->n++] = (GLogField){key, value, -1};
+    }
+}
+
+struct catalogue_row {
+    enum ct_log_event event;
+    const char *name;
+    GLogLevelFlags level;
+    const char *text;
+};
+
+#define LEVEL_INFO G_LOG_LEVEL_INFO
+#define LEVEL_WARNING G_LOG_LEVEL_WARNING
+/* GLib's own error level ends the process. */
+#define LEVEL_ERROR G_LOG_LEVEL_CRITICAL
+
+static const struct catalogue_row catalogue[] = {
+#define X(name, number, level, text) {number, #name, LEVEL_##level, text},
+    CT_LOG_EVENTS(X)
+#undef X
+};
+
+static const struct catalogue_row *
+find(enum ct_log_event event)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(catalogue); i++) {
+        if (catalogue[i].event == event) {
+            return &catalogue[i];
+        }
+    }
+    return NULL;
+}
+
+static const char *
+priority_of(GLogLevelFlags level)
+{
+    switch (level & G_LOG_LEVEL_MASK) {
+    case G_LOG_LEVEL_ERROR:
+        return "3";
+    case G_LOG_LEVEL_CRITICAL:
+    case G_LOG_LEVEL_WARNING:
+        return "4";
+    case G_LOG_LEVEL_MESSAGE:
+        return "5";
+    case G_LOG_LEVEL_INFO:
+        return "6";
+    default:
+        return "7";
+    }
+}
+
+static void
+log_event(const struct ct_log_effect *effect)
+{
+    const struct catalogue_row *row = find(effect->event);
+    struct entry entry = {.n = 0};
+    char event[16];
+    char number[24];
+
+    if (row == NULL) {
+        return;
+    }
+    g_snprintf(event, sizeof(event), "%d", (int)effect->event);
+    g_snprintf(number, sizeof(number), "%" G_GINT64_FORMAT, effect->number);
+    add(&entry, "PRIORITY", priority_of(row->level));
+    add(&entry, "MESSAGE", row->text);
+    add(&entry, "EVENT", event);
+    add(&entry, "NAME", row->name);
+    add(&entry, "REQUEST_ID", effect->request_id.text);
+    add(&entry, "SUBJECT", effect->name.text);
+    add(&entry, "OTHER", effect->other.text);
+    add(&entry, "REASON", effect->reason.text);
+    add(&entry, "NUMBER", number);
+    g_log_structured_array(row->level, entry.fields, entry.n);
+}
+
+static bool
+run(struct ct_executor *executor, const struct ct_effect *effect)
+{
+    (void)executor;
+    if (effect->type != CT_EFFECT_LOG_EVENT) {
+        return false;
+    }
+    log_event(&effect->u.log);
+    return true;
+}
+
+static void
+free_logger(struct ct_executor *executor)
+{
+    g_free(executor);
+}
+
+struct ct_executor *
+ct_logger_new(void)
+{
+    static const struct ct_executor_ops ops = {
+        .run = run,
+        .free = free_logger,
+    };
+    struct ct_executor *logger = g_new0(struct ct_executor, 1);
+
+    logger->ops = &ops;
+    return logger;
+}
+
+/* Fields of the source are left out: the event's number says what it was. */
+static bool
+is_wanted(const char *key)
+{
+    return !g_str_has_prefix(key, "CODE_") &&
+           strcmp(key, "GLIB_OLD_LOG_API") != 0;
+}
+
+static GLogWriterOutput
+write_line(GLogLevelFlags level, const GLogField *fields, gsize n,
+           gpointer arg)
+{
+    GString *line;
+
+    (void)arg;
+    if ((level & G_LOG_LEVEL_DEBUG) &&
+        g_log_writer_default_would_drop(level, NULL)) {
+        return G_LOG_WRITER_HANDLED;
+    }
+    line = g_string_new(NULL);
+    g_string_printf(line, "{\"wall_ms\":%" G_GINT64_FORMAT,
+                    g_get_real_time() / 1000);
+    for (gsize i = 0; i < n; i++) {
+        if (is_wanted(fields[i].key)) {
+            char *key = g_ascii_strdown(fields[i].key, -1);
+
+            g_string_append_printf(line, ",\"%s\":", key);
+            ct_json_out_text(line, fields[i].value, fields[i].length);
+            g_free(key);
+        }
+    }
+    g_string_append(line, "}\n");
+    /* One write, so that lines of several processes do not mix. */
+    (void)!write(STDERR_FILENO, line->str, line->len);
+    g_string_free(line, TRUE);
+    return G_LOG_WRITER_HANDLED;
+}
+
+void
+ct_logger_install(void)
+{
+    g_log_set_writer_func(write_line, NULL, NULL);
+}
--- /dev/null
+++ b/shell/operators.c
@@ -0,0 +1,427 @@
+#include "operators.h"
+
+#include <string.h>
+
+#include "error.h"
+#include "http-server.h"
+#include "json-text.h"
+#include "reply-body.h"
+#include "state-body.h"
+
+#define CONNECTIONS_MAX 64
+#define TIMEOUT_S 30
+#define CONNECTION_BYTES (16 * 1024)
+#define BODY_MAX_BYTES 4096
+#define JSON "application/json"
+#define TEXT "text/plain; charset=utf-8"
+#define EXPLAIN_PATH "/explain/"
+
+struct ct_operators {
+    struct ct_executor executor;
+    struct ct_loop *loop;
+    struct ct_operators_options options;
+    struct ct_http_server server;
+    struct ct_table requests;
+};
+
+struct operator_request {
+    struct ct_handle handle;
+    struct MHD_Connection *connection;
+    GString *body;
+    /* Waits for an effect. */
+    bool suspended;
+    struct MHD_Response *response;
+    uint32_t status;
+};
+
+static uint64_t
+number_of(const struct operator_request *request)
+{
+    return (uint64_t)request->handle.generation << 32 | request->handle.index;
+}
+
+static struct operator_request *
+find(const struct ct_operators *op, uint64_t number)
+{
+    struct ct_handle handle = {
+        .index = (uint32_t)number,
+        .generation = (uint32_t)(number >> 32),
+    };
+
+    return ct_table_get(&op->requests, handle);
+}
+
+/* Sets the answer; takes over the text. */
+static void
+answer(struct operator_request *request, uint32_t status,
+       const char *media_type, GString *text)
+{
+    request->response = MHD_create_response_from_buffer(text->len, text->str,
+                                                        MHD_RESPMEM_MUST_COPY);
+    request->status = status;
+    MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                            media_type);
+    g_string_free(text, TRUE);
+}
+
+static void
+answer_error(struct operator_request *request, uint32_t status,
+             const char *type)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_printf(text, "{\"error\":\"%s\"}", type);
+    answer(request, status, JSON, text);
+}
+
+static ct_ms
+now_ms(const struct ct_operators *op)
+{
+    return ct_clock_steady_ms(ct_loop_clock(op->loop));
+}
+
+static void
+answer_counters(struct ct_operators *op, struct operator_request *request)
+{
+    GString *text = g_string_new(NULL);
+
+    ct_counters_text(ct_state_counters(op->options.state), text);
+    if (op->options.gauges != NULL) {
+        op->options.gauges(op->options.arg, text);
+    }
+    answer(request, MHD_HTTP_OK, TEXT, text);
+}
+
+static void
+answer_state(struct ct_operators *op, struct operator_request *request)
+{
+    GString *text = g_string_new(NULL);
+
+    ct_state_body(op->options.state, &op->options.host, now_ms(op), text);
+    answer(request, MHD_HTTP_OK, JSON, text);
+}
+
+static void
+answer_health(struct ct_operators *op, struct operator_request *request)
+{
+    enum ct_health health = ct_state_health(op->options.state, now_ms(op));
+    GString *text = g_string_new(NULL);
+
+    g_string_printf(text, "{\"state\":\"%s\"}", ct_health_text(health));
+    answer(request,
+           health == CT_HEALTH_READY ? MHD_HTTP_OK
+                                     : MHD_HTTP_SERVICE_UNAVAILABLE,
+           JSON, text);
+}
+
+/* Posts the event and waits for its effect. */
+static void
+ask(struct ct_operators *op, struct operator_request *request,
+    const struct ct_event *event)
+{
+    MHD_suspend_connection(request->connection);
+    request->suspended = true;
+    ct_loop_post(op->loop, event);
+}
+
+static void
+ask_explain(struct ct_operators *op, struct operator_request *request,
+            const char *id)
+{
+    struct ct_event event = {.type = CT_EVENT_EXPLAIN_ASKED};
+
+    if (CT_TEXT_SET(event.u.explain_ask.request_id, id) < 0) {
+        answer_error(request, MHD_HTTP_NOT_FOUND, "unknown");
+        return;
+    }
+    event.u.explain_ask.caller = number_of(request);
+    ask(op, request, &event);
+}
+
+static int
+parse_digest(const char *hex, struct ct_digest *digest)
+{
+    if (hex == NULL || strlen(hex) != 2 * sizeof(digest->bytes)) {
+        return CT_ERR_INVALID;
+    }
+    for (size_t i = 0; i < sizeof(digest->bytes); i++) {
+        int high = g_ascii_xdigit_value(hex[2 * i]);
+        int low = g_ascii_xdigit_value(hex[2 * i + 1]);
+
+        if (high < 0 || low < 0) {
+            return CT_ERR_INVALID;
+        }
+        digest->bytes[i] = (uint8_t)(high << 4 | low);
+    }
+    return CT_OK;
+}
+
+static void
+withdraw_key(struct ct_operators *op, struct operator_request *request)
+{
+    struct ct_event event = {.type = CT_EVENT_KEY_HANDED};
+    struct ct_json json;
+    JsonObject *object = NULL;
+    int err = ct_json_parse(&json, request->body->str, request->body->len);
+
+    if (err == CT_OK) {
+        object = ct_json_object(&json);
+        err = object == NULL
+                  ? CT_ERR_INVALID
+                  : parse_digest(ct_json_get_string(object, "digest"),
+                                 &event.u.key.key);
+    }
+    ct_json_free(&json);
+    if (err < 0) {
+        answer_error(request, MHD_HTTP_BAD_REQUEST, "bad-request");
+        return;
+    }
+    event.u.key.caller = number_of(request);
+    ask(op, request, &event);
+}
+
+static void
+drain(struct ct_operators *op, struct operator_request *request)
+{
+    op->options.drain(op->options.arg);
+    answer(request, MHD_HTTP_ACCEPTED, JSON, g_string_new("{}"));
+}
+
+static void
+route_get(struct ct_operators *op, struct operator_request *request,
+          const char *url)
+{
+    if (strcmp(url, "/counters") == 0) {
+        answer_counters(op, request);
+    }
+    else if (strcmp(url, "/state") == 0) {
+        answer_state(op, request);
+    }
+    else if (strcmp(url, "/health") == 0) {
+        answer_health(op, request);
+    }
+    else if (g_str_has_prefix(url, EXPLAIN_PATH)) {
+        ask_explain(op, request, url + strlen(EXPLAIN_PATH));
+    }
+    else {
+        answer_error(request, MHD_HTTP_NOT_FOUND, "unknown");
+    }
+}
+
+static void
+route(struct ct_operators *op, struct operator_request *request,
+      const char *url, const char *method)
+{
+    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
+        route_get(op, request, url);
+    }
+    else if (strcmp(method, MHD_HTTP_METHOD_POST) != 0) {
+        answer_error(request, MHD_HTTP_METHOD_NOT_ALLOWED, "method");
+    }
+    else if (strcmp(url, "/drain") == 0) {
+        drain(op, request);
+    }
+    else if (strcmp(url, "/keys/withdraw") == 0) {
+        withdraw_key(op, request);
+    }
+    else {
+        answer_error(request, MHD_HTTP_NOT_FOUND, "unknown");
+    }
+}
+
+static struct operator_request *
+add_request(struct ct_operators *op, struct MHD_Connection *connection)
+{
+    struct operator_request *request;
+    struct ct_handle handle;
+
+    if (ct_table_add(&op->requests, &handle) < 0) {
+        return NULL;
+    }
+    request = ct_table_get(&op->requests, handle);
+    request->handle = handle;
+    request->connection = connection;
+    request->body = g_string_new(NULL);
+    return request;
+}
+
+static enum MHD_Result
+handle(void *arg, struct MHD_Connection *connection, const char *url,
+       const char *method, const char *version, const char *data, size_t *n,
+       void **context)
+{
+    struct ct_operators *op = arg;
+    struct operator_request *request = *context;
+
+    (void)version;
+    if (request == NULL) {
+        *context = request = add_request(op, connection);
+        return request != NULL ? MHD_YES : MHD_NO;
+    }
+    if (*n > 0) {
+        if (request->body->len + *n > BODY_MAX_BYTES) {
+            return MHD_NO;
+        }
+        g_string_append_len(request->body, data, (gssize)*n);
+        *n = 0;
+        return MHD_YES;
+    }
+    if (request->response == NULL) {
+        route(op, request, url, method);
+    }
+    if (request->response == NULL) {
+        return request->suspended ? MHD_YES : MHD_NO;
+    }
+    return MHD_queue_response(connection, request->status, request->response);
+}
+
+static void
+completed(void *arg, struct MHD_Connection *connection, void **context,
+          enum MHD_RequestTerminationCode code)
+{
+    struct ct_operators *op = arg;
+    struct operator_request *request = *context;
+
+    (void)connection;
+    (void)code;
+    if (request != NULL) {
+        ct_table_unref(&op->requests, request->handle);
+        *context = NULL;
+    }
+}
+
+static void
+clear_request(void *row)
+{
+    struct operator_request *request = row;
+
+    g_string_free(request->body, TRUE);
+    if (request->response != NULL) {
+        MHD_destroy_response(request->response);
+    }
+}
+
+static void
+resume(struct ct_operators *op, struct operator_request *request)
+{
+    if (request->suspended) {
+        request->suspended = false;
+        MHD_resume_connection(request->connection);
+        ct_http_server_wake(&op->server);
+    }
+}
+
+static void
+reply_explain(struct ct_operators *op, const struct ct_explain_effect *effect)
+{
+    struct operator_request *request = find(op, effect->caller);
+    GString *text;
+
+    if (request == NULL) {
+        return;
+    }
+    if (effect->found) {
+        text = g_string_new(NULL);
+        ct_explain_body(&effect->refusal, text);
+        answer(request, MHD_HTTP_OK, JSON, text);
+    }
+    else {
+        answer_error(request, MHD_HTTP_NOT_FOUND, "unknown");
+    }
+    resume(op, request);
+}
+
+static void
+reply_withdrawn(struct ct_operators *op, const struct ct_effect *effect)
+{
+    struct operator_request *request = find(op, effect->u.caller);
+    GString *text;
+
+    if (request == NULL) {
+        return;
+    }
+    text = g_string_new(NULL);
+    ct_withdrawn_body(effect->rows, text);
+    answer(request, MHD_HTTP_OK, JSON, text);
+    resume(op, request);
+}
+
+static bool
+run(struct ct_executor *executor, const struct ct_effect *effect)
+{
+    struct ct_operators *op = (struct ct_operators *)executor;
+
+    switch (effect->type) {
+    case CT_EFFECT_REPLY_EXPLAIN:
+        reply_explain(op, &effect->u.explain);
+        return true;
+    case CT_EFFECT_REPLY_WITHDRAWN:
+        reply_withdrawn(op, effect);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+free_operators(struct ct_executor *executor)
+{
+    struct ct_operators *op = (struct ct_operators *)executor;
+    struct operator_request *request;
+    struct ct_handle row;
+    uint32_t cursor = 0;
+
+    while ((request = ct_table_next(&op->requests, &cursor, &row))) {
+        resume(op, request);
+    }
+    ct_http_server_stop(&op->server);
+    ct_table_free(&op->requests);
+    g_free(op);
+}
+
+int
+ct_operators_new(struct ct_loop *loop,
+                 const struct ct_operators_options *options,
+                 struct ct_operators **out)
+{
+    static const struct ct_executor_ops ops = {
+        .run = run,
+        .free = free_operators,
+    };
+    struct ct_operators *op = g_new0(struct ct_operators, 1);
+    const struct MHD_OptionItem mhd_options[] = {
+        {MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL},
+        {MHD_OPTION_CONNECTION_TIMEOUT, TIMEOUT_S, NULL},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES, NULL},
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)completed, op},
+        {MHD_OPTION_END, 0, NULL},
+    };
+    int err;
+
+    op->executor.ops = &ops;
+    op->loop = loop;
+    op->options = *options;
+    ct_table_init(&op->requests, sizeof(struct operator_request), 0,
+                  clear_request);
+    err = ct_http_server_start(&op->server, loop, options->address, handle, op,
+                               mhd_options);
+    if (err < 0) {
+        ct_table_free(&op->requests);
+        g_free(op);
+        return err;
+    }
+    *out = op;
+    return CT_OK;
+}
+
+struct ct_executor *
+ct_operators_executor(struct ct_operators *operators)
+{
+    return &operators->executor;
+}
+
+uint16_t
+ct_operators_port(const struct ct_operators *operators)
+{
+    return operators->server.port;
+}
--- a/t/lib-core.c
+++ b/t/lib-core.c
@@ -39,10 +39,18 @@
 void
 t_core_post(struct t_core *core, struct ct_event *event)
 {
+    int err;
+
     event->now_ms = core->now_ms;
     event->wall_ms = core->wall_ms;
     ct_effects_clear(&core->effects);
-    g_assert_cmpint(ct_reduce(core->state, event, &core->effects), ==, CT_OK);
+    if (core->reducer) {
+        err = core->reducer->ops->reduce(core->reducer, event, &core->effects);
+    }
+    else {
+        err = ct_reduce(core->state, event, &core->effects);
+    }
+    g_assert_cmpint(err, ==, CT_OK);
 }
 
 void
--- a/t/lib-core.h
+++ b/t/lib-core.h
@@ -5,6 +5,7 @@
 
 #include "error.h"
 #include "reduce.h"
+#include "reducer.h"
 #include "state.h"
 
 /*
@@ -13,6 +14,8 @@
  */
 struct t_core {
     struct ct_state *state;
+    /* Takes the events in place of the state, where set. */
+    struct ct_reducer *reducer;
     struct ct_effects effects;
     ct_ms now_ms;
     ct_ms wall_ms;
--- /dev/null
+++ b/wire/json-out.h
@@ -0,0 +1,9 @@
+#ifndef CT_JSON_OUT_H
+#define CT_JSON_OUT_H
+
+#include <glib.h>
+
+/* Appends n bytes as a JSON string; n of -1 stands for the whole text. */
+void ct_json_out_text(GString *out, const char *text, gssize n);
+
+#endif
--- a/wire/reply-body.c
+++ b/wire/reply-body.c
@@ -2,34 +2,13 @@
 
 #include "config-row.h"
 #include "event.h"
-
-/* Appends a JSON string. */
-static void
-append_text(GString *out, const char *text)
-{
-    g_string_append_c(out, '"');
-    for (; *text; text++) {
-        unsigned char c = (unsigned char)*text;
-
-        if (c == '"' || c == '\\') {
-            g_string_append_c(out, '\\');
-            g_string_append_c(out, *text);
-        }
-        else if (c < ' ') {
-            g_string_append_printf(out, "\\u%04x", c);
-        }
-        else {
-            g_string_append_c(out, *text);
-        }
-    }
-    g_string_append_c(out, '"');
-}
+#include "json-out.h"
 
 static void
 append_member(GString *out, const char *name, const char *text)
 {
     g_string_append_printf(out, ",\"%s\":", name);
-    append_text(out, text);
+    ct_json_out_text(out, text, -1);
 }
 
 void
@@ -44,7 +23,7 @@
         if (i > 0) {
             g_string_append_c(out, ',');
         }
-        append_text(out, hosts[i].caller_address.text);
+        ct_json_out_text(out, hosts[i].caller_address.text, -1);
     }
     g_string_append(out, "]}");
 }
@@ -60,7 +39,7 @@
             continue;
         }
         g_string_append(out, separator);
-        append_text(out, hosts[i].name.text);
+        ct_json_out_text(out, hosts[i].name.text, -1);
         separator = ",";
     }
 }
@@ -79,7 +58,7 @@
 ct_explain_body(const struct ct_refusal_row *r, GString *out)
 {
     g_string_append(out, "{\"request_id\":");
-    append_text(out, r->request_id.text);
+    ct_json_out_text(out, r->request_id.text, -1);
     append_member(out, "organisation", r->organisation.text);
     append_member(out, "class", r->class_name.text);
     append_member(out, "host", r->host.text);
--- /dev/null
+++ b/wire/state-body.h
@@ -0,0 +1,20 @@
+#ifndef CT_STATE_BODY_H
+#define CT_STATE_BODY_H
+
+#include <glib.h>
+
+#include "state-view.h"
+
+/* What a host tells operators about itself. */
+
+/* Appends one line for each counter and refusal reason, also those at 0. */
+void ct_counters_text(const struct ct_counters *counters, GString *out);
+
+/* Appends one line: coriandertrack_<name> value. */
+void ct_gauge_text(const char *name, uint64_t value, GString *out);
+
+/* Appends the state as JSON. */
+void ct_state_body(const struct ct_state *state, const struct ct_name *host,
+                   ct_ms now_ms, GString *out);
+
+#endif
