--- /dev/null
+++ b/coriandertrackd/daemon.c
@@ -0,0 +1,323 @@
+#include "daemon.h"
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/resource.h>
+
+#include "callers.h"
+#include "error.h"
+#include "logger.h"
+#include "operators.h"
+#include "platform.h"
+#include "recorder.h"
+#include "state-body.h"
+#include "upstreams.h"
+
+/* Answers that their callers do not read may be cut this long after. */
+#define FLUSH_LIMIT_S 10.0
+
+struct daemon {
+    /* Executor of CT_EFFECT_DRAINED. */
+    struct ct_executor executor;
+    const struct ct_settings *settings;
+    struct ct_self self;
+    struct ct_state *state;
+    struct ct_loop *loop;
+    struct ct_answers *answers;
+    struct ct_upstreams *upstreams;
+    struct ct_platform *platform;
+    struct ct_callers *callers;
+    struct ct_operators *operators;
+    ev_signal term;
+    ev_signal interrupt;
+    ev_timer flush_limit;
+    bool draining;
+    enum ct_exit status;
+};
+
+static void
+stop(void *arg)
+{
+    struct daemon *daemon = arg;
+
+    ct_loop_stop(daemon->loop);
+}
+
+static void
+begin_drain(void *arg)
+{
+    struct daemon *daemon = arg;
+    struct ct_event event = {.type = CT_EVENT_DRAIN};
+
+    daemon->draining = true;
+    ct_callers_drain(daemon->callers);
+    ct_loop_post(daemon->loop, &event);
+}
+
+static void
+on_signal(struct ev_loop *ev, ev_signal *signal, int events)
+{
+    struct daemon *daemon = signal->data;
+
+    (void)ev;
+    (void)events;
+    if (!daemon->draining) {
+        begin_drain(daemon);
+        return;
+    }
+    daemon->status = CT_EXIT_CUT;
+    ct_loop_stop(daemon->loop);
+}
+
+static void
+on_flush_limit(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    (void)ev;
+    (void)events;
+    stop(timer->data);
+}
+
+/* The reducer is done; the last bytes may still be on their way out. */
+static bool
+run_effect(struct ct_executor *executor, const struct ct_effect *effect)
+{
+    struct daemon *daemon = (struct daemon *)executor;
+
+    if (effect->type != CT_EFFECT_DRAINED) {
+        return false;
+    }
+    ev_timer_start(ct_loop_ev(daemon->loop), &daemon->flush_limit);
+    ct_callers_finish(daemon->callers, stop, daemon);
+    return true;
+}
+
+/* The daemon outlives its loop and stands on the stack. */
+static void
+keep(struct ct_executor *executor)
+{
+    (void)executor;
+}
+
+static void
+add_gauges(void *arg, GString *out)
+{
+    const struct daemon *daemon = arg;
+
+    ct_gauge_text("caller_connections",
+                  ct_callers_connections(daemon->callers), out);
+    ct_gauge_text("caller_requests", ct_callers_requests(daemon->callers),
+                  out);
+    ct_gauge_text("upstream_attempts", ct_upstreams_running(daemon->upstreams),
+                  out);
+    ct_gauge_text("stored_bodies", ct_answers_count(daemon->answers), out);
+}
+
+static int
+set_self(struct daemon *daemon)
+{
+    const struct ct_settings *settings = daemon->settings;
+    uint64_t start;
+
+    if (getrandom(&start, sizeof(start), 0) != sizeof(start) ||
+        getrandom(&daemon->self.seed, sizeof(daemon->self.seed), 0) !=
+            sizeof(daemon->self.seed)) {
+        return CT_ERR_IO;
+    }
+    daemon->self.host = settings->host;
+    daemon->self.zone = settings->zone;
+    g_snprintf(daemon->self.writer.text, sizeof(daemon->self.writer.text),
+               "%.28s-%016" PRIx64, settings->host.text, start);
+    return CT_OK;
+}
+
+static int
+make_loop(struct daemon *daemon, const char *record)
+{
+    struct ct_reducer *reducer;
+    int err = set_self(daemon);
+
+    if (err < 0) {
+        return err;
+    }
+    daemon->state = ct_state_new(&daemon->self);
+    if (daemon->state == NULL) {
+        return CT_ERR_NO_MEMORY;
+    }
+    reducer = ct_state_reducer_new(daemon->state);
+    if (record != NULL) {
+        err = ct_recorder_new(record, &daemon->self, reducer, &reducer);
+    }
+    if (err < 0) {
+        reducer->ops->free(reducer);
+        return err;
+    }
+    daemon->loop = ct_loop_new(reducer, ct_system_clock());
+    return daemon->loop != NULL ? CT_OK : CT_ERR_NO_MEMORY;
+}
+
+static void
+add_upstreams(struct daemon *daemon, struct ct_http *http)
+{
+    const GArray *credentials = daemon->settings->credentials;
+
+    daemon->upstreams = ct_upstreams_new(daemon->loop, http, daemon->answers);
+    ct_loop_add(daemon->loop, ct_upstreams_executor(daemon->upstreams));
+    for (guint i = 0; credentials != NULL && i < credentials->len; i++) {
+        const struct ct_named_secret *secret =
+            &g_array_index(credentials, struct ct_named_secret, i);
+
+        ct_upstreams_set_credential(daemon->upstreams, &secret->name,
+                                    secret->secret.text);
+    }
+}
+
+/* In the order in which they depend on each other. */
+static int
+add_clients(struct daemon *daemon)
+{
+    const char *platform = daemon->settings->platform.text;
+    struct ct_http *http;
+
+    daemon->answers = ct_answers_new();
+    ct_loop_add(daemon->loop, ct_answers_executor(daemon->answers));
+    http = ct_http_new(daemon->loop);
+    if (http == NULL) {
+        return CT_ERR_NO_MEMORY;
+    }
+    ct_loop_add(daemon->loop, ct_http_executor(http));
+    add_upstreams(daemon, http);
+    if (g_str_has_prefix(platform, "http://")) {
+        platform += strlen("http://");
+    }
+    daemon->platform = ct_platform_new(daemon->loop, http, platform);
+    if (daemon->platform == NULL) {
+        return CT_ERR_NO_MEMORY;
+    }
+    ct_loop_add(daemon->loop, ct_platform_executor(daemon->platform));
+    return CT_OK;
+}
+
+static int
+add_ports(struct daemon *daemon)
+{
+    const struct ct_settings *settings = daemon->settings;
+    const struct ct_caller_limits limits = {
+        .max_connections = settings->limits.max_connections,
+        .head_bytes = settings->limits.head_bytes,
+        .body_bytes = settings->limits.body_bytes,
+        .idle_timeout_ms = settings->limits.idle_timeout_ms,
+    };
+    const struct ct_operators_options operators = {
+        .address = settings->operator_address.text,
+        .host = settings->host,
+        .state = daemon->state,
+        .drain = begin_drain,
+        .gauges = add_gauges,
+        .arg = daemon,
+    };
+    int err = ct_callers_new(daemon->loop, daemon->answers,
+                             settings->caller_address.text, &limits,
+                             &daemon->callers);
+
+    if (err < 0) {
+        fprintf(stderr, "coriandertrackd: caller_address %s: %s\n",
+                settings->caller_address.text, ct_err_name(err));
+        return err;
+    }
+    ct_loop_add(daemon->loop, ct_callers_executor(daemon->callers));
+    err = ct_operators_new(daemon->loop, &operators, &daemon->operators);
+    if (err < 0) {
+        fprintf(stderr, "coriandertrackd: operator_address %s: %s\n",
+                settings->operator_address.text, ct_err_name(err));
+        return err;
+    }
+    ct_loop_add(daemon->loop, ct_operators_executor(daemon->operators));
+    return CT_OK;
+}
+
+static void
+watch_signals(struct daemon *daemon)
+{
+    struct ev_loop *ev = ct_loop_ev(daemon->loop);
+
+    signal(SIGPIPE, SIG_IGN);
+    ev_signal_init(&daemon->term, on_signal, SIGTERM);
+    ev_signal_init(&daemon->interrupt, on_signal, SIGINT);
+    ev_timer_init(&daemon->flush_limit, on_flush_limit, FLUSH_LIMIT_S, 0);
+    daemon->term.data = daemon->interrupt.data = daemon;
+    daemon->flush_limit.data = daemon;
+    ev_signal_start(ev, &daemon->term);
+    ev_signal_start(ev, &daemon->interrupt);
+}
+
+/* As many connections as the machine's own limit allows. */
+static void
+raise_file_limit(void)
+{
+    struct rlimit files;
+
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
+        files.rlim_cur = files.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &files);
+    }
+}
+
+static int
+start(struct daemon *daemon, const char *record)
+{
+    static const struct ct_executor_ops ops = {
+        .run = run_effect,
+        .free = keep,
+    };
+    int err = make_loop(daemon, record);
+
+    if (err < 0) {
+        fprintf(stderr, "coriandertrackd: cannot start: %s\n",
+                ct_err_name(err));
+        return err;
+    }
+    daemon->executor.ops = &ops;
+    ct_loop_add(daemon->loop, &daemon->executor);
+    ct_loop_add(daemon->loop, ct_logger_new());
+    err = add_clients(daemon);
+    if (err == CT_OK) {
+        err = add_ports(daemon);
+    }
+    return err;
+}
+
+enum ct_exit
+ct_daemon_run(const struct ct_settings *settings, const char *record)
+{
+    struct daemon daemon = {
+        .settings = settings,
+        .status = CT_EXIT_OK,
+    };
+
+    raise_file_limit();
+    ct_logger_install();
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    if (start(&daemon, record) < 0) {
+        daemon.status = CT_EXIT_FAILED;
+        goto out;
+    }
+    watch_signals(&daemon);
+    printf("listening callers=%u operators=%u peers=%u\n",
+           ct_callers_port(daemon.callers),
+           ct_operators_port(daemon.operators), 0);
+    fflush(stdout);
+    ct_platform_start(daemon.platform);
+    ct_loop_run(daemon.loop);
+out:
+    ct_loop_free(daemon.loop);
+    if (daemon.state != NULL) {
+        ct_state_free(daemon.state);
+    }
+    curl_global_cleanup();
+    return daemon.status;
+}
