--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 proto:
 	@cd wire && protoc-c --c_out=. coriandertrack.proto
 
+model:
+	@sh model/run.sh $(BUILD)
+
 install: build
 	cmake --install $(BUILD)
 
