--- /dev/null
+++ b/t/lib-queue-trace.c
@@ -0,0 +1,154 @@
+#include "lib-queue-trace.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Growth that a class may have saved up. */
+#define SAVED_MS 5000
+
+void
+trace_init(struct trace *t, uint32_t slots, uint32_t max_queued,
+           uint32_t max_requests)
+{
+    memset(t, 0, sizeof(*t));
+    t->slots = slots;
+    t->max_queued = max_queued;
+    t->requests = g_new0(struct trace_request, max_requests);
+}
+
+void
+trace_free(struct trace *t)
+{
+    g_free(t->requests);
+}
+
+static uint32_t
+reserve_of(const struct trace *t, uint32_t klass, uint32_t whole)
+{
+    uint32_t percent = t->classes[klass].reserve_percent;
+
+    return percent ? MAX(1, whole * percent / 100) : 0;
+}
+
+void
+trace_arrived(struct trace *t, uint32_t id, uint32_t klass, ct_ms now_ms)
+{
+    t->requests[id].klass = klass;
+    t->requests[id].arrived_ms = now_ms;
+    t->n_requests = MAX(t->n_requests, id + 1);
+}
+
+void
+trace_queued(struct trace *t, uint32_t id)
+{
+    t->requests[id].waiting = true;
+    t->queued[t->requests[id].klass]++;
+}
+
+static void
+leave(struct trace *t, uint32_t id, ct_ms now_ms)
+{
+    struct trace_request *r = &t->requests[id];
+    ct_ms hold_ms = now_ms - r->started_ms;
+
+    t->running[r->klass]--;
+    r->running = false;
+    t->longest_hold_ms[r->klass] = MAX(t->longest_hold_ms[r->klass], hold_ms);
+    if (r->from_reserve) {
+        t->reserve_ms[r->klass] += hold_ms;
+    }
+}
+
+void
+trace_returned(struct trace *t, uint32_t id, ct_ms now_ms)
+{
+    leave(t, id, now_ms);
+    trace_queued(t, id);
+}
+
+void
+trace_started(struct trace *t, uint32_t id, bool firm_free, ct_ms now_ms)
+{
+    struct trace_request *r = &t->requests[id];
+    uint32_t tier = t->classes[r->klass].tier;
+    bool within;
+
+    if (r->waiting) {
+        r->waiting = false;
+        t->queued[r->klass]--;
+    }
+    t->running[r->klass]++;
+    r->running = true;
+    r->from_reserve = false;
+    r->started_ms = now_ms;
+    t->longest_wait_ms[r->klass] =
+        MAX(t->longest_wait_ms[r->klass], now_ms - r->arrived_ms);
+    within = t->running[r->klass] <= reserve_of(t, r->klass, t->slots);
+    while (t->first_open < id && !t->requests[t->first_open].waiting &&
+           !t->requests[t->first_open].running) {
+        t->first_open++;
+    }
+    for (uint32_t i = t->first_open; i < t->n_requests; i++) {
+        struct trace_request *other = &t->requests[i];
+
+        if (!other->waiting || t->classes[other->klass].tier >= tier ||
+            (!firm_free && !t->classes[other->klass].cheap_allowed)) {
+            continue;
+        }
+        r->from_reserve = within;
+        other->passed_over = other->passed_over || !within;
+    }
+}
+
+/* Whether a class of a lower tier holds more than it owns. */
+static bool
+exceeded_below(const struct trace *t, uint32_t tier, bool with_slots)
+{
+    for (uint32_t k = 0; k < TRACE_CLASSES; k++) {
+        if (t->classes[k].tier <= tier) {
+            continue;
+        }
+        if (t->queued[k] > reserve_of(t, k, t->max_queued) ||
+            (with_slots && t->running[k] > reserve_of(t, k, t->slots))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+trace_refused(struct trace *t, uint32_t id, enum ct_refusal reason)
+{
+    struct trace_request *r = &t->requests[id];
+    uint32_t tier = t->classes[r->klass].tier;
+    bool inverted = r->passed_over;
+
+    if (r->waiting) {
+        r->waiting = false;
+        t->queued[r->klass]--;
+    }
+    t->refused[r->klass]++;
+    if (reason == CT_REFUSAL_OVERLOAD || reason == CT_REFUSAL_OVER_SHARE) {
+        inverted = inverted || exceeded_below(t, tier, false);
+    }
+    if (reason == CT_REFUSAL_TARGET_UNREACHABLE) {
+        inverted = inverted || exceeded_below(t, tier, true);
+    }
+    t->inversions += inverted;
+}
+
+void
+trace_finished(struct trace *t, uint32_t id, ct_ms now_ms)
+{
+    leave(t, id, now_ms);
+    t->served[t->requests[id].klass]++;
+}
+
+ct_ms
+trace_reserve_bound_ms(const struct trace *t, uint32_t klass, ct_ms elapsed_ms)
+{
+    ct_ms rate = (ct_ms)t->slots * t->classes[klass].reserve_percent;
+
+    return rate * (elapsed_ms + 2 * SAVED_MS) / 100 +
+           reserve_of(t, klass, t->slots) * t->longest_hold_ms[klass];
+}
--- /dev/null
+++ b/t/test-retry.c
@@ -0,0 +1,133 @@
+/* Tests of retry.h: what may be repeated, and how often. */
+#include <glib.h>
+
+#include "retry.h"
+
+static struct ct_retry_class
+make_class(guint retry_percent, guint hedge_percent)
+{
+    struct ct_class settings = {0};
+    struct ct_retry_class rc = {0};
+
+    settings.first_token_target_ms = 1600;
+    settings.retry_budget_percent = retry_percent;
+    settings.hedge_budget_percent = hedge_percent;
+    ct_retry_set_class(&rc, &settings);
+    return rc;
+}
+
+static void
+test_outcomes(void)
+{
+    static const struct {
+        enum ct_outcome outcome;
+        gboolean idempotent, once;
+    } cases[] = {
+        {CT_OUTCOME_COMPLETE, FALSE, FALSE},
+        {CT_OUTCOME_CANCELLED, FALSE, FALSE},
+        {CT_OUTCOME_NOT_SENT, TRUE, TRUE},
+        {CT_OUTCOME_DECLINED, TRUE, TRUE},
+        {CT_OUTCOME_EXPIRED, TRUE, TRUE},
+        {CT_OUTCOME_FAILED, TRUE, FALSE},
+        {CT_OUTCOME_BROKEN, TRUE, FALSE},
+        {CT_OUTCOME_SILENT, TRUE, FALSE},
+        {CT_OUTCOME_MISMATCH, TRUE, FALSE},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_retry_class rc = make_class(10, 0);
+
+        g_assert_cmpint(ct_retry_allowed(&rc, cases[i].outcome, TRUE), ==,
+                        cases[i].idempotent);
+        g_assert_cmpint(ct_retry_allowed(&rc, cases[i].outcome, FALSE), ==,
+                        cases[i].once);
+    }
+}
+
+/* While everything fails, retries stay within the budget's percentage. */
+static void
+test_budget(void)
+{
+    static const guint percents[] = {0, 5, 20, 100};
+
+    for (guint i = 0; i < G_N_ELEMENTS(percents); i++) {
+        struct ct_retry_class rc = make_class(percents[i], percents[i]);
+        guint retries = 0;
+        guint hedges = 0;
+
+        for (guint n = 0; n < 1000; n++) {
+            ct_retry_first_attempt(&rc);
+            while (ct_retry_allowed(&rc, CT_OUTCOME_BROKEN, TRUE)) {
+                retries++;
+            }
+            while (ct_hedge_allowed(&rc, TRUE)) {
+                hedges++;
+            }
+        }
+        g_assert_cmpuint(retries, >=, 10 * percents[i]);
+        g_assert_cmpuint(retries, <=, 10 * percents[i] + 2);
+        g_assert_cmpuint(hedges, ==, retries);
+    }
+}
+
+/* A quiet time does not save up an unbounded burst. */
+static void
+test_saved(void)
+{
+    struct ct_retry_class rc = make_class(100, 100);
+    guint retries = 0;
+
+    for (guint n = 0; n < 100000; n++) {
+        ct_retry_first_attempt(&rc);
+    }
+    while (ct_retry_allowed(&rc, CT_OUTCOME_DECLINED, FALSE)) {
+        retries++;
+    }
+    g_assert_cmpuint(retries, ==, 10);
+}
+
+static void
+test_hedge_delay(void)
+{
+    struct ct_retry_class rc = make_class(0, 10);
+    struct ct_retry_class none = make_class(10, 0);
+
+    g_assert_cmpint(ct_hedge_delay_ms(&rc, TRUE), <, 0);
+    for (gint i = 1; i <= 100; i++) {
+        ct_retry_first_token(&rc, i * 10);
+        ct_retry_first_token(&none, i * 10);
+    }
+    g_assert_cmpint(ct_hedge_delay_ms(&rc, TRUE), >=, 950);
+    g_assert_cmpint(ct_hedge_delay_ms(&rc, TRUE), <=, 1070);
+    g_assert_cmpint(ct_hedge_delay_ms(&rc, FALSE), <, 0);
+    g_assert_cmpint(ct_hedge_delay_ms(&none, TRUE), <, 0);
+    g_assert_false(ct_hedge_allowed(&rc, FALSE));
+    g_assert_false(ct_hedge_allowed(&none, TRUE));
+}
+
+/* New settings keep what was earned and seen. */
+static void
+test_settings(void)
+{
+    struct ct_retry_class rc = make_class(10, 0);
+    struct ct_class settings = {0};
+
+    settings.first_token_target_ms = 900;
+    settings.retry_budget_percent = 20;
+    g_assert_true(ct_retry_allowed(&rc, CT_OUTCOME_BROKEN, TRUE));
+    g_assert_true(ct_retry_allowed(&rc, CT_OUTCOME_BROKEN, TRUE));
+    ct_retry_set_class(&rc, &settings);
+    g_assert_false(ct_retry_allowed(&rc, CT_OUTCOME_BROKEN, TRUE));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/retry/outcomes", test_outcomes);
+    g_test_add_func("/retry/budget", test_budget);
+    g_test_add_func("/retry/saved", test_saved);
+    g_test_add_func("/retry/hedge-delay", test_hedge_delay);
+    g_test_add_func("/retry/settings", test_settings);
+    return g_test_run();
+}
