--- a/shell/caller-request.c
+++ b/shell/caller-request.c
@@ -172,16 +172,16 @@
 static void
 dispatch(struct ct_caller *caller, const char *url, const char *method)
 {
+    bool get = strcmp(method, MHD_HTTP_METHOD_GET) == 0;
+
     caller->phase = CT_CALLER_WAITING;
     ct_caller_connection_stop(ct_caller_connection_of(caller->connection));
     ct_caller_suspend(caller);
-    if (strcmp(method, MHD_HTTP_METHOD_GET) != 0) {
-        call(caller, url, method);
-    }
-    else if (strcmp(url, ADDRESSES_PATH) == 0) {
+
+    if (get && strcmp(url, ADDRESSES_PATH) == 0) {
         ask_addresses(caller);
     }
-    else if (g_str_has_prefix(url, ANSWERS_PATH)) {
+    else if (get && g_str_has_prefix(url, ANSWERS_PATH)) {
         ask_answer(caller, url + strlen(ANSWERS_PATH));
     }
     else {
--- a/shell/loop.c
+++ b/shell/loop.c
@@ -142,7 +142,7 @@
     }
     /* What executors post while they end is queued and dropped. */
     loop->held++;
-    while ((executor = loop->executors) != NULL) {
+    while (loop->executors != NULL) {
         struct ct_executor **last = &loop->executors;
 
         while ((*last)->next != NULL) {
