--- a/shell/caller-request.c
+++ b/shell/caller-request.c
@@ -168,20 +168,25 @@
     post(caller, &event);
 }
 
-/* The request is whole: hand it to the reducer and wait. */
 static void
-dispatch(struct ct_caller *caller, const char *url, const char *method)
+begin_wait(struct ct_caller *caller)
 {
-    bool get = strcmp(method, MHD_HTTP_METHOD_GET) == 0;
-
     caller->phase = CT_CALLER_WAITING;
     ct_caller_connection_stop(ct_caller_connection_of(caller->connection));
     ct_caller_suspend(caller);
+}
+
+/* The request is whole: hand it to the reducer and wait. */
+static void
+dispatch(struct ct_caller *caller, const char *url, const char *method)
+{
+    bool is_get = strcmp(method, MHD_HTTP_METHOD_GET) == 0;
 
-    if (get && strcmp(url, ADDRESSES_PATH) == 0) {
+    begin_wait(caller);
+    if (is_get && strcmp(url, ADDRESSES_PATH) == 0) {
         ask_addresses(caller);
     }
-    else if (get && g_str_has_prefix(url, ANSWERS_PATH)) {
+    else if (is_get && g_str_has_prefix(url, ANSWERS_PATH)) {
         ask_answer(caller, url + strlen(ANSWERS_PATH));
     }
     else {
@@ -210,9 +215,7 @@
     caller->body = g_byte_array_new();
     if (is_oversize(caller)) {
         /* Answered now; libmicrohttpd then closes the connection. */
-        caller->phase = CT_CALLER_WAITING;
-        ct_caller_connection_stop(ct_caller_connection_of(caller->connection));
-        ct_caller_suspend(caller);
+        begin_wait(caller);
         ct_caller_reject(caller, CT_REFUSAL_TOO_LARGE);
         return MHD_YES;
     }
--- a/shell/loop.c
+++ b/shell/loop.c
@@ -131,10 +131,22 @@
     g_free(event);
 }
 
+static void
+free_last(struct ct_executor **last)
+{
+    struct ct_executor *executor;
+
+    while ((*last)->next != NULL) {
+        last = &(*last)->next;
+    }
+    executor = *last;
+    *last = NULL;
+    executor->ops->free(executor);
+}
+
 void
 ct_loop_free(struct ct_loop *loop)
 {
-    struct ct_executor *executor;
     struct ct_event *event;
 
     if (loop == NULL) {
@@ -143,14 +155,7 @@
     /* What executors post while they end is queued and dropped. */
     loop->held++;
     while (loop->executors != NULL) {
-        struct ct_executor **last = &loop->executors;
-
-        while ((*last)->next != NULL) {
-            last = &(*last)->next;
-        }
-        executor = *last;
-        *last = NULL;
-        executor->ops->free(executor);
+        free_last(&loop->executors);
     }
     while ((event = g_queue_pop_head(&loop->queue)) != NULL) {
         queued_free(event);
--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -377,7 +377,12 @@
 
     err =
         ct_transfer_header(transfer, "X-Request-Id", effect->request_id.text);
-    if (body->media_type[0] != '\0') {
+    if (effect->kind == CT_CALL_CHAT) {
+        /* Whatever the caller called it, it was read as JSON. */
+        err |=
+            ct_transfer_header(transfer, "Content-Type", "application/json");
+    }
+    else if (body->media_type[0] != '\0') {
         err |= ct_transfer_header(transfer, "Content-Type", body->media_type);
     }
     if (body->idempotency_key.text[0] != '\0') {
--- a/t/test-callers.c
+++ b/t/test-callers.c
@@ -1,15 +1,12 @@
 /* Tests of callers.h: good and bad requests over real sockets. */
-#include <arpa/inet.h>
-#include <errno.h>
-#include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "callers.h"
+#include "lib-client.h"
 #include "lib-script.h"
 
 #define HEAD_BYTES 4096
@@ -30,14 +27,6 @@
     struct ct_callers *callers;
 };
 
-struct client {
-    int fd;
-    GString *in;
-    bool closed;
-    /* Text that the test waits for; NULL for the end of the connection. */
-    const char *wanted;
-};
-
 static void
 add_write(struct ct_effects *effects, enum ct_effect_type type,
           const struct ct_event *event, uint32_t bytes, bool stream,
@@ -157,64 +146,6 @@
     script_free(f->script);
 }
 
-static void
-connect_to(struct fixture *f, struct client *client)
-{
-    struct sockaddr_in to = {.sin_family = AF_INET};
-
-    memset(client, 0, sizeof(*client));
-    client->in = g_string_new(NULL);
-    client->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    to.sin_port = htons(ct_callers_port(f->callers));
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    g_assert_no_errno(connect(client->fd, (struct sockaddr *)&to, sizeof(to)));
-    fcntl(client->fd, F_SETFL, O_NONBLOCK);
-}
-
-static void
-disconnect(struct client *client)
-{
-    close(client->fd);
-    g_string_free(client->in, TRUE);
-}
-
-static void
-put(struct client *client, const char *text)
-{
-    g_assert_cmpint(send(client->fd, text, strlen(text), MSG_NOSIGNAL), ==,
-                    strlen(text));
-}
-
-static bool
-has_arrived(void *arg)
-{
-    struct client *client = arg;
-    char part[4096];
-    ssize_t n;
-
-    while ((n = recv(client->fd, part, sizeof(part), 0)) > 0) {
-        g_string_append_len(client->in, part, n);
-    }
-    if (n == 0 || errno != EAGAIN) {
-        client->closed = true;
-    }
-    return client->wanted == NULL
-               ? client->closed
-               : client->closed ||
-                     strstr(client->in->str, client->wanted) != NULL;
-}
-
-/* Runs the loop until the text has come; NULL: until the connection ends. */
-static void
-await(struct fixture *f, struct client *client, const char *wanted)
-{
-    client->wanted = wanted;
-    script_wait_for(f->script, has_arrived, client);
-    if (wanted != NULL && strstr(client->in->str, wanted) == NULL) {
-        g_error("no \"%s\" in \"%s\"", wanted, client->in->str);
-    }
-}
-
 static const struct refusal_case {
     const char *what;
     const char *text;
@@ -265,17 +196,17 @@
         "{\"error\":{\"type\":\"%s\",\"run_state\":\"not-run\"", c->type);
 
     set_up(&f, c->status == 408 ? 100 : 30000);
-    connect_to(&f, &client);
-    put(&client, c->text);
-    put(&client, filler);
-    put(&client, c->end);
-    await(&f, &client, "}}");
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, c->text);
+    client_send(&client, filler);
+    client_send(&client, c->end);
+    client_await(f.script, &client, "}}");
     g_assert_true(g_str_has_prefix(client.in->str, line));
     g_assert_nonnull(strstr(client.in->str, header));
     g_assert_nonnull(strstr(client.in->str, "X-Run-State: not-run\r\n"));
     g_assert_nonnull(strstr(client.in->str, "X-Request-Id: "));
     g_assert_nonnull(strstr(client.in->str, body));
-    disconnect(&client);
+    client_close(&client);
     tear_down(&f);
     g_free(filler);
     g_free(line);
@@ -298,18 +229,18 @@
 
     set_up(&f, 200);
     for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
-        connect_to(&f, &client);
-        put(&client, texts[i]);
-        await(&f, &client, NULL);
-        disconnect(&client);
+        client_open(ct_callers_port(f.callers), &client);
+        client_send(&client, texts[i]);
+        client_await(f.script, &client, NULL);
+        client_close(&client);
     }
-    connect_to(&f, &client);
+    client_open(ct_callers_port(f.callers), &client);
     for (guint i = 0; i < 1000; i++) {
         (void)!send(client.fd, "X: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", 34,
                     MSG_NOSIGNAL);
     }
-    await(&f, &client, NULL);
-    disconnect(&client);
+    client_await(f.script, &client, NULL);
+    client_close(&client);
     g_assert_cmpuint(script_count(f.script, CT_EVENT_CALL_ARRIVED), ==, 0);
     tear_down(&f);
 }
@@ -326,11 +257,11 @@
     GString *hex = g_string_new(NULL);
 
     set_up(&f, 30000);
-    connect_to(&f, &client);
-    put(&client,
-        LOOKUP "Authorization: bearer key\r\nCookie: secret\r\n"
-               "Idempotency-Key: 01234567-89ab-7fff-bfff-ffffffffffff\r\n"
-               "\r\n");
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, LOOKUP
+                "Authorization: bearer key\r\nCookie: secret\r\n"
+                "Idempotency-Key: 01234567-89ab-7fff-bfff-ffffffffffff\r\n"
+                "\r\n");
     script_wait(f.script, CT_EVENT_CALL_ARRIVED, 1);
     call = &script_last(f.script, CT_EVENT_CALL_ARRIVED)->u.call;
     g_assert_cmpint(call->kind, ==, CT_CALL_PLAIN);
@@ -345,7 +276,7 @@
     g_assert_cmpstr(stored->method, ==, "GET");
     g_assert_cmpstr(stored->query, ==, "item=3");
     g_string_free(hex, TRUE);
-    disconnect(&client);
+    client_close(&client);
     tear_down(&f);
 }
 
@@ -358,17 +289,17 @@
 
     set_up(&f, 30000);
     f.script->react = react_whole;
-    connect_to(&f, &client);
-    put(&client, WHOLE WHOLE LOOKUP "Authorization: Bearer key\r\n"
-                                    "Connection: close\r\n\r\n");
-    await(&f, &client, NULL);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE WHOLE LOOKUP "Authorization: Bearer key\r\n"
+                                            "Connection: close\r\n\r\n");
+    client_await(f.script, &client, NULL);
     first = strstr(client.in->str, "\r\n\r\nabcdHTTP/1.1 200 OK");
     g_assert_nonnull(first);
     g_assert_nonnull(strstr(first + 1, "\r\n\r\nabcdHTTP/1.1 200 OK"));
     g_assert_true(g_str_has_suffix(client.in->str, "\r\n\r\nabcd"));
     g_assert_cmpuint(ct_callers_requests(f.callers), ==, 0);
     g_assert_cmpuint(script_count(f.script, CT_EVENT_CALL_GONE), ==, 0);
-    disconnect(&client);
+    client_close(&client);
     tear_down(&f);
 }
 
@@ -396,27 +327,27 @@
 
     set_up(&f, 30000);
     f.script->react = react_stream;
-    connect_to(&f, &client);
-    put(&client, WHOLE);
-    await(&f, &client, "4\r\nabcd\r\n");
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE);
+    client_await(f.script, &client, "4\r\nabcd\r\n");
     run_write(&f, true, whole);
     /* The reducer may forget the answer before all of it was written. */
     drop.u.request = request;
     store = ct_answers_executor(f.answers);
     store->ops->run(store, &drop);
     if (whole) {
-        await(&f, &client, "\r\n0\r\n\r\n");
+        client_await(f.script, &client, "\r\n0\r\n\r\n");
         g_assert_null(strstr(client.in->str, "error"));
     }
     else {
-        await(&f, &client, NULL);
+        client_await(f.script, &client, NULL);
         g_assert_nonnull(strstr(client.in->str,
                                 "\n\nevent: error\ndata: "
                                 "{\"error\":{\"type\":\"upstream-silent\","
                                 "\"run_state\":\"may-have-run\""));
         g_assert_null(strstr(client.in->str, "\r\n0\r\n"));
     }
-    disconnect(&client);
+    client_close(&client);
     tear_down(&f);
 }
 
@@ -428,14 +359,14 @@
     struct client client;
 
     set_up(&f, 30000);
-    connect_to(&f, &client);
-    put(&client, WHOLE);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE);
     script_wait(f.script, CT_EVENT_CALL_ARRIVED, 1);
     run_write(&f, false, false);
-    await(&f, &client, "}}");
+    client_await(f.script, &client, "}}");
     g_assert_true(g_str_has_prefix(client.in->str, "HTTP/1.1 504 "));
     g_assert_nonnull(strstr(client.in->str, "X-Run-State: may-have-run\r\n"));
-    disconnect(&client);
+    client_close(&client);
     tear_down(&f);
 }
 
@@ -446,16 +377,16 @@
     struct client client;
 
     set_up(&f, 30000);
-    connect_to(&f, &client);
-    put(&client, WHOLE);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE);
     script_wait(f.script, CT_EVENT_CALL_ARRIVED, 1);
-    disconnect(&client);
+    client_close(&client);
     script_wait(f.script, CT_EVENT_CALL_GONE, 1);
     /* With another request behind the one that waits. */
-    connect_to(&f, &client);
-    put(&client, WHOLE WHOLE);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE WHOLE);
     script_wait(f.script, CT_EVENT_CALL_ARRIVED, 2);
-    disconnect(&client);
+    client_close(&client);
     script_wait(f.script, CT_EVENT_CALL_GONE, 2);
     g_assert_cmpuint(script_count(f.script, CT_EVENT_CALL_ARRIVED), ==, 2);
     tear_down(&f);
@@ -469,10 +400,10 @@
 
     set_up(&f, 30000);
     f.script->react = react_stream;
-    connect_to(&f, &client);
-    put(&client, WHOLE);
-    await(&f, &client, "4\r\nabcd\r\n");
-    disconnect(&client);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE);
+    client_await(f.script, &client, "4\r\nabcd\r\n");
+    client_close(&client);
     script_wait(f.script, CT_EVENT_CALL_GONE, 1);
     /* Effects for a caller who is gone do nothing. */
     run_write(&f, true, true);
@@ -487,15 +418,16 @@
     struct client client;
 
     set_up(&f, 30000);
-    connect_to(&f, &client);
-    put(&client, "GET /v1/addresses HTTP/1.1\r\nHost: h\r\n\r\n");
-    await(&f, &client, "{\"lifetime_ms\":9000,\"addresses\":[]}");
-    put(&client, "GET /v1/answers/some-id?offset=12 HTTP/1.1\r\n"
-                 "Host: h\r\n\r\n");
-    await(&f, &client,
-          "Location: http://127.0.0.2:80/v1/answers/some-id?offset=12\r\n");
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, "GET /v1/addresses HTTP/1.1\r\nHost: h\r\n\r\n");
+    client_await(f.script, &client, "{\"lifetime_ms\":9000,\"addresses\":[]}");
+    client_send(&client, "GET /v1/answers/some-id?offset=12 HTTP/1.1\r\n"
+                         "Host: h\r\n\r\n");
+    client_await(
+        f.script, &client,
+        "Location: http://127.0.0.2:80/v1/answers/some-id?offset=12\r\n");
     g_assert_nonnull(strstr(client.in->str, "HTTP/1.1 307 "));
-    disconnect(&client);
+    client_close(&client);
     tear_down(&f);
 }
 
@@ -519,13 +451,13 @@
     set_up(&f, 600000);
     f.script->react = react_whole;
     for (int i = 0; i < IDLE_CONNECTIONS; i++) {
-        connect_to(&f, &idle[i]);
+        client_open(ct_callers_port(f.callers), &idle[i]);
     }
     script_wait_for(f.script, all_connected, f.callers);
-    put(last, WHOLE);
-    await(&f, last, "\r\n\r\nabcd");
+    client_send(last, WHOLE);
+    client_await(f.script, last, "\r\n\r\nabcd");
     for (int i = 0; i < IDLE_CONNECTIONS; i++) {
-        disconnect(&idle[i]);
+        client_close(&idle[i]);
     }
     tear_down(&f);
 }
@@ -538,16 +470,16 @@
     struct client client;
 
     set_up(&f, 100);
-    connect_to(&f, &client);
-    await(&f, &client, NULL);
+    client_open(ct_callers_port(f.callers), &client);
+    client_await(f.script, &client, NULL);
     g_assert_cmpstr(client.in->str, ==, "");
-    disconnect(&client);
+    client_close(&client);
     f.script->react = react_whole;
-    connect_to(&f, &client);
-    put(&client, WHOLE);
-    await(&f, &client, NULL);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE);
+    client_await(f.script, &client, NULL);
     g_assert_true(g_str_has_suffix(client.in->str, "\r\n\r\nabcd"));
-    disconnect(&client);
+    client_close(&client);
     g_assert_cmpuint(script_count(f.script, CT_EVENT_CALL_REJECTED), ==, 0);
     tear_down(&f);
 }
@@ -574,15 +506,15 @@
 
     set_up(&f, 30000);
     f.script->react = react_stream;
-    connect_to(&f, &client);
-    put(&client, WHOLE);
-    await(&f, &client, "4\r\nabcd\r\n");
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, WHOLE);
+    client_await(f.script, &client, "4\r\nabcd\r\n");
     ct_callers_finish(f.callers, on_finished, &finished);
     g_assert_false(finished);
     run_write(&f, true, true);
     script_wait_for(f.script, is_set, &finished);
-    await(&f, &client, "\r\n0\r\n\r\n");
-    disconnect(&client);
+    client_await(f.script, &client, "\r\n0\r\n\r\n");
+    client_close(&client);
     tear_down(&f);
 }
 
