--- a/coriandertrackd/daemon.c
+++ b/coriandertrackd/daemon.c
@@ -11,6 +11,7 @@
 
 #include "callers.h"
 #include "error.h"
+#include "load-poll.h"
 #include "logger.h"
 #include "operators.h"
 #include "platform.h"
@@ -20,6 +21,7 @@
 
 /* Answers that their callers do not read may be cut this long after. */
 #define FLUSH_LIMIT_S 10.0
+#define LOAD_PERIOD_MS 500
 
 struct daemon {
     /* Executor of CT_EFFECT_DRAINED. */
@@ -191,6 +193,9 @@
     }
     ct_loop_add(daemon->loop, ct_http_executor(http));
     add_upstreams(daemon, http);
+    ct_loop_add(daemon->loop,
+                ct_load_poll_executor(ct_load_poll_new(
+                    daemon->loop, http, daemon->state, LOAD_PERIOD_MS)));
     if (g_str_has_prefix(platform, "http://")) {
         platform += strlen("http://");
     }
