--- a/shell/caller-request.c
+++ b/shell/caller-request.c
@@ -92,6 +92,16 @@
     post(caller, &event);
 }
 
+static bool
+is_known_method(const char *method)
+{
+    static const char *const methods[] = {
+        MHD_HTTP_METHOD_GET,   MHD_HTTP_METHOD_POST,   MHD_HTTP_METHOD_PUT,
+        MHD_HTTP_METHOD_PATCH, MHD_HTTP_METHOD_DELETE, NULL};
+
+    return g_strv_contains(methods, method);
+}
+
 /* What of the request is sent on, should it be run. */
 static int
 store_call(struct ct_caller *caller, const char *method)
@@ -157,8 +167,8 @@
         ct_caller_reject(caller, CT_REFUSAL_ROUTE_UNKNOWN);
         return;
     }
-    if (read_idempotency_key(caller, c) < 0 || read_body(caller, url, c) < 0 ||
-        store_call(caller, method) < 0) {
+    if (!is_known_method(method) || read_idempotency_key(caller, c) < 0 ||
+        read_body(caller, url, c) < 0 || store_call(caller, method) < 0) {
         ct_caller_reject(caller, CT_REFUSAL_BAD_REQUEST);
         return;
     }
--- a/t/test-callers.c
+++ b/t/test-callers.c
@@ -161,6 +161,8 @@
      401, "no-key"},
     {"broken JSON", KEYED "Content-Length: 9\r\n\r\n{\"model\":", 0, "", 400,
      "bad-request"},
+    {"unknown method", "BREW /stock HTTP/1.1\r\nHost: h\r\n\r\n", 0, "", 400,
+     "bad-request"},
     {"no body", KEYED "\r\n", 0, "", 400, "bad-request"},
     {"idempotency key of no known form",
      KEYED "Idempotency-Key: 1\r\nContent-Length: 56\r\n\r\n" BODY, 0, "", 400,
