--- a/shell/caller-request.c
+++ b/shell/caller-request.c
@@ -92,6 +92,16 @@
     post(caller, &event);
 }
 
+static bool
+is_known_method(const char *method)
+{
+    static const char *const methods[] = {
+        MHD_HTTP_METHOD_GET,   MHD_HTTP_METHOD_POST,   MHD_HTTP_METHOD_PUT,
+        MHD_HTTP_METHOD_PATCH, MHD_HTTP_METHOD_DELETE, NULL};
+
+    return g_strv_contains(methods, method);
+}
+
 /* What of the request is sent on, should it be run. */
 static int
 store_call(struct ct_caller *caller, const char *method)
@@ -157,8 +167,8 @@
         ct_caller_reject(caller, CT_REFUSAL_ROUTE_UNKNOWN);
         return;
     }
-    if (read_idempotency_key(caller, c) < 0 || read_body(caller, url, c) < 0 ||
-        store_call(caller, method) < 0) {
+    if (!is_known_method(method) || read_idempotency_key(caller, c) < 0 ||
+        read_body(caller, url, c) < 0 || store_call(caller, method) < 0) {
         ct_caller_reject(caller, CT_REFUSAL_BAD_REQUEST);
         return;
     }
@@ -168,20 +178,25 @@
     post(caller, &event);
 }
 
-/* The request is whole: hand it to the reducer and wait. */
 static void
-dispatch(struct ct_caller *caller, const char *url, const char *method)
+begin_wait(struct ct_caller *caller)
 {
-    bool get = strcmp(method, MHD_HTTP_METHOD_GET) == 0;
-
     caller->phase = CT_CALLER_WAITING;
     ct_caller_connection_stop(ct_caller_connection_of(caller->connection));
     ct_caller_suspend(caller);
+}
 
-    if (get && strcmp(url, ADDRESSES_PATH) == 0) {
+/* The request is whole: hand it to the reducer and wait. */
+static void
+dispatch(struct ct_caller *caller, const char *url, const char *method)
+{
+    bool is_get = strcmp(method, MHD_HTTP_METHOD_GET) == 0;
+
+    begin_wait(caller);
+    if (is_get && strcmp(url, ADDRESSES_PATH) == 0) {
         ask_addresses(caller);
     }
-    else if (get && g_str_has_prefix(url, ANSWERS_PATH)) {
+    else if (is_get && g_str_has_prefix(url, ANSWERS_PATH)) {
         ask_answer(caller, url + strlen(ANSWERS_PATH));
     }
     else {
@@ -210,9 +225,7 @@
     caller->body = g_byte_array_new();
     if (is_oversize(caller)) {
         /* Answered now; libmicrohttpd then closes the connection. */
-        caller->phase = CT_CALLER_WAITING;
-        ct_caller_connection_stop(ct_caller_connection_of(caller->connection));
-        ct_caller_suspend(caller);
+        begin_wait(caller);
         ct_caller_reject(caller, CT_REFUSAL_TOO_LARGE);
         return MHD_YES;
     }
