--- a/core/request.c
+++ b/core/request.c
@@ -192,7 +192,6 @@
 authorise(const struct ct_state *state, const struct ct_call *call,
           struct ct_request *request)
 {
-    const struct ct_route_row *route;
     const struct ct_class_row *klass;
     const struct ct_pool_row *pool;
 
@@ -263,6 +262,23 @@
     return CT_REFUSAL_COUNT;
 }
 
+/* Finds the route first, so that every refusal can name it. */
+static void
+find_route(const struct ct_state *state, const struct ct_call *call,
+           struct ct_request *request)
+{
+    const struct ct_route_row *route;
+
+    request->route =
+        ct_config_route(&state->config, &call->path, &call->model);
+    route = ct_table_get(&state->config.routes, request->route);
+    if (route) {
+        request->klass = route->klass;
+        request->pool = route->pool;
+        request->idempotent = route->conf.idempotent;
+    }
+}
+
 /* All checks that need no slot. */
 static enum ct_refusal
 check_call(const struct ct_state *state, const struct ct_call *call,
@@ -270,6 +286,7 @@
 {
     enum ct_refusal reason = host_refusal(state);
 
+    find_route(state, call, request);
     if (reason == CT_REFUSAL_COUNT) {
         reason = authenticate(state, call, request);
     }
