--- a/coriandertrack/arguments.c
+++ b/coriandertrack/arguments.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <popt.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "error.h"
@@ -36,26 +37,25 @@
     }
 }
 
-static int
+static void
 take_words(poptContext context, struct ct_arguments *arguments)
 {
     arguments->words = (const char *const *)poptGetArgs(context);
     while (arguments->words && arguments->words[arguments->n_words]) {
         arguments->n_words++;
     }
-    return CT_OK;
 }
 
 static int
 check_values(struct ct_arguments *arguments)
 {
-    if (arguments->platform) {
-        if (!g_str_has_prefix(arguments->platform, URL_SCHEME)) {
+    if (arguments->platform_url) {
+        if (!g_str_has_prefix(arguments->platform_url, URL_SCHEME)) {
             fprintf(stderr,
                     "coriandertrack: --platform: not http://IP:port\n");
             return CT_ERR_INVALID;
         }
-        arguments->platform += strlen(URL_SCHEME);
+        arguments->platform = arguments->platform_url + strlen(URL_SCHEME);
     }
     if (arguments->base_offset < 0 || arguments->timeout_ms < 1) {
         fprintf(stderr, "coriandertrack: number out of range\n");
@@ -70,7 +70,7 @@
     long long base = 0;
     long long timeout_ms = TIMEOUT_MS;
     const struct poptOption options[] = {
-        {"platform", '\0', POPT_ARG_STRING, &arguments->platform,
+        {"platform", '\0', POPT_ARG_STRING, &arguments->platform_url,
          CT_OPTION_PLATFORM, NULL, NULL},
         {"base", '\0', POPT_ARG_LONGLONG, &base, CT_OPTION_BASE, NULL, NULL},
         {"label", '\0', POPT_ARG_STRING, &arguments->label, CT_OPTION_LABEL,
@@ -88,7 +88,8 @@
     int option;
 
     memset(arguments, 0, sizeof(*arguments));
-    context = poptGetContext("coriandertrack", argc, argv, options, 0);
+    arguments->context = context =
+        poptGetContext("coriandertrack", argc, argv, options, 0);
     while ((option = poptGetNextOpt(context)) > 0) {
         arguments->given |= (unsigned)option;
     }
@@ -103,3 +104,16 @@
     take_words(context, arguments);
     return check_values(arguments);
 }
+
+void
+ct_arguments_free(struct ct_arguments *arguments)
+{
+    free(arguments->platform_url);
+    free(arguments->label);
+    free(arguments->digest);
+    for (char **host = arguments->hosts; host && *host; host++) {
+        free(*host);
+    }
+    free(arguments->hosts);
+    poptFreeContext(arguments->context);
+}
--- a/coriandertrack/arguments.h
+++ b/coriandertrack/arguments.h
@@ -15,14 +15,18 @@
     CT_OPTION_HELP = 1 << 6,
 };
 
+struct poptContext_s;
+
 struct ct_arguments {
+    struct poptContext_s *context;
     /* Options that were given, of enum ct_option. */
     unsigned given;
-    /* Address of the platform, "IP:port". */
+    char *platform_url;
+    /* Address of the platform, "IP:port", within the URL. */
     const char *platform;
     int64_t base_offset;
-    const char *label;
-    const char *digest;
+    char *label;
+    char *digest;
     /* Operators' addresses of hosts, NULL-terminated; NULL for none. */
     char **hosts;
     int64_t timeout_ms;
@@ -35,10 +39,11 @@
 void ct_arguments_print_options(unsigned options);
 
 /*
- * Parses argv. The words point into a context that lives until the process
- * ends. Errors: CT_ERR_INVALID; a message was written to stderr.
+ * Parses argv. The caller frees the arguments with ct_arguments_free(), also
+ * on failure. Errors: CT_ERR_INVALID; a message was written to stderr.
  */
 int ct_arguments_parse(int argc, const char **argv,
                        struct ct_arguments *arguments);
+void ct_arguments_free(struct ct_arguments *arguments);
 
 #endif
--- a/coriandertrack/main.c
+++ b/coriandertrack/main.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "command.h"
+#include "error.h"
 
 static const struct ct_command *const commands[] = {
     &ct_command_check,        &ct_command_publish,  &ct_command_key_grant,
@@ -126,35 +127,42 @@
     return command->ops->run(arguments);
 }
 
-int
-main(int argc, const char **argv)
+static enum ct_exit
+dispatch(struct ct_arguments *arguments)
 {
-    struct ct_arguments arguments;
     const struct ct_command *command;
-    enum ct_exit code;
 
-    if (ct_arguments_parse(argc, argv, &arguments) < 0) {
-        return CT_EXIT_USAGE;
-    }
-    if (arguments.given & CT_OPTION_HELP) {
-        return help(&arguments);
+    if (arguments->given & CT_OPTION_HELP) {
+        return help(arguments);
     }
-    if (arguments.n_words == 0) {
+    if (arguments->n_words == 0) {
         print_overview(stderr);
         return CT_EXIT_USAGE;
     }
-    if (strcmp(arguments.words[0], "help") == 0) {
-        arguments.words++;
-        arguments.n_words--;
-        return help(&arguments);
+    if (strcmp(arguments->words[0], "help") == 0) {
+        arguments->words++;
+        arguments->n_words--;
+        return help(arguments);
     }
-    command = find_command(&arguments);
+    command = find_command(arguments);
     if (!command) {
         fprintf(stderr, "coriandertrack: no such command\n");
         return CT_EXIT_USAGE;
     }
+    return run(command, arguments);
+}
+
+int
+main(int argc, const char **argv)
+{
+    struct ct_arguments arguments;
+    enum ct_exit code = CT_EXIT_USAGE;
+
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    code = run(command, &arguments);
+    if (ct_arguments_parse(argc, argv, &arguments) == CT_OK) {
+        code = dispatch(&arguments);
+    }
+    ct_arguments_free(&arguments);
     curl_global_cleanup();
     return code;
 }
