--- a/t/test-record-codec.c
+++ b/t/test-record-codec.c
@@ -265,13 +265,14 @@
     Ct__ConfigRow empty_row = CT__CONFIG_ROW__INIT;
     Ct__ConfigRow *rows[] = {&empty_row};
     char long_name[CT_NAME_MAX + 1];
-    Ct__LogRecord r[10];
+    Ct__LogRecord r[12];
     const struct bad_case cases[] = {
         {"no type", &r[0]},       {"unknown type", &r[1]},
         {"long name", &r[2]},     {"control character", &r[3]},
         {"no body", &r[4]},       {"short digest", &r[5]},
         {"long digest", &r[6]},   {"unknown role", &r[7]},
         {"unknown order", &r[8]}, {"row of no kind", &r[9]},
+        {"quote", &r[10]},        {"backslash", &r[11]},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(r); i++) {
@@ -297,6 +298,8 @@
     order.kind = CT_ORDER_ROLE + 1;
     r[8].type = CT_RECORD_ORDER_DONE;
     r[8].order = &order;
+    r[10].writer = "a\"b";
+    r[11].writer = "a\\";
     r[9].n_config_rows = 1;
     r[9].config_rows = rows;
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/wire/message-map.c
+++ b/wire/message-map.c
@@ -188,13 +188,23 @@
     return err;
 }
 
+/*
+ * Texts are names, paths and addresses. Quotes and backslashes are refused,
+ * so that they need no escapes where operators read them.
+ */
+static bool
+is_allowed(char c)
+{
+    return c >= ' ' && c <= '~' && c != '"' && c != '\\';
+}
+
 static int
 text_from_wire(const struct ct_map_field *field, const char *wire, char *core)
 {
     size_t i;
 
     for (i = 0; wire[i]; i++) {
-        if (i + 1 >= field->size || wire[i] < ' ' || wire[i] > '~') {
+        if (i + 1 >= field->size || !is_allowed(wire[i])) {
             return CT_ERR_DECODE;
         }
         core[i] = wire[i];
