--- a/t/fake/fake-engine.c
+++ b/t/fake/fake-engine.c
@@ -1,73 +1,105 @@
 /*
- * Stand-in of a model engine: batches continuously, serves its queue by
- * priority, resumes and cancels streams, reports its load with a lag and its
- * cache events late and with gaps. The answer is a function of the request
- * id, so that a resumed stream continues what another engine began.
+ * Stand-in of a model engine: batches continuously, serves waiting requests
+ * by priority, streams tokens that depend only on request id and place, so
+ * that a stream can be resumed at another engine.
  */
 #include "fake-http.h"
 
-#include <stdlib.h>
+
 #include <string.h>
 
-/* Each further request in the batch slows a token by this part of 100. */
-#define BATCH_SLOWDOWN_PERCENT 2
-#define LOAD_SAMPLES 64
-#define LOAD_SAMPLE_S 0.05
-#define PRIORITY_LOWEST 3
-/* Every so many cache events one is left out. */
-#define CACHE_GAP 5
+#include "name.h"
+
+/* Each neighbour in the batch makes a token this much slower. */
+#define BATCH_SLOWDOWN_PERCENT 5
+#define TOKENS_DEFAULT 8
+#define SLOTS_DEFAULT 8
+#define QUEUE_MAX 1000
+#define CACHE_ENTRIES 32
+#define CACHE_LAG_MS 500
+/* One cache event in this many is never published. */
+#define CACHE_GAP_EVERY 7
+#define PREFIX_BYTES 256
+#define NO_FAULT (-1)
+#define BYTES_PER_TOKEN 4
+
+enum call_state {
+    CALL_WAITING = 1,
+    CALL_RUNNING,
+    CALL_SILENT,
+};
 
-struct job {
-    struct ct_handle handle;
+struct call {
     struct ct_handle request;
-    char request_id[FAKE_ID_MAX];
-    bool stream;
-    bool running;
+    char id[FAKE_ID_MAX];
+    enum call_state state;
     int64_t priority;
-    uint64_t order;
-    int64_t tokens;
-    /* Tokens of which all bytes were written. */
-    int64_t written;
-    /* Bytes still to skip: the caller of a resumed stream has them. */
+    uint64_t arrival;
+    bool stream;
+    bool faulty;
+    /* Bytes of the body that the caller already has. */
     int64_t skip;
+    int64_t place;
+    int64_t tokens;
+    int64_t token;
+    int64_t sent;
     int64_t prompt_tokens;
-    struct ev_timer timer;
-    struct engine *engine;
+    ct_ms due_ms;
+};
+
+struct cache_event {
+    uint64_t prefix;
+    bool stored;
+    ct_ms at_ms;
 };
 
 struct load_sample {
     ct_ms at_ms;
-    int64_t running;
-    int64_t waiting;
+    uint32_t running;
+    uint32_t waiting;
 };
 
 struct engine {
     struct fake_server server;
+    struct ev_timer tick;
+    /* struct call */
+    struct ct_table calls;
+    uint64_t arrivals;
+    uint32_t running;
+    uint32_t waiting;
+    ct_ms stalled_until_ms;
+    GArray *cache_events;
+    GArray *cached;
+    GArray *load;
+    int64_t newest_term;
+
+    int64_t slots;
     int64_t token_ms;
     int64_t first_token_ms;
     int64_t tokens;
-    int64_t slots;
     int64_t silent_after_tokens;
     int64_t break_after_tokens;
+    /* Calls still to be hit by the two above, -1 for all. */
+    int64_t fault_calls;
     int64_t stall_ms;
     int64_t decline;
     int64_t wrong_id;
     int64_t load_age_ms;
     int64_t close_after_read;
     int64_t checks_fencing;
-    struct ct_table jobs;
-    int64_t running;
-    int64_t waiting;
-    uint64_t next_order;
-    int64_t newest_term;
-    int64_t cache_seq;
-    GPtrArray *cache;
-    struct load_sample samples[LOAD_SAMPLES];
-    uint32_t next_sample;
-    struct ev_timer sampler;
 };
 
-static void start_waiting(struct engine *engine);
+static void
+log_call(struct engine *e, const struct call *call, const char *what)
+{
+    JsonObject *entry = fake_entry(what);
+
+    json_object_set_string_member(entry, "request_id", call->id);
+    json_object_set_int_member(entry, "sent", call->sent);
+    json_object_set_int_member(entry, "priority", call->priority);
+    json_object_set_int_member(entry, "resume_from", call->skip);
+    fake_log(&e->server, entry);
+}
 
 static enum MHD_Result
 add_header(void *cls, enum MHD_ValueKind kind, const char *name,
@@ -78,440 +110,552 @@
     return MHD_YES;
 }
 
+/* Everything that reached the engine, so that a test can search it. */
 static void
-log_job(struct engine *engine, const struct job *job, const char *what,
-        const struct fake_request *request)
+log_received(struct engine *e, struct fake_request *request)
 {
-    JsonObject *entry = fake_entry(what);
-
-    json_object_set_string_member(entry, "request_id", job->request_id);
-    json_object_set_int_member(entry, "tokens", job->written);
-    if (request) {
-        JsonObject *headers = json_object_new();
-
-        MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-                                  add_header, headers);
-        json_object_set_object_member(entry, "headers", headers);
-        json_object_set_int_member(entry, "resume_from", job->skip);
-        json_object_set_int_member(entry, "priority", job->priority);
-        json_object_set_string_member(entry, "body", request->body->str);
-    }
-    fake_log(&engine->server, entry);
+    JsonObject *entry = fake_entry("received");
+    JsonObject *headers = json_object_new();
+
+    MHD_get_connection_values(request->connection, MHD_HEADER_KIND, add_header,
+                              headers);
+    json_object_set_string_member(entry, "request_id", request->request_id);
+    json_object_set_string_member(entry, "path", request->path);
+    json_object_set_string_member(entry, "body", request->body->str);
+    json_object_set_object_member(entry, "headers", headers);
+    fake_log(&e->server, entry);
 }
 
 static void
-note_cache(struct engine *engine, const char *request_id)
+sample_load(struct engine *e)
 {
-    JsonObject *event;
+    struct load_sample sample = {fake_now_ms(), e->running, e->waiting};
 
-    if (++engine->cache_seq % CACHE_GAP == 0) {
-        return;
-    }
-    event = json_object_new();
-    json_object_set_int_member(event, "seq", engine->cache_seq);
-    json_object_set_string_member(event, "prefix", request_id);
-    json_object_set_string_member(event, "kind", "stored");
-    g_ptr_array_add(engine->cache, event);
+    g_array_append_val(e->load, sample);
 }
 
-/* The bytes of one event of the stream; the last one ends it. */
-static char *
-event_text(const struct job *job, int64_t n)
+/* Frees a call; its slot is taken up by the next tick. */
+static void
+end_call(struct engine *e, struct ct_handle handle, const char *what)
 {
-    if (n < job->tokens) {
-        return g_strdup_printf(
-            "data: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"delta\":"
-            "{\"content\":\"w%u-%" G_GINT64_FORMAT " \"}%s}]}\n\n",
-            job->request_id, g_str_hash(job->request_id) % 10000, n,
-            n == job->tokens - 1 ? ",\"finish_reason\":\"stop\"" : "");
+    struct call *call = ct_table_get(&e->calls, handle);
+
+    log_call(e, call, what);
+    if (call->state == CALL_WAITING) {
+        e->waiting--;
     }
-    return g_strdup_printf(
-        "data: {\"id\":\"%s\",\"choices\":[],\"usage\":{\"prompt_tokens\":"
-        "%" G_GINT64_FORMAT ",\"completion_tokens\":%" G_GINT64_FORMAT
-        "}}\n\ndata: [DONE]\n\n",
-        job->request_id, job->prompt_tokens, job->tokens);
+    else {
+        e->running--;
+    }
+    ct_table_unref(&e->calls, handle);
+    sample_load(e);
 }
 
 static void
-write_event(struct fake_request *request, struct job *job, int64_t n)
+token_text(const struct engine *e, const struct call *call, GString *out)
 {
-    char *text = event_text(job, n);
-    int64_t length = (int64_t)strlen(text);
-
-    if (job->skip < length) {
-        fake_stream_write(request, text + job->skip,
-                          (size_t)(length - job->skip));
-        job->skip = 0;
+    const char *id = e->wrong_id ? "another-request" : call->id;
+    uint64_t hash =
+        ct_hash_bytes(CT_HASH_SEED, call->id, (uint32_t)strlen(call->id));
+    char word[FAKE_ID_MAX];
+
+    g_snprintf(word, sizeof(word), "w%08x-%" G_GINT64_FORMAT " ",
+               (uint32_t)hash, call->token);
+    if (!call->stream) {
+        g_string_append(out, word);
+        return;
     }
-    else {
-        job->skip -= length;
+    g_string_append_printf(out,
+                           "data: {\"id\":\"%s\",\"choices\":[{\"index\":0,"
+                           "\"delta\":{\"content\":\"%s\"}",
+                           id, word);
+    if (call->token + 1 < call->tokens) {
+        g_string_append(out, "}]}\n\n");
+        return;
     }
-    g_free(text);
+    g_string_append_printf(out,
+                           ",\"finish_reason\":\"stop\"}],\"usage\":{"
+                           "\"prompt_tokens\":%" G_GINT64_FORMAT
+                           ",\"completion_tokens\":%" G_GINT64_FORMAT
+                           "}}\n\ndata: [DONE]\n\n",
+                           call->prompt_tokens, call->tokens);
 }
 
-static void
-reply_whole(struct fake_request *request, const struct job *job)
+/* The part of a text at call->place that lies past call->skip. */
+static const char *
+unsent(struct call *call, const GString *text, size_t *n)
 {
-    GString *content = g_string_new(NULL);
-    char *text;
+    int64_t skip = CLAMP(call->skip - call->place, 0, (int64_t)text->len);
 
-    for (int64_t n = 0; n < job->tokens; n++) {
-        g_string_append_printf(content, "w%u-%" G_GINT64_FORMAT " ",
-                               g_str_hash(job->request_id) % 10000, n);
-    }
-    text = g_strdup_printf(
-        "{\"id\":\"%s\",\"choices\":[{\"index\":0,\"message\":{\"role\":"
-        "\"assistant\",\"content\":\"%s\"},\"finish_reason\":\"stop\"}],"
-        "\"usage\":{\"prompt_tokens\":%" G_GINT64_FORMAT
-        ",\"completion_tokens\":%" G_GINT64_FORMAT "}}",
-        job->request_id, content->str, job->prompt_tokens, job->tokens);
-    fake_reply_text(request, MHD_HTTP_OK, text, 0);
-    g_free(text);
-    g_string_free(content, TRUE);
+    call->place += (int64_t)text->len;
+    *n = text->len - (size_t)skip;
+    return text->str + skip;
 }
 
-/* Takes a job out of the batch or the queue. */
 static void
-end_job(struct engine *engine, struct job *job, const char *how)
+write_token(struct engine *e, struct call *call, struct fake_request *request)
 {
-    log_job(engine, job, how, NULL);
-    ev_timer_stop(engine->server.loop, &job->timer);
-    if (job->running) {
-        engine->running--;
-    }
-    else {
-        engine->waiting--;
-    }
-    ct_table_unref(&engine->jobs, job->handle);
-    start_waiting(engine);
+    GString *text = g_string_new(NULL);
+    const char *bytes;
+    size_t n;
+
+    token_text(e, call, text);
+    bytes = unsent(call, text, &n);
+    if (n > 0) {
+        fake_stream_write(request, bytes, n);
+        call->sent++;
+    }
+    call->token++;
+    g_string_free(text, TRUE);
 }
 
-static double
-token_s(const struct engine *engine)
+/* Answers a call that is not streamed, all at once. */
+static void
+write_whole(struct engine *e, struct call *call, struct fake_request *request)
 {
-    int64_t percent = 100 + (engine->running - 1) * BATCH_SLOWDOWN_PERCENT;
+    GString *text = g_string_new(NULL);
+    const char *bytes;
+    size_t n;
+
+    g_string_append_printf(text,
+                           "{\"id\":\"%s\",\"choices\":[{\"index\":0,"
+                           "\"message\":{\"role\":\"assistant\","
+                           "\"content\":\"",
+                           e->wrong_id ? "another-request" : call->id);
+    for (call->token = 0; call->token < call->tokens; call->token++) {
+        token_text(e, call, text);
+    }
+    g_string_append_printf(text,
+                           "\"},\"finish_reason\":\"stop\"}],\"usage\":{"
+                           "\"prompt_tokens\":%" G_GINT64_FORMAT
+                           ",\"completion_tokens\":%" G_GINT64_FORMAT "}}",
+                           call->prompt_tokens, call->tokens);
+    bytes = unsent(call, text, &n);
+    (void)n;
+    call->sent = call->tokens;
+    fake_reply_text(request, MHD_HTTP_OK, bytes, 0);
+    g_string_free(text, TRUE);
+}
 
-    return (double)(engine->token_ms * percent / 100 + engine->stall_ms) /
-           1000;
+static ct_ms
+step_ms(const struct engine *e)
+{
+    int64_t others = e->running > 0 ? e->running - 1 : 0;
+
+    return e->token_ms * (100 + BATCH_SLOWDOWN_PERCENT * others) / 100;
 }
 
-static void
-finish(struct engine *engine, struct job *job, struct fake_request *request)
+/* Applies a switched fault. Returns true when the call got no token. */
+static bool
+fault(struct engine *e, struct call *call, struct ct_handle handle,
+      struct fake_request *request)
 {
-    if (job->stream) {
-        write_event(request, job, job->tokens);
-        fake_stream_end(request);
+    if (!call->faulty) {
+        return false;
     }
-    else {
-        reply_whole(request, job);
+    if (e->silent_after_tokens != NO_FAULT &&
+        call->sent >= e->silent_after_tokens) {
+        call->state = CALL_SILENT;
+        log_call(e, call, "silent");
+        return true;
+    }
+    if (e->break_after_tokens != NO_FAULT &&
+        call->sent >= e->break_after_tokens) {
+        end_call(e, handle, "broken");
+        request->row = CT_NO_HANDLE;
+        fake_break(request);
+        return true;
     }
-    note_cache(engine, job->request_id);
-    end_job(engine, job, "end");
+    return false;
 }
 
 static void
-on_token(struct ev_loop *loop, ev_timer *timer, int events)
+advance_call(struct engine *e, struct call *call, struct ct_handle handle,
+             ct_ms now_ms)
 {
-    struct job *job = timer->data;
-    struct engine *engine = job->engine;
-    struct fake_request *request = fake_get(&engine->server, job->request);
+    struct fake_request *request = fake_get(&e->server, call->request);
 
-    (void)events;
-    if (!request) {
-        end_job(engine, job, "gone");
-        return;
-    }
-    if (engine->silent_after_tokens &&
-        job->written >= engine->silent_after_tokens) {
-        ev_timer_stop(loop, timer);
-        log_job(engine, job, "silent", NULL);
-        return;
-    }
-    if (engine->break_after_tokens &&
-        job->written >= engine->break_after_tokens) {
-        fake_break(request);
-        end_job(engine, job, "broken");
-        return;
-    }
-    if (job->stream && job->written == 0 && !request->stream) {
-        fake_stream_begin(request);
+    while (call->due_ms <= now_ms) {
+        if (fault(e, call, handle, request)) {
+            return;
+        }
+        if (call->stream) {
+            write_token(e, call, request);
+        }
+        else if (++call->token == call->tokens) {
+            write_whole(e, call, request);
+        }
+        if (call->token >= call->tokens) {
+            if (call->stream) {
+                fake_stream_end(request);
+            }
+            request->row = CT_NO_HANDLE;
+            end_call(e, handle, "end");
+            return;
+        }
+        /* What is skipped was computed elsewhere and costs no time. */
+        call->due_ms += call->place < call->skip ? 0 : step_ms(e);
     }
-    if (job->stream) {
-        write_event(request, job, job->written);
+}
+
+static void
+publish_cache(struct engine *e, uint64_t prefix, bool stored)
+{
+    struct cache_event event = {prefix, stored, fake_now_ms()};
+
+    g_array_append_val(e->cache_events, event);
+}
+
+/* Returns true when the prefix was cached; caches it otherwise. */
+static bool
+use_cache(struct engine *e, uint64_t prefix)
+{
+    for (guint i = 0; i < e->cached->len; i++) {
+        if (g_array_index(e->cached, uint64_t, i) == prefix) {
+            return true;
+        }
     }
-    job->written++;
-    if (job->written >= job->tokens) {
-        finish(engine, job, request);
-        return;
+    if (e->cached->len == CACHE_ENTRIES) {
+        publish_cache(e, g_array_index(e->cached, uint64_t, 0), false);
+        g_array_remove_index(e->cached, 0);
     }
-    timer->repeat = token_s(engine);
-    ev_timer_again(loop, timer);
+    g_array_append_val(e->cached, prefix);
+    publish_cache(e, prefix, true);
+    return false;
 }
 
-static struct job *
-next_waiting(struct engine *engine)
+static struct call *
+next_waiting(struct engine *e)
 {
-    struct job *best = NULL;
-    struct job *job;
+    struct call *best = NULL;
+    struct ct_handle handle;
+    struct call *call;
     uint32_t cursor = 0;
 
-    while ((job = ct_table_next(&engine->jobs, &cursor, NULL))) {
-        if (job->running) {
+    while ((call = ct_table_next(&e->calls, &cursor, &handle))) {
+        if (call->state != CALL_WAITING) {
             continue;
         }
-        if (!best || job->priority < best->priority ||
-            (job->priority == best->priority && job->order < best->order)) {
-            best = job;
+        if (!best || call->priority < best->priority ||
+            (call->priority == best->priority &&
+             call->arrival < best->arrival)) {
+            best = call;
         }
     }
     return best;
 }
 
 static void
-start_waiting(struct engine *engine)
+start_calls(struct engine *e, ct_ms now_ms)
 {
-    struct job *job;
-
-    while (engine->running < engine->slots &&
-           (job = next_waiting(engine)) != NULL) {
-        job->running = true;
-        engine->running++;
-        engine->waiting--;
-        ev_timer_init(&job->timer, on_token,
-                      (double)engine->first_token_ms / 1000, 0);
-        job->timer.data = job;
-        ev_timer_start(engine->server.loop, &job->timer);
+    while (e->waiting > 0 && e->running < e->slots) {
+        struct call *call = next_waiting(e);
+        struct fake_request *request = fake_get(&e->server, call->request);
+        size_t n = MIN(request->body->len, PREFIX_BYTES);
+        uint64_t prefix =
+            ct_hash_bytes(CT_HASH_SEED, request->body->str, (uint32_t)n);
+        bool cached = use_cache(e, prefix);
+
+        call->state = CALL_RUNNING;
+        call->due_ms = now_ms + e->first_token_ms / (cached ? 2 : 1);
+        e->waiting--;
+        e->running++;
+        log_call(e, call, "start");
+        sample_load(e);
+        if (call->stream) {
+            fake_stream_begin(request);
+        }
     }
 }
 
-static bool
-declines(struct engine *engine, struct fake_request *request)
+/* Gives every running call its due tokens and sleeps until the next. */
+static void
+run_batch(struct engine *e)
 {
-    if (!engine->decline) {
-        return false;
+    ct_ms now_ms = fake_now_ms();
+    ct_ms next_ms = CT_MS_NEVER;
+    struct ct_handle handle;
+    struct call *call;
+    uint32_t cursor = 0;
+
+    start_calls(e, now_ms);
+    if (now_ms < e->stalled_until_ms) {
+        next_ms = e->stalled_until_ms;
     }
+    else {
+        while ((call = ct_table_next(&e->calls, &cursor, &handle))) {
+            if (call->state == CALL_RUNNING) {
+                advance_call(e, call, handle, now_ms);
+            }
+        }
+        start_calls(e, now_ms);
+        cursor = 0;
+        while ((call = ct_table_next(&e->calls, &cursor, &handle))) {
+            if (call->state == CALL_RUNNING) {
+                next_ms = MIN(next_ms, call->due_ms);
+            }
+        }
+    }
+    ev_timer_stop(e->server.loop, &e->tick);
+    if (next_ms != CT_MS_NEVER) {
+        double wait_s = (double)MAX(next_ms - now_ms, 0) / 1000;
+
+        ev_now_update(e->server.loop);
+        ev_timer_set(&e->tick, wait_s, 0);
+        ev_timer_start(e->server.loop, &e->tick);
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    run_batch(timer->data);
+}
+
+static void
+decline(struct fake_request *request)
+{
     fake_header(request, "X-Run-State", "not-run");
     fake_header(request, "Retry-After", "1");
     fake_reply_error(request, MHD_HTTP_SERVICE_UNAVAILABLE, "declined");
-    return true;
 }
 
-static int64_t
-header_int(const struct fake_request *request, const char *name,
-           int64_t missing)
+static bool
+takes_fault(struct engine *e)
 {
-    const char *text = fake_request_header(request, name);
-
-    return text ? g_ascii_strtoll(text, NULL, 10) : missing;
+    if (e->silent_after_tokens == NO_FAULT &&
+        e->break_after_tokens == NO_FAULT) {
+        return false;
+    }
+    if (e->fault_calls > 0) {
+        e->fault_calls--;
+        return true;
+    }
+    return e->fault_calls == NO_FAULT;
 }
 
-static struct job *
-add_job(struct engine *engine, struct fake_request *request)
+static void
+add_call(struct engine *e, struct fake_request *request)
 {
-    int64_t max = fake_json_int(request->json, "max_tokens", 0);
-    struct ct_handle handle;
-    struct job *job;
-
-    ct_table_add(&engine->jobs, &handle);
-    job = ct_table_get(&engine->jobs, handle);
-    job->handle = handle;
-    job->engine = engine;
-    job->request = request->handle;
-    g_strlcpy(job->request_id, request->request_id, sizeof(job->request_id));
-    job->stream = fake_json_int(request->json, "stream", 0) != 0;
-    job->tokens = max > 0 ? MIN(max, engine->tokens) : engine->tokens;
-    job->priority = header_int(request, "X-Priority", PRIORITY_LOWEST);
-    job->skip = header_int(request, "X-Resume-From", 0);
-    job->prompt_tokens = (int64_t)request->body->len / 4;
-    job->order = engine->next_order++;
-    engine->waiting++;
-    return job;
+    const char *priority = fake_request_header(request, "X-Priority");
+    const char *resume = fake_request_header(request, "X-Resume-From");
+    int64_t limit = fake_json_int(request->json, "max_tokens", 0);
+    struct call *call;
+
+    ct_table_add(&e->calls, &request->row);
+    call = ct_table_get(&e->calls, request->row);
+    call->request = request->handle;
+    g_strlcpy(call->id, request->request_id, sizeof(call->id));
+    call->state = CALL_WAITING;
+    call->priority = priority ? g_ascii_strtoll(priority, NULL, 10) : 0;
+    call->skip = resume ? g_ascii_strtoll(resume, NULL, 10) : 0;
+    call->arrival = e->arrivals++;
+    call->stream = fake_json_int(request->json, "stream", 0) != 0;
+    call->tokens = limit > 0 ? MIN(limit, e->tokens) : e->tokens;
+    call->prompt_tokens = (int64_t)request->body->len / BYTES_PER_TOKEN;
+    call->faulty = takes_fault(e);
+    e->waiting++;
+    sample_load(e);
 }
 
 static void
-on_chat(struct engine *engine, struct fake_request *request)
+handle_completion(struct engine *e, struct fake_request *request)
 {
-    struct job *job;
-
-    if (!request->json) {
-        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "json");
+    log_received(e, request);
+    if (e->close_after_read) {
+        fake_break(request);
         return;
     }
     fake_header(request, "X-Request-Id",
-                engine->wrong_id ? "another-request" : request->request_id);
-    if (declines(engine, request)) {
+                e->wrong_id ? "another-request" : request->request_id);
+    if (e->decline || e->waiting >= QUEUE_MAX) {
+        decline(request);
         return;
     }
-    job = add_job(engine, request);
-    request->row = job->handle;
-    log_job(engine, job, "start", request);
-    if (engine->close_after_read) {
-        fake_break(request);
-        end_job(engine, job, "closed");
+    if (!request->json) {
+        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "json");
         return;
     }
-    start_waiting(engine);
+    add_call(e, request);
+    run_batch(e);
 }
 
 static void
-on_cancel(struct engine *engine, struct fake_request *request)
+handle_cancel(struct engine *e, struct fake_request *request)
 {
     const char *id = fake_json_text(request->json, "request_id");
+    struct ct_handle handle;
+    struct call *call;
     uint32_t cursor = 0;
-    struct job *job;
 
-    while ((job = ct_table_next(&engine->jobs, &cursor, NULL))) {
-        if (strcmp(job->request_id, id) == 0) {
-            struct fake_request *stream =
-                fake_get(&engine->server, job->request);
+    while ((call = ct_table_next(&e->calls, &cursor, &handle))) {
+        if (strcmp(call->id, id) == 0) {
+            struct fake_request *other = fake_get(&e->server, call->request);
 
-            if (stream) {
-                fake_break(stream);
-            }
-            end_job(engine, job, "cancelled");
+            other->row = CT_NO_HANDLE;
+            end_call(e, handle, "cancelled");
+            fake_break(other);
         }
     }
     fake_reply(request, MHD_HTTP_OK, NULL, 0);
+    run_batch(e);
 }
 
-/* The newest sample that is old enough. */
 static void
-on_load(struct engine *engine, struct fake_request *request)
+handle_load(struct engine *e, struct fake_request *request)
 {
-    const struct load_sample *best = NULL;
-    ct_ms now_ms = fake_now_ms();
-    JsonObject *object = json_object_new();
-
-    for (int i = 0; i < LOAD_SAMPLES; i++) {
-        const struct load_sample *sample = &engine->samples[i];
-
-        if (sample->at_ms && now_ms - sample->at_ms >= engine->load_age_ms &&
-            (!best || sample->at_ms > best->at_ms)) {
-            best = sample;
-        }
-    }
-    json_object_set_int_member(object, "running", best ? best->running : 0);
-    json_object_set_int_member(object, "waiting", best ? best->waiting : 0);
-    json_object_set_int_member(object, "age_ms",
-                               best ? now_ms - best->at_ms : 0);
-    fake_reply(request, MHD_HTTP_OK, object, 0);
+    ct_ms then_ms = fake_now_ms() - e->load_age_ms;
+    struct load_sample *samples = (struct load_sample *)(void *)e->load->data;
+    JsonObject *body = json_object_new();
+    guint i = 0;
+
+    while (i + 1 < e->load->len && samples[i + 1].at_ms <= then_ms) {
+        i++;
+    }
+    json_object_set_int_member(body, "running", samples[i].running);
+    json_object_set_int_member(body, "waiting", samples[i].waiting);
+    json_object_set_int_member(body, "age_ms", e->load_age_ms);
+    /* Samples before the one in use can be forgotten. */
+    g_array_remove_range(e->load, 0, i);
+    fake_reply(request, MHD_HTTP_OK, body, 0);
 }
 
 static void
-on_sample(struct ev_loop *loop, ev_timer *timer, int events)
+handle_cache(struct engine *e, struct fake_request *request)
 {
-    struct engine *engine = timer->data;
-
-    (void)loop;
-    (void)events;
-    engine->samples[engine->next_sample] =
-        (struct load_sample){fake_now_ms(), engine->running, engine->waiting};
-    engine->next_sample = (engine->next_sample + 1) % LOAD_SAMPLES;
-}
-
-static void
-on_cache_events(struct engine *engine, struct fake_request *request)
-{
-    int64_t from = fake_query(request, "from", 0);
-    JsonObject *object = json_object_new();
-    JsonArray *events = json_array_new();
-
-    for (guint i = 0; i < engine->cache->len; i++) {
-        JsonObject *event = g_ptr_array_index(engine->cache, i);
-
-        if (fake_json_int(event, "seq", 0) >= from) {
-            json_array_add_object_element(events, json_object_ref(event));
+    int64_t from = MAX(fake_query(request, "from", 1), 1);
+    JsonObject *body = json_object_new();
+    JsonArray *rows = json_array_new();
+
+    for (int64_t seq = from; seq <= (int64_t)e->cache_events->len; seq++) {
+        struct cache_event *event =
+            &g_array_index(e->cache_events, struct cache_event, seq - 1);
+        char prefix[FAKE_ID_MAX];
+        JsonObject *row;
+
+        if (event->at_ms > fake_now_ms() - CACHE_LAG_MS) {
+            break;
         }
-    }
-    json_object_set_array_member(object, "events", events);
-    fake_reply(request, MHD_HTTP_OK, object, 0);
+        if (seq % CACHE_GAP_EVERY == 0) {
+            continue;
+        }
+        row = json_object_new();
+        g_snprintf(prefix, sizeof(prefix), "%016" G_GINT64_MODIFIER "x",
+                   event->prefix);
+        json_object_set_int_member(row, "seq", seq);
+        json_object_set_string_member(row, "prefix", prefix);
+        json_object_set_string_member(row, "kind",
+                                      event->stored ? "stored" : "evicted");
+        json_array_add_object_element(rows, row);
+    }
+    json_object_set_array_member(body, "events", rows);
+    fake_reply(request, MHD_HTTP_OK, body, 0);
 }
 
 static void
-on_order(struct engine *engine, struct fake_request *request)
+handle_order(struct engine *e, struct fake_request *request)
 {
     int64_t term = fake_json_int(request->json, "term", 0);
-    JsonObject *entry;
+    bool old = e->checks_fencing && term < e->newest_term;
+    JsonObject *entry = fake_entry("order");
 
-    if (engine->checks_fencing && term < engine->newest_term) {
+    json_object_set_int_member(entry, "order_id",
+                               fake_json_int(request->json, "order_id", 0));
+    json_object_set_int_member(entry, "term", term);
+    json_object_set_string_member(entry, "kind",
+                                  fake_json_text(request->json, "kind"));
+    json_object_set_int_member(entry, "connected_ms", request->connected_ms);
+    json_object_set_boolean_member(entry, "refused", old);
+    fake_log(&e->server, entry);
+    e->newest_term = MAX(e->newest_term, term);
+    if (old) {
         fake_reply_error(request, MHD_HTTP_CONFLICT, "old-term");
         return;
     }
-    engine->newest_term = MAX(engine->newest_term, term);
-    entry = fake_entry("order");
-    json_object_set_int_member(entry, "term", term);
-    fake_log(&engine->server, entry);
     fake_reply(request, MHD_HTTP_OK, NULL, 0);
 }
 
 static void
 handle(struct fake_server *server, struct fake_request *request)
 {
-    struct engine *engine = (struct engine *)server;
-
-    if (strcmp(request->path, "/load") == 0) {
-        on_load(engine, request);
-    }
-    else if (strcmp(request->path, "/cancel") == 0) {
-        on_cancel(engine, request);
-    }
-    else if (strcmp(request->path, "/cache/events") == 0) {
-        on_cache_events(engine, request);
-    }
-    else if (strcmp(request->path, "/orders") == 0) {
-        on_order(engine, request);
-    }
-    else {
-        on_chat(engine, request);
+    static const struct {
+        const char *path;
+        void (*call)(struct engine *e, struct fake_request *request);
+    } routes[] = {
+        {"/v1/chat/completions", handle_completion},
+        {"/cancel", handle_cancel},
+        {"/load", handle_load},
+        {"/cache/events", handle_cache},
+        {"/orders", handle_order},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        if (strcmp(routes[i].path, request->path) == 0) {
+            routes[i].call((struct engine *)server, request);
+            return;
+        }
     }
+    fake_reply_error(request, MHD_HTTP_NOT_FOUND, "path");
 }
 
 static void
 gone(struct fake_server *server, struct fake_request *request)
 {
-    struct engine *engine = (struct engine *)server;
-    struct job *job = ct_table_get(&engine->jobs, request->row);
+    struct engine *e = (struct engine *)server;
 
-    if (job) {
-        end_job(engine, job, "gone");
+    if (ct_table_get(&e->calls, request->row)) {
+        end_call(e, request->row, "left");
+        run_batch(e);
     }
 }
 
-/* Runs in the loop's first turn, when the server is up. */
 static void
-start_sampler(struct engine *engine)
+changed(struct fake_server *server)
 {
-    ev_timer_init(&engine->sampler, on_sample, 0, LOAD_SAMPLE_S);
-    engine->sampler.data = engine;
-    ev_timer_start(EV_DEFAULT, &engine->sampler);
+    struct engine *e = (struct engine *)server;
+
+    if (e->stall_ms > 0) {
+        e->stalled_until_ms = fake_now_ms() + e->stall_ms;
+        e->stall_ms = 0;
+    }
+    run_batch(e);
 }
 
 int
 main(int argc, char **argv)
 {
-    static const struct fake_ops ops = {.handle = handle, .gone = gone};
-    static struct engine engine = {
-        .token_ms = 10, .first_token_ms = 20, .tokens = 20, .slots = 8};
+    static const struct fake_ops ops = {handle, gone, changed};
+    static struct engine e = {.slots = SLOTS_DEFAULT,
+                              .tokens = TOKENS_DEFAULT,
+                              .silent_after_tokens = NO_FAULT,
+                              .break_after_tokens = NO_FAULT,
+                              .fault_calls = NO_FAULT};
     const struct fake_setting settings[] = {
-        {"token_ms", &engine.token_ms},
-        {"first_token_ms", &engine.first_token_ms},
-        {"tokens", &engine.tokens},
-        {"slots", &engine.slots},
-        {"silent_after_tokens", &engine.silent_after_tokens},
-        {"break_after_tokens", &engine.break_after_tokens},
-        {"stall_ms", &engine.stall_ms},
-        {"decline", &engine.decline},
-        {"wrong_id", &engine.wrong_id},
-        {"load_age_ms", &engine.load_age_ms},
-        {"close_after_read", &engine.close_after_read},
-        {"checks_fencing", &engine.checks_fencing},
+        {"slots", &e.slots},
+        {"token_ms", &e.token_ms},
+        {"first_token_ms", &e.first_token_ms},
+        {"tokens", &e.tokens},
+        {"silent_after_tokens", &e.silent_after_tokens},
+        {"break_after_tokens", &e.break_after_tokens},
+        {"fault_calls", &e.fault_calls},
+        {"stall_ms", &e.stall_ms},
+        {"decline", &e.decline},
+        {"wrong_id", &e.wrong_id},
+        {"load_age_ms", &e.load_age_ms},
+        {"close_after_read", &e.close_after_read},
+        {"checks_fencing", &e.checks_fencing},
         {NULL, NULL}};
 
-    engine.server.ops = &ops;
-    engine.server.settings = settings;
-    ct_table_init(&engine.jobs, sizeof(struct job), 0, NULL);
-    engine.cache =
-        g_ptr_array_new_with_free_func((GDestroyNotify)json_object_unref);
-    start_sampler(&engine);
-    return fake_main(&engine.server, argc, (const char **)argv, NULL);
+    e.server.ops = &ops;
+    e.server.settings = settings;
+    ct_table_init(&e.calls, sizeof(struct call), 0, NULL);
+    e.cache_events = g_array_new(FALSE, FALSE, sizeof(struct cache_event));
+    e.cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    e.load = g_array_new(FALSE, FALSE, sizeof(struct load_sample));
+    sample_load(&e);
+    ev_timer_init(&e.tick, on_tick, 0, 0);
+    e.tick.data = &e;
+    return fake_main(&e.server, argc, (const char **)argv, NULL);
 }
--- a/t/fake/fake-http.c
+++ b/t/fake/fake-http.c
@@ -112,6 +112,7 @@
 {
     if (request->suspended) {
         request->suspended = false;
+        request->server->resumed = true;
         MHD_resume_connection(request->connection);
     }
 }
@@ -514,7 +515,12 @@
 
     (void)events;
     ev_timer_stop(loop, &server->timer);
-    if (MHD_get_timeout(server->daemon, &wait_ms) == MHD_YES) {
+    if (server->resumed) {
+        server->resumed = false;
+        ev_timer_set(&server->timer, 0, 0);
+        ev_timer_start(loop, &server->timer);
+    }
+    else if (MHD_get_timeout(server->daemon, &wait_ms) == MHD_YES) {
         ev_timer_set(&server->timer, (double)wait_ms / MS_PER_S, 0);
         ev_timer_start(loop, &server->timer);
     }
--- a/t/fake/fake-http.h
+++ b/t/fake/fake-http.h
@@ -52,6 +52,8 @@
     struct ev_timer timer;
     struct ev_timer peek;
     struct ev_prepare prepare;
+    /* libmicrohttpd takes resumed connections up only when it runs. */
+    bool resumed;
     /* struct fake_request */
     struct ct_table requests;
     JsonArray *seen;
--- a/t/fake/fake-platform.c
+++ b/t/fake/fake-platform.c
@@ -1,432 +1,589 @@
-/*
- * Stand-in of the platform: log with limited retention, ordering of
- * upstreams, usage reports, lagging lists, weight store. Each can be down,
- * slow, or take effect and lose the answer.
- */
+/* Stand-in of the platform: log, upstream orders, usage, hosts, weights. */
 #include "fake-http.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define READ_MAX 500
-#define WEIGHTS_WINDOW_MS 1000
+#define READ_MAX 256
+
+enum outage {
+    OUTAGE_NONE,
+    /* Connections are closed without an answer and without effect. */
+    OUTAGE_CLOSED,
+    /* Requests are read and never answered, without effect. */
+    OUTAGE_SILENT,
+};
+
+struct upstream {
+    char name[FAKE_ID_MAX];
+    char pool[FAKE_ID_MAX];
+    char zone[FAKE_ID_MAX];
+    char address[FAKE_ID_MAX];
+    bool cheap;
+    ct_ms started_ms;
+    /* 0 while it is not leaving. */
+    ct_ms leaving_ms;
+};
 
 struct platform {
     struct fake_server server;
+    /* Base64 texts; entry i has the offset first + i. */
+    GPtrArray *log;
+    int64_t first;
+    JsonNode *hosts;
+    /* struct upstream */
+    struct ct_table upstreams;
+    GPtrArray *spare_addresses;
+    int64_t n_started;
+    /* Order id -> first answer. */
+    GHashTable *orders;
+    /* Pool -> newest term. */
+    GHashTable *terms;
+    /* Window start -> accepted figures. */
+    GHashTable *windows;
+    ct_ms weights_at_ms;
+
     int64_t outage;
     int64_t delay_ms;
-    /* Calls still to come that take effect and lose their answer. */
     int64_t lose_answers;
-    /* Entries kept; 0 for all. */
     int64_t retention;
     int64_t checks_fencing;
-    /* Weight fetches a second; 0 for no limit. */
-    int64_t weights_per_s;
-    /* Entries as base64 texts; the first one has the offset first. */
-    GPtrArray *entries;
-    int64_t first;
-    /* Reads that wait: struct ct_handle of their requests. */
-    GArray *waiting;
-    /* Newest term seen in orders, and answers by order id. */
-    int64_t newest_term;
-    GHashTable *orders;
-    /* Accepted figures by window, as JSON text. */
-    GHashTable *usage;
-    JsonNode *hosts;
-    JsonNode *upstreams;
-    ct_ms weights_from_ms;
-    int64_t weights_taken;
+    int64_t start_ms;
+    int64_t stop_ms;
+    int64_t weights_interval_ms;
+    int64_t weights_wait_ms;
 };
 
 static int64_t
-head_of(const struct platform *platform)
-{
-    return platform->first + (int64_t)platform->entries->len - 1;
-}
-
-static void
-reply(struct platform *platform, struct fake_request *request,
-      unsigned int status, JsonObject *object)
+head(const struct platform *p)
 {
-    fake_reply(request, status, object, platform->delay_ms);
+    return p->first + (int64_t)p->log->len - 1;
 }
 
-/* Replies to a call that took effect, or loses the answer. */
+/* Replies to a call that took effect, unless its answer is to be lost. */
 static void
-reply_effect(struct platform *platform, struct fake_request *request,
-             unsigned int status, JsonObject *object)
+reply_effect(struct platform *p, struct fake_request *request,
+             JsonObject *body)
 {
-    if (platform->lose_answers > 0) {
-        platform->lose_answers--;
-        if (object) {
-            json_object_unref(object);
-        }
+    if (p->lose_answers > 0) {
+        p->lose_answers--;
+        json_object_unref(body);
         fake_break(request);
         return;
     }
-    reply(platform, request, status, object);
-}
-
-static JsonObject *
-bounds(const struct platform *platform)
-{
-    JsonObject *object = json_object_new();
-
-    json_object_set_int_member(object, "first", platform->first);
-    json_object_set_int_member(object, "head", head_of(platform));
-    return object;
+    fake_reply(request, MHD_HTTP_OK, body, p->delay_ms);
 }
 
 static void
-reply_entries(struct platform *platform, struct fake_request *request)
+reply_entries(struct platform *p, struct fake_request *request, int64_t from)
 {
-    int64_t from = fake_query(request, "from", 1);
-    int64_t max = MIN(fake_query(request, "max", READ_MAX), READ_MAX);
-    JsonObject *object = bounds(platform);
-    JsonArray *entries;
+    int64_t max = CLAMP(fake_query(request, "max", READ_MAX), 1, READ_MAX);
+    JsonObject *body = json_object_new();
+    JsonArray *rows = json_array_new();
 
-    if (from < platform->first) {
-        reply(platform, request, MHD_HTTP_GONE, object);
-        return;
-    }
-    entries = json_array_new();
-    for (int64_t at = from; at <= head_of(platform) && at < from + max; at++) {
-        JsonObject *entry = json_object_new();
+    for (int64_t o = from; o <= head(p) && o < from + max; o++) {
+        JsonObject *row = json_object_new();
 
-        json_object_set_int_member(entry, "offset", at);
+        json_object_set_int_member(row, "offset", o);
         json_object_set_string_member(
-            entry, "data",
-            g_ptr_array_index(platform->entries, at - platform->first));
-        json_array_add_object_element(entries, entry);
+            row, "data", g_ptr_array_index(p->log, (guint)(o - p->first)));
+        json_array_add_object_element(rows, row);
     }
-    json_object_set_array_member(object, "entries", entries);
-    reply(platform, request, MHD_HTTP_OK, object);
+    json_object_set_int_member(body, "first", p->first);
+    json_object_set_int_member(body, "head", head(p));
+    json_object_set_array_member(body, "entries", rows);
+    request->wait = 0;
+    fake_reply(request, MHD_HTTP_OK, body, p->delay_ms);
 }
 
 static void
-on_wait_over(struct ev_loop *loop, ev_timer *timer, int events)
+on_wait_over(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
     struct fake_request *request = timer->data;
 
     (void)loop;
     (void)events;
-    request->wait = 0;
-    reply_entries((struct platform *)request->server, request);
+    reply_entries((struct platform *)request->server, request, request->wait);
 }
 
 static void
-on_read(struct platform *platform, struct fake_request *request)
+handle_read(struct platform *p, struct fake_request *request)
 {
-    int64_t from = fake_query(request, "from", 1);
+    int64_t from = MAX(fake_query(request, "from", 1), 1);
     int64_t wait_ms = fake_query(request, "wait_ms", 0);
 
-    if (from <= head_of(platform) || wait_ms <= 0) {
-        reply_entries(platform, request);
+    if (from < p->first) {
+        JsonObject *body = json_object_new();
+
+        json_object_set_int_member(body, "first", p->first);
+        json_object_set_int_member(body, "head", head(p));
+        fake_reply(request, MHD_HTTP_GONE, body, p->delay_ms);
+        return;
+    }
+    if (from <= head(p) || wait_ms <= 0) {
+        reply_entries(p, request, from);
         return;
     }
     request->wait = from;
-    g_array_append_val(platform->waiting, request->handle);
     ev_timer_init(&request->delay, on_wait_over, (double)wait_ms / 1000, 0);
     request->delay.data = request;
-    ev_timer_start(platform->server.loop, &request->delay);
+    ev_timer_start(p->server.loop, &request->delay);
 }
 
+/* Answers the readers that wait for an entry that is there now. */
 static void
-wake_readers(struct platform *platform)
+wake_readers(struct platform *p)
 {
-    for (guint i = 0; i < platform->waiting->len; i++) {
-        struct fake_request *request =
-            fake_get(&platform->server,
-                     g_array_index(platform->waiting, struct ct_handle, i));
-
-        if (request && request->wait) {
-            request->wait = 0;
-            ev_timer_stop(platform->server.loop, &request->delay);
-            reply_entries(platform, request);
+    struct fake_request *request;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((request = ct_table_next(&p->server.requests, &cursor, &handle))) {
+        if (request->wait > 0 && request->wait <= head(p)) {
+            ev_timer_stop(p->server.loop, &request->delay);
+            reply_entries(p, request, request->wait);
         }
     }
-    g_array_set_size(platform->waiting, 0);
 }
 
 static void
-on_append(struct platform *platform, struct fake_request *request)
+apply_retention(struct platform *p)
+{
+    while (p->retention > 0 && (int64_t)p->log->len > p->retention) {
+        g_ptr_array_remove_index(p->log, 0);
+        p->first++;
+    }
+}
+
+static void
+handle_append(struct platform *p, struct fake_request *request)
 {
-    const char *data =
-        request->json ? fake_json_text(request->json, "data") : NULL;
-    JsonObject *object;
+    const char *data = fake_json_text(request->json, "data");
     JsonObject *entry;
+    JsonObject *body;
 
-    if (!data) {
-        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "no-data");
+    if (!*data) {
+        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "data");
         return;
     }
-    g_ptr_array_add(platform->entries, g_strdup(data));
-    while (platform->retention > 0 &&
-           (int64_t)platform->entries->len > platform->retention) {
-        g_ptr_array_remove_index(platform->entries, 0);
-        platform->first++;
-    }
+    g_ptr_array_add(p->log, g_strdup(data));
+    apply_retention(p);
     entry = fake_entry("append");
-    json_object_set_int_member(entry, "offset", head_of(platform));
-    fake_log(&platform->server, entry);
-    object = json_object_new();
-    json_object_set_int_member(object, "offset", head_of(platform));
-    reply_effect(platform, request, MHD_HTTP_OK, object);
-    wake_readers(platform);
+    json_object_set_int_member(entry, "offset", head(p));
+    json_object_set_int_member(entry, "bytes", (int64_t)strlen(data));
+    fake_log(&p->server, entry);
+    body = json_object_new();
+    json_object_set_int_member(body, "offset", head(p));
+    reply_effect(p, request, body);
+    wake_readers(p);
 }
 
 static void
-log_order(struct platform *platform, const struct fake_request *request,
-          const char *what)
+handle_hosts(struct platform *p, struct fake_request *request)
 {
-    JsonObject *entry = fake_entry(what);
+    char *text = json_to_string(p->hosts, FALSE);
+
+    fake_reply_text(request, MHD_HTTP_OK, text, p->delay_ms);
+    g_free(text);
+}
+
+static struct upstream *
+add_upstream(struct platform *p, JsonObject *from, const char *name,
+             const char *address)
+{
+    struct ct_handle handle;
+    struct upstream *u;
+
+    ct_table_add(&p->upstreams, &handle);
+    u = ct_table_get(&p->upstreams, handle);
+    g_strlcpy(u->name, name, sizeof(u->name));
+    g_strlcpy(u->address, address, sizeof(u->address));
+    g_strlcpy(u->pool, fake_json_text(from, "pool"), sizeof(u->pool));
+    g_strlcpy(u->zone, fake_json_text(from, "zone"), sizeof(u->zone));
+    u->cheap = fake_json_int(from, "cheap", 0) != 0;
+    u->started_ms = fake_now_ms();
+    return u;
+}
+
+static struct upstream *
+start_upstream(struct platform *p, JsonObject *order)
+{
+    struct upstream *u;
+    const char *address = "";
+    char name[FAKE_ID_MAX];
+
+    g_snprintf(name, sizeof(name), "%s-o%" G_GINT64_FORMAT,
+               fake_json_text(order, "pool"), ++p->n_started);
+    if (p->spare_addresses->len > 0) {
+        address = g_ptr_array_index(p->spare_addresses, 0);
+    }
+    u = add_upstream(p, order, name, address);
+    if (p->spare_addresses->len > 0) {
+        g_ptr_array_remove_index(p->spare_addresses, 0);
+    }
+    return u;
+}
+
+static struct upstream *
+find_upstream(struct platform *p, const char *name)
+{
+    struct ct_handle handle;
+    struct upstream *u;
+    uint32_t cursor = 0;
+
+    while ((u = ct_table_next(&p->upstreams, &cursor, &handle))) {
+        if (strcmp(u->name, name) == 0) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+static JsonObject *
+carry_out(struct platform *p, JsonObject *order)
+{
+    const char *kind = fake_json_text(order, "kind");
+    JsonObject *answer = json_object_new();
+    struct upstream *u;
+
+    if (strcmp(kind, "start") == 0) {
+        u = start_upstream(p, order);
+    }
+    else {
+        u = find_upstream(p, fake_json_text(order, "upstream"));
+    }
+    if (u && strcmp(kind, "stop") == 0 && u->leaving_ms == 0) {
+        u->leaving_ms = fake_now_ms();
+    }
+    json_object_set_string_member(answer, "upstream", u ? u->name : "");
+    json_object_set_string_member(answer, "address", u ? u->address : "");
+    return answer;
+}
+
+static bool
+is_old_term(struct platform *p, const char *pool, int64_t term)
+{
+    int64_t *newest = g_hash_table_lookup(p->terms, pool);
+
+    if (!newest) {
+        newest = g_new0(int64_t, 1);
+        g_hash_table_insert(p->terms, g_strdup(pool), newest);
+    }
+    if (term < *newest) {
+        return true;
+    }
+    *newest = term;
+    return false;
+}
+
+static void
+log_order(struct platform *p, struct fake_request *request, bool refused,
+          bool repeated)
+{
+    static const char *const texts[] = {"kind", "pool", "zone", "upstream"};
+    JsonObject *order = request->json;
+    JsonObject *entry = fake_entry("order");
 
     json_object_set_int_member(entry, "order_id",
-                               fake_json_int(request->json, "order_id", 0));
-    json_object_set_int_member(entry, "term",
-                               fake_json_int(request->json, "term", 0));
+                               fake_json_int(order, "order_id", 0));
+    json_object_set_int_member(entry, "term", fake_json_int(order, "term", 0));
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        json_object_set_string_member(entry, texts[i],
+                                      fake_json_text(order, texts[i]));
+    }
     json_object_set_int_member(entry, "connected_ms", request->connected_ms);
-    json_object_set_object_member(entry, "order",
-                                  json_object_ref(request->json));
-    fake_log(&platform->server, entry);
+    json_object_set_boolean_member(entry, "refused", refused);
+    json_object_set_boolean_member(entry, "repeated", repeated);
+    fake_log(&p->server, entry);
 }
 
 static void
-on_order(struct platform *platform, struct fake_request *request)
+handle_order(struct platform *p, struct fake_request *request)
 {
-    int64_t term;
-    gchar *key;
+    int64_t id = fake_json_int(request->json, "order_id", 0);
+    int64_t term = fake_json_int(request->json, "term", 0);
     JsonObject *answer;
+    bool old;
 
     if (!request->json) {
-        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "no-order");
+        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "json");
         return;
     }
-    term = fake_json_int(request->json, "term", 0);
-    if (platform->checks_fencing && term < platform->newest_term) {
-        log_order(platform, request, "order-refused");
+    answer = g_hash_table_lookup(p->orders, &id);
+    old = is_old_term(p, fake_json_text(request->json, "pool"), term) &&
+          p->checks_fencing;
+    log_order(p, request, old, answer != NULL);
+    if (old) {
         fake_reply_error(request, MHD_HTTP_CONFLICT, "old-term");
         return;
     }
-    platform->newest_term = MAX(platform->newest_term, term);
-    key = g_strdup_printf("%" G_GINT64_FORMAT,
-                          fake_json_int(request->json, "order_id", 0));
-    answer = g_hash_table_lookup(platform->orders, key);
-    if (answer) {
-        g_free(key);
-        log_order(platform, request, "order-repeated");
+    if (!answer) {
+        answer = carry_out(p, request->json);
+        g_hash_table_insert(p->orders, g_memdup2(&id, sizeof(id)), answer);
     }
-    else {
-        const char *upstream = fake_json_text(request->json, "upstream");
+    reply_effect(p, request, json_object_ref(answer));
+}
 
-        answer = json_object_new();
-        json_object_set_string_member(answer, "upstream",
-                                      upstream && *upstream ? upstream : key);
-        json_object_set_string_member(answer, "address", "");
-        g_hash_table_insert(platform->orders, key, answer);
-        log_order(platform, request, "order");
+static void
+handle_upstreams(struct platform *p, struct fake_request *request)
+{
+    JsonObject *body = json_object_new();
+    JsonArray *rows = json_array_new();
+    ct_ms now_ms = fake_now_ms();
+    struct ct_handle handle;
+    struct upstream *u;
+    uint32_t cursor = 0;
+
+    while ((u = ct_table_next(&p->upstreams, &cursor, &handle))) {
+        JsonObject *row = json_object_new();
+        const char *state = "running";
+
+        if (u->leaving_ms > 0) {
+            state = "leaving";
+        }
+        else if (now_ms < u->started_ms + p->start_ms) {
+            state = "starting";
+        }
+        json_object_set_string_member(row, "name", u->name);
+        json_object_set_string_member(row, "pool", u->pool);
+        json_object_set_string_member(row, "zone", u->zone);
+        json_object_set_string_member(row, "address", u->address);
+        json_object_set_boolean_member(row, "cheap", u->cheap);
+        json_object_set_string_member(row, "state", state);
+        json_array_add_object_element(rows, row);
+        if (u->leaving_ms > 0 && now_ms >= u->leaving_ms + p->stop_ms) {
+            ct_table_unref(&p->upstreams, handle);
+        }
     }
-    reply_effect(platform, request, MHD_HTTP_OK, json_object_ref(answer));
+    json_object_set_array_member(body, "upstreams", rows);
+    fake_reply(request, MHD_HTTP_OK, body, p->delay_ms);
+}
+
+static int
+compare_text(const void *a, const void *b)
+{
+    return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* The figures of a report in one text, whatever the order of its rows. */
+static char *
+report_figures(JsonObject *report)
+{
+    JsonArray *rows = json_object_get_array_member(report, "rows");
+    guint n = rows ? json_array_get_length(rows) : 0;
+    char **lines = g_new0(char *, n + 1);
+    char *text;
+
+    for (guint i = 0; i < n; i++) {
+        JsonObject *row = json_array_get_object_element(rows, i);
+
+        lines[i] = g_strdup_printf("%s %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
+                                   " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+                                   fake_json_text(row, "organisation"),
+                                   fake_json_int(row, "requests", 0),
+                                   fake_json_int(row, "tokens_in", 0),
+                                   fake_json_int(row, "tokens_out", 0),
+                                   fake_json_int(row, "late_requests", 0));
+    }
+    qsort(lines, n, sizeof(char *), compare_text);
+    text = g_strjoinv("\n", lines);
+    g_strfreev(lines);
+    return text;
 }
 
 static void
-on_usage(struct platform *platform, struct fake_request *request)
+handle_usage(struct platform *p, struct fake_request *request)
 {
+    int64_t window = fake_json_int(request->json, "window_start_ms", 0);
+    const char *accepted;
     JsonObject *entry;
-    const char *before;
-    gchar *figures;
-    gchar *window;
-    JsonNode *rows;
+    char *figures;
     bool differs;
-    bool repeated;
 
     if (!request->json || !json_object_has_member(request->json, "rows")) {
-        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "no-rows");
+        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "rows");
         return;
     }
-    window =
-        g_strdup_printf("%" G_GINT64_FORMAT,
-                        fake_json_int(request->json, "window_start_ms", 0));
-    rows = json_object_get_member(request->json, "rows");
-    figures = json_to_string(rows, FALSE);
-    before = g_hash_table_lookup(platform->usage, window);
-    differs = before && strcmp(before, figures) != 0;
-    repeated = before && !differs;
-    entry = fake_entry(differs ? "usage-differs"
-                               : (repeated ? "usage-repeated" : "usage"));
-    json_object_set_object_member(entry, "report",
-                                  json_object_ref(request->json));
-    fake_log(&platform->server, entry);
+    figures = report_figures(request->json);
+    accepted = g_hash_table_lookup(p->windows, &window);
+    differs = accepted && strcmp(accepted, figures) != 0;
+    entry = fake_entry("usage");
+    json_object_set_int_member(entry, "window_start_ms", window);
+    json_object_set_int_member(entry, "term",
+                               fake_json_int(request->json, "term", 0));
+    json_object_set_string_member(entry, "figures", figures);
+    json_object_set_int_member(entry, "connected_ms", request->connected_ms);
+    json_object_set_boolean_member(entry, "refused", differs);
+    json_object_set_boolean_member(entry, "repeated", accepted != NULL);
+    fake_log(&p->server, entry);
     if (differs) {
-        g_free(window);
         g_free(figures);
         fake_reply_error(request, MHD_HTTP_CONFLICT, "differs");
         return;
     }
-    if (repeated) {
-        g_free(window);
-        g_free(figures);
-    }
-    else {
-        g_hash_table_insert(platform->usage, window, figures);
-    }
-    reply_effect(platform, request, MHD_HTTP_OK, NULL);
+    g_hash_table_insert(p->windows, g_memdup2(&window, sizeof(window)),
+                        figures);
+    reply_effect(p, request, json_object_new());
 }
 
 static void
-on_weights(struct platform *platform, struct fake_request *request)
+handle_weights(struct platform *p, struct fake_request *request)
 {
     ct_ms now_ms = fake_now_ms();
-    JsonObject *object = json_object_new();
-
-    if (now_ms - platform->weights_from_ms >= WEIGHTS_WINDOW_MS) {
-        platform->weights_from_ms = now_ms;
-        platform->weights_taken = 0;
-    }
-    fake_log(&platform->server, fake_entry("weights"));
-    if (platform->weights_per_s &&
-        platform->weights_taken >= platform->weights_per_s) {
-        json_object_set_int_member(object, "retry_after_ms",
-                                   platform->weights_from_ms +
-                                       WEIGHTS_WINDOW_MS - now_ms);
-        reply(platform, request, MHD_HTTP_TOO_MANY_REQUESTS, object);
+    ct_ms left_ms = p->weights_at_ms + p->weights_interval_ms - now_ms;
+    bool refused = p->weights_at_ms > 0 && left_ms > 0;
+    JsonObject *entry = fake_entry("weights");
+    JsonObject *body = json_object_new();
+
+    json_object_set_string_member(entry, "model",
+                                  fake_json_text(request->json, "model"));
+    json_object_set_boolean_member(entry, "refused", refused);
+    fake_log(&p->server, entry);
+    if (refused) {
+        json_object_set_int_member(body, "retry_after_ms", left_ms);
+        fake_reply(request, MHD_HTTP_TOO_MANY_REQUESTS, body, p->delay_ms);
         return;
     }
-    platform->weights_taken++;
-    json_object_set_int_member(object, "wait_ms", 0);
-    reply(platform, request, MHD_HTTP_OK, object);
+    p->weights_at_ms = now_ms;
+    json_object_set_int_member(body, "wait_ms", p->weights_wait_ms);
+    fake_reply(request, MHD_HTTP_OK, body, p->delay_ms);
 }
 
-/* Answers with a list that a test has set, or takes a new one. */
 static void
-on_list(struct platform *platform, struct fake_request *request,
-        JsonNode **list, bool set, const char *name)
+set_hosts(struct platform *p, struct fake_request *request)
 {
-    JsonObject *object;
-
-    if (!set) {
-        object = json_object_new();
-        json_object_set_member(
-            object, name,
-            *list ? json_node_copy(*list)
-                  : json_node_init_array(json_node_alloc(), json_array_new()));
-        reply(platform, request, MHD_HTTP_OK, object);
-        return;
-    }
-    if (!request->json || !json_object_has_member(request->json, name)) {
-        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "no-list");
+    if (!request->json) {
+        fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "json");
         return;
     }
-    g_clear_pointer(list, json_node_unref);
-    *list = json_object_dup_member(request->json, name);
+    json_node_free(p->hosts);
+    p->hosts = json_node_copy(json_parser_get_root(request->parser));
     fake_reply(request, MHD_HTTP_OK, NULL, 0);
 }
 
-static bool
-control(struct platform *platform, struct fake_request *request)
-{
-    if (strcmp(request->path, "/fake/hosts") == 0) {
-        on_list(platform, request, &platform->hosts, true, "hosts");
-        return true;
-    }
-    if (strcmp(request->path, "/fake/upstreams") == 0) {
-        on_list(platform, request, &platform->upstreams, true, "upstreams");
-        return true;
-    }
-    return false;
-}
-
+/* {"upstreams":[{...,"state":".."}],"spares":["ip:port"]} */
 static void
-handle(struct fake_server *server, struct fake_request *request)
+set_upstreams(struct platform *p, struct fake_request *request)
 {
-    struct platform *platform = (struct platform *)server;
-    const char *path = request->path;
-
-    if (control(platform, request)) {
-        return;
-    }
-    if (platform->outage) {
-        fake_break(request);
-    }
-    else if (strcmp(path, "/log/append") == 0) {
-        on_append(platform, request);
-    }
-    else if (strcmp(path, "/log/read") == 0) {
-        on_read(platform, request);
-    }
-    else if (strcmp(path, "/upstreams/order") == 0) {
-        on_order(platform, request);
-    }
-    else if (strcmp(path, "/usage") == 0) {
-        on_usage(platform, request);
-    }
-    else if (strcmp(path, "/weights/fetch") == 0) {
-        on_weights(platform, request);
+    JsonArray *rows = NULL;
+    JsonArray *spares = NULL;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    if (request->json && json_object_has_member(request->json, "upstreams")) {
+        rows = json_object_get_array_member(request->json, "upstreams");
+        while (ct_table_next(&p->upstreams, &cursor, &handle)) {
+            ct_table_unref(&p->upstreams, handle);
+        }
     }
-    else if (strcmp(path, "/hosts") == 0) {
-        on_list(platform, request, &platform->hosts, false, "hosts");
+    for (guint i = 0; rows && i < json_array_get_length(rows); i++) {
+        JsonObject *row = json_array_get_object_element(rows, i);
+        struct upstream *u = add_upstream(p, row, fake_json_text(row, "name"),
+                                          fake_json_text(row, "address"));
+
+        u->started_ms -= p->start_ms;
+        if (strcmp(fake_json_text(row, "state"), "leaving") == 0) {
+            u->leaving_ms = fake_now_ms();
+        }
     }
-    else if (strcmp(path, "/upstreams") == 0) {
-        on_list(platform, request, &platform->upstreams, false, "upstreams");
+    if (request->json && json_object_has_member(request->json, "spares")) {
+        spares = json_object_get_array_member(request->json, "spares");
+        g_ptr_array_set_size(p->spare_addresses, 0);
     }
-    else {
-        fake_reply_error(request, MHD_HTTP_NOT_FOUND, "unknown-path");
+    for (guint i = 0; spares && i < json_array_get_length(spares); i++) {
+        g_ptr_array_add(p->spare_addresses,
+                        g_strdup(json_array_get_string_element(spares, i)));
     }
+    fake_reply(request, MHD_HTTP_OK, NULL, 0);
 }
 
-/* A read that waited ended, by its answer or by its caller. */
 static void
-gone(struct fake_server *server, struct fake_request *request)
+handle(struct fake_server *server, struct fake_request *request)
 {
-    ev_timer_stop(server->loop, &request->delay);
-    request->wait = 0;
+    static const struct {
+        const char *path;
+        void (*call)(struct platform *p, struct fake_request *request);
+        bool control;
+    } routes[] = {
+        {"/log/append", handle_append, false},
+        {"/log/read", handle_read, false},
+        {"/hosts", handle_hosts, false},
+        {"/upstreams/order", handle_order, false},
+        {"/upstreams", handle_upstreams, false},
+        {"/usage", handle_usage, false},
+        {"/weights/fetch", handle_weights, false},
+        {"/fake/hosts", set_hosts, true},
+        {"/fake/upstreams", set_upstreams, true},
+    };
+    struct platform *p = (struct platform *)server;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        if (strcmp(routes[i].path, request->path) != 0) {
+            continue;
+        }
+        if (p->outage == OUTAGE_NONE || routes[i].control) {
+            routes[i].call(p, request);
+        }
+        else if (p->outage == OUTAGE_CLOSED) {
+            fake_break(request);
+        }
+        return;
+    }
+    fake_reply_error(request, MHD_HTTP_NOT_FOUND, "path");
 }
 
-/* An outage begins for those who wait as well. */
+/* An outage also ends the reads that wait for entries. */
 static void
 changed(struct fake_server *server)
 {
-    struct platform *platform = (struct platform *)server;
+    struct platform *p = (struct platform *)server;
+    struct fake_request *request;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
 
-    if (!platform->outage) {
+    apply_retention(p);
+    if (p->outage == OUTAGE_NONE) {
         return;
     }
-    for (guint i = 0; i < platform->waiting->len; i++) {
-        struct fake_request *request = fake_get(
-            server, g_array_index(platform->waiting, struct ct_handle, i));
-
-        if (request && request->wait) {
-            request->wait = 0;
-            ev_timer_stop(server->loop, &request->delay);
+    while ((request = ct_table_next(&server->requests, &cursor, &handle))) {
+        if (request->wait == 0) {
+            continue;
+        }
+        request->wait = 0;
+        ev_timer_stop(server->loop, &request->delay);
+        if (p->outage == OUTAGE_CLOSED) {
             fake_break(request);
         }
     }
-    g_array_set_size(platform->waiting, 0);
 }
 
 int
 main(int argc, char **argv)
 {
-    static const struct fake_ops ops = {
-        .handle = handle, .gone = gone, .changed = changed};
-    static struct platform platform;
+    static const struct fake_ops ops = {handle, NULL, changed};
+    static struct platform p = {.first = 1};
     const struct fake_setting settings[] = {
-        {"outage", &platform.outage},
-        {"delay_ms", &platform.delay_ms},
-        {"lose_answers", &platform.lose_answers},
-        {"retention", &platform.retention},
-        {"checks_fencing", &platform.checks_fencing},
-        {"weights_per_s", &platform.weights_per_s},
+        {"outage", &p.outage},
+        {"delay_ms", &p.delay_ms},
+        {"lose_answers", &p.lose_answers},
+        {"retention", &p.retention},
+        {"checks_fencing", &p.checks_fencing},
+        {"start_ms", &p.start_ms},
+        {"stop_ms", &p.stop_ms},
+        {"weights_interval_ms", &p.weights_interval_ms},
+        {"weights_wait_ms", &p.weights_wait_ms},
         {NULL, NULL}};
 
-    platform.server.ops = &ops;
-    platform.server.settings = settings;
-    platform.first = 1;
-    platform.entries = g_ptr_array_new_with_free_func(g_free);
-    platform.waiting = g_array_new(FALSE, TRUE, sizeof(struct ct_handle));
-    platform.orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify)json_object_unref);
-    platform.usage =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    return fake_main(&platform.server, argc, (const char **)argv, NULL);
+    p.server.ops = &ops;
+    p.server.settings = settings;
+    p.log = g_ptr_array_new_with_free_func(g_free);
+    p.spare_addresses = g_ptr_array_new_with_free_func(g_free);
+    p.hosts = json_from_string("{\"hosts\":[]}", NULL);
+    ct_table_init(&p.upstreams, sizeof(struct upstream), 0, NULL);
+    p.orders = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                     (GDestroyNotify)json_object_unref);
+    p.terms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p.windows =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    return fake_main(&p.server, argc, (const char **)argv, NULL);
 }
--- /dev/null
+++ b/t/fake/relay.c
@@ -0,0 +1,307 @@
+/* Forwards TCP to one address; connections can be cut or made silent. */
+#include "fake-http.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BUFFER_BYTES 65536
+#define BACKLOG 512
+
+enum mode {
+    MODE_PASS,
+    /* What stands now goes silent for good; new connections pass. */
+    MODE_SILENT,
+    /* What stands now is reset; new connections pass. */
+    MODE_CUT,
+    /* As cut, and new connections are refused. */
+    MODE_REFUSE,
+    /* As silent, and so are new connections. */
+    MODE_SILENT_ALL,
+};
+
+static const char *const mode_names[] = {"pass", "silent", "cut", "refuse",
+                                         "silent-all"};
+
+struct relay;
+
+/* One direction of a connection: reads from in, writes to the other's in. */
+struct side {
+    struct ev_io read;
+    struct ev_io write;
+    int fd;
+    struct side *other;
+    struct link *link;
+    char buffer[BUFFER_BYTES];
+    size_t filled;
+    size_t written;
+};
+
+struct link {
+    struct relay *relay;
+    struct ct_handle handle;
+    struct side caller;
+    struct side target;
+};
+
+struct relay {
+    struct fake_server control;
+    struct ev_io accept;
+    int listener;
+    struct sockaddr_in address;
+    struct sockaddr_in to;
+    enum mode mode;
+    /* struct link */
+    struct ct_table links;
+};
+
+static void
+stop_side(struct relay *r, struct side *side)
+{
+    ev_io_stop(r->control.loop, &side->read);
+    ev_io_stop(r->control.loop, &side->write);
+}
+
+static void
+close_link(struct link *link, bool reset)
+{
+    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+    struct side *sides[] = {&link->caller, &link->target};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sides); i++) {
+        stop_side(link->relay, sides[i]);
+        if (reset) {
+            setsockopt(sides[i]->fd, SOL_SOCKET, SO_LINGER, &linger,
+                       sizeof(linger));
+        }
+        close(sides[i]->fd);
+    }
+    ct_table_unref(&link->relay->links, link->handle);
+}
+
+static void
+on_readable(struct ev_loop *loop, struct ev_io *io, int events)
+{
+    struct side *side = io->data;
+    ssize_t n = read(side->fd, side->buffer, sizeof(side->buffer));
+
+    (void)events;
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (n <= 0) {
+        close_link(side->link, n < 0);
+        return;
+    }
+    side->filled = (size_t)n;
+    side->written = 0;
+    ev_io_stop(loop, &side->read);
+    ev_io_start(loop, &side->other->write);
+}
+
+static void
+on_writable(struct ev_loop *loop, struct ev_io *io, int events)
+{
+    struct side *side = io->data;
+    struct side *from = side->other;
+    ssize_t n = send(side->fd, from->buffer + from->written,
+                     from->filled - from->written, MSG_NOSIGNAL);
+
+    (void)events;
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (n < 0) {
+        close_link(side->link, true);
+        return;
+    }
+    from->written += (size_t)n;
+    if (from->written == from->filled) {
+        ev_io_stop(loop, &side->write);
+        ev_io_start(loop, &from->read);
+    }
+}
+
+static void
+init_side(struct side *side, struct link *link, int fd, struct side *other)
+{
+    side->fd = fd;
+    side->link = link;
+    side->other = other;
+    ev_io_init(&side->read, on_readable, fd, EV_READ);
+    ev_io_init(&side->write, on_writable, fd, EV_WRITE);
+    side->read.data = side;
+    side->write.data = side;
+}
+
+static void
+add_link(struct relay *r, int caller, int target)
+{
+    struct ct_handle handle;
+    struct link *link;
+
+    ct_table_add(&r->links, &handle);
+    link = ct_table_get(&r->links, handle);
+    link->relay = r;
+    link->handle = handle;
+    init_side(&link->caller, link, caller, &link->target);
+    init_side(&link->target, link, target, &link->caller);
+    if (r->mode != MODE_SILENT_ALL) {
+        ev_io_start(r->control.loop, &link->caller.read);
+        ev_io_start(r->control.loop, &link->target.read);
+    }
+}
+
+static void
+on_accept(struct ev_loop *loop, struct ev_io *io, int events)
+{
+    struct relay *r = io->data;
+    int caller = accept4(io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int target;
+
+    (void)loop;
+    (void)events;
+    if (caller < 0) {
+        return;
+    }
+    target = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (target < 0 ||
+        (connect(target, (struct sockaddr *)&r->to, sizeof(r->to)) < 0 &&
+         errno != EINPROGRESS)) {
+        close(caller);
+        if (target >= 0) {
+            close(target);
+        }
+        return;
+    }
+    add_link(r, caller, target);
+}
+
+/* Binds the port, on the first call an ephemeral one. */
+static int
+start_listening(struct relay *r)
+{
+    socklen_t n = sizeof(r->address);
+    int one = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0) {
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(fd, (struct sockaddr *)&r->address, sizeof(r->address)) < 0 ||
+        listen(fd, BACKLOG) < 0 ||
+        getsockname(fd, (struct sockaddr *)&r->address, &n) < 0) {
+        close(fd);
+        return -1;
+    }
+    r->listener = fd;
+    ev_io_init(&r->accept, on_accept, fd, EV_READ);
+    r->accept.data = r;
+    ev_io_start(r->control.loop, &r->accept);
+    return 0;
+}
+
+static void
+stop_listening(struct relay *r)
+{
+    ev_io_stop(r->control.loop, &r->accept);
+    close(r->listener);
+    r->listener = -1;
+}
+
+static void
+apply_mode(struct relay *r, enum mode mode)
+{
+    struct ct_handle handle;
+    struct link *link;
+    uint32_t cursor = 0;
+
+    r->mode = mode;
+    while ((link = ct_table_next(&r->links, &cursor, &handle))) {
+        if (mode == MODE_CUT || mode == MODE_REFUSE) {
+            close_link(link, true);
+        }
+        else if (mode != MODE_PASS) {
+            stop_side(r, &link->caller);
+            stop_side(r, &link->target);
+        }
+    }
+    if (mode == MODE_REFUSE && r->listener >= 0) {
+        stop_listening(r);
+    }
+    if (mode != MODE_REFUSE && r->listener < 0) {
+        start_listening(r);
+    }
+}
+
+static void
+handle(struct fake_server *server, struct fake_request *request)
+{
+    const char *name = fake_json_text(request->json, "mode");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(mode_names); i++) {
+        if (strcmp(mode_names[i], name) == 0) {
+            apply_mode((struct relay *)server, (enum mode)i);
+            fake_reply(request, MHD_HTTP_OK, NULL, 0);
+            return;
+        }
+    }
+    fake_reply_error(request, MHD_HTTP_BAD_REQUEST, "mode");
+}
+
+static int
+parse_address(const char *text, struct sockaddr_in *address)
+{
+    char **parts = g_strsplit(text ? text : "", ":", 2);
+    int ok = 0;
+
+    address->sin_family = AF_INET;
+    if (g_strv_length(parts) == 2) {
+        int64_t port = g_ascii_strtoll(parts[1], NULL, 10);
+
+        address->sin_port = htons((uint16_t)port);
+        ok = inet_pton(AF_INET, parts[0], &address->sin_addr);
+    }
+    g_strfreev(parts);
+    return ok == 1 ? 0 : -1;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct fake_ops ops = {.handle = handle};
+    static struct relay r;
+    int port = 0;
+    char *to = NULL;
+    struct poptOption options[] = {
+        {"port", 'p', POPT_ARG_INT, &port, 0, "port; 0 for any", "PORT"},
+        {"to", 't', POPT_ARG_STRING, &to, 0, "where to forward", "IP:PORT"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context =
+        poptGetContext(argv[0], argc, (const char **)argv, options, 0);
+    int rc = poptGetNextOpt(context);
+
+    poptFreeContext(context);
+    if (rc < -1 || parse_address(to, &r.to) < 0) {
+        fprintf(stderr, "%s: --to IP:PORT is needed\n", argv[0]);
+        return 2;
+    }
+    r.control.ops = &ops;
+    r.address.sin_family = AF_INET;
+    r.address.sin_port = htons((uint16_t)port);
+    r.address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ct_table_init(&r.links, sizeof(struct link), 0, NULL);
+    if (fake_start(&r.control, EV_DEFAULT, 0) < 0 || start_listening(&r) < 0) {
+        fprintf(stderr, "%s: cannot listen\n", argv[0]);
+        return 1;
+    }
+    printf("listening %u %u\n", ntohs(r.address.sin_port), r.control.port);
+    fflush(stdout);
+    ev_run(EV_DEFAULT, 0);
+    return 0;
+}
