--- /dev/null
+++ b/t/lib-http.h
@@ -0,0 +1,61 @@
+#ifndef LIB_HTTP_H
+#define LIB_HTTP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/* A small blocking HTTP client for tests. */
+
+struct http_reply {
+    /* 0, or the libcurl code of a failed transfer. */
+    int error;
+    long status;
+    /* Header lines as they came, and the body. */
+    GString *head;
+    GString *body;
+    /* Local ports of the connection, to tell a kept one from a new one. */
+    long local_port;
+};
+
+struct http_call {
+    /* NULL for GET without a body, else POST. */
+    const char *body;
+    /* "Name: value" lines, to NULL; may be NULL. */
+    const char *const *headers;
+    int64_t timeout_ms;
+    /* Called for each part of the body; may be NULL. false ends the call. */
+    bool (*on_data)(void *arg, const GString *body);
+    void *arg;
+};
+
+/* A connection that is kept between calls. */
+struct http_client;
+
+struct http_client *http_client_new(void);
+void http_client_free(struct http_client *client);
+
+/* Makes one call; the reply is freed with http_reply_free(). */
+void http_client_call(struct http_client *client, uint16_t port,
+                      const char *path, const struct http_call *call,
+                      struct http_reply *reply);
+
+/* The same on a connection of its own. */
+void http_call(uint16_t port, const char *path, const struct http_call *call,
+               struct http_reply *reply);
+void http_reply_free(struct http_reply *reply);
+
+/* The value of a header, or NULL; freed by the caller. */
+char *http_reply_header(const struct http_reply *reply, const char *name);
+
+/* POST for control of a stand-in; fails the test on anything but 200. */
+void http_set(uint16_t port, const char *path, const char *json);
+
+/* GET; fails the test on anything but 200; the caller frees the text. */
+char *http_get(uint16_t port, const char *path);
+
+/* How many entries of /fake/seen contain all of the texts, up to NULL. */
+int http_count_seen(uint16_t port, ...);
+
+#endif
--- /dev/null
+++ b/t/lib-process.c
@@ -0,0 +1,217 @@
+#include "lib-process.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#define ARGUMENTS_MAX 32
+#define PROCESSES_MAX 256
+#define START_TIMEOUT_MS 30000
+#define RUN_TIMEOUT_MS 60000
+#define PAUSE_MS 5
+#define LINE_MAX_BYTES 256
+
+static pid_t running[PROCESSES_MAX];
+static int n_running;
+static bool at_exit_set;
+
+int64_t
+process_now_ms(void)
+{
+    return g_get_monotonic_time() / 1000;
+}
+
+void
+process_pause(void)
+{
+    struct timespec pause = {0, PAUSE_MS * 1000000};
+
+    nanosleep(&pause, NULL);
+}
+
+static void
+kill_all(void)
+{
+    for (int i = 0; i < n_running; i++) {
+        kill(running[i], SIGKILL);
+    }
+}
+
+static void
+forget(pid_t pid)
+{
+    for (int i = 0; i < n_running; i++) {
+        if (running[i] == pid) {
+            running[i] = running[--n_running];
+            return;
+        }
+    }
+}
+
+static void
+remember(pid_t pid)
+{
+    if (!at_exit_set) {
+        at_exit_set = true;
+        atexit(kill_all);
+    }
+    g_assert_cmpint(n_running, <, PROCESSES_MAX);
+    running[n_running++] = pid;
+}
+
+static void
+run_child(const char *path, const char *program, const char *const *arguments,
+          int out)
+{
+    const char *argv[ARGUMENTS_MAX + 2] = {program};
+
+    for (int i = 0; arguments[i] && i < ARGUMENTS_MAX; i++) {
+        argv[i + 1] = arguments[i];
+    }
+    /* The child ends with the test, also when the test is killed. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(out, STDOUT_FILENO);
+    execv(path, (char *const *)(void *)argv);
+    fprintf(stderr, "%s: %s\n", path, strerror(errno));
+    _exit(127);
+}
+
+void
+process_spawn(struct process *process, const char *program,
+              const char *const *arguments)
+{
+    const char *build = g_getenv("CT_BUILD_DIR");
+    char *path = g_build_filename(build ? build : "build", program, NULL);
+    int pipes[2];
+
+    memset(process, 0, sizeof(*process));
+    g_assert_cmpint(pipe2(pipes, O_CLOEXEC), ==, 0);
+    process->pid = fork();
+    g_assert_cmpint(process->pid, >=, 0);
+    if (process->pid == 0) {
+        run_child(path, program, arguments, pipes[1]);
+    }
+    close(pipes[1]);
+    process->out = pipes[0];
+    process->running = true;
+    remember(process->pid);
+    g_free(path);
+}
+
+/* Reads one byte or returns 0 at the end; fails the test on a time-out. */
+static ssize_t
+read_byte(int fd, char *byte, int timeout_ms)
+{
+    struct pollfd poll_fd = {fd, POLLIN, 0};
+
+    g_assert_cmpint(poll(&poll_fd, 1, timeout_ms), ==, 1);
+    return read(fd, byte, 1);
+}
+
+void
+process_await_listening(struct process *process)
+{
+    char line[LINE_MAX_BYTES];
+    unsigned int port = 0;
+    unsigned int second = 0;
+
+    while (port == 0) {
+        size_t n = 0;
+
+        while (n + 1 < sizeof(line)) {
+            g_assert_cmpint(
+                read_byte(process->out, &line[n], START_TIMEOUT_MS), ==, 1);
+            if (line[n++] == '\n') {
+                break;
+            }
+        }
+        line[n] = '\0';
+        if (sscanf(line, "listening %u %u", &port, &second) < 1) {
+            g_test_message("output before listening: %s", line);
+        }
+    }
+    process->port = (uint16_t)port;
+    process->second_port = (uint16_t)second;
+}
+
+void
+process_start(struct process *process, const char *program, ...)
+{
+    const char *arguments[ARGUMENTS_MAX + 1] = {NULL};
+    va_list list;
+    int n = 0;
+
+    va_start(list, program);
+    while (n < ARGUMENTS_MAX && (arguments[n] = va_arg(list, const char *))) {
+        n++;
+    }
+    va_end(list);
+    process_spawn(process, program, arguments);
+    process_await_listening(process);
+}
+
+int
+process_run(const char *program, const char *const *arguments, char **output)
+{
+    GString *text = g_string_new(NULL);
+    struct process process;
+    char byte;
+
+    process_spawn(&process, program, arguments);
+    while (read_byte(process.out, &byte, RUN_TIMEOUT_MS) == 1) {
+        g_string_append_c(text, byte);
+    }
+    if (output) {
+        *output = g_string_free(text, FALSE);
+    }
+    else {
+        g_string_free(text, TRUE);
+    }
+    return process_wait(&process, RUN_TIMEOUT_MS);
+}
+
+void
+process_signal(struct process *process, int signal)
+{
+    g_assert_true(process->running);
+    g_assert_cmpint(kill(process->pid, signal), ==, 0);
+}
+
+static bool
+has_ended(struct process *process, int *status)
+{
+    return waitpid(process->pid, status, WNOHANG) == process->pid;
+}
+
+int
+process_wait(struct process *process, int timeout_ms)
+{
+    int status = 0;
+
+    g_assert_true(process->running);
+    AWAIT(has_ended(process, &status), timeout_ms);
+    process->running = false;
+    forget(process->pid);
+    close(process->out);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void
+process_kill(struct process *process)
+{
+    if (process->running) {
+        process_signal(process, SIGKILL);
+        process_wait(process, START_TIMEOUT_MS);
+    }
+}
--- /dev/null
+++ b/t/lib-process.h
@@ -0,0 +1,65 @@
+#ifndef LIB_PROCESS_H
+#define LIB_PROCESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+/*
+ * Processes under test. A failure to start fails the test. What still runs
+ * when the test program exits is killed, each by its own process id.
+ */
+
+struct process {
+    pid_t pid;
+    /* Read end of its standard output. */
+    int out;
+    /* Ports of its "listening" line. */
+    uint16_t port;
+    uint16_t second_port;
+    bool running;
+};
+
+/* Starts a program of the build, by its place there, with arguments to NULL. */
+void process_start(struct process *process, const char *program, ...);
+
+/* The same with an argument vector, without waiting for a first line. */
+void process_spawn(struct process *process, const char *program,
+                   const char *const *arguments);
+
+/* Waits for its line "listening PORT [PORT]". */
+void process_await_listening(struct process *process);
+
+/* Runs a program to its end; returns the exit code, its output in *output. */
+int process_run(const char *program, const char *const *arguments,
+                char **output);
+
+void process_signal(struct process *process, int signal);
+
+/* Waits for its end; returns the exit code, or minus the signal. */
+int process_wait(struct process *process, int timeout_ms);
+
+/* SIGKILL and wait. */
+void process_kill(struct process *process);
+
+/* Monotonic time, the same clock as in the logs of the stand-ins. */
+int64_t process_now_ms(void);
+
+/* Sleeps for a moment between two looks at a condition; see AWAIT. */
+void process_pause(void);
+
+/* Waits until the condition holds; fails the test after timeout_ms. */
+#define AWAIT(condition, timeout_ms)                                          \
+    do {                                                                      \
+        int64_t until_ms_ = process_now_ms() + (timeout_ms);                  \
+                                                                              \
+        while (!(condition)) {                                                \
+            if (process_now_ms() > until_ms_) {                               \
+                g_error("%s:%d: timed out: %s", __FILE__, __LINE__,           \
+                        #condition);                                          \
+            }                                                                 \
+            process_pause();                                                  \
+        }                                                                     \
+    } while (0)
+
+#endif
