shell: refuse half-read requests at the end of a drain

A trial with clients that send half a body and leave showed that such requests held up the end of a drain for its whole limit of 10 s: libmicrohttpd can miss the end of a connection that came together with data, and keeps it until the idle time-out.

--- a/shell/callers.c
+++ b/shell/callers.c
@@ -57,10 +57,27 @@
     }
 }
 
+/* Whether an answer is awaited or still being written. */
+static bool
+is_busy(const struct ct_callers *callers)
+{
+    const struct ct_caller *caller;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((caller = ct_table_next(&callers->requests, &cursor, &handle))) {
+        if (caller->phase == CT_CALLER_WAITING ||
+            caller->phase == CT_CALLER_ANSWERING) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 tell_finished(struct ct_callers *callers)
 {
-    if (callers->finished != NULL && callers->requests.live == 0) {
+    if (callers->finished != NULL && !is_busy(callers)) {
         void (*finished)(void *arg) = callers->finished;
 
         callers->finished = NULL;
@@ -173,11 +190,28 @@
     callers->draining = true;
 }
 
+/* Requests whose bodies are not there yet never ran, and are told so. */
+static void
+refuse_unread(struct ct_callers *callers)
+{
+    struct ct_caller *caller;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((caller = ct_table_next(&callers->requests, &cursor, &handle))) {
+        if (caller->phase == CT_CALLER_BODY) {
+            caller->phase = CT_CALLER_CUT;
+            ct_caller_reject(caller, CT_REFUSAL_DRAINING);
+        }
+    }
+}
+
 void
 ct_callers_finish(struct ct_callers *callers, void (*done)(void *arg),
                   void *arg)
 {
     ct_http_server_quiesce(&callers->server);
+    refuse_unread(callers);
     callers->finished = done;
     callers->finished_arg = arg;
     tell_finished(callers);
--- a/shell/callers.h
+++ b/shell/callers.h
@@ -30,8 +30,8 @@
 /* From now on connections are closed after the answer that they wait for. */
 void ct_callers_drain(struct ct_callers *callers);
 /*
- * Accepts no more connections; calls done once no request is left whose
- * answer was not written out.
+ * Accepts no more connections and refuses requests that are only half read;
+ * calls done once no request is left whose answer was not written out.
  */
 void ct_callers_finish(struct ct_callers *callers, void (*done)(void *arg),
                        void *arg);
--- a/t/test-callers.c
+++ b/t/test-callers.c
@@ -498,6 +498,12 @@
     return *(bool *)arg;
 }
 
+static bool
+two_requests(void *arg)
+{
+    return ct_callers_requests(arg) == 2;
+}
+
 /* The end of a drain waits for what is still being written. */
 static void
 test_finish(void)
@@ -505,14 +511,21 @@
     bool finished = false;
     struct fixture f;
     struct client client;
+    struct client half;
 
     set_up(&f, 30000);
     f.script->react = react_stream;
+    client_open(ct_callers_port(f.callers), &half);
+    client_send(&half, KEYED "Content-Length: 56\r\n\r\n{");
     client_open(ct_callers_port(f.callers), &client);
     client_send(&client, WHOLE);
     client_await(f.script, &client, "4\r\nabcd\r\n");
+    script_wait_for(f.script, two_requests, f.callers);
+    f.script->react = react;
     ct_callers_finish(f.callers, on_finished, &finished);
     g_assert_false(finished);
+    client_await(f.script, &half, "X-Refusal: draining\r\n");
+    client_close(&half);
     run_write(&f, true, true);
     script_wait_for(f.script, is_set, &finished);
     client_await(f.script, &client, "\r\n0\r\n\r\n");
