demo: show the path, a refusal, a lost host, a withdrawal and a drain

A shell script over the shipped command line and curl, since that is what an operator has at hand; it checks each step and fails where one does not hold. All ports are chosen by the system: the hosts start first and wait, and are published with the ports that they printed.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,9 @@
 	$(MAKE) build BUILD=build-asan CMAKE_FLAGS=-DCT_SANITIZE=ON
 	ctest --test-dir build-asan --output-on-failure -j $(JOBS)
 
+demo: deps build
+	@sh demo/run.sh $(BUILD)
+
 C_FILES = $$(git ls-files '*.c' '*.h' | grep -v '\.pb-c\.')
 
 format:
