--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 		echo "$$target: $$(tail -1 build-fuzz/$$target.log)"; \
 	done
 
+demo: deps build
+	@sh demo/run.sh $(BUILD)
+
 C_FILES = $$(git ls-files '*.c' '*.h' | grep -v '\.pb-c\.')
 
 format:
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -20,7 +20,8 @@
     bool running;
 };
 
-/* Starts a program of the build, by its place there, with arguments to NULL. */
+/* Starts a program of the build, by its place there, with arguments to NULL.
+ */
 void process_start(struct process *process, const char *program, ...);
 
 /* The same with an argument vector, without waiting for a first line. */
