core: test who is current; give direct withdrawals a module

A link that came up before the first configuration was read was ignored for ever: peers are now kept from the moment their link stands. And a host that had missed the last entry before an outage of the log counted as behind and stopped for the whole outage: it now takes state from the peer that applied the most.

Trials on scratch copies, each guard removed, all fail in test-membership: peers always enough (current), no limit on being behind (behind), state older than the known head taken (old-state), no withdrawals at PEER_UP, no sending to all, no record in the log (withdrawal), no asking for state (catch-up).

--- a/core/lease.c
+++ b/core/lease.c
@@ -233,8 +233,8 @@
     uint32_t role;
 
     ct_arm(state, CHECK_PERIOD_MS, CT_TIMER_LEASE, CT_NO_HANDLE);
-    if (!state->log.ready || ct_handle_is_none(ct_config_host(
-                                 &state->config, &state->self.host))) {
+    if (!state->log.ready ||
+        ct_handle_is_none(ct_config_host(&state->config, &state->self.host))) {
         return;
     }
     for (role = 0; role < CT_ROLE_COUNT; role++) {
@@ -256,9 +256,8 @@
 
         if (lease->base_offset == 0) {
             lease->claim_after_ms =
-                state->now_ms +
-                RANK_DELAY_MS *
-                    (ct_ms)ct_lease_rank(state, (enum ct_role)role);
+                state->now_ms + RANK_DELAY_MS * (ct_ms)ct_lease_rank(
+                                                    state, (enum ct_role)role);
         }
     }
     ct_arm(state, CHECK_PERIOD_MS, CT_TIMER_LEASE, CT_NO_HANDLE);
--- a/core/log-replay.c
+++ b/core/log-replay.c
@@ -228,7 +228,8 @@
     struct ct_log *log = &state->log;
     int err;
 
-    if (log->ready || offset < log->applied || offset < log->head) {
+    if (offset < log->head || offset < log->applied ||
+        (log->ready && offset == log->applied)) {
         return;
     }
     err = ct_snapshot_import(state, offset, rows);
@@ -243,7 +244,9 @@
     ct_requests_config_changed(state);
     ct_membership_configure(state);
     read_from(state, offset + 1);
-    set_ready(state);
+    if (!log->ready) {
+        set_ready(state);
+    }
 }
 
 void
--- a/core/log-replay.h
+++ b/core/log-replay.h
@@ -40,7 +40,10 @@
 void ct_log_on_entry(struct ct_state *state, const struct ct_log_entry *entry);
 void ct_log_on_failed(struct ct_state *state);
 
-/* State from a peer, for a host that starts while the log is down. */
+/*
+ * State from a peer while the log is down, for a host that starts or that
+ * missed the last entries. Older state than the host's own is ignored.
+ */
 void ct_log_on_peer_state(struct ct_state *state, int64_t offset,
                           struct ct_rows rows);
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -7,28 +7,12 @@
 #include "state.h"
 
 #define HEARTBEAT_MS 1000
-#define WITHDRAWAL_TIMEOUT_MS 3000
-/* Heartbeats between two attempts to get direct withdrawals into the log. */
-#define RECORD_BEATS 5
-#define APPEND_LIMIT_MS 3000
-
-static void
-clear_withdrawal(void *row)
-{
-    struct ct_withdrawal_row *withdrawal = row;
-
-    if (withdrawal->confirmed) {
-        g_array_free(withdrawal->confirmed, TRUE);
-    }
-}
 
 void
 ct_membership_init(struct ct_membership *membership)
 {
     memset(membership, 0, sizeof(*membership));
     ct_table_init(&membership->peers, sizeof(struct ct_peer_row), 0, NULL);
-    ct_table_init(&membership->withdrawals, sizeof(struct ct_withdrawal_row),
-                  0, clear_withdrawal);
     membership->was_current = true;
 }
 
@@ -36,7 +20,6 @@
 ct_membership_free(struct ct_membership *membership)
 {
     ct_table_free(&membership->peers);
-    ct_table_free(&membership->withdrawals);
 }
 
 struct ct_peer_row *
@@ -115,10 +98,8 @@
     struct ct_handle handle;
     uint32_t cursor = 0;
 
-    while (
-        (row = ct_table_next(&state->membership.peers, &cursor, &handle))) {
-        if (!row->configured) {
-            state->membership.n_up -= row->up;
+    while ((row = ct_table_next(&state->membership.peers, &cursor, &handle))) {
+        if (!row->configured && !row->up) {
             ct_table_unref(&state->membership.peers, handle);
         }
     }
@@ -155,6 +136,7 @@
     while ((row = ct_table_next(&state->membership.peers, &cursor, NULL))) {
         row->configured = false;
     }
+    state->membership.n_configured = 0;
     cursor = 0;
     while ((host = ct_table_next(&state->config.hosts, &cursor, NULL))) {
         if (host->configured &&
@@ -162,6 +144,7 @@
             row = add_peer(state, &host->conf);
             if (row) {
                 row->configured = true;
+                state->membership.n_configured++;
             }
             g_array_append_val(hosts, host->conf);
         }
@@ -191,24 +174,6 @@
     };
 }
 
-/* Tells a peer of all keys that were withdrawn directly. */
-static void
-send_withdrawals(struct ct_state *state, const struct ct_name *peer)
-{
-    struct ct_peer_message message;
-    const struct ct_key_row *key;
-    uint32_t cursor = 0;
-
-    memset(&message, 0, sizeof(message));
-    message.type = CT_PEER_WITHDRAW;
-    while ((key = ct_table_next(&state->keys.rows, &cursor, NULL))) {
-        if (key->direct) {
-            message.u.digest = key->key.digest;
-            ct_membership_send(state, peer, &message);
-        }
-    }
-}
-
 void
 ct_membership_on_up(struct ct_state *state, const struct ct_name *peer)
 {
@@ -216,8 +181,8 @@
     struct ct_peer_message message;
     struct ct_host host;
 
-    if (!row && !state->log.ready) {
-        /* It knows this host; this host does not know the hosts yet. */
+    if (!row) {
+        /* It knows this host, which may not have read of it yet. */
         memset(&host, 0, sizeof(host));
         host.name = *peer;
         row = add_peer(state, &host);
@@ -234,7 +199,7 @@
     ct_emit_log(state, CT_LOG_PEER_UP, peer, NULL, 0);
     heartbeat_of(state, &message);
     ct_membership_send(state, peer, &message);
-    send_withdrawals(state, peer);
+    ct_withdrawals_on_peer_up(state, peer);
 }
 
 void
@@ -248,6 +213,7 @@
     row->up = false;
     state->membership.n_up--;
     ct_emit_log(state, CT_LOG_PEER_DOWN, peer, NULL, 0);
+    drop_unconfigured(state);
 }
 
 static void
@@ -255,150 +221,12 @@
              const struct ct_peer_heartbeat *heartbeat)
 {
     row->heartbeat = *heartbeat;
+    state->membership.known_head =
+        MAX(state->membership.known_head, heartbeat->known_head);
     if (heartbeat->applied_offset > state->log.applied &&
         state->membership.behind_since_ms == 0) {
         state->membership.behind_since_ms = state->now_ms;
     }
-    if (heartbeat->direct_withdrawals < state->keys.direct_count) {
-        send_withdrawals(state, &row->conf.name);
-    }
-}
-
-/* Returns 1 where the key was usable before. */
-static int
-withdraw(struct ct_state *state, const struct ct_digest *digest)
-{
-    int result = ct_keys_withdraw_direct(&state->keys, digest);
-
-    if (result < 0) {
-        state->out->err = result;
-    }
-    if (result == 1) {
-        ct_emit_log(state, CT_LOG_KEY_WITHDRAWN, NULL, "direct", 0);
-        ct_requests_key_withdrawn(state, ct_keys_find(&state->keys, digest));
-    }
-    return result;
-}
-
-static void
-on_withdraw(struct ct_state *state, const struct ct_peer_message *message)
-{
-    struct ct_peer_message reply = *message;
-
-    if (withdraw(state, &message->u.digest) == 1) {
-        ct_membership_send_all(state, message, &message->sender);
-    }
-    reply.type = CT_PEER_WITHDRAWN;
-    ct_membership_send(state, &message->sender, &reply);
-}
-
-static void
-reply_withdrawn(struct ct_state *state, struct ct_handle handle)
-{
-    const struct ct_withdrawal_row *row =
-        ct_table_get(&state->membership.withdrawals, handle);
-    struct ct_effect *effect = ct_emit(state, CT_EFFECT_REPLY_WITHDRAWN);
-
-    effect->u.caller = row->caller;
-    ct_effect_set_rows(
-        state->out, effect,
-        CT_ROWS((struct ct_host_row *)(void *)row->confirmed->data,
-                row->confirmed->len));
-    ct_table_unref(&state->membership.withdrawals, handle);
-}
-
-static void
-add_confirmed(struct ct_withdrawal_row *row, const struct ct_name *name)
-{
-    struct ct_host_row host;
-    guint i;
-
-    for (i = 0; i < row->confirmed->len; i++) {
-        if (ct_name_eq(
-                &g_array_index(row->confirmed, struct ct_host_row, i).name,
-                name)) {
-            return;
-        }
-    }
-    memset(&host, 0, sizeof(host));
-    host.name = *name;
-    g_array_append_val(row->confirmed, host);
-}
-
-static void
-reply_if_complete(struct ct_state *state, struct ct_handle handle)
-{
-    const struct ct_withdrawal_row *row =
-        ct_table_get(&state->membership.withdrawals, handle);
-
-    if (row->confirmed->len > state->membership.peers.live ||
-        state->now_ms >= row->deadline_ms) {
-        reply_withdrawn(state, handle);
-    }
-}
-
-static void
-on_withdrawn(struct ct_state *state, const struct ct_peer_message *message)
-{
-    struct ct_withdrawal_row *row;
-    struct ct_handle handle;
-    uint32_t cursor = 0;
-
-    while ((row = ct_table_next(&state->membership.withdrawals, &cursor,
-                                &handle))) {
-        if (ct_digest_eq(&row->digest, &message->u.digest)) {
-            add_confirmed(row, &message->sender);
-            reply_if_complete(state, handle);
-        }
-    }
-}
-
-/* Gets a direct withdrawal into the log, so that it lasts. */
-static void
-record_withdrawal(struct ct_state *state, const struct ct_key *key)
-{
-    struct ct_record record;
-
-    memset(&record, 0, sizeof(record));
-    record.type = CT_RECORD_KEY_WITHDRAW;
-    record.u.key = *key;
-    record.u.key.withdrawn = true;
-    ct_log_append(state, &record, state->now_ms + APPEND_LIMIT_MS);
-}
-
-void
-ct_membership_on_key_handed(struct ct_state *state,
-                            const struct ct_key_handed *handed)
-{
-    struct ct_withdrawal_row *row;
-    struct ct_peer_message message;
-    struct ct_handle handle;
-    const struct ct_key_row *key;
-    int err;
-
-    withdraw(state, &handed->key);
-    err = ct_table_add(&state->membership.withdrawals, &handle);
-    if (err < 0) {
-        state->out->err = err;
-        return;
-    }
-    row = ct_table_get(&state->membership.withdrawals, handle);
-    row->caller = handed->caller;
-    row->digest = handed->key;
-    row->deadline_ms = state->now_ms + WITHDRAWAL_TIMEOUT_MS;
-    row->confirmed = g_array_new(FALSE, TRUE, sizeof(struct ct_host_row));
-    add_confirmed(row, &state->self.host);
-
-    memset(&message, 0, sizeof(message));
-    message.type = CT_PEER_WITHDRAW;
-    message.u.digest = handed->key;
-    ct_membership_send_all(state, &message, NULL);
-    key = ct_table_get(&state->keys.rows,
-                       ct_keys_find(&state->keys, &handed->key));
-    if (key && key->direct) {
-        record_withdrawal(state, &key->key);
-    }
-    reply_if_complete(state, handle);
 }
 
 static void
@@ -420,20 +248,6 @@
     g_free(rows);
 }
 
-/* The newest offset that this host or a peer knows to exist. */
-static int64_t
-known_head(const struct ct_state *state)
-{
-    const struct ct_peer_row *row;
-    int64_t head = state->log.head;
-    uint32_t cursor = 0;
-
-    while ((row = ct_table_next(&state->membership.peers, &cursor, NULL))) {
-        head = MAX(head, row->heartbeat.known_head);
-    }
-    return head;
-}
-
 static bool
 is_log_fresh(const struct ct_state *state, ct_ms now_ms)
 {
@@ -457,17 +271,17 @@
         on_heartbeat(state, row, &message->u.heartbeat);
         return;
     case CT_PEER_WITHDRAW:
-        on_withdraw(state, message);
+        ct_withdrawals_on_withdraw(state, message);
         return;
     case CT_PEER_WITHDRAWN:
-        on_withdrawn(state, message);
+        ct_withdrawals_on_withdrawn(state, message);
         return;
     case CT_PEER_STATE_ASK:
         on_state_ask(state, message);
         return;
     case CT_PEER_STATE:
         if (!is_log_fresh(state, state->now_ms) &&
-            message->u.offset >= known_head(state)) {
+            message->u.offset >= state->membership.known_head) {
             ct_log_on_peer_state(state, message->u.offset, message->rows);
         }
         return;
@@ -508,11 +322,13 @@
     const struct ct_peer_row *row;
     uint32_t cursor = 0;
     /* Peers that make a majority together with this host. */
-    uint32_t needed = (state->membership.peers.live + 1) / 2;
+    uint32_t needed = (state->membership.n_configured + 1) / 2;
     ct_ms until_ms = state->now_ms;
 
     while ((row = ct_table_next(&state->membership.peers, &cursor, NULL))) {
-        g_array_append_val(heard, row->heard_ms);
+        if (row->configured) {
+            g_array_append_val(heard, row->heard_ms);
+        }
     }
     g_array_sort(heard, newest_first);
     if (needed > 0) {
@@ -561,7 +377,10 @@
     return now_ms < membership->peers_until_ms;
 }
 
-/* A host that starts in an outage asks the peer that applied the most. */
+/*
+ * In an outage a host that starts, or that missed the last entries before it,
+ * asks the peer that applied the most.
+ */
 static void
 ask_state(struct ct_state *state)
 {
@@ -570,7 +389,8 @@
     struct ct_peer_message message;
     uint32_t cursor = 0;
 
-    if (state->log.ready || is_log_fresh(state, state->now_ms)) {
+    if (is_log_fresh(state, state->now_ms) ||
+        (state->log.ready && !state->membership.behind_since_ms)) {
         return;
     }
     while ((row = ct_table_next(&state->membership.peers, &cursor, NULL))) {
@@ -586,55 +406,15 @@
     }
 }
 
-/* One host, the first by name of those that stand, records for all. */
-static bool
-is_recorder(const struct ct_state *state)
-{
-    const struct ct_peer_row *row;
-    uint32_t cursor = 0;
-
-    while ((row = ct_table_next(&state->membership.peers, &cursor, NULL))) {
-        if (row->up && strcmp(row->conf.name.text, state->self.host.text) < 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static void
-record_withdrawals(struct ct_state *state)
-{
-    const struct ct_key_row *key;
-    uint32_t cursor = 0;
-
-    if (state->keys.direct_count == 0 || !state->log.ready ||
-        state->log.failing || !is_recorder(state) ||
-        state->membership.beats % RECORD_BEATS) {
-        return;
-    }
-    while ((key = ct_table_next(&state->keys.rows, &cursor, NULL))) {
-        if (key->direct) {
-            record_withdrawal(state, &key->key);
-        }
-    }
-}
-
 void
 ct_membership_on_timer(struct ct_state *state)
 {
     struct ct_peer_message message;
-    struct ct_handle handle;
-    uint32_t cursor = 0;
 
-    state->membership.beats++;
     update_current(state);
     heartbeat_of(state, &message);
     ct_membership_send_all(state, &message, NULL);
-    while (
-        ct_table_next(&state->membership.withdrawals, &cursor, &handle)) {
-        reply_if_complete(state, handle);
-    }
     ask_state(state);
-    record_withdrawals(state);
+    ct_withdrawals_on_beat(state);
     ct_arm(state, HEARTBEAT_MS, CT_TIMER_HEARTBEAT, CT_NO_HANDLE);
 }
--- a/core/membership.h
+++ b/core/membership.h
@@ -1,15 +1,13 @@
 #ifndef CT_MEMBERSHIP_H
 #define CT_MEMBERSHIP_H
 
-#include <glib.h>
-
 #include "event.h"
 #include "table.h"
 
 /*
  * What a host knows of the other hosts of the configuration, from heartbeats
- * over direct links. Keys withdrawn by an operator while the log is down
- * spread here, and a host that starts in an outage can take state here.
+ * over direct links. A host that starts in an outage of the log, or missed
+ * its last entries, takes state from here.
  *
  * A host is current while the log answers, or while a majority of the hosts
  * (itself included) can be heard and none of them has applied more than it
@@ -30,22 +28,14 @@
     ct_ms heard_ms;
 };
 
-/* An operator waits for the confirmation of a withdrawal. */
-struct ct_withdrawal_row {
-    uint64_t caller;
-    struct ct_digest digest;
-    ct_ms deadline_ms;
-    /* struct ct_host_row */
-    GArray *confirmed;
-};
-
 struct ct_membership {
     struct ct_table peers;
-    struct ct_table withdrawals;
     bool armed;
     bool was_current;
-    uint32_t beats;
-    /* Peers whose link stands. */
+    /* Newest offset that any peer knew to exist. */
+    int64_t known_head;
+    /* Peers of the configuration, and any whose link stands. */
+    uint32_t n_configured;
     uint32_t n_up;
     /* Enough peers were heard to be current until this time. */
     ct_ms peers_until_ms;
@@ -66,8 +56,6 @@
 void ct_membership_on_message(struct ct_state *state,
                               const struct ct_peer_message *message);
 void ct_membership_on_host_list(struct ct_state *state, struct ct_rows rows);
-void ct_membership_on_key_handed(struct ct_state *state,
-                                 const struct ct_key_handed *handed);
 /* CT_TIMER_HEARTBEAT */
 void ct_membership_on_timer(struct ct_state *state);
 
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -181,7 +181,7 @@
         ct_membership_on_host_list(state, event->rows);
         return CT_OK;
     case CT_EVENT_KEY_HANDED:
-        ct_membership_on_key_handed(state, &event->u.key);
+        ct_withdrawals_on_key_handed(state, &event->u.key);
         return CT_OK;
     case CT_EVENT_ORDER_DONE:
     case CT_EVENT_REPORT_DONE:
--- a/core/state.c
+++ b/core/state.c
@@ -82,6 +82,7 @@
     ct_keys_init(&state->keys);
     ct_claims_init(&state->claims);
     ct_membership_init(&state->membership);
+    ct_withdrawals_init(&state->withdrawals);
     ct_requests_init(&state->requests);
     ct_refusal_log_init(&state->refusals);
     state->queue = ct_queue_tiered_new(QUEUED_MAX);
@@ -107,6 +108,7 @@
     }
     ct_refusal_log_free(&state->refusals);
     ct_requests_free(&state->requests);
+    ct_withdrawals_free(&state->withdrawals);
     ct_membership_free(&state->membership);
     ct_claims_free(&state->claims);
     ct_keys_free(&state->keys);
--- a/core/state.h
+++ b/core/state.h
@@ -16,6 +16,7 @@
 #include "refusal-log.h"
 #include "request.h"
 #include "timer.h"
+#include "withdrawal.h"
 
 /*
  * The whole state of one host. Each module owns the members of its own type
@@ -43,6 +44,7 @@
 
     /* This host's own. */
     struct ct_membership membership;
+    struct ct_withdrawals withdrawals;
     struct ct_requests requests;
     struct ct_refusal_log refusals;
     struct ct_queue_policy *queue;
--- /dev/null
+++ b/core/withdrawal.c
@@ -0,0 +1,241 @@
+#include "withdrawal.h"
+
+#include <string.h>
+
+#include "error.h"
+#include "state.h"
+
+#define CONFIRM_TIMEOUT_MS 3000
+/* Heartbeats between two attempts to get direct withdrawals into the log. */
+#define RECORD_BEATS 5
+#define APPEND_LIMIT_MS 3000
+
+static void
+clear_withdrawal(void *row)
+{
+    struct ct_withdrawal_row *withdrawal = row;
+
+    if (withdrawal->confirmed) {
+        g_array_free(withdrawal->confirmed, TRUE);
+    }
+}
+
+void
+ct_withdrawals_init(struct ct_withdrawals *withdrawals)
+{
+    memset(withdrawals, 0, sizeof(*withdrawals));
+    ct_table_init(&withdrawals->rows, sizeof(struct ct_withdrawal_row), 0,
+                  clear_withdrawal);
+}
+
+void
+ct_withdrawals_free(struct ct_withdrawals *withdrawals)
+{
+    ct_table_free(&withdrawals->rows);
+}
+
+void
+ct_withdrawals_on_peer_up(struct ct_state *state, const struct ct_name *peer)
+{
+    struct ct_peer_message message;
+    const struct ct_key_row *key;
+    uint32_t cursor = 0;
+
+    memset(&message, 0, sizeof(message));
+    message.type = CT_PEER_WITHDRAW;
+    while ((key = ct_table_next(&state->keys.rows, &cursor, NULL))) {
+        if (key->direct) {
+            message.u.digest = key->key.digest;
+            ct_membership_send(state, peer, &message);
+        }
+    }
+}
+
+/* Returns 1 where the key was usable before. */
+static int
+withdraw(struct ct_state *state, const struct ct_digest *digest)
+{
+    int result = ct_keys_withdraw_direct(&state->keys, digest);
+
+    if (result < 0) {
+        state->out->err = result;
+    }
+    if (result == 1) {
+        ct_emit_log(state, CT_LOG_KEY_WITHDRAWN, NULL, "direct", 0);
+        ct_requests_key_withdrawn(state, ct_keys_find(&state->keys, digest));
+    }
+    return result;
+}
+
+void
+ct_withdrawals_on_withdraw(struct ct_state *state, const struct ct_peer_message *message)
+{
+    struct ct_peer_message reply = *message;
+
+    if (withdraw(state, &message->u.digest) == 1) {
+        ct_membership_send_all(state, message, &message->sender);
+    }
+    reply.type = CT_PEER_WITHDRAWN;
+    ct_membership_send(state, &message->sender, &reply);
+}
+
+static void
+reply_withdrawn(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_withdrawal_row *row =
+        ct_table_get(&state->withdrawals.rows, handle);
+    struct ct_effect *effect = ct_emit(state, CT_EFFECT_REPLY_WITHDRAWN);
+
+    effect->u.caller = row->caller;
+    ct_effect_set_rows(
+        state->out, effect,
+        CT_ROWS((struct ct_host_row *)(void *)row->confirmed->data,
+                row->confirmed->len));
+    ct_table_unref(&state->withdrawals.rows, handle);
+}
+
+static void
+add_confirmed(struct ct_withdrawal_row *row, const struct ct_name *name)
+{
+    struct ct_host_row host;
+    guint i;
+
+    for (i = 0; i < row->confirmed->len; i++) {
+        if (ct_name_eq(
+                &g_array_index(row->confirmed, struct ct_host_row, i).name,
+                name)) {
+            return;
+        }
+    }
+    memset(&host, 0, sizeof(host));
+    host.name = *name;
+    g_array_append_val(row->confirmed, host);
+}
+
+static void
+reply_if_complete(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_withdrawal_row *row =
+        ct_table_get(&state->withdrawals.rows, handle);
+
+    if (row->confirmed->len > state->membership.n_configured ||
+        state->now_ms >= row->deadline_ms) {
+        reply_withdrawn(state, handle);
+    }
+}
+
+void
+ct_withdrawals_on_withdrawn(struct ct_state *state, const struct ct_peer_message *message)
+{
+    struct ct_withdrawal_row *row;
+    struct ct_handle handle;
+    const struct ct_peer_row *peer =
+        ct_membership_find(state, &message->sender);
+    uint32_t cursor = 0;
+
+    if (!peer->configured) {
+        return;
+    }
+    while ((row = ct_table_next(&state->withdrawals.rows, &cursor,
+                                &handle))) {
+        if (ct_digest_eq(&row->digest, &message->u.digest)) {
+            add_confirmed(row, &message->sender);
+            reply_if_complete(state, handle);
+        }
+    }
+}
+
+/* Gets a direct withdrawal into the log, so that it lasts. */
+static void
+record_withdrawal(struct ct_state *state, const struct ct_key *key)
+{
+    struct ct_record record;
+
+    memset(&record, 0, sizeof(record));
+    record.type = CT_RECORD_KEY_WITHDRAW;
+    record.u.key = *key;
+    record.u.key.withdrawn = true;
+    ct_log_append(state, &record, state->now_ms + APPEND_LIMIT_MS);
+}
+
+void
+ct_withdrawals_on_key_handed(struct ct_state *state,
+                            const struct ct_key_handed *handed)
+{
+    struct ct_withdrawal_row *row;
+    struct ct_peer_message message;
+    struct ct_handle handle;
+    const struct ct_key_row *key;
+    int err;
+
+    withdraw(state, &handed->key);
+    err = ct_table_add(&state->withdrawals.rows, &handle);
+    if (err < 0) {
+        state->out->err = err;
+        return;
+    }
+    row = ct_table_get(&state->withdrawals.rows, handle);
+    row->caller = handed->caller;
+    row->digest = handed->key;
+    row->deadline_ms = state->now_ms + CONFIRM_TIMEOUT_MS;
+    row->confirmed = g_array_new(FALSE, TRUE, sizeof(struct ct_host_row));
+    add_confirmed(row, &state->self.host);
+
+    memset(&message, 0, sizeof(message));
+    message.type = CT_PEER_WITHDRAW;
+    message.u.digest = handed->key;
+    ct_membership_send_all(state, &message, NULL);
+    key = ct_table_get(&state->keys.rows,
+                       ct_keys_find(&state->keys, &handed->key));
+    if (key && key->direct) {
+        record_withdrawal(state, &key->key);
+    }
+    reply_if_complete(state, handle);
+}
+
+/* One host, the first by name of those that stand, records for all. */
+static bool
+is_recorder(const struct ct_state *state)
+{
+    const struct ct_peer_row *row;
+    uint32_t cursor = 0;
+
+    while ((row = ct_table_next(&state->membership.peers, &cursor, NULL))) {
+        if (row->up &&
+            strcmp(row->conf.name.text, state->self.host.text) < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+record_withdrawals(struct ct_state *state)
+{
+    const struct ct_key_row *key;
+    uint32_t cursor = 0;
+
+    if (state->keys.direct_count == 0 || !state->log.ready ||
+        state->log.failing || !is_recorder(state) ||
+        state->withdrawals.beats % RECORD_BEATS) {
+        return;
+    }
+    while ((key = ct_table_next(&state->keys.rows, &cursor, NULL))) {
+        if (key->direct) {
+            record_withdrawal(state, &key->key);
+        }
+    }
+}
+
+void
+ct_withdrawals_on_beat(struct ct_state *state)
+{
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    state->withdrawals.beats++;
+    while (ct_table_next(&state->withdrawals.rows, &cursor, &handle)) {
+        reply_if_complete(state, handle);
+    }
+    record_withdrawals(state);
+}
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -13,8 +13,8 @@
 static struct ct_rows
 copy_rows(struct ct_rows rows)
 {
-    rows.data = rows.n ? g_memdup2(rows.data, (gsize)rows.n * rows.row_size)
-                       : NULL;
+    rows.data =
+        rows.n ? g_memdup2(rows.data, (gsize)rows.n * rows.row_size) : NULL;
     return rows;
 }
 
@@ -101,9 +101,9 @@
 do_report(struct t_cluster *c, struct pending *p)
 {
     struct ct_event event = {.type = CT_EVENT_REPORT_DONE};
-    struct t_report_seen seen = {p->host, p->effect.u.report.window,
-                                 g_array_new(FALSE, FALSE,
-                                             sizeof(struct ct_usage_row))};
+    struct t_report_seen seen = {
+        p->host, p->effect.u.report.window,
+        g_array_new(FALSE, FALSE, sizeof(struct ct_usage_row))};
 
     event.u.report.window_start_ms = seen.window.window_start_ms;
     event.u.report.result = CT_ERR_LEASE_EXPIRING;
@@ -165,6 +165,12 @@
             do_send(c, p);
         }
         return true;
+    case CT_EFFECT_REPLY_WITHDRAWN:
+        c->replies++;
+        g_array_set_size(c->confirmed, 0);
+        g_array_append_vals(c->confirmed, p->effect.rows.data,
+                            p->effect.rows.n);
+        return true;
     default:
         return true;
     }
@@ -211,8 +217,8 @@
     while (!c->log_down && c->read[host] < c->log->len) {
         event.type = CT_EVENT_LOG_ENTRY;
         event.u.entry.offset = ++c->read[host];
-        event.u.entry.record = g_array_index(c->log, struct ct_record,
-                                             (guint)c->read[host] - 1);
+        event.u.entry.record =
+            g_array_index(c->log, struct ct_record, (guint)c->read[host] - 1);
         post(c, host, &event);
     }
     memset(&event, 0, sizeof(event));
@@ -229,8 +235,8 @@
 set_link(struct t_cluster *c, uint32_t a, uint32_t b)
 {
     bool up = !c->cut[a] && !c->cut[b] && !c->dead[a] && !c->dead[b];
-    struct ct_event event = {.type = up ? CT_EVENT_PEER_UP
-                                        : CT_EVENT_PEER_DOWN};
+    struct ct_event event = {.type =
+                                 up ? CT_EVENT_PEER_UP : CT_EVENT_PEER_DOWN};
 
     if (c->frozen[a] || up == c->linked[a][b]) {
         return;
@@ -367,6 +373,7 @@
     c->log = g_array_new(FALSE, FALSE, sizeof(struct ct_record));
     c->orders = g_array_new(FALSE, FALSE, sizeof(struct t_order_seen));
     c->reports = g_array_new(FALSE, FALSE, sizeof(struct t_report_seen));
+    c->confirmed = g_array_new(FALSE, FALSE, sizeof(struct ct_host_row));
     g_queue_init(&c->effects);
     for (uint32_t i = 0; i < n; i++) {
         start_host(c, i);
@@ -389,6 +396,7 @@
     }
     g_array_free(c->log, TRUE);
     g_array_free(c->orders, TRUE);
+    g_array_free(c->confirmed, TRUE);
     g_array_free(c->reports, TRUE);
     g_queue_clear_full(&c->effects, free_pending);
 }
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -51,6 +51,9 @@
     GArray *orders;
     GArray *reports;
     uint64_t peer_messages;
+    /* The last answer about a withdrawn key: struct ct_host_row. */
+    uint32_t replies;
+    GArray *confirmed;
 };
 
 /* Hosts "h1" to "hN" in zones a, b and c, with a configuration in the log. */
--- a/t/lib-core.c
+++ b/t/lib-core.c
@@ -7,14 +7,17 @@
 void
 t_core_init(struct t_core *core)
 {
+    struct ct_event event = {.type = CT_EVENT_LOG_HEAD};
+
     t_core_init_named(core, "h1", "h1-1");
+    event.u.head.first = 1;
+    t_core_post(core, &event);
 }
 
 void
 t_core_init_named(struct t_core *core, const char *host, const char *writer)
 {
     struct ct_self self;
-    struct ct_event event;
 
     memset(core, 0, sizeof(*core));
     memset(&self, 0, sizeof(self));
@@ -29,10 +32,6 @@
     core->wall_ms = WALL_MS;
     core->next_offset = 1;
     core->next_caller = 1;
-    memset(&event, 0, sizeof(event));
-    event.type = CT_EVENT_LOG_HEAD;
-    event.u.head.first = 1;
-    t_core_post(core, &event);
 }
 
 void
--- a/t/lib-core.h
+++ b/t/lib-core.h
@@ -29,7 +29,7 @@
 
 /* A state that has read an empty log; not configured. */
 void t_core_init(struct t_core *core);
-/* The same for a host and process of the given names. */
+/* A state of the given host and process that has read nothing. */
 void t_core_init_named(struct t_core *core, const char *host,
                        const char *writer);
 void t_core_free(struct t_core *core);
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -67,9 +67,9 @@
         /* It wakes, with no event since, and finds its lease gone. */
         c.frozen[first] = false;
         c.hosts[first].state->now_ms = c.hosts[first].now_ms;
-        g_assert_cmpint(ct_lease_valid_until_ms(c.hosts[first].state,
-                                                CT_ROLE_ORDERS),
-                        ==, 0);
+        g_assert_cmpint(
+            ct_lease_valid_until_ms(c.hosts[first].state, CT_ROLE_ORDERS), ==,
+            0);
         run_watched(&c, HAND_OVER_MS);
     }
     t_cluster_free(&c);
--- /dev/null
+++ b/t/test-membership.c
@@ -0,0 +1,252 @@
+/* Tests of membership.h: who is current, withdrawals, state from peers. */
+#include <string.h>
+
+#include "lib-cluster.h"
+
+/* Longer than the limit of being current. */
+#define LONG_MS (CT_CURRENT_LIMIT_MS + 3000)
+
+static bool
+is_current(const struct t_cluster *c, uint32_t host)
+{
+    return ct_membership_is_current(c->hosts[host].state,
+                                    c->hosts[host].now_ms);
+}
+
+static void
+grant(struct t_cluster *c, uint8_t n)
+{
+    struct ct_record record = {.type = CT_RECORD_KEY_GRANT};
+
+    record.u.key.digest = t_digest(n);
+    CT_TEXT_SET(record.u.key.organisation, "acme");
+    t_cluster_append(c, &record);
+    t_cluster_run(c, 2000);
+}
+
+static bool
+is_usable(const struct t_cluster *c, uint32_t host, uint8_t n)
+{
+    const struct ct_keys *keys = &c->hosts[host].state->keys;
+    struct ct_digest digest = t_digest(n);
+
+    return ct_keys_usable(keys, ct_keys_find(keys, &digest));
+}
+
+/* Which hosts are current, by what they can hear. */
+static void
+test_current(void)
+{
+    static const struct {
+        bool log_down;
+        uint32_t n_cut;
+        bool cut_current;
+        bool rest_current;
+    } cases[] = {
+        {false, 0, true, true}, {false, 3, true, true},
+        {true, 0, true, true},  {true, 2, false, true},
+        {true, 3, false, false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct t_cluster c;
+
+        t_cluster_init(&c, 5);
+        t_cluster_run(&c, 3000);
+        c.log_down = cases[i].log_down;
+        for (uint32_t j = 0; j < cases[i].n_cut; j++) {
+            c.cut[j] = true;
+        }
+        t_cluster_run(&c, LONG_MS);
+        for (uint32_t j = 0; j < c.n; j++) {
+            g_assert_cmpint(is_current(&c, j), ==,
+                            j < cases[i].n_cut ? cases[i].cut_current
+                                               : cases[i].rest_current);
+        }
+        t_cluster_free(&c);
+    }
+}
+
+/* Host 0 missed the last entry before an outage: it takes it from a peer. */
+static void
+test_catch_up(void)
+{
+    struct t_cluster c;
+
+    t_cluster_init(&c, 3);
+    grant(&c, 1);
+    c.log_down = true;
+    t_cluster_run(&c, 1000);
+    for (uint32_t i = 1; i < 3; i++) {
+        struct ct_event event = {.type = CT_EVENT_LOG_ENTRY};
+
+        event.u.entry.offset = 1000;
+        c.hosts[i].state->log.applied = 999;
+        event.u.entry.record.type = CT_RECORD_KEY_WITHDRAW;
+        event.u.entry.record.u.key.digest = t_digest(1);
+        t_cluster_post(&c, i, &event);
+    }
+    g_assert_true(is_usable(&c, 0, 1));
+    t_cluster_run(&c, LONG_MS);
+    g_assert_false(is_usable(&c, 0, 1));
+    g_assert_true(is_current(&c, 0));
+    t_cluster_free(&c);
+}
+
+/* Its peers know of an entry that it cannot get: it stops. */
+static void
+test_behind(void)
+{
+    struct ct_event event = {.type = CT_EVENT_PEER_MESSAGE};
+    struct t_cluster c;
+
+    t_cluster_init(&c, 3);
+    t_cluster_run(&c, 3000);
+    c.log_down = true;
+    event.u.peer.message.type = CT_PEER_HEARTBEAT;
+    CT_TEXT_SET(event.u.peer.message.sender, "h2");
+    event.u.peer.message.u.heartbeat.applied_offset = 1000;
+    event.u.peer.message.u.heartbeat.known_head = 1000;
+    t_cluster_post(&c, 0, &event);
+    t_cluster_kill(&c, 1);
+    t_cluster_run(&c, 2 * LONG_MS);
+    g_assert_false(is_current(&c, 0));
+    g_assert_true(is_current(&c, 2));
+    t_cluster_free(&c);
+}
+
+/* A host that was stopped is not current before it has heard anything. */
+static void
+test_frozen(void)
+{
+    struct t_cluster c;
+
+    t_cluster_init(&c, 3);
+    t_cluster_run(&c, 3000);
+    c.frozen[0] = true;
+    t_cluster_run(&c, LONG_MS);
+    g_assert_false(is_current(&c, 0));
+    c.frozen[0] = false;
+    t_cluster_run(&c, 2000);
+    g_assert_true(is_current(&c, 0));
+    t_cluster_free(&c);
+}
+
+/* Hands a key to a host and waits for the answer. */
+static void
+hand(struct t_cluster *c, uint32_t host, uint8_t n)
+{
+    struct ct_event event = {.type = CT_EVENT_KEY_HANDED};
+
+    event.u.key.caller = 7;
+    event.u.key.key = t_digest(n);
+    t_cluster_post(c, host, &event);
+    t_cluster_run(c, 5000);
+    g_assert_cmpuint(c->replies, ==, 1);
+}
+
+/* While the log is down a withdrawal reaches every host that can be heard. */
+static void
+test_withdrawal(void)
+{
+    struct t_cluster c;
+
+    t_cluster_init(&c, 4);
+    grant(&c, 1);
+    c.log_down = true;
+    c.cut[3] = true;
+    t_cluster_run(&c, 1000);
+    hand(&c, 1, 1);
+    g_assert_cmpuint(c.confirmed->len, ==, 3);
+    g_assert_cmpstr(
+        g_array_index(c.confirmed, struct ct_host_row, 0).name.text, ==,
+        "h2");
+    for (uint32_t i = 0; i < 3; i++) {
+        g_assert_false(is_usable(&c, i, 1));
+    }
+    g_assert_true(is_usable(&c, 3, 1));
+    c.cut[3] = false;
+    t_cluster_run(&c, 2000);
+    g_assert_false(is_usable(&c, 3, 1));
+
+    /* It lasts: the log learns it when it is back, and all hosts from it. */
+    g_assert_cmpuint(t_cluster_records(&c, CT_RECORD_KEY_WITHDRAW), ==, 0);
+    c.log_down = false;
+    t_cluster_run(&c, 10000);
+    g_assert_cmpuint(t_cluster_records(&c, CT_RECORD_KEY_WITHDRAW), >=, 1);
+    g_assert_cmpuint(t_cluster_records(&c, CT_RECORD_KEY_WITHDRAW), <=, 3);
+    for (uint32_t i = 0; i < 4; i++) {
+        g_assert_cmpuint(c.hosts[i].state->keys.direct_count, ==, 0);
+        t_cluster_kill(&c, i);
+        t_cluster_start(&c, i);
+    }
+    t_cluster_run(&c, 2000);
+    for (uint32_t i = 0; i < 4; i++) {
+        g_assert_false(is_usable(&c, i, 1));
+    }
+    t_cluster_free(&c);
+}
+
+/* A replaced host takes state and withdrawals from its peers. */
+static void
+test_state_from_peers(void)
+{
+    struct t_cluster c;
+    int64_t applied;
+
+    t_cluster_init(&c, 3);
+    grant(&c, 1);
+    grant(&c, 2);
+    c.log_down = true;
+    t_cluster_run(&c, 1000);
+    hand(&c, 1, 1);
+    t_cluster_kill(&c, 0);
+    t_cluster_start(&c, 0);
+    g_assert_false(c.hosts[0].state->log.ready);
+    t_cluster_run(&c, 4000);
+    applied = c.hosts[1].state->log.applied;
+    g_assert_true(c.hosts[0].state->log.ready);
+    g_assert_cmpint(c.hosts[0].state->log.applied, ==, applied);
+    g_assert_true(is_current(&c, 0));
+    g_assert_false(is_usable(&c, 0, 1));
+    g_assert_true(is_usable(&c, 0, 2));
+    t_cluster_free(&c);
+}
+
+/* State that is older than the head known is of no use. */
+static void
+test_old_state(void)
+{
+    struct ct_event event = {.type = CT_EVENT_PEER_MESSAGE};
+    struct t_cluster c;
+
+    t_cluster_init(&c, 3);
+    t_cluster_run(&c, 1000);
+    c.log_down = true;
+    t_cluster_kill(&c, 0);
+    t_cluster_start(&c, 0);
+    t_cluster_run(&c, 100);
+    /* Host 2 has heard of an entry that nobody here has. */
+    event.u.peer.message.type = CT_PEER_HEARTBEAT;
+    CT_TEXT_SET(event.u.peer.message.sender, "h3");
+    event.u.peer.message.u.heartbeat.known_head = 1000;
+    c.dead[2] = true;
+    t_cluster_post(&c, 0, &event);
+    t_cluster_run(&c, 4000);
+    g_assert_false(c.hosts[0].state->log.ready);
+    t_cluster_free(&c);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/membership/current", test_current);
+    g_test_add_func("/membership/catch-up", test_catch_up);
+    g_test_add_func("/membership/behind", test_behind);
+    g_test_add_func("/membership/frozen", test_frozen);
+    g_test_add_func("/membership/withdrawal", test_withdrawal);
+    g_test_add_func("/membership/state-from-peers", test_state_from_peers);
+    g_test_add_func("/membership/old-state", test_old_state);
+    return g_test_run();
+}
