--- a/core/state.h
+++ b/core/state.h
@@ -8,12 +8,15 @@
 #include "effect.h"
 #include "event.h"
 #include "keys.h"
+#include "lease.h"
 #include "log-replay.h"
+#include "membership.h"
 #include "queue-policy.h"
 #include "reduce.h"
 #include "refusal-log.h"
 #include "request.h"
 #include "timer.h"
+#include "withdrawal.h"
 
 /*
  * The whole state of one host. Each module owns the members of its own type
@@ -37,8 +40,11 @@
     struct ct_config config;
     struct ct_keys keys;
     struct ct_claims claims;
+    struct ct_leases leases;
 
     /* This host's own. */
+    struct ct_membership membership;
+    struct ct_withdrawals withdrawals;
     struct ct_requests requests;
     struct ct_refusal_log refusals;
     struct ct_queue_policy *queue;
