core: share a pool's slots between hosts by loans

Every host computes the same base share; a host whose requests wait borrows from one peer at a time what that peer does not need for the same or a higher tier. The borrower counts from its ask, the lender from its answer plus a margin, answers are absolute and carry the ask's number. Grants as changes (plus or minus n) were ruled out: one lost message would leak slots for ever.

Wire: ShareRow has cheap, slots and epoch besides.

--- a/core/peer-message.h
+++ b/core/peer-message.h
@@ -34,6 +34,12 @@
     uint32_t slots_busy;
     /* Requests waiting, by tier. */
     uint32_t waiting[CT_TIERS];
+    /* Of the pool's cheap upstreams, or of the firm ones. */
+    bool cheap;
+    /* All that the asker wants lent, or that the giver has lent to it. */
+    uint32_t slots;
+    /* Number of the ask, repeated by what is given for it. */
+    uint64_t epoch;
 };
 
 struct ct_peer_heartbeat {
--- /dev/null
+++ b/core/share.c
@@ -0,0 +1,574 @@
+#include "share.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+
+/* Part of its base share that a host never lends, at least one slot. */
+#define KEPT_PERCENT 25
+/* How long a peer that had too little is not asked for more. */
+#define EMPTY_MS 500
+/* How long a promise to lend holds unless the peer asks again. */
+#define OWED_MS 1000
+
+void
+ct_shares_init(struct ct_shares *shares)
+{
+    memset(shares, 0, sizeof(*shares));
+}
+
+void
+ct_shares_free(struct ct_shares *shares)
+{
+    for (uint32_t i = 0; i < shares->n_pools; i++) {
+        free(shares->pools[i].loans);
+    }
+    free(shares->pools);
+    free(shares->hosts);
+}
+
+static int
+find_host(const struct ct_shares *shares, const struct ct_name *name)
+{
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        if (ct_name_eq(&shares->hosts[i].name, name)) {
+            return (int)i;
+        }
+    }
+    return CT_ERR_NOT_FOUND;
+}
+
+static int
+compare_hosts(const void *a, const void *b)
+{
+    const struct ct_share_host *x = a;
+    const struct ct_share_host *y = b;
+
+    return strcmp(x->name.text, y->name.text);
+}
+
+/* Arranges the loans of a pool for a new list of hosts. */
+static struct ct_share_loan *
+move_loans(const struct ct_shares *shares, const struct ct_share_pool *pool,
+           const struct ct_share_host *hosts, uint32_t n)
+{
+    struct ct_share_loan *loans = calloc(n ? n : 1, sizeof(*loans));
+
+    for (uint32_t i = 0; loans && i < n; i++) {
+        int old = find_host(shares, &hosts[i].name);
+
+        if (old >= 0) {
+            loans[i] = pool->loans[old];
+        }
+    }
+    return loans;
+}
+
+int
+ct_shares_set_hosts(struct ct_shares *shares, const struct ct_name *names,
+                    uint32_t n, const struct ct_name *self, ct_ms now_ms)
+{
+    struct ct_share_host *hosts = calloc(n ? n : 1, sizeof(*hosts));
+
+    if (!hosts) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        int old = find_host(shares, &names[i]);
+
+        hosts[i].name = names[i];
+        hosts[i].down_ms = now_ms;
+        if (old >= 0) {
+            hosts[i] = shares->hosts[old];
+        }
+        hosts[i].self = ct_name_eq(&names[i], self);
+    }
+    qsort(hosts, n, sizeof(*hosts), compare_hosts);
+    for (uint32_t i = 0; i < shares->n_pools; i++) {
+        struct ct_share_loan *loans =
+            move_loans(shares, &shares->pools[i], hosts, n);
+
+        if (!loans) {
+            free(hosts);
+            return CT_ERR_NO_MEMORY;
+        }
+        free(shares->pools[i].loans);
+        shares->pools[i].loans = loans;
+        shares->pools[i].last_peer = 0;
+    }
+    free(shares->hosts);
+    shares->hosts = hosts;
+    shares->n_hosts = n;
+    return CT_OK;
+}
+
+int
+ct_shares_find_pool(const struct ct_shares *shares, const struct ct_name *name,
+                    bool cheap)
+{
+    for (uint32_t i = 0; i < shares->n_pools; i++) {
+        if (shares->pools[i].cheap == cheap &&
+            ct_name_eq(&shares->pools[i].name, name)) {
+            return (int)i;
+        }
+    }
+    return CT_ERR_NOT_FOUND;
+}
+
+int
+ct_shares_set_pool(struct ct_shares *shares, const struct ct_name *name,
+                   bool cheap, uint32_t slots)
+{
+    int found = ct_shares_find_pool(shares, name, cheap);
+    struct ct_share_pool *pools;
+    struct ct_share_loan *loans;
+
+    if (found >= 0) {
+        shares->pools[found].slots = slots;
+        return found;
+    }
+    loans = calloc(shares->n_hosts ? shares->n_hosts : 1, sizeof(*loans));
+    if (!loans) {
+        return CT_ERR_NO_MEMORY;
+    }
+    pools = realloc(shares->pools, (shares->n_pools + 1) * sizeof(*pools));
+    if (!pools) {
+        free(loans);
+        return CT_ERR_NO_MEMORY;
+    }
+    shares->pools = pools;
+    pools[shares->n_pools] = (struct ct_share_pool){
+        .name = *name, .cheap = cheap, .slots = slots, .loans = loans};
+    pools[shares->n_pools].last_ask_ms = -CT_SHARE_ASK_INTERVAL_MS;
+    return (int)shares->n_pools++;
+}
+
+void
+ct_shares_link(struct ct_shares *shares, const struct ct_name *peer, bool up,
+               ct_ms now_ms)
+{
+    int host = find_host(shares, peer);
+
+    if (host < 0) {
+        return;
+    }
+    shares->hosts[host].up = up;
+    shares->hosts[host].down_ms = now_ms;
+    for (uint32_t i = 0; i < shares->n_pools; i++) {
+        struct ct_share_loan *loan = &shares->pools[i].loans[host];
+
+        loan->borrowed = 0;
+        loan->awaited = false;
+        loan->owed = 0;
+        loan->empty_until_ms = 0;
+        /* What was lent stays lent: the peer may still use it. */
+    }
+}
+
+static bool
+counts(const struct ct_share_host *host, ct_ms now_ms)
+{
+    return host->self || host->up || now_ms - host->down_ms < CT_SHARE_DEAD_MS;
+}
+
+/* The same at all hosts that agree about who is down. */
+static uint32_t
+base_share(const struct ct_shares *shares, const struct ct_share_pool *pool,
+           ct_ms now_ms)
+{
+    uint64_t turn =
+        ct_hash_bytes(CT_HASH_SEED, pool->name.text, sizeof(pool->name.text));
+    uint32_t n = 0;
+    uint32_t rank = 0;
+
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        if (shares->hosts[i].self) {
+            rank = n;
+        }
+        n += counts(&shares->hosts[i], now_ms);
+    }
+    if (n == 0) {
+        return pool->slots;
+    }
+    rank = (uint32_t)((rank + turn) % n);
+    return pool->slots / n + (rank < pool->slots % n ? 1 : 0);
+}
+
+static uint32_t
+lent_of(const struct ct_share_loan *loan, ct_ms now_ms)
+{
+    return loan->lent_until_ms > now_ms ? loan->lent : 0;
+}
+
+static uint32_t
+borrowed_of(const struct ct_share_loan *loan, ct_ms now_ms)
+{
+    return loan->borrowed_until_ms > now_ms ? loan->borrowed : 0;
+}
+
+static uint32_t
+owed_of(const struct ct_share_loan *loan, ct_ms now_ms)
+{
+    return loan->owed_until_ms > now_ms ? loan->owed : 0;
+}
+
+/* Slots that belong to this host now, promised ones among them. */
+static uint32_t
+owned(const struct ct_shares *shares, const struct ct_share_pool *pool,
+      ct_ms now_ms)
+{
+    uint32_t slots = base_share(shares, pool, now_ms);
+    uint32_t lent = 0;
+
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        slots += borrowed_of(&pool->loans[i], now_ms);
+        lent += lent_of(&pool->loans[i], now_ms);
+    }
+    return slots > lent ? slots - lent : 0;
+}
+
+uint32_t
+ct_shares_held(const struct ct_shares *shares, uint32_t index, ct_ms now_ms)
+{
+    const struct ct_share_pool *pool = &shares->pools[index];
+    uint32_t slots = owned(shares, pool, now_ms);
+    uint32_t owed = 0;
+
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        owed += owed_of(&pool->loans[i], now_ms);
+    }
+    return slots > owed ? slots - owed : 0;
+}
+
+static uint32_t
+waiting_up_to(const struct ct_share_demand *demand, uint32_t tier)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i <= tier && i < CT_TIERS; i++) {
+        n += demand->waiting[i];
+    }
+    return n;
+}
+
+/* The highest tier that waits; CT_TIERS where nothing does. */
+static uint32_t
+best_waiting(const uint32_t *waiting)
+{
+    uint32_t tier = 0;
+
+    while (tier < CT_TIERS && waiting[tier] == 0) {
+        tier++;
+    }
+    return tier;
+}
+
+static void
+fill_row(const struct ct_shares *shares, const struct ct_share_pool *pool,
+         const struct ct_share_demand *demand, ct_ms now_ms,
+         struct ct_share_row *row)
+{
+    memset(row, 0, sizeof(*row));
+    row->pool = pool->name;
+    row->cheap = pool->cheap;
+    row->slots_held = owned(shares, pool, now_ms);
+    row->slots_busy = demand->busy;
+    memcpy(row->waiting, demand->waiting, sizeof(row->waiting));
+}
+
+/* A loan that is to be renewed or ended: half of its time is over. */
+static int
+loan_to_renew(const struct ct_shares *shares, const struct ct_share_pool *pool,
+              ct_ms now_ms)
+{
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        const struct ct_share_loan *loan = &pool->loans[i];
+
+        if (borrowed_of(loan, now_ms) > 0 && shares->hosts[i].up &&
+            loan->borrowed_until_ms - now_ms < CT_SHARE_LOAN_MS / 2 &&
+            (!loan->awaited ||
+             now_ms - loan->asked_ms >= CT_SHARE_ASK_TIMEOUT_MS)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* The next peer in turn that may have slots to lend. */
+static int
+peer_to_ask(const struct ct_shares *shares, const struct ct_share_pool *pool,
+            ct_ms now_ms)
+{
+    for (uint32_t n = 1; n <= shares->n_hosts; n++) {
+        uint32_t i = (pool->last_peer + n) % shares->n_hosts;
+        const struct ct_share_loan *loan = &pool->loans[i];
+        bool awaited =
+            loan->awaited && now_ms - loan->asked_ms < CT_SHARE_ASK_TIMEOUT_MS;
+
+        if (!shares->hosts[i].self && shares->hosts[i].up && !awaited &&
+            loan->empty_until_ms <= now_ms) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static void
+ask(struct ct_shares *shares, struct ct_share_pool *pool, uint32_t peer,
+    uint32_t wanted, const struct ct_share_demand *demand, ct_ms now_ms,
+    struct ct_share_send *send)
+{
+    struct ct_share_loan *loan = &pool->loans[peer];
+
+    /* Given up before the lender is told, so that it is used once. */
+    if (wanted < loan->borrowed) {
+        loan->borrowed = wanted;
+    }
+    loan->epoch = ++shares->next_epoch;
+    loan->asked_ms = now_ms;
+    loan->awaited = true;
+    loan->asked_slots = wanted;
+    pool->last_ask_ms = now_ms;
+    pool->last_peer = peer;
+    send->peer = shares->hosts[peer].name;
+    send->type = CT_PEER_SHARE_ASK;
+    fill_row(shares, pool, demand, now_ms, &send->row);
+    send->row.slots = wanted;
+    send->row.epoch = loan->epoch;
+}
+
+bool
+ct_shares_ask(struct ct_shares *shares, uint32_t index,
+              const struct ct_share_demand *demand, ct_ms now_ms,
+              struct ct_share_send *send)
+{
+    struct ct_share_pool *pool = &shares->pools[index];
+    uint32_t waiting = waiting_up_to(demand, CT_TIERS - 1);
+    uint32_t held = ct_shares_held(shares, index, now_ms);
+    uint32_t unused = held > demand->busy ? held - demand->busy : 0;
+    struct ct_share_loan *loan;
+    uint32_t wanted;
+    int peer;
+
+    if (now_ms - pool->last_ask_ms < CT_SHARE_ASK_INTERVAL_MS) {
+        return false;
+    }
+    peer = loan_to_renew(shares, pool, now_ms);
+    if (peer < 0 && waiting > unused) {
+        peer = peer_to_ask(shares, pool, now_ms);
+    }
+    if (peer < 0) {
+        return false;
+    }
+    loan = &pool->loans[peer];
+    wanted = borrowed_of(loan, now_ms);
+    if (waiting > unused) {
+        wanted += waiting - unused;
+    }
+    else {
+        wanted -= wanted < unused - waiting ? wanted : unused - waiting;
+    }
+    ask(shares, pool, (uint32_t)peer, wanted, demand, now_ms, send);
+    return true;
+}
+
+/* How much more of its base share the host may lend. */
+static uint32_t
+may_lend(const struct ct_shares *shares, const struct ct_share_pool *pool,
+         ct_ms now_ms)
+{
+    uint32_t base = base_share(shares, pool, now_ms);
+    uint32_t kept = base * KEPT_PERCENT / 100;
+
+    kept = kept > 0 ? kept : 1;
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        kept += lent_of(&pool->loans[i], now_ms);
+    }
+    /* Borrowed slots are not lent on: their time is another host's. */
+    return base > kept ? base - kept : 0;
+}
+
+/* Free slots that may be lent for requests of this tier. */
+static uint32_t
+spare_for(const struct ct_shares *shares, const struct ct_share_pool *pool,
+          const struct ct_share_demand *demand, uint32_t tier, ct_ms now_ms)
+{
+    uint32_t own = owned(shares, pool, now_ms);
+    uint32_t used = demand->busy + waiting_up_to(demand, tier);
+    uint32_t spare = own > used ? own - used : 0;
+    uint32_t most = may_lend(shares, pool, now_ms);
+
+    return spare < most ? spare : most;
+}
+
+static void
+give(const struct ct_shares *shares, const struct ct_share_pool *pool,
+     uint32_t host, uint64_t epoch, const struct ct_share_demand *demand,
+     ct_ms now_ms, struct ct_share_send *send)
+{
+    send->peer = shares->hosts[host].name;
+    send->type = CT_PEER_SHARE_GIVE;
+    fill_row(shares, pool, demand, now_ms, &send->row);
+    send->row.slots = lent_of(&pool->loans[host], now_ms);
+    send->row.epoch = epoch;
+}
+
+static void
+promise(struct ct_share_loan *loan, uint32_t slots, uint32_t most,
+        uint32_t tier, uint64_t epoch, ct_ms now_ms)
+{
+    loan->owed = slots < most ? slots : most;
+    loan->owed_tier = tier;
+    loan->owed_until_ms = now_ms + OWED_MS;
+    loan->owed_epoch = epoch;
+}
+
+/* Asks for less than was borrowed: the free part goes back. */
+static bool
+give_back(struct ct_shares *shares, struct ct_share_pool *pool, uint32_t host,
+          const struct ct_share_demand *demand, ct_ms now_ms,
+          struct ct_share_send *send)
+{
+    struct ct_share_loan *loan = &pool->loans[host];
+    uint32_t own = owned(shares, pool, now_ms);
+    uint32_t used = demand->busy;
+    uint32_t slots = borrowed_of(loan, now_ms);
+
+    /* Its owner goes before waiting requests of the same tier. */
+    if (loan->owed_tier > 0) {
+        used += waiting_up_to(demand, loan->owed_tier - 1);
+    }
+    slots = slots < loan->owed ? slots : loan->owed;
+    if (own <= used || slots == 0) {
+        return false;
+    }
+    slots = slots < own - used ? slots : own - used;
+    loan->owed -= slots;
+    loan->borrowed -= slots;
+    ask(shares, pool, host, loan->borrowed, demand, now_ms, send);
+    return true;
+}
+
+/* Lends free slots and promises what lower tiers hold. */
+static void
+lend(const struct ct_shares *shares, const struct ct_share_pool *pool,
+     struct ct_share_loan *loan, uint32_t more, const struct ct_share_row *row,
+     const struct ct_share_demand *demand, ct_ms now_ms)
+{
+    uint32_t tier = best_waiting(row->waiting);
+    uint32_t spare = spare_for(shares, pool, demand, tier, now_ms);
+
+    spare = spare < more ? spare : more;
+    loan->lent += spare;
+    if (waiting_up_to(demand, CT_TIERS - 1) > waiting_up_to(demand, tier)) {
+        promise(loan, more - spare, may_lend(shares, pool, now_ms), tier,
+                row->epoch, now_ms);
+    }
+}
+
+int
+ct_shares_asked(struct ct_shares *shares, const struct ct_name *peer,
+                const struct ct_share_row *row,
+                const struct ct_share_demand *demand, ct_ms now_ms,
+                struct ct_share_send *send)
+{
+    int index = ct_shares_find_pool(shares, &row->pool, row->cheap);
+    int host = find_host(shares, peer);
+    struct ct_share_pool *pool;
+    struct ct_share_loan *loan;
+    uint32_t tier = best_waiting(row->waiting);
+    uint32_t more;
+
+    if (index < 0 || host < 0 || shares->hosts[host].self) {
+        return CT_ERR_NOT_FOUND;
+    }
+    pool = &shares->pools[index];
+    loan = &pool->loans[host];
+    loan->awaited = false;
+    loan->owed = 0;
+    loan->lent = lent_of(loan, now_ms);
+    if (row->slots < loan->lent) {
+        loan->lent = row->slots;
+    }
+    /* What the answer says is lent must not end before the borrower's time. */
+    loan->lent_until_ms = now_ms + CT_SHARE_LOAN_MS + CT_SHARE_MARGIN_MS;
+    more = row->slots - loan->lent;
+    if (borrowed_of(loan, now_ms) > 0 && more > 0) {
+        /* Nothing is due while a higher tier waits here. */
+        if (tier == 0 || waiting_up_to(demand, tier - 1) == 0) {
+            promise(loan, more, borrowed_of(loan, now_ms), tier, row->epoch,
+                    now_ms);
+        }
+        if (give_back(shares, pool, (uint32_t)host, demand, now_ms, send)) {
+            return CT_OK;
+        }
+    }
+    else {
+        lend(shares, pool, loan, more, row, demand, now_ms);
+    }
+    give(shares, pool, (uint32_t)host, row->epoch, demand, now_ms, send);
+    return CT_OK;
+}
+
+bool
+ct_shares_settle(struct ct_shares *shares, uint32_t index,
+                 const struct ct_share_demand *demand, ct_ms now_ms,
+                 struct ct_share_send *send)
+{
+    struct ct_share_pool *pool = &shares->pools[index];
+
+    for (uint32_t i = 0; i < shares->n_hosts; i++) {
+        struct ct_share_loan *loan = &pool->loans[i];
+        uint32_t owed = owed_of(loan, now_ms);
+        uint32_t spare;
+
+        if (owed == 0) {
+            continue;
+        }
+        if (borrowed_of(loan, now_ms) > 0) {
+            if (give_back(shares, pool, i, demand, now_ms, send)) {
+                return true;
+            }
+            continue;
+        }
+        spare = spare_for(shares, pool, demand, loan->owed_tier, now_ms);
+        if (spare == 0) {
+            continue;
+        }
+        spare = spare < owed ? spare : owed;
+        loan->owed -= spare;
+        loan->lent = lent_of(loan, now_ms) + spare;
+        loan->lent_until_ms = now_ms + CT_SHARE_LOAN_MS + CT_SHARE_MARGIN_MS;
+        give(shares, pool, i, loan->owed_epoch, demand, now_ms, send);
+        return true;
+    }
+    return false;
+}
+
+int
+ct_shares_given(struct ct_shares *shares, const struct ct_name *peer,
+                const struct ct_share_row *row, ct_ms now_ms)
+{
+    int index = ct_shares_find_pool(shares, &row->pool, row->cheap);
+    int host = find_host(shares, peer);
+    struct ct_share_loan *loan;
+
+    if (index < 0 || host < 0) {
+        return CT_ERR_NOT_FOUND;
+    }
+    loan = &shares->pools[index].loans[host];
+    if (row->epoch != loan->epoch || !shares->hosts[host].up) {
+        return CT_ERR_INVALID;
+    }
+    loan->awaited = false;
+    if (row->slots < loan->asked_slots) {
+        loan->empty_until_ms = now_ms + EMPTY_MS;
+    }
+    loan->borrowed = row->slots;
+    loan->borrowed_until_ms = loan->asked_ms + CT_SHARE_LOAN_MS;
+    if (loan->borrowed_until_ms <= now_ms) {
+        loan->borrowed = 0;
+    }
+    return CT_OK;
+}
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -27,6 +27,9 @@
     case CT_PEER_SHARE_GIVE:
         CT_TEXT_SET(m->u.share.pool, "draft");
         m->u.share.waiting[CT_TIERS - 1] = 4;
+        m->u.share.cheap = true;
+        m->u.share.slots = 5;
+        m->u.share.epoch = UINT64_C(1) << 40;
         break;
     case CT_PEER_ANSWER_ASK:
     case CT_PEER_ANSWER_HERE:
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -3098,7 +3098,7 @@
   (ProtobufCMessageInit) ct__log_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__share_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ct__share_row__field_descriptors[7] =
 {
   {
     "pool",
@@ -3148,9 +3148,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cheap",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ShareRow, cheap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ShareRow, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ShareRow, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__share_row__field_indices_by_name[] = {
+  4,   /* field[4] = cheap */
+  6,   /* field[6] = epoch */
   0,   /* field[0] = pool */
+  5,   /* field[5] = slots */
   2,   /* field[2] = slots_busy */
   1,   /* field[1] = slots_held */
   3,   /* field[3] = waiting */
@@ -3158,7 +3197,7 @@
 static const ProtobufCIntRange ct__share_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ct__share_row__descriptor =
 {
@@ -3168,7 +3207,7 @@
   "Ct__ShareRow",
   "ct",
   sizeof(Ct__ShareRow),
-  4,
+  7,
   ct__share_row__field_descriptors,
   ct__share_row__field_indices_by_name,
   1,  ct__share_row__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -367,10 +367,13 @@
   uint32_t slots_busy;
   size_t n_waiting;
   uint32_t *waiting;
+  protobuf_c_boolean cheap;
+  uint32_t slots;
+  uint64_t epoch;
 };
 #define CT__SHARE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__share_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Ct__Heartbeat
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -29,6 +29,9 @@
     CT_MAP_F_U32(ShareRow, share_row, slots_busy, 0, UINT32_MAX),
     {CT_MAP_U32_ARRAY, offsetof(Ct__ShareRow, n_waiting),
      offsetof(struct ct_share_row, waiting), CT_TIERS, 0, 0},
+    CT_MAP_F_BOOL(ShareRow, share_row, cheap),
+    CT_MAP_F_U32(ShareRow, share_row, slots, 0, UINT32_MAX),
+    CT_MAP_F_U64(ShareRow, share_row, epoch),
 };
 static const struct ct_map share_map = {
     &ct__share_row__descriptor, sizeof(struct ct_share_row),
