core: place prefixes by the names of upstreams

The candidates carried no name hash, so rendezvous hashing gave every prefix to the first upstream within the load bound. The hash is kept in the row: it is needed for each candidate of each choice.

--- a/core/config.h
+++ b/core/config.h
@@ -67,6 +67,8 @@
     bool listed;
     enum ct_upstream_state state;
     struct ct_handle pool;
+    /* Of the name, for rendezvous hashing. */
+    uint64_t name_hash;
     /* Attempts of this host that run there now. */
     uint32_t in_flight;
 };
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -145,6 +145,7 @@
         }
         out[n++] = (struct ct_candidate){
             .upstream = pool->upstreams[i],
+            .name_hash = upstream->name_hash,
             .slots = upstream->conf.slots,
             .cheap = upstream->conf.cheap,
             .same_zone =
