--- a/shell/peer-link.c
+++ b/shell/peer-link.c
@@ -60,9 +60,9 @@
          const struct ct_hello *to, uint8_t *out)
 {
     gsize n = CT_HMAC_BYTES;
-    GHmac *hmac = g_hmac_new(G_CHECKSUM_SHA256,
-                             (const guchar *)identity->secret,
-                             strlen(identity->secret));
+    GHmac *hmac =
+        g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)identity->secret,
+                   strlen(identity->secret));
 
     g_hmac_update(hmac, (const guchar *)from->host.text,
                   sizeof(from->host.text));
--- a/shell/peer.c
+++ b/shell/peer.c
@@ -192,7 +192,8 @@
 static bool
 is_kept(const struct peer_row *row, bool dialled)
 {
-    return !row->link || row->dialled == dialled || dialled == dials_first(row);
+    return !row->link || row->dialled == dialled ||
+           dialled == dials_first(row);
 }
 
 static void
@@ -358,8 +359,7 @@
 static void
 send_message(struct ct_peers *peers, const struct ct_effect *effect)
 {
-    const struct peer_row *row =
-        find_row(peers, &effect->u.peer.peer, NULL);
+    const struct peer_row *row = find_row(peers, &effect->u.peer.peer, NULL);
     struct ct_peer_message message = effect->u.peer.message;
     int err;
 
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -87,8 +87,7 @@
 ct_socket_accept(int listener)
 {
     int on = 1;
-    int fd =
-        accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
     if (fd < 0) {
         return CT_ERR_IO;
--- a/t/test-peer-link.c
+++ b/t/test-peer-link.c
@@ -275,8 +275,7 @@
 static void
 test_stranger(gconstpointer data)
 {
-    struct visit visit = {.stranger =
-                              (enum stranger)GPOINTER_TO_INT(data)};
+    struct visit visit = {.stranger = (enum stranger)GPOINTER_TO_INT(data)};
     char address[32];
     struct pollfd connected;
     struct node a;
@@ -322,9 +321,9 @@
     effect.rows.n = 1;
     ct_peers_executor(a.peers)->ops->run(ct_peers_executor(a.peers), &effect);
     wait_for(&a, &b, &b, CT_EVENT_PEER_MESSAGE, 1);
-    g_assert_cmpuint(script_last(b.script, CT_EVENT_PEER_MESSAGE)
-                         ->u.peer.message.rows.n,
-                     ==, 1);
+    g_assert_cmpuint(
+        script_last(b.script, CT_EVENT_PEER_MESSAGE)->u.peer.message.rows.n,
+        ==, 1);
     g_free(rows);
     node_free(&a);
     node_free(&b);
@@ -334,9 +333,9 @@
 main(int argc, char **argv)
 {
     static const char *const strangers[] = {
-        [SAYS_NOTHING] = "says-nothing", [HALF_A_FRAME] = "half-a-frame",
-        [OVERSIZE] = "oversize",         [GARBAGE] = "garbage",
-        [REFLECTS] = "reflects",         [SAME_NAME] = "same-name",
+        [SAYS_NOTHING] = "says-nothing",   [HALF_A_FRAME] = "half-a-frame",
+        [OVERSIZE] = "oversize",           [GARBAGE] = "garbage",
+        [REFLECTS] = "reflects",           [SAME_NAME] = "same-name",
         [MESSAGE_FIRST] = "message-first",
     };
 
