--- a/t/lib-http.h
+++ b/t/lib-http.h
@@ -59,7 +59,7 @@
 int http_count_texts(uint16_t port, const char *const *texts);
 
 /* The same with the texts as arguments. */
-#define http_count_seen(port, ...)                                            \
+#define HTTP_COUNT_SEEN(port, ...)                                            \
     http_count_texts((port), (const char *const[]){__VA_ARGS__, NULL})
 
 #endif
