core: move slots between hosts on demand; find answers at other hosts

Each host fills only its share of a pool's slots, and asks a peer for more before anything that waits is shed (core/sharing.c over share.h). Without it every host took each pool for its own: with two hosts a pool of 4 slots got 8 requests. A peer that stays down gives its share up after a while.

A caller who asks any host for an answer is sent to the host that keeps it, after the peers were asked once; the key is checked where the answer is.

t/test-sharing.c and t/test-answer.c: counts of slots held, lent, borrowed and fallen back; take over of a silent connection, resume, redirect.

--- a/core/answer.c
+++ b/core/answer.c
@@ -1,5 +1,8 @@
 #include "answer.h"
 
+#include <string.h>
+
+#include "membership.h"
 #include "request.h"
 #include "state.h"
 
@@ -29,12 +32,112 @@
     return ct_handle_eq(organisation, request->organisation);
 }
 
+/*
+ * Asks the peers who keeps the answer; false where nobody can be asked. The
+ * key is checked by the host that has the answer.
+ */
+static bool
+ask_peers(struct ct_state *state, const struct ct_answer_ask *ask)
+{
+    struct ct_peer_message message;
+    struct ct_answer_wait *wait;
+    struct ct_handle handle;
+
+    if (state->membership.n_up == 0 ||
+        ct_table_add(&state->answer_waits, &handle) < 0) {
+        return false;
+    }
+    wait = ct_table_get(&state->answer_waits, handle);
+    wait->ask = *ask;
+    ct_arm(state, CT_ANSWER_ASK_MS, CT_TIMER_ANSWER_ASK, handle);
+    memset(&message, 0, sizeof(message));
+    message.type = CT_PEER_ANSWER_ASK;
+    message.u.request_id = ask->request_id;
+    ct_membership_send_all(state, &message, NULL);
+    return true;
+}
+
+void
+ct_answer_on_peer_ask(struct ct_state *state,
+                      const struct ct_peer_message *message)
+{
+    struct ct_handle handle = ct_request_find(state, &message->u.request_id);
+    struct ct_peer_message reply;
+
+    if (!ct_request_get(state, handle)) {
+        return;
+    }
+    memset(&reply, 0, sizeof(reply));
+    reply.type = CT_PEER_ANSWER_HERE;
+    reply.u.request_id = message->u.request_id;
+    ct_membership_send(state, &message->sender, &reply);
+}
+
+void
+ct_answer_on_peer_here(struct ct_state *state,
+                       const struct ct_peer_message *message)
+{
+    const struct ct_host_conf_row *host =
+        ct_table_get(&state->config.hosts,
+                     ct_config_host(&state->config, &message->sender));
+    const struct ct_answer_wait *wait;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    if (!host) {
+        return;
+    }
+    while ((wait = ct_table_next(&state->answer_waits, &cursor, &handle))) {
+        struct ct_redirect_effect *redirect;
+
+        if (strcmp(wait->ask.request_id.text, message->u.request_id.text) !=
+            0) {
+            continue;
+        }
+        redirect = &ct_emit(state, CT_EFFECT_REDIRECT)->u.redirect;
+        redirect->caller = wait->ask.caller;
+        redirect->address = host->conf.caller_address;
+        redirect->request_id = wait->ask.request_id;
+        redirect->offset = wait->ask.offset;
+        ct_table_unref(&state->answer_waits, handle);
+    }
+}
+
+void
+ct_answer_on_ask_timer(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_answer_wait *wait =
+        ct_table_get(&state->answer_waits, handle);
+
+    if (wait) {
+        refuse(state, &wait->ask, CT_REFUSAL_ANSWER_UNKNOWN);
+        ct_table_unref(&state->answer_waits, handle);
+    }
+}
+
+void
+ct_answer_on_gone(struct ct_state *state, uint64_t caller)
+{
+    const struct ct_answer_wait *wait;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((wait = ct_table_next(&state->answer_waits, &cursor, &handle))) {
+        if (wait->ask.caller == caller) {
+            ct_table_unref(&state->answer_waits, handle);
+        }
+    }
+}
+
 void
 ct_answer_on_asked(struct ct_state *state, const struct ct_answer_ask *ask)
 {
     struct ct_handle handle = ct_request_find(state, &ask->request_id);
     struct ct_request *request = ct_request_get(state, handle);
 
+    if (!request && ask_peers(state, ask)) {
+        return;
+    }
     if (!request || !may_see(state, ask, request) ||
         ask->offset > request->answer_bytes) {
         refuse(state, ask, CT_REFUSAL_ANSWER_UNKNOWN);
--- a/core/config.h
+++ b/core/config.h
@@ -34,7 +34,9 @@
     uint32_t n_upstreams;
     /* Requests of this host that hold a slot here. */
     uint32_t slots_busy;
+    /* Slots of all hosts together, and those that this host may fill. */
     uint32_t slots_total;
+    uint32_t slots_held;
 };
 
 struct ct_route_row {
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -4,6 +4,7 @@
 
 #include "attempt.h"
 #include "error.h"
+#include "sharing.h"
 #include "state.h"
 
 /* How long a claim may take to be read back from the log. */
@@ -100,6 +101,7 @@
     case CT_QUEUED:
         ct_arm(state, decision.give_up_ms - state->now_ms, CT_TIMER_QUEUE,
                handle);
+        ct_sharing_want(state, request->pool);
         return;
     case CT_REFUSED:
     default:
@@ -260,6 +262,9 @@
     };
 
     state->queue->ops->finished(state->queue, &served, state->now_ms);
+    if (ct_sharing_settle(state, request->pool)) {
+        ct_dispatch_update_slots(state, request->pool);
+    }
     ct_dispatch_pool(state, request->pool);
 }
 
@@ -277,6 +282,7 @@
     uint32_t firm = 0;
     uint32_t cheap = 0;
     uint32_t i;
+    int err;
 
     if (!pool) {
         return;
@@ -298,6 +304,12 @@
         }
     }
     pool->slots_total = firm + cheap;
+    err = ct_sharing_held(state, &pool->conf.name, firm, cheap, &firm, &cheap);
+    if (err < 0) {
+        state->out->err = err;
+        return;
+    }
+    pool->slots_held = firm + cheap;
     state->queue->ops->set_pool(state->queue, handle.index, firm, cheap);
 }
 
@@ -310,6 +322,7 @@
     struct ct_handle handle;
     uint32_t cursor = 0;
 
+    ct_sharing_configure(state);
     while ((organisation = ct_table_next(&state->config.organisations, &cursor,
                                          &handle))) {
         queue->ops->set_organisation(queue, handle.index,
--- a/core/queue-policy.h
+++ b/core/queue-policy.h
@@ -85,7 +85,11 @@
 struct ct_queue_totals {
     uint32_t queued;
     uint32_t running;
+    /* Of these, in cheap slots. */
+    uint32_t cheap_running;
     uint32_t queued_by_tier[CT_TIERS];
+    /* Of these, requests that may use a cheap slot. */
+    uint32_t cheap_queued_by_tier[CT_TIERS];
     /* Requests shed for a lower tier, by the definition in queue-tiered.h. */
     uint64_t inversions;
 };
--- a/core/queue-rows.c
+++ b/core/queue-rows.c
@@ -252,6 +252,9 @@
     p = &rows->pools[pool];
     totals->queued = p->queued;
     totals->running = p->firm_running + p->cheap_running;
+    totals->cheap_running = p->cheap_running;
+    memcpy(totals->cheap_queued_by_tier, p->cheap_queued_by_tier,
+           sizeof(totals->cheap_queued_by_tier));
     memcpy(totals->queued_by_tier, p->queued_by_tier,
            sizeof(totals->queued_by_tier));
     totals->inversions = p->inversions;
@@ -265,6 +268,9 @@
 
     pool->queued += by;
     pool->queued_by_tier[row->tier] += by;
+    if (row->cheap_allowed) {
+        pool->cheap_queued_by_tier[row->tier] += by;
+    }
 }
 
 void
--- a/core/queue-rows.h
+++ b/core/queue-rows.h
@@ -66,6 +66,7 @@
     uint32_t cheap_running;
     uint32_t queued;
     uint32_t queued_by_tier[CT_TIERS];
+    uint32_t cheap_queued_by_tier[CT_TIERS];
     uint64_t inversions;
 };
 
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -6,6 +6,7 @@
 #include "dispatch.h"
 #include "drain.h"
 #include "error.h"
+#include "sharing.h"
 #include "snapshot.h"
 #include "state.h"
 
@@ -25,12 +26,18 @@
     case CT_TIMER_ANSWER_KEPT:
         ct_answer_on_kept_timer(state, timer->handle);
         return;
+    case CT_TIMER_ANSWER_ASK:
+        ct_answer_on_ask_timer(state, timer->handle);
+        return;
     case CT_TIMER_CLAIM:
         ct_dispatch_on_claim_timer(state, timer->handle);
         return;
     case CT_TIMER_REFUSALS:
         ct_refusal_log_on_timer(state);
         return;
+    case CT_TIMER_SHARES:
+        ct_sharing_on_timer(state);
+        return;
     case CT_TIMER_PROBE:
         ct_dispatch_on_probe_timer(state);
         return;
@@ -49,7 +56,6 @@
     case CT_TIMER_LOG:
     case CT_TIMER_USAGE:
     case CT_TIMER_ORDERS:
-    case CT_TIMER_SHARES:
     default:
         return;
     }
@@ -87,6 +93,26 @@
     }
 }
 
+static void
+on_peer_message(struct ct_state *state, const struct ct_peer_message *message)
+{
+    switch (message->type) {
+    case CT_PEER_SHARE_ASK:
+    case CT_PEER_SHARE_GIVE:
+        ct_sharing_on_message(state, message);
+        return;
+    case CT_PEER_ANSWER_ASK:
+        ct_answer_on_peer_ask(state, message);
+        return;
+    case CT_PEER_ANSWER_HERE:
+        ct_answer_on_peer_here(state, message);
+        return;
+    default:
+        ct_membership_on_message(state, message);
+        return;
+    }
+}
+
 static int
 on_upstream_list(struct ct_state *state, const struct ct_event *event)
 {
@@ -126,6 +152,7 @@
         return CT_OK;
     case CT_EVENT_CALL_GONE:
         ct_requests_on_gone(state, event->u.caller);
+        ct_answer_on_gone(state, event->u.caller);
         return CT_OK;
     case CT_EVENT_ANSWER_ASKED:
         ct_answer_on_asked(state, &event->u.answer_ask);
@@ -170,12 +197,14 @@
         return on_upstream_list(state, event);
     case CT_EVENT_PEER_UP:
         ct_membership_on_up(state, &event->u.peer.peer);
+        ct_sharing_on_link(state, &event->u.peer.peer, true);
         return CT_OK;
     case CT_EVENT_PEER_DOWN:
         ct_membership_on_down(state, &event->u.peer.peer);
+        ct_sharing_on_link(state, &event->u.peer.peer, false);
         return CT_OK;
     case CT_EVENT_PEER_MESSAGE:
-        ct_membership_on_message(state, &event->u.peer.message);
+        on_peer_message(state, &event->u.peer.message);
         return CT_OK;
     case CT_EVENT_HOST_LIST:
         ct_membership_on_host_list(state, event->rows);
--- /dev/null
+++ b/core/sharing.c
@@ -0,0 +1,217 @@
+#include "sharing.h"
+
+#include <string.h>
+
+#include "dispatch.h"
+#include "membership.h"
+#include "share.h"
+#include "state.h"
+
+/* Between looks at the pools while requests wait or slots are on loan. */
+#define PERIOD_MS CT_SHARE_ASK_INTERVAL_MS
+
+void
+ct_sharing_configure(struct ct_state *state)
+{
+    GArray *names = g_array_new(FALSE, TRUE, sizeof(struct ct_name));
+    const struct ct_host_conf_row *host;
+    uint32_t cursor = 0;
+    int err;
+
+    while ((host = ct_table_next(&state->config.hosts, &cursor, NULL))) {
+        if (host->configured) {
+            g_array_append_val(names, host->conf.name);
+        }
+    }
+    err = ct_shares_set_hosts(&state->shares,
+                              (const struct ct_name *)(void *)names->data,
+                              names->len, &state->self.host, state->now_ms);
+    if (err < 0) {
+        state->out->err = err;
+    }
+    g_array_free(names, TRUE);
+}
+
+int
+ct_sharing_held(struct ct_state *state, const struct ct_name *pool,
+                uint32_t firm, uint32_t cheap, uint32_t *held_firm,
+                uint32_t *held_cheap)
+{
+    int f = ct_shares_set_pool(&state->shares, pool, false, firm);
+    int c = ct_shares_set_pool(&state->shares, pool, true, cheap);
+
+    if (f < 0 || c < 0) {
+        return f < 0 ? f : c;
+    }
+    *held_firm = ct_shares_held(&state->shares, (uint32_t)f, state->now_ms);
+    *held_cheap = ct_shares_held(&state->shares, (uint32_t)c, state->now_ms);
+    return 0;
+}
+
+/* Use of the firm, or the cheap, slots of a pool by this host. */
+static struct ct_share_demand
+demand_of(const struct ct_state *state, struct ct_handle pool, bool cheap)
+{
+    struct ct_queue_totals totals = {0};
+    struct ct_share_demand demand;
+
+    state->queue->ops->totals(state->queue, pool.index, &totals);
+    memset(&demand, 0, sizeof(demand));
+    demand.busy =
+        cheap ? totals.cheap_running : totals.running - totals.cheap_running;
+    memcpy(demand.waiting,
+           cheap ? totals.cheap_queued_by_tier : totals.queued_by_tier,
+           sizeof(demand.waiting));
+    return demand;
+}
+
+static void
+send(struct ct_state *state, const struct ct_share_send *share)
+{
+    struct ct_peer_message message;
+
+    memset(&message, 0, sizeof(message));
+    message.type = share->type;
+    message.u.share = share->row;
+    ct_membership_send(state, &share->peer, &message);
+}
+
+static int
+find(const struct ct_state *state, struct ct_handle pool, bool cheap)
+{
+    const struct ct_pool_row *row = ct_table_get(&state->config.pools, pool);
+
+    if (!row) {
+        return -1;
+    }
+    return ct_shares_find_pool(&state->shares, &row->conf.name, cheap);
+}
+
+static void
+ask(struct ct_state *state, struct ct_handle pool, bool cheap)
+{
+    struct ct_share_demand demand = demand_of(state, pool, cheap);
+    int index = find(state, pool, cheap);
+    struct ct_share_send share;
+
+    while (index >= 0 && ct_shares_ask(&state->shares, (uint32_t)index,
+                                       &demand, state->now_ms, &share)) {
+        send(state, &share);
+    }
+}
+
+static void
+arm(struct ct_state *state)
+{
+    if (!state->sharing_armed) {
+        state->sharing_armed = true;
+        ct_arm(state, PERIOD_MS, CT_TIMER_SHARES, CT_NO_HANDLE);
+    }
+}
+
+void
+ct_sharing_want(struct ct_state *state, struct ct_handle pool)
+{
+    if (state->membership.n_up == 0) {
+        return;
+    }
+    ask(state, pool, false);
+    ask(state, pool, true);
+    arm(state);
+}
+
+bool
+ct_sharing_settle(struct ct_state *state, struct ct_handle pool)
+{
+    struct ct_share_send share;
+    bool given = false;
+
+    for (int cheap = 0; cheap < 2; cheap++) {
+        struct ct_share_demand demand = demand_of(state, pool, cheap);
+        int index = find(state, pool, cheap);
+
+        while (index >= 0 &&
+               ct_shares_settle(&state->shares, (uint32_t)index, &demand,
+                                state->now_ms, &share)) {
+            send(state, &share);
+            given = true;
+        }
+    }
+    return given;
+}
+
+void
+ct_sharing_on_link(struct ct_state *state, const struct ct_name *peer, bool up)
+{
+    ct_shares_link(&state->shares, peer, up, state->now_ms);
+}
+
+void
+ct_sharing_on_message(struct ct_state *state,
+                      const struct ct_peer_message *message)
+{
+    const struct ct_share_row *row = &message->u.share;
+    struct ct_handle pool = ct_config_pool(&state->config, &row->pool);
+    struct ct_share_demand demand = demand_of(state, pool, row->cheap);
+    struct ct_share_send share;
+
+    if (ct_handle_is_none(pool)) {
+        return;
+    }
+    if (message->type == CT_PEER_SHARE_GIVE) {
+        /* A late answer is void on both sides; nothing to do then. */
+        ct_shares_given(&state->shares, &message->sender, row, state->now_ms);
+    }
+    else if (ct_shares_asked(&state->shares, &message->sender, row, &demand,
+                             state->now_ms, &share) == 0) {
+        send(state, &share);
+    }
+    ct_dispatch_update_slots(state, pool);
+    ct_dispatch_pool(state, pool);
+    arm(state);
+}
+
+/* Whether slots are on loan or requests wait, so that time alone matters. */
+static bool
+is_active(const struct ct_state *state, struct ct_handle pool)
+{
+    for (int cheap = 0; cheap < 2; cheap++) {
+        int index = find(state, pool, cheap);
+        const struct ct_share_pool *share;
+
+        if (index < 0) {
+            continue;
+        }
+        share = &state->shares.pools[index];
+        for (uint32_t i = 0; i < state->shares.n_hosts; i++) {
+            if (share->loans[i].lent || share->loans[i].borrowed ||
+                share->loans[i].owed) {
+                return true;
+            }
+        }
+    }
+    return demand_of(state, pool, false).busy > 0;
+}
+
+void
+ct_sharing_on_timer(struct ct_state *state)
+{
+    struct ct_handle pool;
+    uint32_t cursor = 0;
+    bool active = false;
+
+    state->sharing_armed = false;
+    while (ct_table_next(&state->config.pools, &cursor, &pool)) {
+        if (!is_active(state, pool)) {
+            continue;
+        }
+        active = true;
+        ask(state, pool, false);
+        ask(state, pool, true);
+        ct_dispatch_update_slots(state, pool);
+        ct_dispatch_pool(state, pool);
+    }
+    if (active) {
+        arm(state);
+    }
+}
--- a/core/state-view.c
+++ b/core/state-view.c
@@ -101,6 +101,7 @@
     state->queue->ops->totals(state->queue, handle.index, &totals);
     view->name = row->conf.name;
     view->slots_busy = totals.running;
+    view->slots_held = row->slots_held;
     view->slots_total = row->slots_total;
     view->queued = totals.queued;
     return true;
--- a/core/state-view.h
+++ b/core/state-view.h
@@ -45,6 +45,7 @@
 struct ct_pool_view {
     struct ct_name name;
     uint32_t slots_busy;
+    uint32_t slots_held;
     uint32_t slots_total;
     uint32_t queued;
 };
--- a/core/state.c
+++ b/core/state.c
@@ -4,6 +4,8 @@
 
 /* Requests that wait for one pool. */
 #define QUEUED_MAX 4096
+/* Callers who ask for an answer that another host may keep. */
+#define ANSWER_WAITS_MAX 1024
 
 uint64_t
 ct_state_random(struct ct_state *state)
@@ -85,6 +87,9 @@
     ct_withdrawals_init(&state->withdrawals);
     ct_requests_init(&state->requests);
     ct_refusal_log_init(&state->refusals);
+    ct_table_init(&state->answer_waits, sizeof(struct ct_answer_wait),
+                  ANSWER_WAITS_MAX, NULL);
+    ct_shares_init(&state->shares);
     state->queue = ct_queue_tiered_new(QUEUED_MAX);
     state->balance = ct_balance_affinity_new(self->seed);
     if (!state->queue || !state->balance) {
@@ -106,6 +111,8 @@
     if (state->queue) {
         state->queue->ops->free(state->queue);
     }
+    ct_shares_free(&state->shares);
+    ct_table_free(&state->answer_waits);
     ct_refusal_log_free(&state->refusals);
     ct_requests_free(&state->requests);
     ct_withdrawals_free(&state->withdrawals);
--- a/core/state.h
+++ b/core/state.h
@@ -1,6 +1,7 @@
 #ifndef CT_STATE_H
 #define CT_STATE_H
 
+#include "answer.h"
 #include "balance-policy.h"
 #include "claim.h"
 #include "config.h"
@@ -15,6 +16,7 @@
 #include "reduce.h"
 #include "refusal-log.h"
 #include "request.h"
+#include "share.h"
 #include "timer.h"
 #include "withdrawal.h"
 
@@ -49,6 +51,10 @@
     struct ct_refusal_log refusals;
     struct ct_queue_policy *queue;
     struct ct_balance_policy *balance;
+    /* struct ct_answer_wait */
+    struct ct_table answer_waits;
+    struct ct_shares shares;
+    bool sharing_armed;
     /* The probe timer is armed. */
     bool probing;
     bool draining;
--- /dev/null
+++ b/t/test-answer.c
@@ -0,0 +1,209 @@
+/* Tests of answer.h: answers that callers ask for again. */
+#include <string.h>
+
+#include "answer.h"
+#include "lib-core.h"
+
+#define BYTES 100
+
+/* Posts an ask with a key; returns the caller's number. */
+static uint64_t
+ask(struct t_core *core, uint8_t key, const char *id, uint64_t offset)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_ANSWER_ASKED;
+    event.u.answer_ask.caller = core->next_caller++;
+    event.u.answer_ask.has_key = true;
+    event.u.answer_ask.key = t_digest(key);
+    event.u.answer_ask.offset = offset;
+    CT_TEXT_SET(event.u.answer_ask.request_id, id);
+    t_core_post(core, &event);
+    return event.u.answer_ask.caller;
+}
+
+static void
+peer_says(struct t_core *core, enum ct_peer_message_type type, const char *id)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_PEER_MESSAGE;
+    event.u.peer.message.type = type;
+    CT_TEXT_SET(event.u.peer.message.sender, "h2");
+    CT_TEXT_SET(event.u.peer.message.u.request_id, id);
+    t_core_post(core, &event);
+}
+
+static void
+peer_up(struct t_core *core)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_PEER_UP;
+    CT_TEXT_SET(event.u.peer.peer, "h2");
+    t_core_post(core, &event);
+}
+
+/* A call of key 1 whose stream has brought BYTES bytes. */
+static struct ct_handle
+running(struct t_core *core)
+{
+    struct ct_handle attempt;
+
+    t_core_init(core);
+    t_core_configure(core, 2, 4);
+    t_core_call(core, 1, T_CHAT_PATH);
+    attempt =
+        t_core_effect(core, CT_EFFECT_START_ATTEMPT, 0)->u.attempt.attempt;
+    t_core_attempt(core, CT_EVENT_ATTEMPT_SENT,
+                   (struct ct_attempt_event){.attempt = attempt});
+    t_core_attempt(
+        core, CT_EVENT_ATTEMPT_HEAD,
+        (struct ct_attempt_event){.attempt = attempt, .status = 200});
+    t_core_attempt(core, CT_EVENT_ATTEMPT_DATA,
+                   (struct ct_attempt_event){
+                       .attempt = attempt, .bytes = BYTES, .tokens = 1});
+    return attempt;
+}
+
+static void
+complete(struct t_core *core, struct ct_handle attempt)
+{
+    t_core_attempt(core, CT_EVENT_ATTEMPT_DONE,
+                   (struct ct_attempt_event){.attempt = attempt,
+                                             .outcome = CT_OUTCOME_COMPLETE});
+}
+
+/* The old connection went silent: the new one gets the rest and the end. */
+static void
+test_take_over(void)
+{
+    struct t_core core;
+    struct ct_handle attempt = running(&core);
+    uint64_t caller = ask(&core, 1, "request-1", 40);
+    const struct ct_effect *data =
+        t_core_effect(&core, CT_EFFECT_WRITE_DATA, 0);
+
+    g_assert_false(
+        t_core_effect(&core, CT_EFFECT_WRITE_END, 0)->u.write.whole);
+    g_assert_cmpuint(data->u.write.caller, ==, caller);
+    g_assert_cmpuint(data->u.write.offset, ==, 40);
+    g_assert_cmpuint(data->u.write.bytes, ==, BYTES - 40);
+    complete(&core, attempt);
+    g_assert_cmpuint(
+        t_core_effect(&core, CT_EFFECT_WRITE_END, 0)->u.write.caller, ==,
+        caller);
+    t_core_free(&core);
+}
+
+/* A kept answer is written from the wanted byte on. */
+static void
+test_kept(void)
+{
+    struct t_core core;
+
+    complete(&core, running(&core));
+    ask(&core, 1, "request-1", 0);
+    g_assert_cmpuint(
+        t_core_effect(&core, CT_EFFECT_WRITE_DATA, 0)->u.write.bytes, ==,
+        BYTES);
+    g_assert_true(t_core_effect(&core, CT_EFFECT_WRITE_END, 0)->u.write.whole);
+    t_core_free(&core);
+}
+
+/* Another organisation learns nothing, not even that the answer exists. */
+static void
+test_other_organisation(void)
+{
+    static const struct {
+        uint8_t key;
+        uint64_t offset;
+        const char *id;
+    } cases[] = {
+        {2, 0, "request-1"},
+        {9, 0, "request-1"},
+        {1, BYTES + 1, "request-1"},
+        {1, 0, "request-99"},
+    };
+    struct t_core core;
+
+    running(&core);
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ask(&core, cases[i].key, cases[i].id, cases[i].offset);
+        g_assert_cmpuint(core.effects.n, ==, 1);
+        g_assert_cmpint(
+            t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.reason, ==,
+            CT_REFUSAL_ANSWER_UNKNOWN);
+    }
+    t_core_free(&core);
+}
+
+/* Stopped because its caller left: asking again goes on at the last byte. */
+static void
+test_resumed(void)
+{
+    struct t_core core;
+    struct ct_event event;
+    const struct ct_effect *attempt;
+
+    running(&core);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_CALL_GONE;
+    event.u.caller = 1;
+    t_core_post(&core, &event);
+    ask(&core, 1, "request-1", BYTES);
+    attempt = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0);
+    g_assert_nonnull(attempt);
+    g_assert_cmpuint(attempt->u.attempt.resume_offset, ==, BYTES);
+    complete(&core, attempt->u.attempt.attempt);
+    g_assert_true(t_core_effect(&core, CT_EFFECT_WRITE_END, 0)->u.write.whole);
+    t_core_free(&core);
+}
+
+/* The answer is at another host: the caller is sent there. */
+static void
+test_redirect(void)
+{
+    struct t_core core;
+    const struct ct_effect *redirect;
+    uint64_t caller;
+
+    running(&core);
+    peer_up(&core);
+    caller = ask(&core, 1, "request-far", 5);
+    g_assert_cmpint(
+        t_core_effect(&core, CT_EFFECT_PEER_SEND, 0)->u.peer.message.type, ==,
+        CT_PEER_ANSWER_ASK);
+    peer_says(&core, CT_PEER_ANSWER_HERE, "request-far");
+    redirect = t_core_effect(&core, CT_EFFECT_REDIRECT, 0);
+    g_assert_cmpuint(redirect->u.redirect.caller, ==, caller);
+    g_assert_cmpuint(redirect->u.redirect.offset, ==, 5);
+    g_assert_cmpstr(redirect->u.redirect.address.text, ==, "127.0.0.1:1");
+    /* Nobody has it: the caller hears so in the end. */
+    ask(&core, 1, "request-nowhere", 0);
+    t_core_tick(&core, CT_ANSWER_ASK_MS);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.reason,
+                    ==, CT_REFUSAL_ANSWER_UNKNOWN);
+    g_assert_cmpuint(core.state->answer_waits.live, ==, 0);
+    /* This host says what it keeps, and nothing else. */
+    peer_says(&core, CT_PEER_ANSWER_ASK, "request-1");
+    g_assert_nonnull(t_core_effect(&core, CT_EFFECT_PEER_SEND, 0));
+    peer_says(&core, CT_PEER_ANSWER_ASK, "request-99");
+    g_assert_null(t_core_effect(&core, CT_EFFECT_PEER_SEND, 0));
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/answer/take-over", test_take_over);
+    g_test_add_func("/answer/kept", test_kept);
+    g_test_add_func("/answer/other-organisation", test_other_organisation);
+    g_test_add_func("/answer/resumed", test_resumed);
+    g_test_add_func("/answer/redirect", test_redirect);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-sharing.c
@@ -0,0 +1,167 @@
+/* Tests of sharing.h: slots move between hosts before anything is shed. */
+#include <string.h>
+
+#include "lib-core.h"
+#include "sharing.h"
+
+#define SLOTS 4
+
+static void
+peer_up(struct t_core *core)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_PEER_UP;
+    CT_TEXT_SET(event.u.peer.peer, "h2");
+    t_core_post(core, &event);
+}
+
+static void
+post_share(struct t_core *core, enum ct_peer_message_type type,
+           const struct ct_share_row *row)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_PEER_MESSAGE;
+    CT_TEXT_SET(event.u.peer.peer, "h2");
+    event.u.peer.message.type = type;
+    CT_TEXT_SET(event.u.peer.message.sender, "h2");
+    event.u.peer.message.u.share = *row;
+    t_core_post(core, &event);
+}
+
+/* The share message to the peer after the last event, or NULL. */
+static const struct ct_share_row *
+sent(const struct t_core *core, enum ct_peer_message_type type)
+{
+    const struct ct_effect *effect;
+
+    for (uint32_t i = 0;
+         (effect = t_core_effect(core, CT_EFFECT_PEER_SEND, i)); i++) {
+        if (effect->u.peer.message.type == type) {
+            return &effect->u.peer.message.u.share;
+        }
+    }
+    return NULL;
+}
+
+static void
+start(struct t_core *core)
+{
+    t_core_init(core);
+    t_core_configure(core, 1, SLOTS);
+    peer_up(core);
+}
+
+static uint32_t
+held(const struct t_core *core)
+{
+    struct ct_name name;
+    const struct ct_pool_row *pool;
+
+    CT_TEXT_SET(name, "engines");
+    pool = ct_table_get(&core->state->config.pools,
+                        ct_config_pool(&core->state->config, &name));
+    return pool->slots_held;
+}
+
+/* Two hosts hold half each, so that upstreams never get more than they take.
+ */
+static void
+test_base_share(void)
+{
+    struct t_core core;
+    uint32_t started = 0;
+
+    start(&core);
+    g_assert_cmpuint(held(&core), ==, SLOTS / 2);
+    for (int i = 0; i < SLOTS; i++) {
+        t_core_call(&core, 1, T_CHAT_PATH);
+        started += t_core_count(&core, CT_EFFECT_START_ATTEMPT);
+    }
+    g_assert_cmpuint(started, ==, SLOTS / 2);
+    t_core_free(&core);
+}
+
+/* What waits is started in slots that the peer lends. */
+static void
+test_borrow(void)
+{
+    struct t_core core;
+    struct ct_share_row give;
+
+    start(&core);
+    for (int i = 0; i < SLOTS / 2; i++) {
+        t_core_call(&core, 1, T_CHAT_PATH);
+    }
+    t_core_call(&core, 1, T_CHAT_PATH);
+    g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
+    g_assert_null(t_core_effect(&core, CT_EFFECT_REFUSE, 0));
+    g_assert_nonnull(sent(&core, CT_PEER_SHARE_ASK));
+    give = *sent(&core, CT_PEER_SHARE_ASK);
+    g_assert_cmpuint(give.slots, >=, 1);
+    give.slots = 1;
+    post_share(&core, CT_PEER_SHARE_GIVE, &give);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_START_ATTEMPT), ==, 1);
+    t_core_free(&core);
+}
+
+/* An idle host lends; it holds the fewer slots itself until the loan ends. */
+static void
+test_lend(void)
+{
+    struct t_core core;
+    struct ct_share_row ask;
+
+    start(&core);
+    memset(&ask, 0, sizeof(ask));
+    CT_TEXT_SET(ask.pool, "engines");
+    ask.slots_held = SLOTS / 2;
+    ask.slots_busy = SLOTS / 2;
+    ask.waiting[1] = 1;
+    ask.slots = 1;
+    ask.epoch = 7;
+    post_share(&core, CT_PEER_SHARE_ASK, &ask);
+    g_assert_nonnull(sent(&core, CT_PEER_SHARE_GIVE));
+    g_assert_cmpuint(sent(&core, CT_PEER_SHARE_GIVE)->slots, ==, 1);
+    g_assert_cmpuint(sent(&core, CT_PEER_SHARE_GIVE)->epoch, ==, 7);
+    g_assert_cmpuint(held(&core), ==, SLOTS / 2 - 1);
+    /* The borrower's renewals never come: the loan ends by itself. */
+    for (int i = 0; i < 100; i++) {
+        t_core_tick(&core, 100);
+    }
+    g_assert_cmpuint(held(&core), ==, SLOTS / 2);
+    t_core_free(&core);
+}
+
+/* The share of a host that stays down goes to the others. */
+static void
+test_dead_host(void)
+{
+    struct t_core core;
+    struct ct_event event;
+
+    start(&core);
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_PEER_DOWN;
+    CT_TEXT_SET(event.u.peer.peer, "h2");
+    t_core_post(&core, &event);
+    for (int i = 0; i < 200; i++) {
+        t_core_tick(&core, 100);
+    }
+    g_assert_cmpuint(held(&core), ==, SLOTS);
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/sharing/base-share", test_base_share);
+    g_test_add_func("/sharing/borrow", test_borrow);
+    g_test_add_func("/sharing/lend", test_lend);
+    g_test_add_func("/sharing/dead-host", test_dead_host);
+    return g_test_run();
+}
