--- a/t/lib-http.c
+++ b/t/lib-http.c
@@ -149,6 +149,44 @@
     return g_string_free(reply.body, FALSE);
 }
 
+static void
+check_reply(const struct http_case *c, const struct http_reply *reply)
+{
+    if (reply->error != c->error || reply->status != c->status) {
+        g_error("%s: error %d, status %ld: %s", c->name, reply->error,
+                reply->status, reply->body->str);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(c->contains); i++) {
+        if (c->contains[i] && !strstr(reply->body->str, c->contains[i]) &&
+            !strstr(reply->head->str, c->contains[i])) {
+            g_error("%s: no %s in %s%s", c->name, c->contains[i],
+                    reply->head->str, reply->body->str);
+        }
+    }
+    if (c->lacks && strstr(reply->body->str, c->lacks)) {
+        g_error("%s: %s in %s", c->name, c->lacks, reply->body->str);
+    }
+}
+
+void
+http_run_cases(uint16_t port, const struct http_case *cases, int n)
+{
+    for (int i = 0; i < n; i++) {
+        const struct http_case *c = &cases[i];
+        struct http_call call = {.body = c->body,
+                                 .headers = c->headers,
+                                 .timeout_ms = c->timeout_ms};
+        struct http_reply reply;
+
+        if (c->set) {
+            http_set(port, "/fake/set", c->set);
+        }
+        http_call(port, c->path, &call, &reply);
+        check_reply(c, &reply);
+        http_reply_free(&reply);
+    }
+}
+
 static bool
 contains_all(const char *text, const char *const *texts)
 {
--- a/t/lib-http.h
+++ b/t/lib-http.h
@@ -55,6 +55,26 @@
 /* GET; fails the test on anything but 200; the caller frees the text. */
 char *http_get(uint16_t port, const char *path);
 
+/* One row of a contract: a call under a fault, and what must come back. */
+struct http_case {
+    const char *name;
+    /* Settings of the stand-in, set before the call; NULL for no change. */
+    const char *set;
+    const char *path;
+    const char *body;
+    const char *headers[4];
+    int64_t timeout_ms;
+    /* A libcurl code, or 0 and a status. */
+    int error;
+    long status;
+    /* Texts in head and body; NULL for none. */
+    const char *contains[3];
+    const char *lacks;
+};
+
+/* Runs the cases in their order; fails the test with the name of the case. */
+void http_run_cases(uint16_t port, const struct http_case *cases, int n);
+
 /* How many entries of /fake/seen contain all of the texts, up to NULL. */
 int http_count_texts(uint16_t port, const char *const *texts);
 
