t: test cache events of the engine; read named ports

The lag of cache events is a setting, since a test of a fixed lag is a verdict on wall time (it failed once after a call that took two seconds).

--- a/t/fake/fake-engine.c
+++ b/t/fake/fake-engine.c
@@ -16,7 +16,7 @@
 #define SLOTS_DEFAULT 8
 #define QUEUE_MAX 1000
 #define CACHE_ENTRIES 32
-#define CACHE_LAG_MS 500
+#define CACHE_LAG_DEFAULT_MS 500
 /* One cache event in this many is never published. */
 #define CACHE_GAP_EVERY 7
 #define PREFIX_BYTES 256
@@ -85,6 +85,7 @@
     int64_t decline;
     int64_t wrong_id;
     int64_t load_age_ms;
+    int64_t cache_lag_ms;
     int64_t close_after_read;
     int64_t checks_fencing;
 };
@@ -535,7 +536,7 @@
         char prefix[FAKE_ID_MAX];
         JsonObject *row;
 
-        if (event->at_ms > fake_now_ms() - CACHE_LAG_MS) {
+        if (event->at_ms > fake_now_ms() - e->cache_lag_ms) {
             break;
         }
         if (seq % CACHE_GAP_EVERY == 0) {
@@ -629,6 +630,7 @@
     static const struct fake_ops ops = {handle, gone, changed};
     static struct engine e = {.slots = SLOTS_DEFAULT,
                               .tokens = TOKENS_DEFAULT,
+                              .cache_lag_ms = CACHE_LAG_DEFAULT_MS,
                               .silent_after_tokens = NO_FAULT,
                               .break_after_tokens = NO_FAULT,
                               .fault_calls = NO_FAULT};
@@ -644,6 +646,7 @@
         {"decline", &e.decline},
         {"wrong_id", &e.wrong_id},
         {"load_age_ms", &e.load_age_ms},
+        {"cache_lag_ms", &e.cache_lag_ms},
         {"close_after_read", &e.close_after_read},
         {"checks_fencing", &e.checks_fencing},
         {NULL, NULL}};
--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -119,30 +119,47 @@
     return read(fd, byte, 1);
 }
 
-void
-process_await_listening(struct process *process)
+/* Returns how many ports the line "listening [NAME=]PORT..." names. */
+static int
+parse_ports(const char *line, uint16_t *ports, int max)
 {
-    char line[LINE_MAX_BYTES];
-    unsigned int port = 0;
-    unsigned int second = 0;
+    char **words = g_strsplit_set(line, " \n", -1);
+    int n = 0;
 
-    while (port == 0) {
-        size_t n = 0;
+    if (g_strcmp0(words[0], "listening") == 0) {
+        for (int i = 1; words[i] && n < max; i++) {
+            const char *number = strchr(words[i], '=');
 
-        while (n + 1 < sizeof(line)) {
-            g_assert_cmpint(
-                read_byte(process->out, &line[n], START_TIMEOUT_MS), ==, 1);
-            if (line[n++] == '\n') {
-                break;
+            if (*words[i]) {
+                ports[n++] = (uint16_t)g_ascii_strtoull(
+                    number ? number + 1 : words[i], NULL, 10);
             }
         }
-        line[n] = '\0';
-        if (sscanf(line, "listening %u %u", &port, &second) < 1) {
-            g_test_message("output before listening: %s", line);
-        }
     }
-    process->port = (uint16_t)port;
-    process->second_port = (uint16_t)second;
+    g_strfreev(words);
+    return n;
+}
+
+void
+process_await_listening(struct process *process)
+{
+    char line[LINE_MAX_BYTES];
+    uint16_t ports[3] = {0};
+    size_t n = 0;
+
+    while (n == 0 || line[n - 1] != '\n') {
+        g_assert_cmpuint(n + 1, <, sizeof(line));
+        g_assert_cmpint(read_byte(process->out, &line[n], START_TIMEOUT_MS),
+                        ==, 1);
+        n++;
+    }
+    line[n] = '\0';
+    if (parse_ports(line, ports, G_N_ELEMENTS(ports)) == 0) {
+        g_error("not listening: %s", line);
+    }
+    process->port = ports[0];
+    process->second_port = ports[1];
+    process->third_port = ports[2];
 }
 
 void
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -14,9 +14,10 @@
     pid_t pid;
     /* Read end of its standard output. */
     int out;
-    /* Ports of its "listening" line. */
+    /* Ports of its "listening" line, in their order there. */
     uint16_t port;
     uint16_t second_port;
+    uint16_t third_port;
     bool running;
 };
 
@@ -28,7 +29,7 @@
 void process_spawn(struct process *process, const char *program,
                    const char *const *arguments);
 
-/* Waits for its line "listening PORT [PORT]". */
+/* Waits for its line "listening PORT..." or "listening NAME=PORT...". */
 void process_await_listening(struct process *process);
 
 /* Runs a program to its end; returns the exit code, its output in *output. */
