--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -25,6 +25,7 @@
 static pid_t running[PROCESSES_MAX];
 static int n_running;
 static bool at_exit_set;
+static char *log_directory;
 
 int64_t
 process_now_ms(void)
@@ -70,6 +71,25 @@
     running[n_running++] = pid;
 }
 
+void
+process_set_log_directory(const char *directory)
+{
+    g_free(log_directory);
+    log_directory = g_strdup(directory);
+}
+
+static void
+redirect_errors(const char *program)
+{
+    char *name = g_path_get_basename(program);
+    char *path = g_strdup_printf("%s/%s.log", log_directory, name);
+    int fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+    dup2(fd, STDERR_FILENO);
+    g_free(path);
+    g_free(name);
+}
+
 static void
 run_child(const char *path, const char *program, const char *const *arguments,
           int out)
@@ -82,6 +102,9 @@
     /* The child ends with the test, also when the test is killed. */
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(out, STDOUT_FILENO);
+    if (log_directory) {
+        redirect_errors(program);
+    }
     execv(path, (char *const *)(void *)argv);
     fprintf(stderr, "%s: %s\n", path, strerror(errno));
     _exit(127);
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -21,6 +21,12 @@
     bool running;
 };
 
+/*
+ * What programs started from now on write to their standard error goes to
+ * DIRECTORY/NAME.log; NULL: to that of the test.
+ */
+void process_set_log_directory(const char *directory);
+
 /* Starts a program of the build, by its place there, with arguments to NULL.
  */
 void process_start(struct process *process, const char *program, ...);
