--- a/t/proc-answer.c
+++ b/t/proc-answer.c
@@ -123,12 +123,12 @@
             run_fault(&faults[i], body);
             continue;
         }
-        deployment_set_engines(&d, UNBROKEN);
         deployment_set_engines(&d, faults[i].set);
         call_is_whole(&faults[i], body);
+        /* Engines that were taken out come back. */
+        deployment_set_engines(&d, UNBROKEN);
+        AWAIT(call_is_whole(&faults[i], body), AWAIT_MS);
     }
-    deployment_set_engines(&d, UNBROKEN);
-    g_assert_true(call_is_whole(&faults[0], body));
 }
 
 static void
--- /dev/null
+++ b/t/proc-drain.c
@@ -0,0 +1,135 @@
+/* A planned stop cuts no request. */
+#include <signal.h>
+#include <string.h>
+
+#include "lib-deployment.h"
+
+#define STREAMS 8
+
+static struct deployment d;
+
+struct stream {
+    int host;
+    bool whole;
+};
+
+static gpointer
+read_stream(gpointer arg)
+{
+    struct stream *stream = arg;
+    struct caller_call call = {
+        .key = d.alpha, .path = CHAT_PATH, .body = CHAT_STREAM};
+    struct http_reply reply;
+
+    deployment_call(&d, stream->host, NULL, &call, &reply);
+    stream->whole = reply.error == 0 && reply.status == 200 &&
+                    g_str_has_suffix(reply.body->str, "data: [DONE]\n\n") &&
+                    strstr(reply.body->str, "-39 ");
+    if (!stream->whole) {
+        g_test_message("cut: %d %ld %s", reply.error, reply.status,
+                       reply.body->str);
+    }
+    http_reply_free(&reply);
+    return NULL;
+}
+
+static int
+count_started(void)
+{
+    int n = 0;
+
+    for (int i = 0; i < d.n_engines; i++) {
+        n += http_count_seen(d.engines[i].port, "\"start\",\"at_ms\"", NULL);
+    }
+    return n;
+}
+
+static bool
+is_listed(int asked, int host)
+{
+    char *text = http_get(d.hosts[asked].caller_port, "/v1/addresses");
+    char *address =
+        g_strdup_printf("\"127.0.0.1:%u\"", d.hosts[host].caller_port);
+    bool found = strstr(text, address) != NULL;
+
+    g_free(address);
+    g_free(text);
+    return found;
+}
+
+/* New requests are refused as not run, or not accepted at all. */
+static void
+check_new_request(int host)
+{
+    struct caller_call call = {
+        .key = d.alpha, .path = CHAT_PATH, .body = CHAT_WHOLE};
+    struct http_reply reply;
+
+    deployment_call(&d, host, NULL, &call, &reply);
+    if (reply.error == 0) {
+        deployment_assert_refused(&reply, 503, "draining", "not-run");
+    }
+    else {
+        g_assert_cmpint(reply.status, ==, 0);
+    }
+    http_reply_free(&reply);
+}
+
+static void
+drain_with_streams(int host, bool by_signal)
+{
+    struct stream streams[STREAMS];
+    GThread *threads[STREAMS];
+    int before = count_started();
+
+    for (int i = 0; i < STREAMS; i++) {
+        streams[i] = (struct stream){host, false};
+        threads[i] = g_thread_new("stream", read_stream, &streams[i]);
+    }
+    AWAIT(count_started() == before + STREAMS, AWAIT_MS);
+    if (by_signal) {
+        process_signal(&d.hosts[host].process, SIGTERM);
+    }
+    else {
+        http_set(d.hosts[host].operator_port, "/drain", "{}");
+    }
+    AWAIT(!is_listed(1 - host, host), AWAIT_MS);
+    check_new_request(host);
+    for (int i = 0; i < STREAMS; i++) {
+        g_thread_join(threads[i]);
+        g_assert_true(streams[i].whole);
+    }
+    g_assert_cmpint(process_wait(&d.hosts[host].process, AWAIT_MS), ==, 0);
+}
+
+static void
+test_signal(void)
+{
+    AWAIT(is_listed(1, 0), AWAIT_MS);
+    drain_with_streams(0, true);
+    deployment_start_host(&d, 0);
+    deployment_await_ready(&d);
+    AWAIT(is_listed(1, 0), AWAIT_MS);
+}
+
+static void
+test_command(void)
+{
+    AWAIT(is_listed(0, 1), AWAIT_MS);
+    drain_with_streams(1, false);
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    deployment_start(&d, 2, 2, 1);
+    deployment_set_engines(&d, "{\"tokens\":40,\"token_ms\":50}");
+    g_test_add_func("/drain/signal", test_signal);
+    g_test_add_func("/drain/command", test_command);
+    code = g_test_run();
+    deployment_stop(&d);
+    return code;
+}
--- /dev/null
+++ b/t/proc-withdraw.c
@@ -0,0 +1,204 @@
+/* A withdrawn key stops working, also on a connection that is kept. */
+#include <string.h>
+
+#include "lib-deployment.h"
+
+/* From the end of the command to the first refusal of the last host. */
+#define PROMISED_MS 10000
+
+static struct deployment d;
+
+static long
+call_with(struct http_client *client, int host, const char *key,
+          struct http_reply *reply)
+{
+    struct caller_call call = {
+        .key = key, .path = CHAT_PATH, .body = CHAT_WHOLE};
+
+    deployment_call(&d, host, client, &call, reply);
+    return reply->status;
+}
+
+static bool
+is_refused(struct http_client *client, int host, const char *key)
+{
+    struct http_reply reply;
+    bool refused = call_with(client, host, key, &reply) == 401;
+
+    if (refused) {
+        deployment_assert_refused(&reply, 401, "key-withdrawn", "not-run");
+    }
+    http_reply_free(&reply);
+    return refused;
+}
+
+static void
+open_connections(struct http_client **clients, const char *key)
+{
+    for (int i = 0; i < d.n_hosts; i++) {
+        struct http_reply reply;
+        int64_t until_ms = process_now_ms() + AWAIT_MS;
+
+        clients[i] = http_client_new();
+        /* The grant may still be on its way to this host. */
+        while (call_with(clients[i], i, key, &reply) != 200) {
+            g_assert_cmpint(process_now_ms(), <, until_ms);
+            http_reply_free(&reply);
+            process_pause();
+        }
+        http_reply_free(&reply);
+    }
+}
+
+static void
+close_connections(struct http_client **clients)
+{
+    for (int i = 0; i < d.n_hosts; i++) {
+        http_client_free(clients[i]);
+    }
+}
+
+static void
+test_log_up(void)
+{
+    struct http_client *clients[HOSTS_MAX];
+    char key[KEY_BYTES];
+    char *output;
+    int code;
+
+    g_assert_cmpint(deployment_grant(&d, "alpha", "up", key), ==, 0);
+    open_connections(clients, key);
+    code = deployment_command(&d, &output, "key", "withdraw", "up", NULL);
+    g_assert_cmpint(code, ==, 0);
+    g_free(output);
+    for (int i = 0; i < d.n_hosts; i++) {
+        AWAIT(is_refused(clients[i], i, key), PROMISED_MS);
+    }
+    close_connections(clients);
+}
+
+/* Handed to one host only; the hosts tell each other. */
+static void
+test_log_down(void)
+{
+    struct http_client *clients[HOSTS_MAX];
+    char key[KEY_BYTES];
+    char *digest;
+    char *option;
+    char *host = deployment_host_option(&d, 0);
+    char *output;
+    int code;
+
+    g_assert_cmpint(deployment_grant(&d, "alpha", "down", key), ==, 0);
+    open_connections(clients, key);
+    digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+    option = g_strdup_printf("--digest=%s", digest);
+    deployment_set_platform(&d, "{\"outage\":1}");
+    code = deployment_command(&d, &output, "key", "withdraw", option, host,
+                              "--timeout=3000", NULL);
+    g_test_message("%d: %s", code, output);
+    g_assert_cmpint(code, ==, 7);
+    g_assert_nonnull(strstr(output, "h1"));
+    for (int i = 0; i < d.n_hosts; i++) {
+        AWAIT(is_refused(clients[i], i, key), PROMISED_MS);
+    }
+    /* Still withdrawn when the log is back and after a restart. */
+    deployment_set_platform(&d, "{\"outage\":0}");
+    deployment_await_ready(&d);
+    for (int i = 0; i < d.n_hosts; i++) {
+        g_assert_true(is_refused(clients[i], i, key));
+    }
+    close_connections(clients);
+    g_free(output);
+    g_free(host);
+    g_free(option);
+    g_free(digest);
+}
+
+struct stream {
+    const char *key;
+    struct http_reply reply;
+};
+
+static gpointer
+read_stream(gpointer arg)
+{
+    struct stream *stream = arg;
+    struct caller_call call = {
+        .key = stream->key, .path = CHAT_PATH, .body = CHAT_STREAM};
+
+    deployment_call(&d, 0, NULL, &call, &stream->reply);
+    return NULL;
+}
+
+static int
+count_running(void)
+{
+    return http_count_seen(d.engines[0].port, "\"start\",\"at_ms\"", NULL);
+}
+
+/* A stream that runs on a withdrawn key ends with an error. */
+static void
+test_running_stream(void)
+{
+    struct stream stream = {0};
+    char key[KEY_BYTES];
+    GThread *thread;
+    int before;
+
+    g_assert_cmpint(deployment_grant(&d, "alpha", "stream", key), ==, 0);
+    AWAIT(!is_refused(NULL, 0, key), AWAIT_MS);
+    deployment_set_engines(&d, "{\"tokens\":100000,\"token_ms\":20}");
+    stream.key = key;
+    before = count_running();
+    thread = g_thread_new("stream", read_stream, &stream);
+    AWAIT(count_running() > before, AWAIT_MS);
+    g_assert_cmpint(
+        deployment_command(&d, NULL, "key", "withdraw", "stream", NULL), ==,
+        0);
+    g_thread_join(thread);
+    g_assert_null(strstr(stream.reply.body->str, "[DONE]"));
+    g_assert_nonnull(strstr(stream.reply.body->str, "event: error"));
+    g_assert_nonnull(strstr(stream.reply.body->str, "key-withdrawn"));
+    http_reply_free(&stream.reply);
+    deployment_set_engines(&d, "{\"tokens\":8,\"token_ms\":0}");
+}
+
+/* All hosts are replaced; the key is still withdrawn. */
+static void
+test_all_replaced(void)
+{
+    char key[KEY_BYTES];
+
+    g_assert_cmpint(deployment_grant(&d, "alpha", "replaced", key), ==, 0);
+    g_assert_cmpint(
+        deployment_command(&d, NULL, "key", "withdraw", "replaced", NULL), ==,
+        0);
+    for (int i = 0; i < d.n_hosts; i++) {
+        process_kill(&d.hosts[i].process);
+    }
+    for (int i = 0; i < d.n_hosts; i++) {
+        deployment_start_host(&d, i);
+    }
+    deployment_await_ready(&d);
+    for (int i = 0; i < d.n_hosts; i++) {
+        g_assert_true(is_refused(NULL, i, key));
+        g_assert_false(is_refused(NULL, i, d.alpha));
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    deployment_start(&d, 3, 1, 1);
+    g_test_add_func("/withdraw/log-up", test_log_up);
+    g_test_add_func("/withdraw/running-stream", test_running_stream);
+    g_test_add_func("/withdraw/all-replaced", test_all_replaced);
+    g_test_add_func("/withdraw/log-down", test_log_down);
+    code = g_test_run();
+    deployment_stop(&d);
+    return code;
+}
