--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -25,6 +25,7 @@
 static pid_t running[PROCESSES_MAX];
 static int n_running;
 static bool at_exit_set;
+static char *log_directory;
 
 int64_t
 process_now_ms(void)
@@ -70,6 +71,25 @@
     running[n_running++] = pid;
 }
 
+void
+process_set_log_directory(const char *directory)
+{
+    g_free(log_directory);
+    log_directory = g_strdup(directory);
+}
+
+static void
+redirect_errors(const char *program)
+{
+    char *name = g_path_get_basename(program);
+    char *path = g_strdup_printf("%s/%s.log", log_directory, name);
+    int fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+    dup2(fd, STDERR_FILENO);
+    g_free(path);
+    g_free(name);
+}
+
 static void
 run_child(const char *path, const char *program, const char *const *arguments,
           int out)
@@ -82,6 +102,9 @@
     /* The child ends with the test, also when the test is killed. */
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(out, STDOUT_FILENO);
+    if (log_directory) {
+        redirect_errors(program);
+    }
     execv(path, (char *const *)(void *)argv);
     fprintf(stderr, "%s: %s\n", path, strerror(errno));
     _exit(127);
@@ -119,30 +142,47 @@
     return read(fd, byte, 1);
 }
 
-void
-process_await_listening(struct process *process)
+/* Returns how many ports the line "listening [NAME=]PORT..." names. */
+static int
+parse_ports(const char *line, uint16_t *ports, int max)
 {
-    char line[LINE_MAX_BYTES];
-    unsigned int port = 0;
-    unsigned int second = 0;
+    char **words = g_strsplit_set(line, " \n", -1);
+    int n = 0;
 
-    while (port == 0) {
-        size_t n = 0;
+    if (g_strcmp0(words[0], "listening") == 0) {
+        for (int i = 1; words[i] && n < max; i++) {
+            const char *number = strchr(words[i], '=');
 
-        while (n + 1 < sizeof(line)) {
-            g_assert_cmpint(
-                read_byte(process->out, &line[n], START_TIMEOUT_MS), ==, 1);
-            if (line[n++] == '\n') {
-                break;
+            if (*words[i]) {
+                ports[n++] = (uint16_t)g_ascii_strtoull(
+                    number ? number + 1 : words[i], NULL, 10);
             }
         }
-        line[n] = '\0';
-        if (sscanf(line, "listening %u %u", &port, &second) < 1) {
-            g_test_message("output before listening: %s", line);
-        }
     }
-    process->port = (uint16_t)port;
-    process->second_port = (uint16_t)second;
+    g_strfreev(words);
+    return n;
+}
+
+void
+process_await_listening(struct process *process)
+{
+    char line[LINE_MAX_BYTES];
+    uint16_t ports[3] = {0};
+    size_t n = 0;
+
+    while (n == 0 || line[n - 1] != '\n') {
+        g_assert_cmpuint(n + 1, <, sizeof(line));
+        g_assert_cmpint(read_byte(process->out, &line[n], START_TIMEOUT_MS),
+                        ==, 1);
+        n++;
+    }
+    line[n] = '\0';
+    if (parse_ports(line, ports, G_N_ELEMENTS(ports)) == 0) {
+        g_error("not listening: %s", line);
+    }
+    process->port = ports[0];
+    process->second_port = ports[1];
+    process->third_port = ports[2];
 }
 
 void
--- /dev/null
+++ b/t/proc-answer.c
@@ -0,0 +1,177 @@
+/* A caller gets the whole answer to its own request, or is told otherwise. */
+#include <string.h>
+
+#include "lib-deployment.h"
+
+#define UNBROKEN                                                              \
+    "{\"break_after_tokens\":-1,\"silent_after_tokens\":-1,"                  \
+    "\"fault_calls\":-1,\"wrong_id\":false,\"decline\":false,"                \
+    "\"close_after_read\":false}"
+
+static struct deployment d;
+
+/* The answer that an engine gives to the same request without a fault. */
+static char *
+expected(const struct http_reply *reply, const char *body)
+{
+    char *id = http_reply_header(reply, "X-Request-Id");
+    char *header = g_strdup_printf("X-Request-Id: %s", id);
+    const char *headers[] = {header, NULL};
+    struct http_call call = {.body = body, .headers = headers};
+    struct http_reply direct;
+
+    deployment_set_engines(&d, UNBROKEN);
+    http_call(d.engines[0].port, CHAT_PATH, &call, &direct);
+    g_assert_cmpint(direct.status, ==, 200);
+    g_string_free(direct.head, TRUE);
+    g_free(header);
+    g_free(id);
+    return g_string_free(direct.body, FALSE);
+}
+
+/* Never something in between: whole to the byte, or an explicit error. */
+static bool
+is_whole(const struct http_reply *reply, const char *body)
+{
+    char *whole;
+    bool same;
+
+    if (reply->status != 200) {
+        g_assert_nonnull(strstr(reply->body->str, "\"run_state\":"));
+        return false;
+    }
+    whole = expected(reply, body);
+    same = strcmp(whole, reply->body->str) == 0 && reply->error == 0;
+    if (!same) {
+        g_assert_null(strstr(reply->body->str, "[DONE]"));
+        g_assert_nonnull(strstr(reply->body->str, "event: error"));
+        g_assert_cmpint(reply->error, !=, 0);
+    }
+    g_free(whole);
+    return same;
+}
+
+struct fault {
+    const char *name;
+    const char *set;
+    /* What the engine writes down when it was hit; NULL: all have the fault
+     * at once, and the answer may end with an error. */
+    const char *hit;
+};
+
+static const struct fault faults[] = {
+    {"break before the first token",
+     "{\"break_after_tokens\":0,\"fault_calls\":1}", "\"broken\""},
+    {"break in mid-stream", "{\"break_after_tokens\":3,\"fault_calls\":1}",
+     "\"broken\""},
+    {"break before the last token",
+     "{\"break_after_tokens\":7,\"fault_calls\":1}", "\"broken\""},
+    {"silence before the first token",
+     "{\"silent_after_tokens\":0,\"fault_calls\":1}", "\"silent\""},
+    {"silence in mid-stream", "{\"silent_after_tokens\":3,\"fault_calls\":1}",
+     "\"silent\""},
+    {"all break before the first token", "{\"break_after_tokens\":0}", NULL},
+    {"all break in mid-stream", "{\"break_after_tokens\":2}", NULL},
+    {"all go silent", "{\"silent_after_tokens\":1}", NULL},
+    {"all close after reading", "{\"close_after_read\":true}", NULL},
+    {"all decline", "{\"decline\":true}", NULL},
+    {"all answer for another request", "{\"wrong_id\":true}", NULL},
+};
+
+static bool
+call_is_whole(const struct fault *fault, const char *body)
+{
+    struct caller_call call = {
+        .key = d.alpha, .path = CHAT_PATH, .body = body};
+    struct http_reply reply;
+    bool whole;
+
+    deployment_call(&d, 0, NULL, &call, &reply);
+    g_test_message("%s: %d %ld %s", fault->name, reply.error, reply.status,
+                   reply.body->str);
+    g_assert_null(strstr(reply.body->str, "another-request"));
+    whole = is_whole(&reply, body);
+    http_reply_free(&reply);
+    return whole;
+}
+
+/* One engine at a time has the fault; one of them will be chosen. */
+static void
+run_fault(const struct fault *fault, const char *body)
+{
+    int hits = 0;
+
+    for (int i = 0; i < d.n_engines; i++) {
+        uint16_t port = d.engines[i].port;
+        int before = http_count_seen(port, fault->hit, NULL);
+
+        deployment_set_engines(&d, UNBROKEN);
+        http_set(port, "/fake/set", fault->set);
+        if (!call_is_whole(fault, body)) {
+            g_error("%s: not whole", fault->name);
+        }
+        hits += http_count_seen(port, fault->hit, NULL) - before;
+    }
+    g_assert_cmpint(hits, >, 0);
+}
+
+static void
+run_faults(const char *body)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+        if (faults[i].hit) {
+            run_fault(&faults[i], body);
+            continue;
+        }
+        deployment_set_engines(&d, faults[i].set);
+        call_is_whole(&faults[i], body);
+        /* Engines that were taken out come back. */
+        deployment_set_engines(&d, UNBROKEN);
+        AWAIT(call_is_whole(&faults[i], body), AWAIT_MS);
+    }
+}
+
+static void
+test_streamed(void)
+{
+    run_faults(CHAT_STREAM);
+}
+
+static void
+test_not_streamed(void)
+{
+    run_faults(CHAT_WHOLE);
+}
+
+/* An engine that is killed in the middle of a stream. */
+static void
+test_engine_killed(void)
+{
+    struct caller_call call = {
+        .key = d.alpha, .path = CHAT_PATH, .body = CHAT_STREAM};
+    struct http_reply reply;
+
+    deployment_set_engines(&d, UNBROKEN);
+    process_kill(&d.engines[1]);
+    for (int i = 0; i < 8; i++) {
+        deployment_call(&d, i % d.n_hosts, NULL, &call, &reply);
+        g_assert_cmpint(reply.status, ==, 200);
+        g_assert_true(is_whole(&reply, CHAT_STREAM));
+        http_reply_free(&reply);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    deployment_start(&d, 2, 3, 1);
+    g_test_add_func("/answer/streamed", test_streamed);
+    g_test_add_func("/answer/not-streamed", test_not_streamed);
+    g_test_add_func("/answer/engine-killed", test_engine_killed);
+    code = g_test_run();
+    deployment_stop(&d);
+    return code;
+}
