--- a/t/lib-deployment.c
+++ b/t/lib-deployment.c
@@ -49,7 +49,7 @@
     char *path = g_strdup_printf("%s/h%d.json", d->directory, i + 1);
 
     write_settings(d, i);
-    process_start(&host->process, "coriandertrackd/coriandertrackd",
+    PROCESS_START(&host->process, "coriandertrackd/coriandertrackd",
                   "--config", path, NULL);
     host->caller_port = host->process.port;
     host->operator_port = host->process.second_port;
@@ -205,14 +205,14 @@
 {
     char *to;
 
-    process_start(&d->platform, "t/fake/fake-platform", NULL);
+    PROCESS_START(&d->platform, "t/fake/fake-platform", NULL);
     to = g_strdup_printf("127.0.0.1:%u", d->platform.port);
-    process_start(&d->platform_relay, "t/fake/relay", "--to", to, NULL);
+    PROCESS_START(&d->platform_relay, "t/fake/relay", "--to", to, NULL);
     for (int i = 0; i < d->n_engines; i++) {
-        process_start(&d->engines[i], "t/fake/fake-engine", NULL);
+        PROCESS_START(&d->engines[i], "t/fake/fake-engine", NULL);
     }
     for (int i = 0; i < d->n_plains; i++) {
-        process_start(&d->plains[i], "t/fake/fake-plain", NULL);
+        PROCESS_START(&d->plains[i], "t/fake/fake-plain", NULL);
     }
     g_free(to);
 }
--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -186,17 +185,9 @@
 }
 
 void
-process_start(struct process *process, const char *program, ...)
+process_start_with(struct process *process, const char *program,
+                   const char *const *arguments)
 {
-    const char *arguments[ARGUMENTS_MAX + 1] = {NULL};
-    va_list list;
-    int n = 0;
-
-    va_start(list, program);
-    while (n < ARGUMENTS_MAX && (arguments[n] = va_arg(list, const char *))) {
-        n++;
-    }
-    va_end(list);
     process_spawn(process, program, arguments);
     process_await_listening(process);
 }
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -29,7 +29,13 @@
 
 /* Starts a program of the build, by its place there, with arguments to NULL.
  */
-void process_start(struct process *process, const char *program, ...);
+void process_start_with(struct process *process, const char *program,
+                        const char *const *arguments);
+
+/* The same with the arguments in place. */
+#define PROCESS_START(process, program, ...)                                  \
+    process_start_with((process), (program),                                  \
+                       (const char *const[]){__VA_ARGS__, NULL})
 
 /* The same with an argument vector, without waiting for a first line. */
 void process_spawn(struct process *process, const char *program,
--- a/t/test-fake-engine.c
+++ b/t/test-fake-engine.c
@@ -116,11 +116,11 @@
 {
     struct process engine;
 
-    process_start(&engine, "t/fake/fake-engine", NULL);
+    PROCESS_START(&engine, "t/fake/fake-engine", NULL);
     http_run_cases(engine.port, cases, G_N_ELEMENTS(cases));
     g_assert_cmpint(
-        http_count_seen(engine.port, "\"broken\"", "\"sent\":2", NULL), ==, 2);
-    AWAIT(http_count_seen(engine.port, "\"left\"", "\"r8\"", NULL) == 1,
+        HTTP_COUNT_SEEN(engine.port, "\"broken\"", "\"sent\":2", NULL), ==, 2);
+    AWAIT(HTTP_COUNT_SEEN(engine.port, "\"left\"", "\"r8\"", NULL) == 1,
           30000);
     process_kill(&engine);
 }
@@ -146,7 +146,7 @@
     char *whole;
 
     for (int i = 0; i < 2; i++) {
-        process_start(&engines[i], "t/fake/fake-engine", NULL);
+        PROCESS_START(&engines[i], "t/fake/fake-engine", NULL);
     }
     whole = body_of(engines[0].port, NULL);
     for (size_t at = 0; at < strlen(whole); at += 97) {
@@ -204,14 +204,14 @@
                                       "X-Priority: 0"};
     GThread *threads[3];
 
-    process_start(&engine, "t/fake/fake-engine", NULL);
+    PROCESS_START(&engine, "t/fake/fake-engine", NULL);
     http_set(engine.port, "/fake/set", "{\"slots\":1,\"stall_ms\":600000}");
     for (int i = 0; i < 3; i++) {
         queued[i] = (struct queued){engine.port, priorities[i]};
         threads[i] = g_thread_new("caller", call_queued, &queued[i]);
-        AWAIT(http_count_seen(engine.port, "received", NULL) == i + 1, 30000);
+        AWAIT(HTTP_COUNT_SEEN(engine.port, "received", NULL) == i + 1, 30000);
     }
-    g_assert_cmpint(http_count_seen(engine.port, "\"start\"", NULL), ==, 1);
+    g_assert_cmpint(HTTP_COUNT_SEEN(engine.port, "\"start\"", NULL), ==, 1);
     http_set(engine.port, "/fake/set", "{\"stall_ms\":1}");
     for (int i = 0; i < 3; i++) {
         g_thread_join(threads[i]);
@@ -244,13 +244,13 @@
     struct process engine;
     GThread *caller;
 
-    process_start(&engine, "t/fake/fake-engine", NULL);
+    PROCESS_START(&engine, "t/fake/fake-engine", NULL);
     http_set(engine.port, "/fake/set", "{\"silent_after_tokens\":1}");
     caller = g_thread_new("caller", call_cancelled, &engine);
-    AWAIT(http_count_seen(engine.port, "\"silent\"", NULL) == 1, 30000);
+    AWAIT(HTTP_COUNT_SEEN(engine.port, "\"silent\"", NULL) == 1, 30000);
     http_set(engine.port, "/cancel", "{\"request_id\":\"c1\"}");
     g_thread_join(caller);
-    g_assert_cmpint(http_count_seen(engine.port, "\"cancelled\"", NULL), ==,
+    g_assert_cmpint(HTTP_COUNT_SEEN(engine.port, "\"cancelled\"", NULL), ==,
                     1);
     process_kill(&engine);
 }
@@ -277,9 +277,9 @@
     struct process relay;
     char *to;
 
-    process_start(&engine, "t/fake/fake-engine", NULL);
+    PROCESS_START(&engine, "t/fake/fake-engine", NULL);
     to = g_strdup_printf("127.0.0.1:%u", engine.port);
-    process_start(&relay, "t/fake/relay", "--to", to, NULL);
+    PROCESS_START(&relay, "t/fake/relay", "--to", to, NULL);
     http_client_call(kept, relay.port, "/load", &call, &reply);
     http_reply_free(&reply);
     for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
--- a/t/test-fake-platform.c
+++ b/t/test-fake-platform.c
@@ -94,9 +94,9 @@
 {
     struct process platform;
 
-    process_start(&platform, "t/fake/fake-platform", NULL);
+    PROCESS_START(&platform, "t/fake/fake-platform", NULL);
     http_run_cases(platform.port, log_cases, G_N_ELEMENTS(log_cases));
-    g_assert_cmpint(http_count_seen(platform.port, "append", NULL), ==, 3);
+    g_assert_cmpint(HTTP_COUNT_SEEN(platform.port, "append", NULL), ==, 3);
     process_kill(&platform);
 }
 
@@ -105,13 +105,13 @@
 {
     struct process platform;
 
-    process_start(&platform, "t/fake/fake-platform", NULL);
+    PROCESS_START(&platform, "t/fake/fake-platform", NULL);
     http_run_cases(platform.port, other_cases, G_N_ELEMENTS(other_cases));
     g_assert_cmpint(
-        http_count_seen(platform.port, "order", "\"repeated\":true", NULL), ==,
+        HTTP_COUNT_SEEN(platform.port, "order", "\"repeated\":true", NULL), ==,
         2);
     g_assert_cmpint(
-        http_count_seen(platform.port, "order", "\"refused\":true", NULL), ==,
+        HTTP_COUNT_SEEN(platform.port, "order", "\"refused\":true", NULL), ==,
         1);
     process_kill(&platform);
 }
@@ -132,7 +132,7 @@
     GThread *reader;
     char *text;
 
-    process_start(&platform, "t/fake/fake-platform", NULL);
+    PROCESS_START(&platform, "t/fake/fake-platform", NULL);
     reader = g_thread_new("reader", read_long, &platform);
     http_set(platform.port, "/log/append", "{\"data\":\"YQ==\"}");
     text = g_thread_join(reader);
