shell: link hosts over TCP with a keyed handshake

peer-link.c is one connection: a nonce each way, then HMAC-SHA256 over sender, receiver and both nonces, so that a proof sent back proves nothing; only then messages. It ends on silence, on a bad or oversize frame, and where the peer does not read. peer.c is the executor: the smaller name dials with backoff and jitter, the larger one only after a while without a link, so that a host that starts in an outage and knows no peers is found. A host answering at the address of another is refused. Accepting pauses where descriptors run out. A message too long for a frame is dropped and the link goes on. Frames after the handshake carry no MAC of their own.

--- a/t/test-peer-link.c
+++ b/t/test-peer-link.c
@@ -254,11 +254,28 @@
 struct visit {
     int fd;
     enum stranger stranger;
-    bool closed;
-    uint64_t received;
+    struct ct_frame_reader frames;
 };
 
-/* Sends back what comes, if asked to; true when the host has closed. */
+/* Sends back the proof that the host gave. */
+static void
+reflect(struct visit *visit, const uint8_t *bytes, size_t n)
+{
+    struct ct_decoded_peer_frame decoded;
+    const uint8_t *payload;
+    size_t size;
+
+    ct_frame_reader_push(&visit->frames, bytes, n);
+    while (ct_frame_next(&visit->frames, &payload, &size) > 0) {
+        g_assert_cmpint(ct_peer_decode(payload, size, &decoded), ==, CT_OK);
+        if (decoded.frame.kind == CT_PEER_FRAME_PROOF) {
+            send_frame(visit->fd, &decoded.frame);
+        }
+        ct_decoded_peer_frame_free(&decoded);
+    }
+}
+
+/* True when the host has closed. */
 static bool
 visit_is_over(void *arg)
 {
@@ -267,7 +284,7 @@
     ssize_t n = recv(visit->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
 
     if (n > 0 && visit->stranger == REFLECTS) {
-        send(visit->fd, bytes, (size_t)n, MSG_NOSIGNAL);
+        reflect(visit, bytes, (size_t)n);
     }
     return n == 0 || (n < 0 && errno != EAGAIN);
 }
@@ -283,6 +300,7 @@
     node_init(&a, "a", "secret", "127.0.0.1:0");
     g_snprintf(address, sizeof(address), "127.0.0.1:%u",
                ct_peers_port(a.peers));
+    ct_frame_reader_init(&visit.frames);
     visit.fd = ct_socket_connect(address);
     connected = (struct pollfd){.fd = visit.fd, .events = POLLOUT};
     g_assert_cmpint(poll(&connected, 1, POLL_MS), ==, 1);
@@ -291,6 +309,7 @@
     g_assert_cmpuint(script_count(a.script, CT_EVENT_PEER_UP), ==, 0);
     g_assert_cmpuint(script_count(a.script, CT_EVENT_PEER_MESSAGE), ==, 0);
     close(visit.fd);
+    ct_frame_reader_free(&visit.frames);
     node_free(&a);
 }
 
