--- /dev/null
+++ b/t/lib-state.c
@@ -0,0 +1,81 @@
+#include "lib-state.h"
+
+#include <string.h>
+
+#define CALL_TIMEOUT_MS 5000
+
+static bool
+get(uint16_t port, const char *path, struct http_reply *reply)
+{
+    struct http_call call = {.timeout_ms = CALL_TIMEOUT_MS};
+
+    http_call(port, path, &call, reply);
+    return reply->error == 0;
+}
+
+static int64_t
+number_in(const char *text, const char *name)
+{
+    char *quoted = g_strdup_printf("\"%s\":", name);
+    const char *at = strstr(text, quoted);
+    int64_t number = at ? g_ascii_strtoll(at + strlen(quoted), NULL, 10) : -1;
+
+    g_free(quoted);
+    return number;
+}
+
+int64_t
+state_number(const struct deployment *d, int i, const char *name)
+{
+    struct http_reply reply;
+    int64_t number = -1;
+
+    if (get(d->hosts[i].operator_port, "/state", &reply)) {
+        number = number_in(reply.body->str, name);
+    }
+    http_reply_free(&reply);
+    return number;
+}
+
+bool
+state_is(const struct deployment *d, int i, const char *health)
+{
+    char *quoted = g_strdup_printf("\"%s\"", health);
+    struct http_reply reply;
+    bool is;
+
+    is = get(d->hosts[i].operator_port, "/health", &reply) &&
+         strstr(reply.body->str, quoted);
+    http_reply_free(&reply);
+    g_free(quoted);
+    return is;
+}
+
+int64_t
+state_log_head(const struct deployment *d)
+{
+    char *text = http_get(d->platform.port, "/log/read?from=1&max=1");
+    int64_t head = number_in(text, "head");
+
+    g_free(text);
+    return head;
+}
+
+void
+state_await_log(const struct deployment *d)
+{
+    int64_t head = state_log_head(d);
+
+    for (int i = 0; i < d->n_hosts; i++) {
+        if (d->hosts[i].process.running) {
+            AWAIT(state_number(d, i, "log_applied") >= head, AWAIT_MS);
+        }
+    }
+}
+
+void
+state_replace_host(struct deployment *d, int i)
+{
+    process_kill(&d->hosts[i].process);
+    deployment_start_host(d, i);
+}
