--- a/t/proc-once.c
+++ b/t/proc-once.c
@@ -13,7 +13,7 @@
 
     for (int i = 0; i < d.n_plains; i++) {
         n += HTTP_COUNT_SEEN(d.plains[i].port, "\"ran\",\"at_ms\"",
-                             idempotency_key, NULL);
+                             idempotency_key);
     }
     return n;
 }
