coriandertrackd: link the hosts of a deployment

The executor of links was there but not part of the daemon: withdrawals during an outage of the log reached only the host they were given to, and each host counted the shares of the others as lapsed.

--- a/bench/bench-path.c
+++ b/bench/bench-path.c
@@ -373,9 +373,9 @@
     services = g_build_filename(bench->dir, "services", NULL);
     g_assert_cmpint(g_mkdir(services, 0700), ==, 0);
     g_free(services);
-    process_start(&bench->platform, "t/fake/fake-platform", "--port", "0",
+    PROCESS_START(&bench->platform, "t/fake/fake-platform", "--port", "0",
                   NULL);
-    process_start(&bench->engine, "t/fake/fake-engine", "--port", "0", NULL);
+    PROCESS_START(&bench->engine, "t/fake/fake-engine", "--port", "0", NULL);
     http_set(bench->engine.port, "/fake/set", "{\"slots\":1000}");
     write_settings(bench);
     start_host(bench);
--- a/coriandertrackd/daemon.c
+++ b/coriandertrackd/daemon.c
@@ -14,6 +14,7 @@
 #include "load-poll.h"
 #include "logger.h"
 #include "operators.h"
+#include "peer.h"
 #include "platform.h"
 #include "recorder.h"
 #include "state-body.h"
@@ -35,6 +36,7 @@
     struct ct_platform *platform;
     struct ct_callers *callers;
     struct ct_operators *operators;
+    struct ct_peers *peers;
     ev_signal term;
     ev_signal interrupt;
     ev_timer flush_limit;
@@ -109,6 +111,8 @@
 add_gauges(void *arg, GString *out)
 {
     const struct daemon *daemon = arg;
+    uint64_t received;
+    uint64_t sent;
 
     ct_gauge_text("caller_connections",
                   ct_callers_connections(daemon->callers), out);
@@ -116,6 +120,9 @@
                   out);
     ct_gauge_text("upstream_attempts", ct_upstreams_running(daemon->upstreams),
                   out);
+    ct_peers_traffic(daemon->peers, &sent, &received);
+    ct_gauge_text("peer_bytes_sent", sent, out);
+    ct_gauge_text("peer_bytes_received", received, out);
     ct_gauge_text("stored_bodies", ct_answers_count(daemon->answers), out);
 }
 
@@ -207,6 +214,32 @@
     return CT_OK;
 }
 
+static int
+add_peers(struct daemon *daemon)
+{
+    const struct ct_settings *settings = daemon->settings;
+    const struct ct_peers_options options = {
+        .identity =
+            {
+                .host = settings->host,
+                .zone = settings->zone,
+                .secret = settings->peer_secret.text,
+                .silence_timeout_ms = CT_PEER_SILENCE_TIMEOUT_MS,
+            },
+        .listen = settings->peer_address.text,
+        .fallback_delay_ms = CT_PEER_FALLBACK_DELAY_MS,
+    };
+    int err = ct_peers_new(daemon->loop, &options, &daemon->peers);
+
+    if (err < 0) {
+        fprintf(stderr, "coriandertrackd: peer_address %s: %s\n",
+                settings->peer_address.text, ct_err_name(err));
+        return err;
+    }
+    ct_loop_add(daemon->loop, ct_peers_executor(daemon->peers));
+    return CT_OK;
+}
+
 static int
 add_ports(struct daemon *daemon)
 {
@@ -293,6 +326,9 @@
     if (err == CT_OK) {
         err = add_ports(daemon);
     }
+    if (err == CT_OK) {
+        err = add_peers(daemon);
+    }
     return err;
 }
 
@@ -314,7 +350,7 @@
     watch_signals(&daemon);
     printf("listening callers=%u operators=%u peers=%u\n",
            ct_callers_port(daemon.callers),
-           ct_operators_port(daemon.operators), 0);
+           ct_operators_port(daemon.operators), ct_peers_port(daemon.peers));
     fflush(stdout);
     ct_platform_start(daemon.platform);
     ct_loop_run(daemon.loop);
