--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -81,7 +81,8 @@
 redirect_errors(const char *program)
 {
     char *name = g_path_get_basename(program);
-    char *path = g_strdup_printf("%s/%s.log", log_directory, name);
+    char *path =
+        g_strdup_printf("%s/%s-%d.log", log_directory, name, (int)getpid());
     int fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 
     dup2(fd, STDERR_FILENO);
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -23,7 +23,7 @@
 
 /*
  * What programs started from now on write to their standard error goes to
- * DIRECTORY/NAME.log; NULL: to that of the test.
+ * DIRECTORY/NAME-PID.log; NULL: to that of the test.
  */
 void process_set_log_directory(const char *directory);
 
--- a/t/proc-once.c
+++ b/t/proc-once.c
@@ -37,6 +37,22 @@
     deployment_call(&d, host, NULL, &call, reply);
 }
 
+/* Leaves connections to the plain services that are kept for reuse. */
+static void
+warm_connections(int host)
+{
+    struct caller_call call = {
+        .key = d.alpha, .path = "/v1/stock", .body = "{}"};
+
+    for (int i = 0; i < 4 * d.n_plains; i++) {
+        struct http_reply reply;
+
+        deployment_call(&d, host, NULL, &call, &reply);
+        g_assert_cmpint(reply.status, ==, 200);
+        http_reply_free(&reply);
+    }
+}
+
 /* The service runs the call and fails to say so. */
 static void
 test_answer_lost(void)
@@ -57,6 +73,7 @@
         char key[40];
 
         deployment_idempotency_key(key);
+        warm_connections(0);
         set_plains(cases[i].fault);
         book(0, key, &reply);
         deployment_assert_refused(&reply, cases[i].status, cases[i].type,
