t, conf: test the command line as a process; refuse an empty configuration

Publishing and its refusals, a race of two operators, lost answers, both kinds of outage, keys that never reach the log, and status, explain and drain on a running host. The test of refused files found that a directory without a single declaration was published: the check for hosts was left out when there were no rows at all. It is now only left out when no file could be read.

--- a/conf/service-checks.c
+++ b/conf/service-checks.c
@@ -342,7 +342,8 @@
 void
 ct_service_checks(struct ct_config_draft *draft, const char *dir)
 {
-    if (draft->rows->len == 0) {
+    if (draft->rows->len == 0 && ct_diags_count(draft->diags) > 0) {
+        /* Nothing could be read; that is said already. */
         return;
     }
     build_index(draft);
--- /dev/null
+++ b/t/proc-cli.c
@@ -0,0 +1,409 @@
+/* The command line as a process, against the stand-in of the platform. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib-http.h"
+#include "lib-process.h"
+
+#define CLI "coriandertrack/coriandertrack"
+#define DAEMON "coriandertrackd/coriandertrackd"
+#define ARGUMENTS_MAX 12
+
+/* Documented exit codes. */
+enum {
+    DONE = 0,
+    USAGE = 1,
+    REFUSED = 2,
+    LOST = 3,
+    UNAVAILABLE = 4,
+    UNKNOWN = 5,
+    NOT_FOUND = 6,
+    PARTIAL = 7,
+};
+
+struct fixture {
+    struct process platform;
+    char *url;
+    char *lagos;
+    char *anatolia;
+};
+
+static char *
+source_path(const char *path)
+{
+    const char *source = g_getenv("CT_SOURCE_DIR");
+
+    return g_build_filename(source ? source : ".", path, NULL);
+}
+
+static void
+set_up(struct fixture *f, gconstpointer data)
+{
+    (void)data;
+    process_start(&f->platform, "t/fake/fake-platform", NULL);
+    f->url =
+        g_strdup_printf("--platform=http://127.0.0.1:%u", f->platform.port);
+    f->lagos = source_path("examples/lagos");
+    f->anatolia = source_path("examples/anatolia");
+}
+
+static void
+tear_down(struct fixture *f, gconstpointer data)
+{
+    (void)data;
+    process_kill(&f->platform);
+    g_free(f->url);
+    g_free(f->lagos);
+    g_free(f->anatolia);
+}
+
+/* Runs the command line, splitting the text at spaces; output may be NULL. */
+static int
+run(char **output, const char *text)
+{
+    g_auto(GStrv) words = g_strsplit(text, " ", ARGUMENTS_MAX);
+
+    return process_run(CLI, (const char *const *)words, output);
+}
+
+/* Runs a command on the platform; checks its code and part of its output. */
+static void
+expect(struct fixture *f, int code, const char *part, const char *format, ...)
+{
+    g_autofree char *text = NULL;
+    g_autofree char *command = NULL;
+    g_autofree char *output = NULL;
+    va_list list;
+
+    va_start(list, format);
+    text = g_strdup_vprintf(format, list);
+    va_end(list);
+    command = g_strdup_printf("%s %s", text, f->url);
+    g_test_message("%s", command);
+    g_assert_cmpint(run(&output, command), ==, code);
+    if (!strstr(output, part)) {
+        g_error("%s not in: %s", part, output);
+    }
+}
+
+static void
+set(struct fixture *f, const char *json)
+{
+    http_set(f->platform.port, "/fake/set", json);
+}
+
+static char *
+read_log(struct fixture *f)
+{
+    return http_get(f->platform.port, "/log/read?from=1&max=256&wait_ms=0");
+}
+
+static void
+test_command_line(void)
+{
+    static const struct {
+        const char *text;
+        int code;
+    } cases[] = {
+        {"help", DONE},
+        {"--help", DONE},
+        {"help key withdraw", DONE},
+        {"publish --help", DONE},
+        {"help nothing", USAGE},
+        {"nothing", USAGE},
+        {"key", USAGE},
+        {"check", USAGE},
+        {"check --unknown=1", USAGE},
+        {"check x --label=y", USAGE},
+        {"publish x", USAGE},
+        {"publish --platform=http://127.0.0.1:1", USAGE},
+        {"publish x --platform=127.0.0.1:1", USAGE},
+        {"publish x --platform=http://127.0.0.1:1 --base=x", USAGE},
+        {"publish x --platform=http://127.0.0.1:1 --base=-1", USAGE},
+        {"key grant a --platform=http://127.0.0.1:1", USAGE},
+        {"key grant a/b --label=l --platform=http://127.0.0.1:1", USAGE},
+        {"key withdraw --platform=http://127.0.0.1:1", USAGE},
+        {"key withdraw l --digest=00 --platform=http://127.0.0.1:1", USAGE},
+        {"key withdraw --digest=00 --platform=http://127.0.0.1:1", USAGE},
+        {"explain a/b --host=127.0.0.1:1", USAGE},
+        {"status", USAGE},
+        {"check /nonexistent", REFUSED},
+        {"key list --platform=http://127.0.0.1:1", UNAVAILABLE},
+        {"status --host=127.0.0.1:1", UNAVAILABLE},
+        {"drain --host=127.0.0.1:1", UNAVAILABLE},
+        {"explain 0190 --host=127.0.0.1:1", UNAVAILABLE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("%s", cases[i].text);
+        g_assert_cmpint(run(NULL, cases[i].text), ==, cases[i].code);
+    }
+}
+
+static void
+test_publish(struct fixture *f, gconstpointer data)
+{
+    (void)data;
+    expect(f, DONE, "in force at offset 1\n", "publish %s", f->lagos);
+    expect(f, DONE, "in force at offset 2\n", "publish %s", f->anatolia);
+    expect(f, LOST, "lost to offset 2\n", "publish %s --base=1", f->lagos);
+    expect(f, DONE, "in force at offset 3\n", "publish %s --base=2", f->lagos);
+}
+
+/* Nothing of a configuration with a finding reaches the log. */
+static void
+test_publish_refused(struct fixture *f, gconstpointer data)
+{
+    g_autofree char *dir = g_dir_make_tmp("ct-cli-XXXXXX", NULL);
+    g_autofree char *file = g_build_filename(dir, "x.json", NULL);
+    g_autofree char *log = NULL;
+
+    (void)data;
+    g_file_set_contents(file, "{\"hosts\":[]}", -1, NULL);
+    expect(f, REFUSED, "", "publish %s", dir);
+    log = read_log(f);
+    g_assert_nonnull(strstr(log, "\"head\":0"));
+    g_unlink(file);
+    g_rmdir(dir);
+}
+
+/* Of two operators who start from the same configuration one wins. */
+static void
+test_publish_race(struct fixture *f, gconstpointer data)
+{
+    const char *const first[] = {"publish", f->lagos, f->url, "--base=1",
+                                 NULL};
+    const char *const second[] = {"publish", f->anatolia, f->url, "--base=1",
+                                  NULL};
+    struct process operators[2];
+    int codes[2];
+
+    (void)data;
+    expect(f, DONE, "in force at offset 1\n", "publish %s", f->lagos);
+    /* Slow answers let both read the log before either has appended. */
+    set(f, "{\"delay_ms\":300}");
+    process_spawn(&operators[0], CLI, first);
+    process_spawn(&operators[1], CLI, second);
+    for (int i = 0; i < 2; i++) {
+        codes[i] = process_wait(&operators[i], 60000);
+    }
+    g_assert_cmpint(MIN(codes[0], codes[1]), ==, DONE);
+    g_assert_cmpint(MAX(codes[0], codes[1]), ==, LOST);
+}
+
+/* An append whose answer is lost is found in the log. */
+static void
+test_lost_answer(struct fixture *f, gconstpointer data)
+{
+    (void)data;
+    set(f, "{\"lose_answers\":1}");
+    expect(f, DONE, "in force at offset 1\n", "publish %s", f->lagos);
+    set(f, "{\"lose_answers\":1}");
+    expect(f, DONE, "ct-", "key grant faculty-of-law --label=desk");
+    expect(f, DONE, "desk", "key list");
+}
+
+static void
+test_outage(struct fixture *f, gconstpointer data)
+{
+    static const char *const outages[] = {"{\"outage\":1}", "{\"outage\":2}"};
+
+    (void)data;
+    expect(f, DONE, "in force at offset 1\n", "publish %s", f->lagos);
+    for (size_t i = 0; i < G_N_ELEMENTS(outages); i++) {
+        set(f, outages[i]);
+        expect(f, UNAVAILABLE, "", "publish %s --timeout=300", f->lagos);
+        expect(f, UNAVAILABLE, "", "key list --timeout=300");
+        expect(f, UNAVAILABLE, "", "key withdraw desk --timeout=300");
+        expect(f, PARTIAL, "did not confirm",
+               "key withdraw --host=127.0.0.1:1 --timeout=300 --digest="
+               "00112233445566778899aabbccddeeff"
+               "00112233445566778899aabbccddeeff");
+    }
+    set(f, "{\"outage\":0}");
+    expect(f, DONE, "in force at offset 2\n", "publish %s", f->lagos);
+}
+
+/* Fails where any entry of the log holds the text. */
+static void
+assert_not_in_log(struct fixture *f, const char *text)
+{
+    g_autofree char *log = read_log(f);
+    const char *p = log;
+    int n = 0;
+
+    while ((p = strstr(p, "\"data\":\""))) {
+        g_autofree char *base64 = NULL;
+        g_autofree guchar *bytes = NULL;
+        gsize length;
+
+        p += strlen("\"data\":\"");
+        base64 = g_strndup(p, strcspn(p, "\""));
+        bytes = g_base64_decode(base64, &length);
+        g_assert_null(memmem(bytes, length, text, strlen(text)));
+        n++;
+    }
+    g_assert_cmpint(n, >, 0);
+}
+
+static void
+test_keys(struct fixture *f, gconstpointer data)
+{
+    g_autofree char *command = NULL;
+    g_autofree char *key = NULL;
+    g_autofree char *list = NULL;
+
+    (void)data;
+    expect(f, DONE, "in force", "publish %s", f->lagos);
+    command =
+        g_strdup_printf("key grant faculty-of-law --label=desk %s", f->url);
+    g_assert_cmpint(run(&key, command), ==, DONE);
+    g_strchomp(key);
+    g_assert_true(g_str_has_prefix(key, "ct-"));
+    g_assert_cmpuint(strlen(key), ==, 3 + 64);
+    assert_not_in_log(f, key + 3);
+    expect(f, REFUSED, "", "key grant faculty-of-law --label=desk");
+    expect(f, REFUSED, "", "key grant nobody --label=other");
+    expect(f, DONE, "granted", "key list");
+    expect(f, NOT_FOUND, "", "key withdraw other");
+    expect(f, DONE, "withdrawn at offset", "key withdraw desk");
+    expect(f, DONE, "withdrawn", "key list");
+    list = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+    expect(f, DONE, list, "key list");
+}
+
+/* A host's daemon; settings with free ports. */
+struct host {
+    struct process process;
+    unsigned int callers;
+    unsigned int operators;
+};
+
+static void
+read_line(int fd, char *line, size_t size)
+{
+    size_t n = 0;
+
+    while (n + 1 < size && read(fd, &line[n], 1) == 1 && line[n] != '\n') {
+        n++;
+    }
+    line[n] = '\0';
+}
+
+static void
+start_host(struct fixture *f, struct host *host)
+{
+    g_autofree char *dir = g_dir_make_tmp("ct-cli-XXXXXX", NULL);
+    g_autofree char *file = g_build_filename(dir, "host.json", NULL);
+    g_autofree char *settings =
+        g_strdup_printf("{\"host\":\"lagos-host-1\",\"zone\":\"Ikeja\","
+                        "\"caller_address\":\"127.0.0.1:0\","
+                        "\"operator_address\":\"127.0.0.1:0\","
+                        "\"peer_address\":\"127.0.0.1:0\","
+                        "\"platform\":\"http://127.0.0.1:%u\","
+                        "\"peer_secret\":\"0123456789abcdef\"}",
+                        f->platform.port);
+    const char *const arguments[] = {"--config", file, NULL};
+    char line[256];
+
+    g_file_set_contents(file, settings, -1, NULL);
+    process_spawn(&host->process, DAEMON, arguments);
+    read_line(host->process.out, line, sizeof(line));
+    g_assert_cmpint(sscanf(line, "listening callers=%u operators=%u",
+                           &host->callers, &host->operators),
+                    ==, 2);
+    g_unlink(file);
+    g_rmdir(dir);
+}
+
+static bool
+is_ready(const struct host *host)
+{
+    g_autofree char *command =
+        g_strdup_printf("status --host=127.0.0.1:%u", host->operators);
+    g_autofree char *output = NULL;
+
+    return run(&output, command) == DONE && strstr(output, " ready ");
+}
+
+/* A refused call; returns its request id. */
+static char *
+refused_call(const struct host *host, const char *key, long status)
+{
+    g_autofree char *authorization =
+        g_strdup_printf("Authorization: Bearer %s", key);
+    const char *const headers[] = {authorization, NULL};
+    const struct http_call call = {
+        .body = "{}", .headers = headers, .timeout_ms = 30000};
+    struct http_reply reply;
+    char *id;
+
+    http_call((uint16_t)host->callers, "/v1/bookings/confirm", &call, &reply);
+    g_assert_cmpint(reply.status, ==, status);
+    id = http_reply_header(&reply, "X-Request-Id");
+    g_assert_nonnull(id);
+    http_reply_free(&reply);
+    return id;
+}
+
+static void
+expect_at_host(const struct host *host, int code, const char *part,
+               const char *command)
+{
+    g_autofree char *text =
+        g_strdup_printf("%s --host=127.0.0.1:%u", command, host->operators);
+    g_autofree char *output = NULL;
+
+    g_test_message("%s", text);
+    g_assert_cmpint(run(&output, text), ==, code);
+    if (!strstr(output, part)) {
+        g_error("%s not in: %s", part, output);
+    }
+}
+
+static void
+test_host(struct fixture *f, gconstpointer data)
+{
+    g_autofree char *command =
+        g_strdup_printf("key grant faculty-of-law --label=desk %s", f->url);
+    g_autofree char *explain = NULL;
+    g_autofree char *key = NULL;
+    g_autofree char *id = NULL;
+    struct host host;
+
+    (void)data;
+    expect(f, DONE, "in force", "publish %s", f->lagos);
+    g_assert_cmpint(run(&key, command), ==, DONE);
+    g_strchomp(key);
+    start_host(f, &host);
+    AWAIT(is_ready(&host), 60000);
+    /* No idempotency key on a route that is not idempotent. */
+    id = refused_call(&host, key, 400);
+    explain = g_strdup_printf("explain %s", id);
+    expect_at_host(&host, DONE, "type=\"idempotency-key-required\"", explain);
+    expect_at_host(&host, DONE, "organisation=\"faculty-of-law\"", explain);
+    expect_at_host(&host, NOT_FOUND, "", "explain 0190-unknown");
+    expect_at_host(&host, DONE, " draining", "drain");
+    g_assert_cmpint(process_wait(&host.process, 60000), ==, 0);
+}
+
+#define ADD(name, function)                                                   \
+    g_test_add("/cli/" name, struct fixture, NULL, set_up, function, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/cli/command-line", test_command_line);
+    ADD("publish", test_publish);
+    ADD("publish-refused", test_publish_refused);
+    ADD("publish-race", test_publish_race);
+    ADD("lost-answer", test_lost_answer);
+    ADD("outage", test_outage);
+    ADD("keys", test_keys);
+    ADD("host", test_host);
+    return g_test_run();
+}
--- a/t/test-service-files.c
+++ b/t/test-service-files.c
@@ -230,6 +230,9 @@
     g_assert_cmpint(load(f), ==, CT_ERR_FIELD_MISSING);
     g_assert_cmpstr(ct_diags_get(&f->diags, 0)->field, ==, "hosts");
     unload(f);
+    g_file_set_contents(f->first, "{\"hosts\":[]}", -1, NULL);
+    g_assert_cmpint(load(f), ==, CT_ERR_FIELD_MISSING);
+    unload(f);
 }
 
 static void
