--- a/core/request.c
+++ b/core/request.c
@@ -195,17 +195,8 @@
     const struct ct_class_row *klass;
     const struct ct_pool_row *pool;
 
-    request->route =
-        ct_config_route(&state->config, &call->path, &call->model);
-    route = ct_table_get(&state->config.routes, request->route);
-    if (!route) {
-        return CT_REFUSAL_ROUTE_UNKNOWN;
-    }
-    request->klass = route->klass;
-    request->pool = route->pool;
-    request->idempotent = route->conf.idempotent;
-    klass = ct_table_get(&state->config.classes, route->klass);
-    pool = ct_table_get(&state->config.pools, route->pool);
+    klass = ct_table_get(&state->config.classes, request->klass);
+    pool = ct_table_get(&state->config.pools, request->pool);
     if (!klass || !pool) {
         return CT_REFUSAL_ROUTE_UNKNOWN;
     }
