--- a/t/lib-http.c
+++ b/t/lib-http.c
@@ -1,12 +1,10 @@
 #include "lib-http.h"
 
-#include <stdarg.h>
 #include <string.h>
 
 #include <curl/curl.h>
 
 #define TIMEOUT_MS 30000
-#define TEXTS_MAX 8
 
 struct http_client {
     CURL *curl;
@@ -116,8 +114,8 @@
     char *value = NULL;
 
     for (int i = 0; lines[i] && !value; i++) {
-        if (g_ascii_strncasecmp(lines[i], name, n) == 0
-            && lines[i][n] == ':') {
+        if (g_ascii_strncasecmp(lines[i], name, n) == 0 &&
+            lines[i][n] == ':') {
             value = g_strstrip(g_strdup(lines[i] + n + 1));
         }
     }
@@ -163,20 +161,12 @@
 }
 
 int
-http_count_seen(uint16_t port, ...)
+http_count_texts(uint16_t port, const char *const *texts)
 {
-    const char *texts[TEXTS_MAX + 1] = {NULL};
     char *seen = http_get(port, "/fake/seen");
     char **entries = g_strsplit(seen, "{\"what\":", -1);
-    va_list list;
     int count = 0;
-    int n = 0;
 
-    va_start(list, port);
-    while (n < TEXTS_MAX && (texts[n] = va_arg(list, const char *))) {
-        n++;
-    }
-    va_end(list);
     for (int i = 1; entries[0] && entries[i]; i++) {
         count += contains_all(entries[i], texts);
     }
--- a/t/lib-http.h
+++ b/t/lib-http.h
@@ -56,6 +56,10 @@
 char *http_get(uint16_t port, const char *path);
 
 /* How many entries of /fake/seen contain all of the texts, up to NULL. */
-int http_count_seen(uint16_t port, ...);
+int http_count_texts(uint16_t port, const char *const *texts);
+
+/* The same with the texts as arguments. */
+#define http_count_seen(port, ...)                                            \
+    http_count_texts((port), (const char *const[]){__VA_ARGS__, NULL})
 
 #endif
