--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -14,12 +14,19 @@
     pid_t pid;
     /* Read end of its standard output. */
     int out;
-    /* Ports of its "listening" line. */
+    /* Ports of its "listening" line, in their order there. */
     uint16_t port;
     uint16_t second_port;
+    uint16_t third_port;
     bool running;
 };
 
+/*
+ * What programs started from now on write to their standard error goes to
+ * DIRECTORY/NAME.log; NULL: to that of the test.
+ */
+void process_set_log_directory(const char *directory);
+
 /* Starts a program of the build, by its place there, with arguments to NULL.
  */
 void process_start(struct process *process, const char *program, ...);
@@ -28,7 +35,7 @@
 void process_spawn(struct process *process, const char *program,
                    const char *const *arguments);
 
-/* Waits for its line "listening PORT [PORT]". */
+/* Waits for its line "listening PORT..." or "listening NAME=PORT...". */
 void process_await_listening(struct process *process);
 
 /* Runs a program to its end; returns the exit code, its output in *output. */
