core: name the hosts that did not confirm a withdrawal

Found by /cli/withdraw-at-host: with seven of eight hosts not running, the answer of the one host listed nothing as missing, so the command line ended with 0 as if all hosts knew. The reducer's answer held only those that confirmed, while the text of the answer takes the missing ones from rows with leaving set. The rows now hold all configured hosts. /membership/withdrawal asserted that the rows were the three that confirmed; it now asserts these three and the fourth as missing, and fails without the change.

--- a/core/effect.h
+++ b/core/effect.h
@@ -28,7 +28,10 @@
     CT_EFFECT_REPLY_EXPLAIN,
     /* The answer is kept by another host; redirect the caller there. */
     CT_EFFECT_REDIRECT,
-    /* Answers CT_EVENT_KEY_HANDED; rows: struct ct_host_row confirmed by */
+    /*
+     * Answers CT_EVENT_KEY_HANDED; rows: struct ct_host_row of all hosts, with
+     * leaving set for those that did not confirm.
+     */
     CT_EFFECT_REPLY_WITHDRAWN,
 
     /* Upstreams. */
--- a/core/withdrawal.c
+++ b/core/withdrawal.c
@@ -80,23 +80,10 @@
     ct_membership_send(state, &message->sender, &reply);
 }
 
+/* Adds a host to the answer once; leaving stands for "did not confirm". */
 static void
-reply_withdrawn(struct ct_state *state, struct ct_handle handle)
-{
-    const struct ct_withdrawal_row *row =
-        ct_table_get(&state->withdrawals.rows, handle);
-    struct ct_effect *effect = ct_emit(state, CT_EFFECT_REPLY_WITHDRAWN);
-
-    effect->u.caller = row->caller;
-    ct_effect_set_rows(
-        state->out, effect,
-        CT_ROWS((struct ct_host_row *)(void *)row->confirmed->data,
-                row->confirmed->len));
-    ct_table_unref(&state->withdrawals.rows, handle);
-}
-
-static void
-add_confirmed(struct ct_withdrawal_row *row, const struct ct_name *name)
+add_host(struct ct_withdrawal_row *row, const struct ct_name *name,
+         bool leaving)
 {
     struct ct_host_row host;
     guint i;
@@ -110,9 +97,40 @@
     }
     memset(&host, 0, sizeof(host));
     host.name = *name;
+    host.leaving = leaving;
     g_array_append_val(row->confirmed, host);
 }
 
+/* The operator also has to hear which hosts did not confirm. */
+static void
+add_missing(const struct ct_state *state, struct ct_withdrawal_row *row)
+{
+    const struct ct_peer_row *peer;
+    uint32_t cursor = 0;
+
+    while ((peer = ct_table_next(&state->membership.peers, &cursor, NULL))) {
+        if (peer->configured) {
+            add_host(row, &peer->conf.name, true);
+        }
+    }
+}
+
+static void
+reply_withdrawn(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_withdrawal_row *row =
+        ct_table_get(&state->withdrawals.rows, handle);
+    struct ct_effect *effect = ct_emit(state, CT_EFFECT_REPLY_WITHDRAWN);
+
+    add_missing(state, row);
+    effect->u.caller = row->caller;
+    ct_effect_set_rows(
+        state->out, effect,
+        CT_ROWS((struct ct_host_row *)(void *)row->confirmed->data,
+                row->confirmed->len));
+    ct_table_unref(&state->withdrawals.rows, handle);
+}
+
 static void
 reply_if_complete(struct ct_state *state, struct ct_handle handle)
 {
@@ -140,7 +158,7 @@
     }
     while ((row = ct_table_next(&state->withdrawals.rows, &cursor, &handle))) {
         if (ct_digest_eq(&row->digest, &message->u.digest)) {
-            add_confirmed(row, &message->sender);
+            add_host(row, &message->sender, false);
             reply_if_complete(state, handle);
         }
     }
@@ -180,7 +198,7 @@
     row->digest = handed->key;
     row->deadline_ms = state->now_ms + CONFIRM_TIMEOUT_MS;
     row->confirmed = g_array_new(FALSE, TRUE, sizeof(struct ct_host_row));
-    add_confirmed(row, &state->self.host);
+    add_host(row, &state->self.host, false);
 
     memset(&message, 0, sizeof(message));
     message.type = CT_PEER_WITHDRAW;
--- a/t/proc-cli.c
+++ b/t/proc-cli.c
@@ -412,6 +412,41 @@
     g_assert_cmpint(process_wait(&host.process, 60000), ==, 0);
 }
 
+/*
+ * While the log is down a key is withdrawn at the host alone; the command
+ * says so, and repeating it later puts it into the log.
+ */
+static void
+test_withdraw_at_host(struct fixture *f, gconstpointer data)
+{
+    g_autofree char *command =
+        g_strdup_printf("key grant faculty-of-law --label=desk %s", f->url);
+    g_autofree char *digest = NULL;
+    g_autofree char *key = NULL;
+    g_autofree char *id = NULL;
+    struct host host;
+
+    (void)data;
+    expect(f, DONE, "in force", "publish %s", f->lagos);
+    g_assert_cmpint(run(&key, command), ==, DONE);
+    g_strchomp(key);
+    digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+    start_host(f, &host);
+    AWAIT(is_ready(&host), 60000);
+    set(f, "{\"outage\":1}");
+    expect(f, PARTIAL, "confirmed: lagos-host-1",
+           "key withdraw --digest=%s --host=127.0.0.1:%u --timeout=5000",
+           digest, host.operators);
+    set(f, "{\"outage\":0}");
+    AWAIT(is_ready(&host), 60000);
+    id = refused_call(&host, key, 401);
+    /* The other hosts of the configuration do not run. */
+    expect(f, PARTIAL, "withdrawn at offset ",
+           "key withdraw desk --host=127.0.0.1:%u", host.operators);
+    expect(f, DONE, "withdrawn", "key list");
+    process_kill(&host.process);
+}
+
 #define ADD(name, function)                                                   \
     g_test_add("/cli/" name, struct fixture, NULL, set_up, function, tear_down)
 
@@ -428,5 +463,6 @@
     ADD("outage", test_outage);
     ADD("keys", test_keys);
     ADD("host", test_host);
+    ADD("withdraw-at-host", test_withdraw_at_host);
     return g_test_run();
 }
--- a/t/test-membership.c
+++ b/t/test-membership.c
@@ -148,6 +148,7 @@
 static void
 test_withdrawal(void)
 {
+    const struct ct_host_row *answer;
     struct t_cluster c;
 
     t_cluster_init(&c, 4);
@@ -156,9 +157,15 @@
     c.cut[3] = true;
     t_cluster_run(&c, 1000);
     hand(&c, 1, 1);
-    g_assert_cmpuint(c.confirmed->len, ==, 3);
-    g_assert_cmpstr(
-        g_array_index(c.confirmed, struct ct_host_row, 0).name.text, ==, "h2");
+    /* The three that can be heard confirmed, and h4 is named as missing. */
+    answer = &g_array_index(c.confirmed, struct ct_host_row, 0);
+    g_assert_cmpuint(c.confirmed->len, ==, 4);
+    g_assert_cmpstr(answer[0].name.text, ==, "h2");
+    for (uint32_t i = 0; i < 3; i++) {
+        g_assert_false(answer[i].leaving);
+    }
+    g_assert_cmpstr(answer[3].name.text, ==, "h4");
+    g_assert_true(answer[3].leaving);
     for (uint32_t i = 0; i < 3; i++) {
         g_assert_false(is_usable(&c, i, 1));
     }
