--- a/t/proc-cli.c
+++ b/t/proc-cli.c
@@ -440,6 +440,7 @@
     set(f, "{\"outage\":0}");
     AWAIT(is_ready(&host), 60000);
     id = refused_call(&host, key, 401);
+    g_assert_cmpuint(strlen(id), ==, 36);
     /* The other hosts of the configuration do not run. */
     expect(f, PARTIAL, "withdrawn at offset ",
            "key withdraw desk --host=127.0.0.1:%u", host.operators);
