--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -82,7 +81,8 @@
 redirect_errors(const char *program)
 {
     char *name = g_path_get_basename(program);
-    char *path = g_strdup_printf("%s/%s.log", log_directory, name);
+    char *path =
+        g_strdup_printf("%s/%s-%d.log", log_directory, name, (int)getpid());
     int fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 
     dup2(fd, STDERR_FILENO);
@@ -186,17 +186,9 @@
 }
 
 void
-process_start(struct process *process, const char *program, ...)
+process_start_with(struct process *process, const char *program,
+                   const char *const *arguments)
 {
-    const char *arguments[ARGUMENTS_MAX + 1] = {NULL};
-    va_list list;
-    int n = 0;
-
-    va_start(list, program);
-    while (n < ARGUMENTS_MAX && (arguments[n] = va_arg(list, const char *))) {
-        n++;
-    }
-    va_end(list);
     process_spawn(process, program, arguments);
     process_await_listening(process);
 }
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -23,13 +23,19 @@
 
 /*
  * What programs started from now on write to their standard error goes to
- * DIRECTORY/NAME.log; NULL: to that of the test.
+ * DIRECTORY/NAME-PID.log; NULL: to that of the test.
  */
 void process_set_log_directory(const char *directory);
 
 /* Starts a program of the build, by its place there, with arguments to NULL.
  */
-void process_start(struct process *process, const char *program, ...);
+void process_start_with(struct process *process, const char *program,
+                        const char *const *arguments);
+
+/* The same with the arguments in place. */
+#define PROCESS_START(process, program, ...)                                  \
+    process_start_with((process), (program),                                  \
+                       (const char *const[]){__VA_ARGS__, NULL})
 
 /* The same with an argument vector, without waiting for a first line. */
 void process_spawn(struct process *process, const char *program,
