--- a/t/proc-cli.c
+++ b/t/proc-cli.c
@@ -1,9 +1,7 @@
 /* The command line as a process, against the stand-in of the platform. */
 #include <glib.h>
 #include <glib/gstdio.h>
-#include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "lib-http.h"
 #include "lib-process.h"
@@ -44,7 +42,7 @@
 set_up(struct fixture *f, gconstpointer data)
 {
     (void)data;
-    process_start(&f->platform, "t/fake/fake-platform", NULL);
+    PROCESS_START(&f->platform, "t/fake/fake-platform", NULL);
     f->url =
         g_strdup_printf("--platform=http://127.0.0.1:%u", f->platform.port);
     f->lagos = source_path("examples/lagos");
@@ -297,26 +295,9 @@
     expect(f, DONE, list, "key list");
 }
 
-/* A host's daemon; settings with free ports. */
-struct host {
-    struct process process;
-    unsigned int callers;
-    unsigned int operators;
-};
-
-static void
-read_line(int fd, char *line, size_t size)
-{
-    size_t n = 0;
-
-    while (n + 1 < size && read(fd, &line[n], 1) == 1 && line[n] != '\n') {
-        n++;
-    }
-    line[n] = '\0';
-}
-
+/* Starts the daemon of a host of the example on free ports. */
 static void
-start_host(struct fixture *f, struct host *host)
+start_host(struct fixture *f, struct process *host)
 {
     g_autofree char *dir = g_dir_make_tmp("ct-cli-XXXXXX", NULL);
     g_autofree char *file = g_build_filename(dir, "host.json", NULL);
@@ -328,24 +309,18 @@
                         "\"platform\":\"http://127.0.0.1:%u\","
                         "\"peer_secret\":\"0123456789abcdef\"}",
                         f->platform.port);
-    const char *const arguments[] = {"--config", file, NULL};
-    char line[256];
 
     g_file_set_contents(file, settings, -1, NULL);
-    process_spawn(&host->process, DAEMON, arguments);
-    read_line(host->process.out, line, sizeof(line));
-    g_assert_cmpint(sscanf(line, "listening callers=%u operators=%u",
-                           &host->callers, &host->operators),
-                    ==, 2);
+    PROCESS_START(host, DAEMON, "--config", file);
     g_unlink(file);
     g_rmdir(dir);
 }
 
 static bool
-is_ready(const struct host *host)
+is_ready(const struct process *host)
 {
     g_autofree char *command =
-        g_strdup_printf("status --host=127.0.0.1:%u", host->operators);
+        g_strdup_printf("status --host=127.0.0.1:%u", host->second_port);
     g_autofree char *output = NULL;
 
     return run(&output, command) == DONE && strstr(output, " ready ");
@@ -353,7 +328,7 @@
 
 /* A refused call; returns its request id. */
 static char *
-refused_call(const struct host *host, const char *key, long status)
+refused_call(const struct process *host, const char *key, long status)
 {
     g_autofree char *authorization =
         g_strdup_printf("Authorization: Bearer %s", key);
@@ -363,7 +338,7 @@
     struct http_reply reply;
     char *id;
 
-    http_call((uint16_t)host->callers, "/v1/bookings/confirm", &call, &reply);
+    http_call(host->port, "/v1/bookings/confirm", &call, &reply);
     g_assert_cmpint(reply.status, ==, status);
     id = http_reply_header(&reply, "X-Request-Id");
     g_assert_nonnull(id);
@@ -372,11 +347,11 @@
 }
 
 static void
-expect_at_host(const struct host *host, int code, const char *part,
+expect_at_host(const struct process *host, int code, const char *part,
                const char *command)
 {
     g_autofree char *text =
-        g_strdup_printf("%s --host=127.0.0.1:%u", command, host->operators);
+        g_strdup_printf("%s --host=127.0.0.1:%u", command, host->second_port);
     g_autofree char *output = NULL;
 
     g_test_message("%s", text);
@@ -394,7 +369,7 @@
     g_autofree char *explain = NULL;
     g_autofree char *key = NULL;
     g_autofree char *id = NULL;
-    struct host host;
+    struct process host;
 
     (void)data;
     expect(f, DONE, "in force", "publish %s", f->lagos);
@@ -409,7 +384,7 @@
     expect_at_host(&host, DONE, "organisation=\"faculty-of-law\"", explain);
     expect_at_host(&host, NOT_FOUND, "", "explain 0190-unknown");
     expect_at_host(&host, DONE, " draining", "drain");
-    g_assert_cmpint(process_wait(&host.process, 60000), ==, 0);
+    g_assert_cmpint(process_wait(&host, 60000), ==, 0);
 }
 
 /*
@@ -424,7 +399,7 @@
     g_autofree char *digest = NULL;
     g_autofree char *key = NULL;
     g_autofree char *id = NULL;
-    struct host host;
+    struct process host;
 
     (void)data;
     expect(f, DONE, "in force", "publish %s", f->lagos);
@@ -436,16 +411,16 @@
     set(f, "{\"outage\":1}");
     expect(f, PARTIAL, "confirmed: lagos-host-1",
            "key withdraw --digest=%s --host=127.0.0.1:%u --timeout=5000",
-           digest, host.operators);
+           digest, host.second_port);
     set(f, "{\"outage\":0}");
     AWAIT(is_ready(&host), 60000);
     id = refused_call(&host, key, 401);
     g_assert_cmpuint(strlen(id), ==, 36);
     /* The other hosts of the configuration do not run. */
     expect(f, PARTIAL, "withdrawn at offset ",
-           "key withdraw desk --host=127.0.0.1:%u", host.operators);
+           "key withdraw desk --host=127.0.0.1:%u", host.second_port);
     expect(f, DONE, "withdrawn", "key list");
-    process_kill(&host.process);
+    process_kill(&host);
 }
 
 #define ADD(name, function)                                                   \
