demo: make sure that the drain meets a running stream

The stand-in's answers became shorter, and the last stream could be over before the hosts were told to stop: the step then showed nothing.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -188,12 +188,17 @@
 	say "   host-$i: status $status, $(header X-Refusal)"
 done
 
-say "8. Stopping host-2 in the middle of a stream: the stream is finished first."
+say "8. Stopping host-2 in the middle of a slow stream: the stream is finished first."
+for i in 1 2; do
+	curl -sf -o /dev/null -d '{"token_ms":100,"tokens":20}' \
+		"http://127.0.0.1:$(port engine-$i)/fake/set"
+done
 curl -sN --max-time 20 -H "Authorization: Bearer $law" -d "$chat" \
 	"http://127.0.0.1:$(port host-2 callers)/v1/chat/completions" \
 	>"$dir/last" &
 last=$!
 wait_for "the stream" grep -q content "$dir/last"
+! grep -q 'data: \[DONE\]' "$dir/last" || fail "the stream was over too soon"
 kill -TERM "$pid2" "$pid3"
 wait "$last" || fail "the stream was cut"
 grep -q 'data: \[DONE\]' "$dir/last" || fail "the stream is not whole"
