core: count usage by window, report each window once from the log

Each process keeps running totals by window and organisation; two peers, in other zones where there are any, and the holder of the usage lease get copies of what changed every 2 s, and the holder gets all that is known of an ended window. Rows belong to the process that counted them and only grow, so the higher copy wins and a replaced host starts rows of its own. 8 s after its end the holder puts a window's rows into the log; replay accepts them only in the accepted term and only for later windows than the last final one. Reports are summed from the log's rows and repeated until accepted. What a process counted and the final rows lack goes into its current window as late. A drain waits until its copies have left, and gives the lease back only with no report on its way.

Final rows of the last four windows stay in the state after acceptance: a host that takes state from a peer in an outage would otherwise not know what was counted of it.

Trials on scratch copies, each guard removed, all fail in test-usage: copies added up (176 == 17), no copies (1 == 3), windows may come again and term not compared (first-final), nothing carried over (3 == 9), final rows of a peer's state ignored (8 == 4).

--- a/core/drain.c
+++ b/core/drain.c
@@ -39,7 +39,8 @@
     if (state->drained) {
         return;
     }
-    if (!is_idle(state)) {
+    /* Its copies must have left before the totals go with the process. */
+    if (!ct_usage_flush(state) || !is_idle(state)) {
         ct_arm(state, CHECK_MS, CT_TIMER_DRAIN, CT_NO_HANDLE);
         return;
     }
--- a/core/lease.c
+++ b/core/lease.c
@@ -201,6 +201,13 @@
     return state->now_ms >= lease->claim_after_ms;
 }
 
+/* An order or a report of this host may still be on its way. */
+static bool
+is_busy(const struct ct_state *state, enum ct_role role)
+{
+    return role == CT_ROLE_USAGE && ct_usage_is_reporting(state);
+}
+
 static void
 check_role(struct ct_state *state, enum ct_role role)
 {
@@ -213,7 +220,7 @@
         lease->own_term = own_term;
     }
     if (state->draining) {
-        if (lease->believed) {
+        if (lease->believed && !is_busy(state, role)) {
             stop_believing(state, role);
             append(state, role, 0);
         }
--- a/core/log-replay.c
+++ b/core/log-replay.c
@@ -123,7 +123,12 @@
         count_rejected(state, ct_leases_apply(state, entry));
         return;
     case CT_RECORD_USAGE_FINAL:
+        count_rejected(state, ct_usage_final_apply(state, entry));
+        return;
     case CT_RECORD_USAGE_ACCEPTED:
+        count_rejected(
+            state, ct_usage_accepted_apply(state, &entry->record.u.window));
+        return;
     case CT_RECORD_ORDER_INTENT:
     case CT_RECORD_ORDER_DONE:
         return;
@@ -153,6 +158,7 @@
     ct_emit_log(state, CT_LOG_READY, &state->self.host, NULL,
                 state->log.applied);
     ct_leases_start(state);
+    ct_usage_start(state);
 }
 
 static void
--- a/core/record.h
+++ b/core/record.h
@@ -75,6 +75,8 @@
     uint64_t tokens_out;
     /* Of these, how many belong to an earlier window. */
     uint64_t late_requests;
+    /* Process that counted it; empty in a report's sums. */
+    struct ct_name writer;
 };
 
 struct ct_usage_window {
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -53,8 +53,10 @@
     case CT_TIMER_LEASE:
         ct_leases_on_timer(state);
         return;
-    case CT_TIMER_LOG:
     case CT_TIMER_USAGE:
+        ct_usage_on_timer(state);
+        return;
+    case CT_TIMER_LOG:
     case CT_TIMER_ORDERS:
     default:
         return;
@@ -101,6 +103,9 @@
     case CT_PEER_SHARE_GIVE:
         ct_sharing_on_message(state, message);
         return;
+    case CT_PEER_USAGE_COPY:
+        ct_usage_on_copy(state, message);
+        return;
     case CT_PEER_ANSWER_ASK:
         ct_answer_on_peer_ask(state, message);
         return;
@@ -212,8 +217,10 @@
     case CT_EVENT_KEY_HANDED:
         ct_withdrawals_on_key_handed(state, &event->u.key);
         return CT_OK;
-    case CT_EVENT_ORDER_DONE:
     case CT_EVENT_REPORT_DONE:
+        ct_usage_finals_on_report_done(state, &event->u.report);
+        return CT_OK;
+    case CT_EVENT_ORDER_DONE:
         return CT_OK;
     default:
         return CT_ERR_INVALID;
--- a/core/request.c
+++ b/core/request.c
@@ -496,12 +496,26 @@
     }
 }
 
+/* Only whole answers are billed. */
+static void
+count_usage(struct ct_state *state, const struct ct_request *request)
+{
+    const struct ct_organisation_row *organisation =
+        ct_table_get(&state->config.organisations, request->organisation);
+
+    if (organisation) {
+        ct_usage_add(state, &organisation->conf.name, 1,
+                     request->prompt_tokens, request->answer_tokens);
+    }
+}
+
 void
 ct_request_complete(struct ct_state *state, struct ct_handle handle)
 {
     struct ct_request *request = ct_request_get(state, handle);
 
     ct_count(state, CT_COUNTER_ANSWERS_WHOLE);
+    count_usage(state, request);
     if (request->caller) {
         write_answer(state, handle);
         write_end(state, request, true, CT_REFUSAL_COUNT);
--- a/core/state.c
+++ b/core/state.c
@@ -84,6 +84,8 @@
     ct_keys_init(&state->keys);
     ct_claims_init(&state->claims);
     ct_membership_init(&state->membership);
+    ct_usage_finals_init(&state->usage_finals);
+    ct_usage_init(&state->usage);
     ct_withdrawals_init(&state->withdrawals);
     ct_requests_init(&state->requests);
     ct_refusal_log_init(&state->refusals);
@@ -115,6 +117,8 @@
     ct_table_free(&state->answer_waits);
     ct_refusal_log_free(&state->refusals);
     ct_requests_free(&state->requests);
+    ct_usage_free(&state->usage);
+    ct_usage_finals_free(&state->usage_finals);
     ct_withdrawals_free(&state->withdrawals);
     ct_membership_free(&state->membership);
     ct_claims_free(&state->claims);
--- a/core/state.h
+++ b/core/state.h
@@ -18,6 +18,8 @@
 #include "request.h"
 #include "share.h"
 #include "timer.h"
+#include "usage-final.h"
+#include "usage.h"
 #include "withdrawal.h"
 
 /*
@@ -43,10 +45,12 @@
     struct ct_keys keys;
     struct ct_claims claims;
     struct ct_leases leases;
+    struct ct_usage_finals usage_finals;
 
     /* This host's own. */
     struct ct_membership membership;
     struct ct_withdrawals withdrawals;
+    struct ct_usage usage;
     struct ct_requests requests;
     struct ct_refusal_log refusals;
     struct ct_queue_policy *queue;
--- a/core/withdrawal.c
+++ b/core/withdrawal.c
@@ -5,7 +5,7 @@
 #include "error.h"
 #include "state.h"
 
-#define CONFIRM_TIMEOUT_MS 3000
+#define CONFIRM_TIMEOUT_MS 2000
 /* Heartbeats between two attempts to get direct withdrawals into the log. */
 #define RECORD_BEATS 5
 #define APPEND_LIMIT_MS 3000
--- a/t/lib-deployment.c
+++ b/t/lib-deployment.c
@@ -1,5 +1,6 @@
 #include "lib-deployment.h"
 
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -137,19 +138,20 @@
 }
 
 int
-deployment_command_with(const struct deployment *d, char **output,
-                        const char *const *arguments)
+deployment_command(const struct deployment *d, char **output, ...)
 {
     const char *words[WORDS_MAX + 2] = {NULL};
     char *platform =
         g_strdup_printf("--platform=http://127.0.0.1:%u", d->platform.port);
+    va_list list;
     int code;
     int n = 0;
 
-    while (n < WORDS_MAX && arguments[n]) {
-        words[n] = arguments[n];
+    va_start(list, output);
+    while (n < WORDS_MAX && (words[n] = va_arg(list, const char *))) {
         n++;
     }
+    va_end(list);
     words[n] = platform;
     code = process_run("coriandertrack/coriandertrack", words, output);
     g_free(platform);
@@ -162,7 +164,7 @@
 {
     char *option = g_strdup_printf("--label=%s", label);
     char *output;
-    int code = DEPLOYMENT_COMMAND(d, &output, "key", "grant", organisation,
+    int code = deployment_command(d, &output, "key", "grant", organisation,
                                   option, NULL);
 
     g_strlcpy(key, g_strstrip(output), KEY_BYTES);
@@ -220,7 +222,7 @@
 {
     char *files = deployment_write_files(d, "first", 1);
     char *output;
-    int code = DEPLOYMENT_COMMAND(d, &output, "publish", files, NULL);
+    int code = deployment_command(d, &output, "publish", files, NULL);
 
     if (code != 0) {
         g_error("publish: %d: %s", code, output);
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -2219,7 +2219,7 @@
   (ProtobufCMessageInit) ct__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__usage_row__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ct__usage_row__field_descriptors[7] =
 {
   {
     "organisation",
@@ -2293,6 +2293,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "writer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__UsageRow, writer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__usage_row__field_indices_by_name[] = {
   5,   /* field[5] = late_requests */
@@ -2301,11 +2313,12 @@
   3,   /* field[3] = tokens_in */
   4,   /* field[4] = tokens_out */
   1,   /* field[1] = window_start_ms */
+  6,   /* field[6] = writer */
 };
 static const ProtobufCIntRange ct__usage_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ct__usage_row__descriptor =
 {
@@ -2315,7 +2328,7 @@
   "Ct__UsageRow",
   "ct",
   sizeof(Ct__UsageRow),
-  6,
+  7,
   ct__usage_row__field_descriptors,
   ct__usage_row__field_indices_by_name,
   1,  ct__usage_row__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -233,10 +233,11 @@
   uint64_t tokens_in;
   uint64_t tokens_out;
   uint64_t late_requests;
+  char *writer;
 };
 #define CT__USAGE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__usage_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Ct__UsageWindow
--- a/wire/row-maps.c
+++ b/wire/row-maps.c
@@ -112,6 +112,7 @@
     CT_MAP_F_U64(UsageRow, usage_row, tokens_in),
     CT_MAP_F_U64(UsageRow, usage_row, tokens_out),
     CT_MAP_F_U64(UsageRow, usage_row, late_requests),
+    CT_MAP_F_TEXT(UsageRow, usage_row, writer),
 };
 DEFINE_MAP(usage_row, usage_row, usage_row);
 
