core: end a drain although callers go on calling

A drain ended only after 500 ms without a new call and with no refusal left to record. Nothing else kept it: no request was active.

After 5 s such calls no longer count, requests that run still do. What is refused in the last moment may not reach the log, as with a killed host.

--- a/core/drain.c
+++ b/core/drain.c
@@ -4,6 +4,8 @@
 
 /* Time without a new caller before the process may end. */
 #define QUIET_MS 500
+/* Callers that go on calling a host that drains do not keep it for longer. */
+#define QUIET_LIMIT_MS 5000
 #define CHECK_MS 100
 
 /* Refusals wait for the log unless it is down: a stop must come to an end. */
@@ -14,12 +16,20 @@
 }
 
 static bool
-is_idle(const struct ct_state *state)
+is_quiet(const struct ct_state *state)
 {
-    return state->requests.active == 0 && refusals_kept(state) &&
+    return refusals_kept(state) &&
            state->now_ms - state->requests.last_arrival_ms >= QUIET_MS;
 }
 
+static bool
+is_idle(const struct ct_state *state)
+{
+    return state->requests.active == 0 &&
+           (is_quiet(state) ||
+            state->now_ms - state->drain_ms >= QUIET_LIMIT_MS);
+}
+
 void
 ct_drain_start(struct ct_state *state)
 {
@@ -27,6 +37,7 @@
         return;
     }
     state->draining = true;
+    state->drain_ms = state->now_ms;
     state->requests.last_arrival_ms = state->now_ms;
     ct_emit_log(state, CT_LOG_DRAIN_STARTED, &state->self.host, NULL,
                 state->requests.active);
--- a/core/state.h
+++ b/core/state.h
@@ -59,6 +59,8 @@
     bool probing;
     bool draining;
     bool drained;
+    /* When the drain started. */
+    ct_ms drain_ms;
 };
 
 /* The next number of the state's own repeatable random sequence. */
--- a/t/proc-drain.c
+++ b/t/proc-drain.c
@@ -2,9 +2,12 @@
 #include <signal.h>
 #include <string.h>
 
+#include <curl/curl.h>
+
 #include "lib-deployment.h"
 
 #define STREAMS 8
+#define ROLLING_CALLERS 4
 
 static struct deployment d;
 
@@ -117,6 +120,78 @@
 {
     AWAIT(is_listed(0, 1), AWAIT_MS);
     drain_with_streams(1, false);
+    deployment_start_host(&d, 1);
+    deployment_await_ready(&d);
+}
+
+struct rolling {
+    gint stop;
+    gint whole;
+    /* Neither whole, nor refused as not run, nor without a connection. */
+    gint cut;
+};
+
+static bool
+is_not_run(const struct http_reply *reply)
+{
+    char *state = http_reply_header(reply, "X-Run-State");
+    bool not_run = g_strcmp0(state, "not-run") == 0;
+
+    g_free(state);
+    return not_run || reply->error == CURLE_COULDNT_CONNECT;
+}
+
+/* Calls one host after the other, on a new connection each time. */
+static gpointer
+call_in_turn(gpointer arg)
+{
+    struct rolling *rolling = arg;
+    struct caller_call call = {
+        .key = d.alpha, .path = CHAT_PATH, .body = CHAT_STREAM};
+
+    for (int i = 0; !g_atomic_int_get(&rolling->stop); i++) {
+        struct http_reply reply;
+
+        deployment_call(&d, i % d.n_hosts, NULL, &call, &reply);
+        if (reply.error == 0 && reply.status == 200 &&
+            g_str_has_suffix(reply.body->str, "data: [DONE]\n\n")) {
+            g_atomic_int_inc(&rolling->whole);
+        }
+        else if (!is_not_run(&reply)) {
+            g_atomic_int_inc(&rolling->cut);
+            g_test_message("cut: %d %ld %s%s", reply.error, reply.status,
+                           reply.head->str, reply.body->str);
+        }
+        http_reply_free(&reply);
+    }
+    return NULL;
+}
+
+/* All hosts are replaced in turn while callers call every one of them. */
+static void
+test_rolling(void)
+{
+    GThread *threads[ROLLING_CALLERS];
+    struct rolling rolling = {0};
+
+    deployment_set_engines(&d, "{\"tokens\":10,\"token_ms\":20}");
+    for (int i = 0; i < ROLLING_CALLERS; i++) {
+        threads[i] = g_thread_new("caller", call_in_turn, &rolling);
+    }
+    for (int i = 0; i < d.n_hosts; i++) {
+        gint before = g_atomic_int_get(&rolling.whole);
+
+        process_signal(&d.hosts[i].process, SIGTERM);
+        g_assert_cmpint(process_wait(&d.hosts[i].process, AWAIT_MS), ==, 0);
+        deployment_start_host(&d, i);
+        AWAIT(deployment_is_ready(&d, i), AWAIT_MS);
+        AWAIT(g_atomic_int_get(&rolling.whole) > before, AWAIT_MS);
+    }
+    g_atomic_int_set(&rolling.stop, 1);
+    for (int i = 0; i < ROLLING_CALLERS; i++) {
+        g_thread_join(threads[i]);
+    }
+    g_assert_cmpint(rolling.cut, ==, 0);
 }
 
 int
@@ -129,6 +204,7 @@
     deployment_set_engines(&d, "{\"tokens\":40,\"token_ms\":50}");
     g_test_add_func("/drain/signal", test_signal);
     g_test_add_func("/drain/command", test_command);
+    g_test_add_func("/drain/rolling", test_rolling);
     code = g_test_run();
     deployment_stop(&d);
     return code;
