--- a/t/fake/fake-engine.c
+++ b/t/fake/fake-engine.c
@@ -3,7 +3,7 @@
  * by priority, streams tokens that depend only on request id and place, so
  * that a stream can be resumed at another engine.
  */
-#include "fake-http.h"
+#include "fake-engine.h"
 
 
 #include <string.h>
@@ -15,81 +15,11 @@
 #define TOKENS_DEFAULT 8
 #define SLOTS_DEFAULT 8
 #define QUEUE_MAX 1000
-#define CACHE_ENTRIES 32
 #define CACHE_LAG_DEFAULT_MS 500
-/* One cache event in this many is never published. */
-#define CACHE_GAP_EVERY 7
 #define PREFIX_BYTES 256
 #define NO_FAULT (-1)
 #define BYTES_PER_TOKEN 4
 
-enum call_state {
-    CALL_WAITING = 1,
-    CALL_RUNNING,
-    CALL_SILENT,
-};
-
-struct call {
-    struct ct_handle request;
-    char id[FAKE_ID_MAX];
-    enum call_state state;
-    int64_t priority;
-    uint64_t arrival;
-    bool stream;
-    bool faulty;
-    /* Bytes of the body that the caller already has. */
-    int64_t skip;
-    int64_t place;
-    int64_t tokens;
-    int64_t token;
-    int64_t sent;
-    int64_t prompt_tokens;
-    ct_ms due_ms;
-};
-
-struct cache_event {
-    uint64_t prefix;
-    bool stored;
-    ct_ms at_ms;
-};
-
-struct load_sample {
-    ct_ms at_ms;
-    uint32_t running;
-    uint32_t waiting;
-};
-
-struct engine {
-    struct fake_server server;
-    struct ev_timer tick;
-    /* struct call */
-    struct ct_table calls;
-    uint64_t arrivals;
-    uint32_t running;
-    uint32_t waiting;
-    ct_ms stalled_until_ms;
-    GArray *cache_events;
-    GArray *cached;
-    GArray *load;
-    int64_t newest_term;
-
-    int64_t slots;
-    int64_t token_ms;
-    int64_t first_token_ms;
-    int64_t tokens;
-    int64_t silent_after_tokens;
-    int64_t break_after_tokens;
-    /* Calls still to be hit by the two above, -1 for all. */
-    int64_t fault_calls;
-    int64_t stall_ms;
-    int64_t decline;
-    int64_t wrong_id;
-    int64_t load_age_ms;
-    int64_t cache_lag_ms;
-    int64_t close_after_read;
-    int64_t checks_fencing;
-};
-
 static void
 log_call(struct engine *e, const struct call *call, const char *what)
 {
@@ -127,14 +57,6 @@
     fake_log(&e->server, entry);
 }
 
-static void
-sample_load(struct engine *e)
-{
-    struct load_sample sample = {fake_now_ms(), e->running, e->waiting};
-
-    g_array_append_val(e->load, sample);
-}
-
 /* Frees a call; its slot is taken up by the next tick. */
 static void
 end_call(struct engine *e, struct ct_handle handle, const char *what)
@@ -149,7 +71,7 @@
         e->running--;
     }
     ct_table_unref(&e->calls, handle);
-    sample_load(e);
+    engine_sample_load(e);
 }
 
 static void
@@ -299,32 +221,6 @@
     }
 }
 
-static void
-publish_cache(struct engine *e, uint64_t prefix, bool stored)
-{
-    struct cache_event event = {prefix, stored, fake_now_ms()};
-
-    g_array_append_val(e->cache_events, event);
-}
-
-/* Returns true when the prefix was cached; caches it otherwise. */
-static bool
-use_cache(struct engine *e, uint64_t prefix)
-{
-    for (guint i = 0; i < e->cached->len; i++) {
-        if (g_array_index(e->cached, uint64_t, i) == prefix) {
-            return true;
-        }
-    }
-    if (e->cached->len == CACHE_ENTRIES) {
-        publish_cache(e, g_array_index(e->cached, uint64_t, 0), false);
-        g_array_remove_index(e->cached, 0);
-    }
-    g_array_append_val(e->cached, prefix);
-    publish_cache(e, prefix, true);
-    return false;
-}
-
 static struct call *
 next_waiting(struct engine *e)
 {
@@ -355,14 +251,14 @@
         size_t n = MIN(request->body->len, PREFIX_BYTES);
         uint64_t prefix =
             ct_hash_bytes(CT_HASH_SEED, request->body->str, (uint32_t)n);
-        bool cached = use_cache(e, prefix);
+        bool cached = engine_use_cache(e, prefix);
 
         call->state = CALL_RUNNING;
         call->due_ms = now_ms + e->first_token_ms / (cached ? 2 : 1);
         e->waiting--;
         e->running++;
         log_call(e, call, "start");
-        sample_load(e);
+        engine_sample_load(e);
         if (call->stream) {
             fake_stream_begin(request);
         }
@@ -458,7 +354,7 @@
     call->prompt_tokens = (int64_t)request->body->len / BYTES_PER_TOKEN;
     call->faulty = takes_fault(e);
     e->waiting++;
-    sample_load(e);
+    engine_sample_load(e);
 }
 
 static void
@@ -504,57 +400,6 @@
     run_batch(e);
 }
 
-static void
-handle_load(struct engine *e, struct fake_request *request)
-{
-    ct_ms then_ms = fake_now_ms() - e->load_age_ms;
-    struct load_sample *samples = (struct load_sample *)(void *)e->load->data;
-    JsonObject *body = json_object_new();
-    guint i = 0;
-
-    while (i + 1 < e->load->len && samples[i + 1].at_ms <= then_ms) {
-        i++;
-    }
-    json_object_set_int_member(body, "running", samples[i].running);
-    json_object_set_int_member(body, "waiting", samples[i].waiting);
-    json_object_set_int_member(body, "age_ms", e->load_age_ms);
-    /* Samples before the one in use can be forgotten. */
-    g_array_remove_range(e->load, 0, i);
-    fake_reply(request, MHD_HTTP_OK, body, 0);
-}
-
-static void
-handle_cache(struct engine *e, struct fake_request *request)
-{
-    int64_t from = MAX(fake_query(request, "from", 1), 1);
-    JsonObject *body = json_object_new();
-    JsonArray *rows = json_array_new();
-
-    for (int64_t seq = from; seq <= (int64_t)e->cache_events->len; seq++) {
-        struct cache_event *event =
-            &g_array_index(e->cache_events, struct cache_event, seq - 1);
-        char prefix[FAKE_ID_MAX];
-        JsonObject *row;
-
-        if (event->at_ms > fake_now_ms() - e->cache_lag_ms) {
-            break;
-        }
-        if (seq % CACHE_GAP_EVERY == 0) {
-            continue;
-        }
-        row = json_object_new();
-        g_snprintf(prefix, sizeof(prefix), "%016" G_GINT64_MODIFIER "x",
-                   event->prefix);
-        json_object_set_int_member(row, "seq", seq);
-        json_object_set_string_member(row, "prefix", prefix);
-        json_object_set_string_member(row, "kind",
-                                      event->stored ? "stored" : "evicted");
-        json_array_add_object_element(rows, row);
-    }
-    json_object_set_array_member(body, "events", rows);
-    fake_reply(request, MHD_HTTP_OK, body, 0);
-}
-
 static void
 handle_order(struct engine *e, struct fake_request *request)
 {
@@ -587,8 +432,8 @@
     } routes[] = {
         {"/v1/chat/completions", handle_completion},
         {"/cancel", handle_cancel},
-        {"/load", handle_load},
-        {"/cache/events", handle_cache},
+        {"/load", engine_reply_load},
+        {"/cache/events", engine_reply_cache},
         {"/orders", handle_order},
     };
 
@@ -654,10 +499,7 @@
     e.server.ops = &ops;
     e.server.settings = settings;
     ct_table_init(&e.calls, sizeof(struct call), 0, NULL);
-    e.cache_events = g_array_new(FALSE, FALSE, sizeof(struct cache_event));
-    e.cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    e.load = g_array_new(FALSE, FALSE, sizeof(struct load_sample));
-    sample_load(&e);
+    engine_init_reports(&e);
     ev_timer_init(&e.tick, on_tick, 0, 0);
     e.tick.data = &e;
     return fake_main(&e.server, argc, (const char **)argv, NULL);
--- a/t/fake/fake-http.c
+++ b/t/fake/fake-http.c
@@ -1,10 +1,6 @@
 #include "fake-http.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
-#include <signal.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -47,65 +43,6 @@
     return text ? g_ascii_strtoll(text, NULL, 10) : missing;
 }
 
-int64_t
-fake_json_int(JsonObject *object, const char *name, int64_t missing)
-{
-    JsonNode *node = object ? json_object_get_member(object, name) : NULL;
-
-    if (!node || !JSON_NODE_HOLDS_VALUE(node)) {
-        return missing;
-    }
-    if (json_node_get_value_type(node) == G_TYPE_BOOLEAN) {
-        return json_node_get_boolean(node);
-    }
-    return json_node_get_int(node);
-}
-
-const char *
-fake_json_text(JsonObject *object, const char *name)
-{
-    JsonNode *node = object ? json_object_get_member(object, name) : NULL;
-
-    if (!node || !JSON_NODE_HOLDS_VALUE(node) ||
-        json_node_get_value_type(node) != G_TYPE_STRING) {
-        return "";
-    }
-    return json_node_get_string(node);
-}
-
-static char *
-object_text(JsonObject *object)
-{
-    JsonNode *node = json_node_init_object(json_node_alloc(), object);
-    char *text = json_to_string(node, FALSE);
-
-    json_node_free(node);
-    return text;
-}
-
-JsonObject *
-fake_entry(const char *what)
-{
-    JsonObject *entry = json_object_new();
-
-    json_object_set_string_member(entry, "what", what);
-    json_object_set_int_member(entry, "at_ms", fake_now_ms());
-    return entry;
-}
-
-void
-fake_log(struct fake_server *server, JsonObject *entry)
-{
-    if (server->log) {
-        char *text = object_text(entry);
-
-        fprintf(server->log, "%s\n", text);
-        fflush(server->log);
-        g_free(text);
-    }
-    json_array_add_object_element(server->seen, entry);
-}
-
 /* Lets libmicrohttpd go on with a request that waited. */
 static void
 wake(struct fake_request *request)
@@ -165,7 +102,7 @@
            JsonObject *object, ct_ms delay_ms)
 {
     JsonObject *body = object ? object : json_object_new();
-    char *text = object_text(body);
+    char *text = fake_object_text(body);
 
     fake_reply_text(request, status, text, delay_ms);
     g_free(text);
@@ -571,39 +508,3 @@
     ev_prepare_start(loop, &server->prepare);
     return 0;
 }
-
-int
-fake_main(struct fake_server *server, int argc, const char **argv,
-          struct poptOption *extra)
-{
-    struct poptOption none[] = {POPT_TABLEEND};
-    int port = 0;
-    char *log = NULL;
-    struct poptOption options[] = {
-        {"port", 'p', POPT_ARG_INT, &port, 0, "port; 0 for any", "PORT"},
-        {"log", 'l', POPT_ARG_STRING, &log, 0, "what was seen", "FILE"},
-        {NULL, 0, POPT_ARG_INCLUDE_TABLE, extra ? extra : none, 0,
-         "Own:", NULL},
-        POPT_AUTOHELP POPT_TABLEEND};
-    poptContext context = poptGetContext(argv[0], argc, argv, options, 0);
-    int rc = poptGetNextOpt(context);
-
-    poptFreeContext(context);
-    if (rc < -1) {
-        fprintf(stderr, "%s: %s\n", argv[0], poptStrerror(rc));
-        return 2;
-    }
-    signal(SIGPIPE, SIG_IGN);
-    if (log && !(server->log = fopen(log, "ae"))) {
-        fprintf(stderr, "%s: %s: %s\n", argv[0], log, strerror(errno));
-        return 1;
-    }
-    if (fake_start(server, EV_DEFAULT, port) < 0) {
-        fprintf(stderr, "%s: cannot listen on %d\n", argv[0], port);
-        return 1;
-    }
-    printf("listening %u\n", server->port);
-    fflush(stdout);
-    ev_run(EV_DEFAULT, 0);
-    return 0;
-}
--- a/t/fake/fake-http.h
+++ b/t/fake/fake-http.h
@@ -119,6 +119,8 @@
 
 int64_t fake_json_int(JsonObject *object, const char *name, int64_t missing);
 const char *fake_json_text(JsonObject *object, const char *name);
+/* Freed by the caller. */
+char *fake_object_text(JsonObject *object);
 
 /* Adds a header to the reply to come; the name is not copied. */
 void fake_header(struct fake_request *request, const char *name,
