--- /dev/null
+++ b/t/proc-lease.c
@@ -0,0 +1,193 @@
+/*
+ * A holder of a lease that was stopped for a while does nothing more as
+ * holder once another host has taken over. Judged by what the platform saw.
+ */
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib-deployment.h"
+
+#define ROLE_USAGE 1
+/* A window is a minute long, and its figures wait for late ones. */
+#define WINDOW_AWAIT_MS 200000
+#define CALLS 5
+
+static struct deployment d;
+static int64_t calls_made;
+
+/* How many lines of a host's own log hold the text. */
+static int
+count_logged(int host, const char *text)
+{
+    char *name =
+        g_strdup_printf("coriandertrackd-%d.log", d.hosts[host].process.pid);
+    char *path = g_build_filename(d.directory, name, NULL);
+    char *log = NULL;
+    int n = 0;
+
+    if (g_file_get_contents(path, &log, NULL, NULL)) {
+        for (char *at = log; (at = strstr(at, text)); at++) {
+            n++;
+        }
+    }
+    g_free(log);
+    g_free(path);
+    g_free(name);
+    return n;
+}
+
+static int
+count_lease_events(int host, const char *event, int role)
+{
+    char *text = g_strdup_printf(
+        "\"name\":\"%s\",\"subject\":\"h%d\",\"number\":\"%d\"", event,
+        host + 1, role);
+    int n = count_logged(host, text);
+
+    g_free(text);
+    return n;
+}
+
+/* The host that believes that it holds the role, but for one; -1 for none. */
+static int
+find_holder(int role, int except)
+{
+    for (int i = 0; i < d.n_hosts; i++) {
+        if (i != except && count_lease_events(i, "LEASE_TAKEN", role) >
+                               count_lease_events(i, "LEASE_LOST", role)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+make_calls(int host)
+{
+    struct caller_call call = {
+        .key = d.alpha, .path = CHAT_PATH, .body = CHAT_WHOLE};
+
+    for (int i = 0; i < CALLS; i++) {
+        struct http_reply reply;
+
+        deployment_call(&d, host, NULL, &call, &reply);
+        g_assert_cmpint(reply.status, ==, 200);
+        http_reply_free(&reply);
+        calls_made++;
+    }
+}
+
+static JsonNode *
+read_seen(void)
+{
+    char *text = http_get(d.platform.port, "/fake/seen");
+    JsonNode *root = json_from_string(text, NULL);
+
+    g_free(text);
+    return root;
+}
+
+static JsonArray *
+rows_of(JsonNode *seen)
+{
+    return json_object_get_array_member(json_node_get_object(seen), "seen");
+}
+
+/* Requests of alpha in the figures of one report. */
+static int64_t
+requests_in(JsonObject *report)
+{
+    const char *figures = json_object_get_string_member(report, "figures");
+    const char *at = strstr(figures, "alpha ");
+
+    return at ? g_ascii_strtoll(at + strlen("alpha "), NULL, 10) : 0;
+}
+
+/* Requests of alpha in all windows, each counted once. */
+static int64_t
+requests_reported(void)
+{
+    JsonNode *seen = read_seen();
+    JsonArray *rows = rows_of(seen);
+    int64_t sum = 0;
+
+    for (guint i = 0; i < json_array_get_length(rows); i++) {
+        JsonObject *row = json_array_get_object_element(rows, i);
+
+        if (strcmp(json_object_get_string_member(row, "what"), "usage") == 0 &&
+            !json_object_get_boolean_member(row, "repeated")) {
+            sum += requests_in(row);
+        }
+    }
+    json_node_free(seen);
+    return sum;
+}
+
+/* Nothing of an older term after a newer one; no window with two figures. */
+static void
+check_reports(void)
+{
+    JsonNode *seen = read_seen();
+    JsonArray *rows = rows_of(seen);
+    int64_t newest = 0;
+    int n = 0;
+
+    for (guint i = 0; i < json_array_get_length(rows); i++) {
+        JsonObject *row = json_array_get_object_element(rows, i);
+        int64_t term;
+
+        if (strcmp(json_object_get_string_member(row, "what"), "usage") != 0) {
+            continue;
+        }
+        term = json_object_get_int_member(row, "term");
+        g_assert_false(json_object_get_boolean_member(row, "refused"));
+        g_assert_cmpint(term, >=, newest);
+        newest = MAX(newest, term);
+        n++;
+    }
+    g_assert_cmpint(n, >, 0);
+    json_node_free(seen);
+}
+
+static void
+test_usage_holder_stopped(void)
+{
+    int holder;
+    int successor;
+    int reports;
+
+    AWAIT(find_holder(ROLE_USAGE, -1) >= 0, AWAIT_MS);
+    holder = find_holder(ROLE_USAGE, -1);
+    for (int i = 0; i < d.n_hosts; i++) {
+        make_calls(i);
+    }
+    process_signal(&d.hosts[holder].process, SIGSTOP);
+    AWAIT(find_holder(ROLE_USAGE, holder) >= 0, AWAIT_MS);
+    successor = find_holder(ROLE_USAGE, holder);
+    make_calls(successor);
+    AWAIT(HTTP_COUNT_SEEN(d.platform.port, "\"usage\"") > 0, WINDOW_AWAIT_MS);
+    reports = HTTP_COUNT_SEEN(d.platform.port, "\"usage\"");
+    process_signal(&d.hosts[holder].process, SIGCONT);
+    AWAIT(count_lease_events(holder, "LEASE_LOST", ROLE_USAGE) > 0, AWAIT_MS);
+    make_calls(successor);
+    AWAIT(HTTP_COUNT_SEEN(d.platform.port, "\"usage\"") > reports,
+          WINDOW_AWAIT_MS);
+    check_reports();
+    AWAIT(requests_reported() == calls_made, WINDOW_AWAIT_MS);
+    check_reports();
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    deployment_start(&d, 3, 1, 1);
+    g_test_add_func("/lease/usage-holder-stopped", test_usage_holder_stopped);
+    code = g_test_run();
+    deployment_stop(&d);
+    return code;
+}
