--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -7,6 +7,8 @@
 
 #define MIN_RETRY_AFTER_MS 200
 #define MAX_RETRY_AFTER_MS 60000
+/* How long after a request could not meet its target its tier is pressed. */
+#define PRESSED_MS 2000
 
 static int
 tiered_set_class(struct ct_queue_policy *policy, uint32_t klass,
@@ -55,12 +57,10 @@
         inverted = inverted || starts[tier] >= row->sequence;
     }
     if (reason == CT_REFUSAL_OVERLOAD || reason == CT_REFUSAL_OVER_SHARE) {
-        inverted = inverted ||
-                   ct_reserve_exceeded_below(q, row->w.pool, row->tier, false);
+        inverted = inverted || ct_reserve_exceeded_below(q, row, false);
     }
     if (reason == CT_REFUSAL_TARGET_UNREACHABLE) {
-        inverted = inverted ||
-                   ct_reserve_exceeded_below(q, row->w.pool, row->tier, true);
+        inverted = inverted || ct_reserve_exceeded_below(q, row, true);
     }
     pool->inversions += inverted ? 1 : 0;
 }
@@ -136,6 +136,7 @@
     }
     ct_lane_charge(q, row, row->expected_tokens);
     ct_queue_rows_start(&q->rows, row, now_ms);
+    use->cheap_running += row->cheap ? 1 : 0;
 }
 
 /* Takes a row out of its slot; its class and lane no longer use it. */
@@ -147,6 +148,7 @@
 
     ct_reserve_accrue(q, row->w.pool, row->w.klass, now_ms);
     use->running--;
+    use->cheap_running -= row->cheap ? 1 : 0;
     use->reserve_running -= row->from_reserve ? 1 : 0;
     tp->lanes[row->lane].running--;
     ct_queue_rows_stop(&q->rows, row);
@@ -171,18 +173,21 @@
 }
 
 /*
- * Whether the row may be refused because its target cannot be met: not
- * within the places that its class owns, and not while lower tiers hold more
- * than theirs.
+ * Whether the row may be refused because its target cannot be met: not while
+ * the other requests of its class, in slots and waiting, are fewer than the
+ * slots that the class owns, and not while lower tiers hold more than theirs.
  */
 static bool
 may_refuse_as_unreachable(const struct ct_queue_tiered *q,
                           const struct ct_queue_row *row, uint32_t queued)
 {
-    if (queued < ct_reserve_places(q, row->w.klass)) {
+    const struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
+
+    if (use->running + queued <
+        ct_reserve_slots(q, row->w.pool, row->w.klass)) {
         return false;
     }
-    return !ct_reserve_exceeded_below(q, row->w.pool, row->tier, true);
+    return !ct_reserve_exceeded_below(q, row, true);
 }
 
 /* The lowest tier below the row's with more in the queue than it owns. */
@@ -287,6 +292,23 @@
     return ct_timers_add(&q->timers, row->start_by_ms, CT_TIMER_QUEUE, handle);
 }
 
+/*
+ * While requests of a higher tier cannot meet their target, a class gets no
+ * more places than it owns: what it has beyond them would keep the higher
+ * tier from early refusal.
+ */
+static bool
+higher_tier_pressed(const struct ct_tiered_pool *tp, uint32_t tier,
+                    ct_ms now_ms)
+{
+    for (uint32_t i = 0; i < tier; i++) {
+        if (now_ms < tp->pressed_until_ms[i]) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static int
 queue_row(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
           struct ct_queue_decision *decision)
@@ -298,9 +320,18 @@
     int err;
 
     decision->expected_wait_ms = ct_predict_wait(q, row);
-    if (decision->expected_wait_ms > row->start_by_ms - now_ms &&
-        may_refuse_as_unreachable(q, row, use->queued)) {
-        refuse(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, decision);
+    if (decision->expected_wait_ms > row->start_by_ms - now_ms) {
+        q->pools[row->w.pool].pressed_until_ms[row->tier] =
+            now_ms + PRESSED_MS;
+        if (may_refuse_as_unreachable(q, row, use->queued)) {
+            refuse(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, decision);
+            return CT_OK;
+        }
+    }
+    if (use->queued >= ct_reserve_places(q, row->w.klass) &&
+        higher_tier_pressed(&q->pools[row->w.pool], row->tier, now_ms) &&
+        !ct_reserve_exceeded_below(q, row, false)) {
+        refuse(q, handle, CT_REFUSAL_OVERLOAD, decision);
         return CT_OK;
     }
     if (use->queued >= ct_reserve_places(q, row->w.klass) &&
@@ -463,7 +494,14 @@
               bool cheap)
 {
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_handle handle;
+    const struct ct_queue_row *row =
+        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
 
+    if (row && row->cheap != cheap) {
+        q->pools[row->w.pool].uses[row->w.klass].cheap_running +=
+            cheap ? 1 : -1;
+    }
     ct_queue_rows_placed(&q->rows, request, cheap);
 }
 
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -11,16 +11,16 @@
  * organisation with the fewest tokens in service and served, by weight
  * (start-time fair queueing); of organisations that are about level, the
  * request whose last useful start comes first. Requests past their last
- * useful start are served after the others of their lane.
+ * useful start are served after all others of their tier.
  *
  * Reserve: a class with reserve_percent owns that part of a pool, at least
  * one slot and one place in the queue. A waiting request of the class is
  * started before higher tiers while the class holds fewer slots than its
  * reserve and its credit is not negative. Credit grows by the reserve's slot
  * time, falls by the slot time that the class uses, and is bounded by
- * RESERVE_WINDOW_MS of growth. No class starves: within its reserved places
- * a request is never refused but for its queue limit, and after at most
- * hold time / reserve the class is started again.
+ * RESERVE_WINDOW_MS of growth. No class starves: while it holds and awaits
+ * fewer slots than it owns, a request of it is refused for nothing but its
+ * queue limit, and after at most hold time / reserve it is started again.
  *
  * Tier inversion: a request R of tier T is refused at a host under load (any
  * of overload, over-fair-share, target-unreachable, queue-timeout), and
@@ -30,7 +30,9 @@
  *   (b) slot: since R arrived a request of a lower tier was given a slot of
  *       the pool that R could have used, and not from the reserve; or
  *   (c) at once: for target-unreachable, a class of a lower tier has more
- *       requests in slots or in the queue of the pool than its reserve.
+ *       requests in the queue of the pool than its reserved places, or more
+ *       in slots than its reserve and at least one in a slot that R could
+ *       use (one of a cheap upstream is none where R may not run there).
  *
  * The policy keeps this at 0, and counts it all the same. So "no request of
  * a higher tier is shed for a lower one" and "no class starves" agree: what
@@ -57,7 +59,8 @@
     bool seen;
     uint32_t queued;
     uint32_t running;
-    /* Of these, started from the reserve. */
+    /* Of these, on cheap upstreams, and started from the reserve. */
+    uint32_t cheap_running;
     uint32_t reserve_running;
     /* Slot milliseconds, and the time up to which they are counted. */
     int64_t credit;
@@ -71,11 +74,11 @@
     uint32_t n_uses;
     /* Virtual time of fair queueing. */
     uint64_t virtual_time[CT_TIERS];
+    /* Until then a tier counts as unable to meet its targets. */
+    ct_ms pressed_until_ms[CT_TIERS];
     /* Number of rows that had arrived at the last ordinary start. */
     uint64_t last_start[CT_TIERS];
     uint64_t last_firm_start[CT_TIERS];
-    /* Slot time of a request, moving average; scaled by queue-predict.c. */
-    ct_ms scaled_hold_ms;
 };
 
 /* Tokens of an organisation, losing half each USAGE_HALF_LIFE_MS. */
@@ -110,9 +113,13 @@
  */
 int ct_reserve_class(struct ct_queue_tiered *q,
                      const struct ct_queue_row *chosen, ct_ms now_ms);
-/* Whether a class below the tier holds more than its reserve. */
-bool ct_reserve_exceeded_below(const struct ct_queue_tiered *q, uint32_t pool,
-                               uint32_t tier, bool with_slots);
+/*
+ * Whether a class below the row's tier holds more than its reserve: of the
+ * queue, or also of the slots that the row could use.
+ */
+bool ct_reserve_exceeded_below(const struct ct_queue_tiered *q,
+                               const struct ct_queue_row *row,
+                               bool with_slots);
 
 /* queue-lane.c: one lane an organisation and class; fair queueing. */
 int ct_lane_enter(struct ct_queue_tiered *q, struct ct_queue_row *row);
--- a/t/test-queue-tiered.c
+++ b/t/test-queue-tiered.c
@@ -79,6 +79,7 @@
                       running - r->firm_running < CHEAP_SLOTS;
     trace_started(&r->trace, id, r->firm_running < SLOTS - CHEAP_SLOTS,
                   now_ms);
+    trace_placed(&r->trace, id, r->on_cheap[id]);
     r->firm_running += !r->on_cheap[id];
     g_assert_cmpuint(r->firm_running, <=, SLOTS - CHEAP_SLOTS);
     r->ends_ms[id] = now_ms + r->tokens[id];
@@ -304,9 +305,9 @@
     p->ops->free(p);
 }
 
-/* Within its places a class is queued even where its target is lost. */
+/* Below its own slots a class is queued even where its target is lost. */
 static void
-test_own_places(void)
+test_own_slots(void)
 {
     struct ct_queue_policy *p = ct_queue_tiered_new(100);
     struct ct_queue_decision d;
@@ -317,16 +318,46 @@
         settings.first_token_target_ms = 1;
         p->ops->set_class(p, k, &settings);
     }
+    /* Two of the slots belong to each class; the first one holds all. */
+    p->ops->set_pool(p, 0, 20, 0);
+    for (guint id = 0; id < 30; id++) {
+        struct ct_waiting w = {.request = request(id), .klass = id >= 25};
+        enum ct_admission expected = CT_REFUSED;
+
+        if (id < 20) {
+            expected = CT_ADMITTED;
+        }
+        else if (id == 25 || id == 26) {
+            expected = CT_QUEUED;
+        }
+        g_assert_cmpint(p->ops->arrive(p, &w, 0, &d), ==, CT_OK);
+        g_assert_cmpint(d.admission, ==, expected);
+    }
+    p->ops->free(p);
+}
+
+/* Beside a higher tier that misses its target a class has its places only. */
+static void
+test_pressed(void)
+{
+    struct ct_queue_policy *p = ct_queue_tiered_new(100);
+    struct ct_queue_decision d;
+
+    p->ops->set_class(p, 0, &classes[0]);
+    p->ops->set_class(p, 1, &classes[3]);
     p->ops->set_pool(p, 0, 1, 0);
-    for (guint id = 0; id < 31; id++) {
-        struct ct_waiting w = {.request = request(id), .klass = id > 15};
+    for (guint id = 0; id < 20; id++) {
+        struct ct_waiting w = {.request = request(id), .klass = id >= 3};
 
+        /* One runs, two of the higher tier are too late; five places are
+         * owned. */
         g_assert_cmpint(p->ops->arrive(p, &w, 0, &d), ==, CT_OK);
         g_assert_cmpint(d.admission, ==,
-                        id == 0                            ? CT_ADMITTED
-                        : id <= 10 || (id > 15 && id < 26) ? CT_QUEUED
-                                                           : CT_REFUSED);
+                        id == 0                         ? CT_ADMITTED
+                        : id == 1 || id == 2 || id >= 8 ? CT_REFUSED
+                                                        : CT_QUEUED);
     }
+    g_assert_cmpint(d.reason, ==, CT_REFUSAL_OVERLOAD);
     p->ops->free(p);
 }
 
@@ -364,7 +395,8 @@
     g_test_add_func("/queue-tiered/fair-shares", test_fair_shares);
     g_test_add_func("/queue-tiered/weights", test_weights);
     g_test_add_func("/queue-tiered/early-refusal", test_early_refusal);
-    g_test_add_func("/queue-tiered/own-places", test_own_places);
+    g_test_add_func("/queue-tiered/own-slots", test_own_slots);
+    g_test_add_func("/queue-tiered/pressed", test_pressed);
     g_test_add_func("/queue-tiered/no-overtaking", test_no_overtaking);
     return g_test_run();
 }
