core: bound the answers that are kept

Cause: every finished request kept its row for a minute, in a table of 65,536 rows; above some 1,090 requests/s (65,536 rows over 60 s) a host would have refused callers as table-full. Kept answers now have bounds of their own, in number and bytes, and the oldest make room (/request/kept-bound: 8,202 calls, none refused; without the bound the count of rows is 8,202).

Also: a request that was abandoned before any attempt is not taken up again, since nothing of its body is stored; the end of a cancelled attempt no longer counts as a late event.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -153,7 +153,10 @@
     const struct ct_attempt *attempt = attempt_get(state, event->attempt);
 
     if (!attempt) {
-        ct_count(state, CT_COUNTER_LATE_EVENTS);
+        /* The end of a cancelled attempt is what was asked for. */
+        if (event->outcome != CT_OUTCOME_CANCELLED) {
+            ct_count(state, CT_COUNTER_LATE_EVENTS);
+        }
         return NULL;
     }
     return ct_request_get(state, attempt->request);
--- a/core/request.c
+++ b/core/request.c
@@ -26,6 +26,7 @@
 {
     g_hash_table_destroy(requests->by_caller);
     g_hash_table_destroy(requests->by_id);
+    g_queue_clear(&requests->kept);
     ct_table_free(&requests->attempts);
     ct_table_free(&requests->rows);
 }
@@ -408,6 +409,22 @@
     ct_dispatch_claim_done(state, &claim, status);
 }
 
+/* Keeps the answer, and drops the oldest ones where there are too many. */
+static void
+keep_answer(struct ct_state *state, struct ct_handle handle,
+            const struct ct_request *request)
+{
+    struct ct_requests *requests = &state->requests;
+
+    g_queue_push_tail(&requests->kept, pack(handle));
+    requests->kept_bytes += request->answer_bytes;
+    while (requests->kept.length > CT_KEPT_MAX ||
+           (requests->kept_bytes > CT_KEPT_BYTES_MAX &&
+            requests->kept.length > 1)) {
+        ct_request_drop(state, unpack(g_queue_peek_head(&requests->kept)));
+    }
+}
+
 /* Moves a request to its final state and arms the timer that drops it. */
 static void
 finish(struct ct_state *state, struct ct_handle handle, bool whole)
@@ -424,6 +441,7 @@
         end_claim(state, request);
     }
     ct_arm(state, CT_ANSWER_KEPT_MS, CT_TIMER_ANSWER_KEPT, handle);
+    keep_answer(state, handle, request);
     if (before == CT_REQUEST_QUEUED) {
         ct_dispatch_gone(state, handle);
         return;
@@ -552,6 +570,8 @@
 {
     struct ct_request *request = ct_request_get(state, handle);
 
+    state->requests.kept_bytes -= request->answer_bytes;
+    g_queue_remove(&state->requests.kept, pack(handle));
     request->abandoned = false;
     request->attempts = 0;
     request->n_tried = 0;
@@ -616,7 +636,8 @@
         return;
     }
     request->reason = CT_REFUSAL_UPSTREAM_FAILED;
-    request->abandoned = request->idempotent;
+    /* Nothing is stored of a request that no attempt was made for. */
+    request->abandoned = request->idempotent && request->attempts > 0;
     finish(state, handle, false);
 }
 
@@ -696,6 +717,8 @@
         return;
     }
     set_caller(state, handle, request, 0);
+    state->requests.kept_bytes -= request->answer_bytes;
+    g_queue_remove(&state->requests.kept, pack(handle));
     g_hash_table_remove(state->requests.by_id, request->id.text);
     release_rows(state, request);
     ct_emit(state, CT_EFFECT_DROP_ANSWER)->u.request = handle;
--- a/core/request.h
+++ b/core/request.h
@@ -100,15 +100,22 @@
     bool got_data;
 };
 
-/* Rows of both tables are bounded; what comes above is refused. */
+/* Requests at a time; what comes above is refused. */
 #define CT_REQUESTS_MAX 65536
 
+/* Answers kept for callers that ask again; the oldest go first. */
+#define CT_KEPT_MAX 8192
+#define CT_KEPT_BYTES_MAX ((uint64_t)16 * 1024 * 1024)
+
 struct ct_requests {
     struct ct_table rows;
     struct ct_table attempts;
     /* From caller number, and from request id, to packed handle. */
     GHashTable *by_caller;
     GHashTable *by_id;
+    /* Handles of requests in state CT_REQUEST_KEPT, oldest first. */
+    GQueue kept;
+    uint64_t kept_bytes;
     /* Not yet in state CT_REQUEST_KEPT. */
     uint32_t active;
     ct_ms last_arrival_ms;
--- a/t/test-request.c
+++ b/t/test-request.c
@@ -268,6 +268,38 @@
     t_core_free(&core);
 }
 
+/* Kept answers are bounded: the oldest make room, nobody is refused. */
+static void
+test_kept_bound(void)
+{
+    struct t_core core;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 4);
+    for (uint32_t i = 0; i < CT_KEPT_MAX + 10; i++) {
+        struct ct_handle attempt;
+
+        t_core_call(&core, 1, T_CHAT_PATH);
+        attempt = started(&core);
+        head(&core, attempt, 200);
+        done(&core, attempt, CT_OUTCOME_COMPLETE);
+    }
+    g_assert_cmpuint(core.state->requests.rows.live, ==, CT_KEPT_MAX);
+    g_assert_cmpuint(core.state->requests.kept_bytes, ==, 0);
+    for (uint32_t i = 0; i < 3; i++) {
+        struct ct_handle attempt;
+
+        t_core_call(&core, 1, T_CHAT_PATH);
+        attempt = started(&core);
+        head(&core, attempt, 200);
+        data(&core, attempt, 0, CT_KEPT_BYTES_MAX);
+        done(&core, attempt, CT_OUTCOME_COMPLETE);
+    }
+    g_assert_cmpuint(core.state->requests.rows.live, ==, 1);
+    g_assert_cmpuint(core.state->requests.kept_bytes, ==, CT_KEPT_BYTES_MAX);
+    t_core_free(&core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -279,5 +311,6 @@
     g_test_add_func("/request/broken-end", test_broken_end);
     g_test_add_func("/request/caller-gone", test_caller_gone);
     g_test_add_func("/request/key-withdrawn", test_key_withdrawn);
+    g_test_add_func("/request/kept-bound", test_kept_bound);
     return g_test_run();
 }
