--- a/t/lib-deployment.c
+++ b/t/lib-deployment.c
@@ -1,6 +1,5 @@
 #include "lib-deployment.h"
 
-#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -138,20 +137,19 @@
 }
 
 int
-deployment_command(const struct deployment *d, char **output, ...)
+deployment_command_with(const struct deployment *d, char **output,
+                        const char *const *arguments)
 {
     const char *words[WORDS_MAX + 2] = {NULL};
     char *platform =
         g_strdup_printf("--platform=http://127.0.0.1:%u", d->platform.port);
-    va_list list;
     int code;
     int n = 0;
 
-    va_start(list, output);
-    while (n < WORDS_MAX && (words[n] = va_arg(list, const char *))) {
+    while (n < WORDS_MAX && arguments[n]) {
+        words[n] = arguments[n];
         n++;
     }
-    va_end(list);
     words[n] = platform;
     code = process_run("coriandertrack/coriandertrack", words, output);
     g_free(platform);
@@ -164,7 +162,7 @@
 {
     char *option = g_strdup_printf("--label=%s", label);
     char *output;
-    int code = deployment_command(d, &output, "key", "grant", organisation,
+    int code = DEPLOYMENT_COMMAND(d, &output, "key", "grant", organisation,
                                   option, NULL);
 
     g_strlcpy(key, g_strstrip(output), KEY_BYTES);
@@ -222,7 +220,7 @@
 {
     char *files = deployment_write_files(d, "first", 1);
     char *output;
-    int code = deployment_command(d, &output, "publish", files, NULL);
+    int code = DEPLOYMENT_COMMAND(d, &output, "publish", files, NULL);
 
     if (code != 0) {
         g_error("publish: %d: %s", code, output);
--- a/t/lib-deployment.h
+++ b/t/lib-deployment.h
@@ -71,7 +71,14 @@
                              int weight);
 
 /* Runs the command line with --platform added; returns its exit code. */
-int deployment_command(const struct deployment *d, char **output, ...);
+int deployment_command_with(const struct deployment *d, char **output,
+                            const char *const *arguments);
+
+/* The same with the arguments in place. */
+#define DEPLOYMENT_COMMAND(d, output, ...)                                    \
+    deployment_command_with((d), (output),                                    \
+                            (const char *const[]){__VA_ARGS__, NULL})
+
 int deployment_grant(const struct deployment *d, const char *organisation,
                      const char *label, char *key);
 /* "--host=IP:port" of a host's operators' port; freed by the caller. */
--- a/t/proc-config.c
+++ b/t/proc-config.c
@@ -44,7 +44,7 @@
     struct operator_run *run = arg;
 
     run->code =
-        deployment_command(&d, &run->output, "publish", run->directory, NULL);
+        DEPLOYMENT_COMMAND(&d, &run->output, "publish", run->directory, NULL);
     return NULL;
 }
 
@@ -99,7 +99,7 @@
     char *directory = deployment_write_files(&d, "stale", 9);
     int64_t offset = offset_at(0);
     char *output;
-    int code = deployment_command(&d, &output, "publish", "--base=1",
+    int code = DEPLOYMENT_COMMAND(&d, &output, "publish", "--base=1",
                                   directory, NULL);
 
     if (offset != 1) {
@@ -134,7 +134,7 @@
     int code;
 
     deployment_set_platform(&d, "{\"lose_answers\":1}");
-    code = deployment_command(&d, &output, "publish", directory, NULL);
+    code = DEPLOYMENT_COMMAND(&d, &output, "publish", directory, NULL);
     deployment_set_platform(&d, "{\"lose_answers\":0}");
     g_test_message("%d: %s", code, output);
     g_assert_cmpint(code, ==, 0);
--- a/t/proc-withdraw.c
+++ b/t/proc-withdraw.c
@@ -69,14 +69,14 @@
 static void
 test_log_up(void)
 {
-    struct http_client *clients[HOSTS_MAX];
+    struct http_client *clients[HOSTS_MAX] = {NULL};
     char key[KEY_BYTES];
     char *output;
     int code;
 
     g_assert_cmpint(deployment_grant(&d, "alpha", "up", key), ==, 0);
     open_connections(clients, key);
-    code = deployment_command(&d, &output, "key", "withdraw", "up", NULL);
+    code = DEPLOYMENT_COMMAND(&d, &output, "key", "withdraw", "up", NULL);
     g_assert_cmpint(code, ==, 0);
     g_free(output);
     for (int i = 0; i < d.n_hosts; i++) {
@@ -89,7 +89,7 @@
 static void
 test_log_down(void)
 {
-    struct http_client *clients[HOSTS_MAX];
+    struct http_client *clients[HOSTS_MAX] = {NULL};
     char key[KEY_BYTES];
     char *digest;
     char *option;
@@ -102,7 +102,7 @@
     digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
     option = g_strdup_printf("--digest=%s", digest);
     deployment_set_platform(&d, "{\"outage\":1}");
-    code = deployment_command(&d, &output, "key", "withdraw", option, host,
+    code = DEPLOYMENT_COMMAND(&d, &output, "key", "withdraw", option, host,
                               "--timeout=3000", NULL);
     g_test_message("%d: %s", code, output);
     g_assert_cmpint(code, ==, 7);
@@ -162,7 +162,7 @@
     thread = g_thread_new("stream", read_stream, &stream);
     AWAIT(count_running() > before, AWAIT_MS);
     g_assert_cmpint(
-        deployment_command(&d, NULL, "key", "withdraw", "stream", NULL), ==,
+        DEPLOYMENT_COMMAND(&d, NULL, "key", "withdraw", "stream", NULL), ==,
         0);
     g_thread_join(thread);
     g_assert_null(strstr(stream.reply.body->str, "[DONE]"));
@@ -180,7 +180,7 @@
 
     g_assert_cmpint(deployment_grant(&d, "alpha", "replaced", key), ==, 0);
     g_assert_cmpint(
-        deployment_command(&d, NULL, "key", "withdraw", "replaced", NULL), ==,
+        DEPLOYMENT_COMMAND(&d, NULL, "key", "withdraw", "replaced", NULL), ==,
         0);
     for (int i = 0; i < d.n_hosts; i++) {
         process_kill(&d.hosts[i].process);
