bench: compare the policies with two plain pairs on a virtual clock

Drives the real reducer: the two example deployments, engines whose token time grows with the batch, prefix caches, reports that are 700 ms old, load of other hosts that is only seen in reports, a log that can fail. A queueing policy that traces another one counts tier inversions and longest waits from the outside. Baselines go through the same vtables and the same request path.

The outage scenario takes appends away only; reading the log goes on.

--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,11 @@
 proto:
 	@cd wire && protoc-c --c_out=. coriandertrack.proto
 
+# Decisions on a virtual clock; takes about a minute.
+bench:
+	@$(MAKE) build >/dev/null
+	@$(BUILD)/bench/policy-bench examples
+
 model:
 	@sh model/run.sh $(BUILD)
 
--- /dev/null
+++ b/bench/world-upstreams.c
@@ -0,0 +1,318 @@
+#include <string.h>
+
+#include "world-parts.h"
+
+/* Tokens that an event of an attempt brings. */
+#define CHUNK_TOKENS 8
+/* Load of other hosts, as a part of the capacity, and its requests. */
+#define OTHERS_PART 0.08
+#define OTHERS_TOKENS 300
+#define STRAGGLER_PERCENT 500
+
+static void
+post_attempt(struct world *w, guint type, const struct sequence *s,
+             enum ct_outcome outcome, guint tokens)
+{
+    struct ct_event event = {.type = type};
+    gboolean plain = world_engine(w, s->engine)->plain;
+
+    if (ct_handle_is_none(s->attempt)) {
+        return;
+    }
+    event.u.attempt.attempt = s->attempt;
+    event.u.attempt.status = 200;
+    event.u.attempt.outcome = outcome;
+    event.u.attempt.offset =
+        (guint64)(s->resume_tokens + s->made - tokens) * BYTES_PER_TOKEN;
+    event.u.attempt.bytes = plain ? 64 : tokens * BYTES_PER_TOKEN;
+    event.u.attempt.tokens = tokens;
+    if (outcome == CT_OUTCOME_COMPLETE) {
+        event.u.attempt.prompt_tokens = s->prompt_tokens;
+        event.u.attempt.total_tokens = s->tokens;
+    }
+    world_post(w, &event);
+}
+
+/* Sequences at engines. */
+
+static guint
+sequence_new(struct world *w)
+{
+    struct sequence s = {0};
+    guint i;
+
+    if (w->free_sequences->len > 0) {
+        i = g_array_index(w->free_sequences, guint,
+                          w->free_sequences->len - 1);
+        g_array_set_size(w->free_sequences, w->free_sequences->len - 1);
+        *world_sequence(w, i) = s;
+        return i;
+    }
+    g_array_append_val(w->sequences, s);
+    return w->sequences->len - 1;
+}
+
+static void
+enter_batch(struct world *w, guint i)
+{
+    struct sequence *s = world_sequence(w, i);
+    struct engine *engine = world_engine(w, s->engine);
+
+    engine->running++;
+    s->in_batch = TRUE;
+    agenda_add(&w->agenda, w->now_us + engine_prefill_us(engine, s),
+               KIND_STARTED, i, s->attempt.generation);
+}
+
+static void
+join(struct world *w, guint i)
+{
+    struct sequence *s = world_sequence(w, i);
+    struct engine *engine = world_engine(w, s->engine);
+
+    if (engine->running < engine->max_batch) {
+        enter_batch(w, i);
+        return;
+    }
+    g_queue_push_tail(&engine->waiting[s->priority], GUINT_TO_POINTER(i));
+}
+
+/* Frees a sequence and lets the next one of the engine enter. */
+static void
+leave(struct world *w, guint i)
+{
+    struct sequence *s = world_sequence(w, i);
+    struct engine *engine = world_engine(w, s->engine);
+
+    if (!s->in_batch) {
+        g_queue_remove(&engine->waiting[s->priority], GUINT_TO_POINTER(i));
+    }
+    engine->running -= s->in_batch;
+    s->used = FALSE;
+    if (!ct_handle_is_none(s->attempt)) {
+        g_array_index(w->by_attempt, guint, s->attempt.index) = G_MAXUINT;
+    }
+    g_array_append_val(w->free_sequences, i);
+    for (guint p = 0; p < G_N_ELEMENTS(engine->waiting) && !engine->dead;
+         p++) {
+        if (engine->running < engine->max_batch &&
+            engine->waiting[p].length > 0) {
+            enter_batch(
+                w, GPOINTER_TO_UINT(g_queue_pop_head(&engine->waiting[p])));
+        }
+    }
+}
+
+/* The sequence is gone or is another one by now. */
+gboolean
+world_is_stale(struct world *w, const struct entry *entry)
+{
+    const struct sequence *s = world_sequence(w, entry->a);
+
+    return !s->used || s->attempt.generation != entry->b;
+}
+
+void
+world_end_sequence(struct world *w, guint i, enum ct_outcome outcome)
+{
+    struct sequence s = *world_sequence(w, i);
+
+    leave(w, i);
+    post_attempt(w, CT_EVENT_ATTEMPT_DONE, &s, outcome, 0);
+}
+
+static void
+make_tokens(struct world *w, guint i, guint tokens)
+{
+    struct sequence *s = world_sequence(w, i);
+    struct engine *engine = world_engine(w, s->engine);
+    guint left = s->tokens - s->resume_tokens - s->made;
+    struct sequence copy;
+    guint next;
+
+    tokens = MIN(tokens, left);
+    s->made += tokens;
+    if (!ct_handle_is_none(s->attempt)) {
+        struct request *r = world_request(w, s->request);
+
+        r->made += tokens;
+        r->made_cheap += engine->cheap ? tokens : 0;
+    }
+    copy = *s;
+    post_attempt(w, CT_EVENT_ATTEMPT_DATA, &copy, 0, tokens);
+    s = world_sequence(w, i);
+    if (!s->used) {
+        return;
+    }
+    left = s->tokens - s->resume_tokens - s->made;
+    if (left == 0) {
+        world_end_sequence(w, i, CT_OUTCOME_COMPLETE);
+        return;
+    }
+    next = MIN(CHUNK_TOKENS, left);
+    agenda_add(&w->agenda, w->now_us + next * engine_gap_us(engine),
+               KIND_CHUNK, i, s->attempt.generation);
+}
+
+void
+world_on_started(struct world *w, guint i)
+{
+    struct sequence s = *world_sequence(w, i);
+
+    post_attempt(w, CT_EVENT_ATTEMPT_SENT, &s, 0, 0);
+    post_attempt(w, CT_EVENT_ATTEMPT_HEAD, &s, 0, 0);
+    make_tokens(w, i, 1);
+}
+
+void
+world_on_chunk(struct world *w, guint i)
+{
+    make_tokens(w, i, CHUNK_TOKENS);
+}
+
+static guint
+find_engine(struct world *w, const struct ct_name *name)
+{
+    for (guint i = 0; i < w->upstreams->len; i++) {
+        if (ct_name_eq(
+                &g_array_index(w->upstreams, struct ct_upstream, i).name,
+                name)) {
+            return i;
+        }
+    }
+    g_assert_not_reached();
+}
+
+void
+world_start_attempt(struct world *w, const struct ct_attempt_effect *start)
+{
+    const struct request *r = world_request(w, (guint)start->caller - 1);
+    guint i = sequence_new(w);
+    struct sequence *s = world_sequence(w, i);
+    guint none = G_MAXUINT;
+
+    s->used = TRUE;
+    s->engine = find_engine(w, &start->upstream);
+    s->attempt = start->attempt;
+    s->request = (guint)start->caller - 1;
+    s->priority = start->priority;
+    s->prompt_tokens = r->prompt_tokens;
+    s->prefix = r->prefix;
+    s->tokens = r->tokens;
+    s->resume_tokens = (guint)(start->resume_offset / BYTES_PER_TOKEN);
+    while (w->by_attempt->len <= start->attempt.index) {
+        g_array_append_val(w->by_attempt, none);
+    }
+    g_array_index(w->by_attempt, guint, start->attempt.index) = i;
+    if (world_engine(w, s->engine)->dead) {
+        agenda_add(&w->agenda, w->now_us + NET_US, KIND_NOT_SENT, i,
+                   s->attempt.generation);
+        return;
+    }
+    join(w, i);
+}
+
+void
+world_cancel_attempt(struct world *w, struct ct_handle attempt)
+{
+    guint i = g_array_index(w->by_attempt, guint, attempt.index);
+
+    if (i != G_MAXUINT &&
+        ct_handle_eq(world_sequence(w, i)->attempt, attempt)) {
+        leave(w, i);
+    }
+}
+
+void
+world_on_others(struct world *w)
+{
+    gdouble per_s =
+        OTHERS_PART * w->load->capacity_tokens_per_s / OTHERS_TOKENS;
+    guint i = sequence_new(w);
+    struct sequence *s = world_sequence(w, i);
+
+    do {
+        s->engine =
+            (guint)g_rand_int_range(w->random, 0, (gint)w->engines->len);
+    } while (world_engine(w, s->engine)->plain);
+    s->prompt_tokens = 500;
+    s->tokens = OTHERS_TOKENS / 2 +
+                (guint)g_rand_int_range(w->random, 0, OTHERS_TOKENS);
+    s->priority = 1;
+    if (world_engine(w, s->engine)->dead) {
+        g_array_append_val(w->free_sequences, i);
+    }
+    else {
+        s->used = TRUE;
+        join(w, i);
+    }
+    if (w->now_us / 1000 < WARM_UP_MS + MEASURED_MS) {
+        agenda_add(&w->agenda, w->now_us + world_exponential_us(w, per_s),
+                   KIND_OTHERS, 0, 0);
+    }
+}
+
+static void
+kill_engine(struct world *w, guint engine)
+{
+    world_engine(w, engine)->dead = TRUE;
+    for (guint i = 0; i < w->sequences->len; i++) {
+        if (world_sequence(w, i)->used &&
+            world_sequence(w, i)->engine == engine) {
+            world_end_sequence(w, i, CT_OUTCOME_BROKEN);
+        }
+    }
+}
+
+static void
+set_alive(struct world *w, guint engine, gboolean alive)
+{
+    if (!alive && !world_engine(w, engine)->dead) {
+        kill_engine(w, engine);
+    }
+    world_engine(w, engine)->dead = !alive;
+}
+
+/* The zone of the first cheap engine goes as a whole, its cheap ones only. */
+static gboolean
+in_lost_zone(struct world *w, guint i)
+{
+    const struct engine *engine = world_engine(w, i);
+
+    for (guint j = 0; j < w->engines->len; j++) {
+        if (world_engine(w, j)->cheap) {
+            return engine->cheap && engine->zone == world_engine(w, j)->zone;
+        }
+    }
+    return FALSE;
+}
+
+void
+world_on_disturb(struct world *w)
+{
+    ct_ms now_ms = w->now_us / 1000;
+    guint n_firm = 0;
+
+    for (guint i = 0; i < w->engines->len; i++) {
+        struct engine *engine = world_engine(w, i);
+        gboolean straggler;
+        gboolean crashes;
+
+        if (engine->plain) {
+            continue;
+        }
+        n_firm += !engine->cheap;
+        straggler = !engine->cheap && n_firm == 2;
+        crashes = !engine->cheap && n_firm == 3;
+        engine->slow_percent = 100;
+        if (straggler &&
+            scenario_has(w->scenario, DISTURB_STRAGGLER, now_ms)) {
+            engine->slow_percent = STRAGGLER_PERCENT;
+        }
+        set_alive(
+            w, i,
+            !(crashes && scenario_has(w->scenario, DISTURB_CRASH, now_ms)) &&
+                !(in_lost_zone(w, i) &&
+                  scenario_has(w->scenario, DISTURB_ZONE, now_ms)));
+    }
+}
