core: judge stragglers by the gap of an idle engine

Cause: engines batch, so a full one is about twice as slow as an idle one, and the median of a pool with idle upstreams made stragglers of healthy full ones. Each gap is now taken as for an idle engine, a full one counted as needing twice the time. Comparing only with peers of like load was tried on paper and ruled out: the average holds gaps of an earlier load.

--- a/core/balance-affinity.c
+++ b/core/balance-affinity.c
@@ -319,12 +319,13 @@
         return CT_ERR_NO_MEMORY;
     }
     for (uint32_t i = 0; i < n; i++) {
-        const struct ct_balance_row *row =
+        struct ct_balance_row *row =
             ct_balance_row(&b->rows, candidates[i].upstream);
 
         if (!row) {
             return CT_ERR_NO_MEMORY;
         }
+        row->slots = candidates[i].slots;
         if (weigh(&b->choices[i], row, &candidates[i], ask)) {
             probe = (int)i;
         }
@@ -441,17 +442,31 @@
     }
 }
 
+/*
+ * The time between tokens that an idle engine would show: engines batch, and
+ * a full one is taken to need twice the time of an idle one.
+ */
+static uint64_t
+idle_gap_us(const struct ct_balance_row *row, uint32_t tokens, ct_ms gap_ms,
+            ct_ms now_ms)
+{
+    uint64_t gap_us = (uint64_t)gap_ms * 1000 / tokens + 1;
+    uint64_t slots = row->slots > 0 ? row->slots : 1;
+
+    return gap_us * slots / (slots + load_of(row, now_ms));
+}
+
 static void
 affinity_token_gap(struct ct_balance_policy *policy, struct ct_handle upstream,
                    uint32_t tokens, ct_ms gap_ms, ct_ms now_ms)
 {
     struct ct_balance_row *row = row_of(policy, upstream);
 
-    (void)now_ms;
     if (!row || tokens == 0 || gap_ms < 0) {
         return;
     }
-    average(&row->scaled_gap_us, (uint64_t)gap_ms * 1000 / tokens + 1, tokens);
+    average(&row->scaled_gap_us, idle_gap_us(row, tokens, gap_ms, now_ms),
+            tokens);
     row->gap_samples += tokens;
 }
 
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -23,6 +23,7 @@
 
 struct ct_balance_row {
     struct ct_handle upstream;
+    uint32_t slots;
     uint32_t own;
     enum ct_health health;
     /* One request is out to see whether it is back. */
@@ -32,7 +33,8 @@
     ct_ms ejected_until_ms;
     /* Declined a request: full until then. */
     ct_ms full_until_ms;
-    /* Moving averages, scaled; 0 until something was seen. */
+    /* Moving averages, scaled; gaps as of an idle engine; 0 until something
+     * was seen. */
     uint64_t scaled_gap_us;
     uint64_t scaled_first_us;
     uint32_t gap_samples;
--- a/t/test-balance.c
+++ b/t/test-balance.c
@@ -189,6 +189,28 @@
     b->ops->free(b);
 }
 
+/* Longer gaps under more load make no straggler. */
+static void
+test_loaded_is_not_slow(void)
+{
+    struct ct_balance_policy *b = make(2);
+
+    for (guint i = 0; i < SLOTS - 1; i++) {
+        b->ops->started(b, candidates[4].upstream, 1);
+    }
+    for (ct_ms now_ms = 1; now_ms < 5000; now_ms += 50) {
+        struct ct_balance_ask ask = ask_at(now_ms);
+
+        g_assert_cmpint(b->ops->choose(b, &ask, candidates, N), >=, 0);
+        for (guint i = 0; i < N; i++) {
+            b->ops->token_gap(b, candidates[i].upstream, 4, i == 4 ? 180 : 80,
+                              now_ms);
+        }
+    }
+    g_assert_true(b->ops->usable(b, candidates[4].upstream, 5000));
+    b->ops->free(b);
+}
+
 /* Slow ones still serve when no other can, and are never the majority. */
 static void
 test_slow_serves(void)
@@ -304,6 +326,7 @@
     g_test_add_func("/balance/one-probe", test_one_probe);
     g_test_add_func("/balance/broken", test_broken);
     g_test_add_func("/balance/straggler", test_straggler);
+    g_test_add_func("/balance/loaded-is-not-slow", test_loaded_is_not_slow);
     g_test_add_func("/balance/slow-serves", test_slow_serves);
     g_test_add_func("/balance/reports", test_reports);
     g_test_add_func("/balance/affinity", test_affinity);
