core: predict waits from how often slots become free

Cause looked for: in anatolia/burst-high 250 of 1828 served chats came late and 976 waited out their queue limit. Supposed: the mean slot time of the pool hides that long requests of other classes keep slots for longer, so waits are predicted too short. Waits are now counted in departures, each class by its own slot time.

--- a/core/queue-predict.c
+++ b/core/queue-predict.c
@@ -4,14 +4,8 @@
 #define DEFAULT_HOLD_MS 1000
 /* Which of the seen lengths and times a prediction takes. */
 #define PREDICT_PERMILLE 500
-/* A new value counts for one part of this in the moving average. */
-#define HOLD_SCALE 16
-
-static ct_ms
-pool_hold_ms(const struct ct_queue_tiered *q, uint32_t pool)
-{
-    return q->pools[pool].scaled_hold_ms / HOLD_SCALE;
-}
+/* Time over which departures are counted, so that they are whole numbers. */
+#define RATE_SCALE_MS 1000000
 
 static ct_ms
 class_hold_ms(const struct ct_queue_class *klass)
@@ -51,14 +45,14 @@
     }
 }
 
-/* Expected slot time of what fair queueing serves before the row. */
-static ct_ms
-work_ahead_ms(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
+/* Number of requests that fair queueing serves before the row. */
+static uint64_t
+requests_ahead(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
 {
     const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
     uint32_t own_weight = ct_lane_weight(q, row->w.organisation);
     ct_ms own_ms = tp->lanes[row->lane].queued_ms + row->expected_hold_ms;
-    ct_ms ahead_ms = tp->lanes[row->lane].queued_ms;
+    uint64_t ahead = tp->lanes[row->lane].list.n;
 
     for (uint32_t i = 0; i < tp->n_lanes; i++) {
         const struct ct_queue_lane *lane = &tp->lanes[i];
@@ -68,14 +62,41 @@
             continue;
         }
         fair_ms = own_ms * ct_lane_weight(q, lane->organisation) / own_weight;
-        if (lane->tier < row->tier || lane->queued_ms < fair_ms) {
-            ahead_ms += lane->queued_ms;
+        if (lane->tier < row->tier || lane->queued_ms <= fair_ms) {
+            ahead += lane->list.n;
         }
         else {
-            ahead_ms += fair_ms;
+            ahead +=
+                lane->list.n * (uint64_t)fair_ms / (uint64_t)lane->queued_ms;
+        }
+    }
+    return ahead;
+}
+
+/*
+ * How often a slot that the row could use becomes free, in RATE_SCALE_MS.
+ * Long requests of one class keep slots from the others for longer than the
+ * mean says, so each class counts by its own time.
+ */
+static uint64_t
+departures(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
+{
+    const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
+    uint64_t rate = 0;
+
+    for (uint32_t klass = 0; klass < tp->n_uses; klass++) {
+        const struct ct_class_use *use = &tp->uses[klass];
+        uint32_t running = use->running;
+
+        if (!row->cheap_allowed) {
+            running -= use->cheap_running;
+        }
+        if (running > 0) {
+            rate += (uint64_t)running * RATE_SCALE_MS /
+                    (uint64_t)class_hold_ms(&q->rows.classes[klass]);
         }
     }
-    return ahead_ms;
+    return rate;
 }
 
 /* Wait for service from the reserve of the class. */
@@ -94,7 +115,7 @@
     if (use->credit < 0) {
         work_ms -= use->credit;
     }
-    return work_ms * 100 / rate + pool_hold_ms(q, row->w.pool) / slots;
+    return work_ms * 100 / rate;
 }
 
 ct_ms
@@ -103,17 +124,22 @@
 {
     const struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
     uint32_t slots = pool->firm_slots;
+    uint64_t rate = departures(q, row);
     ct_ms wait_ms;
     ct_ms reserve_ms;
 
     if (row->cheap_allowed) {
         slots += pool->cheap_slots;
     }
-    if (slots == 0) {
+    if (slots == 0 || rate == 0) {
         return CT_MS_NEVER;
     }
-    wait_ms = (work_ahead_ms(q, row) + pool_hold_ms(q, row->w.pool)) / slots;
+    wait_ms = (ct_ms)((requests_ahead(q, row) + 1) * RATE_SCALE_MS / rate);
     reserve_ms = reserve_wait_ms(q, row, slots);
+    if (reserve_ms == CT_MS_NEVER) {
+        return wait_ms;
+    }
+    reserve_ms += (ct_ms)(RATE_SCALE_MS / rate);
     return reserve_ms < wait_ms ? reserve_ms : wait_ms;
 }
 
@@ -122,7 +148,6 @@
                  const struct ct_served *served, ct_ms hold_ms)
 {
     struct ct_queue_class *klass = &q->rows.classes[row->w.klass];
-    struct ct_tiered_pool *tp = &q->pools[row->w.pool];
 
     if (served->first_token_ms >= 0) {
         ct_histogram_add(&klass->first_token_ms,
@@ -133,8 +158,4 @@
     }
     ct_histogram_add(&klass->output_tokens, served->output_tokens);
     ct_histogram_add(&klass->hold_ms, (uint64_t)hold_ms);
-    if (tp->scaled_hold_ms == 0) {
-        tp->scaled_hold_ms = hold_ms * HOLD_SCALE;
-    }
-    tp->scaled_hold_ms += hold_ms - tp->scaled_hold_ms / HOLD_SCALE;
 }
--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -136,6 +136,7 @@
     }
     ct_lane_charge(q, row, row->expected_tokens);
     ct_queue_rows_start(&q->rows, row, now_ms);
+    use->cheap_running += row->cheap ? 1 : 0;
 }
 
 /* Takes a row out of its slot; its class and lane no longer use it. */
@@ -147,6 +148,7 @@
 
     ct_reserve_accrue(q, row->w.pool, row->w.klass, now_ms);
     use->running--;
+    use->cheap_running -= row->cheap ? 1 : 0;
     use->reserve_running -= row->from_reserve ? 1 : 0;
     tp->lanes[row->lane].running--;
     ct_queue_rows_stop(&q->rows, row);
@@ -463,7 +465,14 @@
               bool cheap)
 {
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
+    struct ct_handle handle;
+    const struct ct_queue_row *row =
+        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
 
+    if (row && row->cheap != cheap) {
+        q->pools[row->w.pool].uses[row->w.klass].cheap_running +=
+            cheap ? 1 : -1;
+    }
     ct_queue_rows_placed(&q->rows, request, cheap);
 }
 
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -57,7 +57,8 @@
     bool seen;
     uint32_t queued;
     uint32_t running;
-    /* Of these, started from the reserve. */
+    /* Of these, on cheap upstreams, and started from the reserve. */
+    uint32_t cheap_running;
     uint32_t reserve_running;
     /* Slot milliseconds, and the time up to which they are counted. */
     int64_t credit;
@@ -74,8 +75,6 @@
     /* Number of rows that had arrived at the last ordinary start. */
     uint64_t last_start[CT_TIERS];
     uint64_t last_firm_start[CT_TIERS];
-    /* Slot time of a request, moving average; scaled by queue-predict.c. */
-    ct_ms scaled_hold_ms;
 };
 
 /* Tokens of an organisation, losing half each USAGE_HALF_LIFE_MS. */
