core: leave slots that a request could not use out of inversions

Cause: chats that may not run on cheap upstreams were kept past their target, and then served late, because a lower tier held cheap slots: these are nothing that a chat could use. Such a slot no longer forbids early refusal. The definition in queue-tiered.h says so, and the trace of tests and bench judges by the same words, from its own count.

--- a/bench/trace-policy.c
+++ b/bench/trace-policy.c
@@ -22,8 +22,8 @@
 }
 
 static int
-trace_set_class(struct ct_queue_policy *policy, uint32_t klass,
-                const struct ct_class *settings)
+traced_set_class(struct ct_queue_policy *policy, uint32_t klass,
+                 const struct ct_class *settings)
 {
     struct trace_policy *p = self_of(policy);
 
@@ -36,8 +36,8 @@
 }
 
 static int
-trace_set_organisation(struct ct_queue_policy *policy, uint32_t organisation,
-                       uint32_t weight)
+traced_set_organisation(struct ct_queue_policy *policy, uint32_t organisation,
+                        uint32_t weight)
 {
     struct trace_policy *p = self_of(policy);
 
@@ -45,8 +45,8 @@
 }
 
 static int
-trace_set_pool(struct ct_queue_policy *policy, uint32_t pool,
-               uint32_t firm_slots, uint32_t cheap_slots)
+traced_set_pool(struct ct_queue_policy *policy, uint32_t pool,
+                uint32_t firm_slots, uint32_t cheap_slots)
 {
     struct trace_policy *p = self_of(policy);
 
@@ -71,6 +71,7 @@
         allowed && p->cheap_running[place->pool] < p->cheap_slots[place->pool];
     p->cheap_running[place->pool] += place->cheap;
     p->firm_running[place->pool] += !place->cheap;
+    trace_placed(t, place->id, place->cheap);
 }
 
 static void
@@ -81,8 +82,8 @@
 }
 
 static int
-trace_arrive(struct ct_queue_policy *policy, const struct ct_waiting *w,
-             ct_ms now_ms, struct ct_queue_decision *decision)
+traced_arrive(struct ct_queue_policy *policy, const struct ct_waiting *w,
+              ct_ms now_ms, struct ct_queue_decision *decision)
 {
     struct trace_policy *p = self_of(policy);
     struct place *place = place_of(p, w->request);
@@ -112,8 +113,8 @@
 }
 
 static int
-trace_next(struct ct_queue_policy *policy, uint32_t pool, ct_ms now_ms,
-           struct ct_waiting *w)
+traced_next(struct ct_queue_policy *policy, uint32_t pool, ct_ms now_ms,
+            struct ct_waiting *w)
 {
     struct trace_policy *p = self_of(policy);
     int got = p->inner->ops->next(p->inner, pool, now_ms, w);
@@ -125,8 +126,8 @@
 }
 
 static int
-trace_expire(struct ct_queue_policy *policy, ct_ms now_ms,
-             struct ct_shed *shed)
+traced_expire(struct ct_queue_policy *policy, ct_ms now_ms,
+              struct ct_shed *shed)
 {
     struct trace_policy *p = self_of(policy);
     int got = p->inner->ops->expire(p->inner, now_ms, shed);
@@ -140,8 +141,8 @@
 }
 
 static void
-trace_placed(struct ct_queue_policy *policy, struct ct_handle request,
-             bool cheap)
+traced_placed(struct ct_queue_policy *policy, struct ct_handle request,
+              bool cheap)
 {
     struct trace_policy *p = self_of(policy);
     struct place *place = place_of(p, request);
@@ -150,12 +151,13 @@
     place->cheap = cheap;
     p->cheap_running[place->pool] += cheap;
     p->firm_running[place->pool] += !cheap;
+    trace_placed(&p->traces[place->pool], place->id, cheap);
     p->inner->ops->placed(p->inner, request, cheap);
 }
 
 static int
-trace_give_back(struct ct_queue_policy *policy, struct ct_handle request,
-                ct_ms now_ms)
+traced_give_back(struct ct_queue_policy *policy, struct ct_handle request,
+                 ct_ms now_ms)
 {
     struct trace_policy *p = self_of(policy);
     const struct place *place = place_of(p, request);
@@ -166,8 +168,8 @@
 }
 
 static int
-trace_policy_finished(struct ct_queue_policy *policy,
-                      const struct ct_served *served, ct_ms now_ms)
+traced_finished(struct ct_queue_policy *policy, const struct ct_served *served,
+                ct_ms now_ms)
 {
     struct trace_policy *p = self_of(policy);
     const struct place *place = place_of(p, served->request);
@@ -178,7 +180,7 @@
 }
 
 static int
-trace_gone(struct ct_queue_policy *policy, struct ct_handle request)
+traced_gone(struct ct_queue_policy *policy, struct ct_handle request)
 {
     struct trace_policy *p = self_of(policy);
 
@@ -186,8 +188,8 @@
 }
 
 static void
-trace_totals(const struct ct_queue_policy *policy, uint32_t pool,
-             struct ct_queue_totals *totals)
+traced_totals(const struct ct_queue_policy *policy, uint32_t pool,
+              struct ct_queue_totals *totals)
 {
     const struct trace_policy *p = self_of(policy);
 
@@ -195,7 +197,7 @@
 }
 
 static size_t
-trace_bytes(const struct ct_queue_policy *policy)
+traced_bytes(const struct ct_queue_policy *policy)
 {
     const struct trace_policy *p = self_of(policy);
 
@@ -203,7 +205,7 @@
 }
 
 static void
-trace_policy_free(struct ct_queue_policy *policy)
+traced_free(struct ct_queue_policy *policy)
 {
     struct trace_policy *p = self_of(policy);
 
@@ -216,19 +218,19 @@
 }
 
 static const struct ct_queue_policy_ops trace_ops = {
-    .set_class = trace_set_class,
-    .set_organisation = trace_set_organisation,
-    .set_pool = trace_set_pool,
-    .arrive = trace_arrive,
-    .next = trace_next,
-    .expire = trace_expire,
-    .placed = trace_placed,
-    .give_back = trace_give_back,
-    .finished = trace_policy_finished,
-    .gone = trace_gone,
-    .totals = trace_totals,
-    .bytes = trace_bytes,
-    .free = trace_policy_free,
+    .set_class = traced_set_class,
+    .set_organisation = traced_set_organisation,
+    .set_pool = traced_set_pool,
+    .arrive = traced_arrive,
+    .next = traced_next,
+    .expire = traced_expire,
+    .placed = traced_placed,
+    .give_back = traced_give_back,
+    .finished = traced_finished,
+    .gone = traced_gone,
+    .totals = traced_totals,
+    .bytes = traced_bytes,
+    .free = traced_free,
 };
 
 struct trace_policy *
--- a/core/queue-reserve.c
+++ b/core/queue-reserve.c
@@ -112,21 +112,27 @@
 }
 
 bool
-ct_reserve_exceeded_below(const struct ct_queue_tiered *q, uint32_t pool,
-                          uint32_t tier, bool with_slots)
+ct_reserve_exceeded_below(const struct ct_queue_tiered *q,
+                          const struct ct_queue_row *row, bool with_slots)
 {
+    uint32_t pool = row->w.pool;
     const struct ct_tiered_pool *tp = &q->pools[pool];
 
     for (uint32_t klass = 0; klass < tp->n_uses; klass++) {
         const struct ct_class_use *use = &tp->uses[klass];
+        uint32_t usable = use->running;
 
-        if (!use->seen || q->rows.classes[klass].settings.tier <= tier) {
+        if (!use->seen || q->rows.classes[klass].settings.tier <= row->tier) {
             continue;
         }
         if (use->queued > ct_reserve_places(q, klass)) {
             return true;
         }
-        if (with_slots && use->running > ct_reserve_slots(q, pool, klass)) {
+        if (!row->cheap_allowed) {
+            usable -= use->cheap_running;
+        }
+        if (with_slots && usable > 0 &&
+            use->running > ct_reserve_slots(q, pool, klass)) {
             return true;
         }
     }
--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -55,12 +55,10 @@
         inverted = inverted || starts[tier] >= row->sequence;
     }
     if (reason == CT_REFUSAL_OVERLOAD || reason == CT_REFUSAL_OVER_SHARE) {
-        inverted = inverted ||
-                   ct_reserve_exceeded_below(q, row->w.pool, row->tier, false);
+        inverted = inverted || ct_reserve_exceeded_below(q, row, false);
     }
     if (reason == CT_REFUSAL_TARGET_UNREACHABLE) {
-        inverted = inverted ||
-                   ct_reserve_exceeded_below(q, row->w.pool, row->tier, true);
+        inverted = inverted || ct_reserve_exceeded_below(q, row, true);
     }
     pool->inversions += inverted ? 1 : 0;
 }
@@ -184,7 +182,7 @@
     if (queued < ct_reserve_places(q, row->w.klass)) {
         return false;
     }
-    return !ct_reserve_exceeded_below(q, row->w.pool, row->tier, true);
+    return !ct_reserve_exceeded_below(q, row, true);
 }
 
 /* The lowest tier below the row's with more in the queue than it owns. */
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -30,7 +30,9 @@
  *   (b) slot: since R arrived a request of a lower tier was given a slot of
  *       the pool that R could have used, and not from the reserve; or
  *   (c) at once: for target-unreachable, a class of a lower tier has more
- *       requests in slots or in the queue of the pool than its reserve.
+ *       requests in the queue of the pool than its reserved places, or more
+ *       in slots than its reserve and at least one in a slot that R could
+ *       use (one of a cheap upstream is none where R may not run there).
  *
  * The policy keeps this at 0, and counts it all the same. So "no request of
  * a higher tier is shed for a lower one" and "no class starves" agree: what
@@ -109,9 +111,13 @@
  */
 int ct_reserve_class(struct ct_queue_tiered *q,
                      const struct ct_queue_row *chosen, ct_ms now_ms);
-/* Whether a class below the tier holds more than its reserve. */
-bool ct_reserve_exceeded_below(const struct ct_queue_tiered *q, uint32_t pool,
-                               uint32_t tier, bool with_slots);
+/*
+ * Whether a class below the row's tier holds more than its reserve: of the
+ * queue, or also of the slots that the row could use.
+ */
+bool ct_reserve_exceeded_below(const struct ct_queue_tiered *q,
+                               const struct ct_queue_row *row,
+                               bool with_slots);
 
 /* queue-lane.c: one lane an organisation and class; fair queueing. */
 int ct_lane_enter(struct ct_queue_tiered *q, struct ct_queue_row *row);
--- a/t/lib-queue-trace.c
+++ b/t/lib-queue-trace.c
@@ -45,12 +45,22 @@
     t->queued[t->requests[id].klass]++;
 }
 
+void
+trace_placed(struct trace *t, uint32_t id, bool cheap)
+{
+    struct trace_request *r = &t->requests[id];
+
+    t->cheap_running[r->klass] += cheap - r->cheap;
+    r->cheap = cheap;
+}
+
 static void
 leave(struct trace *t, uint32_t id, ct_ms now_ms)
 {
     struct trace_request *r = &t->requests[id];
     ct_ms hold_ms = now_ms - r->started_ms;
 
+    trace_placed(t, id, false);
     t->running[r->klass]--;
     r->running = false;
     t->longest_hold_ms[r->klass] = MAX(t->longest_hold_ms[r->klass], hold_ms);
@@ -102,14 +112,23 @@
 
 /* Whether a class of a lower tier holds more than it owns. */
 static bool
-exceeded_below(const struct trace *t, uint32_t tier, bool with_slots)
+exceeded_below(const struct trace *t, const struct trace_request *r,
+               bool with_slots)
 {
+    uint32_t tier = t->classes[r->klass].tier;
+
     for (uint32_t k = 0; k < TRACE_CLASSES; k++) {
+        uint32_t usable = t->running[k];
+
+        if (!t->classes[r->klass].cheap_allowed) {
+            usable -= t->cheap_running[k];
+        }
         if (t->classes[k].tier <= tier) {
             continue;
         }
         if (t->queued[k] > reserve_of(t, k, t->max_queued) ||
-            (with_slots && t->running[k] > reserve_of(t, k, t->slots))) {
+            (with_slots && usable > 0 &&
+             t->running[k] > reserve_of(t, k, t->slots))) {
             return true;
         }
     }
@@ -120,7 +139,6 @@
 trace_refused(struct trace *t, uint32_t id, enum ct_refusal reason)
 {
     struct trace_request *r = &t->requests[id];
-    uint32_t tier = t->classes[r->klass].tier;
     bool inverted = r->passed_over;
 
     if (r->waiting) {
@@ -129,10 +147,10 @@
     }
     t->refused[r->klass]++;
     if (reason == CT_REFUSAL_OVERLOAD || reason == CT_REFUSAL_OVER_SHARE) {
-        inverted = inverted || exceeded_below(t, tier, false);
+        inverted = inverted || exceeded_below(t, r, false);
     }
     if (reason == CT_REFUSAL_TARGET_UNREACHABLE) {
-        inverted = inverted || exceeded_below(t, tier, true);
+        inverted = inverted || exceeded_below(t, r, true);
     }
     t->inversions += inverted;
 }
--- a/t/lib-queue-trace.h
+++ b/t/lib-queue-trace.h
@@ -15,6 +15,8 @@
     uint32_t klass;
     bool waiting;
     bool running;
+    /* In a slot of a cheap upstream. */
+    bool cheap;
     /* A lower tier was started instead, and not within its reserve. */
     bool passed_over;
     /* Was itself started before a higher tier that waited. */
@@ -33,6 +35,7 @@
     uint32_t first_open;
     uint32_t queued[TRACE_CLASSES];
     uint32_t running[TRACE_CLASSES];
+    uint32_t cheap_running[TRACE_CLASSES];
     /* Slot time from starts before a higher tier that waited. */
     ct_ms reserve_ms[TRACE_CLASSES];
     ct_ms longest_hold_ms[TRACE_CLASSES];
@@ -51,6 +54,8 @@
 void trace_returned(struct trace *t, uint32_t id, ct_ms now_ms);
 /* firm_free: a slot that every class may use was free before the start. */
 void trace_started(struct trace *t, uint32_t id, bool firm_free, ct_ms now_ms);
+/* The running request is on a cheap upstream, or on a firm one. */
+void trace_placed(struct trace *t, uint32_t id, bool cheap);
 void trace_refused(struct trace *t, uint32_t id, enum ct_refusal reason);
 void trace_finished(struct trace *t, uint32_t id, ct_ms now_ms);
 
