core: let a class's own slots, not places, keep it from early refusal

Cause: a class within its reserved places was never refused as unreachable. For a reserve of 15 % that is 60 places, far more than no starvation needs, and what waits there is served late. Now a class is kept only while it holds and awaits fewer slots than it owns. The test own-places asserted the old rule and is replaced by own-slots, as strict: as many are queued as the class owns slots, the next one is refused.

--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -171,15 +171,18 @@
 }
 
 /*
- * Whether the row may be refused because its target cannot be met: not
- * within the places that its class owns, and not while lower tiers hold more
- * than theirs.
+ * Whether the row may be refused because its target cannot be met: not while
+ * the other requests of its class, in slots and waiting, are fewer than the
+ * slots that the class owns, and not while lower tiers hold more than theirs.
  */
 static bool
 may_refuse_as_unreachable(const struct ct_queue_tiered *q,
                           const struct ct_queue_row *row, uint32_t queued)
 {
-    if (queued < ct_reserve_places(q, row->w.klass)) {
+    const struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
+
+    if (use->running + queued <
+        ct_reserve_slots(q, row->w.pool, row->w.klass)) {
         return false;
     }
     return !ct_reserve_exceeded_below(q, row, true);
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -18,9 +18,9 @@
  * started before higher tiers while the class holds fewer slots than its
  * reserve and its credit is not negative. Credit grows by the reserve's slot
  * time, falls by the slot time that the class uses, and is bounded by
- * RESERVE_WINDOW_MS of growth. No class starves: within its reserved places
- * a request is never refused but for its queue limit, and after at most
- * hold time / reserve the class is started again.
+ * RESERVE_WINDOW_MS of growth. No class starves: while it holds and awaits
+ * fewer slots than it owns, a request of it is refused for nothing but its
+ * queue limit, and after at most hold time / reserve it is started again.
  *
  * Tier inversion: a request R of tier T is refused at a host under load (any
  * of overload, over-fair-share, target-unreachable, queue-timeout), and
--- a/t/test-queue-tiered.c
+++ b/t/test-queue-tiered.c
@@ -305,9 +305,9 @@
     p->ops->free(p);
 }
 
-/* Within its places a class is queued even where its target is lost. */
+/* Below its own slots a class is queued even where its target is lost. */
 static void
-test_own_places(void)
+test_own_slots(void)
 {
     struct ct_queue_policy *p = ct_queue_tiered_new(100);
     struct ct_queue_decision d;
@@ -318,15 +318,20 @@
         settings.first_token_target_ms = 1;
         p->ops->set_class(p, k, &settings);
     }
-    p->ops->set_pool(p, 0, 1, 0);
-    for (guint id = 0; id < 31; id++) {
-        struct ct_waiting w = {.request = request(id), .klass = id > 15};
-
+    /* Two of the slots belong to each class; the first one holds all. */
+    p->ops->set_pool(p, 0, 20, 0);
+    for (guint id = 0; id < 30; id++) {
+        struct ct_waiting w = {.request = request(id), .klass = id >= 25};
+        enum ct_admission expected = CT_REFUSED;
+
+        if (id < 20) {
+            expected = CT_ADMITTED;
+        }
+        else if (id == 25 || id == 26) {
+            expected = CT_QUEUED;
+        }
         g_assert_cmpint(p->ops->arrive(p, &w, 0, &d), ==, CT_OK);
-        g_assert_cmpint(d.admission, ==,
-                        id == 0                            ? CT_ADMITTED
-                        : id <= 10 || (id > 15 && id < 26) ? CT_QUEUED
-                                                           : CT_REFUSED);
+        g_assert_cmpint(d.admission, ==, expected);
     }
     p->ops->free(p);
 }
@@ -365,7 +370,7 @@
     g_test_add_func("/queue-tiered/fair-shares", test_fair_shares);
     g_test_add_func("/queue-tiered/weights", test_weights);
     g_test_add_func("/queue-tiered/early-refusal", test_early_refusal);
-    g_test_add_func("/queue-tiered/own-places", test_own_places);
+    g_test_add_func("/queue-tiered/own-slots", test_own_slots);
     g_test_add_func("/queue-tiered/no-overtaking", test_no_overtaking);
     return g_test_run();
 }
