core: serve late requests after all others of their tier

Cause: an organisation with only late requests in its lane, and the least tokens served, got slots for answers that nobody counts on, before requests of others that could still be in time.

--- a/core/queue-lane.c
+++ b/core/queue-lane.c
@@ -173,27 +173,39 @@
         q->rows.classes[lane->klass].settings.cheap_allowed);
 }
 
-/* Whether the head of a lane goes before the best one so far. */
 static bool
-goes_before(const struct ct_queue_row *row, const struct ct_queue_row *best)
+starts_before(const struct ct_queue_row *row, const struct ct_queue_row *best)
 {
     if (!best) {
         return true;
     }
-    if (row->late != best->late) {
-        return best->late;
-    }
     if (row->start_by_ms != best->start_by_ms) {
         return row->start_by_ms < best->start_by_ms;
     }
     return row->sequence < best->sequence;
 }
 
-struct ct_handle
-ct_lane_select(struct ct_queue_tiered *q, uint32_t pool, uint32_t tier,
-               int klass)
+/* The head of a lane that may be started now, or NULL. */
+static const struct ct_queue_row *
+candidate_of(const struct ct_queue_tiered *q, uint32_t pool,
+             const struct ct_queue_lane *lane, uint32_t tier, int klass,
+             bool late)
+{
+    const struct ct_queue_row *row;
+
+    if (!lane_startable(q, pool, lane, tier, klass)) {
+        return NULL;
+    }
+    row = ct_queue_row_get(&q->rows, lane->list.head);
+    return row->late == late ? row : NULL;
+}
+
+/* Of lanes that are about level, the row that has to start first. */
+static struct ct_handle
+select_of(const struct ct_queue_tiered *q, uint32_t pool, uint32_t tier,
+          int klass, bool late)
 {
-    struct ct_tiered_pool *tp = &q->pools[pool];
+    const struct ct_tiered_pool *tp = &q->pools[pool];
     struct ct_handle chosen = CT_NO_HANDLE;
     const struct ct_queue_row *best = NULL;
     uint64_t least = UINT64_MAX;
@@ -201,23 +213,18 @@
     for (uint32_t i = 0; i < tp->n_lanes; i++) {
         const struct ct_queue_lane *lane = &tp->lanes[i];
 
-        if (lane_startable(q, pool, lane, tier, klass) && lane->tag < least) {
+        if (lane->tag < least &&
+            candidate_of(q, pool, lane, tier, klass, late)) {
             least = lane->tag;
         }
     }
-    if (least == UINT64_MAX) {
-        return chosen;
-    }
-    for (uint32_t i = 0; i < tp->n_lanes; i++) {
+    for (uint32_t i = 0; i < tp->n_lanes && least < UINT64_MAX; i++) {
         const struct ct_queue_lane *lane = &tp->lanes[i];
-        const struct ct_queue_row *row;
+        const struct ct_queue_row *row =
+            candidate_of(q, pool, lane, tier, klass, late);
 
-        if (!lane_startable(q, pool, lane, tier, klass) ||
-            lane->tag > least + FAIR_SLACK_TOKENS * TAG_SCALE) {
-            continue;
-        }
-        row = ct_queue_row_get(&q->rows, lane->list.head);
-        if (goes_before(row, best)) {
+        if (row && lane->tag <= least + FAIR_SLACK_TOKENS * TAG_SCALE &&
+            starts_before(row, best)) {
             best = row;
             chosen = lane->list.head;
         }
@@ -225,6 +232,18 @@
     return chosen;
 }
 
+struct ct_handle
+ct_lane_select(struct ct_queue_tiered *q, uint32_t pool, uint32_t tier,
+               int klass)
+{
+    struct ct_handle chosen = select_of(q, pool, tier, klass, false);
+
+    if (ct_handle_is_none(chosen)) {
+        chosen = select_of(q, pool, tier, klass, true);
+    }
+    return chosen;
+}
+
 static void
 decay(struct ct_organisation_use *use, ct_ms now_ms)
 {
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -11,7 +11,7 @@
  * organisation with the fewest tokens in service and served, by weight
  * (start-time fair queueing); of organisations that are about level, the
  * request whose last useful start comes first. Requests past their last
- * useful start are served after the others of their lane.
+ * useful start are served after all others of their tier.
  *
  * Reserve: a class with reserve_percent owns that part of a pool, at least
  * one slot and one place in the queue. A waiting request of the class is
