core: keep classes to their own places while a higher tier is pressed

While that lasts a lower class now gets no places but its own. Tried first: to keep it to its places whenever a higher tier waits.

--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -7,6 +7,8 @@
 
 #define MIN_RETRY_AFTER_MS 200
 #define MAX_RETRY_AFTER_MS 60000
+/* How long after a request could not meet its target its tier is pressed. */
+#define PRESSED_MS 2000
 
 static int
 tiered_set_class(struct ct_queue_policy *policy, uint32_t klass,
@@ -290,6 +292,23 @@
     return ct_timers_add(&q->timers, row->start_by_ms, CT_TIMER_QUEUE, handle);
 }
 
+/*
+ * While requests of a higher tier cannot meet their target, a class gets no
+ * more places than it owns: what it has beyond them would keep the higher
+ * tier from early refusal.
+ */
+static bool
+higher_tier_pressed(const struct ct_tiered_pool *tp, uint32_t tier,
+                    ct_ms now_ms)
+{
+    for (uint32_t i = 0; i < tier; i++) {
+        if (now_ms < tp->pressed_until_ms[i]) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static int
 queue_row(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
           struct ct_queue_decision *decision)
@@ -301,9 +320,18 @@
     int err;
 
     decision->expected_wait_ms = ct_predict_wait(q, row);
-    if (decision->expected_wait_ms > row->start_by_ms - now_ms &&
-        may_refuse_as_unreachable(q, row, use->queued)) {
-        refuse(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, decision);
+    if (decision->expected_wait_ms > row->start_by_ms - now_ms) {
+        q->pools[row->w.pool].pressed_until_ms[row->tier] =
+            now_ms + PRESSED_MS;
+        if (may_refuse_as_unreachable(q, row, use->queued)) {
+            refuse(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, decision);
+            return CT_OK;
+        }
+    }
+    if (use->queued >= ct_reserve_places(q, row->w.klass) &&
+        higher_tier_pressed(&q->pools[row->w.pool], row->tier, now_ms) &&
+        !ct_reserve_exceeded_below(q, row, false)) {
+        refuse(q, handle, CT_REFUSAL_OVERLOAD, decision);
         return CT_OK;
     }
     if (use->queued >= ct_reserve_places(q, row->w.klass) &&
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -74,6 +74,8 @@
     uint32_t n_uses;
     /* Virtual time of fair queueing. */
     uint64_t virtual_time[CT_TIERS];
+    /* Until then a tier counts as unable to meet its targets. */
+    ct_ms pressed_until_ms[CT_TIERS];
     /* Number of rows that had arrived at the last ordinary start. */
     uint64_t last_start[CT_TIERS];
     uint64_t last_firm_start[CT_TIERS];
--- a/t/test-queue-tiered.c
+++ b/t/test-queue-tiered.c
@@ -336,6 +336,31 @@
     p->ops->free(p);
 }
 
+/* Beside a higher tier that misses its target a class has its places only. */
+static void
+test_pressed(void)
+{
+    struct ct_queue_policy *p = ct_queue_tiered_new(100);
+    struct ct_queue_decision d;
+
+    p->ops->set_class(p, 0, &classes[0]);
+    p->ops->set_class(p, 1, &classes[3]);
+    p->ops->set_pool(p, 0, 1, 0);
+    for (guint id = 0; id < 20; id++) {
+        struct ct_waiting w = {.request = request(id), .klass = id >= 3};
+
+        /* One runs, two of the higher tier are too late; five places are
+         * owned. */
+        g_assert_cmpint(p->ops->arrive(p, &w, 0, &d), ==, CT_OK);
+        g_assert_cmpint(d.admission, ==,
+                        id == 0                         ? CT_ADMITTED
+                        : id == 1 || id == 2 || id >= 8 ? CT_REFUSED
+                                                        : CT_QUEUED);
+    }
+    g_assert_cmpint(d.reason, ==, CT_REFUSAL_OVERLOAD);
+    p->ops->free(p);
+}
+
 /* A new request does not overtake one that waits for the same slot. */
 static void
 test_no_overtaking(void)
@@ -371,6 +396,7 @@
     g_test_add_func("/queue-tiered/weights", test_weights);
     g_test_add_func("/queue-tiered/early-refusal", test_early_refusal);
     g_test_add_func("/queue-tiered/own-slots", test_own_slots);
+    g_test_add_func("/queue-tiered/pressed", test_pressed);
     g_test_add_func("/queue-tiered/no-overtaking", test_no_overtaking);
     return g_test_run();
 }
