core: predict the time to the first token by its 90th percentile

Cause: a last useful start that supposes the median time to the first token leaves half of the requests that start last too late; under overload the queue is worked off at its deadline, so most start last.

--- a/core/queue-predict.c
+++ b/core/queue-predict.c
@@ -2,8 +2,9 @@
 
 /* Slot time of a request before anything was learnt. */
 #define DEFAULT_HOLD_MS 1000
-/* Which of the seen lengths and times a prediction takes. */
-#define PREDICT_PERMILLE 500
+/* Which of the seen slot times and times to the first token count. */
+#define HOLD_PERMILLE 500
+#define FIRST_TOKEN_PERMILLE 900
 /* Time over which departures are counted, so that they are whole numbers. */
 #define RATE_SCALE_MS 1000000
 
@@ -32,12 +33,11 @@
             row->expected_hold_ms * (ct_ms)tokens / (ct_ms)mean;
     }
     row->expected_tokens = (uint32_t)tokens + row->w.prompt_tokens / 16 + 1;
-    row->start_by_ms =
-        row->w.arrived_ms + settings->first_token_target_ms -
-        (ct_ms)ct_histogram_quantile(&klass->first_token_ms, PREDICT_PERMILLE);
+    row->start_by_ms = row->w.arrived_ms + settings->first_token_target_ms -
+                       (ct_ms)ct_histogram_quantile(&klass->first_token_ms,
+                                                    FIRST_TOKEN_PERMILLE);
     if (settings->total_target_ms > 0) {
-        hold_ms =
-            (ct_ms)ct_histogram_quantile(&klass->hold_ms, PREDICT_PERMILLE);
+        hold_ms = (ct_ms)ct_histogram_quantile(&klass->hold_ms, HOLD_PERMILLE);
         total_by_ms = row->w.arrived_ms + settings->total_target_ms - hold_ms;
         if (total_by_ms < row->start_by_ms) {
             row->start_by_ms = total_by_ms;
