--- a/core/queue-predict.c
+++ b/core/queue-predict.c
@@ -5,8 +5,6 @@
 /* Which of the seen slot times and times to the first token count. */
 #define HOLD_PERMILLE 500
 #define FIRST_TOKEN_PERMILLE 900
-/* A new interval counts for one part of this in the moving average. */
-#define INTERVAL_SCALE 32
 /* Time over which departures are counted, so that they are whole numbers. */
 #define RATE_SCALE_MS 1000000
 
@@ -81,8 +79,7 @@
  * mean says, so each class counts by its own time.
  */
 static uint64_t
-expected_departures(const struct ct_queue_tiered *q,
-                    const struct ct_queue_row *row)
+departures(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
 {
     const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
     uint64_t rate = 0;
@@ -102,44 +99,6 @@
     return rate;
 }
 
-void
-ct_predict_departure(struct ct_departures *departures, bool saturated,
-                     ct_ms now_ms)
-{
-    ct_ms interval_ms = now_ms - departures->last_ms;
-
-    departures->last_ms = now_ms;
-    if (!saturated) {
-        departures->samples = 0;
-        return;
-    }
-    if (departures->samples++ == 0) {
-        departures->scaled_interval_ms = 0;
-        return;
-    }
-    if (departures->samples <= INTERVAL_SCALE) {
-        departures->scaled_interval_ms += interval_ms;
-        return;
-    }
-    departures->scaled_interval_ms +=
-        interval_ms - departures->scaled_interval_ms / INTERVAL_SCALE;
-}
-
-/* What was observed while requests waited goes before what is expected. */
-static uint64_t
-departure_rate(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
-{
-    const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
-    const struct ct_departures *seen =
-        row->cheap_allowed ? &tp->departures : &tp->firm_departures;
-
-    if (seen->samples <= INTERVAL_SCALE || seen->scaled_interval_ms == 0) {
-        return expected_departures(q, row);
-    }
-    return (uint64_t)RATE_SCALE_MS * INTERVAL_SCALE /
-           (uint64_t)seen->scaled_interval_ms;
-}
-
 /* Wait for service from the reserve of the class. */
 static ct_ms
 reserve_wait_ms(const struct ct_queue_tiered *q,
@@ -165,7 +124,7 @@
 {
     const struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
     uint32_t slots = pool->firm_slots;
-    uint64_t rate = departure_rate(q, row);
+    uint64_t rate = departures(q, row);
     ct_ms wait_ms;
     ct_ms reserve_ms;
 
--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -145,12 +145,7 @@
 {
     struct ct_tiered_pool *tp = &q->pools[row->w.pool];
     struct ct_class_use *use = &tp->uses[row->w.klass];
-    bool saturated = q->rows.pools[row->w.pool].queued > 0;
 
-    ct_predict_departure(&tp->departures, saturated, now_ms);
-    if (!row->cheap) {
-        ct_predict_departure(&tp->firm_departures, saturated, now_ms);
-    }
     ct_reserve_accrue(q, row->w.pool, row->w.klass, now_ms);
     use->running--;
     use->cheap_running -= row->cheap ? 1 : 0;
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -67,14 +67,6 @@
     ct_ms credit_at_ms;
 };
 
-/* How often slots became free while requests waited. */
-struct ct_departures {
-    /* Moving average of the time between two, scaled. */
-    ct_ms scaled_interval_ms;
-    uint32_t samples;
-    ct_ms last_ms;
-};
-
 struct ct_tiered_pool {
     struct ct_queue_lane *lanes;
     uint32_t n_lanes;
@@ -82,9 +74,6 @@
     uint32_t n_uses;
     /* Virtual time of fair queueing. */
     uint64_t virtual_time[CT_TIERS];
-    /* Of all slots, and of the firm ones. */
-    struct ct_departures departures;
-    struct ct_departures firm_departures;
     /* Until then a tier counts as unable to meet its targets. */
     ct_ms pressed_until_ms[CT_TIERS];
     /* Number of rows that had arrived at the last ordinary start. */
@@ -155,9 +144,6 @@
 void ct_predict_row(struct ct_queue_tiered *q, struct ct_queue_row *row);
 ct_ms ct_predict_wait(const struct ct_queue_tiered *q,
                       const struct ct_queue_row *row);
-/* A slot became free; saturated: requests waited for it. */
-void ct_predict_departure(struct ct_departures *departures, bool saturated,
-                          ct_ms now_ms);
 void ct_predict_learn(struct ct_queue_tiered *q,
                       const struct ct_queue_row *row,
                       const struct ct_served *served, ct_ms hold_ms);
