core: give up late requests once no lower tier keeps them

At their last useful start a lower tier held slots beyond its reserve, which forbids to refuse them, and nobody asked again. Now they are looked at again while others wait that may still be in time; where nothing else waits they are served late.

--- a/core/queue-lane.c
+++ b/core/queue-lane.c
@@ -116,12 +116,13 @@
     struct ct_queue_lane *lane = lane_of(q, row);
     struct ct_handle after = CT_NO_HANDLE;
 
-    if (!at_head) {
+    if (!at_head || row->late) {
         after = place_of(q, lane, row);
     }
     ct_queue_list_insert(&q->rows, &lane->list, after, handle);
     lane->queued_ms += row->expected_hold_ms;
     q->pools[row->w.pool].uses[row->w.klass].queued++;
+    q->pools[row->w.pool].late += row->late ? 1 : 0;
 }
 
 void
@@ -133,6 +134,7 @@
     ct_queue_list_remove(&q->rows, &lane->list, handle);
     lane->queued_ms -= row->expected_hold_ms;
     q->pools[row->w.pool].uses[row->w.klass].queued--;
+    q->pools[row->w.pool].late -= row->late ? 1 : 0;
 }
 
 void
--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -5,8 +5,6 @@
 
 #include "error.h"
 
-#define MIN_RETRY_AFTER_MS 200
-#define MAX_RETRY_AFTER_MS 60000
 /* How long after a request could not meet its target its tier is pressed. */
 #define PRESSED_MS 2000
 
@@ -42,74 +40,6 @@
     return ct_queue_rows_set_pool(&q->rows, pool, firm_slots, cheap_slots);
 }
 
-/* Counts the refusal of a row where it is an inversion (see the header). */
-static void
-count_inversion(struct ct_queue_tiered *q, const struct ct_queue_row *row,
-                enum ct_refusal reason)
-{
-    struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
-    const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
-    const uint64_t *starts =
-        row->cheap_allowed ? tp->last_start : tp->last_firm_start;
-    bool inverted = false;
-
-    for (uint32_t tier = row->tier + 1; tier < CT_TIERS; tier++) {
-        inverted = inverted || starts[tier] >= row->sequence;
-    }
-    if (reason == CT_REFUSAL_OVERLOAD || reason == CT_REFUSAL_OVER_SHARE) {
-        inverted = inverted || ct_reserve_exceeded_below(q, row, false);
-    }
-    if (reason == CT_REFUSAL_TARGET_UNREACHABLE) {
-        inverted = inverted || ct_reserve_exceeded_below(q, row, true);
-    }
-    pool->inversions += inverted ? 1 : 0;
-}
-
-/* When the backlog should have shrunk enough for a request like this one. */
-static ct_ms
-retry_after_ms(const struct ct_queue_tiered *q, const struct ct_queue_row *row)
-{
-    ct_ms wait_ms = ct_predict_wait(q, row);
-    ct_ms usual_ms = row->start_by_ms - row->w.arrived_ms;
-
-    if (wait_ms == CT_MS_NEVER || wait_ms - usual_ms > MAX_RETRY_AFTER_MS) {
-        return MAX_RETRY_AFTER_MS;
-    }
-    if (wait_ms - usual_ms < MIN_RETRY_AFTER_MS) {
-        return MIN_RETRY_AFTER_MS;
-    }
-    return wait_ms - usual_ms;
-}
-
-/* Drops a row that waits in its lane. */
-static void
-shed_row(struct ct_queue_tiered *q, struct ct_handle handle,
-         enum ct_refusal reason, struct ct_shed *shed)
-{
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
-
-    shed->request = row->w.request;
-    shed->reason = reason;
-    shed->retry_after_ms = retry_after_ms(q, row);
-    ct_lane_remove(q, handle);
-    count_inversion(q, row, reason);
-    ct_queue_rows_drop(&q->rows, handle);
-}
-
-/* Refuses a row that has just arrived and is in no lane. */
-static void
-refuse(struct ct_queue_tiered *q, struct ct_handle handle,
-       enum ct_refusal reason, struct ct_queue_decision *decision)
-{
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
-
-    decision->admission = CT_REFUSED;
-    decision->reason = reason;
-    decision->retry_after_ms = retry_after_ms(q, row);
-    count_inversion(q, row, reason);
-    ct_queue_rows_drop(&q->rows, handle);
-}
-
 static void
 start(struct ct_queue_tiered *q, struct ct_queue_row *row, bool from_reserve,
       ct_ms now_ms)
@@ -172,112 +102,6 @@
     return true;
 }
 
-/*
- * Whether the row may be refused because its target cannot be met: not while
- * the other requests of its class, in slots and waiting, are fewer than the
- * slots that the class owns, and not while lower tiers hold more than theirs.
- */
-static bool
-may_refuse_as_unreachable(const struct ct_queue_tiered *q,
-                          const struct ct_queue_row *row, uint32_t queued)
-{
-    const struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
-
-    if (use->running + queued <
-        ct_reserve_slots(q, row->w.pool, row->w.klass)) {
-        return false;
-    }
-    return !ct_reserve_exceeded_below(q, row, true);
-}
-
-/* The lowest tier below the row's with more in the queue than it owns. */
-static bool
-lower_victim_tier(const struct ct_queue_tiered *q,
-                  const struct ct_queue_row *row, uint32_t *tier)
-{
-    for (*tier = CT_TIERS - 1; *tier > row->tier; (*tier)--) {
-        const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
-
-        for (uint32_t klass = 0; klass < tp->n_uses; klass++) {
-            if (tp->uses[klass].seen &&
-                q->rows.classes[klass].settings.tier == *tier &&
-                tp->uses[klass].queued > ct_reserve_places(q, klass)) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
-/*
- * The lane of the tier whose organisation is furthest above its fair share
- * and whose class waits beyond its places; -1 for none.
- */
-static int
-victim_lane(struct ct_queue_tiered *q, uint32_t pool, uint32_t tier,
-            uint64_t *share, ct_ms now_ms)
-{
-    struct ct_tiered_pool *tp = &q->pools[pool];
-    int victim = -1;
-
-    *share = 0;
-    for (uint32_t i = 0; i < tp->n_lanes; i++) {
-        const struct ct_queue_lane *lane = &tp->lanes[i];
-        uint64_t lane_share;
-
-        if (lane->list.n == 0 || lane->tier != tier ||
-            tp->uses[lane->klass].queued <=
-                ct_reserve_places(q, lane->klass)) {
-            continue;
-        }
-        lane_share = ct_lane_share(q, pool, lane->organisation, tier, now_ms);
-        if (victim < 0 || lane_share > *share) {
-            victim = (int)i;
-            *share = lane_share;
-        }
-    }
-    return victim;
-}
-
-/*
- * Frees one place for the row by shedding another. The last of a lane has
- * the least chance: it is late or has the longest wait before it. Returns
- * CT_OK, or the negated reason for refusing the row itself.
- */
-static int
-make_room(struct ct_queue_tiered *q, const struct ct_queue_row *row,
-          struct ct_queue_decision *decision, ct_ms now_ms)
-{
-    enum ct_refusal reason = CT_REFUSAL_OVERLOAD;
-    uint32_t pool = row->w.pool;
-    uint32_t tier;
-    uint64_t share;
-    uint64_t own;
-    int victim;
-
-    if (!lower_victim_tier(q, row, &tier)) {
-        tier = row->tier;
-        reason = CT_REFUSAL_OVER_SHARE;
-    }
-    victim = victim_lane(q, pool, tier, &share, now_ms);
-    if (victim < 0) {
-        return -CT_REFUSAL_OVERLOAD;
-    }
-    if (tier == row->tier) {
-        own = ct_lane_share(q, pool, row->w.organisation, tier, now_ms);
-        if (q->pools[pool].lanes[victim].organisation == row->w.organisation) {
-            return -CT_REFUSAL_OVER_SHARE;
-        }
-        if (own >= share) {
-            return -CT_REFUSAL_OVERLOAD;
-        }
-    }
-    decision->has_shed = true;
-    shed_row(q, q->pools[pool].lanes[victim].list.tail, reason,
-             &decision->shed);
-    return CT_OK;
-}
-
 /* Arms the timers that end or demote a wait. Errors: CT_ERR_NO_MEMORY. */
 static int
 arm(struct ct_queue_tiered *q, struct ct_handle handle)
@@ -323,23 +147,24 @@
     if (decision->expected_wait_ms > row->start_by_ms - now_ms) {
         q->pools[row->w.pool].pressed_until_ms[row->tier] =
             now_ms + PRESSED_MS;
-        if (may_refuse_as_unreachable(q, row, use->queued)) {
-            refuse(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, decision);
+        if (ct_shed_allowed(q, row, use->queued)) {
+            ct_shed_arrival(q, handle, CT_REFUSAL_TARGET_UNREACHABLE,
+                            decision);
             return CT_OK;
         }
     }
     if (use->queued >= ct_reserve_places(q, row->w.klass) &&
         higher_tier_pressed(&q->pools[row->w.pool], row->tier, now_ms) &&
         !ct_reserve_exceeded_below(q, row, false)) {
-        refuse(q, handle, CT_REFUSAL_OVERLOAD, decision);
+        ct_shed_arrival(q, handle, CT_REFUSAL_OVERLOAD, decision);
         return CT_OK;
     }
     if (use->queued >= ct_reserve_places(q, row->w.klass) &&
         pool->queued + ct_reserve_unused_places(q, row->w.pool) >=
             q->rows.max_queued) {
-        reason = make_room(q, row, decision, now_ms);
+        reason = ct_shed_for(q, row, decision, now_ms);
         if (reason < 0) {
-            refuse(q, handle, (enum ct_refusal) - reason, decision);
+            ct_shed_arrival(q, handle, (enum ct_refusal) - reason, decision);
             return CT_OK;
         }
     }
@@ -445,35 +270,6 @@
     return 1;
 }
 
-/* Ends or demotes the wait of a row whose timer is due; 1 where it ended. */
-static int
-wait_due(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
-         struct ct_shed *shed)
-{
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
-    const struct ct_class_use *use;
-
-    if (!row || row->state != CT_QUEUE_ROW_WAITING) {
-        return 0;
-    }
-    if (row->give_up_ms <= now_ms) {
-        shed_row(q, handle, CT_REFUSAL_QUEUE_TIMEOUT, shed);
-        return 1;
-    }
-    if (row->start_by_ms > now_ms || row->late) {
-        return 0;
-    }
-    use = &q->pools[row->w.pool].uses[row->w.klass];
-    if (may_refuse_as_unreachable(q, row, use->queued - 1)) {
-        shed_row(q, handle, CT_REFUSAL_TARGET_UNREACHABLE, shed);
-        return 1;
-    }
-    ct_lane_remove(q, handle);
-    row->late = true;
-    ct_lane_insert(q, handle, false);
-    return 0;
-}
-
 static int
 tiered_expire(struct ct_queue_policy *policy, ct_ms now_ms,
               struct ct_shed *shed)
@@ -482,7 +278,12 @@
     struct ct_timer timer;
 
     while (ct_timers_pop(&q->timers, now_ms, &timer)) {
-        if (wait_due(q, timer.handle, now_ms, shed)) {
+        if (ct_shed_due(q, timer.handle, now_ms, shed)) {
+            return 1;
+        }
+    }
+    for (uint32_t pool = 0; pool < q->n_pools; pool++) {
+        if (ct_shed_late(q, pool, shed)) {
             return 1;
         }
     }
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -68,6 +68,8 @@
 };
 
 struct ct_tiered_pool {
+    /* Rows that wait past their last useful start. */
+    uint32_t late;
     struct ct_queue_lane *lanes;
     uint32_t n_lanes;
     struct ct_class_use *uses;
@@ -140,6 +142,35 @@
 void ct_lane_use(struct ct_queue_tiered *q, uint32_t organisation,
                  uint64_t tokens, ct_ms now_ms);
 
+/* queue-shed.c: who is refused, and why. */
+
+/* Refuses a row that has just arrived and is in no lane. */
+void ct_shed_arrival(struct ct_queue_tiered *q, struct ct_handle handle,
+                     enum ct_refusal reason,
+                     struct ct_queue_decision *decision);
+/*
+ * Whether the row may be refused because its target cannot be met: not while
+ * the other requests of its class, in slots and waiting, are fewer than the
+ * slots that the class owns, and not while lower tiers hold more than theirs.
+ */
+bool ct_shed_allowed(const struct ct_queue_tiered *q,
+                     const struct ct_queue_row *row, uint32_t queued);
+/*
+ * Frees one place for the row by shedding another. Returns CT_OK, or the
+ * negated reason for refusing the row itself.
+ */
+int ct_shed_for(struct ct_queue_tiered *q, const struct ct_queue_row *row,
+                struct ct_queue_decision *decision, ct_ms now_ms);
+/* Ends or demotes the wait of a row whose timer is due; 1 where it ended. */
+int ct_shed_due(struct ct_queue_tiered *q, struct ct_handle handle,
+                ct_ms now_ms, struct ct_shed *shed);
+/*
+ * Refuses a late row of the pool that lower tiers no longer keep from it,
+ * while others wait that may be in time; returns 1, or 0 for none.
+ */
+int ct_shed_late(struct ct_queue_tiered *q, uint32_t pool,
+                 struct ct_shed *shed);
+
 /* queue-predict.c: what will a request need, how long will it wait. */
 void ct_predict_row(struct ct_queue_tiered *q, struct ct_queue_row *row);
 ct_ms ct_predict_wait(const struct ct_queue_tiered *q,
--- a/t/test-queue-tiered.c
+++ b/t/test-queue-tiered.c
@@ -361,6 +361,51 @@
     p->ops->free(p);
 }
 
+/* A late request is given up for one that is in time, else it is served. */
+static void
+check_late(gboolean other_waits)
+{
+    struct ct_queue_policy *p = ct_queue_tiered_new(100);
+    struct ct_class settings = classes[0];
+    struct ct_queue_decision d;
+    struct ct_shed shed;
+    struct ct_waiting w = {0};
+
+    settings.reserve_percent = 0;
+    p->ops->set_class(p, 0, &settings);
+    p->ops->set_class(p, 1, &classes[1]);
+    p->ops->set_class(p, 3, &classes[3]);
+    p->ops->set_pool(p, 0, 4, 0);
+    for (guint id = 0; id < 5 + (guint)other_waits; id++) {
+        w.request = request(id);
+        w.klass = id < 4 ? 3 : id - 4;
+        p->ops->arrive(p, &w, 0, &d);
+        g_assert_cmpint(d.admission, ==, id < 4 ? CT_ADMITTED : CT_QUEUED);
+    }
+    /* Late from 800 ms on; kept while the lowest class holds four slots. */
+    g_assert_cmpint(p->ops->expire(p, 900, &shed), ==, 0);
+    for (guint id = 0; id < 3; id++) {
+        struct ct_served served = {.request = request(id)};
+
+        p->ops->finished(p, &served, 900);
+    }
+    g_assert_cmpint(p->ops->expire(p, 900, &shed), ==, other_waits);
+    if (other_waits) {
+        g_assert_cmpuint(shed.request.index, ==, 4);
+        g_assert_cmpint(shed.reason, ==, CT_REFUSAL_TARGET_UNREACHABLE);
+    }
+    g_assert_cmpint(p->ops->next(p, 0, 900, &w), ==, 1);
+    g_assert_cmpuint(w.request.index, ==, other_waits ? 5 : 4);
+    p->ops->free(p);
+}
+
+static void
+test_late(void)
+{
+    check_late(TRUE);
+    check_late(FALSE);
+}
+
 /* A new request does not overtake one that waits for the same slot. */
 static void
 test_no_overtaking(void)
@@ -397,6 +442,7 @@
     g_test_add_func("/queue-tiered/early-refusal", test_early_refusal);
     g_test_add_func("/queue-tiered/own-slots", test_own_slots);
     g_test_add_func("/queue-tiered/pressed", test_pressed);
+    g_test_add_func("/queue-tiered/late", test_late);
     g_test_add_func("/queue-tiered/no-overtaking", test_no_overtaking);
     return g_test_run();
 }
