bench: cost of a decision, and count tier inversions of the policy

bench-core drives the reducer with whole requests and prints nanoseconds an event and bytes a row; make bench-core runs it at 10 and at 600 upstreams. The queue's own count of inversions now reaches tier_inversions_total.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CMAKE_FLAGS ?=
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test sanitize demo bench bench-path format check-format tidy \
+.PHONY: all deps build test sanitize demo bench bench-path bench-policy bench-core format check-format tidy \
 	install proto model fuzz-short clean
 
 all: build
@@ -43,7 +43,7 @@
 demo: deps build
 	@sh demo/run.sh $(BUILD)
 
-bench: bench-path
+bench: bench-path bench-policy bench-core
 
 bench-path: build
 	@CT_BUILD_DIR=$(BUILD) $(BUILD)/bench/bench-path 2>/dev/null
@@ -64,11 +64,18 @@
 proto:
 	@cd wire && protoc-c --c_out=. coriandertrack.proto
 
-# Decisions on a virtual clock; takes about a minute.
-bench:
+# Decisions on a virtual clock; takes under a minute.
+bench-policy:
 	@$(MAKE) build >/dev/null
 	@$(BUILD)/bench/policy-bench examples
 
+# Cost of a decision: UPSTREAMS POOLS ORGANISATIONS REQUESTS
+bench-core:
+	@$(MAKE) build >/dev/null
+	@$(BUILD)/bench/bench-core 10 1 10 20000
+	@$(BUILD)/bench/bench-core 600 1 2400 20000
+	@$(BUILD)/bench/bench-core 600 28 2400 20000
+
 model:
 	@sh model/run.sh $(BUILD)
 
--- a/core/config.h
+++ b/core/config.h
@@ -36,6 +36,8 @@
     uint32_t slots_busy;
     /* Slots of all hosts together, and those that this host may fill. */
     uint32_t slots_total;
+    /* Tier inversions that were counted already. */
+    uint64_t inversions;
     uint32_t slots_held;
 };
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -229,6 +229,9 @@
     if (pool) {
         state->queue->ops->totals(state->queue, handle.index, &totals);
         pool->slots_busy = totals.running;
+        state->counters.values[CT_COUNTER_TIER_INVERSIONS] +=
+            totals.inversions - pool->inversions;
+        pool->inversions = totals.inversions;
     }
 }
 
