core: find the balancing rows of a choice once

Rows are found once, stragglers are looked for when peers are compared, and the two hashes are mixed in three steps.

--- a/core/balance-affinity.c
+++ b/core/balance-affinity.c
@@ -53,28 +53,21 @@
     return values[n / 2];
 }
 
-/* Tells each candidate's row the medians of its peers, now and then. */
+/* Tells each candidate's row the medians of its peers. */
 static int
-compare_peers(struct ct_balance_affinity *b,
-              const struct ct_candidate *candidates, uint32_t n, ct_ms now_ms)
+compare_peers(struct ct_balance_affinity *b, uint32_t n, ct_ms now_ms)
 {
-    struct ct_balance_row *first =
-        ct_balance_row(&b->rows, candidates[0].upstream);
     uint64_t median_gap_us;
     uint64_t median_first_us;
     uint32_t n_gaps = 0;
     uint32_t n_firsts = 0;
 
-    if (now_ms - first->compared_at_ms < COMPARE_INTERVAL_MS) {
-        return CT_OK;
-    }
     if (ct_queue_grow((void **)&b->sorted, &b->n_sorted, 2 * n,
                       sizeof(*b->sorted)) < 0) {
         return CT_ERR_NO_MEMORY;
     }
     for (uint32_t i = 0; i < n; i++) {
-        const struct ct_balance_row *row =
-            ct_balance_row(&b->rows, candidates[i].upstream);
+        const struct ct_balance_row *row = b->choices[i].row;
 
         if (row->gap_samples >= MIN_GAP_SAMPLES) {
             b->sorted[n_gaps++] = row->scaled_gap_us;
@@ -86,8 +79,7 @@
     median_gap_us = median(b->sorted, n_gaps);
     median_first_us = median(b->sorted + n, n_firsts);
     for (uint32_t i = 0; i < n; i++) {
-        struct ct_balance_row *row =
-            ct_balance_row(&b->rows, candidates[i].upstream);
+        struct ct_balance_row *row = b->choices[i].row;
 
         row->median_gap_us = median_gap_us;
         row->median_first_us = median_first_us;
@@ -151,11 +143,13 @@
 
 /* Fills in the figures of a candidate; returns whether it is to be probed. */
 static bool
-weigh(struct ct_choice *choice, const struct ct_balance_row *row,
-      const struct ct_candidate *candidate, const struct ct_balance_ask *ask)
+weigh(struct ct_choice *choice, const struct ct_candidate *candidate,
+      const struct ct_balance_ask *ask)
 {
+    struct ct_balance_row *row = choice->row;
     bool ejected = row->health != CT_HEALTHY;
 
+    row->slots = candidate->slots;
     choice->load = load_of(row, ask->now_ms);
     choice->slots = candidate->slots > 0 ? candidate->slots : 1;
     choice->cheap = candidate->cheap;
@@ -174,21 +168,19 @@
 
 /* Ejects the candidates that are slow, but not too many at a time. */
 static void
-eject_slow(struct ct_balance_affinity *b,
-           const struct ct_candidate *candidates, uint32_t n, ct_ms now_ms)
+eject_slow(struct ct_balance_affinity *b, uint32_t n, ct_ms now_ms)
 {
     uint32_t ejected = 0;
 
     for (uint32_t i = 0; i < n; i++) {
-        ejected += ct_balance_row(&b->rows, candidates[i].upstream)->health !=
-                   CT_HEALTHY;
+        ejected += b->choices[i].row->health != CT_HEALTHY;
     }
     for (uint32_t i = 0; i < n && (ejected + 1) * 3 <= n; i++) {
-        struct ct_balance_row *row =
-            ct_balance_row(&b->rows, candidates[i].upstream);
+        struct ct_balance_row *row = b->choices[i].row;
 
         if (row->health == CT_HEALTHY && is_slow(row)) {
             eject(row, CT_EJECTED_SLOW, EJECT_SLOW_MS, now_ms);
+            b->choices[i].slow = true;
             ejected++;
         }
     }
@@ -229,13 +221,16 @@
     return choice->cheap && choice->load < choice->slots;
 }
 
+/* Both are hashes already; the steps of splitmix64 mix the pair. */
 static uint64_t
 rendezvous(const struct ct_balance_ask *ask,
            const struct ct_candidate *candidate)
 {
-    uint64_t pair[2] = {ask->prefix_hash, candidate->name_hash};
+    uint64_t z = ask->prefix_hash ^ candidate->name_hash;
 
-    return ct_hash_bytes(CT_HASH_SEED, pair, sizeof(pair));
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return z ^ (z >> 31);
 }
 
 /* The open candidate that the prefix belongs to, within the load bound. */
@@ -302,6 +297,32 @@
     return chosen;
 }
 
+/* Finds the rows of all candidates; they do not move until the next call. */
+static int
+find_rows(struct ct_balance_affinity *b, const struct ct_candidate *candidates,
+          uint32_t n)
+{
+    uint32_t last = 0;
+
+    if (ct_queue_grow((void **)&b->choices, &b->n_choices, n,
+                      sizeof(*b->choices)) < 0) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        if (candidates[i].upstream.index > last) {
+            last = candidates[i].upstream.index;
+        }
+    }
+    if (ct_queue_grow((void **)&b->rows.rows, &b->rows.n_rows, last + 1,
+                      sizeof(*b->rows.rows)) < 0) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        b->choices[i].row = ct_balance_row(&b->rows, candidates[i].upstream);
+    }
+    return CT_OK;
+}
+
 static int
 affinity_choose(struct ct_balance_policy *policy,
                 const struct ct_balance_ask *ask,
@@ -314,29 +335,24 @@
     if (n == 0) {
         return CT_ERR_NOT_FOUND;
     }
-    if (ct_queue_grow((void **)&b->choices, &b->n_choices, n,
-                      sizeof(*b->choices)) < 0) {
+    if (find_rows(b, candidates, n) < 0) {
         return CT_ERR_NO_MEMORY;
     }
     for (uint32_t i = 0; i < n; i++) {
-        struct ct_balance_row *row =
-            ct_balance_row(&b->rows, candidates[i].upstream);
-
-        if (!row) {
-            return CT_ERR_NO_MEMORY;
-        }
-        row->slots = candidates[i].slots;
-        if (weigh(&b->choices[i], row, &candidates[i], ask)) {
+        if (weigh(&b->choices[i], &candidates[i], ask)) {
             probe = (int)i;
         }
     }
     if (probe >= 0) {
         return probe;
     }
-    if (compare_peers(b, candidates, n, ask->now_ms) < 0) {
-        return CT_ERR_NO_MEMORY;
+    if (ask->now_ms - b->choices[0].row->compared_at_ms >=
+        COMPARE_INTERVAL_MS) {
+        if (compare_peers(b, n, ask->now_ms) < 0) {
+            return CT_ERR_NO_MEMORY;
+        }
+        eject_slow(b, n, ask->now_ms);
     }
-    eject_slow(b, candidates, n, ask->now_ms);
     prefer(b->choices, n, is_quick);
     prefer(b->choices, n, is_cheap_with_room);
     if (ask->prefix_hash != 0) {
--- a/core/balance-affinity.h
+++ b/core/balance-affinity.h
@@ -21,6 +21,7 @@
 
 /* A candidate's figures during one choice. */
 struct ct_choice {
+    struct ct_balance_row *row;
     uint32_t load;
     uint32_t slots;
     bool open;
