core: repeat what never left the host without a budget

A refused connection adds no load, so it needs no budget against feeding an overload; the attempts of a request stay bounded.

--- a/core/retry.c
+++ b/core/retry.c
@@ -87,6 +87,10 @@
     if (!idempotent && ct_outcome_may_have_run(outcome)) {
         return false;
     }
+    /* Nothing reached an upstream, so a repeat adds to no overload. */
+    if (outcome == CT_OUTCOME_NOT_SENT) {
+        return true;
+    }
     return spend(&rc->budget.retry_units);
 }
 
--- a/core/retry.h
+++ b/core/retry.h
@@ -46,8 +46,9 @@
 
 /*
  * Whether the request may be repeated after this outcome, and takes the
- * repeat out of the budget. Non-idempotent requests are only repeated where
- * they surely did not run.
+ * repeat out of the budget; one after CT_OUTCOME_NOT_SENT is free, the owner
+ * bounds the attempts. Non-idempotent requests are only repeated where they
+ * surely did not run.
  */
 bool ct_retry_allowed(struct ct_retry_class *rc, enum ct_outcome outcome,
                       bool idempotent);
--- a/t/test-retry.c
+++ b/t/test-retry.c
@@ -86,6 +86,18 @@
     g_assert_cmpuint(retries, ==, 50);
 }
 
+/* What never left this host is no load, so it needs no budget. */
+static void
+test_not_sent_is_free(void)
+{
+    struct ct_retry_class rc = make_class(0, 0);
+
+    g_assert_true(ct_retry_allowed(&rc, CT_OUTCOME_NOT_SENT, FALSE));
+    g_assert_true(ct_retry_allowed(&rc, CT_OUTCOME_NOT_SENT, TRUE));
+    g_assert_false(ct_retry_allowed(&rc, CT_OUTCOME_DECLINED, TRUE));
+    g_assert_false(ct_retry_allowed(&rc, CT_OUTCOME_EXPIRED, TRUE));
+}
+
 static void
 test_hedge_delay(void)
 {
@@ -127,6 +139,7 @@
     g_test_add_func("/retry/outcomes", test_outcomes);
     g_test_add_func("/retry/budget", test_budget);
     g_test_add_func("/retry/saved", test_saved);
+    g_test_add_func("/retry/not-sent-is-free", test_not_sent_is_free);
     g_test_add_func("/retry/hedge-delay", test_hedge_delay);
     g_test_add_func("/retry/settings", test_settings);
     return g_test_run();
