--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CMAKE_FLAGS ?=
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test sanitize demo bench bench-path format check-format tidy \
+.PHONY: all deps build test sanitize demo bench bench-path bench-policy bench-core format check-format tidy \
 	install proto model fuzz-short clean
 
 all: build
@@ -59,14 +59,20 @@
 proto:
 	@cd wire && protoc-c --c_out=. coriandertrack.proto
 
-# Decisions on a virtual clock; takes about a minute.
-bench: bench-policy bench-path
+bench: bench-policy bench-core bench-path
 
-# Decisions against plain baselines, on a virtual clock.
+# Decisions against plain baselines, on a virtual clock; about a minute.
 bench-policy:
 	@$(MAKE) build >/dev/null
 	@$(BUILD)/bench/policy-bench examples
 
+# Cost of a decision: UPSTREAMS POOLS ORGANISATIONS REQUESTS
+bench-core:
+	@$(MAKE) build >/dev/null
+	@$(BUILD)/bench/bench-core 10 1 10 20000
+	@$(BUILD)/bench/bench-core 600 1 2400 20000
+	@$(BUILD)/bench/bench-core 600 28 2400 20000
+
 # What a host adds to a call, with the stand-ins as processes.
 bench-path:
 	@$(MAKE) build >/dev/null
