core: order upstreams by the holder of a lease, with intents in the log

An order's intent goes into the log first; its offset is the order's number. An order leaves only if the rest of the lease covers its time-out, and the executor gets that limit. A successor waits one order time-out, then repeats what is outstanding under the same numbers before it plans. A drain keeps the lease while an order may be on its way.

Hosts tell the holder of their demand (new message CT_PEER_DEMAND). The policy is a vtable; the default one wants the demand and a fifth, spread over the zones, for cheap upstreams as many more as the loss of the largest zone takes, grows at once and gives back one by one after 2 minutes. A pool is planned again only when the platform's list had 15 s to show what was ordered.

--- a/core/lease.c
+++ b/core/lease.c
@@ -205,7 +205,8 @@
 static bool
 is_busy(const struct ct_state *state, enum ct_role role)
 {
-    return role == CT_ROLE_USAGE && ct_usage_is_reporting(state);
+    return role == CT_ROLE_USAGE ? ct_usage_is_reporting(state)
+                                 : ct_orders_in_flight(state);
 }
 
 static void
--- a/core/log-replay.c
+++ b/core/log-replay.c
@@ -130,7 +130,11 @@
             state, ct_usage_accepted_apply(state, &entry->record.u.window));
         return;
     case CT_RECORD_ORDER_INTENT:
+        count_rejected(state, ct_order_intent_apply(state, entry));
+        return;
     case CT_RECORD_ORDER_DONE:
+        count_rejected(state,
+                       ct_order_done_apply(state, &entry->record.u.order));
         return;
     default:
         /* Unknown to this version; every host of it skips it alike. */
@@ -159,6 +163,7 @@
                 state->log.applied);
     ct_leases_start(state);
     ct_usage_start(state);
+    ct_orders_start(state);
 }
 
 static void
--- a/core/peer-message.h
+++ b/core/peer-message.h
@@ -25,6 +25,8 @@
     /* rows: struct ct_snapshot_row; state for a host that starts */
     CT_PEER_STATE_ASK,
     CT_PEER_STATE,
+    /* rows: struct ct_share_row, for the holder of the orders lease */
+    CT_PEER_DEMAND,
 };
 
 /* Demand and use of one pool at the sender, for sharing its slots. */
--- a/core/record.h
+++ b/core/record.h
@@ -107,6 +107,8 @@
     bool cheap;
     /* Result, in CT_RECORD_ORDER_DONE; 0 or an error. */
     int32_t result;
+    /* Over; in snapshots. */
+    bool done;
 };
 
 enum ct_snapshot_kind {
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -56,8 +56,10 @@
     case CT_TIMER_USAGE:
         ct_usage_on_timer(state);
         return;
-    case CT_TIMER_LOG:
     case CT_TIMER_ORDERS:
+        ct_orders_on_timer(state);
+        return;
+    case CT_TIMER_LOG:
     default:
         return;
     }
@@ -103,6 +105,9 @@
     case CT_PEER_SHARE_GIVE:
         ct_sharing_on_message(state, message);
         return;
+    case CT_PEER_DEMAND:
+        ct_order_plan_on_demand(state, message);
+        return;
     case CT_PEER_USAGE_COPY:
         ct_usage_on_copy(state, message);
         return;
@@ -221,6 +226,7 @@
         ct_usage_finals_on_report_done(state, &event->u.report);
         return CT_OK;
     case CT_EVENT_ORDER_DONE:
+        ct_orders_on_done(state, &event->u.order);
         return CT_OK;
     default:
         return CT_ERR_INVALID;
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -91,6 +91,7 @@
     add_claims(state, out);
     add_leases(state, out);
     ct_usage_finals_export(state, out);
+    ct_orders_export(state, out);
     *n = out->len;
     return (struct ct_snapshot_row *)(void *)g_array_free(out, FALSE);
 }
@@ -165,6 +166,9 @@
     if (err >= 0) {
         err = ct_usage_finals_import(state, rows);
     }
+    if (err >= 0) {
+        err = ct_orders_import(state, rows);
+    }
     return err < 0 ? err : CT_OK;
 }
 
--- a/core/state.c
+++ b/core/state.c
@@ -84,6 +84,7 @@
     ct_keys_init(&state->keys);
     ct_claims_init(&state->claims);
     ct_membership_init(&state->membership);
+    ct_orders_init(&state->orders);
     ct_usage_finals_init(&state->usage_finals);
     ct_usage_init(&state->usage);
     ct_withdrawals_init(&state->withdrawals);
@@ -94,7 +95,8 @@
     ct_shares_init(&state->shares);
     state->queue = ct_queue_tiered_new(QUEUED_MAX);
     state->balance = ct_balance_affinity_new(self->seed);
-    if (!state->queue || !state->balance) {
+    state->order_policy = ct_order_headroom_new();
+    if (!state->queue || !state->balance || !state->order_policy) {
         ct_state_free(state);
         return NULL;
     }
@@ -107,6 +109,9 @@
     if (!state) {
         return;
     }
+    if (state->order_policy) {
+        state->order_policy->ops->free(state->order_policy);
+    }
     if (state->balance) {
         state->balance->ops->free(state->balance);
     }
@@ -119,6 +124,7 @@
     ct_requests_free(&state->requests);
     ct_usage_free(&state->usage);
     ct_usage_finals_free(&state->usage_finals);
+    ct_orders_free(&state->orders);
     ct_withdrawals_free(&state->withdrawals);
     ct_membership_free(&state->membership);
     ct_claims_free(&state->claims);
--- a/core/state.h
+++ b/core/state.h
@@ -12,6 +12,9 @@
 #include "lease.h"
 #include "log-replay.h"
 #include "membership.h"
+#include "order-plan.h"
+#include "order-policy.h"
+#include "order.h"
 #include "queue-policy.h"
 #include "reduce.h"
 #include "refusal-log.h"
@@ -45,6 +48,7 @@
     struct ct_keys keys;
     struct ct_claims claims;
     struct ct_leases leases;
+    struct ct_orders orders;
     struct ct_usage_finals usage_finals;
 
     /* This host's own. */
@@ -55,6 +59,7 @@
     struct ct_refusal_log refusals;
     struct ct_queue_policy *queue;
     struct ct_balance_policy *balance;
+    struct ct_order_policy *order_policy;
     /* struct ct_answer_wait */
     struct ct_table answer_waits;
     struct ct_shares shares;
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define STEP_MS 100
+/* How often hosts get the platform's list of upstreams. */
+#define LIST_MS 10000
 
 struct pending {
     uint32_t host;
@@ -81,6 +83,50 @@
     return c->hosts[p->host].now_ms >= not_after_ms;
 }
 
+/* An order number takes effect once, whoever repeats it. */
+static void
+take_effect(struct t_cluster *c, const struct ct_order *order)
+{
+    struct ct_listed_upstream item;
+
+    if (!g_hash_table_add(c->carried_out, GUINT_TO_POINTER(order->order_id))) {
+        return;
+    }
+    for (guint i = 0; order->kind == CT_ORDER_STOP && i < c->upstreams->len;
+         i++) {
+        if (ct_name_eq(
+                &g_array_index(c->upstreams, struct ct_listed_upstream, i)
+                     .upstream.name,
+                &order->upstream)) {
+            g_array_remove_index(c->upstreams, i);
+        }
+    }
+    if (order->kind == CT_ORDER_START) {
+        memset(&item, 0, sizeof(item));
+        g_snprintf(item.upstream.name.text, CT_NAME_MAX, "u%" G_GUINT64_FORMAT,
+                   order->order_id);
+        item.upstream.pool = order->pool;
+        item.upstream.zone = order->zone;
+        item.upstream.cheap = order->cheap;
+        item.upstream.slots = 4;
+        CT_TEXT_SET(item.upstream.address, "127.0.0.1:1");
+        g_array_append_val(c->upstreams, item);
+    }
+}
+
+/* No order comes from a host that is not in charge, or without an intent. */
+static void
+check_order(const struct t_cluster *c, uint32_t host,
+            const struct ct_order *order)
+{
+    g_assert_cmpint(t_cluster_holder(c, CT_ROLE_ORDERS), ==, (int)host);
+    g_assert_cmpuint(order->order_id, <=, c->log->len);
+    g_assert_cmpint(
+        g_array_index(c->log, struct ct_record, (guint)order->order_id - 1)
+            .type,
+        ==, CT_RECORD_ORDER_INTENT);
+}
+
 static void
 do_order(struct t_cluster *c, struct pending *p)
 {
@@ -91,6 +137,8 @@
     event.u.order.order_id = seen.order.order_id;
     event.u.order.result = CT_ERR_LEASE_EXPIRING;
     if (!is_expired(c, p, p->effect.u.order.not_after_ms)) {
+        check_order(c, p->host, &seen.order);
+        take_effect(c, &seen.order);
         g_array_append_val(c->orders, seen);
         event.u.order.result = c->order_result;
     }
@@ -143,6 +191,9 @@
     if (c->frozen[p->host] && !old) {
         return false;
     }
+    if (c->held && p->effect.type == c->held) {
+        return false;
+    }
     switch (p->effect.type) {
     case CT_EFFECT_APPEND:
         if (c->late && p->effect.u.append.record.type == c->late) {
@@ -252,6 +303,11 @@
 step(struct t_cluster *c, ct_ms by_ms)
 {
     struct ct_event tick = {.type = CT_EVENT_TICK};
+    struct ct_event list = {.type = CT_EVENT_UPSTREAM_LIST};
+
+    list.rows =
+        CT_ROWS((struct ct_listed_upstream *)(void *)c->upstreams->data,
+                c->upstreams->len);
 
     for (uint32_t i = 0; i < c->n; i++) {
         c->hosts[i].now_ms += by_ms;
@@ -266,6 +322,9 @@
         }
         if (!c->dead[i] && !c->frozen[i]) {
             read_log(c, i);
+            if (c->hosts[i].now_ms % LIST_MS == 0) {
+                post(c, i, &list);
+            }
             post(c, i, &tick);
         }
         drain_effects(c);
@@ -374,6 +433,9 @@
     c->orders = g_array_new(FALSE, FALSE, sizeof(struct t_order_seen));
     c->reports = g_array_new(FALSE, FALSE, sizeof(struct t_report_seen));
     c->confirmed = g_array_new(FALSE, FALSE, sizeof(struct ct_host_row));
+    c->upstreams =
+        g_array_new(FALSE, FALSE, sizeof(struct ct_listed_upstream));
+    c->carried_out = g_hash_table_new(NULL, NULL);
     g_queue_init(&c->effects);
     for (uint32_t i = 0; i < n; i++) {
         start_host(c, i);
@@ -396,6 +458,8 @@
     }
     g_array_free(c->log, TRUE);
     g_array_free(c->orders, TRUE);
+    g_array_free(c->upstreams, TRUE);
+    g_hash_table_destroy(c->carried_out);
     g_array_free(c->confirmed, TRUE);
     g_array_free(c->reports, TRUE);
     g_queue_clear_full(&c->effects, free_pending);
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -42,6 +42,8 @@
     bool lose_answers;
     /* Appends of this type wait until the switch is off; 0 for none. */
     enum ct_record_type late;
+    /* Effects of this type wait before their executor; 0 for none. */
+    enum ct_effect_type held;
     /* What the platform answers to orders and reports. */
     int32_t order_result;
     int32_t report_result;
@@ -49,6 +51,9 @@
     int64_t read[T_HOSTS_MAX];
     GQueue effects;
     GArray *orders;
+    /* What orders brought: struct ct_listed_upstream, and by which number. */
+    GArray *upstreams;
+    GHashTable *carried_out;
     GArray *reports;
     uint64_t peer_messages;
     /* The last answer about a withdrawn key: struct ct_host_row. */
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -6,6 +6,7 @@
 #include "peer-codec.h"
 
 static struct ct_usage_row usage[2];
+static struct ct_share_row demand[2];
 static struct ct_refusal_row refusal;
 static struct ct_snapshot_row snapshot;
 
@@ -37,6 +38,7 @@
         break;
     case CT_PEER_USAGE_COPY:
         usage[1].requests = 3;
+        CT_TEXT_SET(usage[1].writer, "h2-1");
         m->rows = CT_ROWS(usage, 2);
         break;
     case CT_PEER_REFUSAL_COPY:
@@ -48,6 +50,11 @@
         snapshot.kind = CT_SNAPSHOT_KEY;
         m->rows = CT_ROWS(&snapshot, 1);
         break;
+    case CT_PEER_DEMAND:
+        demand[1].slots_busy = 8;
+        demand[1].waiting[0] = 1;
+        m->rows = CT_ROWS(demand, 2);
+        break;
     case CT_PEER_STATE_ASK:
         break;
     }
@@ -72,7 +79,7 @@
     else {
         fill_message(&f->u.message, i - 1);
     }
-    return i - 1 <= CT_PEER_STATE;
+    return i - 1 <= CT_PEER_DEMAND;
 }
 
 static void
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -2412,7 +2412,7 @@
   (ProtobufCMessageInit) ct__usage_window__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__order__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ct__order__field_descriptors[10] =
 {
   {
     "order_id",
@@ -2522,9 +2522,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Order, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__order__field_indices_by_name[] = {
   7,   /* field[7] = cheap */
+  9,   /* field[9] = done */
   2,   /* field[2] = kind */
   6,   /* field[6] = model */
   0,   /* field[0] = order_id */
@@ -2537,7 +2550,7 @@
 static const ProtobufCIntRange ct__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ct__order__descriptor =
 {
@@ -2547,7 +2560,7 @@
   "Ct__Order",
   "ct",
   sizeof(Ct__Order),
-  9,
+  10,
   ct__order__field_descriptors,
   ct__order__field_indices_by_name,
   1,  ct__order__number_ranges,
@@ -3431,7 +3444,7 @@
   (ProtobufCMessageInit) ct__state_offset__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[11] =
 {
   {
     "type",
@@ -3553,6 +3566,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share_rows",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__PeerMessage, n_share_rows),
+    offsetof(Ct__PeerMessage, share_rows),
+    &ct__share_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__peer_message__field_indices_by_name[] = {
   3,   /* field[3] = digest */
@@ -3561,6 +3586,7 @@
   5,   /* field[5] = request_id */
   1,   /* field[1] = sender */
   4,   /* field[4] = share */
+  10,   /* field[10] = share_rows */
   9,   /* field[9] = snapshot_rows */
   6,   /* field[6] = state */
   0,   /* field[0] = type */
@@ -3569,7 +3595,7 @@
 static const ProtobufCIntRange ct__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ct__peer_message__descriptor =
 {
@@ -3579,7 +3605,7 @@
   "Ct__PeerMessage",
   "ct",
   sizeof(Ct__PeerMessage),
-  10,
+  11,
   ct__peer_message__field_descriptors,
   ct__peer_message__field_indices_by_name,
   1,  ct__peer_message__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -265,10 +265,11 @@
   char *model;
   protobuf_c_boolean cheap;
   int32_t result;
+  protobuf_c_boolean done;
 };
 #define CT__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__order__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Ct__RefusalRow
@@ -440,10 +441,12 @@
   Ct__RefusalRow **refusal_rows;
   size_t n_snapshot_rows;
   Ct__SnapshotRow **snapshot_rows;
+  size_t n_share_rows;
+  Ct__ShareRow **share_rows;
 };
 #define CT__PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__peer_message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Ct__Hello
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -71,6 +71,7 @@
     [CT_PEER_STATE_ASK] = {NULL},
     [CT_PEER_STATE] = {BODY(state_map, state, offset),
                        ROWS(ct_map_snapshot_row, snapshot_rows)},
+    [CT_PEER_DEMAND] = {ROWS(share_map, share_rows)},
 };
 
 static const struct ct_map_variants message_choice = {
--- a/wire/row-maps.c
+++ b/wire/row-maps.c
@@ -134,6 +134,7 @@
     CT_MAP_F_TEXT(Order, order, model),
     CT_MAP_F_BOOL(Order, order, cheap),
     CT_MAP_F_I32(Order, order, result),
+    CT_MAP_F_BOOL(Order, order, done),
 };
 DEFINE_MAP(order, order, order);
 
