t: bound the bytes between hosts by the target's 4 KB a second

test-membership encodes every message of a cell of 8 over two minutes of virtual time, in frames, and bounds what the busiest host sends and receives. Without the overhead of TCP, shares or answers. Usage copies grow with the organisations that change, at each host twice or three times a row every 2 s: that is what breaks first at the target.

--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include "frame.h"
+#include "peer-codec.h"
+
 #define STEP_MS 100
 /* How often hosts get the platform's list of upstreams. */
 #define LIST_MS 10000
@@ -166,6 +169,22 @@
     post(c, p->host, &event);
 }
 
+static uint64_t
+frame_bytes(const struct ct_peer_message *message)
+{
+    struct ct_peer_frame frame = {.kind = CT_PEER_FRAME_MESSAGE};
+    GByteArray *out = g_byte_array_new();
+    guint start = ct_frame_begin(out);
+    uint64_t n;
+
+    frame.u.message = *message;
+    g_assert_cmpint(ct_peer_encode(&frame, out), ==, CT_OK);
+    g_assert_cmpint(ct_frame_end(out, start), ==, CT_OK);
+    n = out->len;
+    g_byte_array_free(out, TRUE);
+    return n;
+}
+
 static void
 do_send(struct t_cluster *c, struct pending *p)
 {
@@ -175,10 +194,11 @@
     if (to < 0 || !c->linked[p->host][to] || c->frozen[to]) {
         return;
     }
-    c->peer_messages++;
     event.u.peer.peer = p->effect.u.peer.message.sender;
     event.u.peer.message = p->effect.u.peer.message;
     event.u.peer.message.rows = p->effect.rows;
+    c->bytes[p->host] += frame_bytes(&event.u.peer.message);
+    c->bytes[to] += frame_bytes(&event.u.peer.message);
     post(c, (uint32_t)to, &event);
 }
 
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -55,7 +55,8 @@
     GArray *upstreams;
     GHashTable *carried_out;
     GArray *reports;
-    uint64_t peer_messages;
+    /* Bytes of frames that each host sent and received. */
+    uint64_t bytes[T_HOSTS_MAX];
     /* The last answer about a withdrawn key: struct ct_host_row. */
     uint32_t replies;
     GArray *confirmed;
--- a/t/test-membership.c
+++ b/t/test-membership.c
@@ -242,6 +242,39 @@
     t_cluster_free(&c);
 }
 
+/*
+ * What a host of a cell of 8 sends and receives over its links in a second,
+ * with usage of 10 organisations that changes all the time, or idle.
+ */
+static void
+test_traffic(gconstpointer data)
+{
+    bool used = data != NULL;
+    struct t_cluster c;
+    uint64_t most = 0;
+    const int seconds = 120;
+
+    t_cluster_init(&c, 8);
+    t_cluster_run(&c, 20000);
+    memset(c.bytes, 0, sizeof(c.bytes));
+    for (int i = 0; i < seconds; i++) {
+        for (uint32_t j = 0; used && j < 8 * 10; j++) {
+            struct ct_name name;
+
+            memset(&name, 0, sizeof(name));
+            g_snprintf(name.text, sizeof(name.text), "organisation-%u", j / 8);
+            ct_usage_add(c.hosts[j % 8].state, &name, 1, 100, 100);
+        }
+        t_cluster_run(&c, 1000);
+    }
+    for (uint32_t i = 0; i < 8; i++) {
+        most = MAX(most, c.bytes[i] / seconds);
+    }
+    g_test_message("busiest host: %" G_GUINT64_FORMAT " bytes a second", most);
+    g_assert_cmpuint(most, <=, 4096);
+    t_cluster_free(&c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -253,5 +286,8 @@
     g_test_add_func("/membership/withdrawal", test_withdrawal);
     g_test_add_func("/membership/state-from-peers", test_state_from_peers);
     g_test_add_func("/membership/old-state", test_old_state);
+    g_test_add_data_func("/membership/traffic/idle", NULL, test_traffic);
+    g_test_add_data_func("/membership/traffic/used", GINT_TO_POINTER(1),
+                         test_traffic);
     return g_test_run();
 }
