--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all deps build test sanitize demo bench bench-path format check-format tidy \
-	install proto model fuzz-short clean
+	install soak proto model fuzz-short clean
 
 all: build
 
@@ -67,6 +67,10 @@
 model:
 	@sh model/run.sh $(BUILD)
 
+# Minutes of faults at eight hosts: make soak SOAK="SECONDS SEED"
+soak: build
+	CT_BUILD_DIR=$(BUILD) $(BUILD)/t/soak $(SOAK)
+
 install: build
 	cmake --install $(BUILD)
 
--- a/t/proc-drain.c
+++ b/t/proc-drain.c
@@ -200,7 +200,7 @@
     int code;
 
     g_test_init(&argc, &argv, NULL);
-    deployment_start(&d, 2, 2, 1);
+    deployment_start(&d, 3, 2, 1);
     deployment_set_engines(&d, "{\"tokens\":40,\"token_ms\":50}");
     g_test_add_func("/drain/signal", test_signal);
     g_test_add_func("/drain/command", test_command);
--- a/t/soak.c
+++ b/t/soak.c
@@ -438,7 +438,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     deployment_start(&d, N_HOSTS, 4, 3);
     deployment_set_engines(&d, "{\"tokens\":20,\"token_ms\":10}");
-    PROCESS_START(&reference, "t/fake/fake-engine");
+    PROCESS_START(&reference, "t/fake/fake-engine", NULL);
     http_set(reference.port, "/fake/set", "{\"tokens\":20}");
     run(rand, seconds);
     printf("served %" G_GINT64_FORMAT ", not run %" G_GINT64_FORMAT
