--- a/t/proc-drain.c
+++ b/t/proc-drain.c
@@ -8,11 +8,15 @@
 
 #define STREAMS 8
 #define ROLLING_CALLERS 4
+#define TOKENS 40
+/* Streams longer than the 10 s that the daemon gives to its last bytes. */
+#define TOKENS_LONG 240
 
 static struct deployment d;
 
 struct stream {
     int host;
+    int tokens;
     bool whole;
 };
 
@@ -22,17 +26,19 @@
     struct stream *stream = arg;
     struct caller_call call = {
         .key = d.alpha, .path = CHAT_PATH, .body = CHAT_STREAM};
+    char *last = g_strdup_printf("-%d \"", stream->tokens - 1);
     struct http_reply reply;
 
     deployment_call(&d, stream->host, NULL, &call, &reply);
     stream->whole = reply.error == 0 && reply.status == 200 &&
                     g_str_has_suffix(reply.body->str, "data: [DONE]\n\n") &&
-                    strstr(reply.body->str, "-39 ");
+                    strstr(reply.body->str, last);
     if (!stream->whole) {
         g_test_message("cut: %d %ld %s", reply.error, reply.status,
                        reply.body->str);
     }
     http_reply_free(&reply);
+    g_free(last);
     return NULL;
 }
 
@@ -79,14 +85,17 @@
 }
 
 static void
-drain_with_streams(int host, bool by_signal)
+drain_with_streams(int host, int tokens, bool by_signal)
 {
     struct stream streams[STREAMS];
     GThread *threads[STREAMS];
     int before = count_started();
+    char *set = g_strdup_printf("{\"tokens\":%d}", tokens);
 
+    deployment_set_engines(&d, set);
+    g_free(set);
     for (int i = 0; i < STREAMS; i++) {
-        streams[i] = (struct stream){host, false};
+        streams[i] = (struct stream){host, tokens, false};
         threads[i] = g_thread_new("stream", read_stream, &streams[i]);
     }
     AWAIT(count_started() == before + STREAMS, AWAIT_MS);
@@ -109,7 +118,7 @@
 test_signal(void)
 {
     AWAIT(is_listed(1, 0), AWAIT_MS);
-    drain_with_streams(0, true);
+    drain_with_streams(0, TOKENS_LONG, true);
     deployment_start_host(&d, 0);
     deployment_await_ready(&d);
     AWAIT(is_listed(1, 0), AWAIT_MS);
@@ -119,7 +128,7 @@
 test_command(void)
 {
     AWAIT(is_listed(0, 1), AWAIT_MS);
-    drain_with_streams(1, false);
+    drain_with_streams(1, TOKENS, false);
     deployment_start_host(&d, 1);
     deployment_await_ready(&d);
 }
