--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 CMAKE_FLAGS ?=
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test sanitize demo bench bench-path bench-policy bench-core format check-format tidy \
-	install proto model fuzz-short clean
+.PHONY: all deps build test sanitize demo bench bench-policy bench-core \
+	bench-path soak format check-format tidy install proto model \
+	fuzz-short clean
 
 all: build
 
