t: throw faults at eight hosts and judge from outside

make soak starts the platform, four engines, four plain services and eight hosts, with relays on the links between hosts and to the log, and for three minutes kills, freezes and drains hosts, cuts and silences links, takes the log down, slows it and loses its answers, and breaks upstreams, up to three at once, by a printed seed. Twelve callers note what they got.

Judged are: no call cut at a host that was not killed or frozen, whole and own answers, not-run against the upstreams' logs, one run an idempotency key, no caller's key at an upstream, withdrawn keys, configurations that never go back, terms and figures at the platform, refusals explained by another host, and that all hosts serve afterwards.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CMAKE_FLAGS ?=
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test sanitize demo bench bench-path format check-format tidy \
+.PHONY: all deps build test sanitize demo bench bench-path soak format check-format tidy \
 	install proto model fuzz-short clean
 
 all: build
@@ -72,6 +72,11 @@
 	@$(MAKE) build >/dev/null
 	@CT_BUILD_DIR=$(BUILD) $(BUILD)/bench/bench-path 2>/dev/null
 
+# Random faults at eight hosts; SOAK="--seconds N --seed N" repeats a run.
+SOAK ?=
+soak: build
+	@CT_BUILD_DIR=$(BUILD) CT_SOURCE_DIR=. $(BUILD)/t/soak/soak $(SOAK)
+
 model:
 	@sh model/run.sh $(BUILD)
 
--- a/t/lib-deployment.c
+++ b/t/lib-deployment.c
@@ -76,15 +76,17 @@
 {
     for (int i = 0; i < d->n_hosts; i++) {
         const struct host *host = &d->hosts[i];
+        uint16_t peer_port =
+            host->public_peer_port ? host->public_peer_port : host->peer_port;
 
-        g_string_append_printf(
-            out,
-            "%s{\"name\":\"h%d\",\"zone\":\"%s\","
-            "\"caller_address\":\"127.0.0.1:%u\","
-            "\"peer_address\":\"127.0.0.1:%u\","
-            "\"operator_address\":\"127.0.0.1:%u\"}",
-            i > 0 ? "," : "", i + 1, zones[i % 3], host->caller_port,
-            host->peer_port ? host->peer_port : 1, host->operator_port);
+        g_string_append_printf(out,
+                               "%s{\"name\":\"h%d\",\"zone\":\"%s\","
+                               "\"caller_address\":\"127.0.0.1:%u\","
+                               "\"peer_address\":\"127.0.0.1:%u\","
+                               "\"operator_address\":\"127.0.0.1:%u\"}",
+                               i > 0 ? "," : "", i + 1, zones[i % 3],
+                               host->caller_port, peer_port,
+                               host->operator_port);
     }
 }
 
@@ -200,19 +202,51 @@
     }
 }
 
+char *
+deployment_log_path(const struct deployment *d, const char *name, int i)
+{
+    return g_strdup_printf("%s/%s-%d.json", d->directory, name, i);
+}
+
+static void
+start_logged(const struct deployment *d, struct process *process,
+             const char *name, int i)
+{
+    char *program = g_strdup_printf("t/fake/fake-%s", name);
+    char *port = g_strdup_printf("%u", process->port);
+    char *log = deployment_log_path(d, name, i);
+
+    PROCESS_START(process, program, "--port", port, "--log", log);
+    g_free(log);
+    g_free(port);
+    g_free(program);
+}
+
+void
+deployment_start_engine(struct deployment *d, int i)
+{
+    start_logged(d, &d->engines[i], "engine", i);
+}
+
+void
+deployment_start_plain(struct deployment *d, int i)
+{
+    start_logged(d, &d->plains[i], "plain", i);
+}
+
 static void
 start_stand_ins(struct deployment *d)
 {
     char *to;
 
-    PROCESS_START(&d->platform, "t/fake/fake-platform", NULL);
+    start_logged(d, &d->platform, "platform", 0);
     to = g_strdup_printf("127.0.0.1:%u", d->platform.port);
-    PROCESS_START(&d->platform_relay, "t/fake/relay", "--to", to, NULL);
+    PROCESS_START(&d->platform_relay, "t/fake/relay", "--to", to);
     for (int i = 0; i < d->n_engines; i++) {
-        PROCESS_START(&d->engines[i], "t/fake/fake-engine", NULL);
+        deployment_start_engine(d, i);
     }
     for (int i = 0; i < d->n_plains; i++) {
-        PROCESS_START(&d->plains[i], "t/fake/fake-plain", NULL);
+        deployment_start_plain(d, i);
     }
     g_free(to);
 }
--- a/t/lib-deployment.h
+++ b/t/lib-deployment.h
@@ -34,6 +34,8 @@
     uint16_t caller_port;
     uint16_t operator_port;
     uint16_t peer_port;
+    /* What the configuration says instead, a relay's port; 0 for none. */
+    uint16_t public_peer_port;
 };
 
 struct deployment {
@@ -62,6 +64,12 @@
 bool deployment_is_ready(const struct deployment *d, int i);
 void deployment_await_ready(const struct deployment *d);
 
+/* Starts a stand-in, on its earlier port where it had one. */
+void deployment_start_engine(struct deployment *d, int i);
+void deployment_start_plain(struct deployment *d, int i);
+/* The file in which "platform", "engine-0" or "plain-0" ... logs. */
+char *deployment_log_path(const struct deployment *d, const char *name, int i);
+
 /* Changes a stand-in by POST /fake/set. */
 void deployment_set_engines(const struct deployment *d, const char *json);
 void deployment_set_platform(const struct deployment *d, const char *json);
--- /dev/null
+++ b/t/soak/main.c
@@ -0,0 +1,134 @@
+/* soak [--seconds N] [--seed N]: see soak.h. Exits with 1 on a violation. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <popt.h>
+
+#include "soak.h"
+
+#define CALLERS 12
+#define SECONDS 180
+#define MS_PER_S 1000
+
+void
+soak_violation(struct soak *s, const char *format, ...)
+{
+    va_list list;
+    char *text;
+
+    va_start(list, format);
+    text = g_strdup_vprintf(format, list);
+    va_end(list);
+    g_atomic_int_inc(&s->violations);
+    printf("%" G_GINT64_FORMAT " VIOLATION: %s\n", process_now_ms(), text);
+    fflush(stdout);
+    g_free(text);
+}
+
+/* Puts a relay before the peer port of each host. */
+static void
+add_peer_relays(struct soak *s)
+{
+    for (int i = 0; i < SOAK_HOSTS; i++) {
+        char *to = g_strdup_printf("127.0.0.1:%u", s->d.hosts[i].peer_port);
+
+        PROCESS_START(&s->peer_relays[i], "t/fake/relay", "--to", to);
+        s->d.hosts[i].public_peer_port = s->peer_relays[i].port;
+        g_free(to);
+    }
+}
+
+static void
+run(struct soak *s)
+{
+    struct soak_operators *operators = soak_operators_new(s);
+    struct soak_faults *faults = soak_faults_new(s);
+    GThread *threads[CALLERS];
+
+    /* Publishes the relays' ports, and lets them come into force. */
+    soak_operators_step(operators, faults);
+    soak_start_callers(s, threads, CALLERS);
+    while (process_now_ms() < s->until_ms) {
+        soak_faults_step(faults);
+        soak_operators_step(operators, faults);
+        process_pause();
+    }
+    soak_faults_free(faults);
+    deployment_await_ready(&s->d);
+    g_atomic_int_set(&s->stop, 1);
+    for (int i = 0; i < CALLERS; i++) {
+        g_thread_join(threads[i]);
+    }
+    soak_operators_free(operators);
+}
+
+/* After all that, every host serves again. */
+static void
+check_recovery(struct soak *s)
+{
+    for (int i = 0; i < SOAK_HOSTS; i++) {
+        struct caller_call call = {
+            .key = s->d.alpha, .path = CHAT_PATH, .body = CHAT_STREAM};
+        struct http_reply reply;
+
+        deployment_call(&s->d, i, NULL, &call, &reply);
+        if (reply.status != 200 ||
+            !g_str_has_suffix(reply.body->str, "data: [DONE]\n\n")) {
+            soak_violation(s, "h%d does not serve after the faults: %ld %s",
+                           i + 1, reply.status, reply.body->str);
+        }
+        http_reply_free(&reply);
+    }
+}
+
+static void
+soak(guint32 seed, int seconds)
+{
+    struct soak s = {.seed = seed};
+
+    printf("seed %u, %d seconds\n", seed, seconds);
+    g_random_set_seed(seed);
+    g_mutex_init(&s.lock);
+    s.records = g_array_new(FALSE, TRUE, sizeof(struct soak_record));
+    deployment_start(&s.d, SOAK_HOSTS, SOAK_ENGINES, SOAK_PLAINS);
+    add_peer_relays(&s);
+    g_strlcpy(s.keys[0].text, s.d.alpha, sizeof(s.keys[0].text));
+    s.n_keys = 1;
+    s.until_ms = process_now_ms() + (int64_t)seconds * MS_PER_S;
+    run(&s);
+    check_recovery(&s);
+    soak_judge(&s);
+    printf("seed %u: %u calls, %d violations\n", seed, s.records->len,
+           s.violations);
+    if (s.violations > 0) {
+        printf("logs are kept in %s\n", s.d.directory);
+        exit(1);
+    }
+    for (int i = 0; i < SOAK_HOSTS; i++) {
+        process_kill(&s.peer_relays[i]);
+    }
+    deployment_stop(&s.d);
+    g_array_free(s.records, TRUE);
+}
+
+int
+main(int argc, const char **argv)
+{
+    int seconds = SECONDS;
+    long long seed = g_random_int();
+    const struct poptOption options[] = {
+        {"seconds", '\0', POPT_ARG_INT, &seconds, 0, "how long", "N"},
+        {"seed", '\0', POPT_ARG_LONGLONG, &seed, 0, "of the faults", "N"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("soak", argc, argv, options, 0);
+    int found = poptGetNextOpt(context);
+
+    poptFreeContext(context);
+    if (found < -1) {
+        fprintf(stderr, "soak: %s\n", poptStrerror(found));
+        return 2;
+    }
+    soak((guint32)seed, seconds);
+    return 0;
+}
