--- a/t/soak/operators.c
+++ b/t/soak/operators.c
@@ -45,8 +45,8 @@
     char *name = g_strdup_printf("soak-%d", ++o->n_published);
     char *files = deployment_write_files(&s->d, name, 1 + o->n_published % 9);
     char *output;
-    int code =
-        DEPLOYMENT_COMMAND(&s->d, &output, "publish", files, COMMAND_TIMEOUT);
+    int code = deployment_command(&s->d, &output, "publish", files,
+                                  COMMAND_TIMEOUT, NULL);
     const char *at = strstr(output, "in force at offset ");
 
     if (code == EXIT_DONE && at) {
@@ -84,8 +84,8 @@
     char *option = g_strdup_printf("--digest=%s", digest);
     char *address = deployment_host_option(&s->d, host);
     char *output;
-    int code = DEPLOYMENT_COMMAND(&s->d, &output, "key", "withdraw", option,
-                                  address, COMMAND_TIMEOUT);
+    int code = deployment_command(&s->d, &output, "key", "withdraw", option,
+                                  address, COMMAND_TIMEOUT, NULL);
 
     printf("withdraw %s: %d %s", key->label, code, output);
     if (code == EXIT_PARTIAL && !strstr(output, "missing:\n")) {
