core: append refusals again whose record was passed over

The offset it jumped to lay past its own batch, whose append had been answered but which it then never read, so in_flight stayed set and h4 recorded no refusal from then on until its end. A failed append was ruled out: that case re-arms the timer.

Without the call the new test fails in skipped: 'next_batch(&core, RETRY_MS)' should not be NULL.

Left: a host that jumped does not know the refusals in the entries that it passed over; the others do.

--- a/core/refusal-log.c
+++ b/core/refusal-log.c
@@ -121,6 +121,14 @@
     arm(state, RETRY_MS);
 }
 
+void
+ct_refusal_log_on_skipped(struct ct_state *state)
+{
+    /* The record that is waited for may never be read; append it again. */
+    state->refusals.in_flight = 0;
+    arm(state, RETRY_MS);
+}
+
 void
 ct_refusal_log_apply(struct ct_state *state, const struct ct_record *record)
 {
--- a/core/refusal-log.h
+++ b/core/refusal-log.h
@@ -53,6 +53,9 @@
 void ct_refusal_log_on_append_done(struct ct_state *state,
                                    const struct ct_append_done *done);
 
+/* Entries of the log were passed over, maybe this host's own records. */
+void ct_refusal_log_on_skipped(struct ct_state *state);
+
 /* The refusal of a request, or NULL. */
 const struct ct_refusal_row *
 ct_refusal_log_find(const struct ct_refusal_log *log,
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "error.h"
+#include "refusal-log.h"
 #include "state.h"
 
 /* Entries before the first snapshot of a log that drops nothing yet. */
@@ -165,7 +166,11 @@
     if (err >= 0) {
         err = ct_usage_finals_import(state, rows);
     }
-    return err < 0 ? err : CT_OK;
+    if (err < 0) {
+        return err;
+    }
+    ct_refusal_log_on_skipped(state);
+    return CT_OK;
 }
 
 static bool
