--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,11 @@
 	@$(MAKE) build >/dev/null
 	@CT_BUILD_DIR=$(BUILD) $(BUILD)/bench/bench-path 2>/dev/null
 
+# Random faults at eight hosts; SOAK="--seconds N --seed N" repeats a run.
+SOAK ?=
+soak: build
+	@CT_BUILD_DIR=$(BUILD) CT_SOURCE_DIR=. $(BUILD)/t/soak/soak $(SOAK)
+
 model:
 	@sh model/run.sh $(BUILD)
 
