--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all deps build test sanitize demo bench bench-policy bench-core \
-	bench-path soak format check-format tidy install proto model \
+	bench-wire bench-path soak format check-format tidy install proto model \
 	fuzz-short clean
 
 all: build
@@ -60,7 +60,7 @@
 proto:
 	@cd wire && protoc-c --c_out=. coriandertrack.proto
 
-bench: bench-policy bench-core bench-path
+bench: bench-policy bench-core bench-wire bench-path
 
 # Decisions against plain baselines, on a virtual clock; about a minute.
 bench-policy:
@@ -74,6 +74,11 @@
 	@$(BUILD)/bench/bench-core 600 1 2400 20000
 	@$(BUILD)/bench/bench-core 600 28 2400 20000
 
+# Sizes of records at the target size.
+bench-wire:
+	@$(MAKE) build >/dev/null
+	@$(BUILD)/bench/bench-wire
+
 # What a host adds to a call, with the stand-ins as processes.
 bench-path:
 	@$(MAKE) build >/dev/null
--- /dev/null
+++ b/bench/bench-wire.c
@@ -0,0 +1,210 @@
+/*
+ * Sizes of log records at the target size, as encoded: one line a kind.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "record-codec.h"
+
+#define ORGANISATIONS 2400
+#define HOSTS 360
+#define UPSTREAMS 600
+#define ROUTES 28
+
+/* Texts of common length. */
+#define FILL(field, ...)                                                      \
+    g_snprintf((field).text, sizeof((field).text), __VA_ARGS__)
+
+static gsize
+record_bytes(const struct ct_record *record)
+{
+    GByteArray *out = g_byte_array_new();
+    gsize n;
+
+    n = ct_record_encode(record, out) < 0 ? 0 : out->len;
+    g_byte_array_unref(out);
+    return n;
+}
+
+static struct ct_record
+record_of(enum ct_record_type type)
+{
+    struct ct_record record;
+
+    memset(&record, 0, sizeof(record));
+    record.type = type;
+    FILL(record.writer, "region-zone-host-123-%016x", 77);
+    record.sequence = 1000000;
+    record.base_offset = 100000000;
+    record.wall_ms = 1796371561783;
+    return record;
+}
+
+static void
+print(const char *name, const struct ct_record *record)
+{
+    gsize n = record_bytes(record);
+
+    if (n == 0) {
+        printf("%-28s too large to be encoded\n", name);
+        return;
+    }
+    printf("%-28s %8zu bytes\n", name, n);
+}
+
+static struct ct_config_row *
+add(GArray *rows, enum ct_config_kind kind)
+{
+    g_array_set_size(rows, rows->len + 1);
+    g_array_index(rows, struct ct_config_row, rows->len - 1).kind = kind;
+    return &g_array_index(rows, struct ct_config_row, rows->len - 1);
+}
+
+static void
+add_organisations(GArray *rows)
+{
+    for (int i = 0; i < ORGANISATIONS; i++) {
+        struct ct_organisation *o =
+            &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+
+        FILL(o->name, "organisation-%04d", i);
+        o->weight = 1;
+    }
+}
+
+static void
+add_hosts(GArray *rows)
+{
+    for (int i = 0; i < HOSTS; i++) {
+        struct ct_host *host = &add(rows, CT_CONFIG_HOST)->u.host;
+
+        FILL(host->name, "host-%03d", i);
+        FILL(host->zone, "region-1-zone-%d", i % 7);
+        FILL(host->caller_address, "10.0.%d.%d:8011", i / 250, i % 250);
+        FILL(host->peer_address, "10.0.%d.%d:7011", i / 250, i % 250);
+        FILL(host->operator_address, "10.0.%d.%d:6011", i / 250, i % 250);
+    }
+}
+
+static void
+add_upstreams(GArray *rows)
+{
+    for (int i = 0; i < UPSTREAMS; i++) {
+        struct ct_upstream *up = &add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
+
+        FILL(up->name, "runner-%03d", i);
+        FILL(up->pool, "pool-%02d", i % ROUTES);
+        FILL(up->zone, "region-1-zone-%d", i % 7);
+        FILL(up->address, "10.1.%d.%d:9000", i / 250, i % 250);
+        up->slots = 64;
+    }
+}
+
+static void
+add_routes(GArray *rows, bool access)
+{
+    for (int i = 0; i < ROUTES; i++) {
+        struct ct_route *route = &add(rows, CT_CONFIG_ROUTE)->u.route;
+
+        FILL(route->path, "/v1/chat/completions");
+        FILL(route->model, "model-%02d", i);
+        FILL(route->class_name, "class-%d", i % 8);
+        FILL(route->pool, "pool-%02d", i);
+        for (int j = 0; access && j < ORGANISATIONS; j++) {
+            struct ct_access *a = &add(rows, CT_CONFIG_ACCESS)->u.access;
+
+            FILL(a->path, "/v1/chat/completions");
+            FILL(a->model, "model-%02d", i);
+            FILL(a->organisation, "organisation-%04d", j);
+        }
+    }
+}
+
+static void
+print_config(const char *name, bool access)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    struct ct_record record = record_of(CT_RECORD_CONFIG);
+
+    add_organisations(rows);
+    add_hosts(rows);
+    add_upstreams(rows);
+    add_routes(rows, access);
+    record.rows =
+        CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
+    print(name, &record);
+    g_array_free(rows, TRUE);
+}
+
+static void
+print_small(void)
+{
+    struct ct_record record = record_of(CT_RECORD_CLAIM);
+
+    memset(&record.u.claim.digest, 7, sizeof(record.u.claim.digest));
+    FILL(record.u.claim.request_id, "01a24016-bd37-796d-86e0-b89823df3828");
+    FILL(record.u.claim.host, "host-123");
+    record.u.claim.key_wall_ms = 1796371561783;
+    print("claim", &record);
+    record.type = CT_RECORD_CLAIM_DONE;
+    record.u.claim.done = true;
+    record.u.claim.status = 200;
+    print("claim done", &record);
+    record = record_of(CT_RECORD_LEASE);
+    FILL(record.u.lease.holder, "host-123");
+    record.u.lease.duration_ms = 10000;
+    print("lease", &record);
+    record = record_of(CT_RECORD_KEY_WITHDRAW);
+    memset(&record.u.key.digest, 7, sizeof(record.u.key.digest));
+    print("key withdrawn", &record);
+}
+
+static void
+print_rows(void)
+{
+    struct ct_record record = record_of(CT_RECORD_REFUSALS);
+    struct ct_refusal_row refusals[2];
+    struct ct_usage_row usage[2];
+
+    memset(refusals, 0, sizeof(refusals));
+    memset(usage, 0, sizeof(usage));
+    for (int i = 0; i < 2; i++) {
+        FILL(refusals[i].request_id, "01a24016-bd37-796d-86e0-b89823df3828");
+        FILL(refusals[i].organisation, "organisation-1234");
+        FILL(refusals[i].class_name, "class-1");
+        FILL(refusals[i].host, "host-123");
+        FILL(refusals[i].path, "/v1/chat/completions");
+        refusals[i].wall_ms = 1796371561783;
+        refusals[i].reason = CT_REFUSAL_OVERLOAD;
+        refusals[i].run_state = CT_NOT_RUN;
+        refusals[i].queue_length = 200;
+        refusals[i].slots_busy = 500;
+        refusals[i].slots_total = 500;
+        refusals[i].expected_wait_ms = 3000;
+        refusals[i].log_offset = 100000000;
+        FILL(usage[i].organisation, "organisation-1234");
+        usage[i].window_start_ms = 1796371561783;
+        usage[i].requests = 1000;
+        usage[i].tokens_in = 1000000;
+        usage[i].tokens_out = 1000000;
+    }
+    record.rows = CT_ROWS(refusals, 1);
+    print("refusals, 1 row", &record);
+    record.rows = CT_ROWS(refusals, 2);
+    print("refusals, 2 rows", &record);
+    record = record_of(CT_RECORD_USAGE_FINAL);
+    record.rows = CT_ROWS(usage, 1);
+    print("usage final, 1 row", &record);
+    record.rows = CT_ROWS(usage, 2);
+    print("usage final, 2 rows", &record);
+}
+
+int
+main(void)
+{
+    print_config("configuration, open routes", false);
+    print_config("configuration, all access", true);
+    print_small();
+    print_rows();
+    return 0;
+}
