core: count the age of the log from when a read was sent

A stopped process finds an answer of the log in its socket when it wakes. That answer was taken as news of now, so for one read the host counted as current with state as old as its stop, and a key withdrawn meanwhile could be used once. Entries of a long backlog counted as news as well. The head event now carries the time since its read was sent, and a host is current by the log only where it has applied all it knows to exist. Heartbeats that waited in a socket still count as fresh; they matter in an outage of the log only.

--- a/core/event.h
+++ b/core/event.h
@@ -155,6 +155,8 @@
     int64_t head;
     /* Oldest offset still kept. */
     int64_t first;
+    /* Since the read was sent: the answer may be as old as this. */
+    ct_ms age_ms;
 };
 
 struct ct_append_done {
--- a/core/log-replay.c
+++ b/core/log-replay.c
@@ -148,7 +148,6 @@
 static void
 heard(struct ct_state *state)
 {
-    state->log.heard_ms = state->now_ms;
     if (state->log.failing) {
         state->log.failing = false;
         ct_emit_log(state, CT_LOG_LOG_BACK, NULL, NULL, state->log.applied);
@@ -188,6 +187,8 @@
 {
     struct ct_log *log = &state->log;
 
+    /* An answer may have waited for this process, which was stopped. */
+    log->heard_ms = MAX(log->heard_ms, state->now_ms - head->age_ms);
     heard(state);
     if (head->head > log->head) {
         log->head = head->head;
--- a/core/log-replay.h
+++ b/core/log-replay.h
@@ -24,7 +24,7 @@
     bool failing;
     /* Looking for a snapshot because older entries are gone. */
     bool seeking_snapshot;
-    /* The last time the log answered, monotonic. */
+    /* When the newest read that was answered had been sent, monotonic. */
     ct_ms heard_ms;
     /* Base of the newest snapshot in the log, and its own offset. */
     int64_t snapshot_base;
--- a/core/membership.c
+++ b/core/membership.c
@@ -252,6 +252,7 @@
 is_log_fresh(const struct ct_state *state, ct_ms now_ms)
 {
     return ct_log_age_ms(state) != CT_MS_NEVER &&
+           state->log.applied >= state->log.head &&
            now_ms - state->log.heard_ms < CT_CURRENT_LIMIT_MS;
 }
 
--- a/shell/platform.c
+++ b/shell/platform.c
@@ -195,12 +195,14 @@
 }
 
 static void
-post_page(struct ct_platform *platform, const struct ct_log_page *page)
+post_page(struct ct_platform *platform, const struct ct_log_page *page,
+          ct_ms age_ms)
 {
     struct ct_event event = {.type = CT_EVENT_LOG_HEAD};
 
     event.u.head.head = page->head;
     event.u.head.first = page->first;
+    event.u.head.age_ms = age_ms;
     ct_loop_post(platform->loop, &event);
     for (guint i = 0; i < page->entries->len; i++) {
         const struct ct_log_page_entry *entry =
@@ -220,7 +222,7 @@
 on_page(struct ct_platform *platform, const struct ct_log_page *page,
         bool gone, ct_ms took_ms)
 {
-    post_page(platform, page);
+    post_page(platform, page, took_ms);
     if (gone) {
         /* The reducer says where to go on; ask again if it does not. */
         retry_read(platform);
--- a/t/test-membership.c
+++ b/t/test-membership.c
@@ -114,6 +114,37 @@
     t_cluster_free(&c);
 }
 
+/* An answer that waited while the host was stopped makes it current no more
+ * than a page of old entries does. */
+static void
+test_old_answer(void)
+{
+    struct ct_event event = {.type = CT_EVENT_LOG_HEAD};
+    struct t_cluster c;
+    int64_t head;
+
+    t_cluster_init(&c, 3);
+    t_cluster_run(&c, 3000);
+    head = c.log->len;
+    c.frozen[0] = true;
+    t_cluster_run(&c, LONG_MS);
+    event.u.head.head = head;
+    event.u.head.first = 1;
+    event.u.head.age_ms = LONG_MS;
+    t_cluster_post(&c, 0, &event);
+    g_assert_false(is_current(&c, 0));
+    event.u.head.age_ms = 0;
+    event.u.head.head = head + 1;
+    t_cluster_post(&c, 0, &event);
+    g_assert_false(is_current(&c, 0));
+    event.type = CT_EVENT_LOG_ENTRY;
+    event.u.entry = (struct ct_log_entry){.offset = head + 1};
+    event.u.entry.record.type = CT_RECORD_KEY_WITHDRAW;
+    t_cluster_post(&c, 0, &event);
+    g_assert_true(is_current(&c, 0));
+    t_cluster_free(&c);
+}
+
 /* A host that was stopped is not current before it has heard anything. */
 static void
 test_frozen(void)
@@ -283,6 +314,7 @@
     g_test_add_func("/membership/catch-up", test_catch_up);
     g_test_add_func("/membership/behind", test_behind);
     g_test_add_func("/membership/frozen", test_frozen);
+    g_test_add_func("/membership/old-answer", test_old_answer);
     g_test_add_func("/membership/withdrawal", test_withdrawal);
     g_test_add_func("/membership/state-from-peers", test_state_from_peers);
     g_test_add_func("/membership/old-state", test_old_state);
