model: check configuration, keys and currency through the log

A small second model: two publishers who may have read long ago, a grant that may land after its withdrawal, appends that land late, twice or never, hosts that stop at any time. No two configurations made from the same one are in force, all hosts agree, and no host serves with a withdrawn key once the limit has passed. The broken variants are compiled without optimisation, which is most of their time.

--- a/model/run.sh
+++ b/model/run.sh
@@ -20,8 +20,11 @@
 		flags="$flags -D$macro"
 	done
 	# shellcheck disable=SC2086
+	optimise=-O2
+	[ "$expected" = 0 ] || optimise=-O0
+	# shellcheck disable=SC2086
 	if ! spin -a $flags "$here/$model.pml" >spin.out 2>&1 ||
-		! cc -O2 -DSAFETY -DHC4 -DMEMLIM=1500 -o pan pan.c >cc.out 2>&1
+		! cc $optimise -DSAFETY -DHC4 -DMEMLIM=1500 -o pan pan.c >cc.out 2>&1
 	then
 		cat spin.out cc.out
 		failed=1
@@ -53,4 +56,8 @@
 	# shellcheck disable=SC2086
 	check lease 1 $config
 done
+check config 0
+for config in NO_CAS NO_TOMBSTONE NO_CURRENT; do
+	check config 1 $config
+done
 exit $failed
