shell: count a suspended machine's time in the steady clock

CLOCK_MONOTONIC stands still while a machine is suspended, so a holder that was suspended would have believed in its lease for as long again after it. CLOCK_BOOTTIME goes on. The loop's timers are relative, so at worst they fire late; what must not happen late is checked against the clock. Not tested: no suspend can be brought about here.

--- a/shell/loop.c
+++ b/shell/loop.c
@@ -35,7 +35,8 @@
 system_steady_ms(const struct ct_clock *clock)
 {
     (void)clock;
-    return read_clock_ms(CLOCK_MONOTONIC);
+    /* Goes on while the machine is suspended, so that leases end there. */
+    return read_clock_ms(CLOCK_BOOTTIME);
 }
 
 static ct_ms
