core: send a request back to the queue while no upstream can take it

The first attempt of an idempotent request now waits again, until another event of its pool, 100 ms at the longest (one timer a pool), and at most until its queue limit.

--- a/core/config.h
+++ b/core/config.h
@@ -36,6 +36,8 @@
     uint32_t slots_busy;
     /* Slots of all hosts together, and those that this host may fill. */
     uint32_t slots_total;
+    /* When to try again after no upstream could take a request. */
+    ct_ms retry_at_ms;
     /* Tier inversions that were counted already. */
     uint64_t inversions;
     uint32_t slots_held;
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -15,6 +15,8 @@
 
 #define CANDIDATES_MAX 1024
 #define BACKOFF_RETRY_AFTER_MS 1000
+/* How long a pool without a free upstream is left alone. */
+#define WAIT_AGAIN_MS 100
 
 static struct ct_waiting
 waiting_of(const struct ct_request *request, struct ct_handle handle)
@@ -187,6 +189,30 @@
     return chosen < 0 ? CT_NO_HANDLE : candidates[chosen].upstream;
 }
 
+/*
+ * Sends a request back to the queue that got a slot while no upstream can
+ * take it, such as after the loss of several. The pool is looked at again
+ * soon, with one timer for all that wait like this.
+ */
+static bool
+wait_again(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+    struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, request->pool);
+
+    if (!request->idempotent || state->queue->ops->give_back(
+                                    state->queue, handle, state->now_ms) < 0) {
+        return false;
+    }
+    request->state = CT_REQUEST_QUEUED;
+    if (state->now_ms >= pool->retry_at_ms) {
+        pool->retry_at_ms = state->now_ms + WAIT_AGAIN_MS;
+        ct_arm(state, WAIT_AGAIN_MS, CT_TIMER_QUEUE, handle);
+    }
+    return true;
+}
+
 void
 ct_dispatch_attempt(struct ct_state *state, struct ct_handle handle)
 {
@@ -201,6 +227,9 @@
     }
     upstream = choose(state, request);
     row = ct_table_get(&state->config.upstreams, upstream);
+    if (!row && request->attempts == 0 && wait_again(state, handle)) {
+        return;
+    }
     if (!row) {
         ct_request_fail(state, handle, CT_REFUSAL_NO_UPSTREAM,
                         BACKOFF_RETRY_AFTER_MS);
@@ -238,6 +267,7 @@
 void
 ct_dispatch_pool(struct ct_state *state, struct ct_handle pool)
 {
+    const struct ct_request *request;
     struct ct_waiting w;
     struct ct_shed shed;
 
@@ -247,6 +277,10 @@
     while (state->queue->ops->next(state->queue, pool.index, state->now_ms,
                                    &w) > 0) {
         place(state, w.request);
+        request = ct_request_get(state, w.request);
+        if (request && request->state == CT_REQUEST_QUEUED) {
+            break;
+        }
     }
     count_busy(state, pool);
 }
--- a/core/queue-rows.h
+++ b/core/queue-rows.h
@@ -25,6 +25,8 @@
     bool cheap;
     /* Was started from the reserve of its class. */
     bool from_reserve;
+    /* The timers of its wait are armed. */
+    bool armed;
     /* Its first-token target has passed while it waited. */
     bool late;
     /* Last useful moment to start, and the end of its wait. */
--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -106,10 +106,14 @@
 static int
 arm(struct ct_queue_tiered *q, struct ct_handle handle)
 {
-    const struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
-    int err =
-        ct_timers_add(&q->timers, row->give_up_ms, CT_TIMER_QUEUE, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    int err;
 
+    if (row->armed) {
+        return CT_OK;
+    }
+    row->armed = true;
+    err = ct_timers_add(&q->timers, row->give_up_ms, CT_TIMER_QUEUE, handle);
     if (err < 0 || row->start_by_ms >= row->give_up_ms) {
         return err;
     }
--- a/t/test-request.c
+++ b/t/test-request.c
@@ -178,6 +178,25 @@
     t_core_free(&core);
 }
 
+/* A slot is free, but no upstream takes a request now: it waits again. */
+static void
+test_no_upstream_now(void)
+{
+    struct t_core core;
+
+    t_core_init(&core);
+    t_core_configure(&core, 1, 4);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    /* After declining one, an upstream counts as full for a moment. */
+    done(&core, started(&core), CT_OUTCOME_DECLINED);
+    t_core_call(&core, 1, T_CHAT_PATH);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE), ==, 0);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_START_ATTEMPT), ==, 0);
+    t_core_tick(&core, 150);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_START_ATTEMPT), ==, 1);
+    t_core_free(&core);
+}
+
 /* When nothing is left to try, the answer ends as not whole. */
 static void
 test_broken_end(void)
@@ -308,6 +327,7 @@
     g_test_add_func("/request/checks", test_checks);
     g_test_add_func("/request/not-current", test_not_current);
     g_test_add_func("/request/retry-and-resume", test_retry_and_resume);
+    g_test_add_func("/request/no-upstream-now", test_no_upstream_now);
     g_test_add_func("/request/broken-end", test_broken_end);
     g_test_add_func("/request/caller-gone", test_caller_gone);
     g_test_add_func("/request/key-withdrawn", test_key_withdrawn);
