--- a/core/queue-policy.h
+++ b/core/queue-policy.h
@@ -28,8 +28,8 @@
  *      chosen, or the upstream did not run the request. After that wait for
  *      another event before next(), or the same request comes out again.
  *   4. finished() when the request leaves its slot, for whatever reason, then
- *      next() until it returns 0; expire() until it returns 0 after next()
- *      and at give_up_ms.
+ *      expire() until it returns 0, so that no slot goes to what is given up,
+ *      and next() until it returns 0; the same at give_up_ms.
  *   5. gone() when a caller leaves or the owner drops a queued request.
  */
 
