--- a/t/lib-state.c
+++ b/t/lib-state.c
@@ -79,3 +79,49 @@
     process_kill(&d->hosts[i].process);
     deployment_start_host(d, i);
 }
+
+/* How many lines of a host's own log hold the text. */
+static int
+count_logged(const struct deployment *d, int host, const char *text)
+{
+    char *name =
+        g_strdup_printf("coriandertrackd-%d.log", d->hosts[host].process.pid);
+    char *path = g_build_filename(d->directory, name, NULL);
+    char *log = NULL;
+    int n = 0;
+
+    if (g_file_get_contents(path, &log, NULL, NULL)) {
+        for (char *at = log; (at = strstr(at, text)); at++) {
+            n++;
+        }
+    }
+    g_free(log);
+    g_free(path);
+    g_free(name);
+    return n;
+}
+
+int
+state_count_leases(const struct deployment *d, int host, const char *event,
+                   int role)
+{
+    char *text = g_strdup_printf(
+        "\"name\":\"%s\",\"subject\":\"h%d\",\"number\":\"%d\"", event,
+        host + 1, role);
+    int n = count_logged(d, host, text);
+
+    g_free(text);
+    return n;
+}
+
+int
+state_holder(const struct deployment *d, int role, int except)
+{
+    for (int i = 0; i < d->n_hosts; i++) {
+        if (i != except && state_count_leases(d, i, "LEASE_TAKEN", role) >
+                               state_count_leases(d, i, "LEASE_LOST", role)) {
+            return i;
+        }
+    }
+    return -1;
+}
--- a/t/lib-state.h
+++ b/t/lib-state.h
@@ -20,4 +20,11 @@
 /* Kills a host and starts it again on its ports; does not wait until ready. */
 void state_replace_host(struct deployment *d, int i);
 
+/* How often the host, since its start, logged this event of the role. */
+int state_count_leases(const struct deployment *d, int host, const char *event,
+                       int role);
+
+/* The host that believes that it holds the role, but for one; -1 for none. */
+int state_holder(const struct deployment *d, int role, int except);
+
 #endif
--- a/t/proc-lease.c
+++ b/t/proc-lease.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "lib-deployment.h"
+#include "lib-state.h"
 
 #define ROLE_USAGE 1
 /* A window is a minute long, and its figures wait for late ones. */
@@ -17,52 +17,6 @@
 static struct deployment d;
 static int64_t calls_made;
 
-/* How many lines of a host's own log hold the text. */
-static int
-count_logged(int host, const char *text)
-{
-    char *name =
-        g_strdup_printf("coriandertrackd-%d.log", d.hosts[host].process.pid);
-    char *path = g_build_filename(d.directory, name, NULL);
-    char *log = NULL;
-    int n = 0;
-
-    if (g_file_get_contents(path, &log, NULL, NULL)) {
-        for (char *at = log; (at = strstr(at, text)); at++) {
-            n++;
-        }
-    }
-    g_free(log);
-    g_free(path);
-    g_free(name);
-    return n;
-}
-
-static int
-count_lease_events(int host, const char *event, int role)
-{
-    char *text = g_strdup_printf(
-        "\"name\":\"%s\",\"subject\":\"h%d\",\"number\":\"%d\"", event,
-        host + 1, role);
-    int n = count_logged(host, text);
-
-    g_free(text);
-    return n;
-}
-
-/* The host that believes that it holds the role, but for one; -1 for none. */
-static int
-find_holder(int role, int except)
-{
-    for (int i = 0; i < d.n_hosts; i++) {
-        if (i != except && count_lease_events(i, "LEASE_TAKEN", role) >
-                               count_lease_events(i, "LEASE_LOST", role)) {
-            return i;
-        }
-    }
-    return -1;
-}
-
 static void
 make_calls(int host)
 {
@@ -158,19 +112,20 @@
     int successor;
     int reports;
 
-    AWAIT(find_holder(ROLE_USAGE, -1) >= 0, AWAIT_MS);
-    holder = find_holder(ROLE_USAGE, -1);
+    AWAIT(state_holder(&d, ROLE_USAGE, -1) >= 0, AWAIT_MS);
+    holder = state_holder(&d, ROLE_USAGE, -1);
     for (int i = 0; i < d.n_hosts; i++) {
         make_calls(i);
     }
     process_signal(&d.hosts[holder].process, SIGSTOP);
-    AWAIT(find_holder(ROLE_USAGE, holder) >= 0, AWAIT_MS);
-    successor = find_holder(ROLE_USAGE, holder);
+    AWAIT(state_holder(&d, ROLE_USAGE, holder) >= 0, AWAIT_MS);
+    successor = state_holder(&d, ROLE_USAGE, holder);
     make_calls(successor);
     AWAIT(HTTP_COUNT_SEEN(d.platform.port, "\"usage\"") > 0, WINDOW_AWAIT_MS);
     reports = HTTP_COUNT_SEEN(d.platform.port, "\"usage\"");
     process_signal(&d.hosts[holder].process, SIGCONT);
-    AWAIT(count_lease_events(holder, "LEASE_LOST", ROLE_USAGE) > 0, AWAIT_MS);
+    AWAIT(state_count_leases(&d, holder, "LEASE_LOST", ROLE_USAGE) > 0,
+          AWAIT_MS);
     make_calls(successor);
     AWAIT(HTTP_COUNT_SEEN(d.platform.port, "\"usage\"") > reports,
           WINDOW_AWAIT_MS);
