t: check that a leaving upstream is never chosen beside others

With one upstream, two guards (slots and candidates) covered for each other: either could be taken out of core/dispatch.c and test-config passed. With two upstreams the guard on candidates is seen alone: without it "engines-0" == "engines-1" fails.

--- a/t/test-config.c
+++ b/t/test-config.c
@@ -60,6 +60,37 @@
     t_core_free(&core);
 }
 
+/* Of two, the one that leaves is never chosen, whatever the prefix. */
+static void
+test_leaving_one_of_two(void)
+{
+    struct t_core core;
+
+    t_core_init(&core);
+    t_core_configure(&core, 2, 4);
+    post_list(&core, "engines-0", true, 1);
+    for (uint64_t i = 1; i <= 32; i++) {
+        struct ct_event event = t_call(&core, 1, T_CHAT_PATH);
+        const struct ct_effect *start;
+        struct ct_handle attempt;
+
+        event.u.call.prefix_hash = i * UINT64_C(0x9e3779b97f4a7c15);
+        t_core_post(&core, &event);
+        start = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0);
+        g_assert_nonnull(start);
+        g_assert_cmpstr(start->u.attempt.upstream.text, ==, "engines-1");
+        attempt = start->u.attempt.attempt;
+        t_core_attempt(
+            &core, CT_EVENT_ATTEMPT_HEAD,
+            (struct ct_attempt_event){.attempt = attempt, .status = 200});
+        t_core_attempt(
+            &core, CT_EVENT_ATTEMPT_DONE,
+            (struct ct_attempt_event){.attempt = attempt,
+                                      .outcome = CT_OUTCOME_COMPLETE});
+    }
+    t_core_free(&core);
+}
+
 /* An ordered upstream comes with the list and goes with it. */
 static void
 test_listed_upstream(void)
@@ -131,6 +162,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/config/leaving-upstream", test_leaving_upstream);
+    g_test_add_func("/config/leaving-one-of-two", test_leaving_one_of_two);
     g_test_add_func("/config/listed-upstream", test_listed_upstream);
     g_test_add_func("/config/dropped-while-used", test_dropped_while_used);
     g_test_add_func("/config/handles-stay", test_handles_stay);
