core: keep hash tables of handles in one module

Packing a handle, hashing a digest and hashing a name stood in claim.c, keys.c, config.c and request.c alike.

--- a/core/claim.c
+++ b/core/claim.c
@@ -3,31 +3,17 @@
 #include <string.h>
 
 #include "error.h"
+#include "index.h"
 
 /* Rows looked at for each record; bounds the cost of forgetting. */
 #define SWEEP_ROWS 4
 
-static guint
-digest_hash(gconstpointer key)
-{
-    guint h;
-
-    memcpy(&h, key, sizeof(h));
-    return h;
-}
-
-static gboolean
-digest_equal(gconstpointer a, gconstpointer b)
-{
-    return ct_digest_eq(a, b);
-}
-
 void
 ct_claims_init(struct ct_claims *claims)
 {
     memset(claims, 0, sizeof(*claims));
     ct_table_init(&claims->rows, sizeof(struct ct_claim_row), 0, NULL);
-    claims->by_digest = g_hash_table_new(digest_hash, digest_equal);
+    claims->by_digest = ct_index_new_by_digest();
 }
 
 void
@@ -44,15 +30,6 @@
            key_wall_ms < wall_ms + CT_CLAIM_SKEW_MS;
 }
 
-static struct ct_handle
-handle_of(const struct ct_claims *claims, const struct ct_digest *digest)
-{
-    gsize packed =
-        GPOINTER_TO_SIZE(g_hash_table_lookup(claims->by_digest, digest));
-
-    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
-}
-
 static void
 drop(struct ct_claims *claims, struct ct_handle handle)
 {
@@ -97,7 +74,8 @@
     if (!ct_claim_in_horizon(claim->key_wall_ms, claims->log_wall_ms)) {
         return CT_CLAIM_TOO_OLD;
     }
-    if (ct_table_get(&claims->rows, handle_of(claims, &claim->digest))) {
+    if (ct_table_get(&claims->rows,
+                     ct_index_get(claims->by_digest, &claim->digest))) {
         return CT_CLAIM_LOST;
     }
     if (ct_table_add(&claims->rows, &handle) < 0) {
@@ -106,16 +84,14 @@
     row = ct_table_get(&claims->rows, handle);
     row->claim = *claim;
     row->offset = offset;
-    g_hash_table_insert(
-        claims->by_digest, &row->claim.digest,
-        GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation));
+    ct_index_add(claims->by_digest, &row->claim.digest, handle);
     return CT_CLAIM_WON;
 }
 
 void
 ct_claims_done(struct ct_claims *claims, const struct ct_claim *claim)
 {
-    struct ct_handle handle = handle_of(claims, &claim->digest);
+    struct ct_handle handle = ct_index_get(claims->by_digest, &claim->digest);
     struct ct_claim_row *row = ct_table_get(&claims->rows, handle);
 
     if (!row ||
@@ -133,5 +109,6 @@
 const struct ct_claim_row *
 ct_claims_find(const struct ct_claims *claims, const struct ct_digest *digest)
 {
-    return ct_table_get(&claims->rows, handle_of(claims, digest));
+    return ct_table_get(&claims->rows,
+                        ct_index_get(claims->by_digest, digest));
 }
--- a/core/config.c
+++ b/core/config.c
@@ -4,34 +4,7 @@
 
 #include "error.h"
 #include "event.h"
-
-static gpointer
-pack(struct ct_handle handle)
-{
-    return GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation);
-}
-
-static struct ct_handle
-unpack(gpointer value)
-{
-    gsize packed = GPOINTER_TO_SIZE(value);
-
-    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
-}
-
-static guint
-name_hash(gconstpointer key)
-{
-    const struct ct_name *name = key;
-
-    return g_str_hash(name->text);
-}
-
-static gboolean
-name_equal(gconstpointer a, gconstpointer b)
-{
-    return ct_name_eq(a, b);
-}
+#include "index.h"
 
 static guint
 route_hash(gconstpointer key)
@@ -75,11 +48,11 @@
                   clear_route);
     ct_table_init(&config->hosts, sizeof(struct ct_host_conf_row), 0, NULL);
     ct_table_init(&config->upstreams, sizeof(struct ct_upstream_row), 0, NULL);
-    config->organisation_by_name = g_hash_table_new(name_hash, name_equal);
-    config->class_by_name = g_hash_table_new(name_hash, name_equal);
-    config->pool_by_name = g_hash_table_new(name_hash, name_equal);
-    config->host_by_name = g_hash_table_new(name_hash, name_equal);
-    config->upstream_by_name = g_hash_table_new(name_hash, name_equal);
+    config->organisation_by_name = ct_index_new_by_name();
+    config->class_by_name = ct_index_new_by_name();
+    config->pool_by_name = ct_index_new_by_name();
+    config->host_by_name = ct_index_new_by_name();
+    config->upstream_by_name = ct_index_new_by_name();
     config->route_by_key = g_hash_table_new(route_hash, route_equal);
 }
 
@@ -100,37 +73,29 @@
     ct_table_free(&config->upstreams);
 }
 
-static struct ct_handle
-look_up(GHashTable *index, const void *key)
-{
-    gpointer value = g_hash_table_lookup(index, key);
-
-    return value ? unpack(value) : CT_NO_HANDLE;
-}
-
 struct ct_handle
 ct_config_organisation(const struct ct_config *config,
                        const struct ct_name *name)
 {
-    return look_up(config->organisation_by_name, name);
+    return ct_index_get(config->organisation_by_name, name);
 }
 
 struct ct_handle
 ct_config_pool(const struct ct_config *config, const struct ct_name *name)
 {
-    return look_up(config->pool_by_name, name);
+    return ct_index_get(config->pool_by_name, name);
 }
 
 struct ct_handle
 ct_config_host(const struct ct_config *config, const struct ct_name *name)
 {
-    return look_up(config->host_by_name, name);
+    return ct_index_get(config->host_by_name, name);
 }
 
 struct ct_handle
 ct_config_upstream(const struct ct_config *config, const struct ct_name *name)
 {
-    return look_up(config->upstream_by_name, name);
+    return ct_index_get(config->upstream_by_name, name);
 }
 
 struct ct_handle
@@ -138,13 +103,13 @@
                 const struct ct_name *model)
 {
     struct ct_route key = {.path = *path, .model = *model};
-    struct ct_handle handle = look_up(config->route_by_key, &key);
+    struct ct_handle handle = ct_index_get(config->route_by_key, &key);
 
     if (!ct_handle_is_none(handle)) {
         return handle;
     }
     memset(&key.model, 0, sizeof(key.model));
-    return look_up(config->route_by_key, &key);
+    return ct_index_get(config->route_by_key, &key);
 }
 
 bool
@@ -209,7 +174,7 @@
         if (*configured_flag(kind, row)) {
             continue;
         }
-        if (ct_handle_eq(look_up(kind->index, row), handle)) {
+        if (ct_handle_eq(ct_index_get(kind->index, row), handle)) {
             g_hash_table_remove(kind->index, row);
             ct_table_unref(kind->table, handle);
         }
@@ -223,7 +188,7 @@
 {
     void *row;
 
-    *handle = look_up(kind->index, conf);
+    *handle = ct_index_get(kind->index, conf);
     row = ct_table_get(kind->table, *handle);
     if (!row) {
         if (ct_table_add(kind->table, handle) < 0) {
@@ -231,7 +196,7 @@
         }
         row = ct_table_get(kind->table, *handle);
         memcpy(row, conf, kind->conf_bytes);
-        g_hash_table_insert(kind->index, row, pack(*handle));
+        ct_index_add(kind->index, row, *handle);
     }
     else {
         memcpy(row, conf, kind->conf_bytes);
@@ -343,8 +308,8 @@
     struct ct_route key = {.path = access->path, .model = access->model};
     struct ct_handle organisation =
         ct_config_organisation(config, &access->organisation);
-    struct ct_route_row *route =
-        ct_table_get(&config->routes, look_up(config->route_by_key, &key));
+    struct ct_route_row *route = ct_table_get(
+        &config->routes, ct_index_get(config->route_by_key, &key));
     uint32_t byte = organisation.index / 8;
 
     if (!route || ct_handle_is_none(organisation)) {
@@ -362,8 +327,9 @@
 static void
 link_route(struct ct_config *config, struct ct_route_row *route)
 {
-    route->klass = look_up(config->class_by_name, &route->conf.class_name);
-    route->pool = look_up(config->pool_by_name, &route->conf.pool);
+    route->klass =
+        ct_index_get(config->class_by_name, &route->conf.class_name);
+    route->pool = ct_index_get(config->pool_by_name, &route->conf.pool);
     g_free(route->allowed);
     route->allowed = NULL;
     route->allowed_bytes = 0;
@@ -375,7 +341,7 @@
 {
     struct ct_pool_row *pool;
 
-    upstream->pool = look_up(config->pool_by_name, &upstream->conf.pool);
+    upstream->pool = ct_index_get(config->pool_by_name, &upstream->conf.pool);
     pool = ct_table_get(&config->pools, upstream->pool);
     if (!pool || !upstream->configured) {
         return;
--- /dev/null
+++ b/core/index.h
@@ -0,0 +1,29 @@
+#ifndef CT_INDEX_H
+#define CT_INDEX_H
+
+#include <glib.h>
+
+#include "table.h"
+
+/*
+ * Hash tables from a key to the handle of a row. Keys are borrowed: they live
+ * in the rows that they lead to.
+ */
+
+/* Keys are struct ct_digest, struct ct_name, or NUL-terminated texts. */
+GHashTable *ct_index_new_by_digest(void);
+GHashTable *ct_index_new_by_name(void);
+GHashTable *ct_index_new_by_text(void);
+
+/* A handle as a value of GLib's containers, and back. */
+gpointer ct_handle_pack(struct ct_handle handle);
+struct ct_handle ct_handle_unpack(gconstpointer value);
+
+/* CT_NO_HANDLE where the key is not there. */
+struct ct_handle ct_index_get(GHashTable *index, gconstpointer key);
+
+/* Adds a key that is not there yet. */
+void ct_index_add(GHashTable *index, gconstpointer key,
+                  struct ct_handle handle);
+
+#endif
--- a/core/keys.c
+++ b/core/keys.c
@@ -3,29 +3,14 @@
 #include <string.h>
 
 #include "error.h"
-
-static guint
-digest_hash(gconstpointer key)
-{
-    guint h;
-
-    /* A digest is uniform already. */
-    memcpy(&h, key, sizeof(h));
-    return h;
-}
-
-static gboolean
-digest_equal(gconstpointer a, gconstpointer b)
-{
-    return ct_digest_eq(a, b);
-}
+#include "index.h"
 
 void
 ct_keys_init(struct ct_keys *keys)
 {
     memset(keys, 0, sizeof(*keys));
     ct_table_init(&keys->rows, sizeof(struct ct_key_row), 0, NULL);
-    keys->by_digest = g_hash_table_new(digest_hash, digest_equal);
+    keys->by_digest = ct_index_new_by_digest();
 }
 
 void
@@ -38,10 +23,7 @@
 struct ct_handle
 ct_keys_find(const struct ct_keys *keys, const struct ct_digest *digest)
 {
-    gsize packed =
-        GPOINTER_TO_SIZE(g_hash_table_lookup(keys->by_digest, digest));
-
-    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
+    return ct_index_get(keys->by_digest, digest);
 }
 
 static struct ct_key_row *
@@ -58,9 +40,7 @@
     }
     row = ct_table_get(&keys->rows, handle);
     row->key.digest = *digest;
-    g_hash_table_insert(
-        keys->by_digest, &row->key.digest,
-        GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation));
+    ct_index_add(keys->by_digest, &row->key.digest, handle);
     return row;
 }
 
--- a/core/request.c
+++ b/core/request.c
@@ -6,6 +6,7 @@
 #include "attempt.h"
 #include "dispatch.h"
 #include "error.h"
+#include "index.h"
 #include "state.h"
 
 #define RETRY_AFTER_MS 1000
@@ -18,7 +19,7 @@
                   NULL);
     ct_table_init(&requests->attempts, sizeof(struct ct_attempt), 0, NULL);
     requests->by_caller = g_hash_table_new(g_int64_hash, g_int64_equal);
-    requests->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    requests->by_id = ct_index_new_by_text();
 }
 
 void
@@ -37,24 +38,10 @@
     return ct_table_get(&state->requests.rows, handle);
 }
 
-static struct ct_handle
-unpack(gpointer value)
-{
-    gsize packed = GPOINTER_TO_SIZE(value);
-
-    return (struct ct_handle){(uint32_t)(packed >> 32), (uint32_t)packed};
-}
-
-static gpointer
-pack(struct ct_handle handle)
-{
-    return GSIZE_TO_POINTER((gsize)handle.index << 32 | handle.generation);
-}
-
 struct ct_handle
 ct_request_find(const struct ct_state *state, const struct ct_request_id *id)
 {
-    return unpack(g_hash_table_lookup(state->requests.by_id, id->text));
+    return ct_index_get(state->requests.by_id, id->text);
 }
 
 static void
@@ -68,8 +55,7 @@
     }
     request->caller = caller;
     if (caller) {
-        g_hash_table_insert(requests->by_caller, &request->caller,
-                            pack(handle));
+        ct_index_add(requests->by_caller, &request->caller, handle);
     }
 }
 
@@ -372,7 +358,7 @@
     *row = request;
     row->caller = 0;
     set_caller(state, handle, row, call->caller);
-    g_hash_table_insert(requests->by_id, row->id.text, pack(handle));
+    ct_index_add(requests->by_id, row->id.text, handle);
     hold_rows(state, row);
     requests->active++;
     ct_dispatch_arrived(state, handle);
@@ -416,12 +402,13 @@
 {
     struct ct_requests *requests = &state->requests;
 
-    g_queue_push_tail(&requests->kept, pack(handle));
+    g_queue_push_tail(&requests->kept, ct_handle_pack(handle));
     requests->kept_bytes += request->answer_bytes;
     while (requests->kept.length > CT_KEPT_MAX ||
            (requests->kept_bytes > CT_KEPT_BYTES_MAX &&
             requests->kept.length > 1)) {
-        ct_request_drop(state, unpack(g_queue_peek_head(&requests->kept)));
+        ct_request_drop(state,
+                        ct_handle_unpack(g_queue_peek_head(&requests->kept)));
     }
 }
 
@@ -571,7 +558,7 @@
     struct ct_request *request = ct_request_get(state, handle);
 
     state->requests.kept_bytes -= request->answer_bytes;
-    g_queue_remove(&state->requests.kept, pack(handle));
+    g_queue_remove(&state->requests.kept, ct_handle_pack(handle));
     request->abandoned = false;
     request->attempts = 0;
     request->n_tried = 0;
@@ -622,8 +609,7 @@
 void
 ct_requests_on_gone(struct ct_state *state, uint64_t caller)
 {
-    struct ct_handle handle =
-        unpack(g_hash_table_lookup(state->requests.by_caller, &caller));
+    struct ct_handle handle = ct_index_get(state->requests.by_caller, &caller);
     struct ct_request *request = ct_request_get(state, handle);
 
     if (!request) {
@@ -718,7 +704,7 @@
     }
     set_caller(state, handle, request, 0);
     state->requests.kept_bytes -= request->answer_bytes;
-    g_queue_remove(&state->requests.kept, pack(handle));
+    g_queue_remove(&state->requests.kept, ct_handle_pack(handle));
     g_hash_table_remove(state->requests.by_id, request->id.text);
     release_rows(state, request);
     ct_emit(state, CT_EFFECT_DROP_ANSWER)->u.request = handle;
