--- a/core/request.h
+++ b/core/request.h
@@ -126,12 +126,6 @@
 void ct_requests_init(struct ct_requests *requests);
 void ct_requests_free(struct ct_requests *requests);
 
-/*
- * Whether this host can know that it is current. One that has heard nothing
- * for too long may have missed a withdrawal and refuses all callers.
- */
-bool ct_requests_may_serve(const struct ct_state *state, ct_ms now_ms);
-
 /* Events of callers. */
 void ct_requests_on_arrived(struct ct_state *state,
                             const struct ct_call *call);
--- a/core/state-view.c
+++ b/core/state-view.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "admission.h"
 #include "state.h"
 
 enum ct_health
@@ -13,8 +14,8 @@
     if (!state->log.ready) {
         return CT_HEALTH_STARTING;
     }
-    return ct_requests_may_serve(state, now_ms) ? CT_HEALTH_READY
-                                                : CT_HEALTH_NOT_CURRENT;
+    return ct_admission_may_serve(state, now_ms) ? CT_HEALTH_READY
+                                                 : CT_HEALTH_NOT_CURRENT;
 }
 
 const char *
