--- a/t/lib-core.c
+++ b/t/lib-core.c
@@ -298,3 +298,90 @@
     event.u.attempt = attempt;
     t_core_post(core, &event);
 }
+
+struct ct_handle
+t_core_started(const struct t_core *core)
+{
+    const struct ct_effect *effect =
+        t_core_effect(core, CT_EFFECT_START_ATTEMPT, 0);
+
+    g_assert_nonnull(effect);
+    return effect->u.attempt.attempt;
+}
+
+void
+t_core_sent(struct t_core *core, struct ct_handle attempt)
+{
+    t_core_attempt(core, CT_EVENT_ATTEMPT_SENT,
+                   (struct ct_attempt_event){.attempt = attempt});
+}
+
+void
+t_core_head(struct t_core *core, struct ct_handle attempt, uint32_t status)
+{
+    t_core_attempt(
+        core, CT_EVENT_ATTEMPT_HEAD,
+        (struct ct_attempt_event){.attempt = attempt, .status = status});
+}
+
+void
+t_core_data(struct t_core *core, struct ct_handle attempt, uint64_t offset,
+            uint32_t bytes)
+{
+    t_core_attempt(core, CT_EVENT_ATTEMPT_DATA,
+                   (struct ct_attempt_event){.attempt = attempt,
+                                             .offset = offset,
+                                             .bytes = bytes,
+                                             .tokens = 1});
+}
+
+void
+t_core_done(struct t_core *core, struct ct_handle attempt,
+            enum ct_outcome outcome)
+{
+    t_core_attempt(
+        core, CT_EVENT_ATTEMPT_DONE,
+        (struct ct_attempt_event){.attempt = attempt, .outcome = outcome});
+}
+
+void
+t_core_complete(struct t_core *core, struct ct_handle attempt)
+{
+    t_core_head(core, attempt, 200);
+    t_core_done(core, attempt, CT_OUTCOME_COMPLETE);
+}
+
+void
+t_core_gone(struct t_core *core, uint64_t caller)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_CALL_GONE;
+    event.u.caller = caller;
+    t_core_post(core, &event);
+}
+
+void
+t_core_peer_up(struct t_core *core, const char *peer)
+{
+    struct ct_event event;
+
+    memset(&event, 0, sizeof(event));
+    event.type = CT_EVENT_PEER_UP;
+    CT_TEXT_SET(event.u.peer.peer, peer);
+    t_core_post(core, &event);
+}
+
+void
+t_core_assert_refused(const struct t_core *core, enum ct_refusal reason,
+                      enum ct_run_state run_state)
+{
+    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
+
+    g_assert_nonnull(effect);
+    g_assert_cmpstr(ct_refusal_text(effect->u.refuse.reason), ==,
+                    ct_refusal_text(reason));
+    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
+    g_assert_cmpuint(core->state->counters.refusals[reason], >=, 1);
+}
--- a/t/lib-core.h
+++ b/t/lib-core.h
@@ -74,4 +74,27 @@
 void t_core_attempt(struct t_core *core, enum ct_event_type type,
                     struct ct_attempt_event attempt);
 
+/* The attempt that the last event started. */
+struct ct_handle t_core_started(const struct t_core *core);
+
+/* Events of an attempt: bytes left, a head, a part with one token, its end. */
+void t_core_sent(struct t_core *core, struct ct_handle attempt);
+void t_core_head(struct t_core *core, struct ct_handle attempt,
+                 uint32_t status);
+void t_core_data(struct t_core *core, struct ct_handle attempt,
+                 uint64_t offset, uint32_t bytes);
+void t_core_done(struct t_core *core, struct ct_handle attempt,
+                 enum ct_outcome outcome);
+
+/* A head of status 200 and the whole end. */
+void t_core_complete(struct t_core *core, struct ct_handle attempt);
+
+/* The caller left; the link to a peer stands. */
+void t_core_gone(struct t_core *core, uint64_t caller);
+void t_core_peer_up(struct t_core *core, const char *peer);
+
+/* The last event refused a caller in this way. */
+void t_core_assert_refused(const struct t_core *core, enum ct_refusal reason,
+                           enum ct_run_state run_state);
+
 #endif
--- a/t/test-answer.c
+++ b/t/test-answer.c
@@ -36,17 +36,6 @@
     t_core_post(core, &event);
 }
 
-static void
-peer_up(struct t_core *core)
-{
-    struct ct_event event;
-
-    memset(&event, 0, sizeof(event));
-    event.type = CT_EVENT_PEER_UP;
-    CT_TEXT_SET(event.u.peer.peer, "h2");
-    t_core_post(core, &event);
-}
-
 /* A call of key 1 whose stream has brought BYTES bytes. */
 static struct ct_handle
 running(struct t_core *core)
@@ -56,27 +45,13 @@
     t_core_init(core);
     t_core_configure(core, 2, 4);
     t_core_call(core, 1, T_CHAT_PATH);
-    attempt =
-        t_core_effect(core, CT_EFFECT_START_ATTEMPT, 0)->u.attempt.attempt;
-    t_core_attempt(core, CT_EVENT_ATTEMPT_SENT,
-                   (struct ct_attempt_event){.attempt = attempt});
-    t_core_attempt(
-        core, CT_EVENT_ATTEMPT_HEAD,
-        (struct ct_attempt_event){.attempt = attempt, .status = 200});
-    t_core_attempt(core, CT_EVENT_ATTEMPT_DATA,
-                   (struct ct_attempt_event){
-                       .attempt = attempt, .bytes = BYTES, .tokens = 1});
+    attempt = t_core_started(core);
+    t_core_sent(core, attempt);
+    t_core_head(core, attempt, 200);
+    t_core_data(core, attempt, 0, BYTES);
     return attempt;
 }
 
-static void
-complete(struct t_core *core, struct ct_handle attempt)
-{
-    t_core_attempt(core, CT_EVENT_ATTEMPT_DONE,
-                   (struct ct_attempt_event){.attempt = attempt,
-                                             .outcome = CT_OUTCOME_COMPLETE});
-}
-
 /* The old connection went silent: the new one gets the rest and the end. */
 static void
 test_take_over(void)
@@ -92,7 +67,7 @@
     g_assert_cmpuint(data->u.write.caller, ==, caller);
     g_assert_cmpuint(data->u.write.offset, ==, 40);
     g_assert_cmpuint(data->u.write.bytes, ==, BYTES - 40);
-    complete(&core, attempt);
+    t_core_complete(&core, attempt);
     g_assert_cmpuint(
         t_core_effect(&core, CT_EFFECT_WRITE_END, 0)->u.write.caller, ==,
         caller);
@@ -105,7 +80,7 @@
 {
     struct t_core core;
 
-    complete(&core, running(&core));
+    t_core_complete(&core, running(&core));
     ask(&core, 1, "request-1", 0);
     g_assert_cmpuint(
         t_core_effect(&core, CT_EFFECT_WRITE_DATA, 0)->u.write.bytes, ==,
@@ -146,19 +121,15 @@
 test_resumed(void)
 {
     struct t_core core;
-    struct ct_event event;
     const struct ct_effect *attempt;
 
     running(&core);
-    memset(&event, 0, sizeof(event));
-    event.type = CT_EVENT_CALL_GONE;
-    event.u.caller = 1;
-    t_core_post(&core, &event);
+    t_core_gone(&core, 1);
     ask(&core, 1, "request-1", BYTES);
     attempt = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0);
     g_assert_nonnull(attempt);
     g_assert_cmpuint(attempt->u.attempt.resume_offset, ==, BYTES);
-    complete(&core, attempt->u.attempt.attempt);
+    t_core_complete(&core, attempt->u.attempt.attempt);
     g_assert_true(t_core_effect(&core, CT_EFFECT_WRITE_END, 0)->u.write.whole);
     t_core_free(&core);
 }
@@ -172,7 +143,7 @@
     uint64_t caller;
 
     running(&core);
-    peer_up(&core);
+    t_core_peer_up(&core, "h2");
     caller = ask(&core, 1, "request-far", 5);
     g_assert_cmpint(
         t_core_effect(&core, CT_EFFECT_PEER_SEND, 0)->u.peer.message.type, ==,
--- a/t/test-claim.c
+++ b/t/test-claim.c
@@ -27,17 +27,6 @@
     t_core_post(core, &event);
 }
 
-static void
-assert_refused(const struct t_core *core, enum ct_refusal reason,
-               enum ct_run_state run_state)
-{
-    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
-
-    g_assert_nonnull(effect);
-    g_assert_cmpint(effect->u.refuse.reason, ==, reason);
-    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
-}
-
 /* Nothing is sent before the claim was read back from the log. */
 static void
 test_claim_before_dispatch(void)
@@ -79,7 +68,7 @@
     t_core_entry(&core, &other);
     t_core_entry(&core, &mine);
     g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
-    assert_refused(&core, CT_REFUSAL_DUPLICATE, CT_MAY_HAVE_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_DUPLICATE, CT_MAY_HAVE_RUN);
     t_core_free(&core);
 }
 
@@ -96,7 +85,7 @@
     t_core_call(&core, 1, T_PLAIN_PATH);
     claim = appended(&core, CT_RECORD_CLAIM);
     append_done(&core, claim.sequence, CT_ERR_LOG_UNAVAILABLE);
-    assert_refused(&core, CT_REFUSAL_LOG_UNAVAILABLE, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_LOG_UNAVAILABLE, CT_NOT_RUN);
     t_core_entry(&core, &claim);
     g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
     done = appended(&core, CT_RECORD_CLAIM_DONE);
@@ -149,13 +138,9 @@
         caller = t_core_call(&core, 1, T_PLAIN_PATH);
         claim = appended(&core, CT_RECORD_CLAIM);
         t_core_entry(&core, &claim);
-        attempt = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)
-                      ->u.attempt.attempt;
-        t_core_attempt(&core, CT_EVENT_ATTEMPT_SENT,
-                       (struct ct_attempt_event){.attempt = attempt});
-        t_core_attempt(&core, CT_EVENT_ATTEMPT_DONE,
-                       (struct ct_attempt_event){.attempt = attempt,
-                                                 .outcome = outcomes[i]});
+        attempt = t_core_started(&core);
+        t_core_sent(&core, attempt);
+        t_core_done(&core, attempt, outcomes[i]);
         g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
         g_assert_cmpint(
             t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.run_state, ==,
@@ -193,13 +178,9 @@
     t_core_call(&core, 1, T_PLAIN_PATH);
     claim = appended(&core, CT_RECORD_CLAIM);
     t_core_entry(&core, &claim);
-    attempt =
-        t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)->u.attempt.attempt;
-    t_core_attempt(&core, CT_EVENT_ATTEMPT_SENT,
-                   (struct ct_attempt_event){.attempt = attempt});
-    t_core_attempt(&core, CT_EVENT_ATTEMPT_DONE,
-                   (struct ct_attempt_event){.attempt = attempt,
-                                             .outcome = CT_OUTCOME_DECLINED});
+    attempt = t_core_started(&core);
+    t_core_sent(&core, attempt);
+    t_core_done(&core, attempt, CT_OUTCOME_DECLINED);
     g_assert_nonnull(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
     t_core_free(&core);
 }
--- a/t/test-config.c
+++ b/t/test-config.c
@@ -120,8 +120,7 @@
     t_core_init(&core);
     t_core_configure(&core, 1, 1);
     t_core_call(&core, 1, T_CHAT_PATH);
-    attempt =
-        t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)->u.attempt.attempt;
+    attempt = t_core_started(&core);
     memset(&record, 0, sizeof(record));
     record.type = CT_RECORD_CONFIG;
     record.base_offset = core.state->config.offset;
--- a/t/test-request.c
+++ b/t/test-request.c
@@ -3,63 +3,6 @@
 
 #include "lib-core.h"
 
-static struct ct_handle
-started(const struct t_core *core)
-{
-    const struct ct_effect *effect =
-        t_core_effect(core, CT_EFFECT_START_ATTEMPT, 0);
-
-    g_assert_nonnull(effect);
-    return effect->u.attempt.attempt;
-}
-
-static void
-sent(struct t_core *core, struct ct_handle attempt)
-{
-    t_core_attempt(core, CT_EVENT_ATTEMPT_SENT,
-                   (struct ct_attempt_event){.attempt = attempt});
-}
-
-static void
-head(struct t_core *core, struct ct_handle attempt, uint32_t status)
-{
-    t_core_attempt(
-        core, CT_EVENT_ATTEMPT_HEAD,
-        (struct ct_attempt_event){.attempt = attempt, .status = status});
-}
-
-static void
-data(struct t_core *core, struct ct_handle attempt, uint64_t offset,
-     uint32_t bytes)
-{
-    t_core_attempt(core, CT_EVENT_ATTEMPT_DATA,
-                   (struct ct_attempt_event){.attempt = attempt,
-                                             .offset = offset,
-                                             .bytes = bytes,
-                                             .tokens = 1});
-}
-
-static void
-done(struct t_core *core, struct ct_handle attempt, enum ct_outcome outcome)
-{
-    t_core_attempt(
-        core, CT_EVENT_ATTEMPT_DONE,
-        (struct ct_attempt_event){.attempt = attempt, .outcome = outcome});
-}
-
-static void
-assert_refused(const struct t_core *core, enum ct_refusal reason,
-               enum ct_run_state run_state)
-{
-    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
-
-    g_assert_nonnull(effect);
-    g_assert_cmpstr(ct_refusal_text(effect->u.refuse.reason), ==,
-                    ct_refusal_text(reason));
-    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
-    g_assert_cmpuint(core->state->counters.refusals[reason], >=, 1);
-}
-
 static void
 test_stream(void)
 {
@@ -70,18 +13,18 @@
     t_core_init(&core);
     t_core_configure(&core, 2, 4);
     t_core_call(&core, 1, T_CHAT_PATH);
-    attempt = started(&core);
-    sent(&core, attempt);
-    head(&core, attempt, 200);
-    data(&core, attempt, 0, 100);
+    attempt = t_core_started(&core);
+    t_core_sent(&core, attempt);
+    t_core_head(&core, attempt, 200);
+    t_core_data(&core, attempt, 0, 100);
     effect = t_core_effect(&core, CT_EFFECT_WRITE_HEAD, 0);
     g_assert_nonnull(effect);
     g_assert_cmpuint(effect->u.write.status, ==, 200);
-    data(&core, attempt, 100, 50);
+    t_core_data(&core, attempt, 100, 50);
     effect = t_core_effect(&core, CT_EFFECT_WRITE_DATA, 0);
     g_assert_cmpuint(effect->u.write.offset, ==, 100);
     g_assert_cmpuint(effect->u.write.bytes, ==, 50);
-    done(&core, attempt, CT_OUTCOME_COMPLETE);
+    t_core_done(&core, attempt, CT_OUTCOME_COMPLETE);
     effect = t_core_effect(&core, CT_EFFECT_WRITE_END, 0);
     g_assert_true(effect->u.write.whole);
     t_core_tick(&core, 61000);
@@ -119,7 +62,7 @@
         event.u.call.has_idempotency_key = cases[i].idempotency_key;
         event.u.call.idempotency_wall_ms -= cases[i].key_age_ms;
         t_core_post(&core, &event);
-        assert_refused(&core, cases[i].reason, CT_NOT_RUN);
+        t_core_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
         g_assert_null(t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0));
     }
     g_assert_cmpuint(core.state->requests.rows.live, ==, 0);
@@ -137,14 +80,14 @@
     t_core_configure(&core, 1, 1);
     t_core_tick(&core, 60000);
     t_core_call(&core, 1, T_CHAT_PATH);
-    assert_refused(&core, CT_REFUSAL_NOT_CURRENT, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_NOT_CURRENT, CT_NOT_RUN);
     memset(&event, 0, sizeof(event));
     event.type = CT_EVENT_LOG_HEAD;
     event.u.head.first = 1;
     event.u.head.head = core.next_offset - 1;
     t_core_post(&core, &event);
     t_core_call(&core, 1, T_CHAT_PATH);
-    started(&core);
+    t_core_started(&core);
     t_core_free(&core);
 }
 
@@ -159,19 +102,19 @@
     t_core_init(&core);
     t_core_configure(&core, 3, 4);
     t_core_call(&core, 1, T_CHAT_PATH);
-    attempt = started(&core);
-    done(&core, attempt, CT_OUTCOME_NOT_SENT);
-    attempt = started(&core);
-    sent(&core, attempt);
-    head(&core, attempt, 200);
-    data(&core, attempt, 0, 70);
-    done(&core, attempt, CT_OUTCOME_SILENT);
+    attempt = t_core_started(&core);
+    t_core_done(&core, attempt, CT_OUTCOME_NOT_SENT);
+    attempt = t_core_started(&core);
+    t_core_sent(&core, attempt);
+    t_core_head(&core, attempt, 200);
+    t_core_data(&core, attempt, 0, 70);
+    t_core_done(&core, attempt, CT_OUTCOME_SILENT);
     t_core_tick(&core, 1000);
     effect = t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0);
     g_assert_nonnull(effect);
     g_assert_cmpuint(effect->u.attempt.resume_offset, ==, 70);
     /* What the silent attempt still says is dropped. */
-    data(&core, attempt, 70, 10);
+    t_core_data(&core, attempt, 70, 10);
     g_assert_cmpuint(core.effects.n, ==, 0);
     g_assert_cmpuint(core.state->counters.values[CT_COUNTER_LATE_EVENTS], ==,
                      1);
@@ -188,7 +131,7 @@
     t_core_configure(&core, 1, 4);
     t_core_call(&core, 1, T_CHAT_PATH);
     /* After declining one, an upstream counts as full for a moment. */
-    done(&core, started(&core), CT_OUTCOME_DECLINED);
+    t_core_done(&core, t_core_started(&core), CT_OUTCOME_DECLINED);
     t_core_call(&core, 1, T_CHAT_PATH);
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE), ==, 0);
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_START_ATTEMPT), ==, 0);
@@ -208,15 +151,15 @@
     t_core_init(&core);
     t_core_configure(&core, 1, 4);
     t_core_call(&core, 1, T_CHAT_PATH);
-    attempt = started(&core);
-    sent(&core, attempt);
-    head(&core, attempt, 200);
-    data(&core, attempt, 0, 70);
-    done(&core, attempt, CT_OUTCOME_BROKEN);
+    attempt = t_core_started(&core);
+    t_core_sent(&core, attempt);
+    t_core_head(&core, attempt, 200);
+    t_core_data(&core, attempt, 0, 70);
+    t_core_done(&core, attempt, CT_OUTCOME_BROKEN);
     effect = t_core_effect(&core, CT_EFFECT_WRITE_END, 0);
     for (int i = 0; i < 8 && !effect; i++) {
         if (t_core_effect(&core, CT_EFFECT_START_ATTEMPT, 0)) {
-            done(&core, started(&core), CT_OUTCOME_BROKEN);
+            t_core_done(&core, t_core_started(&core), CT_OUTCOME_BROKEN);
         }
         else {
             t_core_tick(&core, 1000);
@@ -232,23 +175,19 @@
 test_caller_gone(void)
 {
     struct t_core core;
-    struct ct_event event;
     struct ct_handle attempt;
     uint64_t caller;
 
     t_core_init(&core);
     t_core_configure(&core, 1, 1);
     caller = t_core_call(&core, 1, T_CHAT_PATH);
-    attempt = started(&core);
-    sent(&core, attempt);
-    memset(&event, 0, sizeof(event));
-    event.type = CT_EVENT_CALL_GONE;
-    event.u.caller = caller;
-    t_core_post(&core, &event);
+    attempt = t_core_started(&core);
+    t_core_sent(&core, attempt);
+    t_core_gone(&core, caller);
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_CANCEL_ATTEMPT), ==, 1);
     /* Its slot is free again. */
     t_core_call(&core, 1, T_CHAT_PATH);
-    started(&core);
+    t_core_started(&core);
     t_core_free(&core);
 }
 
@@ -263,9 +202,9 @@
     t_core_init(&core);
     t_core_configure(&core, 1, 1);
     t_core_call(&core, 1, T_CHAT_PATH);
-    attempt = started(&core);
-    head(&core, attempt, 200);
-    data(&core, attempt, 0, 10);
+    attempt = t_core_started(&core);
+    t_core_head(&core, attempt, 200);
+    t_core_data(&core, attempt, 0, 10);
     memset(&record, 0, sizeof(record));
     record.type = CT_RECORD_KEY_WITHDRAW;
     record.u.key.digest = t_digest(1);
@@ -275,15 +214,15 @@
     g_assert_false(effect->u.write.whole);
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_CANCEL_ATTEMPT), ==, 1);
     t_core_call(&core, 1, T_CHAT_PATH);
-    assert_refused(&core, CT_REFUSAL_KEY_WITHDRAWN, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_KEY_WITHDRAWN, CT_NOT_RUN);
     /* A grant that lands late does not revive the key. */
     record.type = CT_RECORD_KEY_GRANT;
     CT_TEXT_SET(record.u.key.organisation, "acme");
     t_core_entry(&core, &record);
     t_core_call(&core, 1, T_CHAT_PATH);
-    assert_refused(&core, CT_REFUSAL_KEY_WITHDRAWN, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_KEY_WITHDRAWN, CT_NOT_RUN);
     t_core_call(&core, 2, T_CHAT_PATH);
-    started(&core);
+    t_core_started(&core);
     t_core_free(&core);
 }
 
@@ -299,9 +238,9 @@
         struct ct_handle attempt;
 
         t_core_call(&core, 1, T_CHAT_PATH);
-        attempt = started(&core);
-        head(&core, attempt, 200);
-        done(&core, attempt, CT_OUTCOME_COMPLETE);
+        attempt = t_core_started(&core);
+        t_core_head(&core, attempt, 200);
+        t_core_done(&core, attempt, CT_OUTCOME_COMPLETE);
     }
     g_assert_cmpuint(core.state->requests.rows.live, ==, CT_KEPT_MAX);
     g_assert_cmpuint(core.state->requests.kept_bytes, ==, 0);
@@ -309,10 +248,10 @@
         struct ct_handle attempt;
 
         t_core_call(&core, 1, T_CHAT_PATH);
-        attempt = started(&core);
-        head(&core, attempt, 200);
-        data(&core, attempt, 0, CT_KEPT_BYTES_MAX);
-        done(&core, attempt, CT_OUTCOME_COMPLETE);
+        attempt = t_core_started(&core);
+        t_core_head(&core, attempt, 200);
+        t_core_data(&core, attempt, 0, CT_KEPT_BYTES_MAX);
+        t_core_done(&core, attempt, CT_OUTCOME_COMPLETE);
     }
     g_assert_cmpuint(core.state->requests.rows.live, ==, 1);
     g_assert_cmpuint(core.state->requests.kept_bytes, ==, CT_KEPT_BYTES_MAX);
--- a/t/test-sharing.c
+++ b/t/test-sharing.c
@@ -6,17 +6,6 @@
 
 #define SLOTS 4
 
-static void
-peer_up(struct t_core *core)
-{
-    struct ct_event event;
-
-    memset(&event, 0, sizeof(event));
-    event.type = CT_EVENT_PEER_UP;
-    CT_TEXT_SET(event.u.peer.peer, "h2");
-    t_core_post(core, &event);
-}
-
 static void
 post_share(struct t_core *core, enum ct_peer_message_type type,
            const struct ct_share_row *row)
@@ -52,7 +41,7 @@
 {
     t_core_init(core);
     t_core_configure(core, 1, SLOTS);
-    peer_up(core);
+    t_core_peer_up(core, "h2");
 }
 
 static uint32_t
