--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 # Random faults at eight hosts; SOAK="--seconds N --seed N" repeats a run.
 SOAK ?=
 soak: build
-	@CT_BUILD_DIR=$(BUILD) CT_SOURCE_DIR=. $(BUILD)/t/soak/soak $(SOAK)
+	@CT_BUILD_DIR=$(BUILD) CT_SOURCE_DIR=. $(BUILD)/soak/soak $(SOAK)
 
 model:
 	@sh model/run.sh $(BUILD)
