t: start the processes of a test in sessions of their own

The stopped host was gone: when the shell that had started the test ended, the process group became orphaned with a stopped member, and the kernel sent it SIGHUP. A hang of the thawed host was ruled out: its log ends at the stop.

--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -99,6 +99,11 @@
     for (int i = 0; arguments[i] && i < ARGUMENTS_MAX; i++) {
         argv[i + 1] = arguments[i];
     }
+    /*
+     * A session of its own: a stopped process gets SIGHUP when the group that
+     * it shares with the test's shell loses its last parent.
+     */
+    setsid();
     /* The child ends with the test, also when the test is killed. */
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(out, STDOUT_FILENO);
