--- a/examples/embed.c
+++ b/examples/embed.c
@@ -8,9 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "error.h"
-#include "reduce.h"
-#include "state-view.h"
+#include "coriandertrack.h"
 
 #define PATH "/v1/chat/completions"
 #define N_ROWS 6
