platform: the users' platform behind one folder, and a daemon for it

Cause: what the core decides about relayed calls needs ports, a client and the platform's words.

Ruled out: kept connections to upstreams by libcurl. It sends again by itself on a kept connection that turns out dead, and late answers stand where the next one is expected.

Watching a suspended connection for its caller's leaving is now one module for both front ends.

--- a/coriandertrackd/daemon.c
+++ b/coriandertrackd/daemon.c
@@ -341,7 +341,7 @@
     };
 
     raise_file_limit();
-    ct_logger_install();
+    ct_logger_install(STDERR_FILENO);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     if (start(&daemon, record) < 0) {
         daemon.status = CT_EXIT_FAILED;
--- a/coriandertrackd/main.c
+++ b/coriandertrackd/main.c
@@ -4,6 +4,7 @@
 
 #include "daemon.h"
 #include "diag.h"
+#include "relay-daemon.h"
 
 #ifndef CT_VERSION
 #define CT_VERSION "unknown"
@@ -13,6 +14,7 @@
     char *config;
     char *record;
     int check;
+    int relay;
     int version;
     int help;
 };
@@ -25,6 +27,7 @@
         {"config", 0, POPT_ARG_STRING, &options->config, 0, NULL, NULL},
         {"record", 0, POPT_ARG_STRING, &options->record, 0, NULL, NULL},
         {"check", 0, POPT_ARG_NONE, &options->check, 0, NULL, NULL},
+        {"relay", 0, POPT_ARG_NONE, &options->relay, 0, NULL, NULL},
         {"version", 0, POPT_ARG_NONE, &options->version, 0, NULL, NULL},
         {"help", '?', POPT_ARG_NONE, &options->help, 0, NULL, NULL},
         POPT_TABLEEND,
@@ -66,6 +69,26 @@
     g_string_free(line, TRUE);
 }
 
+static int
+run_relay(const struct options *options)
+{
+    struct ct_relay_settings settings;
+    struct ct_diags diags;
+    int status = CT_EXIT_OK;
+
+    ct_diags_init(&diags);
+    if (ct_relay_settings_load(options->config, &settings, &diags) < 0) {
+        print_diags(&diags);
+        status = CT_EXIT_USAGE;
+    }
+    else if (!options->check) {
+        status =
+            ct_relay_daemon_run(options->config, &settings, options->record);
+    }
+    ct_diags_free(&diags);
+    return status;
+}
+
 static int
 run(const struct options *options)
 {
@@ -102,7 +125,7 @@
         puts("coriandertrackd " CT_VERSION);
     }
     else {
-        status = run(&options);
+        status = options.relay ? run_relay(&options) : run(&options);
     }
 out:
     free(options.config);
--- /dev/null
+++ b/coriandertrackd/relay-daemon.h
@@ -0,0 +1,12 @@
+#ifndef CT_RELAY_DAEMON_H
+#define CT_RELAY_DAEMON_H
+
+#include "daemon.h"
+#include "relay-settings.h"
+
+/* Runs a host that relays calls on the users' platform, until it drained. */
+enum ct_exit ct_relay_daemon_run(const char *path,
+                                 const struct ct_relay_settings *settings,
+                                 const char *record);
+
+#endif
--- a/shell/caller.h
+++ b/shell/caller.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "callers.h"
+#include "gone-watch.h"
 #include "http-server.h"
 
 /* Connections and requests of the callers' port; private to its modules. */
@@ -61,8 +62,7 @@
     GByteArray *body;
     bool too_large;
     /* Watches a suspended connection for the caller's leaving. */
-    ev_io gone_io;
-    ev_timer gone_timer;
+    struct ct_gone_watch watch;
     /* Of the answer. */
     struct MHD_Response *response;
     uint32_t status;
@@ -96,7 +96,6 @@
 /* caller-wait.c: suspended connections. */
 void ct_caller_suspend(struct ct_caller *caller);
 void ct_caller_resume(struct ct_caller *caller);
-bool ct_caller_is_gone(int fd);
 
 /* caller-connection.c: time limits before a request is complete. */
 void ct_caller_connection_notify(void *arg, struct MHD_Connection *connection,
--- a/shell/http.c
+++ b/shell/http.c
@@ -3,6 +3,10 @@
 #include <ev.h>
 #include <glib.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include "error.h"
 
 /* An upstream that accepts no connection for this long counts as down. */
@@ -10,6 +14,12 @@
 /* Idle connections kept open to all upstreams together. */
 #define KEPT_CONNECTIONS 512
 
+/* A silent peer is noticed after about this many seconds. */
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_MS 2500
+/* Buffer for a body that is sent; libcurl's own is larger. */
+#define UPLOAD_BUFFER_BYTES (16 * 1024)
+
 struct ct_http {
     struct ct_executor executor;
     struct ct_loop *loop;
@@ -252,6 +262,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE,
+                     (long)UPLOAD_BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
@@ -264,14 +276,10 @@
 }
 
 int
-ct_transfer_header(struct ct_transfer *transfer, const char *name,
-                   const char *value)
+ct_transfer_line(struct ct_transfer *transfer, const char *line)
 {
-    char *line =
-        g_strdup_printf(*value != '\0' ? "%s: %s" : "%s:", name, value);
     struct curl_slist *headers = curl_slist_append(transfer->headers, line);
 
-    g_free(line);
     if (headers == NULL) {
         return CT_ERR_NO_MEMORY;
     }
@@ -279,6 +287,18 @@
     return CT_OK;
 }
 
+int
+ct_transfer_header(struct ct_transfer *transfer, const char *name,
+                   const char *value)
+{
+    char *line =
+        g_strdup_printf(*value != '\0' ? "%s: %s" : "%s:", name, value);
+    int err = ct_transfer_line(transfer, line);
+
+    g_free(line);
+    return err;
+}
+
 void
 ct_transfer_body(struct ct_transfer *transfer, const void *body, size_t n)
 {
@@ -300,6 +320,37 @@
     curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+/* Options that libcurl has no names for. */
+static int
+set_socket_options(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+    int probes = KEEPALIVE_PROBES;
+    unsigned unacknowledged_ms = UNACKNOWLEDGED_MS;
+
+    (void)arg;
+    (void)purpose;
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+               sizeof(unacknowledged_ms));
+    return CURL_SOCKOPT_OK;
+}
+
+void
+ct_transfer_watch_peer(struct ct_transfer *transfer)
+{
+    curl_easy_setopt(transfer->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(transfer->easy, CURLOPT_TCP_KEEPIDLE, 1L);
+    curl_easy_setopt(transfer->easy, CURLOPT_TCP_KEEPINTVL, 1L);
+    curl_easy_setopt(transfer->easy, CURLOPT_SOCKOPTFUNCTION,
+                     set_socket_options);
+}
+
+void
+ct_transfer_timeout(struct ct_transfer *transfer, ct_ms timeout_ms)
+{
+    curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+}
+
 void
 ct_transfer_clear(struct ct_transfer *transfer)
 {
--- a/shell/http.h
+++ b/shell/http.h
@@ -58,6 +58,8 @@
                      const char *path);
 int ct_transfer_header(struct ct_transfer *transfer, const char *name,
                        const char *value);
+/* A whole header line, in libcurl's form. Errors: CT_ERR_NO_MEMORY. */
+int ct_transfer_line(struct ct_transfer *transfer, const char *line);
 /* The body is borrowed until the transfer is cleared; the method is POST. */
 void ct_transfer_body(struct ct_transfer *transfer, const void *body,
                       size_t n);
@@ -65,6 +67,10 @@
 void ct_transfer_method(struct ct_transfer *transfer, const char *method);
 /* A connection of its own, so that libcurl never sends it a second time. */
 void ct_transfer_once(struct ct_transfer *transfer);
+/* Notices soon where the other side is gone without a word. */
+void ct_transfer_watch_peer(struct ct_transfer *transfer);
+/* Longest time for the whole transfer. */
+void ct_transfer_timeout(struct ct_transfer *transfer, ct_ms timeout_ms);
 /* The handle and headers; cancels it where it still runs. */
 void ct_transfer_clear(struct ct_transfer *transfer);
 
--- a/shell/logger.c
+++ b/shell/logger.c
@@ -1,16 +1,23 @@
 #include "logger.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "json-out.h"
 
-#define FIELDS_MAX 10
+/* Fields of one line. */
+#define FIELDS_MAX 16
+
+static int log_fd = STDERR_FILENO;
+static uint64_t dropped;
 
 struct entry {
     GLogField fields[FIELDS_MAX];
     gsize n;
+    /* Texts of numbers in the fields. */
+    char numbers[FIELDS_MAX][24];
 };
 
 static void
@@ -21,6 +28,19 @@
     }
 }
 
+/* A number that is left out where it says nothing. */
+static void
+add_number(struct entry *entry, const char *key, int64_t value)
+{
+    char *text = entry->numbers[entry->n];
+
+    if (value != 0) {
+        g_snprintf(text, sizeof(entry->numbers[0]), "%" G_GINT64_FORMAT,
+                   value);
+        add(entry, key, text);
+    }
+}
+
 struct catalogue_row {
     enum ct_log_event event;
     const char *name;
@@ -90,6 +110,11 @@
     add(&entry, "OTHER", effect->other.text);
     add(&entry, "REASON", effect->reason.text);
     add(&entry, "NUMBER", number);
+    add_number(&entry, "STATUS", effect->status);
+    add_number(&entry, "ATTEMPTS", effect->attempts);
+    add_number(&entry, "ELAPSED_MS", effect->elapsed_ms);
+    add_number(&entry, "CONFIG_VERSION", effect->config_version);
+    add_number(&entry, "KNOWLEDGE_AGE_MS", effect->knowledge_age_ms);
     g_log_structured_array(row->level, entry.fields, entry.n);
 }
 
@@ -156,13 +181,27 @@
     }
     g_string_append(line, "}\n");
     /* One write, so that lines of several processes do not mix. */
-    (void)!write(STDERR_FILENO, line->str, line->len);
+    if (write(log_fd, line->str, line->len) != (ssize_t)line->len) {
+        dropped++;
+    }
     g_string_free(line, TRUE);
     return G_LOG_WRITER_HANDLED;
 }
 
+uint64_t
+ct_logger_dropped(void)
+{
+    return dropped;
+}
+
 void
-ct_logger_install(void)
+ct_logger_install(int fd)
 {
+    int flags = fcntl(fd, F_GETFL);
+
+    log_fd = fd;
+    if (flags >= 0) {
+        fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    }
     g_log_set_writer_func(write_line, NULL, NULL);
 }
--- /dev/null
+++ b/shell/relay-answer.c
@@ -0,0 +1,150 @@
+#include <string.h>
+
+#include "error.h"
+#include "refusal-body.h"
+#include "relay-call.h"
+
+#define STREAM_BLOCK_BYTES 4096
+#define JSON "application/json"
+
+static void
+set_response(struct relay_call *call, uint32_t status,
+             struct MHD_Response *response)
+{
+    call->response = response;
+    call->status = status;
+    if (call->io->draining) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    relay_call_resume(call);
+}
+
+void
+relay_answer_refuse(struct ct_relay_io *io,
+                    const struct ct_refuse_effect *refuse)
+{
+    struct relay_call *call = relay_call_find(io, refuse->caller);
+    struct MHD_Response *response;
+    GString *body;
+    char value[32];
+
+    if (call == NULL || call->response != NULL) {
+        return;
+    }
+    call->open = false;
+    body = g_string_new(NULL);
+    ct_refusal_body(refuse->reason, refuse->run_state, &refuse->request_id,
+                    refuse->retry_after_ms, body);
+    response = MHD_create_response_from_buffer(body->len, body->str,
+                                               MHD_RESPMEM_MUST_COPY);
+    g_string_free(body, TRUE);
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, JSON);
+    if (refuse->retry_after_ms > 0 && refuse->run_state == CT_NOT_RUN) {
+        const char *name = io->dialect->ops->retry_after(
+            io->dialect, refuse->retry_after_ms, value, sizeof(value));
+
+        MHD_add_response_header(response, name, value);
+    }
+    set_response(call, (uint32_t)ct_refusal_status(refuse->reason), response);
+}
+
+/* Hands libmicrohttpd what there is of a streamed answer. */
+static ssize_t
+read_stream(void *arg, uint64_t position, char *out, size_t max)
+{
+    struct relay_call *call = arg;
+    size_t n = MIN(call->out->len - call->out_at, max);
+
+    (void)position;
+    if (call->gone) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (n > 0) {
+        memcpy(out, call->out->data + call->out_at, n);
+        call->out_at += (guint)n;
+        if (call->out_at == call->out->len) {
+            g_byte_array_set_size(call->out, 0);
+            call->out_at = 0;
+        }
+        return (ssize_t)n;
+    }
+    if (call->broken) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (call->ended) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    relay_call_suspend(call);
+    return 0;
+}
+
+static void
+add_lines(struct MHD_Response *response, const GPtrArray *lines)
+{
+    for (guint i = 0; i < lines->len; i++) {
+        char *line = g_strdup(g_ptr_array_index(lines, i));
+        char *colon = strchr(line, ':');
+
+        if (colon != NULL) {
+            *colon = '\0';
+            MHD_add_response_header(response, line, g_strstrip(colon + 1));
+        }
+        g_free(line);
+    }
+}
+
+static void
+begin(struct relay_call *call, const struct relay_attempt *attempt)
+{
+    struct MHD_Response *response;
+
+    call->stream = !call->ended;
+    if (call->stream) {
+        response = MHD_create_response_from_callback(
+            MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, call, NULL);
+    }
+    else {
+        response = MHD_create_response_from_buffer(
+            call->out->len, call->out->data, MHD_RESPMEM_MUST_COPY);
+    }
+    add_lines(response, relay_attempt_lines(attempt));
+    set_response(call, relay_attempt_status(attempt), response);
+}
+
+void
+relay_answer_forward(struct ct_relay_io *io,
+                     const struct ct_relay_forward *forward)
+{
+    struct relay_call *call = relay_call_find(io, forward->caller);
+    struct relay_attempt *attempt = relay_attempt_find(io, forward->attempt);
+
+    if (call == NULL || attempt == NULL) {
+        return;
+    }
+    if (call->out == NULL) {
+        call->out = g_byte_array_new();
+    }
+    relay_attempt_take(attempt, forward->bytes, call->out);
+    if (forward->ends) {
+        call->ended = true;
+        call->open = false;
+    }
+    if (forward->begins) {
+        begin(call, attempt);
+        return;
+    }
+    relay_call_resume(call);
+}
+
+void
+relay_answer_break(struct ct_relay_io *io, uint64_t caller)
+{
+    struct relay_call *call = relay_call_find(io, caller);
+
+    if (call == NULL) {
+        return;
+    }
+    call->open = false;
+    call->broken = true;
+    relay_call_resume(call);
+}
--- /dev/null
+++ b/shell/relay-io.c
@@ -0,0 +1,180 @@
+#include "relay-io.h"
+
+#include "error.h"
+#include "relay-call.h"
+
+#define MS_PER_S 1000
+/* Beyond the head: room for the response's head and for a part to write. */
+#define CONNECTION_EXTRA_BYTES (8 * 1024)
+/* After the callers' own limit, so that no call meets our close. */
+#define IDLE_MARGIN_MS 15000
+
+static guint
+handle_hash(gconstpointer key)
+{
+    const struct ct_handle *handle = key;
+
+    return handle->index * 31u + handle->generation;
+}
+
+static gboolean
+handle_equal(gconstpointer a, gconstpointer b)
+{
+    return ct_handle_eq(*(const struct ct_handle *)a,
+                        *(const struct ct_handle *)b);
+}
+
+static void
+cancel(struct ct_relay_io *io, struct ct_handle handle)
+{
+    struct relay_attempt *attempt = relay_attempt_find(io, handle);
+
+    if (attempt != NULL) {
+        relay_attempt_free(attempt);
+    }
+}
+
+static void
+set_limits(struct ct_relay_io *io, const struct ct_caller_bounds *bounds)
+{
+    io->limits.head_bytes = bounds->head_bytes;
+    io->limits.body_bytes = bounds->body_bytes;
+    io->limits.idle_timeout_ms = bounds->idle_timeout_ms;
+}
+
+static bool
+run(struct ct_executor *executor, const struct ct_effect *effect)
+{
+    struct ct_relay_io *io = (struct ct_relay_io *)executor;
+
+    switch (effect->type) {
+    case CT_EFFECT_RELAY_START:
+        relay_attempt_start(io, &effect->u.relay);
+        return true;
+    case CT_EFFECT_RELAY_CANCEL:
+        cancel(io, effect->u.relay.attempt);
+        return true;
+    case CT_EFFECT_RELAY_FORWARD:
+        relay_answer_forward(io, &effect->u.forward);
+        return true;
+    case CT_EFFECT_RELAY_BREAK:
+        relay_answer_break(io, effect->u.caller);
+        return true;
+    case CT_EFFECT_REFUSE:
+        relay_answer_refuse(io, &effect->u.refuse);
+        return true;
+    case CT_EFFECT_CALLER_LIMITS:
+        set_limits(io, &effect->u.bounds);
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* Resumes what is suspended, as libmicrohttpd wants it before its end. */
+static void
+free_io(struct ct_executor *executor)
+{
+    struct ct_relay_io *io = (struct ct_relay_io *)executor;
+    struct relay_attempt *attempt;
+    struct relay_call *call;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((attempt = ct_table_next(&io->attempts, &cursor, &handle))) {
+        relay_attempt_free(attempt);
+    }
+    cursor = 0;
+    while ((call = ct_table_next(&io->calls, &cursor, &handle))) {
+        call->gone = true;
+        relay_call_resume(call);
+    }
+    ct_http_server_stop(&io->server);
+    g_hash_table_destroy(io->by_handle);
+    ct_table_free(&io->attempts);
+    ct_table_free(&io->calls);
+    g_free(io);
+}
+
+static int
+start_server(struct ct_relay_io *io, const char *address)
+{
+    const struct ct_caller_limits *limits = &io->limits;
+    const intptr_t timeout_s =
+        (intptr_t)((limits->idle_timeout_ms + IDLE_MARGIN_MS) / MS_PER_S);
+    const struct MHD_OptionItem options[] = {
+        {MHD_OPTION_CONNECTION_LIMIT, limits->max_connections, NULL},
+        {MHD_OPTION_CONNECTION_TIMEOUT, timeout_s, NULL},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+         (intptr_t)limits->head_bytes + CONNECTION_EXTRA_BYTES, NULL},
+        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)relay_port_uri, io},
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)relay_port_completed, io},
+        {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
+        {MHD_OPTION_END, 0, NULL},
+    };
+
+    return ct_http_server_start(&io->server, io->loop, address,
+                                relay_port_handle, io, options);
+}
+
+int
+ct_relay_io_new(struct ct_loop *loop, struct ct_http *http,
+                const struct ct_relay_options *options,
+                struct ct_relay_io **out)
+{
+    static const struct ct_executor_ops ops = {
+        .run = run,
+        .free = free_io,
+    };
+    struct ct_relay_io *io = g_new0(struct ct_relay_io, 1);
+    int err;
+
+    io->executor.ops = &ops;
+    io->loop = loop;
+    io->http = http;
+    io->dialect = options->dialect;
+    io->limits = options->limits;
+    ct_table_init(&io->calls, sizeof(struct relay_call), 0, relay_call_clear);
+    ct_table_init(&io->attempts, sizeof(struct relay_attempt), 0, NULL);
+    io->by_handle = g_hash_table_new(handle_hash, handle_equal);
+    err = start_server(io, options->address);
+    if (err < 0) {
+        g_hash_table_destroy(io->by_handle);
+        ct_table_free(&io->attempts);
+        ct_table_free(&io->calls);
+        g_free(io);
+        return err;
+    }
+    *out = io;
+    return CT_OK;
+}
+
+struct ct_executor *
+ct_relay_io_executor(struct ct_relay_io *io)
+{
+    return &io->executor;
+}
+
+uint16_t
+ct_relay_io_port(const struct ct_relay_io *io)
+{
+    return io->server.port;
+}
+
+void
+ct_relay_io_drain(struct ct_relay_io *io)
+{
+    io->draining = true;
+}
+
+uint32_t
+ct_relay_io_calls(const struct ct_relay_io *io)
+{
+    return io->calls.live;
+}
+
+uint32_t
+ct_relay_io_attempts(const struct ct_relay_io *io)
+{
+    return io->attempts.live;
+}
--- /dev/null
+++ b/shell/relay-port.c
@@ -0,0 +1,202 @@
+#include <string.h>
+
+#include "error.h"
+#include "relay-call.h"
+
+/* Takes the headers of a call, as far as the dialect understands them. */
+struct header_walk {
+    struct relay_call *call;
+    int err;
+};
+
+static enum MHD_Result
+take_header(void *arg, enum MHD_ValueKind kind, const char *name,
+            const char *value)
+{
+    struct header_walk *walk = arg;
+    struct relay_message *message = walk->call->message;
+    const struct ct_dialect *dialect = walk->call->io->dialect;
+    bool pass = false;
+    int err;
+
+    (void)kind;
+    value = value != NULL ? value : "";
+    err = dialect->ops->call_header(dialect, name, value, &walk->call->facts,
+                                    &pass);
+    if (err < 0) {
+        walk->err = err;
+        return MHD_NO;
+    }
+    if (!pass) {
+        return MHD_YES;
+    }
+    message->has_accept |= g_ascii_strcasecmp(name, "Accept") == 0;
+    message->has_media_type |= g_ascii_strcasecmp(name, "Content-Type") == 0;
+    /* libcurl wants another form for an empty value. */
+    g_ptr_array_add(message->lines, value[0] != '\0'
+                                        ? g_strconcat(name, ": ", value, NULL)
+                                        : g_strconcat(name, ";", NULL));
+    return MHD_YES;
+}
+
+static bool
+is_oversize(struct relay_call *call)
+{
+    const char *length = MHD_lookup_connection_value(
+        call->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+    return length != NULL &&
+           g_ascii_strtoull(length, NULL, 10) > call->io->limits.body_bytes;
+}
+
+static void
+set_path(struct relay_call *call)
+{
+    const char *query = strchr(call->message->target, '?');
+    size_t n = query != NULL ? (size_t)(query - call->message->target)
+                             : strlen(call->message->target);
+
+    n = MIN(n, sizeof(call->facts.path.text) - 1);
+    memcpy(call->facts.path.text, call->message->target, n);
+}
+
+static void
+reject(struct relay_call *call, enum ct_refusal reason)
+{
+    struct ct_refuse_effect refuse = {
+        .caller = relay_call_number(call),
+        .request_id = call->facts.request_id,
+        .reason = reason,
+        .run_state = CT_NOT_RUN,
+    };
+
+    relay_answer_refuse(call->io, &refuse);
+}
+
+/* The call is whole: tell the reducer and wait. */
+static void
+dispatch(struct relay_call *call)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_ARRIVED};
+
+    call->phase = RELAY_WAITING;
+    relay_call_suspend(call);
+    if (call->too_large) {
+        reject(call, CT_REFUSAL_TOO_LARGE);
+        return;
+    }
+    if (call->odd || call->facts.request_id.text[0] == '\0') {
+        reject(call, CT_REFUSAL_BAD_REQUEST);
+        return;
+    }
+    event.u.relay = call->facts;
+    call->open = true;
+    ct_loop_post(call->io->loop, &event);
+}
+
+static enum MHD_Result
+read_head(struct relay_call *call, const char *method)
+{
+    struct header_walk walk = {call, CT_OK};
+
+    call->message->method = g_strdup(method);
+    MHD_get_connection_values(call->connection, MHD_HEADER_KIND, take_header,
+                              &walk);
+    call->odd = walk.err < 0;
+    set_path(call);
+    if (is_oversize(call)) {
+        /* Answered now; libmicrohttpd then closes the connection. */
+        call->too_large = true;
+        dispatch(call);
+        return MHD_YES;
+    }
+    call->phase = RELAY_BODY;
+    return MHD_YES;
+}
+
+static enum MHD_Result
+read_part(struct relay_call *call, const char *data, size_t *n)
+{
+    GByteArray *body = call->message->body;
+
+    if (!call->too_large && body->len + *n <= call->io->limits.body_bytes) {
+        g_byte_array_append(body, (const guint8 *)data, (guint)*n);
+    }
+    else {
+        call->too_large = true;
+        g_byte_array_set_size(body, 0);
+    }
+    *n = 0;
+    return MHD_YES;
+}
+
+static enum MHD_Result
+respond(struct relay_call *call)
+{
+    if (call->gone) {
+        return MHD_NO;
+    }
+    if (call->response == NULL) {
+        relay_call_suspend(call);
+        return MHD_YES;
+    }
+    call->phase = RELAY_ANSWERING;
+    return MHD_queue_response(call->connection, call->status, call->response);
+}
+
+enum MHD_Result
+relay_port_handle(void *arg, struct MHD_Connection *connection,
+                  const char *url, const char *method, const char *version,
+                  const char *data, size_t *n, void **context)
+{
+    struct relay_call *call = *context;
+
+    (void)arg;
+    (void)url;
+    (void)version;
+    if (call == NULL) {
+        return MHD_NO;
+    }
+    switch (call->phase) {
+    case RELAY_HEAD:
+        call->connection = connection;
+        return read_head(call, method);
+    case RELAY_BODY:
+        if (*n > 0) {
+            return read_part(call, data, n);
+        }
+        dispatch(call);
+        return MHD_YES;
+    case RELAY_WAITING:
+        return respond(call);
+    default:
+        return MHD_NO;
+    }
+}
+
+void *
+relay_port_uri(void *arg, const char *uri, struct MHD_Connection *connection)
+{
+    struct relay_call *call = relay_call_add(arg);
+
+    (void)connection;
+    if (call != NULL) {
+        call->message->target = g_strdup(uri);
+    }
+    return call;
+}
+
+void
+relay_port_completed(void *arg, struct MHD_Connection *connection,
+                     void **context, enum MHD_RequestTerminationCode code)
+{
+    struct relay_call *call = *context;
+
+    (void)arg;
+    (void)connection;
+    (void)code;
+    if (call != NULL) {
+        *context = NULL;
+        relay_call_remove(call);
+    }
+}
--- /dev/null
+++ b/shell/relay-upstream.c
@@ -0,0 +1,305 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+#include "relay-call.h"
+#include "sse-split.h"
+
+#define FIRST_FINAL_STATUS 200
+#define FIRST_FAILED_STATUS 300
+/* An answer that is larger than this is broken off. */
+#define ANSWER_MAX_BYTES (16 * 1024 * 1024)
+
+struct relay_attempt *
+relay_attempt_find(const struct ct_relay_io *io, struct ct_handle handle)
+{
+    return g_hash_table_lookup(io->by_handle, &handle);
+}
+
+uint32_t
+relay_attempt_status(const struct relay_attempt *attempt)
+{
+    return attempt->head.status;
+}
+
+const GPtrArray *
+relay_attempt_lines(const struct relay_attempt *attempt)
+{
+    return attempt->lines;
+}
+
+void
+relay_attempt_take(struct relay_attempt *attempt, guint n, GByteArray *out)
+{
+    n = MIN(n, attempt->in->len);
+    g_byte_array_append(out, attempt->in->data, n);
+    g_byte_array_remove_range(attempt->in, 0, n);
+    attempt->announced -= MIN(n, attempt->announced);
+}
+
+void
+relay_attempt_free(struct relay_attempt *attempt)
+{
+    struct ct_relay_io *io = attempt->io;
+
+    ct_transfer_clear(&attempt->transfer);
+    relay_message_unref(attempt->message);
+    g_ptr_array_unref(attempt->lines);
+    g_byte_array_unref(attempt->in);
+    g_hash_table_remove(io->by_handle, &attempt->start.attempt);
+    ct_table_unref(&io->attempts, attempt->row);
+}
+
+static void
+post(struct relay_attempt *attempt, struct ct_event *event)
+{
+    event->u.progress.attempt = attempt->start.attempt;
+    ct_loop_post(attempt->io->loop, event);
+}
+
+static int
+on_before_send(struct ct_transfer *transfer)
+{
+    struct relay_attempt *attempt = (struct relay_attempt *)transfer;
+    struct ct_event event = {.type = CT_EVENT_RELAY_SENT};
+
+    if (attempt->sent) {
+        /* Nothing is ever sent a second time from here. */
+        return CT_ERR_INVALID;
+    }
+    attempt->sent = true;
+    post(attempt, &event);
+    return CT_OK;
+}
+
+static void
+begin_head(struct relay_attempt *attempt, const char *line)
+{
+    const char *status = strchr(line, ' ');
+
+    memset(&attempt->head, 0, sizeof(attempt->head));
+    attempt->head.status = status ? (uint32_t)strtoul(status, NULL, 10) : 0;
+    g_ptr_array_set_size(attempt->lines, 0);
+}
+
+static void
+take_line(struct relay_attempt *attempt, char *line)
+{
+    const struct ct_dialect *dialect = attempt->io->dialect;
+    char *colon = strchr(line, ':');
+    const char *name = line;
+    const char *value;
+    bool pass;
+
+    if (colon == NULL) {
+        return;
+    }
+    *colon = '\0';
+    value = g_strstrip(colon + 1);
+    pass = dialect->ops->answer_header(dialect, &attempt->start, name, value,
+                                       &attempt->head);
+    if (pass) {
+        g_ptr_array_add(attempt->lines, g_strconcat(name, ": ", value, NULL));
+    }
+}
+
+static int
+on_header(struct ct_transfer *transfer, const char *line, size_t n)
+{
+    struct relay_attempt *attempt = (struct relay_attempt *)transfer;
+    char *copy;
+
+    /* What comes after the body, in trailers, changes nothing. */
+    if (attempt->head_ended) {
+        return CT_OK;
+    }
+    copy = g_strchomp(g_strndup(line, n));
+    if (g_str_has_prefix(copy, "HTTP/")) {
+        begin_head(attempt, copy);
+    }
+    else if (copy[0] == '\0') {
+        attempt->head_ended = attempt->head.status >= FIRST_FINAL_STATUS;
+    }
+    else {
+        take_line(attempt, copy);
+    }
+    g_free(copy);
+    return CT_OK;
+}
+
+static bool
+is_success(const struct relay_attempt *attempt)
+{
+    return attempt->head.status >= FIRST_FINAL_STATUS &&
+           attempt->head.status < FIRST_FAILED_STATUS;
+}
+
+/* Whether the bytes may be taken for an answer to this call. */
+static bool
+is_sound(const struct relay_attempt *attempt)
+{
+    return attempt->head_ended && attempt->head.id_matches &&
+           (attempt->head.proven || !is_success(attempt));
+}
+
+/* Announces the events that became whole. */
+static void
+announce(struct relay_attempt *attempt, const char *data, size_t n)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_DATA};
+    struct ct_sse_split *split = &attempt->split;
+    uint32_t events = split->events;
+
+    ct_sse_split_feed(split, data, n);
+    if (split->whole == attempt->split_whole || split->events == events) {
+        return;
+    }
+    event.u.progress.events = split->events - events;
+    event.u.progress.bytes = (uint32_t)(split->whole - attempt->split_whole);
+    event.u.progress.last_event = split->last_id;
+    attempt->split_whole = split->whole;
+    attempt->announced += event.u.progress.bytes;
+    post(attempt, &event);
+}
+
+static int
+on_data(struct ct_transfer *transfer, const char *data, size_t n)
+{
+    struct relay_attempt *attempt = (struct relay_attempt *)transfer;
+
+    if (!is_sound(attempt) || attempt->in->len + n > ANSWER_MAX_BYTES) {
+        return CT_ERR_INVALID;
+    }
+    g_byte_array_append(attempt->in, (const guint8 *)data, (guint)n);
+    if (attempt->start.stream && is_success(attempt)) {
+        announce(attempt, data, n);
+    }
+    return CT_OK;
+}
+
+static enum ct_outcome
+judge(const struct relay_attempt *attempt, CURLcode result)
+{
+    if (!attempt->sent) {
+        return CT_OUTCOME_NOT_SENT;
+    }
+    if (attempt->head_ended && attempt->head.declined) {
+        return CT_OUTCOME_DECLINED;
+    }
+    if (attempt->head_ended && !attempt->head.id_matches) {
+        return CT_OUTCOME_MISMATCH;
+    }
+    if (result != CURLE_OK || !is_sound(attempt)) {
+        return CT_OUTCOME_BROKEN;
+    }
+    /* A stream that ends inside an event is not whole. */
+    if (attempt->start.stream && is_success(attempt) &&
+        attempt->in->len > attempt->announced) {
+        return CT_OUTCOME_BROKEN;
+    }
+    return CT_OUTCOME_COMPLETE;
+}
+
+static void
+on_done(struct ct_transfer *transfer, CURLcode result)
+{
+    struct relay_attempt *attempt = (struct relay_attempt *)transfer;
+    struct ct_event event = {.type = CT_EVENT_RELAY_DONE};
+
+    event.u.progress.outcome = judge(attempt, result);
+    event.u.progress.status = attempt->head.status;
+    event.u.progress.rest = attempt->in->len - attempt->announced;
+    post(attempt, &event);
+}
+
+static int
+add_headers(struct relay_attempt *attempt, ct_ms left_ms)
+{
+    const struct relay_message *message = attempt->message;
+    struct ct_transfer *transfer = &attempt->transfer;
+    const struct ct_dialect *dialect = attempt->io->dialect;
+    int err = CT_OK;
+
+    for (guint i = 0; i < message->lines->len && err == CT_OK; i++) {
+        err = ct_transfer_line(transfer, g_ptr_array_index(message->lines, i));
+    }
+    /* Keep libcurl from adding what the caller did not say. */
+    if (err == CT_OK && !message->has_accept) {
+        err = ct_transfer_header(transfer, "Accept", "");
+    }
+    if (err == CT_OK && !message->has_media_type) {
+        err = ct_transfer_header(transfer, "Content-Type", "");
+    }
+    if (err == CT_OK) {
+        err = dialect->ops->attempt_headers(dialect, &attempt->start, left_ms,
+                                            transfer);
+    }
+    return err;
+}
+
+static int
+prepare(struct relay_attempt *attempt)
+{
+    static const struct ct_transfer_ops ops = {
+        .before_send = on_before_send,
+        .header = on_header,
+        .data = on_data,
+        .done = on_done,
+    };
+    const struct relay_message *message = attempt->message;
+    struct ct_transfer *transfer = &attempt->transfer;
+    ct_ms left_ms = attempt->start.until_ms -
+                    ct_clock_steady_ms(ct_loop_clock(attempt->io->loop));
+    int err = ct_transfer_init(transfer, attempt->io->http, &ops,
+                               attempt->start.address.text, message->target);
+
+    if (err < 0) {
+        return err;
+    }
+    if (message->body->len > 0 || strcmp(message->method, "GET") != 0) {
+        ct_transfer_body(transfer, message->body->data, message->body->len);
+        ct_transfer_method(transfer, message->method);
+    }
+    ct_transfer_once(transfer);
+    ct_transfer_watch_peer(transfer);
+    return add_headers(attempt, MAX(left_ms, 1));
+}
+
+static struct relay_attempt *
+add_attempt(struct ct_relay_io *io, const struct ct_relay_start *start,
+            const struct relay_call *call)
+{
+    struct relay_attempt *attempt;
+    struct ct_handle row;
+
+    if (ct_table_add(&io->attempts, &row) < 0) {
+        return NULL;
+    }
+    attempt = ct_table_get(&io->attempts, row);
+    attempt->io = io;
+    attempt->row = row;
+    attempt->start = *start;
+    attempt->transfer.http = io->http;
+    attempt->message = g_rc_box_acquire(call->message);
+    attempt->lines = g_ptr_array_new_with_free_func(g_free);
+    attempt->in = g_byte_array_new();
+    g_hash_table_insert(io->by_handle, &attempt->start.attempt, attempt);
+    return attempt;
+}
+
+void
+relay_attempt_start(struct ct_relay_io *io, const struct ct_relay_start *start)
+{
+    const struct relay_call *call = relay_call_find(io, start->caller);
+    struct ct_event event = {.type = CT_EVENT_RELAY_DONE};
+    struct relay_attempt *attempt =
+        call != NULL ? add_attempt(io, start, call) : NULL;
+
+    if (attempt != NULL && prepare(attempt) == CT_OK &&
+        ct_http_start(io->http, &attempt->transfer) == CT_OK) {
+        return;
+    }
+    event.u.progress.attempt = start->attempt;
+    event.u.progress.outcome = CT_OUTCOME_NOT_SENT;
+    ct_loop_post(io->loop, &event);
+}
--- /dev/null
+++ b/wire/tally-body.h
@@ -0,0 +1,22 @@
+#ifndef CT_TALLY_BODY_H
+#define CT_TALLY_BODY_H
+
+#include <glib.h>
+
+#include "store-types.h"
+
+/* A host's counts, or the fixed figures of a window, as JSON text. */
+
+/* rows: struct ct_tally_row */
+void ct_tally_body(const struct ct_tally *tally, struct ct_rows rows,
+                   GString *out);
+
+/*
+ * Fills the tally but for its offset, and rows with struct ct_tally_row.
+ * Errors: CT_ERR_JSON_SYNTAX, CT_ERR_FIELD_MISSING, CT_ERR_FIELD_TYPE,
+ * CT_ERR_FIELD_RANGE, CT_ERR_TOO_LARGE.
+ */
+int ct_tally_body_parse(const char *text, size_t n, struct ct_tally *tally,
+                        GArray *rows);
+
+#endif
