core: order cheap upstreams by the pool's bound; do not trust one missed entry

Change: 75 percent of the bound in cheap ones, more by load; firm ones only while cheap ones cover less than 60 percent. A missing entry makes its upstream doubtful: it gets work only where no other of its pool can take it. The first read after a failure does not wait. A host that stops refuses, as not run, calls for which it has no time left.

--- a/core/config.h
+++ b/core/config.h
@@ -38,6 +38,8 @@
     uint32_t slots_total;
     /* When to try again after no upstream could take a request. */
     ct_ms retry_at_ms;
+    /* Calls of this host in flight, damped, in thousandths. */
+    uint64_t load_milli;
     /* struct ct_order_zone; NULL where upstreams are not ordered by zone. */
     GArray *order_zones;
     /* Tier inversions that were counted already. */
@@ -76,6 +78,8 @@
     CT_UPSTREAM_RUNNING = 0,
     /* Finishes what it has, takes nothing new. */
     CT_UPSTREAM_LEAVING,
+    /* May be gone; takes work only where no other of its pool can. */
+    CT_UPSTREAM_DOUBTFUL,
 };
 
 struct ct_upstream_row {
--- a/core/event.h
+++ b/core/event.h
@@ -189,6 +189,8 @@
     struct ct_upstream upstream;
     /* Will go soon; takes nothing new. */
     bool leaving;
+    /* No longer listed, perhaps only because the list had lapsed. */
+    bool doubtful;
 };
 
 struct ct_order_done {
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -25,9 +25,10 @@
     return false;
 }
 
+/* Upstreams of the call's pool in that state. */
 static uint32_t
-candidates_of(const struct ct_state *state, const struct ct_relay *relay,
-              struct ct_candidate *out)
+candidates_in(const struct ct_state *state, const struct ct_relay *relay,
+              enum ct_upstream_state wanted, struct ct_candidate *out)
 {
     const struct ct_pool_row *pool =
         ct_table_get(&state->config.pools, relay->pool);
@@ -37,7 +38,7 @@
         const struct ct_upstream_row *upstream =
             ct_table_get(&state->config.upstreams, pool->upstreams[i]);
 
-        if (!upstream || upstream->state != CT_UPSTREAM_RUNNING) {
+        if (!upstream || upstream->state != wanted) {
             continue;
         }
         out[n++] = (struct ct_candidate){
@@ -52,6 +53,16 @@
     return n;
 }
 
+static uint32_t
+candidates_of(const struct ct_state *state, const struct ct_relay *relay,
+              struct ct_candidate *out)
+{
+    uint32_t n = candidates_in(state, relay, CT_UPSTREAM_RUNNING, out);
+
+    return n > 0 ? n
+                 : candidates_in(state, relay, CT_UPSTREAM_DOUBTFUL, out);
+}
+
 static struct ct_handle
 choose(struct ct_state *state, const struct ct_relay *relay)
 {
--- a/core/relay-state.c
+++ b/core/relay-state.c
@@ -6,6 +6,9 @@
 #define QUIET_AFTER_MS 5500
 /* Without a call for this long the last callers have moved on. */
 #define QUIET_MS 1000
+/* Time that a call should have before the end of the process. */
+#define STREAM_TIME_MS 4000
+#define PLAIN_TIME_MS 1000
 /* Left before the kill for the last bytes to get out. */
 #define END_MARGIN_MS 700
 #define CHECK_MS 100
@@ -31,6 +34,20 @@
            now_ms - known_ms < state->self.bounds.revoke_ms - READY_MARGIN_MS;
 }
 
+static ct_ms
+end_ms(const struct ct_state *state)
+{
+    return state->drain_ms + state->self.bounds.grace_ms - END_MARGIN_MS;
+}
+
+bool
+ct_relay_has_time(const struct ct_state *state, bool stream)
+{
+    return !state->draining ||
+           state->now_ms + (stream ? STREAM_TIME_MS : PLAIN_TIME_MS) <
+               end_ms(state);
+}
+
 void
 ct_relay_drain(struct ct_state *state)
 {
@@ -57,7 +74,7 @@
         return;
     }
     if ((quiet && flushed) ||
-        since_ms >= state->self.bounds.grace_ms - END_MARGIN_MS) {
+        state->now_ms >= end_ms(state)) {
         state->drained = true;
         ct_emit_log(state, CT_LOG_DRAIN_DONE, &state->self.host, NULL,
                     state->relays.rows.live);
--- a/core/relay-state.h
+++ b/core/relay-state.h
@@ -15,6 +15,12 @@
 /* Whether callers should be sent here. */
 bool ct_relay_ready(const struct ct_state *state, ct_ms now_ms);
 
+/*
+ * Whether a call that arrives now can still be answered before the process
+ * ends, as far as is known of its kind.
+ */
+bool ct_relay_has_time(const struct ct_state *state, bool stream);
+
 /* Stops taking callers; emits CT_EFFECT_DRAINED once nothing is left. */
 void ct_relay_drain(struct ct_state *state);
 /* CT_TIMER_DRAIN */
--- a/core/relay.c
+++ b/core/relay.c
@@ -4,6 +4,7 @@
 
 #include "index.h"
 #include "prefix-route.h"
+#include "relay-state.h"
 #include "state.h"
 
 /* How long past its time a call waits for the upstream's own last word. */
@@ -135,6 +136,9 @@
         return knows_keys(state) ? CT_REFUSAL_ROUTE_UNKNOWN
                                  : CT_REFUSAL_NOT_CURRENT;
     }
+    if (!ct_relay_has_time(state, route->conf.stream)) {
+        return CT_REFUSAL_DRAINING;
+    }
     relay->repeat = route->conf.repeat;
     relay->stream = route->conf.stream;
     relay->attempts_max = route->conf.attempts;
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -63,7 +63,8 @@
     read->topic = topic;
     read->newest = !sync->known;
     read->from = sync->next;
-    if (sync->known) {
+    /* After a failure the first answer counts, not the next record. */
+    if (sync->known && sync->failures == 0) {
         read->wait_ms = wait_of(topic);
     }
     read->timeout_ms =
@@ -218,6 +219,8 @@
 {
     if (!entry->missing_ms) {
         entry->missing_ms = state->now_ms;
+        entry->listed.doubtful = true;
+        state->store.upstreams_changed = true;
     }
     arm_sweep(state);
 }
@@ -283,8 +286,8 @@
     fresh.listed.leaving = item->leaving;
     fresh.born_ms = item->born_ms;
     fresh.seen = true;
-    if (entry && entry->listed.leaving == item->leaving) {
-        entry->missing_ms = 0;
+    if (entry && entry->listed.leaving == item->leaving &&
+        !entry->missing_ms) {
         entry->seen = true;
         return;
     }
--- a/core/tally.c
+++ b/core/tally.c
@@ -165,6 +165,7 @@
 ct_tallies_start(struct ct_state *state)
 {
     state->tallies.open_window = ct_window_at(state, state->now_ms);
+    state->tallies.followed_ms = state->now_ms;
     arm(state);
 }
 
@@ -186,6 +187,8 @@
             send(state, record);
         }
     }
+    ct_zone_orders_follow(state, state->now_ms - tallies->followed_ms);
+    tallies->followed_ms = state->now_ms;
     arm(state);
 }
 
--- a/core/tally.h
+++ b/core/tally.h
@@ -31,6 +31,8 @@
     /* struct ct_tally_record */
     GArray *records;
     uint64_t next_sequence;
+    /* When the load was last looked at. */
+    ct_ms followed_ms;
     /* Windows before this one are closed. */
     int64_t open_window;
 };
--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -5,9 +5,18 @@
 #include "error.h"
 #include "state.h"
 
-/* Upstreams of a zone: firm ones kept, and cheap ones wanted. */
-#define FIRM_FLOOR 1
-#define CHEAP_WANTED 4
+/* Calls in flight at an engine that leave room for a burst, in tenths. */
+#define CALLS_PER_UPSTREAM_TENTHS 35
+/* Time constants of the load: it is believed quickly and forgotten slowly. */
+#define RISE_MS 2500
+#define FALL_MS 20000
+/*
+ * Part of a pool's upper bound that is kept whatever the load: bursts come
+ * faster than upstreams boot.
+ */
+#define KEPT_PERCENT 75
+/* Part of what is kept below which firm ones stand in for cheap ones. */
+#define COVERED_PERCENT 60
 #define ORDER_RETRY_MS 1000
 /* Cheap upstreams that are not to be had are asked for again after this. */
 #define EXHAUSTED_RETRY_MS 3000
@@ -132,28 +141,105 @@
                 wanted);
 }
 
+/* Zones of the pool, and its upstreams that take work, by kind. */
+struct pool_count {
+    uint32_t zones;
+    uint32_t cheap;
+    uint32_t firm;
+};
+
+static struct pool_count
+count_pool(const struct ct_state *state, const struct ct_pool_row *pool)
+{
+    struct pool_count count = {.zones = pool->order_zones->len};
+
+    for (guint i = 0; i < pool->order_zones->len; i++) {
+        const struct ct_name *zone =
+            &g_array_index(pool->order_zones, struct ct_order_zone, i).zone;
+
+        count.cheap += running(state, pool, zone, true);
+        count.firm += running(state, pool, zone, false);
+    }
+    return count;
+}
+
+/* Upstreams that the load of all hosts asks for. */
+static uint32_t
+needed(const struct ct_state *state, const struct ct_pool_row *pool)
+{
+    uint64_t load = pool->load_milli * ct_roster_size(state);
+
+    return (uint32_t)((load * 10 + CALLS_PER_UPSTREAM_TENTHS * 1000 - 1) /
+                      (CALLS_PER_UPSTREAM_TENTHS * 1000));
+}
+
+static uint32_t
+per_zone(uint32_t n, uint32_t zones)
+{
+    return (n + zones - 1) / zones;
+}
+
 static void
 plan(struct ct_state *state, struct ct_zone_order_row *row)
 {
     const struct ct_pool_row *pool =
         ct_table_get(&state->config.pools, row->pool);
-    uint32_t max;
+    struct pool_count count;
+    uint32_t covered;
     uint32_t cheap;
-    uint32_t firm;
+    uint32_t firm = 0;
 
     if (!pool || !row->configured) {
         return;
     }
-    max = pool->conf.max_upstreams;
-    cheap = MIN(CHEAP_WANTED, max > FIRM_FLOOR ? max - FIRM_FLOOR : 0);
-    /* Firm ones stand in for cheap ones that are not there. */
-    firm = FIRM_FLOOR + cheap -
-           MIN(cheap, running(state, pool, &row->zone, true));
-    firm = CLAMP(firm, pool->conf.min_upstreams, max);
+    count = count_pool(state, pool);
+    cheap = MAX(pool->conf.max_upstreams * KEPT_PERCENT / 100,
+                per_zone(needed(state, pool), count.zones));
+    cheap = CLAMP(cheap, pool->conf.min_upstreams, pool->conf.max_upstreams);
+    covered = cheap * count.zones * COVERED_PERCENT / 100;
+    if (count.cheap < covered) {
+        firm = per_zone(covered - count.cheap, count.zones);
+    }
+    firm = MIN(firm, pool->conf.max_upstreams -
+                         MIN(running(state, pool, &row->zone, true),
+                             pool->conf.max_upstreams));
     order(state, row, pool, true, &row->cheap, cheap);
     order(state, row, pool, false, &row->firm, firm);
 }
 
+/* Follows the number of calls in flight at the pool's upstreams. */
+static void
+follow_load(struct ct_state *state, struct ct_pool_row *pool, ct_ms step_ms)
+{
+    uint64_t now = 0;
+    ct_ms constant_ms;
+    int64_t change;
+
+    for (uint32_t i = 0; i < pool->n_upstreams; i++) {
+        const struct ct_upstream_row *upstream =
+            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+
+        now += upstream ? upstream->in_flight : 0;
+    }
+    change = (int64_t)now * 1000 - (int64_t)pool->load_milli;
+    constant_ms = change > 0 ? RISE_MS : FALL_MS;
+    pool->load_milli = (uint64_t)((int64_t)pool->load_milli +
+                                  change * step_ms / constant_ms);
+}
+
+void
+ct_zone_orders_follow(struct ct_state *state, ct_ms step_ms)
+{
+    struct ct_pool_row *pool;
+    uint32_t cursor = 0;
+
+    while ((pool = ct_table_next(&state->config.pools, &cursor, NULL))) {
+        if (pool->configured && pool->order_zones) {
+            follow_load(state, pool, step_ms);
+        }
+    }
+}
+
 void
 ct_zone_orders_on_timer(struct ct_state *state)
 {
