--- a/core/bounds.h
+++ b/core/bounds.h
@@ -9,6 +9,8 @@
 struct ct_bounds {
     /* After this a key that was taken away must not run anything. */
     ct_ms revoke_ms;
+    /* After this an upstream that leaves must get nothing new. */
+    ct_ms drain_ms;
     /* Repeats to a pool, in thousandths of its calls, beside the burst. */
     int64_t repeat_permille;
     uint32_t repeat_burst;
--- a/core/roster.c
+++ b/core/roster.c
@@ -6,7 +6,9 @@
 #include "relay-state.h"
 #include "state.h"
 
+/* Between questions: longer the more hosts ask. */
 #define PERIOD_MS 2000
+#define PERIOD_A_HOST_MS 40
 /* Spread of the hosts' questions, so that they do not come all at once. */
 #define SPREAD_MS 500
 /* Answers in a row without a host after which it is dropped. */
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -5,12 +5,16 @@
 #include "error.h"
 #include "state.h"
 
-/* How long a read waits at the end of a topic. */
-#define CONFIG_WAIT_MS 2000
-/* Shorter than what upstreams that leave go on for. */
-#define UPSTREAMS_WAIT_MS 1400
+/*
+ * How long a read waits at the end of a topic, in percent of the bound on
+ * what it tells: one that stays unanswered is made again in time.
+ */
+#define CONFIG_WAIT_PERCENT 55
+#define UPSTREAMS_WAIT_PERCENT 70
 /* Beyond its wait an answer takes this long at most. */
-#define READ_TIMEOUT_MS 1200
+#define READ_TIMEOUT_MS 700
+/* Entries of upstreams come in bursts: those of this time are read at once. */
+#define GATHER_MS 350
 #define NEWEST_TIMEOUT_MS 2500
 /* Between reads that failed; doubled up to the limit. */
 #define BACKOFF_MS 100
@@ -47,9 +51,22 @@
 }
 
 static ct_ms
-wait_of(enum ct_topic topic)
+wait_of(const struct ct_state *state, enum ct_topic topic)
+{
+    const struct ct_bounds *bounds = &state->self.bounds;
+
+    return topic == CT_TOPIC_CONFIG
+               ? bounds->revoke_ms * CONFIG_WAIT_PERCENT / 100
+               : bounds->drain_ms * UPSTREAMS_WAIT_PERCENT / 100;
+}
+
+/* Shorter the older the knowledge is: an answer without records renews it. */
+static ct_ms
+wait_for(const struct ct_state *state, enum ct_topic topic)
 {
-    return topic == CT_TOPIC_CONFIG ? CONFIG_WAIT_MS : UPSTREAMS_WAIT_MS;
+    ct_ms left_ms = wait_of(state, topic) - ct_store_age_ms(state, topic);
+
+    return MAX(left_ms, 0);
 }
 
 static void
@@ -63,9 +80,8 @@
     read->topic = topic;
     read->newest = !sync->known;
     read->from = sync->next;
-    /* After a failure the first answer counts, not the next record. */
-    if (sync->known && sync->failures == 0) {
-        read->wait_ms = wait_of(topic);
+    if (sync->known) {
+        read->wait_ms = wait_for(state, topic);
     }
     read->timeout_ms =
         sync->known ? read->wait_ms + READ_TIMEOUT_MS : NEWEST_TIMEOUT_MS;
@@ -393,7 +409,10 @@
     if (state->store.upstreams_changed) {
         publish(state);
     }
-    read_after(state, read->topic, 0);
+    read_after(state, read->topic,
+               read->topic == CT_TOPIC_UPSTREAMS && read->entries > 0
+                   ? GATHER_MS
+                   : 0);
 }
 
 void
