--- a/core/balance-home.c
+++ b/core/balance-home.c
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include "balance-rows.h"
 #include "error.h"
 
@@ -5,6 +7,13 @@
 #define HOME_MEAN_PERCENT 150
 #define HOME_EXTRA 3
 
+/*
+ * How long an upstream is left alone that took no connection, or broke an
+ * answer off. Short: the list tells soon which ones are gone.
+ */
+#define UNREACHABLE_MS 1500
+#define BROKEN_MS 400
+
 struct pick {
     int index;
     uint64_t score;
@@ -106,9 +115,35 @@
     return pick.index;
 }
 
+static void
+home_ended(struct ct_balance_policy *policy, struct ct_handle upstream,
+           enum ct_outcome outcome, ct_ms now_ms)
+{
+    struct ct_balance_plain *plain = (struct ct_balance_plain *)policy;
+    struct ct_balance_row *row = ct_balance_row(&plain->rows, upstream);
+
+    if (!row) {
+        return;
+    }
+    ct_balance_row_ended(row, now_ms);
+    if (outcome == CT_OUTCOME_NOT_SENT) {
+        row->ejected_until_ms = now_ms + UNREACHABLE_MS;
+    }
+    else if (outcome == CT_OUTCOME_BROKEN) {
+        row->ejected_until_ms = MAX(row->ejected_until_ms, now_ms + BROKEN_MS);
+    }
+}
+
 static const struct ct_balance_policy_ops home_ops = {
     .choose = home_choose,
-    CT_BALANCE_PLAIN_OPS,
+    .started = ct_balance_plain_started,
+    .ended = home_ended,
+    .first_token = ct_balance_plain_first_token,
+    .token_gap = ct_balance_plain_token_gap,
+    .reported = ct_balance_plain_reported,
+    .usable = ct_balance_plain_usable,
+    .bytes = ct_balance_plain_bytes,
+    .free = ct_balance_plain_free,
 };
 
 struct ct_balance_policy *
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -59,8 +59,7 @@
 {
     uint32_t n = candidates_in(state, relay, CT_UPSTREAM_RUNNING, out);
 
-    return n > 0 ? n
-                 : candidates_in(state, relay, CT_UPSTREAM_DOUBTFUL, out);
+    return n > 0 ? n : candidates_in(state, relay, CT_UPSTREAM_DOUBTFUL, out);
 }
 
 static struct ct_handle
--- a/core/relay-state.c
+++ b/core/relay-state.c
@@ -73,8 +73,7 @@
     if (state->drained) {
         return;
     }
-    if ((quiet && flushed) ||
-        state->now_ms >= end_ms(state)) {
+    if ((quiet && flushed) || state->now_ms >= end_ms(state)) {
         state->drained = true;
         ct_emit_log(state, CT_LOG_DRAIN_DONE, &state->self.host, NULL,
                     state->relays.rows.live);
--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -223,8 +223,8 @@
     }
     change = (int64_t)now * 1000 - (int64_t)pool->load_milli;
     constant_ms = change > 0 ? RISE_MS : FALL_MS;
-    pool->load_milli = (uint64_t)((int64_t)pool->load_milli +
-                                  change * step_ms / constant_ms);
+    pool->load_milli =
+        (uint64_t)((int64_t)pool->load_milli + change * step_ms / constant_ms);
 }
 
 void
--- /dev/null
+++ b/t/lib-relay.c
@@ -0,0 +1,270 @@
+#include "lib-relay.h"
+
+#include <string.h>
+
+#define TIMEOUT_MS 10000
+
+void
+t_relay_init(struct t_core *core)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_BEGIN};
+
+    t_core_init_named(core, "h1", "h1-1");
+    CT_TEXT_SET(core->state->self.address, "10.0.0.1:80");
+    core->state->self.bounds = (struct ct_bounds){
+        .revoke_ms = 5000,
+        .drain_ms = 2000,
+        .repeat_permille = 200,
+        .repeat_burst = 20,
+        .repeat_window_ms = 10000,
+        .lease_ms = 3000,
+        .member_ttl_min_ms = 1000,
+        .usage_window_ms = 5000,
+        .usage_late_ms = 10000,
+        .address_ttl_ms = 2000,
+        .grace_ms = 8000,
+    };
+    t_core_post(core, &event);
+}
+
+static struct ct_config_row *
+add(GArray *rows, enum ct_config_kind kind)
+{
+    guint at = rows->len;
+
+    g_array_set_size(rows, at + 1);
+    g_array_index(rows, struct ct_config_row, at).kind = kind;
+    return &g_array_index(rows, struct ct_config_row, at);
+}
+
+static void
+add_route(GArray *rows, const char *prefix, const char *pool,
+          enum ct_repeat repeat, bool stream)
+{
+    struct ct_prefix_route *route =
+        &add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route;
+    struct ct_pool_share *share;
+
+    CT_TEXT_SET(route->name, prefix);
+    CT_TEXT_SET(route->authority, T_HOST);
+    CT_TEXT_SET(route->prefix, prefix);
+    route->repeat = repeat;
+    route->stream = stream;
+    route->sticky = stream;
+    route->rank = 2;
+    route->attempts = 2;
+    route->timeout_ms = TIMEOUT_MS;
+    route->open_to_all = strcmp(prefix, "/open/") == 0;
+    share = &add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
+    CT_TEXT_SET(share->route, prefix);
+    CT_TEXT_SET(share->pool, pool);
+    share->weight = 1;
+}
+
+static void
+add_key(GArray *rows, uint8_t key, const char *organisation)
+{
+    struct ct_config_key *row = &add(rows, CT_CONFIG_KEY)->u.key;
+
+    row->digest = t_digest(key);
+    CT_TEXT_SET(row->organisation, organisation);
+}
+
+GArray *
+t_relay_rows(void)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    struct ct_organisation *organisation;
+
+    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "engines");
+    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "desk");
+    CT_TEXT_SET(add(rows, CT_CONFIG_ORGANISATION)->u.organisation.name,
+                "acme");
+    organisation = &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+    CT_TEXT_SET(organisation->name, "zeta");
+    organisation->has_rank = true;
+    organisation->rank = 7;
+    add_key(rows, 1, "acme");
+    add_key(rows, 2, "acme");
+    add_key(rows, 3, "zeta");
+    add_route(rows, "/any/", "desk", CT_REPEAT_ANY, false);
+    add_route(rows, "/once/", "desk", CT_REPEAT_NEVER, false);
+    add_route(rows, "/resume/", "engines", CT_REPEAT_RESUME, true);
+    add_route(rows, "/stream/", "engines", CT_REPEAT_NEVER, true);
+    add_route(rows, "/open/", "desk", CT_REPEAT_ANY, false);
+    return rows;
+}
+
+void
+t_relay_post_config(struct t_core *core, int64_t version, GArray *rows)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_CONFIG};
+
+    event.u.store_config.version = version;
+    event.rows =
+        CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
+    t_core_post(core, &event);
+}
+
+struct ct_store_upstream
+t_upstream(const char *pool, uint32_t i)
+{
+    struct ct_store_upstream entry;
+    char text[32];
+
+    memset(&entry, 0, sizeof(entry));
+    g_snprintf(text, sizeof(text), "%s-%u", pool, i);
+    CT_TEXT_SET(entry.upstream.name, text);
+    CT_TEXT_SET(entry.upstream.pool, pool);
+    CT_TEXT_SET(entry.upstream.zone, i % 2 ? "zone-b" : "zone-a");
+    g_snprintf(text, sizeof(text), "10.1.0.%u:80", i);
+    CT_TEXT_SET(entry.upstream.address, text);
+    entry.upstream.slots = 8;
+    entry.born_ms = 1;
+    return entry;
+}
+
+void
+t_relay_upstream(struct t_core *core, const struct ct_store_upstream *entry)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_UPSTREAM};
+
+    event.u.store_upstream = *entry;
+    t_core_post(core, &event);
+}
+
+void
+t_relay_read(struct t_core *core, enum ct_topic topic, int32_t result,
+             uint32_t entries, ct_ms took_ms, ct_ms idle_ms)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_READ};
+    const struct ct_topic_sync *sync = &core->state->store.topics[topic];
+
+    event.u.store_read = (struct ct_store_read){
+        .topic = topic,
+        .newest = !sync->known,
+        .result = result,
+        .sent_ms = core->now_ms - took_ms,
+        .idle_ms = idle_ms,
+        .next = sync->next + entries,
+        .entries = entries,
+    };
+    t_core_post(core, &event);
+}
+
+void
+t_relay_confirm(struct t_core *core)
+{
+    t_relay_read(core, CT_TOPIC_CONFIG, CT_OK, 0, 0, 0);
+    t_relay_read(core, CT_TOPIC_UPSTREAMS, CT_OK, 0, 0, 0);
+}
+
+void
+t_relay_configure(struct t_core *core, int64_t version, uint32_t n)
+{
+    GArray *rows = t_relay_rows();
+
+    t_relay_post_config(core, version, rows);
+    g_array_free(rows, TRUE);
+    for (uint32_t i = 0; i < n; i++) {
+        struct ct_store_upstream entry = t_upstream("engines", i);
+
+        t_relay_upstream(core, &entry);
+        entry = t_upstream("desk", i);
+        t_relay_upstream(core, &entry);
+    }
+    t_relay_confirm(core);
+}
+
+uint64_t
+t_relay_call(struct t_core *core, uint8_t key, const char *path)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_ARRIVED};
+    struct ct_relay_call *call = &event.u.relay;
+
+    call->caller = core->next_caller++;
+    g_snprintf(call->request_id.text, sizeof(call->request_id.text),
+               "call-%" G_GUINT64_FORMAT, call->caller);
+    CT_TEXT_SET(call->authority, T_HOST);
+    CT_TEXT_SET(call->path, path);
+    call->has_key = key != 0;
+    call->key = t_digest(key);
+    call->prefix_hash = 7;
+    t_core_post(core, &event);
+    return call->caller;
+}
+
+struct ct_relay_start
+t_relay_started(const struct t_core *core)
+{
+    const struct ct_effect *effect =
+        t_core_effect(core, CT_EFFECT_RELAY_START, 0);
+
+    g_assert_nonnull(effect);
+    return effect->u.relay;
+}
+
+static void
+post_progress(struct t_core *core, enum ct_event_type type,
+              const struct ct_relay_progress *progress)
+{
+    struct ct_event event = {.type = type};
+
+    event.u.progress = *progress;
+    t_core_post(core, &event);
+}
+
+void
+t_relay_sent(struct t_core *core, struct ct_handle attempt)
+{
+    const struct ct_relay_progress progress = {.attempt = attempt};
+
+    post_progress(core, CT_EVENT_RELAY_SENT, &progress);
+}
+
+void
+t_relay_data(struct t_core *core, struct ct_handle attempt,
+             uint64_t last_event)
+{
+    const struct ct_relay_progress progress = {
+        .attempt = attempt,
+        .events = 1,
+        .bytes = 10,
+        .last_event = last_event,
+    };
+
+    post_progress(core, CT_EVENT_RELAY_DATA, &progress);
+}
+
+void
+t_relay_done(struct t_core *core, struct ct_handle attempt,
+             enum ct_outcome outcome, uint32_t status)
+{
+    const struct ct_relay_progress progress = {
+        .attempt = attempt,
+        .outcome = outcome,
+        .status = status,
+    };
+
+    post_progress(core, CT_EVENT_RELAY_DONE, &progress);
+}
+
+void
+t_relay_finish(struct t_core *core, struct ct_handle attempt,
+               enum ct_outcome outcome, uint32_t status)
+{
+    t_relay_sent(core, attempt);
+    t_relay_done(core, attempt, outcome, status);
+}
+
+void
+t_relay_assert_refused(const struct t_core *core, enum ct_refusal reason,
+                       enum ct_run_state run_state)
+{
+    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
+
+    g_assert_nonnull(effect);
+    g_assert_cmpstr(ct_refusal_text(effect->u.refuse.reason), ==,
+                    ct_refusal_text(reason));
+    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
+}
--- /dev/null
+++ b/t/test-balance-home.c
@@ -0,0 +1,184 @@
+/* Tests of the policy that gives each prefix a home. */
+#include <glib.h>
+
+#include "balance-policy.h"
+#include "error.h"
+
+#define N 12
+
+struct fleet {
+    struct ct_balance_policy *policy;
+    struct ct_candidate candidates[N];
+    struct ct_balance_ask ask;
+};
+
+static void
+setup(struct fleet *f)
+{
+    *f = (struct fleet){.policy = ct_balance_home_new()};
+    f->ask.now_ms = 1000;
+    f->ask.cheap_allowed = true;
+    for (uint32_t i = 0; i < N; i++) {
+        f->candidates[i] = (struct ct_candidate){
+            .upstream = {i, 1},
+            .name_hash = ct_hash_bytes(CT_HASH_SEED, &i, sizeof(i)),
+            .slots = 64,
+        };
+    }
+}
+
+static int
+choose(struct fleet *f, uint64_t prefix)
+{
+    f->ask.prefix_hash = prefix;
+    return f->policy->ops->choose(f->policy, &f->ask, f->candidates, N);
+}
+
+static void
+start(struct fleet *f, int i)
+{
+    f->policy->ops->started(f->policy, f->candidates[i].upstream,
+                            f->ask.now_ms);
+}
+
+static void
+teardown(struct fleet *f)
+{
+    f->policy->ops->free(f->policy);
+}
+
+/* The same home each time, and homes spread over all. */
+static void
+test_home(void)
+{
+    struct fleet f;
+    guint homes[N] = {0};
+
+    setup(&f);
+    for (uint64_t prefix = 1; prefix <= 600; prefix++) {
+        int home = choose(&f, prefix * G_GUINT64_CONSTANT(2654435761));
+
+        g_assert_cmpint(
+            home, ==, choose(&f, prefix * G_GUINT64_CONSTANT(2654435761)));
+        homes[home]++;
+    }
+    for (guint i = 0; i < N; i++) {
+        g_assert_cmpuint(homes[i], >, 20);
+    }
+    teardown(&f);
+}
+
+/* A home that goes takes only its own prefixes with it. */
+static void
+test_home_goes(void)
+{
+    struct fleet f;
+
+    setup(&f);
+    for (uint64_t prefix = 1; prefix <= 100; prefix++) {
+        int before = choose(&f, prefix << 20);
+
+        f.candidates[3].excluded = true;
+        if (before != 3) {
+            g_assert_cmpint(choose(&f, prefix << 20), ==, before);
+        }
+        else {
+            g_assert_cmpint(choose(&f, prefix << 20), !=, 3);
+        }
+        f.candidates[3].excluded = false;
+    }
+    teardown(&f);
+}
+
+/* A hot prefix leaves its home before that has far more than the others. */
+static void
+test_hot(void)
+{
+    struct fleet f;
+    guint at[N] = {0};
+    guint most = 0;
+
+    setup(&f);
+    for (guint i = 0; i < 120; i++) {
+        int chosen = choose(&f, 99);
+
+        start(&f, chosen);
+        at[chosen]++;
+        most = MAX(most, at[chosen]);
+    }
+    g_assert_cmpuint(most, <=, 120 / N * 3 / 2 + 4);
+    teardown(&f);
+}
+
+/* Without a prefix the fewest in flight, and equals in turn. */
+static void
+test_no_prefix(void)
+{
+    struct fleet f;
+    guint at[N] = {0};
+
+    setup(&f);
+    for (guint i = 0; i < 5 * N; i++) {
+        int chosen = choose(&f, 0);
+
+        start(&f, chosen);
+        at[chosen]++;
+    }
+    for (guint i = 0; i < N; i++) {
+        g_assert_cmpuint(at[i], ==, 5);
+    }
+    teardown(&f);
+}
+
+/* One that breaks an answer off is soon asked again. */
+static void
+test_broken(void)
+{
+    struct fleet f;
+    int home;
+
+    setup(&f);
+    home = choose(&f, 99);
+    start(&f, home);
+    f.policy->ops->ended(f.policy, f.candidates[home].upstream,
+                         CT_OUTCOME_BROKEN, f.ask.now_ms);
+    g_assert_cmpint(choose(&f, 99), !=, home);
+    f.ask.now_ms += 500;
+    g_assert_cmpint(choose(&f, 99), ==, home);
+    teardown(&f);
+}
+
+/* One that failed is left alone for a while, but is better than none. */
+static void
+test_failed(void)
+{
+    struct fleet f;
+    int home;
+
+    setup(&f);
+    home = choose(&f, 99);
+    start(&f, home);
+    f.policy->ops->ended(f.policy, f.candidates[home].upstream,
+                         CT_OUTCOME_NOT_SENT, f.ask.now_ms);
+    g_assert_cmpint(choose(&f, 99), !=, home);
+    for (int i = 0; i < N; i++) {
+        f.candidates[i].excluded = i != home;
+    }
+    g_assert_cmpint(choose(&f, 99), ==, home);
+    f.candidates[home].excluded = true;
+    g_assert_cmpint(choose(&f, 99), ==, CT_ERR_NOT_FOUND);
+    teardown(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/balance-home/home", test_home);
+    g_test_add_func("/balance-home/home-goes", test_home_goes);
+    g_test_add_func("/balance-home/hot", test_hot);
+    g_test_add_func("/balance-home/no-prefix", test_no_prefix);
+    g_test_add_func("/balance-home/broken", test_broken);
+    g_test_add_func("/balance-home/failed", test_failed);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-prefix-route.c
@@ -0,0 +1,157 @@
+/* Tests of prefix-route.h: the longest prefix, and shares of pools. */
+#include <string.h>
+
+#include "lib-relay.h"
+#include "prefix-route.h"
+
+static struct ct_config_row *
+add(GArray *rows, enum ct_config_kind kind)
+{
+    guint at = rows->len;
+
+    g_array_set_size(rows, at + 1);
+    g_array_index(rows, struct ct_config_row, at).kind = kind;
+    return &g_array_index(rows, struct ct_config_row, at);
+}
+
+static void
+add_route(GArray *rows, const char *name, const char *authority,
+          const char *prefix)
+{
+    struct ct_prefix_route *route =
+        &add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route;
+
+    CT_TEXT_SET(route->name, name);
+    CT_TEXT_SET(route->authority, authority);
+    CT_TEXT_SET(route->prefix, prefix);
+}
+
+static void
+add_share(GArray *rows, const char *route, const char *pool, uint32_t weight)
+{
+    struct ct_pool_share *share =
+        &add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
+
+    CT_TEXT_SET(share->route, route);
+    CT_TEXT_SET(share->pool, pool);
+    share->weight = weight;
+}
+
+static void
+apply(struct ct_config *config, int64_t version, GArray *rows)
+{
+    const struct ct_rows all =
+        CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
+
+    g_assert_cmpint(ct_config_apply(config, version, all), ==, CT_OK);
+}
+
+static void
+test_find(void)
+{
+    static const struct {
+        const char *authority, *path, *route;
+    } cases[] = {
+        {"a.example", "/", "root"},
+        {"a.example", "/x", "root"},
+        {"a.example", "/one/", "one"},
+        {"a.example", "/one", "root"},
+        {"a.example", "/one/two/three", "two"},
+        {"a.example", "/one/twofold", "one"},
+        {"b.example", "/one/two/", "other"},
+        {"b.example", "/two/", NULL},
+        {"c.example", "/one/", NULL},
+        {"a.example", "one/", NULL},
+    };
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    struct ct_config config;
+
+    add_route(rows, "root", "a.example", "/");
+    add_route(rows, "one", "a.example", "/one/");
+    add_route(rows, "two", "a.example", "/one/two/");
+    add_route(rows, "other", "b.example", "/one/");
+    ct_config_init(&config);
+    apply(&config, 1, rows);
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const struct ct_prefix_route_row *row;
+        struct ct_authority authority = {{0}};
+        struct ct_path path = {{0}};
+
+        CT_TEXT_SET(authority, cases[i].authority);
+        CT_TEXT_SET(path, cases[i].path);
+        row = ct_table_get(&config.prefix_routes,
+                           ct_prefix_route_find(&config, &authority, &path));
+        g_assert_cmpstr(row ? row->conf.name.text : NULL, ==, cases[i].route);
+    }
+    ct_config_free(&config);
+    g_array_free(rows, TRUE);
+}
+
+/* A route that moves and one that goes, while a request holds them. */
+static void
+test_changes(void)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    struct ct_authority authority = {"a.example"};
+    struct ct_path path = {"/one/x"};
+    struct ct_config config;
+    struct ct_handle held;
+
+    add_route(rows, "one", "a.example", "/one/");
+    ct_config_init(&config);
+    apply(&config, 1, rows);
+    held = ct_prefix_route_find(&config, &authority, &path);
+    ct_table_ref(&config.prefix_routes, held);
+    g_array_set_size(rows, 0);
+    add_route(rows, "one", "a.example", "/uno/");
+    apply(&config, 2, rows);
+    g_assert_true(ct_handle_is_none(
+        ct_prefix_route_find(&config, &authority, &path)));
+    g_array_set_size(rows, 0);
+    apply(&config, 3, rows);
+    g_assert_nonnull(ct_table_get(&config.prefix_routes, held));
+    ct_table_unref(&config.prefix_routes, held);
+    g_assert_null(ct_table_get(&config.prefix_routes, held));
+    ct_config_free(&config);
+    g_array_free(rows, TRUE);
+}
+
+static void
+test_shares(void)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    const struct ct_prefix_route_row *row;
+    struct ct_authority authority = {"a.example"};
+    struct ct_path path = {"/one/x"};
+    struct ct_config config;
+    guint first = 0;
+
+    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "p");
+    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "q");
+    add_route(rows, "one", "a.example", "/one/");
+    add_share(rows, "one", "p", 90);
+    add_share(rows, "one", "q", 10);
+    ct_config_init(&config);
+    apply(&config, 1, rows);
+    row = ct_table_get(&config.prefix_routes,
+                       ct_prefix_route_find(&config, &authority, &path));
+    for (uint64_t hash = 0; hash < 1000; hash++) {
+        first += ct_handle_eq(ct_prefix_route_pool(row, hash), row->pools[0]);
+    }
+    g_assert_cmpuint(first, ==, 900);
+    g_array_set_size(rows, rows->len - 2);
+    apply(&config, 2, rows);
+    g_assert_true(ct_handle_is_none(ct_prefix_route_pool(row, 1)));
+    ct_config_free(&config);
+    g_array_free(rows, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/prefix-route/find", test_find);
+    g_test_add_func("/prefix-route/changes", test_changes);
+    g_test_add_func("/prefix-route/shares", test_shares);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-relay.c
@@ -0,0 +1,435 @@
+/* Tests of relay.h: who is let in, what is repeated, resumed and refused. */
+#include <string.h>
+
+#include "lib-relay.h"
+
+static void
+setup(struct t_core *core, uint32_t n)
+{
+    t_relay_init(core);
+    t_relay_configure(core, 5, n);
+}
+
+static void
+test_admission(void)
+{
+    static const struct {
+        uint8_t key;
+        const char *path;
+        enum ct_refusal reason;
+    } cases[] = {
+        {0, T_OPEN_PATH, CT_REFUSAL_COUNT},
+        {9, T_OPEN_PATH, CT_REFUSAL_COUNT},
+        {1, T_ANY_PATH, CT_REFUSAL_COUNT},
+        {0, T_ANY_PATH, CT_REFUSAL_NO_KEY},
+        {9, T_ANY_PATH, CT_REFUSAL_UNKNOWN_KEY},
+        {1, "/none/x", CT_REFUSAL_ROUTE_UNKNOWN},
+        {1, "/any", CT_REFUSAL_ROUTE_UNKNOWN},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct t_core core;
+
+        setup(&core, 2);
+        t_relay_call(&core, cases[i].key, cases[i].path);
+        if (cases[i].reason == CT_REFUSAL_COUNT) {
+            t_relay_started(&core);
+        }
+        else {
+            t_relay_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
+        }
+        t_core_free(&core);
+    }
+}
+
+/* Nothing is said about keys and routes before something is known of them. */
+static void
+test_unknown_yet(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_relay_assert_refused(&core, CT_REFUSAL_NOT_READY, CT_NOT_RUN);
+    t_core_free(&core);
+}
+
+/*
+ * A key may have been taken away that this host has not heard of: with old
+ * knowledge nothing runs by a key, and no key or route is called unknown.
+ */
+static void
+test_old_knowledge(void)
+{
+    static const struct {
+        ct_ms age_ms;
+        uint8_t key;
+        const char *path;
+        enum ct_refusal reason;
+    } cases[] = {
+        {4400, 1, T_ANY_PATH, CT_REFUSAL_COUNT},
+        {4500, 1, T_ANY_PATH, CT_REFUSAL_NOT_CURRENT},
+        {4500, 9, T_ANY_PATH, CT_REFUSAL_NOT_CURRENT},
+        {4500, 1, "/none/x", CT_REFUSAL_NOT_CURRENT},
+        {60000, 0, T_OPEN_PATH, CT_REFUSAL_COUNT},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct t_core core;
+
+        setup(&core, 2);
+        core.now_ms += cases[i].age_ms;
+        core.wall_ms += cases[i].age_ms;
+        t_relay_call(&core, cases[i].key, cases[i].path);
+        if (cases[i].reason == CT_REFUSAL_COUNT) {
+            t_relay_started(&core);
+        }
+        else {
+            t_relay_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
+        }
+        t_core_free(&core);
+    }
+}
+
+/* A key that a newer configuration lacks, and one that it names again. */
+static void
+test_key_taken_away(void)
+{
+    GArray *rows = t_relay_rows();
+    struct t_core core;
+
+    setup(&core, 2);
+    for (guint i = 0; i < rows->len; i++) {
+        struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == CT_CONFIG_KEY &&
+            row->u.key.digest.bytes[0] == t_digest(1).bytes[0]) {
+            row->u.key.digest = t_digest(4);
+        }
+    }
+    t_relay_post_config(&core, 6, rows);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_relay_assert_refused(&core, CT_REFUSAL_UNKNOWN_KEY, CT_NOT_RUN);
+    t_relay_call(&core, 4, T_ANY_PATH);
+    t_relay_started(&core);
+    t_relay_configure(&core, 7, 0);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_relay_started(&core);
+    t_core_free(&core);
+    g_array_free(rows, TRUE);
+}
+
+/* What the upstream is told: organisation, rank, and the time that is left. */
+static void
+test_start(void)
+{
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup(&core, 2);
+    t_relay_call(&core, 1, T_STREAM_PATH);
+    start = t_relay_started(&core);
+    g_assert_cmpstr(start.organisation.text, ==, "acme");
+    g_assert_cmpuint(start.rank, ==, 2);
+    g_assert_cmpint(start.until_ms, ==, core.now_ms + 10000);
+    t_relay_call(&core, 3, T_STREAM_PATH);
+    g_assert_cmpuint(t_relay_started(&core).rank, ==, 7);
+    t_relay_call(&core, 1, T_OPEN_PATH);
+    g_assert_cmpstr(t_relay_started(&core).organisation.text, ==, "");
+    t_core_free(&core);
+}
+
+/* How an attempt ended, by kind of route: sent elsewhere, passed or refused. */
+static void
+test_ends(void)
+{
+    static const struct {
+        const char *path;
+        enum ct_outcome outcome;
+        uint32_t status;
+        bool repeated;
+        /* CT_REFUSAL_COUNT where the answer is passed on. */
+        enum ct_refusal reason;
+        enum ct_run_state run_state;
+    } cases[] = {
+        {T_ANY_PATH, CT_OUTCOME_COMPLETE, 200, false, CT_REFUSAL_COUNT},
+        {T_ANY_PATH, CT_OUTCOME_COMPLETE, 500, true, CT_REFUSAL_COUNT},
+        {T_ANY_PATH, CT_OUTCOME_BROKEN, 0, true, CT_REFUSAL_COUNT},
+        {T_ANY_PATH, CT_OUTCOME_MISMATCH, 200, true, CT_REFUSAL_COUNT},
+        {T_ANY_PATH, CT_OUTCOME_DECLINED, 503, true, CT_REFUSAL_COUNT},
+        {T_ONCE_PATH, CT_OUTCOME_COMPLETE, 500, false, CT_REFUSAL_COUNT},
+        {T_ONCE_PATH, CT_OUTCOME_BROKEN, 0, false,
+         CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
+        {T_ONCE_PATH, CT_OUTCOME_MISMATCH, 200, false,
+         CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
+        {T_ONCE_PATH, CT_OUTCOME_DECLINED, 503, true, CT_REFUSAL_COUNT},
+        {T_STREAM_PATH, CT_OUTCOME_BROKEN, 0, false,
+         CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
+        {T_STREAM_PATH, CT_OUTCOME_DECLINED, 421, true, CT_REFUSAL_COUNT},
+        {T_RESUME_PATH, CT_OUTCOME_BROKEN, 0, true, CT_REFUSAL_COUNT},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_relay_start first;
+        struct t_core core;
+
+        setup(&core, 3);
+        t_relay_call(&core, 1, cases[i].path);
+        first = t_relay_started(&core);
+        t_relay_finish(&core, first.attempt, cases[i].outcome,
+                       cases[i].status);
+        if (cases[i].repeated) {
+            g_assert_cmpstr(t_relay_started(&core).upstream.text, !=,
+                            first.upstream.text);
+        }
+        else if (cases[i].reason == CT_REFUSAL_COUNT) {
+            g_assert_true(t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)
+                              ->u.forward.ends);
+        }
+        else {
+            t_relay_assert_refused(&core, cases[i].reason,
+                                   cases[i].run_state);
+        }
+        t_core_free(&core);
+    }
+}
+
+/* A connection that never stood leaves no doubt, whatever the kind. */
+static void
+test_not_sent(void)
+{
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    for (guint i = 0; i < 2; i++) {
+        start = t_relay_started(&core);
+        t_relay_done(&core, start.attempt, CT_OUTCOME_NOT_SENT, 0);
+    }
+    start = t_relay_started(&core);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_NOT_SENT, 0);
+    t_relay_assert_refused(&core, CT_REFUSAL_NO_UPSTREAM, CT_NOT_RUN);
+    t_core_free(&core);
+}
+
+/* The second decline uses up the attempts; nothing has run, and it is said. */
+static void
+test_declined_twice(void)
+{
+    struct t_core core;
+
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_DECLINED,
+                   503);
+    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_DECLINED,
+                   503);
+    t_relay_assert_refused(&core, CT_REFUSAL_UPSTREAM_FULL, CT_NOT_RUN);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_REFUSE, 0)
+                        ->u.refuse.retry_after_ms,
+                    >, 0);
+    t_core_free(&core);
+}
+
+/* A stream goes on elsewhere after the last event that the caller has. */
+static void
+test_resume(void)
+{
+    const struct ct_relay_forward *forward;
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_RESUME_PATH);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 4);
+    g_assert_true(
+        t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)->u.forward.begins);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
+    start = t_relay_started(&core);
+    g_assert_cmpuint(start.after_event, ==, 4);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 5);
+    forward = &t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)->u.forward;
+    g_assert_false(forward->begins);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+    forward = &t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)->u.forward;
+    g_assert_true(forward->ends);
+    t_core_free(&core);
+}
+
+/* What a begun answer must not become: another run's, or an error's. */
+static void
+test_no_mixture(void)
+{
+    struct ct_relay_start start;
+    struct t_core core;
+
+    /* A run that begins again. */
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_RESUME_PATH);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 4);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 1);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_FORWARD), ==, 0);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_BREAK), ==, 1);
+    t_core_free(&core);
+
+    /* An error in place of the rest. */
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_RESUME_PATH);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 4);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
+    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_COMPLETE,
+                   500);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_FORWARD), ==, 0);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_BREAK), ==, 1);
+    t_core_free(&core);
+
+    /* A stream that may not be resumed. */
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_STREAM_PATH);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 4);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_START), ==, 0);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_BREAK), ==, 1);
+    t_core_free(&core);
+}
+
+/* Work for a caller who left is stopped, but what may have run once only. */
+static void
+test_gone(void)
+{
+    static const struct {
+        const char *path;
+        bool sent, cancelled;
+    } cases[] = {
+        {T_ANY_PATH, true, true},     {T_STREAM_PATH, true, true},
+        {T_RESUME_PATH, false, true}, {T_ONCE_PATH, false, true},
+        {T_ONCE_PATH, true, false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_event event = {.type = CT_EVENT_RELAY_GONE};
+        struct ct_relay_start start;
+        struct t_core core;
+
+        setup(&core, 2);
+        event.u.caller = t_relay_call(&core, 1, cases[i].path);
+        start = t_relay_started(&core);
+        if (cases[i].sent) {
+            t_relay_sent(&core, start.attempt);
+        }
+        t_core_post(&core, &event);
+        g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL), ==,
+                         cases[i].cancelled);
+        if (!cases[i].cancelled) {
+            t_relay_done(&core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+            g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_FORWARD), ==,
+                             0);
+        }
+        g_assert_cmpuint(core.state->relays.rows.live, ==, 0);
+        g_assert_cmpuint(core.state->relays.attempts.live, ==, 0);
+        t_core_free(&core);
+    }
+}
+
+/* At the end of its time a call gets a last word that is true. */
+static void
+test_time_is_up(void)
+{
+    struct t_core core;
+
+    setup(&core, 2);
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    t_relay_sent(&core, t_relay_started(&core).attempt);
+    t_core_tick(&core, 10000);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE), ==, 0);
+    t_core_tick(&core, 200);
+    t_relay_assert_refused(&core, CT_REFUSAL_UPSTREAM_SILENT, CT_MAY_HAVE_RUN);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL), ==, 1);
+    t_core_free(&core);
+}
+
+/* A pool where all fail: repeats stay within the part of one host. */
+static void
+test_repeat_budget(void)
+{
+    struct t_core core;
+    guint repeats = 0;
+
+    setup(&core, 3);
+    for (guint i = 0; i < 100; i++) {
+        struct ct_relay_start start;
+
+        t_relay_call(&core, 1, T_ANY_PATH);
+        start = t_relay_started(&core);
+        t_relay_finish(&core, start.attempt, CT_OUTCOME_BROKEN, 0);
+        if (t_core_count(&core, CT_EFFECT_RELAY_START) > 0) {
+            repeats++;
+            start = t_relay_started(&core);
+            t_relay_finish(&core, start.attempt, CT_OUTCOME_BROKEN, 0);
+        }
+    }
+    /* A fifth of the calls and a burst of 20. */
+    g_assert_cmpuint(repeats, >, 10);
+    g_assert_cmpuint(repeats, <=, 40);
+    t_core_free(&core);
+}
+
+/* Requests of an organisation count once, when their first answer comes. */
+static void
+test_counted_once(void)
+{
+    struct ct_relay_start start;
+    struct t_core core;
+    const struct ct_tally_count *count;
+
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_RESUME_PATH);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    g_assert_cmpuint(core.state->tallies.counts->len, ==, 0);
+    t_relay_data(&core, start.attempt, 1);
+    t_relay_data(&core, start.attempt, 2);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
+    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_COMPLETE,
+                   200);
+    g_assert_cmpuint(core.state->tallies.counts->len, ==, 1);
+    count =
+        &g_array_index(core.state->tallies.counts, struct ct_tally_count, 0);
+    g_assert_cmpuint(count->row.requests, ==, 1);
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/relay/admission", test_admission);
+    g_test_add_func("/relay/unknown-yet", test_unknown_yet);
+    g_test_add_func("/relay/old-knowledge", test_old_knowledge);
+    g_test_add_func("/relay/key-taken-away", test_key_taken_away);
+    g_test_add_func("/relay/start", test_start);
+    g_test_add_func("/relay/ends", test_ends);
+    g_test_add_func("/relay/not-sent", test_not_sent);
+    g_test_add_func("/relay/declined-twice", test_declined_twice);
+    g_test_add_func("/relay/resume", test_resume);
+    g_test_add_func("/relay/no-mixture", test_no_mixture);
+    g_test_add_func("/relay/gone", test_gone);
+    g_test_add_func("/relay/time-is-up", test_time_is_up);
+    g_test_add_func("/relay/repeat-budget", test_repeat_budget);
+    g_test_add_func("/relay/counted-once", test_counted_once);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-store-sync.c
@@ -0,0 +1,288 @@
+/* Tests of store-sync.h: what is known, how old it is, who is gone. */
+#include <string.h>
+
+#include "lib-relay.h"
+
+static enum ct_upstream_state
+state_of(const struct t_core *core, const char *name, bool *there)
+{
+    const struct ct_config *config = &core->state->config;
+    const struct ct_upstream_row *row;
+    struct ct_name key;
+
+    memset(&key, 0, sizeof(key));
+    CT_TEXT_SET(key, name);
+    row = ct_table_get(&config->upstreams, ct_config_upstream(config, &key));
+    *there = row != NULL && row->configured;
+    return row ? row->state : CT_UPSTREAM_LEAVING;
+}
+
+static void
+assert_state(const struct t_core *core, const char *name, bool there,
+             enum ct_upstream_state state)
+{
+    bool found;
+    enum ct_upstream_state is = state_of(core, name, &found);
+
+    g_assert_cmpint(found, ==, there);
+    if (there) {
+        g_assert_cmpint(is, ==, state);
+    }
+}
+
+static const struct ct_store_read_effect *
+read_of(const struct t_core *core, enum ct_topic topic)
+{
+    for (uint32_t i = 0;; i++) {
+        const struct ct_effect *effect =
+            t_core_effect(core, CT_EFFECT_STORE_READ, i);
+
+        if (effect == NULL || effect->u.store_read.topic == topic) {
+            return effect ? &effect->u.store_read : NULL;
+        }
+    }
+}
+
+/* The newest of each key first, then from where that ended, waiting. */
+static void
+test_start(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_core_tick(&core, 200);
+    g_assert_true(read_of(&core, CT_TOPIC_CONFIG)->newest);
+    g_assert_true(read_of(&core, CT_TOPIC_UPSTREAMS)->newest);
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, 10, 0);
+    g_assert_false(read_of(&core, CT_TOPIC_CONFIG)->newest);
+    g_assert_cmpint(read_of(&core, CT_TOPIC_CONFIG)->wait_ms, >, 1000);
+    t_core_free(&core);
+}
+
+/* An older version that comes late changes nothing. */
+static void
+test_never_reverts(void)
+{
+    GArray *rows = t_relay_rows();
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 9, 1);
+    t_relay_post_config(&core, 8, rows);
+    g_assert_cmpint(core.state->store.config_version, ==, 9);
+    t_relay_post_config(&core, 10, rows);
+    g_assert_cmpint(core.state->store.config_version, ==, 10);
+    t_core_free(&core);
+    g_array_free(rows, TRUE);
+}
+
+/* A configuration that cannot be applied leaves the one before in force. */
+static void
+test_bad_config(void)
+{
+    GArray *rows = t_relay_rows();
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 9, 1);
+    /* A route's share of a pool that is not declared. */
+    for (guint i = 0; i < rows->len; i++) {
+        struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == CT_CONFIG_POOL_SHARE) {
+            CT_TEXT_SET(row->u.pool_share.pool, "nowhere");
+        }
+    }
+    t_relay_post_config(&core, 10, rows);
+    g_assert_cmpint(core.state->store.config_version, ==, 9);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_relay_started(&core);
+    t_core_free(&core);
+    g_array_free(rows, TRUE);
+}
+
+/*
+ * An answer without records proves what stood after its wait, one with
+ * records only what stood when it was asked for.
+ */
+static void
+test_age(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    core.now_ms += 2000;
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, 2000, 1900);
+    g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_CONFIG), ==, 100);
+    core.now_ms += 2000;
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 1, 2000, 2750);
+    g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_CONFIG), ==, 2000);
+    /* The next one must renew the knowledge before it is too old. */
+    g_assert_cmpint(read_of(&core, CT_TOPIC_CONFIG)->wait_ms, <=, 750);
+    t_core_free(&core);
+}
+
+/* Reads that fail are made again, less often, and then without a wait. */
+static void
+test_failures(void)
+{
+    struct t_core core;
+    ct_ms before_ms;
+    guint reads = 0;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    core.now_ms += 3000;
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_TIMEOUT, 0, 3000, 0);
+    g_assert_null(read_of(&core, CT_TOPIC_CONFIG));
+    for (before_ms = core.now_ms; core.now_ms < before_ms + 10000;) {
+        t_core_tick(&core, 10);
+        if (read_of(&core, CT_TOPIC_CONFIG)) {
+            g_assert_cmpint(read_of(&core, CT_TOPIC_CONFIG)->wait_ms, ==, 0);
+            t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_IO, 0, 0, 0);
+            reads++;
+        }
+    }
+    g_assert_cmpuint(reads, >=, 8);
+    g_assert_cmpuint(reads, <=, 25);
+    t_core_free(&core);
+}
+
+/* Records that are gone: the newest of each key are read again. */
+static void
+test_truncated(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 2);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_LOG_TRUNCATED, 0, 0, 0);
+    g_assert_true(read_of(&core, CT_TOPIC_UPSTREAMS)->newest);
+    t_core_free(&core);
+}
+
+static void
+drop(struct t_core *core, const char *pool, uint32_t i)
+{
+    struct ct_store_upstream entry = t_upstream(pool, i);
+
+    entry.gone = true;
+    t_relay_upstream(core, &entry);
+}
+
+/* With the store in order, an entry that is dropped is gone at once. */
+static void
+test_gone(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 2);
+    drop(&core, "desk", 0);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    assert_state(&core, "desk-0", false, 0);
+    assert_state(&core, "desk-1", true, CT_UPSTREAM_RUNNING);
+    t_core_free(&core);
+}
+
+/*
+ * After an outage entries may have lapsed and come back: until then their
+ * upstreams take work only where no other can.
+ */
+static void
+test_doubtful(void)
+{
+    struct ct_store_upstream back = t_upstream("desk", 0);
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 2);
+    core.now_ms += 5000;
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_TIMEOUT, 0, 0, 0);
+    drop(&core, "desk", 0);
+    drop(&core, "desk", 1);
+    drop(&core, "engines", 0);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 3, 0, 0);
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, 0, 0);
+    assert_state(&core, "desk-0", true, CT_UPSTREAM_DOUBTFUL);
+    assert_state(&core, "engines-0", true, CT_UPSTREAM_DOUBTFUL);
+    /* Both of this pool are doubtful: better than none. */
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_relay_started(&core);
+    /* One of the other is sure. */
+    for (guint i = 0; i < 8; i++) {
+        t_relay_call(&core, 1, T_STREAM_PATH);
+        g_assert_cmpstr(t_relay_started(&core).upstream.text, ==,
+                        "engines-1");
+    }
+    t_relay_upstream(&core, &back);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    assert_state(&core, "desk-0", true, CT_UPSTREAM_RUNNING);
+    core.now_ms += 1000;
+    t_core_tick(&core, 1100);
+    assert_state(&core, "desk-0", true, CT_UPSTREAM_RUNNING);
+    assert_state(&core, "desk-1", false, 0);
+    assert_state(&core, "engines-0", false, 0);
+    t_core_free(&core);
+}
+
+/* A leaving upstream gets nothing new. */
+static void
+test_leaving(void)
+{
+    struct ct_store_upstream entry = t_upstream("desk", 0);
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 2);
+    entry.leaving = true;
+    t_relay_upstream(&core, &entry);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    for (guint i = 0; i < 8; i++) {
+        t_relay_call(&core, 1, T_ANY_PATH);
+        g_assert_cmpstr(t_relay_started(&core).upstream.text, ==, "desk-1");
+    }
+    t_core_free(&core);
+}
+
+/* The same id with another start is another upstream. */
+static void
+test_born_again(void)
+{
+    struct ct_store_upstream entry = t_upstream("desk", 0);
+    struct ct_handle before;
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    before = ct_config_upstream(&core.state->config, &entry.upstream.name);
+    entry.born_ms = 2;
+    CT_TEXT_SET(entry.upstream.address, "10.1.0.99:80");
+    t_relay_upstream(&core, &entry);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    g_assert_false(ct_handle_eq(
+        before,
+        ct_config_upstream(&core.state->config, &entry.upstream.name)));
+    t_relay_call(&core, 1, T_ANY_PATH);
+    g_assert_cmpstr(t_relay_started(&core).address.text, ==, "10.1.0.99:80");
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/store-sync/start", test_start);
+    g_test_add_func("/store-sync/never-reverts", test_never_reverts);
+    g_test_add_func("/store-sync/bad-config", test_bad_config);
+    g_test_add_func("/store-sync/age", test_age);
+    g_test_add_func("/store-sync/failures", test_failures);
+    g_test_add_func("/store-sync/truncated", test_truncated);
+    g_test_add_func("/store-sync/gone", test_gone);
+    g_test_add_func("/store-sync/doubtful", test_doubtful);
+    g_test_add_func("/store-sync/leaving", test_leaving);
+    g_test_add_func("/store-sync/born-again", test_born_again);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-tally.c
@@ -0,0 +1,156 @@
+/* Tests of tally.h: counts by window, written once under one number. */
+#include "lib-relay.h"
+
+#define WINDOW_MS 5000
+
+static void
+count(struct t_core *core, const char *name, guint n)
+{
+    struct ct_name organisation = {{0}};
+
+    CT_TEXT_SET(organisation, name);
+    core->state->now_ms = core->now_ms;
+    while (n-- > 0) {
+        ct_tally_add(core->state, &organisation);
+    }
+}
+
+/* Runs on to the next record that is written; fails where none comes. */
+static const struct ct_effect *
+next_record(struct t_core *core, ct_ms within_ms)
+{
+    for (ct_ms i = 0; i < within_ms; i += 50) {
+        const struct ct_effect *effect;
+
+        t_core_tick(core, 50);
+        effect = t_core_effect(core, CT_EFFECT_STORE_APPEND, 0);
+        if (effect) {
+            return effect;
+        }
+    }
+    g_assert_not_reached();
+}
+
+static void
+answer(struct t_core *core, uint64_t sequence, int32_t result)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_APPENDED};
+
+    event.u.appended.topic = CT_TOPIC_TALLIES;
+    event.u.appended.sequence = sequence;
+    event.u.appended.result = result;
+    t_core_post(core, &event);
+}
+
+static uint64_t
+requests_of(const struct ct_effect *effect, const char *name)
+{
+    const struct ct_tally_row *rows = effect->rows.data;
+
+    for (uint32_t i = 0; i < effect->rows.n; i++) {
+        if (g_str_equal(rows[i].organisation.text, name)) {
+            return rows[i].requests;
+        }
+    }
+    return 0;
+}
+
+/* After its end a window is written, also an empty one. */
+static void
+test_windows(void)
+{
+    const struct ct_effect *effect;
+    struct t_core core;
+    int64_t window;
+
+    t_relay_init(&core);
+    count(&core, "acme", 3);
+    count(&core, "zeta", 1);
+    count(&core, "acme", 1);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    window = effect->u.store_append.tally.window;
+    g_assert_cmpuint(requests_of(effect, "acme"), ==, 4);
+    g_assert_cmpuint(requests_of(effect, "zeta"), ==, 1);
+    g_assert_cmpint(core.wall_ms, >=, (window + 1) * WINDOW_MS);
+    answer(&core, effect->u.store_append.tally.sequence, CT_OK);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    g_assert_cmpint(effect->u.store_append.tally.window, ==, window + 1);
+    g_assert_cmpuint(effect->rows.n, ==, 0);
+    t_core_free(&core);
+}
+
+/* A record whose fate is not known is written again as it was. */
+static void
+test_repeats(void)
+{
+    const struct ct_effect *effect;
+    struct t_core core;
+    uint64_t sequence;
+    int64_t window;
+
+    t_relay_init(&core);
+    count(&core, "acme", 3);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    sequence = effect->u.store_append.tally.sequence;
+    window = effect->u.store_append.tally.window;
+    count(&core, "acme", 5);
+    answer(&core, sequence, CT_ERR_TIMEOUT);
+    effect = next_record(&core, 2000);
+    g_assert_cmpuint(effect->u.store_append.tally.sequence, ==, sequence);
+    g_assert_cmpint(effect->u.store_append.tally.window, ==, window);
+    g_assert_cmpuint(requests_of(effect, "acme"), ==, 3);
+    answer(&core, sequence, CT_OK);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    g_assert_cmpuint(requests_of(effect, "acme"), ==, 5);
+    t_core_free(&core);
+}
+
+/* A jump of the time of day moves no count into another window. */
+static void
+test_jump(void)
+{
+    const struct ct_effect *effect;
+    struct t_core core;
+    int64_t window;
+
+    t_relay_init(&core);
+    window = core.wall_ms / WINDOW_MS;
+    count(&core, "acme", 1);
+    core.wall_ms += 60000;
+    count(&core, "acme", 1);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    g_assert_cmpint(effect->u.store_append.tally.window, ==, window);
+    g_assert_cmpuint(requests_of(effect, "acme"), ==, 2);
+    t_core_free(&core);
+}
+
+/* A host that stops writes down what it has before its time. */
+static void
+test_flush(void)
+{
+    const struct ct_effect *effect;
+    struct t_core core;
+
+    t_relay_init(&core);
+    g_assert_true(ct_tallies_flush(core.state));
+    count(&core, "acme", 2);
+    ct_effects_clear(&core.effects);
+    core.state->out = &core.effects;
+    g_assert_false(ct_tallies_flush(core.state));
+    effect = t_core_effect(&core, CT_EFFECT_STORE_APPEND, 0);
+    g_assert_cmpuint(requests_of(effect, "acme"), ==, 2);
+    answer(&core, effect->u.store_append.tally.sequence, CT_OK);
+    g_assert_true(ct_tallies_flush(core.state));
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/tally/windows", test_windows);
+    g_test_add_func("/tally/repeats", test_repeats);
+    g_test_add_func("/tally/jump", test_jump);
+    g_test_add_func("/tally/flush", test_flush);
+    return g_test_run();
+}
