--- a/t/test-balance-home.c
+++ b/t/test-balance-home.c
@@ -58,8 +58,8 @@
     for (uint64_t prefix = 1; prefix <= 600; prefix++) {
         int home = choose(&f, prefix * G_GUINT64_CONSTANT(2654435761));
 
-        g_assert_cmpint(
-            home, ==, choose(&f, prefix * G_GUINT64_CONSTANT(2654435761)));
+        g_assert_cmpint(home, ==,
+                        choose(&f, prefix * G_GUINT64_CONSTANT(2654435761)));
         homes[home]++;
     }
     for (guint i = 0; i < N; i++) {
--- /dev/null
+++ b/t/test-call-dialect.c
@@ -0,0 +1,216 @@
+/* Tests of call-dialect.h: headers of calls and answers, both ways. */
+#include <string.h>
+
+#include "call-dialect.h"
+#include "error.h"
+
+static const struct ct_dialect_ops *
+ops(void)
+{
+    return ct_platform_dialect()->ops;
+}
+
+static int
+take(const char *name, const char *value, struct ct_relay_call *call,
+     bool *pass)
+{
+    return ops()->call_header(ct_platform_dialect(), name, value, call, pass);
+}
+
+/* What goes on to the upstream as it came, and what does not. */
+static void
+test_passed_on(void)
+{
+    static const struct {
+        const char *name, *value;
+        bool pass;
+    } cases[] = {
+        {"Host", "svc.example:80", true},
+        {"Request-Id", "abc", true},
+        {"request-id", "abc", true},
+        {"Model", "m", true},
+        {"Token-Count", "1460,80", true},
+        {"Prefix-Hash", "5c1e:800,91bd:410", true},
+        {"Length-Hint", "5", true},
+        {"X-Anything", "", true},
+        {"Key", "secret", false},
+        {"Tenant", "acme", false},
+        {"Deadline-Ms", "100", false},
+        {"Expect-Instance", "i-1", false},
+        {"Request-Priority", "0", false},
+        {"Retain", "x", false},
+        {"Pin-Ms", "4000", false},
+        {"Kv-Backup", "1.1.1.1:1", false},
+        {"Kv-From", "1.1.1.1:1/x", false},
+        {"Kv-Fetch", "1.1.1.1:1", false},
+        {"Last-Event-Id", "4", false},
+        {"Connection", "keep-alive", false},
+        {"Transfer-Encoding", "chunked", false},
+        {"Content-Length", "3", false},
+        {"Expect", "100-continue", false},
+        {"TE", "trailers", false},
+        {"Upgrade", "h2c", false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_relay_call call = {0};
+        bool pass = !cases[i].pass;
+
+        g_assert_cmpint(take(cases[i].name, cases[i].value, &call, &pass), ==,
+                        CT_OK);
+        g_assert_cmpint(pass, ==, cases[i].pass);
+    }
+}
+
+static void
+test_fields(void)
+{
+    struct ct_relay_call call = {0};
+    struct ct_relay_call other = {0};
+    bool pass;
+
+    take("Host", "svc.example:8080", &call, &pass);
+    take("Request-Id", "9c41d07be2a35f68", &call, &pass);
+    take("Deadline-Ms", "12000", &call, &pass);
+    take("Last-Event-Id", "12", &call, &pass);
+    take("Token-Count", "1460,80", &call, &pass);
+    take("Key", "n2ctn", &call, &pass);
+    take("Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", &call,
+         &pass);
+    g_assert_cmpstr(call.authority.text, ==, "svc.example");
+    g_assert_cmpstr(call.request_id.text, ==, "9c41d07be2a35f68");
+    g_assert_cmpint(call.deadline_ms, ==, 12000);
+    g_assert_cmpuint(call.last_event, ==, 12);
+    g_assert_cmpuint(call.prompt_tokens, ==, 1460);
+    g_assert_cmpuint(call.max_tokens, ==, 80);
+    g_assert_true(call.has_key);
+    /* The last part is the call's own: another one has the same home. */
+    take("Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,aaaaaaaa:99", &other,
+         &pass);
+    g_assert_cmpuint(call.prefix_hash, ==, other.prefix_hash);
+    take("Prefix-Hash", "5c1e07a2:800,91bd3f07:410,aaaaaaaa:99", &other,
+         &pass);
+    g_assert_cmpuint(call.prefix_hash, !=, other.prefix_hash);
+}
+
+static void
+test_bad_values(void)
+{
+    static const struct {
+        const char *name, *value;
+    } cases[] = {
+        {"Deadline-Ms", "soon"},   {"Deadline-Ms", "-1"},
+        {"Deadline-Ms", "1e9"},    {"Deadline-Ms", "99999999999"},
+        {"Last-Event-Id", "x"},    {"Token-Count", "many"},
+        {"Request-Id", "0123456789012345678901234567890123456789"},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_relay_call call = {0};
+        bool pass;
+
+        g_assert_cmpint(take(cases[i].name, cases[i].value, &call, &pass), <,
+                        0);
+    }
+}
+
+/* Whether the list holds the line. */
+static bool
+has_line(const struct curl_slist *lines, const char *line)
+{
+    for (; lines != NULL; lines = lines->next) {
+        if (strcmp(lines->data, line) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+test_own_headers(void)
+{
+    struct ct_relay_start start = {.rank = 12, .stream = true};
+    struct ct_transfer transfer = {0};
+
+    CT_TEXT_SET(start.upstream, "i-7f3a");
+    CT_TEXT_SET(start.organisation, "acme");
+    start.after_event = 8;
+    g_assert_cmpint(ops()->attempt_headers(ct_platform_dialect(), &start, 1234,
+                                           &transfer),
+                    ==, CT_OK);
+    g_assert_true(has_line(transfer.headers, "Expect-Instance: i-7f3a"));
+    g_assert_true(has_line(transfer.headers, "Deadline-Ms: 1234"));
+    g_assert_true(has_line(transfer.headers, "Tenant: acme"));
+    g_assert_true(has_line(transfer.headers, "Request-Priority: 9"));
+    g_assert_true(has_line(transfer.headers, "Last-Event-Id: 8"));
+    curl_slist_free_all(transfer.headers);
+}
+
+static void
+test_answers(void)
+{
+    static const struct {
+        uint32_t status;
+        const char *name, *value;
+        bool pass, id, declined, proven;
+    } cases[] = {
+        {200, "Request-Id", "r1", true, true, false, false},
+        {200, "Request-Id", "r2", true, false, false, false},
+        {200, "Runner-Signature", "3e1b", true, false, false, true},
+        {503, "Not-Executed", "1", true, false, true, false},
+        {421, "Instance-Id", "i-2", false, false, true, false},
+        {200, "Content-Length", "4", false, false, false, false},
+        {200, "Connection", "close", false, false, false, false},
+        {200, "Keep-Alive", "timeout=5", false, false, false, false},
+        {200, "Content-Type", "text/event-stream", true, false, false, false},
+        {200, "Weight-Versions", "4", true, false, false, false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_answer_head head = {.status = cases[i].status};
+        struct ct_relay_start start = {.rank = 0};
+        bool pass;
+
+        CT_TEXT_SET(start.request_id, "r1");
+        pass = ops()->answer_header(ct_platform_dialect(), &start,
+                                    cases[i].name, cases[i].value, &head);
+        g_assert_cmpint(pass, ==, cases[i].pass);
+        g_assert_cmpint(head.id_matches, ==, cases[i].id);
+        g_assert_cmpint(head.declined, ==, cases[i].declined);
+        g_assert_cmpint(head.proven, ==, cases[i].proven);
+    }
+}
+
+static void
+test_own_answers(void)
+{
+    struct ct_host hosts[2];
+    GString *out = g_string_new(NULL);
+    char value[32];
+
+    memset(hosts, 0, sizeof(hosts));
+    CT_TEXT_SET(hosts[0].caller_address, "10.1.0.19:8227");
+    CT_TEXT_SET(hosts[1].caller_address, "10.1.0.20:8227");
+    ops()->addresses(ct_platform_dialect(), hosts, 2, 2000, out);
+    g_assert_cmpstr(out->str, ==,
+                    "{\"addrs\":[\"10.1.0.19:8227\",\"10.1.0.20:8227\"],"
+                    "\"ttlS\":2}");
+    g_assert_cmpstr(ops()->retry_after(ct_platform_dialect(), 250, value,
+                                       sizeof(value)),
+                    ==, "Retry-After");
+    g_assert_cmpstr(value, ==, "0.250");
+    g_string_free(out, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/call-dialect/passed-on", test_passed_on);
+    g_test_add_func("/call-dialect/fields", test_fields);
+    g_test_add_func("/call-dialect/bad-values", test_bad_values);
+    g_test_add_func("/call-dialect/own-headers", test_own_headers);
+    g_test_add_func("/call-dialect/answers", test_answers);
+    g_test_add_func("/call-dialect/own-answers", test_own_answers);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-catalogue.c
@@ -0,0 +1,209 @@
+/* Tests of catalogue.h: the platform's JSON, and bad entries. */
+#include <string.h>
+
+#include "catalogue.h"
+#include "error.h"
+
+#define LIMITS                                                                \
+    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"          \
+    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}"
+#define SERVICE "{\"name\":\"s1\",\"healthPath\":\"/h\",\"maxConns\":9}"
+#define ROUTE(more)                                                           \
+    "{\"name\":\"r1\",\"host\":\"a.example\",\"pathPrefix\":\"/x/\","         \
+    "\"type\":\"stream\",\"timeoutMs\":12000,\"sloMs\":2000,\"priority\":2,"  \
+    "\"attempts\":2,\"public\":false,\"sticky\":true" more "}"
+#define CONFIG(services, tenants, routes)                                     \
+    "{\"version\":7," LIMITS ",\"services\":[" services "],\"tenants\":["     \
+    tenants "],\"routes\":[" routes "]}"
+
+static const struct ct_config_row *
+row_of(const GArray *rows, enum ct_config_kind kind, guint nth)
+{
+    for (guint i = 0; i < rows->len; i++) {
+        const struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == kind && nth-- == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static int
+parse(const char *text, struct ct_store_config *config, GArray **rows)
+{
+    *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    memset(config, 0, sizeof(*config));
+    return ct_catalogue_config(text, strlen(text), config, *rows);
+}
+
+static void
+test_config(void)
+{
+    static const char text[] = CONFIG(
+        SERVICE
+        ",{\"name\":\"s2\",\"engine\":{\"slots\":64},\"scaling\":{\"min\":1,"
+        "\"max\":10,\"bootS\":4.5,\"spotPrice\":0.18,"
+        "\"zonePrices\":{\"za\":1.0,\"zb\":0.8}}}",
+        "{\"name\":\"acme\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1},"
+        "{\"name\":\"zeta\",\"apiKeys\":[]}",
+        ROUTE(",\"resumable\":true,\"backends\":[{\"service\":\"s1\","
+              "\"weight\":90},{\"service\":\"s2\",\"weight\":10}]"));
+    const struct ct_config_row *row;
+    struct ct_store_config config;
+    GArray *rows;
+
+    g_assert_cmpint(parse(text, &config, &rows), ==, CT_OK);
+    g_assert_cmpint(config.version, ==, 7);
+    g_assert_cmpuint(config.bounds.body_bytes, ==, 4194304);
+    g_assert_cmpint(config.bounds.idle_timeout_ms, ==, 15000);
+    row = row_of(rows, CT_CONFIG_PREFIX_ROUTE, 0);
+    g_assert_cmpstr(row->u.prefix_route.authority.text, ==, "a.example");
+    g_assert_cmpint(row->u.prefix_route.repeat, ==, CT_REPEAT_RESUME);
+    g_assert_true(row->u.prefix_route.stream);
+    g_assert_cmpint(row->u.prefix_route.timeout_ms, ==, 12000);
+    g_assert_cmpuint(row->u.prefix_route.attempts, ==, 2);
+    row = row_of(rows, CT_CONFIG_POOL_SHARE, 1);
+    g_assert_cmpstr(row->u.pool_share.pool.text, ==, "s2");
+    g_assert_cmpuint(row->u.pool_share.weight, ==, 10);
+    row = row_of(rows, CT_CONFIG_POOL, 1);
+    g_assert_cmpint(row->u.pool.kind, ==, CT_POOL_ENGINE);
+    g_assert_cmpuint(row->u.pool.max_upstreams, ==, 10);
+    row = row_of(rows, CT_CONFIG_ORDER_ZONE, 0);
+    g_assert_cmpint(row->u.order_zone.boot_ms, ==, 4500);
+    g_assert_cmpuint(row->u.order_zone.cheap_milli, ==, 180);
+    g_assert_nonnull(row_of(rows, CT_CONFIG_KEY, 1));
+    g_assert_null(row_of(rows, CT_CONFIG_KEY, 2));
+    row = row_of(rows, CT_CONFIG_ORGANISATION, 0);
+    g_assert_true(row->u.organisation.has_rank);
+    g_assert_false(row_of(rows, CT_CONFIG_ORGANISATION, 1)
+                       ->u.organisation.has_rank);
+    g_array_free(rows, TRUE);
+}
+
+/* What the kind of a route allows. */
+static void
+test_kinds(void)
+{
+    static const struct {
+        const char *kind, *more;
+        enum ct_repeat repeat;
+        bool stream;
+    } cases[] = {
+        {"safe", "", CT_REPEAT_ANY, false},
+        {"unsafe", "", CT_REPEAT_NEVER, false},
+        {"unsafe", ",\"resumable\":true", CT_REPEAT_NEVER, false},
+        {"stream", "", CT_REPEAT_NEVER, true},
+        {"stream", ",\"resumable\":false", CT_REPEAT_NEVER, true},
+        {"stream", ",\"resumable\":true", CT_REPEAT_RESUME, true},
+        /* A kind of later pages: nothing of it is repeated. */
+        {"other", "", CT_REPEAT_NEVER, false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const struct ct_config_row *row;
+        struct ct_store_config config;
+        GArray *rows;
+        char *text = g_strdup_printf(
+            "{\"version\":7," LIMITS ",\"services\":[" SERVICE
+            "],\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":"
+            "\"/\",\"type\":\"%s\",\"timeoutMs\":9,\"service\":\"s1\"%s}]}",
+            cases[i].kind, cases[i].more);
+
+        g_assert_cmpint(parse(text, &config, &rows), ==, CT_OK);
+        row = row_of(rows, CT_CONFIG_PREFIX_ROUTE, 0);
+        g_assert_cmpint(row->u.prefix_route.repeat, ==, cases[i].repeat);
+        g_assert_cmpint(row->u.prefix_route.stream, ==, cases[i].stream);
+        g_array_free(rows, TRUE);
+        g_free(text);
+    }
+}
+
+static void
+test_bad_configs(void)
+{
+    static const struct {
+        const char *text;
+        int err;
+    } cases[] = {
+        {"", CT_ERR_JSON_SYNTAX},
+        {"{\"version\":7", CT_ERR_JSON_SYNTAX},
+        {"[]", CT_ERR_FIELD_TYPE},
+        {"{}", CT_ERR_FIELD_MISSING},
+        {"{\"version\":\"7\"," LIMITS "}", CT_ERR_FIELD_TYPE},
+        {"{\"version\":7}", CT_ERR_FIELD_MISSING},
+        {"{\"version\":7,\"limits\":{}}", CT_ERR_FIELD_MISSING},
+        {CONFIG("5", "", ""), CT_ERR_FIELD_TYPE},
+        {CONFIG("{}", "", ""), CT_ERR_FIELD_MISSING},
+        {CONFIG(SERVICE, "{\"apiKeys\":[]}", ""), CT_ERR_FIELD_MISSING},
+        {CONFIG(SERVICE, "{\"name\":\"a\",\"apiKeys\":[{}]}", ""),
+         CT_ERR_FIELD_TYPE},
+        {CONFIG(SERVICE, "", ROUTE("")), CT_ERR_FIELD_MISSING},
+        {CONFIG(SERVICE, "", ROUTE(",\"backends\":[1]")), CT_ERR_FIELD_TYPE},
+        {CONFIG(SERVICE, "", ROUTE(",\"backends\":[{\"service\":\"s1\"}]")),
+         CT_ERR_FIELD_MISSING},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_store_config config;
+        GArray *rows;
+
+        g_assert_cmpint(parse(cases[i].text, &config, &rows), ==,
+                        cases[i].err);
+        g_array_free(rows, TRUE);
+    }
+}
+
+#define ENTRY(state, more)                                                    \
+    "{\"service\":\"s1\",\"addr\":\"10.1.0.9:80\",\"zone\":\"za\","           \
+    "\"version\":\"v1\",\"slots\":64,\"state\":\"" state "\"" more "}"
+
+static void
+test_upstreams(void)
+{
+    static const struct {
+        const char *text;
+        int err;
+        bool leaving, cheap;
+    } cases[] = {
+        {ENTRY("ready", ""), CT_OK, false, false},
+        {ENTRY("ready", ",\"preemptible\":true,\"born\":5"), CT_OK, false,
+         true},
+        {ENTRY("draining", ",\"leaves_ms\":2000"), CT_OK, true, false},
+        {ENTRY("resting", ""), CT_ERR_INVALID, false, false},
+        {ENTRY("ready", ",\"born\":\"x\""), CT_ERR_FIELD_TYPE, false, false},
+        {ENTRY("ready", ",\"preemptible\":3"), CT_ERR_FIELD_TYPE, false,
+         false},
+        {"{\"service\":\"s1\",\"state\":\"ready\"}", CT_ERR_FIELD_MISSING,
+         false, false},
+        {"{\"service\":7}", CT_ERR_FIELD_MISSING, false, false},
+        {"\xff\xfe", CT_ERR_JSON_SYNTAX, false, false},
+        {"[1]", CT_ERR_FIELD_TYPE, false, false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_store_upstream entry;
+
+        g_assert_cmpint(ct_catalogue_upstream("i-1", cases[i].text,
+                                              strlen(cases[i].text), &entry),
+                        ==, cases[i].err);
+        if (cases[i].err == CT_OK) {
+            g_assert_cmpstr(entry.upstream.name.text, ==, "i-1");
+            g_assert_cmpstr(entry.upstream.address.text, ==, "10.1.0.9:80");
+            g_assert_cmpint(entry.leaving, ==, cases[i].leaving);
+            g_assert_cmpint(entry.upstream.cheap, ==, cases[i].cheap);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/catalogue/config", test_config);
+    g_test_add_func("/catalogue/kinds", test_kinds);
+    g_test_add_func("/catalogue/bad-configs", test_bad_configs);
+    g_test_add_func("/catalogue/upstreams", test_upstreams);
+    return g_test_run();
+}
--- a/t/test-prefix-route.c
+++ b/t/test-prefix-route.c
@@ -105,8 +105,8 @@
     g_array_set_size(rows, 0);
     add_route(rows, "one", "a.example", "/uno/");
     apply(&config, 2, rows);
-    g_assert_true(ct_handle_is_none(
-        ct_prefix_route_find(&config, &authority, &path)));
+    g_assert_true(
+        ct_handle_is_none(ct_prefix_route_find(&config, &authority, &path)));
     g_array_set_size(rows, 0);
     apply(&config, 3, rows);
     g_assert_nonnull(ct_table_get(&config.prefix_routes, held));
--- /dev/null
+++ b/t/test-relay-settings.c
@@ -0,0 +1,98 @@
+/* Tests of relay-settings.h: a whole file, fallbacks, bad fields. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "error.h"
+#include "relay-settings.h"
+
+static const char *const good[] = {
+    "{",
+    "\"host\": \"edge-1\", // filled in",
+    "\"zone\": \"Yaba\",",
+    "\"caller_address\": \"127.0.0.1:0\",",
+    "\"guide_address\": \"127.0.0.1:0\",",
+    "\"ready_address\": \"127.0.0.1:0\",",
+    "\"operator_address\": \"127.0.0.1:0\",",
+    "\"store\": \"127.0.0.1:9\",",
+    "\"duties\": \"127.0.0.1:9\",",
+    "\"bounds\": {\"revoke_ms\": 4000, \"repeat_ratio\": 0.25,",
+    "\"usage_window_s\": 2.5}",
+    "}",
+};
+
+static int
+load(guint line, const char *text, struct ct_relay_settings *settings)
+{
+    GString *file = g_string_new(NULL);
+    struct ct_diags diags;
+    char *path;
+    int err;
+
+    for (guint i = 0; i < G_N_ELEMENTS(good); i++) {
+        g_string_append_printf(file, "%s\n",
+                               i + 1 == line ? text : good[i]);
+    }
+    path = g_build_filename(g_get_tmp_dir(), "ct-relay-settings-XXXXXX", NULL);
+    g_close(g_mkstemp(path), NULL);
+    g_assert_true(g_file_set_contents(path, file->str, -1, NULL));
+    ct_diags_init(&diags);
+    err = ct_relay_settings_load(path, settings, &diags);
+    g_assert_cmpint(ct_diags_count(&diags) > 0, ==, err < 0);
+    ct_diags_free(&diags);
+    g_unlink(path);
+    g_free(path);
+    g_string_free(file, TRUE);
+    return err;
+}
+
+static void
+test_good(void)
+{
+    struct ct_relay_settings settings;
+
+    g_assert_cmpint(load(0, NULL, &settings), ==, CT_OK);
+    g_assert_cmpstr(settings.host.text, ==, "edge-1");
+    g_assert_cmpint(settings.bounds.revoke_ms, ==, 4000);
+    g_assert_cmpint(settings.bounds.repeat_permille, ==, 250);
+    g_assert_cmpint(settings.bounds.usage_window_ms, ==, 2500);
+    g_assert_cmpint(settings.bounds.lease_ms, ==, 3000);
+    g_assert_cmpuint(settings.max_connections, ==, 2048);
+}
+
+static void
+test_bad(void)
+{
+    static const struct {
+        guint line;
+        const char *text;
+        int err;
+    } cases[] = {
+        {2, "", CT_ERR_FIELD_MISSING},
+        {4, "\"caller_address\": \"here\",", CT_ERR_FIELD_RANGE},
+        {8, "\"store\": \"http://127.0.0.1:9\",", CT_ERR_FIELD_RANGE},
+        {8, "\"store\": \"127.0.0.1:9\", \"disk\": 1,",
+         CT_ERR_FIELD_UNKNOWN},
+        {10, "\"bounds\": {\"revoke_ms\": 0,", CT_ERR_FIELD_RANGE},
+        {10, "\"bounds\": {\"repeat_ratio\": 1.5,", CT_ERR_FIELD_RANGE},
+        {10, "\"bounds\": {\"repeat_ratio\": \"0.2\",", CT_ERR_FIELD_TYPE},
+        {11, "\"usage_window_s\": null}", CT_ERR_FIELD_TYPE},
+        {12, "", CT_ERR_JSON_SYNTAX},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_relay_settings settings;
+
+        g_assert_cmpint(load(cases[i].line, cases[i].text, &settings), ==,
+                        cases[i].err);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/relay-settings/good", test_good);
+    g_test_add_func("/relay-settings/bad", test_bad);
+    return g_test_run();
+}
--- /dev/null
+++ b/t/test-relay-state.c
@@ -0,0 +1,139 @@
+/* Tests of relay-state.h: readiness, and a stop that cuts nothing. */
+#include "lib-relay.h"
+#include "relay-state.h"
+
+static void
+setup(struct t_core *core)
+{
+    t_relay_init(core);
+    t_relay_configure(core, 1, 2);
+}
+
+static void
+drain(struct t_core *core)
+{
+    struct ct_event event = {.type = CT_EVENT_DRAIN};
+
+    t_core_post(core, &event);
+}
+
+static void
+test_ready(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    g_assert_false(ct_relay_ready(core.state, core.now_ms));
+    t_relay_configure(&core, 1, 2);
+    g_assert_true(ct_relay_ready(core.state, core.now_ms));
+    g_assert_false(ct_relay_ready(core.state, core.now_ms + 4200));
+    drain(&core);
+    g_assert_false(ct_relay_ready(core.state, core.now_ms));
+    t_core_free(&core);
+}
+
+/* The store takes what this host has counted. */
+static void
+answer_append(struct t_core *core)
+{
+    const struct ct_effect *effect =
+        t_core_effect(core, CT_EFFECT_STORE_APPEND, 0);
+    struct ct_event event = {.type = CT_EVENT_STORE_APPENDED};
+
+    if (effect) {
+        event.u.appended.topic = effect->u.store_append.topic;
+        event.u.appended.sequence = effect->u.store_append.tally.sequence;
+        t_core_post(core, &event);
+    }
+}
+
+/* Runs until the drain is over; returns how long that took. */
+static ct_ms
+end_of_drain(struct t_core *core)
+{
+    ct_ms start_ms = core->now_ms;
+
+    while (t_core_count(core, CT_EFFECT_DRAINED) == 0) {
+        t_core_tick(core, 50);
+        answer_append(core);
+        t_relay_confirm(core);
+        t_core_tick(core, 50);
+        g_assert_cmpint(core->now_ms - start_ms, <, 8000);
+    }
+    return core->now_ms - start_ms;
+}
+
+/* Callers may come for as long as they may keep an answer; then it ends. */
+static void
+test_quiet(void)
+{
+    struct t_core core;
+    ct_ms took_ms;
+
+    setup(&core);
+    drain(&core);
+    took_ms = end_of_drain(&core);
+    g_assert_cmpint(took_ms, >=, 5000);
+    g_assert_cmpint(took_ms, <=, 6500);
+    t_core_free(&core);
+}
+
+/* A call under way is waited for, up to the kill. */
+static void
+test_busy(void)
+{
+    struct t_core core;
+
+    setup(&core);
+    t_relay_call(&core, 1, T_STREAM_PATH);
+    t_relay_sent(&core, t_relay_started(&core).attempt);
+    drain(&core);
+    g_assert_cmpint(end_of_drain(&core), >=, 7000);
+    t_core_free(&core);
+}
+
+/*
+ * A call that comes late in the stop and may not end before it is refused as
+ * not run; a short one is still taken.
+ */
+static void
+test_late_calls(void)
+{
+    static const struct {
+        ct_ms after_ms;
+        const char *path;
+        bool taken;
+    } cases[] = {
+        {100, T_STREAM_PATH, true},  {3000, T_STREAM_PATH, true},
+        {3500, T_STREAM_PATH, false}, {3500, T_ONCE_PATH, true},
+        {6000, T_ANY_PATH, true},    {6500, T_ANY_PATH, false},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct t_core core;
+
+        setup(&core);
+        drain(&core);
+        core.now_ms += cases[i].after_ms;
+        t_relay_confirm(&core);
+        t_relay_call(&core, 1, cases[i].path);
+        if (cases[i].taken) {
+            t_relay_started(&core);
+        }
+        else {
+            t_relay_assert_refused(&core, CT_REFUSAL_DRAINING, CT_NOT_RUN);
+        }
+        t_core_free(&core);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/relay-state/ready", test_ready);
+    g_test_add_func("/relay-state/quiet", test_quiet);
+    g_test_add_func("/relay-state/busy", test_busy);
+    g_test_add_func("/relay-state/late-calls", test_late_calls);
+    return g_test_run();
+}
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -140,7 +140,8 @@
     t_core_free(&core);
 }
 
-/* How an attempt ended, by kind of route: sent elsewhere, passed or refused. */
+/* How an attempt ended, by kind of route: sent elsewhere, passed or refused.
+ */
 static void
 test_ends(void)
 {
@@ -159,8 +160,8 @@
         {T_ANY_PATH, CT_OUTCOME_MISMATCH, 200, true, CT_REFUSAL_COUNT},
         {T_ANY_PATH, CT_OUTCOME_DECLINED, 503, true, CT_REFUSAL_COUNT},
         {T_ONCE_PATH, CT_OUTCOME_COMPLETE, 500, false, CT_REFUSAL_COUNT},
-        {T_ONCE_PATH, CT_OUTCOME_BROKEN, 0, false,
-         CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
+        {T_ONCE_PATH, CT_OUTCOME_BROKEN, 0, false, CT_REFUSAL_UPSTREAM_FAILED,
+         CT_MAY_HAVE_RUN},
         {T_ONCE_PATH, CT_OUTCOME_MISMATCH, 200, false,
          CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
         {T_ONCE_PATH, CT_OUTCOME_DECLINED, 503, true, CT_REFUSAL_COUNT},
@@ -188,8 +189,7 @@
                               ->u.forward.ends);
         }
         else {
-            t_relay_assert_refused(&core, cases[i].reason,
-                                   cases[i].run_state);
+            t_relay_assert_refused(&core, cases[i].reason, cases[i].run_state);
         }
         t_core_free(&core);
     }
@@ -227,9 +227,9 @@
     t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_DECLINED,
                    503);
     t_relay_assert_refused(&core, CT_REFUSAL_UPSTREAM_FULL, CT_NOT_RUN);
-    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_REFUSE, 0)
-                        ->u.refuse.retry_after_ms,
-                    >, 0);
+    g_assert_cmpint(
+        t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.retry_after_ms, >,
+        0);
     t_core_free(&core);
 }
 
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -214,8 +214,7 @@
     /* One of the other is sure. */
     for (guint i = 0; i < 8; i++) {
         t_relay_call(&core, 1, T_STREAM_PATH);
-        g_assert_cmpstr(t_relay_started(&core).upstream.text, ==,
-                        "engines-1");
+        g_assert_cmpstr(t_relay_started(&core).upstream.text, ==, "engines-1");
     }
     t_relay_upstream(&core, &back);
     t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
@@ -262,9 +261,9 @@
     CT_TEXT_SET(entry.upstream.address, "10.1.0.99:80");
     t_relay_upstream(&core, &entry);
     t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
-    g_assert_false(ct_handle_eq(
-        before,
-        ct_config_upstream(&core.state->config, &entry.upstream.name)));
+    g_assert_false(
+        ct_handle_eq(before, ct_config_upstream(&core.state->config,
+                                                &entry.upstream.name)));
     t_relay_call(&core, 1, T_ANY_PATH);
     g_assert_cmpstr(t_relay_started(&core).address.text, ==, "10.1.0.99:80");
     t_core_free(&core);
--- /dev/null
+++ b/t/test-zone-orders.c
@@ -0,0 +1,214 @@
+/* Tests of zone-orders.h: how many of each kind, and when again. */
+#include <string.h>
+
+#include "lib-relay.h"
+
+#define ZONES 3
+#define MAX_A_ZONE 8
+
+/* The platform: what is ordered stands, with entries in the store. */
+struct platform {
+    struct t_core core;
+    uint32_t cheap[ZONES];
+    uint32_t firm[ZONES];
+    /* No cheap ones are to be had in this zone; -1 for none. */
+    int dry;
+    guint orders;
+    int32_t result;
+};
+
+static const char *const zones[ZONES] = {"za", "zb", "zc"};
+
+static GArray *
+rows(void)
+{
+    GArray *rows = t_relay_rows();
+
+    for (guint i = 0; i < ZONES; i++) {
+        struct ct_config_row row = {.kind = CT_CONFIG_ORDER_ZONE};
+
+        CT_TEXT_SET(row.u.order_zone.pool, "engines");
+        CT_TEXT_SET(row.u.order_zone.zone, zones[i]);
+        g_array_append_val(rows, row);
+    }
+    for (guint i = 0; i < rows->len; i++) {
+        struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == CT_CONFIG_POOL &&
+            strcmp(row->u.pool.name.text, "engines") == 0) {
+            row->u.pool.min_upstreams = 1;
+            row->u.pool.max_upstreams = MAX_A_ZONE;
+        }
+    }
+    return rows;
+}
+
+static void
+set_entries(struct platform *p, guint zone, bool cheap, uint32_t n)
+{
+    for (uint32_t i = 0; i < MAX_A_ZONE; i++) {
+        struct ct_store_upstream entry = t_upstream("engines", i);
+
+        g_snprintf(entry.upstream.name.text,
+                   sizeof(entry.upstream.name.text), "%s-%d-%u", zones[zone],
+                   cheap, i);
+        CT_TEXT_SET(entry.upstream.zone, zones[zone]);
+        entry.upstream.cheap = cheap;
+        entry.gone = i >= n;
+        t_relay_upstream(&p->core, &entry);
+    }
+    t_relay_read(&p->core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    *(cheap ? &p->cheap[zone] : &p->firm[zone]) = n;
+}
+
+static void
+carry_out(struct platform *p, const struct ct_duty_order *order)
+{
+    struct ct_event event = {.type = CT_EVENT_DUTY_DONE};
+    guint zone = 0;
+
+    while (strcmp(zones[zone], order->zone.text) != 0) {
+        zone++;
+    }
+    p->orders++;
+    event.u.duty.order = order->order;
+    event.u.duty.fence = order->fence;
+    event.u.duty.result = p->result;
+    if (order->cheap && (int)zone == p->dry) {
+        event.u.duty.result = CT_ERR_EXHAUSTED;
+    }
+    g_assert_cmpuint(order->upstreams, <=, MAX_A_ZONE);
+    t_core_post(&p->core, &event);
+    if (event.u.duty.result == CT_OK) {
+        set_entries(p, zone, order->cheap, order->upstreams);
+    }
+}
+
+static void
+run(struct platform *p, ct_ms for_ms)
+{
+    for (ct_ms at = 0; at < for_ms; at += 50) {
+        struct ct_event joined = {.type = CT_EVENT_STORE_JOINED};
+        struct ct_effects effects;
+
+        if (at % 1000 == 0) {
+            joined.u.joined.sent_ms = p->core.now_ms;
+            joined.u.joined.generation = 4;
+            joined.u.joined.holds_duty = true;
+            t_core_post(&p->core, &joined);
+            t_relay_confirm(&p->core);
+        }
+        t_core_tick(&p->core, 50);
+        effects = p->core.effects;
+        ct_effects_init(&p->core.effects);
+        for (uint32_t i = 0; i < effects.n; i++) {
+            if (effects.items[i].type == CT_EFFECT_DUTY_ORDER) {
+                carry_out(p, &effects.items[i].u.duty_order);
+            }
+        }
+        ct_effects_free(&effects);
+    }
+}
+
+static void
+setup(struct platform *p)
+{
+    GArray *config = rows();
+
+    memset(p, 0, sizeof(*p));
+    p->dry = -1;
+    t_relay_init(&p->core);
+    t_relay_post_config(&p->core, 1, config);
+    t_relay_confirm(&p->core);
+    for (guint i = 0; i < ZONES; i++) {
+        set_entries(p, i, false, 4);
+    }
+    g_array_free(config, TRUE);
+}
+
+/* Cheap ones take the place of firm ones, and orders come to rest. */
+static void
+test_settles(void)
+{
+    struct platform p;
+    guint orders;
+
+    setup(&p);
+    run(&p, 10000);
+    for (guint i = 0; i < ZONES; i++) {
+        g_assert_cmpuint(p.cheap[i], ==, MAX_A_ZONE * 3 / 4);
+        g_assert_cmpuint(p.firm[i], ==, 0);
+    }
+    orders = p.orders;
+    run(&p, 10000);
+    g_assert_cmpuint(p.orders, ==, orders);
+    t_core_free(&p.core);
+}
+
+/* A zone's cheap ones are taken away and not to be had for a while. */
+static void
+test_zone_lost(void)
+{
+    struct platform p;
+
+    setup(&p);
+    run(&p, 10000);
+    p.dry = 0;
+    set_entries(&p, 0, true, 0);
+    /* The other zones cover enough; the lost ones are asked for again. */
+    run(&p, 10000);
+    g_assert_cmpuint(p.cheap[0], ==, 0);
+    g_assert_cmpuint(p.firm[0] + p.firm[1] + p.firm[2], ==, 0);
+    /* A second one goes: firm ones stand in. */
+    set_entries(&p, 1, true, 0);
+    run(&p, 500);
+    g_assert_cmpuint(p.firm[0] + p.firm[1] + p.firm[2], >, 0);
+    t_core_free(&p.core);
+}
+
+/* An order without an answer is given again, not held for carried out. */
+static void
+test_unknown_result(void)
+{
+    struct platform p;
+
+    setup(&p);
+    p.result = CT_ERR_IO;
+    run(&p, 8000);
+    g_assert_cmpuint(p.orders, >=, 12);
+    g_assert_cmpuint(p.orders, <=, 60);
+    p.result = CT_OK;
+    run(&p, 5000);
+    g_assert_cmpuint(p.cheap[0], ==, MAX_A_ZONE * 3 / 4);
+    t_core_free(&p.core);
+}
+
+/* With many calls in flight more are ordered, up to the bound. */
+static void
+test_load(void)
+{
+    struct platform p;
+
+    setup(&p);
+    run(&p, 6000);
+    for (guint i = 0; i < 200; i++) {
+        t_relay_call(&p.core, 1, T_STREAM_PATH);
+    }
+    run(&p, 6000);
+    for (guint i = 0; i < ZONES; i++) {
+        g_assert_cmpuint(p.cheap[i], ==, MAX_A_ZONE);
+    }
+    t_core_free(&p.core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/zone-orders/settles", test_settles);
+    g_test_add_func("/zone-orders/zone-lost", test_zone_lost);
+    g_test_add_func("/zone-orders/unknown-result", test_unknown_result);
+    g_test_add_func("/zone-orders/load", test_load);
+    return g_test_run();
+}
