t: the daemon between stand-ins that speak the platform's wire

Change: fake-store (log, keyed topics, group, duties with a fence) and fake-runner (streams, declines, other names, no proof, broken answers) speak the wire of the platform; proc-relay plays the daemon between them in sixteen cases. The daemon names the port that it bound, so that tests use any.

--- a/core/event.h
+++ b/core/event.h
@@ -240,6 +240,8 @@
         struct ct_order_done order;
         struct ct_report_done report;
         struct ct_key_handed key;
+        /* CT_EVENT_RELAY_BEGIN: where callers reach this host. */
+        struct ct_address relay_address;
         struct ct_bounds relay_bounds;
         struct ct_relay_call relay;
         struct ct_relay_progress progress;
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -196,6 +196,7 @@
     switch (event->type) {
     case CT_EVENT_RELAY_BEGIN:
         state->relaying = true;
+        state->self.address = event->u.relay_address;
         ct_relay_begin(state);
         return CT_OK;
     case CT_EVENT_RELAY_BOUNDS:
--- a/core/reduce.h
+++ b/core/reduce.h
@@ -21,7 +21,7 @@
     struct ct_name writer;
     /* Seed of the reducer's own random choices. */
     uint64_t seed;
-    /* Where callers reach it, and what it keeps; for relayed calls. */
+    /* Where callers reach it, once known, and what it keeps. */
     struct ct_address address;
     struct ct_bounds bounds;
 };
--- a/core/relay-state.c
+++ b/core/relay-state.c
@@ -45,9 +45,10 @@
 bool
 ct_relay_has_time(const struct ct_state *state, bool stream)
 {
+    ct_ms needed_ms = stream ? STREAM_TIME_MS : PLAIN_TIME_MS;
+
     return !state->draining ||
-           state->now_ms + (stream ? STREAM_TIME_MS : PLAIN_TIME_MS) <
-               end_ms(state);
+           (!state->drained && state->now_ms + needed_ms < end_ms(state));
 }
 
 void
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/random.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -31,6 +32,8 @@
     const char *path;
     struct ct_relay_settings settings;
     struct ct_self self;
+    /* Where callers reach this host, with the port that was bound. */
+    struct ct_address address;
     struct ct_state *state;
     struct ct_loop *loop;
     struct ct_store *store;
@@ -152,7 +155,6 @@
     }
     self->host = settings->host;
     self->zone = settings->zone;
-    self->address = settings->caller_address;
     self->bounds = settings->bounds;
     g_snprintf(self->writer.text, sizeof(self->writer.text),
                "%.28s-%016" PRIx64, settings->host.text, start);
@@ -192,7 +194,7 @@
     const struct ct_store_options store = {
         .address = settings->store.text,
         .host = settings->host,
-        .caller_address = settings->caller_address,
+        .caller_address = daemon->address,
     };
     const struct ct_duties_options duties = {
         .address = settings->duties.text,
@@ -213,6 +215,16 @@
     return CT_OK;
 }
 
+static void
+set_address(struct relay_daemon *daemon)
+{
+    const char *text = daemon->settings.caller_address.text;
+
+    g_snprintf(daemon->address.text, sizeof(daemon->address.text), "%.*s:%u",
+               (int)(strrchr(text, ':') - text), text,
+               ct_relay_io_port(daemon->relay));
+}
+
 static int
 add_relay(struct relay_daemon *daemon)
 {
@@ -235,10 +247,12 @@
     }
     ct_loop_add(daemon->loop, ct_http_executor(http));
     err = ct_relay_io_new(daemon->loop, http, &options, &daemon->relay);
-    if (err == CT_OK) {
-        ct_loop_add(daemon->loop, ct_relay_io_executor(daemon->relay));
+    if (err < 0) {
+        return err;
     }
-    return err;
+    ct_loop_add(daemon->loop, ct_relay_io_executor(daemon->relay));
+    set_address(daemon);
+    return CT_OK;
 }
 
 static int
@@ -315,9 +329,9 @@
     daemon->executor.ops = &ops;
     ct_loop_add(daemon->loop, &daemon->executor);
     ct_loop_add(daemon->loop, ct_logger_new());
-    err = add_platform(daemon);
+    err = add_relay(daemon);
     if (err == CT_OK) {
-        err = add_relay(daemon);
+        err = add_platform(daemon);
     }
     if (err == CT_OK) {
         err = add_other_ports(daemon);
@@ -353,6 +367,7 @@
            ct_operators_port(daemon.operators));
     fflush(stdout);
     ct_logger_install(STDOUT_FILENO);
+    begin.u.relay_address = daemon.address;
     ct_loop_post(daemon.loop, &begin);
     ct_loop_run(daemon.loop);
 out:
--- a/shell/operators.c
+++ b/shell/operators.c
@@ -191,7 +191,7 @@
 route_get(struct ct_operators *op, struct operator_request *request,
           const char *url)
 {
-    if (strcmp(url, "/counters") == 0) {
+    if (strcmp(url, "/counters") == 0 || strcmp(url, "/metrics") == 0) {
         answer_counters(op, request);
     }
     else if (strcmp(url, "/state") == 0) {
--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -172,7 +172,7 @@
 process_await_listening(struct process *process)
 {
     char line[LINE_MAX_BYTES];
-    uint16_t ports[3] = {0};
+    uint16_t ports[4] = {0};
     size_t n = 0;
 
     while (n == 0 || line[n - 1] != '\n') {
@@ -188,6 +188,7 @@
     process->port = ports[0];
     process->second_port = ports[1];
     process->third_port = ports[2];
+    process->fourth_port = ports[3];
 }
 
 void
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -18,6 +18,7 @@
     uint16_t port;
     uint16_t second_port;
     uint16_t third_port;
+    uint16_t fourth_port;
     bool running;
 };
 
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -10,7 +10,7 @@
     struct ct_event event = {.type = CT_EVENT_RELAY_BEGIN};
 
     t_core_init_named(core, "h1", "h1-1");
-    CT_TEXT_SET(core->state->self.address, "10.0.0.1:80");
+    CT_TEXT_SET(event.u.relay_address, "10.0.0.1:80");
     core->state->self.bounds = (struct ct_bounds){
         .revoke_ms = 5000,
         .drain_ms = 2000,
--- /dev/null
+++ b/t/proc-relay.c
@@ -0,0 +1,567 @@
+/*
+ * The daemon on the users' platform, as a process between stand-ins that
+ * speak its wire: what callers and upstreams see, also under faults.
+ */
+#include <glib/gstdio.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <unistd.h>
+#include <string.h>
+
+#include "lib-http.h"
+#include "lib-process.h"
+
+#define RUNNERS 2
+#define AWAIT_MS 30000
+#define HOST_HEADER "Host: svc.example"
+#define KEY_HEADER "Key: k1"
+
+struct world {
+    char *directory;
+    char *settings;
+    struct process store;
+    struct process runners[RUNNERS];
+    struct process host;
+    int version;
+    int calls;
+};
+
+static struct world w;
+
+static void
+put(const char *topic, const char *key, const char *value)
+{
+    struct http_call call = {.body = value};
+    struct http_reply reply;
+    char *path =
+        g_strdup_printf("/fake/put?topic=%s&key=%s", topic, key);
+
+    http_call(w.store.port, path, &call, &reply);
+    g_assert_cmpint(reply.status, ==, 200);
+    http_reply_free(&reply);
+    g_free(path);
+}
+
+#define ROUTE(name, prefix, more)                                             \
+    "{\"name\":\"" name "\",\"host\":\"svc.example\",\"pathPrefix\":\""       \
+    prefix "\",\"timeoutMs\":8000,\"attempts\":2,\"service\":\"app\","        \
+    "\"priority\":2," more "}"
+
+/* A newer configuration with these keys of acme. */
+static void
+put_config(const char *keys)
+{
+    char *text = g_strdup_printf(
+        "{\"version\":%d,\"limits\":{\"maxHeaderBytes\":16384,"
+        "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
+        "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\"}],"
+        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}],\"routes\":["
+        ROUTE("any", "/any/", "\"type\":\"safe\"") ","
+        ROUTE("once", "/once/", "\"type\":\"unsafe\"") ","
+        ROUTE("open", "/open/", "\"type\":\"safe\",\"public\":true") ","
+        ROUTE("res", "/s/res/", "\"type\":\"stream\",\"resumable\":true") ","
+        ROUTE("str", "/s/str/", "\"type\":\"stream\"") "]}",
+        ++w.version, keys);
+
+    put("keyed.op", "config", text);
+    g_free(text);
+}
+
+static void
+put_runner(int i, const char *state)
+{
+    char id[16];
+    char *text = g_strdup_printf(
+        "{\"service\":\"app\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"born\":%d}",
+        w.runners[i].port, state, i + 1);
+
+    g_snprintf(id, sizeof(id), "run-%d", i);
+    put("keyed.servers", id, text);
+    g_free(text);
+}
+
+static void
+set_runners(const char *json)
+{
+    for (int i = 0; i < RUNNERS; i++) {
+        http_set(w.runners[i].port, "/fake/set", json);
+    }
+}
+
+static bool
+is_ready(void)
+{
+    struct http_call call = {.body = NULL};
+    struct http_reply reply;
+    bool ready;
+
+    http_call(w.host.third_port, "/v1/readyz", &call, &reply);
+    ready = reply.error == 0 && reply.status == 200;
+    http_reply_free(&reply);
+    return ready;
+}
+
+static void
+start_host(void)
+{
+    PROCESS_START(&w.host, "coriandertrackd/coriandertrackd", "--relay",
+                  "--config", w.settings);
+    AWAIT(is_ready(), AWAIT_MS);
+}
+
+static void
+start_world(void)
+{
+    char *text;
+
+    w.directory = g_dir_make_tmp("ct-relay-XXXXXX", NULL);
+    process_set_log_directory(w.directory);
+    PROCESS_START(&w.store, "t/fake/fake-store", "--port", "0");
+    for (int i = 0; i < RUNNERS; i++) {
+        char id[16];
+
+        g_snprintf(id, sizeof(id), "run-%d", i);
+        PROCESS_START(&w.runners[i], "t/fake/fake-runner", "--id", id);
+        put_runner(i, "ready");
+    }
+    put_config("\"k1\",\"k2\"");
+    w.settings = g_build_filename(w.directory, "settings.json", NULL);
+    text = g_strdup_printf(
+        "{\"host\":\"h1\",\"zone\":\"z\",\"caller_address\":\"127.0.0.1:0\","
+        "\"guide_address\":\"127.0.0.1:0\",\"ready_address\":"
+        "\"127.0.0.1:0\",\"operator_address\":\"127.0.0.1:0\",\"store\":"
+        "\"127.0.0.1:%u\",\"duties\":\"127.0.0.1:%u\",\"bounds\":{"
+        "\"revoke_ms\":3000,\"lease_ms\":600,\"usage_window_s\":1,"
+        "\"usage_late_s\":4,\"grace_s\":3,\"repeat_burst\":1000}}",
+        w.store.port, w.store.port);
+    g_assert_true(g_file_set_contents(w.settings, text, -1, NULL));
+    g_free(text);
+    start_host();
+}
+
+static void
+call_with(const char *path, const char *body, const char *const *more,
+          struct http_reply *reply, char id[24])
+{
+    const char *headers[8] = {HOST_HEADER, NULL};
+    struct http_call call = {.body = body, .headers = headers};
+    char line[48];
+    size_t n = 1;
+
+    g_snprintf(id, 24, "id-%d-%d", getpid(), w.calls++);
+    g_snprintf(line, sizeof(line), "Request-Id: %s", id);
+    headers[n++] = line;
+    while (*more != NULL) {
+        headers[n++] = *more++;
+    }
+    headers[n] = NULL;
+    http_call(w.host.port, path, &call, reply);
+}
+
+#define CALL(path, body, reply, id, ...)                                      \
+    call_with((path), (body), (const char *const[]){__VA_ARGS__, NULL},       \
+              (reply), (id))
+
+/* How often any upstream ran the request. */
+static int
+runs(const char *id)
+{
+    int n = 0;
+
+    for (int i = 0; i < RUNNERS; i++) {
+        n += HTTP_COUNT_SEEN(w.runners[i].port, "\"ran\"", id);
+    }
+    return n;
+}
+
+/* Who gets in, by key and route; the answer and its proof as they were. */
+static void
+test_admission(void)
+{
+    static const struct {
+        const char *path, *key;
+        long status;
+    } cases[] = {
+        {"/any/x", "Key: k1", 200},   {"/any/x?q=1", "Key: k2", 200},
+        {"/open/x", "X-None: 1", 200}, {"/any/x", "X-None: 1", 401},
+        {"/any/x", "Key: nobody", 401}, {"/none/x", "Key: k1", 404},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct http_reply reply;
+        char id[24];
+        char *value;
+
+        CALL(cases[i].path, "some body", &reply, id, cases[i].key);
+        g_assert_cmpint(reply.status, ==, cases[i].status);
+        g_assert_cmpint(runs(id), ==, cases[i].status == 200);
+        if (cases[i].status == 200) {
+            g_assert_cmpstr(reply.body->str, ==, "some body");
+            value = http_reply_header(&reply, "Request-Id");
+            g_assert_cmpstr(value, ==, id);
+            g_free(value);
+            value = http_reply_header(&reply, "Runner-Signature");
+            g_assert_true(g_str_has_prefix(value, "run-"));
+            g_free(value);
+        }
+        http_reply_free(&reply);
+    }
+}
+
+/* The upstream sees the organisation, never the key. */
+static void
+test_headers(void)
+{
+    struct http_reply reply;
+    char id[24];
+    int custom = 0;
+
+    CALL("/any/x", "b", &reply, id, KEY_HEADER, "Tenant: forged",
+         "X-Custom: kept", "Deadline-Ms: 5000");
+    g_assert_cmpint(reply.status, ==, 200);
+    http_reply_free(&reply);
+    for (int i = 0; i < RUNNERS; i++) {
+        g_assert_cmpint(HTTP_COUNT_SEEN(w.runners[i].port, "\"k1\""), ==, 0);
+        g_assert_cmpint(HTTP_COUNT_SEEN(w.runners[i].port, "forged"), ==, 0);
+        custom += HTTP_COUNT_SEEN(w.runners[i].port, "kept", id,
+                                  "\"Tenant\":\"acme\"");
+    }
+    g_assert_cmpint(custom, ==, 1);
+}
+
+static void
+test_streams(void)
+{
+    static const struct {
+        const char *path, *set;
+        int error;
+        const char *first, *last;
+    } cases[] = {
+        {"/s/res/x", "{}", 0, "id: 1\n", "id: 5\ndata: e5\n\n"},
+        {"/s/str/x", "{}", 0, "id: 1\n", "id: 5\ndata: e5\n\n"},
+        /* Goes on elsewhere after the last whole event. */
+        {"/s/res/x", "{\"break_after\":3}", 0, "id: 1\n",
+         "id: 5\ndata: e5\n\n"},
+        /* Not to be resumed: broken off, with whole events only. */
+        {"/s/str/x", "{\"break_after\":3}", 18, "id: 1\n",
+         "id: 3\ndata: e3\n\n"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct http_reply reply;
+        char id[24];
+
+        set_runners(cases[i].set);
+        CALL(cases[i].path, "{}", &reply, id, KEY_HEADER);
+        g_assert_cmpint(reply.error, ==, cases[i].error);
+        g_assert_cmpint(reply.status, ==, 200);
+        g_assert_true(g_str_has_prefix(reply.body->str, cases[i].first));
+        g_assert_true(g_str_has_suffix(reply.body->str, cases[i].last));
+        for (int k = 2; k <= 3; k++) {
+            char event[32];
+            const char *at;
+
+            g_snprintf(event, sizeof(event), "id: %d\n", k);
+            at = strstr(reply.body->str, event);
+            g_assert_nonnull(at);
+            g_assert_null(strstr(at + 1, event));
+        }
+        http_reply_free(&reply);
+        set_runners("{\"break_after\":0}");
+    }
+}
+
+/* Faults of upstreams: what the caller is told, and how often they ran it. */
+static void
+test_faults(void)
+{
+    static const struct {
+        const char *path, *set, *reset;
+        long status;
+        int runs;
+    } cases[] = {
+        {"/any/x", "{\"status\":500}", "{\"status\":200}", 500, 2},
+        {"/once/x", "{\"status\":500}", "{\"status\":200}", 500, 1},
+        {"/any/x", "{\"decline\":1}", "{\"decline\":0}", 503, 0},
+        {"/once/x", "{\"decline\":1}", "{\"decline\":0}", 503, 0},
+        {"/any/x", "{\"close_after_read\":1}", "{\"close_after_read\":0}",
+         502, 2},
+        {"/once/x", "{\"close_after_read\":1}", "{\"close_after_read\":0}",
+         502, 1},
+        {"/once/x", "{\"mismatch\":1}", "{\"mismatch\":0}", 502, 1},
+        {"/once/x", "{\"no_proof\":1}", "{\"no_proof\":0}", 502, 1},
+        {"/s/str/x", "{\"no_proof\":1}", "{\"no_proof\":0}", 502, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct http_reply reply;
+        char id[24];
+
+        set_runners(cases[i].set);
+        CALL(cases[i].path, "{}", &reply, id, KEY_HEADER);
+        g_assert_cmpint(reply.status, ==, cases[i].status);
+        g_assert_cmpint(runs(id), ==, cases[i].runs);
+        if (cases[i].status == 503) {
+            char *value = http_reply_header(&reply, "Retry-After");
+
+            g_assert_nonnull(value);
+            g_free(value);
+        }
+        http_reply_free(&reply);
+        set_runners(cases[i].reset);
+    }
+}
+
+/* A caller's time ends: it is told so, though the upstream says nothing. */
+static void
+test_silent(void)
+{
+    struct http_reply reply;
+    char id[24];
+
+    set_runners("{\"silent\":1}");
+    CALL("/once/x", "{}", &reply, id, KEY_HEADER, "Deadline-Ms: 300");
+    g_assert_cmpint(reply.status, ==, 504);
+    http_reply_free(&reply);
+    set_runners("{\"silent\":0}");
+}
+
+static bool
+stop_at_once(void *arg, const GString *body)
+{
+    (void)arg;
+    (void)body;
+    return false;
+}
+
+static int
+ended(const char *id)
+{
+    int n = 0;
+
+    for (int i = 0; i < RUNNERS; i++) {
+        n += HTTP_COUNT_SEEN(w.runners[i].port, "\"ended\"", id);
+    }
+    return n;
+}
+
+/* A caller who leaves a stream stops the work on it. */
+static void
+test_gone(void)
+{
+    const char *const headers[] = {HOST_HEADER, KEY_HEADER,
+                                   "Request-Id: leaves", NULL};
+    struct http_call call = {
+        .body = "{}", .headers = headers, .on_data = stop_at_once};
+    struct http_reply reply;
+
+    set_runners("{\"silent\":1}");
+    http_call(w.host.port, "/s/str/x", &call, &reply);
+    http_reply_free(&reply);
+    AWAIT(ended("leaves") == 1, AWAIT_MS);
+    set_runners("{\"silent\":0}");
+}
+
+/* What one connection carries in turn, and a body beyond the limit. */
+static void
+test_kept_connection(void)
+{
+    struct http_client *client = http_client_new();
+    long port = 0;
+
+    for (int i = 0; i < 4; i++) {
+        const char *const headers[] = {HOST_HEADER, KEY_HEADER,
+                                       "Request-Id: kept", NULL};
+        struct http_call call = {.body = "{}", .headers = headers};
+        struct http_reply reply;
+
+        http_client_call(client, w.host.port,
+                         i % 2 ? "/any/x" : "/s/str/x", &call, &reply);
+        g_assert_cmpint(reply.status, ==, 200);
+        g_assert_true(i == 0 || reply.local_port == port);
+        port = reply.local_port;
+        http_reply_free(&reply);
+    }
+    http_client_free(client);
+}
+
+static void
+test_too_large(void)
+{
+    char *body = g_strnfill(70000, 'x');
+    struct http_reply reply;
+    char id[24];
+
+    CALL("/any/x", body, &reply, id, KEY_HEADER);
+    g_assert_cmpint(reply.status, ==, 413);
+    g_assert_cmpint(runs(id), ==, 0);
+    http_reply_free(&reply);
+    g_free(body);
+}
+
+static bool
+names_host(void)
+{
+    char *text = http_get(w.host.second_port,
+                          "/v1/resolve?name=svc.example&region=r&zone=z");
+    char *address = g_strdup_printf("\"127.0.0.1:%u\"", w.host.port);
+    bool found = strstr(text, address) != NULL && strstr(text, "ttlS");
+
+    g_free(address);
+    g_free(text);
+    return found;
+}
+
+static void
+test_addresses(void)
+{
+    AWAIT(names_host(), AWAIT_MS);
+}
+
+static long
+status_of(const char *path, const char *key_header)
+{
+    struct http_reply reply;
+    char id[24];
+    long status;
+
+    CALL(path, "{}", &reply, id, key_header);
+    status = reply.status;
+    http_reply_free(&reply);
+    return status;
+}
+
+/* A key is taken away and given back while the host runs. */
+static void
+test_key_taken_away(void)
+{
+    put_config("\"k1\"");
+    AWAIT(status_of("/any/x", "Key: k2") == 401, AWAIT_MS);
+    g_assert_cmpint(status_of("/any/x", KEY_HEADER), ==, 200);
+    put_config("\"k1\",\"k2\"");
+    AWAIT(status_of("/any/x", "Key: k2") == 200, AWAIT_MS);
+}
+
+/* Entries that nobody can read change nothing for the others. */
+static void
+test_odd_entries(void)
+{
+    static const char *const odd[] = {
+        "{", "[]", "{\"service\":7}", "\xff\xfe\xfd",
+        "{\"service\":\"app\",\"addr\":\"127.0.0.1:9\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"odd\"}"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        char key[16];
+
+        g_snprintf(key, sizeof(key), "odd-%zu", i);
+        put("keyed.servers", key, odd[i]);
+    }
+    put("keyed.op", "config", "{\"version\":");
+    for (int i = 0; i < 8; i++) {
+        g_assert_cmpint(status_of("/any/x", KEY_HEADER), ==, 200);
+    }
+}
+
+/* Whether none of a number of calls runs at the first upstream. */
+static bool
+spares_first(int calls)
+{
+    int before = HTTP_COUNT_SEEN(w.runners[0].port, "\"ran\"");
+
+    for (int i = 0; i < calls; i++) {
+        g_assert_cmpint(status_of("/any/x", KEY_HEADER), ==, 200);
+    }
+    return HTTP_COUNT_SEEN(w.runners[0].port, "\"ran\"") == before;
+}
+
+/* A leaving upstream gets nothing new, and work again when it is ready. */
+static void
+test_leaving(void)
+{
+    put_runner(0, "draining");
+    AWAIT(spares_first(6), AWAIT_MS);
+    g_assert_true(spares_first(20));
+    put_runner(0, "ready");
+    AWAIT(!spares_first(6), AWAIT_MS);
+}
+
+/* The one host acts for all: windows of usage are reported. */
+static void
+test_usage(void)
+{
+    AWAIT(HTTP_COUNT_SEEN(w.store.port, "/usage", "acme") > 0, AWAIT_MS);
+}
+
+/* Without the store, keys are good for as long as the bound allows only. */
+static void
+test_store_down(void)
+{
+    http_set(w.store.port, "/fake/set", "{\"down\":1}");
+    AWAIT(status_of("/any/x", KEY_HEADER) == 503, AWAIT_MS);
+    g_assert_cmpint(status_of("/any/x", "Key: nobody"), ==, 503);
+    g_assert_cmpint(status_of("/open/x", KEY_HEADER), ==, 200);
+    g_assert_false(is_ready());
+    http_set(w.store.port, "/fake/set", "{\"down\":0}");
+    AWAIT(status_of("/any/x", KEY_HEADER) == 200, AWAIT_MS);
+    AWAIT(is_ready(), AWAIT_MS);
+}
+
+/* Each answer leaves a line with the call's id on standard output. */
+static void
+test_metrics(void)
+{
+    char *text = http_get(w.host.fourth_port, "/metrics");
+
+    g_assert_nonnull(strstr(text, "coriandertrack_calls_total"));
+    g_assert_nonnull(strstr(text, "coriandertrack_store_calls_total"));
+    g_free(text);
+}
+
+/* A stop: no longer ready, and the call under way is answered. */
+static void
+test_stop(void)
+{
+    struct http_reply reply;
+    char id[24];
+
+    set_runners("{\"delay_ms\":400}");
+    process_signal(&w.host, SIGTERM);
+    AWAIT(!is_ready(), AWAIT_MS);
+    CALL("/once/x", "{}", &reply, id, KEY_HEADER);
+    g_assert_cmpint(reply.status, ==, 200);
+    http_reply_free(&reply);
+    g_assert_cmpint(process_wait(&w.host, AWAIT_MS), ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+    int rc;
+
+    g_test_init(&argc, &argv, NULL);
+    start_world();
+    g_test_add_func("/relay/admission", test_admission);
+    g_test_add_func("/relay/headers", test_headers);
+    g_test_add_func("/relay/streams", test_streams);
+    g_test_add_func("/relay/faults", test_faults);
+    g_test_add_func("/relay/silent", test_silent);
+    g_test_add_func("/relay/gone", test_gone);
+    g_test_add_func("/relay/kept-connection", test_kept_connection);
+    g_test_add_func("/relay/too-large", test_too_large);
+    g_test_add_func("/relay/addresses", test_addresses);
+    g_test_add_func("/relay/key-taken-away", test_key_taken_away);
+    g_test_add_func("/relay/odd-entries", test_odd_entries);
+    g_test_add_func("/relay/leaving", test_leaving);
+    g_test_add_func("/relay/usage", test_usage);
+    g_test_add_func("/relay/store-down", test_store_down);
+    g_test_add_func("/relay/metrics", test_metrics);
+    g_test_add_func("/relay/stop", test_stop);
+    rc = g_test_run();
+    process_kill(&w.store);
+    for (int i = 0; i < RUNNERS; i++) {
+        process_kill(&w.runners[i]);
+    }
+    return rc;
+}
--- a/t/test-relay-state.c
+++ b/t/test-relay-state.c
@@ -78,6 +78,9 @@
     took_ms = end_of_drain(&core);
     g_assert_cmpint(took_ms, >=, 5000);
     g_assert_cmpint(took_ms, <=, 6500);
+    /* The process is about to end: nothing is begun any more. */
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    t_relay_assert_refused(&core, CT_REFUSAL_DRAINING, CT_NOT_RUN);
     t_core_free(&core);
 }
 
