core: say which upstream a relayed call met last, and how long answers take

Cause: of a call answered with 502 the log told neither the upstream nor what became of the attempt, and the metrics had no latencies.

Change: the last attempt's upstream and outcome stand on each line about a call; latency.h counts times to the first event and to the whole answer by bound, on the metrics page; a line at the start.

--- a/core/counter.h
+++ b/core/counter.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "latency.h"
 #include "refusal.h"
 
 /* Counters of the reducer besides the one per refusal reason. X(name, text) */
@@ -45,6 +46,7 @@
 struct ct_counters {
     uint64_t values[CT_COUNTER_COUNT];
     uint64_t refusals[CT_REFUSAL_COUNT];
+    struct ct_latency latencies[CT_LATENCY_KINDS];
 };
 
 const char *ct_counter_text(enum ct_counter counter);
--- a/core/effect.h
+++ b/core/effect.h
@@ -166,6 +166,7 @@
 #define CT_LOG_EVENTS(X)                                                      \
     X(READY, 1001, INFO, "serving: the log was read to its head")             \
     X(NOT_CURRENT, 1002, WARNING, "stopped serving: may not be current")      \
+    X(HOST_STARTED, 1003, INFO, "started; follows the store")                 \
     X(CONFIG_ACCEPTED, 1101, INFO, "configuration in force")                  \
     X(CONFIG_REJECTED, 1102, WARNING, "configuration lost a race")            \
     X(KEY_GRANTED, 1111, INFO, "key granted")                                 \
@@ -231,6 +232,9 @@
     ct_ms elapsed_ms;
     uint32_t attempts;
     uint32_t status;
+    /* The upstream of the last attempt, and how that ended. */
+    struct ct_name upstream;
+    struct ct_name outcome;
 };
 
 struct ct_effect {
--- /dev/null
+++ b/core/latency.h
@@ -0,0 +1,31 @@
+#ifndef CT_LATENCY_H
+#define CT_LATENCY_H
+
+#include <stdint.h>
+
+#include "clock.h"
+
+/* Times of answers since the start, by upper bound, for the metrics page. */
+
+/* The last one holds what is longer than all bounds. */
+#define CT_LATENCY_BUCKETS 12
+
+enum ct_latency_kind {
+    /* To the first event of a stream, or the whole of another answer. */
+    CT_LATENCY_FIRST,
+    CT_LATENCY_WHOLE,
+    CT_LATENCY_KINDS,
+};
+
+struct ct_latency {
+    uint64_t counts[CT_LATENCY_BUCKETS];
+    uint64_t sum_ms;
+};
+
+void ct_latency_add(struct ct_latency *latency, ct_ms value_ms);
+
+/* Upper bound of a bucket; CT_MS_NEVER for the last one. */
+ct_ms ct_latency_bound_ms(int bucket);
+const char *ct_latency_text(enum ct_latency_kind kind);
+
+#endif
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -207,6 +207,8 @@
     }
     relay->counted = true;
     relay->first_event_ms = state->now_ms - relay->arrived_ms;
+    ct_latency_add(&state->counters.latencies[CT_LATENCY_FIRST],
+                   relay->first_event_ms);
     if (organisation) {
         ct_tally_add(state, &organisation->conf.name);
     }
@@ -347,22 +349,18 @@
 
 static void
 log_repeat(struct ct_state *state, const struct ct_relay *relay,
-           const struct ct_name *upstream,
            const struct ct_relay_progress *progress)
 {
     struct ct_log_effect *log = ct_relay_log(
         state, relay,
         relay->begun ? CT_LOG_RELAY_RESUMED : CT_LOG_RELAY_REPEATED);
 
-    log->other = *upstream;
     log->status = progress->status;
     log->number = (int64_t)relay->last_event;
-    CT_TEXT_SET(log->reason, ct_outcome_text(progress->outcome));
 }
 
 static void
 repeat(struct ct_state *state, struct ct_handle handle,
-       const struct ct_name *upstream,
        const struct ct_relay_progress *progress)
 {
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
@@ -371,7 +369,7 @@
     if (relay->begun) {
         ct_count(state, CT_COUNTER_RESUMES);
     }
-    log_repeat(state, relay, upstream, progress);
+    log_repeat(state, relay, progress);
     ct_relay_send(state, handle);
 }
 
@@ -393,8 +391,7 @@
                  const struct ct_relay_progress *progress)
 {
     struct ct_relay_attempt *attempt = attempt_of(state, progress);
-    const struct ct_upstream_row *row;
-    struct ct_name upstream;
+    const struct ct_upstream_row *upstream;
     struct ct_relay *relay;
     struct ct_handle handle;
     enum verdict verdict;
@@ -404,8 +401,9 @@
     }
     handle = attempt->relay;
     relay = ct_table_get(&state->relays.rows, handle);
-    row = ct_table_get(&state->config.upstreams, attempt->upstream);
-    upstream = row->conf.name;
+    upstream = ct_table_get(&state->config.upstreams, attempt->upstream);
+    relay->last_upstream = upstream->conf.name;
+    relay->last_outcome = progress->outcome;
     note_end(relay, attempt, progress->outcome);
     verdict = judge(state, relay, progress);
     if (verdict == VERDICT_PASS) {
@@ -422,7 +420,7 @@
         return;
     }
     if (verdict == VERDICT_REPEAT) {
-        repeat(state, handle, &upstream, progress);
+        repeat(state, handle, progress);
         return;
     }
     ct_relay_fail(state, handle, failure_reason(relay, progress->outcome));
--- a/core/relay.c
+++ b/core/relay.c
@@ -67,6 +67,10 @@
     log->knowledge_age_ms = relay->knowledge_age_ms;
     log->elapsed_ms = state->now_ms - relay->arrived_ms;
     log->attempts = relay->sends + relay->unsent;
+    log->upstream = relay->last_upstream;
+    if (relay->last_outcome) {
+        CT_TEXT_SET(log->outcome, ct_outcome_text(relay->last_outcome));
+    }
     return log;
 }
 
@@ -256,6 +260,8 @@
     ct_count(state, CT_COUNTER_ANSWERS_WHOLE);
     log->status = status;
     log->number = relay->first_event_ms;
+    ct_latency_add(&state->counters.latencies[CT_LATENCY_WHOLE],
+                   state->now_ms - relay->arrived_ms);
     drop(state, handle, relay);
 }
 
--- a/core/relay.h
+++ b/core/relay.h
@@ -54,6 +54,9 @@
     bool begun;
     uint64_t last_event;
     ct_ms first_event_ms;
+    /* Of the last attempt that is over, for the log. */
+    struct ct_name last_upstream;
+    enum ct_outcome last_outcome;
 };
 
 struct ct_relay_attempt {
--- a/shell/logger.c
+++ b/shell/logger.c
@@ -8,7 +8,7 @@
 #include "json-out.h"
 
 /* Fields of one line. */
-#define FIELDS_MAX 16
+#define FIELDS_MAX 18
 
 static int log_fd = STDERR_FILENO;
 static uint64_t dropped;
@@ -110,6 +110,8 @@
     add(&entry, "OTHER", effect->other.text);
     add(&entry, "REASON", effect->reason.text);
     add(&entry, "NUMBER", number);
+    add(&entry, "UPSTREAM", effect->upstream.text);
+    add(&entry, "OUTCOME", effect->outcome.text);
     add_number(&entry, "STATUS", effect->status);
     add_number(&entry, "ATTEMPTS", effect->attempts);
     add_number(&entry, "ELAPSED_MS", effect->elapsed_ms);
--- a/t/fake/fake-runner.c
+++ b/t/fake/fake-runner.c
@@ -28,9 +28,9 @@
 static void
 log_call(struct runner *runner, const struct fake_request *request)
 {
-    static const char *const headers[] = {
-        "Tenant",          "Key",           "Deadline-Ms",
-        "Request-Priority", "Last-Event-Id", "X-Custom"};
+    static const char *const headers[] = {"Tenant",        "Key",
+                                          "Deadline-Ms",   "Request-Priority",
+                                          "Last-Event-Id", "X-Custom"};
     JsonObject *entry = fake_entry("ran");
 
     json_object_set_string_member(entry, "path", request->path);
@@ -40,9 +40,8 @@
 
         json_object_set_string_member(entry, headers[i], value ? value : "");
     }
-    json_object_set_string_member(
-        entry, "request",
-        fake_request_header(request, "Request-Id"));
+    json_object_set_string_member(entry, "request",
+                                  fake_request_header(request, "Request-Id"));
     fake_log(&runner->server, entry);
 }
 
@@ -57,8 +56,7 @@
     fake_stream_begin(request);
     while (id < runner->events) {
         g_snprintf(event, sizeof(event),
-                   "id: %" G_GINT64_FORMAT "\ndata: e%" G_GINT64_FORMAT
-                   "\n\n",
+                   "id: %" G_GINT64_FORMAT "\ndata: e%" G_GINT64_FORMAT "\n\n",
                    id + 1, id + 1);
         if (runner->break_after && written++ == runner->break_after) {
             /* In the middle of an event. */
--- a/t/fake/fake-store.c
+++ b/t/fake/fake-store.c
@@ -214,10 +214,8 @@
         JsonObject *item = json_object_new();
         size_t skip = strlen(key) + 1;
         gsize n;
-        const guchar *data =
-            g_bytes_get_data(g_ptr_array_index(topic->records,
-                                               GPOINTER_TO_UINT(offset)),
-                             &n);
+        const guchar *data = g_bytes_get_data(
+            g_ptr_array_index(topic->records, GPOINTER_TO_UINT(offset)), &n);
         char *value = g_base64_encode(data + skip, n - skip);
 
         json_object_set_string_member(item, "key", key);
@@ -256,10 +254,10 @@
 {
     guint i = 0;
 
-    while (i < store->members->len &&
-           strcmp(((struct member *)g_ptr_array_index(store->members, i))
-                      ->name,
-                  name) != 0) {
+    while (
+        i < store->members->len &&
+        strcmp(((struct member *)g_ptr_array_index(store->members, i))->name,
+               name) != 0) {
         i++;
     }
     return i;
@@ -274,8 +272,8 @@
     for (guint i = 0;
          store->members->len > 0 && i < store->seats->len * PARTS_A_TOPIC;
          i++) {
-        struct member *member = g_ptr_array_index(
-            store->members, i % store->members->len);
+        struct member *member =
+            g_ptr_array_index(store->members, i % store->members->len);
         JsonArray *row = json_array_new();
 
         if (only != NULL && strcmp(member->name, only) != 0) {
@@ -298,8 +296,7 @@
 do_join(struct store *store, struct fake_request *request)
 {
     const char *name = fake_json_text(request->json, "member");
-    JsonArray *topics =
-        json_object_get_array_member(request->json, "topics");
+    JsonArray *topics = json_object_get_array_member(request->json, "topics");
     JsonObject *reply = json_object_new();
     guint i;
 
@@ -312,10 +309,9 @@
         g_ptr_array_add(store->members, member);
         store->generation++;
     }
-    for (guint t = store->seats->len; t < json_array_get_length(topics);
-         t++) {
-        g_ptr_array_add(store->seats, g_strdup(json_array_get_string_element(
-                                          topics, t)));
+    for (guint t = store->seats->len; t < json_array_get_length(topics); t++) {
+        g_ptr_array_add(store->seats,
+                        g_strdup(json_array_get_string_element(topics, t)));
     }
     ((struct member *)g_ptr_array_index(store->members, i))->until_ms =
         fake_now_ms() + fake_json_int(request->json, "ttlMs", 0);
@@ -372,10 +368,14 @@
         const char *path;
         void (*handle)(struct store *store, struct fake_request *request);
     } calls[] = {
-        {"/v1/log-read", do_read},     {"/v1/log-append", do_append},
-        {"/v1/log-newest", do_newest}, {"/v1/log-join", do_join},
-        {"/v1/log-leave", do_leave},   {"/v1/log-owners", do_owners},
-        {"/usage", do_duty},           {"/scale", do_duty},
+        {"/v1/log-read", do_read},
+        {"/v1/log-append", do_append},
+        {"/v1/log-newest", do_newest},
+        {"/v1/log-join", do_join},
+        {"/v1/log-leave", do_leave},
+        {"/v1/log-owners", do_owners},
+        {"/usage", do_duty},
+        {"/scale", do_duty},
         {"/fake/put", put},
     };
     struct store *store = (struct store *)server;
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -33,8 +33,7 @@
 {
     struct http_call call = {.body = value};
     struct http_reply reply;
-    char *path =
-        g_strdup_printf("/fake/put?topic=%s&key=%s", topic, key);
+    char *path = g_strdup_printf("/fake/put?topic=%s&key=%s", topic, key);
 
     http_call(w.store.port, path, &call, &reply);
     g_assert_cmpint(reply.status, ==, 200);
@@ -43,8 +42,9 @@
 }
 
 #define ROUTE(name, prefix, more)                                             \
-    "{\"name\":\"" name "\",\"host\":\"svc.example\",\"pathPrefix\":\""       \
-    prefix "\",\"timeoutMs\":8000,\"attempts\":2,\"service\":\"app\","        \
+    "{\"name\":\"" name                                                       \
+    "\",\"host\":\"svc.example\",\"pathPrefix\":\"" prefix                    \
+    "\",\"timeoutMs\":8000,\"attempts\":2,\"service\":\"app\","               \
     "\"priority\":2," more "}"
 
 /* A newer configuration with these keys of acme. */
@@ -55,12 +55,19 @@
         "{\"version\":%d,\"limits\":{\"maxHeaderBytes\":16384,"
         "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
         "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\"}],"
-        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}],\"routes\":["
-        ROUTE("any", "/any/", "\"type\":\"safe\"") ","
-        ROUTE("once", "/once/", "\"type\":\"unsafe\"") ","
-        ROUTE("open", "/open/", "\"type\":\"safe\",\"public\":true") ","
-        ROUTE("res", "/s/res/", "\"type\":\"stream\",\"resumable\":true") ","
-        ROUTE("str", "/s/str/", "\"type\":\"stream\"") "]}",
+        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}],\"routes\":"
+        "[" ROUTE("any", "/any/", "\"type\":\"safe\"") "," ROUTE(
+            "once", "/once/",
+            "\"type\":\"unsafe\"") "," ROUTE("open", "/open/",
+                                             "\"type\":\"safe\",\"public\":"
+                                             "true") "," ROUTE("res",
+                                                               "/s/res/",
+                                                               "\"type\":"
+                                                               "\"stream\","
+                                                               "\"resumable\":"
+                                                               "true") "," ROUTE("str",
+                                                                                 "/s/str/",
+                                                                                 "\"type\":\"stream\"") "]}",
         ++w.version, keys);
 
     put("keyed.op", "config", text);
@@ -183,8 +190,8 @@
         const char *path, *key;
         long status;
     } cases[] = {
-        {"/any/x", "Key: k1", 200},   {"/any/x?q=1", "Key: k2", 200},
-        {"/open/x", "X-None: 1", 200}, {"/any/x", "X-None: 1", 401},
+        {"/any/x", "Key: k1", 200},     {"/any/x?q=1", "Key: k2", 200},
+        {"/open/x", "X-None: 1", 200},  {"/any/x", "X-None: 1", 401},
         {"/any/x", "Key: nobody", 401}, {"/none/x", "Key: k1", 404},
     };
 
@@ -285,8 +292,8 @@
         {"/once/x", "{\"status\":500}", "{\"status\":200}", 500, 1},
         {"/any/x", "{\"decline\":1}", "{\"decline\":0}", 503, 0},
         {"/once/x", "{\"decline\":1}", "{\"decline\":0}", 503, 0},
-        {"/any/x", "{\"close_after_read\":1}", "{\"close_after_read\":0}",
-         502, 2},
+        {"/any/x", "{\"close_after_read\":1}", "{\"close_after_read\":0}", 502,
+         2},
         {"/once/x", "{\"close_after_read\":1}", "{\"close_after_read\":0}",
          502, 1},
         {"/once/x", "{\"mismatch\":1}", "{\"mismatch\":0}", 502, 1},
@@ -376,8 +383,8 @@
         struct http_call call = {.body = "{}", .headers = headers};
         struct http_reply reply;
 
-        http_client_call(client, w.host.port,
-                         i % 2 ? "/any/x" : "/s/str/x", &call, &reply);
+        http_client_call(client, w.host.port, i % 2 ? "/any/x" : "/s/str/x",
+                         &call, &reply);
         g_assert_cmpint(reply.status, ==, 200);
         g_assert_true(i == 0 || reply.local_port == port);
         port = reply.local_port;
--- a/wire/state-body.c
+++ b/wire/state-body.c
@@ -11,6 +11,32 @@
                            value);
 }
 
+static void
+append_latency(const struct ct_latency *latency, enum ct_latency_kind kind,
+               GString *out)
+{
+    const char *name = ct_latency_text(kind);
+    uint64_t total = 0;
+
+    for (int i = 0; i < CT_LATENCY_BUCKETS; i++) {
+        total += latency->counts[i];
+        if (ct_latency_bound_ms(i) == CT_MS_NEVER) {
+            g_string_append_printf(out,
+                                   "coriandertrack_%s_bucket{le=\"+Inf\"} "
+                                   "%" PRIu64 "\n",
+                                   name, total);
+            continue;
+        }
+        g_string_append_printf(
+            out, "coriandertrack_%s_bucket{le=\"%" PRId64 "\"} %" PRIu64 "\n",
+            name, ct_latency_bound_ms(i), total);
+    }
+    g_string_append_printf(out,
+                           "coriandertrack_%s_sum %" PRIu64
+                           "\ncoriandertrack_%s_count %" PRIu64 "\n",
+                           name, latency->sum_ms, name, total);
+}
+
 void
 ct_counters_text(const struct ct_counters *counters, GString *out)
 {
@@ -22,6 +48,9 @@
             out, "coriandertrack_refusals_total{reason=\"%s\"} %" PRIu64 "\n",
             ct_refusal_text(i), counters->refusals[i]);
     }
+    for (int i = 0; i < CT_LATENCY_KINDS; i++) {
+        append_latency(&counters->latencies[i], i, out);
+    }
 }
 
 static void
