--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -23,6 +23,7 @@
 rows(void)
 {
     GArray *rows = t_relay_rows();
+    struct ct_pool *engines;
 
     for (guint i = 0; i < ZONES; i++) {
         struct ct_config_row row = {.kind = CT_CONFIG_ORDER_ZONE};
@@ -31,16 +32,11 @@
         CT_TEXT_SET(row.u.order_zone.zone, zones[i]);
         g_array_append_val(rows, row);
     }
-    for (guint i = 0; i < rows->len; i++) {
-        struct ct_config_row *row =
-            &g_array_index(rows, struct ct_config_row, i);
-
-        if (row->kind == CT_CONFIG_POOL &&
-            strcmp(row->u.pool.name.text, "engines") == 0) {
-            row->u.pool.min_upstreams = 1;
-            row->u.pool.max_upstreams = MAX_A_ZONE;
-        }
-    }
+    /* The pool of engines is the first row. */
+    engines = &g_array_index(rows, struct ct_config_row, 0).u.pool;
+    g_assert_cmpstr(engines->name.text, ==, "engines");
+    engines->min_upstreams = 1;
+    engines->max_upstreams = MAX_A_ZONE;
     return rows;
 }
 
@@ -67,7 +63,7 @@
     struct ct_event event = {.type = CT_EVENT_DUTY_DONE};
     guint zone = 0;
 
-    while (strcmp(zones[zone], order->zone.text) != 0) {
+    while (zone + 1 < ZONES && strcmp(zones[zone], order->zone.text) != 0) {
         zone++;
     }
     p->orders++;
--- a/wire/tally-body.c
+++ b/wire/tally-body.c
@@ -54,7 +54,7 @@
 parse(JsonObject *object, struct ct_tally *tally, GArray *rows)
 {
     const char *writer;
-    int64_t sequence;
+    int64_t sequence = 0;
     int err;
 
     if (object == NULL || !json_object_has_member(object, "requests")) {
