--- a/core/roster.c
+++ b/core/roster.c
@@ -8,7 +8,7 @@
 
 /* Between questions: longer the more hosts ask. */
 #define PERIOD_MS 2000
-#define PERIOD_A_HOST_MS 40
+#define PERIOD_A_HOST_MS 60
 /* Spread of the hosts' questions, so that they do not come all at once. */
 #define SPREAD_MS 500
 /* Answers in a row without a host after which it is dropped. */
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -13,8 +13,13 @@
 #define UPSTREAMS_WAIT_PERCENT 70
 /* Beyond its wait an answer takes this long at most. */
 #define READ_TIMEOUT_MS 700
-/* Entries of upstreams come in bursts: those of this time are read at once. */
-#define GATHER_MS 350
+/*
+ * Entries of upstreams come in bursts: those of this time are read at once.
+ * Longer the more hosts read them, within the bound on leaving upstreams.
+ */
+#define GATHER_MS 300
+#define GATHER_A_HOST_MS 10
+#define GATHER_MAX_PERCENT 35
 #define NEWEST_TIMEOUT_MS 2500
 /* Between reads that failed; doubled up to the limit. */
 #define BACKOFF_MS 100
@@ -363,6 +368,13 @@
     }
 }
 
+static ct_ms
+gather_ms(const struct ct_state *state)
+{
+    return MIN(GATHER_MS + GATHER_A_HOST_MS * (ct_ms)ct_roster_size(state),
+               state->self.bounds.drain_ms * GATHER_MAX_PERCENT / 100);
+}
+
 static void
 on_failure(struct ct_state *state, const struct ct_store_read *read)
 {
@@ -424,7 +436,7 @@
     }
     read_after(state, read->topic,
                read->topic == CT_TOPIC_UPSTREAMS && read->entries > 0
-                   ? GATHER_MS
+                   ? gather_ms(state)
                    : 0);
 }
 
