--- a/core/relay-state.c
+++ b/core/relay-state.c
@@ -23,6 +23,7 @@
     ct_emit_log(state, CT_LOG_HOST_STARTED, &state->self.host,
                 state->self.writer.text, 0);
     ct_store_sync_start(state);
+    state->tenure.changed_ms = state->now_ms;
     ct_tenure_start(state);
     ct_roster_start(state);
     ct_tallies_start(state);
--- a/core/tenure.c
+++ b/core/tenure.c
@@ -5,6 +5,9 @@
 
 #define TTL_MS 3000
 #define JOIN_MS 1000
+/* While the group changes, parts are handed over with the next joins. */
+#define JOIN_SOON_MS 400
+#define SETTLED_MS 3000
 #define JOIN_TIMEOUT_MS 900
 /* Kept from the time to live for what runs at another pace. */
 #define MARGIN_MS 300
@@ -19,8 +22,10 @@
 ct_tenure_start(struct ct_state *state)
 {
     struct ct_store_join_effect *join;
+    bool settled = state->now_ms - state->tenure.changed_ms >= SETTLED_MS;
 
-    ct_arm(state, JOIN_MS, CT_TIMER_JOIN, CT_NO_HANDLE);
+    ct_arm(state, settled ? JOIN_MS : JOIN_SOON_MS, CT_TIMER_JOIN,
+           CT_NO_HANDLE);
     if (state->tenure.joining || state->draining ||
         !state->store.config_known) {
         return;
@@ -80,6 +85,9 @@
         (!tenure->holds || state->now_ms >= tenure->until_ms)) {
         tenure->held_ms = state->now_ms;
     }
+    if (joined->generation != tenure->generation) {
+        tenure->changed_ms = state->now_ms;
+    }
     tenure->holds = joined->holds_duty;
     tenure->generation = joined->generation;
     tenure->until_ms = joined->sent_ms + ttl_ms(state) - MARGIN_MS;
--- a/core/tenure.h
+++ b/core/tenure.h
@@ -14,6 +14,8 @@
 struct ct_tenure {
     bool joining;
     int64_t generation;
+    /* When the generation was last seen to change. */
+    ct_ms changed_ms;
     bool holds;
     /* Since when the part is held without a gap. */
     ct_ms held_ms;
