--- a/t/test-usage-report.c
+++ b/t/test-usage-report.c
@@ -301,6 +301,30 @@
     teardown(&w);
 }
 
+/* Two records of one window, by a host that was slow: the first one counts. */
+static void
+test_two_records(void)
+{
+    struct figure figure;
+    struct world w;
+
+    setup(&w);
+    run(&w, 9000, true);
+    figure.window =
+        g_array_index(w.fixed, struct figure, w.fixed->len - 1).window + 1;
+    figure.requests = 99;
+    g_array_append_val(w.fixed, figure);
+    figure.requests = 5;
+    g_array_append_val(w.fixed, figure);
+    run(&w, 12000, true);
+    for (guint i = 0; i < w.reports->len; i++) {
+        const struct figure *r = &g_array_index(w.reports, struct figure, i);
+
+        g_assert_true(r->window != figure.window || r->requests == 99);
+    }
+    teardown(&w);
+}
+
 /* A host that does not act fixes and reports nothing. */
 static void
 test_not_acting(void)
@@ -369,6 +393,7 @@
     g_test_add_func("/usage-report/retry", test_retry);
     g_test_add_func("/usage-report/lost-append", test_lost_append);
     g_test_add_func("/usage-report/race", test_race);
+    g_test_add_func("/usage-report/two-records", test_two_records);
     g_test_add_func("/usage-report/not-acting", test_not_acting);
     g_test_add_func("/usage-report/waits", test_waits);
     g_test_add_func("/usage-report/fenced", test_fenced);
