--- a/core/index.c
+++ b/core/index.c
@@ -77,3 +77,18 @@
 {
     g_hash_table_insert(index, (gpointer)key, ct_handle_pack(handle));
 }
+
+guint
+ct_handle_hash(gconstpointer key)
+{
+    const struct ct_handle *handle = key;
+
+    return handle->index * 31u + handle->generation;
+}
+
+gboolean
+ct_handle_equal(gconstpointer a, gconstpointer b)
+{
+    return ct_handle_eq(*(const struct ct_handle *)a,
+                        *(const struct ct_handle *)b);
+}
--- a/core/index.h
+++ b/core/index.h
@@ -15,6 +15,10 @@
 GHashTable *ct_index_new_by_name(void);
 GHashTable *ct_index_new_by_text(void);
 
+/* Hash and equality of handles as keys. */
+guint ct_handle_hash(gconstpointer key);
+gboolean ct_handle_equal(gconstpointer a, gconstpointer b);
+
 /* A handle as a value of GLib's containers, and back. */
 gpointer ct_handle_pack(struct ct_handle handle);
 struct ct_handle ct_handle_unpack(gconstpointer value);
--- a/coriandertrackd/daemon.c
+++ b/coriandertrackd/daemon.c
@@ -2,21 +2,18 @@
 
 #include <curl/curl.h>
 #include <ev.h>
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/random.h>
-#include <sys/resource.h>
 
 #include "callers.h"
 #include "error.h"
+#include "host-loop.h"
 #include "load-poll.h"
 #include "logger.h"
 #include "operators.h"
 #include "peer.h"
 #include "platform.h"
-#include "recorder.h"
 #include "state-body.h"
 #include "upstreams.h"
 
@@ -126,49 +123,6 @@
     ct_gauge_text("stored_bodies", ct_answers_count(daemon->answers), out);
 }
 
-static int
-set_self(struct daemon *daemon)
-{
-    const struct ct_settings *settings = daemon->settings;
-    uint64_t start;
-
-    if (getrandom(&start, sizeof(start), 0) != sizeof(start) ||
-        getrandom(&daemon->self.seed, sizeof(daemon->self.seed), 0) !=
-            sizeof(daemon->self.seed)) {
-        return CT_ERR_IO;
-    }
-    daemon->self.host = settings->host;
-    daemon->self.zone = settings->zone;
-    g_snprintf(daemon->self.writer.text, sizeof(daemon->self.writer.text),
-               "%.28s-%016" PRIx64, settings->host.text, start);
-    return CT_OK;
-}
-
-static int
-make_loop(struct daemon *daemon, const char *record)
-{
-    struct ct_reducer *reducer;
-    int err = set_self(daemon);
-
-    if (err < 0) {
-        return err;
-    }
-    daemon->state = ct_state_new(&daemon->self);
-    if (daemon->state == NULL) {
-        return CT_ERR_NO_MEMORY;
-    }
-    reducer = ct_state_reducer_new(daemon->state);
-    if (record != NULL) {
-        err = ct_recorder_new(record, &daemon->self, reducer, &reducer);
-    }
-    if (err < 0) {
-        reducer->ops->free(reducer);
-        return err;
-    }
-    daemon->loop = ct_loop_new(reducer, ct_system_clock());
-    return daemon->loop != NULL ? CT_OK : CT_ERR_NO_MEMORY;
-}
-
 static void
 add_upstreams(struct daemon *daemon, struct ct_http *http)
 {
@@ -293,18 +247,6 @@
     ev_signal_start(ev, &daemon->interrupt);
 }
 
-/* As many connections as the machine's own limit allows. */
-static void
-raise_file_limit(void)
-{
-    struct rlimit files;
-
-    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
-        files.rlim_cur = files.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &files);
-    }
-}
-
 static int
 start(struct daemon *daemon, const char *record)
 {
@@ -312,7 +254,11 @@
         .run = run_effect,
         .free = keep,
     };
-    int err = make_loop(daemon, record);
+    int err;
+
+    ct_host_self(&daemon->self, &daemon->settings->host,
+                 &daemon->settings->zone);
+    err = ct_host_loop(&daemon->self, record, &daemon->state, &daemon->loop);
 
     if (err < 0) {
         fprintf(stderr, "coriandertrackd: cannot start: %s\n",
@@ -340,7 +286,7 @@
         .status = CT_EXIT_OK,
     };
 
-    raise_file_limit();
+    ct_host_raise_file_limit();
     ct_logger_install(STDERR_FILENO);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     if (start(&daemon, record) < 0) {
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -1,21 +1,18 @@
 #include "relay-daemon.h"
 
 #include <glib.h>
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/random.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include "call-dialect.h"
 #include "duties.h"
 #include "error.h"
+#include "host-loop.h"
 #include "guide.h"
 #include "logger.h"
 #include "operators.h"
-#include "recorder.h"
 #include "relay-io.h"
 #include "state-body.h"
 #include "store.h"
@@ -142,50 +139,6 @@
     ct_gauge_text("log_lines_dropped_total", ct_logger_dropped(), out);
 }
 
-static int
-set_self(struct relay_daemon *daemon)
-{
-    const struct ct_relay_settings *settings = &daemon->settings;
-    struct ct_self *self = &daemon->self;
-    uint64_t start;
-
-    if (getrandom(&start, sizeof(start), 0) != sizeof(start) ||
-        getrandom(&self->seed, sizeof(self->seed), 0) != sizeof(self->seed)) {
-        return CT_ERR_IO;
-    }
-    self->host = settings->host;
-    self->zone = settings->zone;
-    self->bounds = settings->bounds;
-    g_snprintf(self->writer.text, sizeof(self->writer.text),
-               "%.28s-%016" PRIx64, settings->host.text, start);
-    return CT_OK;
-}
-
-static int
-make_loop(struct relay_daemon *daemon, const char *record)
-{
-    struct ct_reducer *reducer;
-    int err = set_self(daemon);
-
-    if (err < 0) {
-        return err;
-    }
-    daemon->state = ct_state_new(&daemon->self);
-    if (daemon->state == NULL) {
-        return CT_ERR_NO_MEMORY;
-    }
-    reducer = ct_state_reducer_new(daemon->state);
-    if (record != NULL) {
-        err = ct_recorder_new(record, &daemon->self, reducer, &reducer);
-    }
-    if (err < 0) {
-        reducer->ops->free(reducer);
-        return err;
-    }
-    daemon->loop = ct_loop_new(reducer, ct_system_clock());
-    return daemon->loop != NULL ? CT_OK : CT_ERR_NO_MEMORY;
-}
-
 /* The client of relayed calls and that of the platform stay apart. */
 static int
 add_platform(struct relay_daemon *daemon)
@@ -303,17 +256,6 @@
     ev_signal_start(ev, &daemon->hangup);
 }
 
-static void
-raise_file_limit(void)
-{
-    struct rlimit files;
-
-    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
-        files.rlim_cur = files.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &files);
-    }
-}
-
 static int
 start(struct relay_daemon *daemon, const char *record)
 {
@@ -321,7 +263,12 @@
         .run = run_effect,
         .free = keep,
     };
-    int err = make_loop(daemon, record);
+    int err;
+
+    ct_host_self(&daemon->self, &daemon->settings.host,
+                 &daemon->settings.zone);
+    daemon->self.bounds = daemon->settings.bounds;
+    err = ct_host_loop(&daemon->self, record, &daemon->state, &daemon->loop);
 
     if (err < 0) {
         return err;
@@ -351,7 +298,7 @@
     struct ct_event begin = {.type = CT_EVENT_RELAY_BEGIN};
     int err;
 
-    raise_file_limit();
+    ct_host_raise_file_limit();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     err = start(&daemon, record);
     if (err < 0) {
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -1,6 +1,7 @@
 #include "relay-io.h"
 
 #include "error.h"
+#include "index.h"
 #include "relay-call.h"
 
 #define MS_PER_S 1000
@@ -9,21 +10,6 @@
 /* After the callers' own limit, so that no call meets our close. */
 #define IDLE_MARGIN_MS 15000
 
-static guint
-handle_hash(gconstpointer key)
-{
-    const struct ct_handle *handle = key;
-
-    return handle->index * 31u + handle->generation;
-}
-
-static gboolean
-handle_equal(gconstpointer a, gconstpointer b)
-{
-    return ct_handle_eq(*(const struct ct_handle *)a,
-                        *(const struct ct_handle *)b);
-}
-
 static void
 cancel(struct ct_relay_io *io, struct ct_handle handle)
 {
@@ -136,7 +122,7 @@
     io->limits = options->limits;
     ct_table_init(&io->calls, sizeof(struct relay_call), 0, relay_call_clear);
     ct_table_init(&io->attempts, sizeof(struct relay_attempt), 0, NULL);
-    io->by_handle = g_hash_table_new(handle_hash, handle_equal);
+    io->by_handle = g_hash_table_new(ct_handle_hash, ct_handle_equal);
     err = start_server(io, options->address);
     if (err < 0) {
         g_hash_table_destroy(io->by_handle);
--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -4,6 +4,7 @@
 
 #include "attempt.h"
 #include "error.h"
+#include "index.h"
 
 /* Stored bytes that a resumed stream's scanner reads again at most. */
 #define RESCAN_BYTES (64 * 1024)
@@ -33,21 +34,6 @@
     char *body;
 };
 
-static guint
-handle_hash(gconstpointer key)
-{
-    const struct ct_handle *handle = key;
-
-    return handle->index * 31u + handle->generation;
-}
-
-static gboolean
-handle_equal(gconstpointer a, gconstpointer b)
-{
-    return ct_handle_eq(*(const struct ct_handle *)a,
-                        *(const struct ct_handle *)b);
-}
-
 static void
 post(struct ct_attempt *attempt, struct ct_event *event)
 {
@@ -538,7 +524,7 @@
     up->http = http;
     up->answers = answers;
     ct_table_init(&up->attempts, sizeof(struct ct_attempt), 0, NULL);
-    up->by_handle = g_hash_table_new(handle_hash, handle_equal);
+    up->by_handle = g_hash_table_new(ct_handle_hash, ct_handle_equal);
     up->credentials =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     up->cancels =
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -256,15 +256,3 @@
     t_relay_sent(core, attempt);
     t_relay_done(core, attempt, outcome, status);
 }
-
-void
-t_relay_assert_refused(const struct t_core *core, enum ct_refusal reason,
-                       enum ct_run_state run_state)
-{
-    const struct ct_effect *effect = t_core_effect(core, CT_EFFECT_REFUSE, 0);
-
-    g_assert_nonnull(effect);
-    g_assert_cmpstr(ct_refusal_text(effect->u.refuse.reason), ==,
-                    ct_refusal_text(reason));
-    g_assert_cmpint(effect->u.refuse.run_state, ==, run_state);
-}
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -56,8 +56,4 @@
 void t_relay_finish(struct t_core *core, struct ct_handle attempt,
                     enum ct_outcome outcome, uint32_t status);
 
-/* The last event refused a caller for this reason. */
-void t_relay_assert_refused(const struct t_core *core, enum ct_refusal reason,
-                            enum ct_run_state run_state);
-
 #endif
--- a/t/test-relay-state.c
+++ b/t/test-relay-state.c
@@ -80,7 +80,7 @@
     g_assert_cmpint(took_ms, <=, 6500);
     /* The process is about to end: nothing is begun any more. */
     t_relay_call(&core, 1, T_ONCE_PATH);
-    t_relay_assert_refused(&core, CT_REFUSAL_DRAINING, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_DRAINING, CT_NOT_RUN);
     t_core_free(&core);
 }
 
@@ -127,7 +127,7 @@
             t_relay_started(&core);
         }
         else {
-            t_relay_assert_refused(&core, CT_REFUSAL_DRAINING, CT_NOT_RUN);
+            t_core_assert_refused(&core, CT_REFUSAL_DRAINING, CT_NOT_RUN);
         }
         t_core_free(&core);
     }
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -36,7 +36,7 @@
             t_relay_started(&core);
         }
         else {
-            t_relay_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
+            t_core_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
         }
         t_core_free(&core);
     }
@@ -50,7 +50,7 @@
 
     t_relay_init(&core);
     t_relay_call(&core, 1, T_ANY_PATH);
-    t_relay_assert_refused(&core, CT_REFUSAL_NOT_READY, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_NOT_READY, CT_NOT_RUN);
     t_core_free(&core);
 }
 
@@ -85,7 +85,7 @@
             t_relay_started(&core);
         }
         else {
-            t_relay_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
+            t_core_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
         }
         t_core_free(&core);
     }
@@ -110,7 +110,7 @@
     }
     t_relay_post_config(&core, 6, rows);
     t_relay_call(&core, 1, T_ANY_PATH);
-    t_relay_assert_refused(&core, CT_REFUSAL_UNKNOWN_KEY, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_UNKNOWN_KEY, CT_NOT_RUN);
     t_relay_call(&core, 4, T_ANY_PATH);
     t_relay_started(&core);
     t_relay_configure(&core, 7, 0);
@@ -189,7 +189,7 @@
                               ->u.forward.ends);
         }
         else {
-            t_relay_assert_refused(&core, cases[i].reason, cases[i].run_state);
+            t_core_assert_refused(&core, cases[i].reason, cases[i].run_state);
         }
         t_core_free(&core);
     }
@@ -210,7 +210,7 @@
     }
     start = t_relay_started(&core);
     t_relay_done(&core, start.attempt, CT_OUTCOME_NOT_SENT, 0);
-    t_relay_assert_refused(&core, CT_REFUSAL_NO_UPSTREAM, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_NO_UPSTREAM, CT_NOT_RUN);
     t_core_free(&core);
 }
 
@@ -226,7 +226,7 @@
                    503);
     t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_DECLINED,
                    503);
-    t_relay_assert_refused(&core, CT_REFUSAL_UPSTREAM_FULL, CT_NOT_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_FULL, CT_NOT_RUN);
     g_assert_cmpint(
         t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.retry_after_ms, >,
         0);
@@ -357,7 +357,7 @@
     t_core_tick(&core, 10000);
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE), ==, 0);
     t_core_tick(&core, 200);
-    t_relay_assert_refused(&core, CT_REFUSAL_UPSTREAM_SILENT, CT_MAY_HAVE_RUN);
+    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_SILENT, CT_MAY_HAVE_RUN);
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL), ==, 1);
     t_core_free(&core);
 }
