--- a/shell/recorder.c
+++ b/shell/recorder.c
@@ -123,7 +123,9 @@
         return CT_ERR_IO;
     }
     set_header(&wanted, &header.self);
-    if (memcmp(&header, &wanted, sizeof(header)) != 0) {
+    if (memcmp(header.magic, wanted.magic, sizeof(header.magic)) != 0 ||
+        header.event_size != wanted.event_size ||
+        header.pointer_size != wanted.pointer_size) {
         fclose(file);
         return CT_ERR_VERSION;
     }
--- a/t/fake/fake-store.c
+++ b/t/fake/fake-store.c
@@ -91,6 +91,7 @@
     }
 }
 
+/* Answers a read that is in the list of those that wait no more. */
 static void
 end_wait(struct waiter *waiter)
 {
@@ -101,32 +102,30 @@
     if (request != NULL) {
         reply_records(request, waiter->topic, waiter->from);
     }
-    g_ptr_array_remove(store->waiters, waiter);
     g_free(waiter);
 }
 
 static void
 on_wait(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
+    struct waiter *waiter = timer->data;
+
     (void)loop;
     (void)events;
-    end_wait(timer->data);
+    g_ptr_array_remove(waiter->store->waiters, waiter);
+    end_wait(waiter);
 }
 
 static void
 wake(struct store *store, const struct topic *topic)
 {
-    guint i = 0;
-
-    while (i < store->waiters->len) {
+    for (guint i = store->waiters->len; i-- > 0;) {
         struct waiter *waiter = g_ptr_array_index(store->waiters, i);
 
         if (waiter->topic == topic) {
+            g_ptr_array_remove_index(store->waiters, i);
             end_wait(waiter);
         }
-        else {
-            i++;
-        }
     }
 }
 
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -454,10 +454,11 @@
 static void
 test_odd_entries(void)
 {
-    static const char *const odd[] = {
-        "{", "[]", "{\"service\":7}", "\xff\xfe\xfd",
+    static const char odd_state[] =
         "{\"service\":\"app\",\"addr\":\"127.0.0.1:9\",\"zone\":\"z\","
-        "\"slots\":1,\"state\":\"odd\"}"};
+        "\"slots\":1,\"state\":\"odd\"}";
+    static const char *const odd[] = {"{", "[]", "{\"service\":7}",
+                                      "\xff\xfe\xfd", odd_state};
 
     for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
         char key[16];
