core: read pages of newest records one by one, and keep what was read

Change: a page is a read of its own; the core asks for the next, and for the same one again after a failure. Where the store has too many calls, hosts back off up to 6.4 s. Test: /store-sync/pages.

--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -24,6 +24,8 @@
 /* Between reads that failed; doubled up to the limit. */
 #define BACKOFF_MS 100
 #define BACKOFF_MAX_MS 800
+/* The store has too many calls of all hosts: they must become fewer. */
+#define OVERLOAD_BACKOFF_MAX_MS 6400
 /* All hosts may start at once: the first reads are spread over this. */
 #define START_SPREAD_MS 150
 /*
@@ -74,13 +76,13 @@
     return MAX(left_ms, 0);
 }
 
-/* What the pages that are read now lack is missing. */
+/* What the pages that are read from now on lack is missing. */
 static void
-begin_pages(struct ct_state *state)
+begin_pages(struct ct_state *state, enum ct_topic topic)
 {
     GArray *entries = state->store.upstreams;
 
-    for (guint i = 0; i < entries->len; i++) {
+    for (guint i = 0; topic == CT_TOPIC_UPSTREAMS && i < entries->len; i++) {
         g_array_index(entries, struct ct_upstream_entry, i).seen = false;
     }
 }
@@ -95,8 +97,9 @@
     sync->read_at_ms = 0;
     read->topic = topic;
     read->newest = !sync->known;
-    if (read->newest && topic == CT_TOPIC_UPSTREAMS) {
-        begin_pages(state);
+    read->after = sync->after;
+    if (read->newest && sync->after.text[0] == '\0') {
+        begin_pages(state, topic);
     }
     read->from = sync->next;
     if (sync->known) {
@@ -379,10 +382,11 @@
 on_failure(struct ct_state *state, const struct ct_store_read *read)
 {
     struct ct_topic_sync *sync = &state->store.topics[read->topic];
+    ct_ms max_ms = read->result == CT_ERR_OVERLOADED ? OVERLOAD_BACKOFF_MAX_MS
+                                                     : BACKOFF_MAX_MS;
     ct_ms delay_ms = BACKOFF_MS;
 
-    for (uint32_t i = 0; i < sync->failures && delay_ms < BACKOFF_MAX_MS;
-         i++) {
+    for (uint32_t i = 0; i < sync->failures && delay_ms < max_ms; i++) {
         delay_ms *= 2;
     }
     if (sync->failures++ == 0) {
@@ -400,6 +404,26 @@
     return read->sent_ms + (read->entries == 0 ? read->idle_ms : 0);
 }
 
+/* One page of the newest records: the first one's end is where to go on. */
+static void
+on_page(struct ct_state *state, const struct ct_store_read *read)
+{
+    struct ct_topic_sync *sync = &state->store.topics[read->topic];
+
+    if (sync->after.text[0] == '\0') {
+        sync->next = read->next;
+        sync->pages_ms = read->sent_ms;
+    }
+    memset(&sync->after, 0, sizeof(sync->after));
+    if (read->more) {
+        sync->after = read->after;
+        return;
+    }
+    end_pages(state, read->topic);
+    sync->known = true;
+    sync->known_ms = MAX(sync->known_ms, sync->pages_ms);
+}
+
 void
 ct_store_on_read(struct ct_state *state, const struct ct_store_read *read)
 {
@@ -412,6 +436,7 @@
     if (read->result == CT_ERR_LOG_TRUNCATED) {
         ct_emit_log(state, CT_LOG_STORE_TRIMMED, NULL, NULL, read->topic);
         sync->known = false;
+        memset(&sync->after, 0, sizeof(sync->after));
         read_after(state, read->topic, 0);
         return;
     }
@@ -425,11 +450,12 @@
         ct_emit_log(state, CT_LOG_STORE_BACK, NULL, NULL, read->topic);
     }
     if (read->newest) {
-        end_pages(state, read->topic);
+        on_page(state, read);
+    }
+    else {
+        sync->next = read->next;
+        sync->known_ms = MAX(sync->known_ms, known_until(read));
     }
-    sync->known = true;
-    sync->next = read->next;
-    sync->known_ms = MAX(sync->known_ms, known_until(read));
     sweep(state);
     if (state->store.upstreams_changed) {
         publish(state);
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -16,6 +16,10 @@
     bool started;
     /* The newest records were read once. */
     bool known;
+    /* While pages of the newest are read: the next one's key, and when the
+     * first was asked for. */
+    struct ct_path after;
+    ct_ms pages_ms;
     /* Next offset to read. */
     int64_t next;
     /* Nothing before this time is unknown; 0 for never. */
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -78,6 +78,9 @@
 struct ct_store_read_effect {
     enum ct_topic topic;
     bool newest;
+    /* Of the newest: the page that begins after this key; empty for the first.
+     */
+    struct ct_path after;
     int64_t from;
     /* How long the store may wait for a record. */
     ct_ms wait_ms;
@@ -94,7 +97,10 @@
     ct_ms sent_ms;
     /* How long the store had been told to wait, and no record came. */
     ct_ms idle_ms;
-    /* Offset after the last record that was read. */
+    /* Of the newest: another page follows, after this key. */
+    bool more;
+    struct ct_path after;
+    /* Offset after the last record that was read; of a page, the end. */
     int64_t next;
     uint32_t entries;
 };
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -59,6 +59,52 @@
     t_core_free(&core);
 }
 
+/*
+ * Many entries come in pages: one that fails is asked for again, and only the
+ * last one shows what is missing. Records are then read from the first's end.
+ */
+static void
+test_pages(void)
+{
+    struct ct_event page = {.type = CT_EVENT_STORE_READ};
+    struct ct_store_upstream first = t_upstream("desk", 0);
+    struct ct_store_upstream second = t_upstream("desk", 1);
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 2);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_LOG_TRUNCATED, 0, 0, 0);
+    t_relay_upstream(&core, &first);
+    page.u.store_read.topic = CT_TOPIC_UPSTREAMS;
+    page.u.store_read.newest = true;
+    page.u.store_read.more = true;
+    page.u.store_read.next = 70;
+    CT_TEXT_SET(page.u.store_read.after, "desk-0");
+    t_core_post(&core, &page);
+    g_assert_cmpstr(read_of(&core, CT_TOPIC_UPSTREAMS)->after.text, ==,
+                    "desk-0");
+    /* Not missing yet. */
+    assert_state(&core, "desk-1", true, CT_UPSTREAM_RUNNING);
+    page.u.store_read.result = CT_ERR_OVERLOADED;
+    t_core_post(&core, &page);
+    while (read_of(&core, CT_TOPIC_UPSTREAMS) == NULL) {
+        t_core_tick(&core, 10);
+    }
+    g_assert_cmpstr(read_of(&core, CT_TOPIC_UPSTREAMS)->after.text, ==,
+                    "desk-0");
+    t_relay_upstream(&core, &second);
+    page.u.store_read.result = CT_OK;
+    page.u.store_read.more = false;
+    page.u.store_read.next = 90;
+    t_core_post(&core, &page);
+    g_assert_false(read_of(&core, CT_TOPIC_UPSTREAMS)->newest);
+    g_assert_cmpint(read_of(&core, CT_TOPIC_UPSTREAMS)->from, ==, 70);
+    assert_state(&core, "desk-1", true, CT_UPSTREAM_RUNNING);
+    t_core_tick(&core, 2500);
+    assert_state(&core, "engines-0", false, 0);
+    t_core_free(&core);
+}
+
 /* An older version that comes late changes nothing. */
 static void
 test_never_reverts(void)
@@ -298,6 +344,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store-sync/start", test_start);
+    g_test_add_func("/store-sync/pages", test_pages);
     g_test_add_func("/store-sync/never-reverts", test_never_reverts);
     g_test_add_func("/store-sync/bad-config", test_bad_config);
     g_test_add_func("/store-sync/age", test_age);
