t: split the world of random faults

Change: what upstreams do is lib-world-runs.c, the common types stand in lib-world-parts.h. No check is touched.

--- a/t/lib-world.c
+++ b/t/lib-world.c
@@ -1,59 +1,6 @@
-#include "lib-world.h"
-
 #include <string.h>
 
-#include "lib-core.h"
-
-#define HOSTS 2
-#define CALLS_MAX 4096
-#define KEYS 4
-#define ANSWER_PARTS 3
-#define PART_BYTES 10
-
-/* What a caller has seen of one call. */
-struct call {
-    uint32_t host;
-    uint64_t caller;
-    struct ct_request_id id;
-    uint8_t key;
-    /* 0 for calls that may be repeated. */
-    uint8_t idempotency_key;
-    bool over;
-    uint64_t got_bytes;
-};
-
-/* One attempt as the upstream sees it. */
-struct run {
-    uint32_t host;
-    uint32_t life;
-    struct ct_attempt_effect effect;
-    bool sent;
-    bool cancelled;
-    uint32_t parts;
-    uint64_t at;
-};
-
-struct world {
-    struct t_world_choices *choices;
-    struct t_world_stats *stats;
-    struct t_core hosts[HOSTS];
-    /* Counts restarts; an effect of an earlier life is void. */
-    uint32_t life[HOSTS];
-    /* The log, and how far each host has read. */
-    GArray *log;
-    /* Appends that may still land. */
-    GArray *in_flight;
-    uint32_t read[HOSTS];
-    GArray *calls;
-    GArray *runs;
-    /* Runs by idempotency key and by request id. */
-    uint32_t runs_of_key[256];
-    GHashTable *runs_of_request;
-    bool withdrawn[HOSTS][KEYS + 1];
-    struct ct_record config;
-    uint32_t next_id;
-    uint8_t next_key;
-};
+#include "lib-world-parts.h"
 
 struct flight {
     uint32_t host;
@@ -61,14 +8,14 @@
     struct ct_record record;
 };
 
-static uint32_t
-pick(struct world *w, uint32_t n)
+uint32_t
+world_pick(struct world *w, uint32_t n)
 {
     return w->choices->next(w->choices, n);
 }
 
-static struct call *
-find_call(struct world *w, uint32_t host, uint64_t caller)
+struct call *
+world_find_call(struct world *w, uint32_t host, uint64_t caller)
 {
     for (guint i = 0; i < w->calls->len; i++) {
         struct call *call = &g_array_index(w->calls, struct call, i);
@@ -80,8 +27,8 @@
     return NULL;
 }
 
-static uint32_t
-runs_of(const struct world *w, const struct ct_request_id *id)
+uint32_t
+world_runs_of(const struct world *w, const struct ct_request_id *id)
 {
     return GPOINTER_TO_UINT(g_hash_table_lookup(w->runs_of_request, id->text));
 }
@@ -89,7 +36,7 @@
 static void
 on_refuse(struct world *w, uint32_t host, const struct ct_refuse_effect *e)
 {
-    struct call *call = find_call(w, host, e->caller);
+    struct call *call = world_find_call(w, host, e->caller);
 
     g_assert_nonnull(call);
     g_assert_false(call->over);
@@ -97,7 +44,7 @@
     g_assert_cmpuint(call->got_bytes, ==, 0);
     if (e->run_state == CT_NOT_RUN) {
         /* A refusal that says "not run" is true. */
-        g_assert_cmpuint(runs_of(w, &call->id), ==, 0);
+        g_assert_cmpuint(world_runs_of(w, &call->id), ==, 0);
         w->stats->refused_not_run++;
         return;
     }
@@ -108,7 +55,7 @@
 on_write(struct world *w, uint32_t host, const struct ct_effect *effect)
 {
     const struct ct_write_effect *e = &effect->u.write;
-    struct call *call = find_call(w, host, e->caller);
+    struct call *call = world_find_call(w, host, e->caller);
 
     g_assert_nonnull(call);
     g_assert_false(call->over);
@@ -134,7 +81,7 @@
 on_start(struct world *w, uint32_t host, const struct ct_attempt_effect *e)
 {
     struct run run = {.host = host, .life = w->life[host], .effect = *e};
-    const struct call *call = find_call(w, host, e->caller);
+    const struct call *call = world_find_call(w, host, e->caller);
 
     g_assert_nonnull(call);
     /* No upstream gets work for a withdrawn key. */
@@ -192,8 +139,8 @@
     }
 }
 
-static void
-post(struct world *w, uint32_t host, struct ct_event *event)
+void
+world_post(struct world *w, uint32_t host, struct ct_event *event)
 {
     t_core_post(&w->hosts[host], event);
     take_effects(w, host);
@@ -216,7 +163,7 @@
     if (event.u.entry.record.type == CT_RECORD_KEY_WITHDRAW) {
         w->withdrawn[host][event.u.entry.record.u.key.digest.bytes[0]] = true;
     }
-    post(w, host, &event);
+    world_post(w, host, &event);
     return true;
 }
 
@@ -240,25 +187,25 @@
     if (w->in_flight->len == 0) {
         return;
     }
-    at = pick(w, w->in_flight->len);
+    at = world_pick(w, w->in_flight->len);
     flight = &g_array_index(w->in_flight, struct flight, at);
     memset(&event, 0, sizeof(event));
     event.type = CT_EVENT_APPEND_DONE;
     event.u.append.sequence = flight->record.sequence;
-    if (pick(w, 4) == 0) {
+    if (world_pick(w, 4) == 0) {
         /* The answer is lost; the append may land later, or never. */
         event.u.append.result = CT_ERR_LOG_UNAVAILABLE;
         if (flight->life == w->life[flight->host]) {
-            post(w, flight->host, &event);
+            world_post(w, flight->host, &event);
         }
-        if (pick(w, 2) == 0) {
+        if (world_pick(w, 2) == 0) {
             g_array_remove_index(w->in_flight, at);
         }
         return;
     }
     append(w, &flight->record);
     /* The same append may land a second time. */
-    if (pick(w, 8) != 0) {
+    if (world_pick(w, 8) != 0) {
         g_array_remove_index(w->in_flight, at);
     }
 }
@@ -266,9 +213,9 @@
 static void
 new_call(struct world *w)
 {
-    uint32_t host = pick(w, HOSTS);
-    bool keyed = pick(w, 2);
-    uint8_t key = (uint8_t)(1 + pick(w, KEYS));
+    uint32_t host = world_pick(w, HOSTS);
+    bool keyed = world_pick(w, 2);
+    uint8_t key = (uint8_t)(1 + world_pick(w, KEYS));
     struct ct_event event;
     struct call call;
 
@@ -282,8 +229,9 @@
     memset(&call, 0, sizeof(call));
     if (keyed) {
         /* Often the key of an earlier call: the caller's own repeat. */
-        call.idempotency_key =
-            pick(w, 3) ? (uint8_t)(1 + pick(w, w->next_key)) : w->next_key;
+        call.idempotency_key = world_pick(w, 3)
+                                   ? (uint8_t)(1 + world_pick(w, w->next_key))
+                                   : w->next_key;
         if (call.idempotency_key == w->next_key && w->next_key < 250) {
             w->next_key++;
         }
@@ -296,7 +244,7 @@
     call.key = key;
     g_array_append_val(w->calls, call);
     w->stats->calls++;
-    post(w, host, &event);
+    world_post(w, host, &event);
 }
 
 static void
@@ -308,7 +256,7 @@
     if (w->calls->len == 0) {
         return;
     }
-    call = &g_array_index(w->calls, struct call, pick(w, w->calls->len));
+    call = &g_array_index(w->calls, struct call, world_pick(w, w->calls->len));
     if (call->over) {
         return;
     }
@@ -316,125 +264,14 @@
     memset(&event, 0, sizeof(event));
     event.type = CT_EVENT_CALL_GONE;
     event.u.caller = call->caller;
-    post(w, call->host, &event);
-}
-
-/* A byte of the request leaves: the upstream runs it. */
-static void
-count_run(struct world *w, const struct run *run)
-{
-    const struct call *call = find_call(w, run->host, run->effect.caller);
-
-    w->stats->runs++;
-    g_hash_table_insert(
-        w->runs_of_request, g_strdup(run->effect.request_id.text),
-        GUINT_TO_POINTER(runs_of(w, &run->effect.request_id) + 1));
-    if (call->idempotency_key) {
-        /* A request that may not be repeated runs at most once. */
-        g_assert_cmpuint(++w->runs_of_key[call->idempotency_key], ==, 1);
-    }
-}
-
-static void
-post_attempt(struct world *w, const struct run *run, enum ct_event_type type,
-             struct ct_attempt_event attempt)
-{
-    struct ct_event event;
-
-    memset(&event, 0, sizeof(event));
-    event.type = type;
-    event.u.attempt = attempt;
-    event.u.attempt.attempt = run->effect.attempt;
-    post(w, run->host, &event);
-}
-
-static void
-end_run(struct world *w, guint at, enum ct_outcome outcome)
-{
-    struct run run = g_array_index(w->runs, struct run, at);
-
-    g_array_remove_index(w->runs, at);
-    post_attempt(w, &run, CT_EVENT_ATTEMPT_DONE,
-                 (struct ct_attempt_event){.outcome = outcome});
-}
-
-/* The next thing that an upstream does for one attempt. */
-static void
-step_run(struct world *w, bool fair)
-{
-    static const enum ct_outcome failures[] = {
-        CT_OUTCOME_FAILED,
-        CT_OUTCOME_BROKEN,
-        CT_OUTCOME_SILENT,
-        CT_OUTCOME_MISMATCH,
-    };
-    struct run *run;
-    guint at;
-
-    if (w->runs->len == 0) {
-        return;
-    }
-    at = pick(w, w->runs->len);
-    run = &g_array_index(w->runs, struct run, at);
-    if (run->life != w->life[run->host] || run->cancelled) {
-        /* Now and then a cancelled attempt still says something. */
-        if (run->life == w->life[run->host] && pick(w, 2)) {
-            post_attempt(w, run, CT_EVENT_ATTEMPT_DATA,
-                         (struct ct_attempt_event){.bytes = PART_BYTES});
-            return;
-        }
-        g_array_remove_index(w->runs, at);
-        return;
-    }
-    if (!run->sent) {
-        if (!fair && pick(w, 6) == 0) {
-            end_run(w, at,
-                    pick(w, 2) ? CT_OUTCOME_NOT_SENT : CT_OUTCOME_EXPIRED);
-            return;
-        }
-        run->sent = true;
-        post_attempt(w, run, CT_EVENT_ATTEMPT_SENT,
-                     (struct ct_attempt_event){.tokens = 0});
-        if (!fair && pick(w, 6) == 0) {
-            end_run(w, at, CT_OUTCOME_DECLINED);
-            return;
-        }
-        run = &g_array_index(w->runs, struct run, at);
-        count_run(w, run);
-        post_attempt(w, run, CT_EVENT_ATTEMPT_HEAD,
-                     (struct ct_attempt_event){.status = 200});
-        return;
-    }
-    if (!fair && pick(w, 6) == 0) {
-        end_run(w, at, failures[pick(w, G_N_ELEMENTS(failures))]);
-        return;
-    }
-    if (!fair && pick(w, 8) == 0) {
-        /* A part comes twice, or one is missing. */
-        post_attempt(
-            w, run, CT_EVENT_ATTEMPT_DATA,
-            (struct ct_attempt_event){
-                .offset = run->at && pick(w, 2) ? 0 : run->at + PART_BYTES,
-                .bytes = PART_BYTES,
-            });
-        return;
-    }
-    if (run->at < ANSWER_PARTS * PART_BYTES) {
-        struct ct_attempt_event event = {
-            .offset = run->at, .bytes = PART_BYTES, .tokens = 1};
-
-        run->at += PART_BYTES;
-        post_attempt(w, run, CT_EVENT_ATTEMPT_DATA, event);
-        return;
-    }
-    end_run(w, at, CT_OUTCOME_COMPLETE);
+    world_post(w, call->host, &event);
 }
 
 /* The process dies with all it knows; a new one reads the log. */
 static void
 restart(struct world *w)
 {
-    uint32_t host = pick(w, HOSTS);
+    uint32_t host = world_pick(w, HOSTS);
     struct t_core *core = &w->hosts[host];
     uint64_t next_caller = core->next_caller;
     ct_ms now_ms = core->now_ms;
@@ -471,7 +308,7 @@
 
     memset(&record, 0, sizeof(record));
     record.type = CT_RECORD_KEY_WITHDRAW;
-    record.u.key.digest = t_digest((uint8_t)(1 + pick(w, KEYS)));
+    record.u.key.digest = t_digest((uint8_t)(1 + world_pick(w, KEYS)));
     append(w, &record);
     w->stats->withdrawn++;
 }
@@ -497,7 +334,7 @@
         memset(&event, 0, sizeof(event));
         event.type = CT_EVENT_LOG_HEAD;
         event.u.head.first = 1;
-        post(w, host, &event);
+        world_post(w, host, &event);
         t_core_tick(&w->hosts[host], by_ms);
         take_effects(w, host);
     }
@@ -506,20 +343,20 @@
 static void
 step(struct world *w)
 {
-    switch (pick(w, 32)) {
+    switch (world_pick(w, 32)) {
     case 0:
-        tick(w, 1 + pick(w, 400));
+        tick(w, 1 + world_pick(w, 400));
         return;
     case 1:
         caller_leaves(w);
         return;
     case 2:
-        if (pick(w, 16) == 0) {
+        if (world_pick(w, 16) == 0) {
             restart(w);
         }
         return;
     case 3:
-        if (pick(w, 64) == 0) {
+        if (world_pick(w, 64) == 0) {
             withdraw_key(w);
         }
         return;
@@ -539,10 +376,10 @@
     case 13:
     case 14:
     case 15:
-        read_entry(w, pick(w, HOSTS));
+        read_entry(w, world_pick(w, HOSTS));
         return;
     default:
-        step_run(w, false);
+        world_step_run(w, false);
         return;
     }
 }
@@ -552,7 +389,7 @@
 settle(struct world *w)
 {
     for (int i = 0; i < 4000; i++) {
-        step_run(w, true);
+        world_step_run(w, true);
         for (uint32_t host = 0; host < HOSTS; host++) {
             read_entry(w, host);
         }
