t: give a direct call of the tenure a list of effects

The test called ct_tenure_refused() outside the reducer, where no list of effects is set; since the loss of a duty is logged at once, the call emits.

Ruled out: the product calls it from the reducer only.

Result: the test passes; before, it failed in each run.

--- a/t/test-tenure.c
+++ b/t/test-tenure.c
@@ -113,7 +113,10 @@
 
     setup(&core);
     hold(&core, 4, 3);
+    ct_effects_clear(&core.effects);
+    core.state->out = &core.effects;
     ct_tenure_refused(core.state, 4);
+    core.state->out = NULL;
     g_assert_false(acts(&core));
     post_joined(&core, CT_OK, 4, true, 10);
     g_assert_false(acts(&core));
