t: a bit for each kind of effect, however many there are

Cause: under the sanitizers test-replay stopped at a shift by 32: it keeps a bit a kind of effect in 32 bits, and there are more kinds since calls are relayed. Without the sanitizers bits ran over into others.

Change: 64 bits.

Ruled out: the product itself shifts by no such number (searched).

--- a/t/test-replay.c
+++ b/t/test-replay.c
@@ -132,7 +132,7 @@
 }
 
 static GByteArray *
-replay_run(const char *path, uint32_t *events, uint32_t *kinds)
+replay_run(const char *path, uint32_t *events, uint64_t *kinds)
 {
     GByteArray *dump = g_byte_array_new();
     struct ct_recording *recording;
@@ -151,7 +151,7 @@
         /* The three records of the configuration were not compared. */
         for (uint32_t i = 0; *events >= 2 && i < effects.n; i++) {
             ct_effect_dump(&effects.items[i], dump);
-            *kinds |= 1u << effects.items[i].type;
+            *kinds |= UINT64_C(1) << effects.items[i].type;
         }
         ++*events;
     }
@@ -169,17 +169,17 @@
     GByteArray *first;
     GByteArray *second;
     uint32_t events = 0;
-    uint32_t kinds = 0;
+    uint64_t kinds = 0;
 
     close(g_mkstemp(path));
     first = record_run(path);
     second = replay_run(path, &events, &kinds);
     g_assert_cmpuint(events, ==, STEPS + 3);
     /* The run went through answers, refusals, attempts and the log. */
-    g_assert_true(kinds & 1u << CT_EFFECT_WRITE_END);
-    g_assert_true(kinds & 1u << CT_EFFECT_REFUSE);
-    g_assert_true(kinds & 1u << CT_EFFECT_START_ATTEMPT);
-    g_assert_true(kinds & 1u << CT_EFFECT_APPEND);
+    g_assert_true(kinds & UINT64_C(1) << CT_EFFECT_WRITE_END);
+    g_assert_true(kinds & UINT64_C(1) << CT_EFFECT_REFUSE);
+    g_assert_true(kinds & UINT64_C(1) << CT_EFFECT_START_ATTEMPT);
+    g_assert_true(kinds & UINT64_C(1) << CT_EFFECT_APPEND);
     g_assert_cmpmem(first->data, first->len, second->data, second->len);
     g_byte_array_unref(first);
     g_byte_array_unref(second);
