t: wait in an event loop, and for a process by its own event

Cause: lib-process slept between two looks at a condition, and asked again and again whether a process had ended; the soak's callers slept too.

Ruled out: an event for every condition. Most are what another process answers when it is asked, and it tells nobody by itself.

Change: the end of a process is the event of its pidfd; looks at other conditions are due by a timer in a libev loop of the calling thread.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -232,7 +232,7 @@
 
     while (!g_atomic_int_get(&caller->soak->stop)) {
         call_once(caller);
-        g_usleep((gulong)g_rand_int_range(caller->random, 0, PAUSE_MAX_US));
+        process_await_due(g_rand_int_range(caller->random, 0, PAUSE_MAX_US));
     }
     g_rand_free(caller->random);
     g_free(caller);
--- a/soak/judge.c
+++ b/soak/judge.c
@@ -235,7 +235,7 @@
         if (process_now_ms() > until_ms) {
             return false;
         }
-        process_pause();
+        process_await_look();
     }
     return true;
 }
--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -7,18 +7,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/pidfd.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
-#include <time.h>
 #include <unistd.h>
 
+#include <ev.h>
 #include <glib.h>
 
 #define ARGUMENTS_MAX 32
 #define PROCESSES_MAX 256
 #define START_TIMEOUT_MS 30000
 #define RUN_TIMEOUT_MS 60000
-#define PAUSE_MS 5
+/* Between two looks at a condition. */
+#define LOOK_US 5000
 #define LINE_MAX_BYTES 256
 
 static pid_t running[PROCESSES_MAX];
@@ -32,12 +34,51 @@
     return g_get_monotonic_time() / 1000;
 }
 
+static void
+free_loop(gpointer loop)
+{
+    ev_loop_destroy(loop);
+}
+
+/* Each thread waits in a loop of its own. */
+static struct ev_loop *
+loop_of_thread(void)
+{
+    static GPrivate loops = G_PRIVATE_INIT(free_loop);
+    struct ev_loop *loop = g_private_get(&loops);
+
+    if (!loop) {
+        loop = ev_loop_new(EVFLAG_AUTO);
+        g_assert_nonnull(loop);
+        g_private_set(&loops, loop);
+    }
+    return loop;
+}
+
+static void
+on_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)timer;
+    (void)events;
+    ev_break(loop, EVBREAK_ONE);
+}
+
 void
-process_pause(void)
+process_await_due(int64_t us)
 {
-    struct timespec pause = {0, PAUSE_MS * 1000000};
+    struct ev_loop *loop = loop_of_thread();
+    ev_timer timer;
+
+    ev_timer_init(&timer, on_due, (double)us / G_USEC_PER_SEC, 0);
+    ev_now_update(loop);
+    ev_timer_start(loop, &timer);
+    ev_run(loop, 0);
+}
 
-    nanosleep(&pause, NULL);
+void
+process_await_look(void)
+{
+    process_await_due(LOOK_US);
 }
 
 static void
@@ -226,19 +267,18 @@
     g_assert_cmpint(kill(process->pid, signal), ==, 0);
 }
 
-static bool
-has_ended(struct process *process, int *status)
-{
-    return waitpid(process->pid, status, WNOHANG) == process->pid;
-}
-
 int
 process_wait(struct process *process, int timeout_ms)
 {
+    struct pollfd ended = {-1, POLLIN, 0};
     int status = 0;
 
     g_assert_true(process->running);
-    AWAIT(has_ended(process, &status), timeout_ms);
+    ended.fd = pidfd_open(process->pid, 0);
+    g_assert_cmpint(ended.fd, >=, 0);
+    g_assert_cmpint(poll(&ended, 1, timeout_ms), ==, 1);
+    close(ended.fd);
+    g_assert_cmpint(waitpid(process->pid, &status, 0), ==, process->pid);
     process->running = false;
     forget(process->pid);
     close(process->out);
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -60,10 +60,16 @@
 /* Monotonic time, the same clock as in the logs of the stand-ins. */
 int64_t process_now_ms(void);
 
-/* Sleeps for a moment between two looks at a condition; see AWAIT. */
-void process_pause(void);
+/* Runs the event loop of the calling thread for us microseconds. */
+void process_await_due(int64_t us);
 
-/* Waits until the condition holds; fails the test after timeout_ms. */
+/* Runs it until the next look at a condition is due; see AWAIT. */
+void process_await_look(void);
+
+/*
+ * Waits until the condition holds; fails the test after timeout_ms. For what
+ * another process must be asked for, and does not tell by itself.
+ */
 #define AWAIT(condition, timeout_ms)                                          \
     do {                                                                      \
         int64_t until_ms_ = process_now_ms() + (timeout_ms);                  \
@@ -73,7 +79,7 @@
                 g_error("%s:%d: timed out: %s", __FILE__, __LINE__,           \
                         #condition);                                          \
             }                                                                 \
-            process_pause();                                                  \
+            process_await_look();                                             \
         }                                                                     \
     } while (0)
 
