--- a/bench/bench-core.c
+++ b/bench/bench-core.c
@@ -97,18 +97,11 @@
     g_snprintf(name->text, sizeof(name->text), "%s-%u", kind, number);
 }
 
-static struct ct_config_row *
-add_row(GArray *rows, enum ct_config_kind kind)
-{
-    g_array_set_size(rows, rows->len + 1);
-    g_array_index(rows, struct ct_config_row, rows->len - 1).kind = kind;
-    return &g_array_index(rows, struct ct_config_row, rows->len - 1);
-}
-
 static void
 add_class(GArray *rows, guint tier)
 {
-    struct ct_class *klass = &add_row(rows, CT_CONFIG_CLASS)->u.klass;
+    struct ct_class *klass =
+        &ct_config_rows_add(rows, CT_CONFIG_CLASS)->u.klass;
 
     set_name(&klass->name, "class", tier);
     klass->tier = tier;
@@ -124,12 +117,12 @@
 static void
 add_pool(GArray *rows, guint pool)
 {
-    struct ct_pool *p = &add_row(rows, CT_CONFIG_POOL)->u.pool;
+    struct ct_pool *p = &ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool;
     struct ct_route *route;
 
     set_name(&p->name, "pool", pool);
     p->kind = CT_POOL_ENGINE;
-    route = &add_row(rows, CT_CONFIG_ROUTE)->u.route;
+    route = &ct_config_rows_add(rows, CT_CONFIG_ROUTE)->u.route;
     CT_TEXT_SET(route->path, "/v1/chat/completions");
     set_name(&route->model, "model", pool);
     set_name(&route->class_name, "class", pool % CT_TIERS);
@@ -146,7 +139,7 @@
 
     for (guint i = 0; i < b->organisations; i++) {
         struct ct_organisation *o =
-            &add_row(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+            &ct_config_rows_add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
 
         set_name(&o->name, "organisation", i);
         o->weight = 1;
@@ -158,7 +151,8 @@
         add_pool(rows, i);
     }
     for (guint i = 0; i < b->upstreams; i++) {
-        struct ct_upstream *u = &add_row(rows, CT_CONFIG_UPSTREAM)->u.upstream;
+        struct ct_upstream *u =
+            &ct_config_rows_add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
 
         set_name(&u->name, "upstream", i);
         set_name(&u->pool, "pool", i % b->pools);
--- a/bench/bench-wire.c
+++ b/bench/bench-wire.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "config.h"
 #include "record-codec.h"
 
 #define ORGANISATIONS 2400
@@ -52,20 +53,12 @@
     printf("%-28s %8zu bytes\n", name, n);
 }
 
-static struct ct_config_row *
-add(GArray *rows, enum ct_config_kind kind)
-{
-    g_array_set_size(rows, rows->len + 1);
-    g_array_index(rows, struct ct_config_row, rows->len - 1).kind = kind;
-    return &g_array_index(rows, struct ct_config_row, rows->len - 1);
-}
-
 static void
 add_organisations(GArray *rows)
 {
     for (int i = 0; i < ORGANISATIONS; i++) {
         struct ct_organisation *o =
-            &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+            &ct_config_rows_add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
 
         FILL(o->name, "organisation-%04d", i);
         o->weight = 1;
@@ -76,7 +69,8 @@
 add_hosts(GArray *rows)
 {
     for (int i = 0; i < HOSTS; i++) {
-        struct ct_host *host = &add(rows, CT_CONFIG_HOST)->u.host;
+        struct ct_host *host =
+            &ct_config_rows_add(rows, CT_CONFIG_HOST)->u.host;
 
         FILL(host->name, "host-%03d", i);
         FILL(host->zone, "region-1-zone-%d", i % 7);
@@ -90,7 +84,8 @@
 add_upstreams(GArray *rows)
 {
     for (int i = 0; i < UPSTREAMS; i++) {
-        struct ct_upstream *up = &add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
+        struct ct_upstream *up =
+            &ct_config_rows_add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
 
         FILL(up->name, "runner-%03d", i);
         FILL(up->pool, "pool-%02d", i % ROUTES);
@@ -104,14 +99,16 @@
 add_routes(GArray *rows, bool access)
 {
     for (int i = 0; i < ROUTES; i++) {
-        struct ct_route *route = &add(rows, CT_CONFIG_ROUTE)->u.route;
+        struct ct_route *route =
+            &ct_config_rows_add(rows, CT_CONFIG_ROUTE)->u.route;
 
         FILL(route->path, "/v1/chat/completions");
         FILL(route->model, "model-%02d", i);
         FILL(route->class_name, "class-%d", i % 8);
         FILL(route->pool, "pool-%02d", i);
         for (int j = 0; access && j < ORGANISATIONS; j++) {
-            struct ct_access *a = &add(rows, CT_CONFIG_ACCESS)->u.access;
+            struct ct_access *a =
+                &ct_config_rows_add(rows, CT_CONFIG_ACCESS)->u.access;
 
             FILL(a->path, "/v1/chat/completions");
             FILL(a->model, "model-%02d", i);
--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -1,8 +1,5 @@
 #include "relay-settings.h"
 
-#include <string.h>
-
-#include "error.h"
 #include "schema.h"
 
 #define MAX_CONNECTIONS 2048
@@ -10,8 +7,7 @@
 
 #define REQUIRED CT_SCHEMA_REQUIRED
 #define OPTIONAL CT_SCHEMA_OPTIONAL
-#define AT(C, member)                                                         \
-    offsetof(struct ct_##C, member), sizeof(((struct ct_##C *)0)->member)
+#define AT CT_SCHEMA_AT
 /* A duration in milliseconds, and one in seconds with a fraction. */
 #define DURATION(name, member, missing)                                       \
     {                                                                         \
@@ -67,14 +63,5 @@
 ct_relay_settings_load(const char *path, struct ct_relay_settings *settings,
                        struct ct_diags *diags)
 {
-    struct ct_json_file file;
-    int err;
-
-    memset(settings, 0, sizeof(*settings));
-    err = ct_json_file_load(&file, path, diags);
-    if (err == CT_OK) {
-        err = ct_schema_read(&schema, &file, file.root, "", settings, diags);
-    }
-    ct_json_file_free(&file);
-    return err;
+    return ct_schema_load(&schema, path, settings, sizeof(*settings), diags);
 }
--- a/conf/schema.c
+++ b/conf/schema.c
@@ -389,3 +389,19 @@
     }
     return reader.err;
 }
+
+int
+ct_schema_load(const struct ct_schema *schema, const char *path, void *out,
+               size_t size, struct ct_diags *diags)
+{
+    struct ct_json_file file;
+    int err;
+
+    memset(out, 0, size);
+    err = ct_json_file_load(&file, path, diags);
+    if (err == CT_OK) {
+        err = ct_schema_read(schema, &file, file.root, "", out, diags);
+    }
+    ct_json_file_free(&file);
+    return err;
+}
--- a/conf/schema.h
+++ b/conf/schema.h
@@ -2,6 +2,7 @@
 #define CT_SCHEMA_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 #include "json-file.h"
 #include "name.h"
@@ -84,6 +85,10 @@
     const struct ct_schema_field *fields;
 };
 
+/* Offset and size of a field of struct ct_C, for a row of a table. */
+#define CT_SCHEMA_AT(C, member)                                               \
+    offsetof(struct ct_##C, member), sizeof(((struct ct_##C *)0)->member)
+
 /*
  * Reads an object into out, which is zeroed memory. path is the object's own
  * place in the file, "" for the root. Every finding goes to diags; returns
@@ -93,6 +98,10 @@
                    const struct ct_json_file *file, JsonObject *object,
                    const char *path, void *out, struct ct_diags *diags);
 
+/* Reads a whole file into out, which is size bytes and is zeroed first. */
+int ct_schema_load(const struct ct_schema *schema, const char *path, void *out,
+                   size_t size, struct ct_diags *diags);
+
 /* Whether the text is a name as of CT_SCHEMA_NAME. */
 bool ct_schema_is_name(const char *text);
 
--- a/conf/service-files.c
+++ b/conf/service-files.c
@@ -15,8 +15,7 @@
 
 #define REQUIRED CT_SCHEMA_REQUIRED
 #define OPTIONAL CT_SCHEMA_OPTIONAL
-#define AT(C, member)                                                         \
-    offsetof(struct ct_##C, member), sizeof(((struct ct_##C *)0)->member)
+#define AT CT_SCHEMA_AT
 
 static const struct ct_schema_field organisation_fields[] = {
     {"name", CT_SCHEMA_NAME, REQUIRED, AT(organisation, name)},
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -1,9 +1,5 @@
 #include "settings.h"
 
-#include <string.h>
-
-#include "error.h"
-
 #define SECRET_MIN_BYTES 16
 #define MAX_CONNECTIONS 4096
 #define HEAD_BYTES (16 * 1024)
@@ -12,8 +8,7 @@
 
 #define REQUIRED CT_SCHEMA_REQUIRED
 #define OPTIONAL CT_SCHEMA_OPTIONAL
-#define AT(C, member)                                                         \
-    offsetof(struct ct_##C, member), sizeof(((struct ct_##C *)0)->member)
+#define AT CT_SCHEMA_AT
 
 static const struct ct_schema_field limit_fields[] = {
     {"max_connections", CT_SCHEMA_U32, OPTIONAL, AT(limits, max_connections),
@@ -50,16 +45,7 @@
 ct_settings_load(const char *path, struct ct_settings *settings,
                  struct ct_diags *diags)
 {
-    struct ct_json_file file;
-    int err;
-
-    memset(settings, 0, sizeof(*settings));
-    err = ct_json_file_load(&file, path, diags);
-    if (err == CT_OK) {
-        err = ct_schema_read(&schema, &file, file.root, "", settings, diags);
-    }
-    ct_json_file_free(&file);
-    return err;
+    return ct_schema_load(&schema, path, settings, sizeof(*settings), diags);
 }
 
 void
--- a/core/addresses.c
+++ b/core/addresses.c
@@ -1,7 +1,5 @@
 #include "addresses.h"
 
-#include <glib.h>
-
 #include "state.h"
 
 static bool
@@ -34,12 +32,25 @@
     }
 }
 
+void
+ct_addresses_reply(struct ct_state *state, uint64_t caller, ct_ms lifetime_ms,
+                   GArray *hosts)
+{
+    struct ct_effect *effect = ct_emit(state, CT_EFFECT_REPLY_ADDRESSES);
+
+    effect->u.addresses.caller = caller;
+    effect->u.addresses.lifetime_ms = lifetime_ms;
+    ct_effect_set_rows(
+        state->out, effect,
+        CT_ROWS((struct ct_host *)(void *)hosts->data, hosts->len));
+    g_array_free(hosts, TRUE);
+}
+
 void
 ct_addresses_on_asked(struct ct_state *state, uint64_t caller)
 {
     GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct ct_host));
     const struct ct_host_conf_row *host;
-    struct ct_effect *effect;
     uint32_t cursor = 0;
 
     while ((host = ct_table_next(&state->config.hosts, &cursor, NULL))) {
@@ -48,11 +59,5 @@
         }
     }
     rotate(state, hosts);
-    effect = ct_emit(state, CT_EFFECT_REPLY_ADDRESSES);
-    effect->u.addresses.caller = caller;
-    effect->u.addresses.lifetime_ms = CT_ADDRESSES_LIFETIME_MS;
-    ct_effect_set_rows(
-        state->out, effect,
-        CT_ROWS((struct ct_host *)(void *)hosts->data, hosts->len));
-    g_array_free(hosts, TRUE);
+    ct_addresses_reply(state, caller, CT_ADDRESSES_LIFETIME_MS, hosts);
 }
--- /dev/null
+++ b/core/candidates.c
@@ -0,0 +1,45 @@
+#include "candidates.h"
+
+#include "state.h"
+
+bool
+ct_candidate_was_tried(const struct ct_handle *tried, uint32_t n_tried,
+                       struct ct_handle upstream)
+{
+    for (uint32_t i = 0; i < n_tried; i++) {
+        if (ct_handle_eq(tried[i], upstream)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+ct_candidates_list(const struct ct_state *state,
+                   const struct ct_candidate_filter *filter,
+                   struct ct_candidate *out)
+{
+    const struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, filter->pool);
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < pool->n_upstreams && n < CT_CANDIDATES_MAX; i++) {
+        const struct ct_upstream_row *upstream =
+            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+
+        if (!upstream || upstream->state != filter->wanted) {
+            continue;
+        }
+        out[n++] = (struct ct_candidate){
+            .upstream = pool->upstreams[i],
+            .name_hash = upstream->name_hash,
+            .slots = upstream->conf.slots,
+            .cheap = upstream->conf.cheap,
+            .same_zone =
+                filter->zone && ct_name_eq(filter->zone, &upstream->conf.zone),
+            .excluded = ct_candidate_was_tried(filter->tried, filter->n_tried,
+                                               pool->upstreams[i]),
+        };
+    }
+    return n;
+}
--- a/core/config.c
+++ b/core/config.c
@@ -537,3 +537,15 @@
     }
     return n;
 }
+
+struct ct_config_row *
+ct_config_rows_add(GArray *rows, enum ct_config_kind kind)
+{
+    guint at = rows->len;
+    struct ct_config_row *row;
+
+    g_array_set_size(rows, at + 1);
+    row = &g_array_index(rows, struct ct_config_row, at);
+    row->kind = kind;
+    return row;
+}
--- a/core/config.h
+++ b/core/config.h
@@ -167,4 +167,8 @@
 /* Heap bytes held, without the allocator's overhead. */
 size_t ct_config_bytes(const struct ct_config *config);
 
+/* Adds a zeroed row of that kind to a GArray of struct ct_config_row. */
+struct ct_config_row *ct_config_rows_add(GArray *rows,
+                                         enum ct_config_kind kind);
+
 #endif
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "attempt.h"
+#include "candidates.h"
 #include "error.h"
 #include "sharing.h"
 #include "state.h"
@@ -13,7 +14,6 @@
 /* How often slots are counted anew. */
 #define PROBE_PERIOD_MS 1000
 
-#define CANDIDATES_MAX 1024
 #define BACKOFF_RETRY_AFTER_MS 1000
 /* How long a pool without a free upstream is left alone. */
 #define WAIT_AGAIN_MS 100
@@ -114,50 +114,23 @@
     }
 }
 
-static bool
-was_tried(const struct ct_request *request, struct ct_handle upstream)
-{
-    uint32_t i;
-
-    for (i = 0; i < request->n_tried; i++) {
-        if (ct_handle_eq(request->tried[i], upstream)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Upstreams of the request's pool that may take new work. */
 static uint32_t
 candidates_of(const struct ct_state *state, const struct ct_request *request,
               struct ct_candidate *out)
 {
-    const struct ct_pool_row *pool =
-        ct_table_get(&state->config.pools, request->pool);
-    const struct ct_host_conf_row *self;
-    uint32_t n = 0;
-    uint32_t i;
-
-    self = ct_table_get(&state->config.hosts,
-                        ct_config_host(&state->config, &state->self.host));
-    for (i = 0; i < pool->n_upstreams && n < CANDIDATES_MAX; i++) {
-        const struct ct_upstream_row *upstream =
-            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+    const struct ct_host_conf_row *self =
+        ct_table_get(&state->config.hosts,
+                     ct_config_host(&state->config, &state->self.host));
+    const struct ct_candidate_filter filter = {
+        .pool = request->pool,
+        .wanted = CT_UPSTREAM_RUNNING,
+        .zone = self ? &self->conf.zone : NULL,
+        .tried = request->tried,
+        .n_tried = request->n_tried,
+    };
 
-        if (!upstream || upstream->state != CT_UPSTREAM_RUNNING) {
-            continue;
-        }
-        out[n++] = (struct ct_candidate){
-            .upstream = pool->upstreams[i],
-            .name_hash = upstream->name_hash,
-            .slots = upstream->conf.slots,
-            .cheap = upstream->conf.cheap,
-            .same_zone =
-                self && ct_name_eq(&self->conf.zone, &upstream->conf.zone),
-            .excluded = was_tried(request, pool->upstreams[i]),
-        };
-    }
-    return n;
+    return ct_candidates_list(state, &filter, out);
 }
 
 /* Chooses an upstream; those that failed the request only as a last resort. */
@@ -166,7 +139,7 @@
 {
     const struct ct_class_row *klass =
         ct_table_get(&state->config.classes, request->klass);
-    struct ct_candidate candidates[CANDIDATES_MAX];
+    struct ct_candidate candidates[CT_CANDIDATES_MAX];
     uint32_t n = candidates_of(state, request, candidates);
     struct ct_balance_ask ask = {
         .now_ms = state->now_ms,
@@ -246,7 +219,9 @@
     const struct ct_request *request = ct_request_get(state, handle);
     struct ct_handle upstream = choose(state, request);
 
-    return was_tried(request, upstream) ? CT_NO_HANDLE : upstream;
+    return ct_candidate_was_tried(request->tried, request->n_tried, upstream)
+               ? CT_NO_HANDLE
+               : upstream;
 }
 
 static void
--- a/core/queue-lane.c
+++ b/core/queue-lane.c
@@ -12,11 +12,11 @@
 uint32_t
 ct_lane_weight(const struct ct_queue_tiered *q, uint32_t organisation)
 {
-    if (organisation >= q->rows.n_weights ||
-        q->rows.weights[organisation] == 0) {
+    if (organisation >= q->base.rows.n_weights ||
+        q->base.rows.weights[organisation] == 0) {
         return 1;
     }
-    return q->rows.weights[organisation];
+    return q->base.rows.weights[organisation];
 }
 
 /* Finds the lane, or a free one, or -1; *tag is that of the organisation. */
@@ -99,7 +99,7 @@
     struct ct_handle after = lane->list.tail;
     const struct ct_queue_row *other;
 
-    while (!row->late && (other = ct_queue_row_get(&q->rows, after))) {
+    while (!row->late && (other = ct_queue_row_get(&q->base.rows, after))) {
         if (!other->late && other->start_by_ms <= row->start_by_ms) {
             break;
         }
@@ -112,14 +112,14 @@
 ct_lane_insert(struct ct_queue_tiered *q, struct ct_handle handle,
                bool at_head)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
     struct ct_queue_lane *lane = lane_of(q, row);
     struct ct_handle after = CT_NO_HANDLE;
 
     if (!at_head || row->late) {
         after = place_of(q, lane, row);
     }
-    ct_queue_list_insert(&q->rows, &lane->list, after, handle);
+    ct_queue_list_insert(&q->base.rows, &lane->list, after, handle);
     lane->queued_ms += row->expected_hold_ms;
     q->pools[row->w.pool].uses[row->w.klass].queued++;
     q->pools[row->w.pool].late += row->late ? 1 : 0;
@@ -128,10 +128,10 @@
 void
 ct_lane_remove(struct ct_queue_tiered *q, struct ct_handle handle)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
     struct ct_queue_lane *lane = lane_of(q, row);
 
-    ct_queue_list_remove(&q->rows, &lane->list, handle);
+    ct_queue_list_remove(&q->base.rows, &lane->list, handle);
     lane->queued_ms -= row->expected_hold_ms;
     q->pools[row->w.pool].uses[row->w.klass].queued--;
     q->pools[row->w.pool].late -= row->late ? 1 : 0;
@@ -171,8 +171,8 @@
         return false;
     }
     return ct_queue_slot_free(
-        &q->rows.pools[pool],
-        q->rows.classes[lane->klass].settings.cheap_allowed);
+        &q->base.rows.pools[pool],
+        q->base.rows.classes[lane->klass].settings.cheap_allowed);
 }
 
 static bool
@@ -198,7 +198,7 @@
     if (!lane_startable(q, pool, lane, tier, klass)) {
         return NULL;
     }
-    row = ct_queue_row_get(&q->rows, lane->list.head);
+    row = ct_queue_row_get(&q->base.rows, lane->list.head);
     return row->late == late ? row : NULL;
 }
 
@@ -297,7 +297,7 @@
         if (lane->used && lane->organisation == organisation &&
             lane->tier == tier && lane->list.n > 0) {
             const struct ct_queue_row *head =
-                ct_queue_row_get(&q->rows, lane->list.head);
+                ct_queue_row_get(&q->base.rows, lane->list.head);
 
             tokens += (uint64_t)lane->list.n * (head->expected_tokens + 1);
         }
--- a/core/queue-levels.c
+++ b/core/queue-levels.c
@@ -14,24 +14,6 @@
     return &q->lists[row->w.pool * CT_TIERS + q->levels_ops->level(row)];
 }
 
-static int
-levels_set_class(struct ct_queue_policy *policy, uint32_t klass,
-                 const struct ct_class *settings)
-{
-    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
-
-    return ct_queue_rows_set_class(&q->rows, klass, settings);
-}
-
-static int
-levels_set_organisation(struct ct_queue_policy *policy, uint32_t organisation,
-                        uint32_t weight)
-{
-    struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
-
-    return ct_queue_rows_set_organisation(&q->rows, organisation, weight);
-}
-
 static int
 levels_set_pool(struct ct_queue_policy *policy, uint32_t pool,
                 uint32_t firm_slots, uint32_t cheap_slots)
@@ -43,14 +25,15 @@
     if (err < 0) {
         return err;
     }
-    return ct_queue_rows_set_pool(&q->rows, pool, firm_slots, cheap_slots);
+    return ct_queue_rows_set_pool(&q->base.rows, pool, firm_slots,
+                                  cheap_slots);
 }
 
 static void
 refuse(struct ct_queue_levels *q, struct ct_handle handle,
        struct ct_queue_decision *decision)
 {
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_rows_drop(&q->base.rows, handle);
     decision->admission = CT_REFUSED;
     decision->reason = CT_REFUSAL_OVERLOAD;
     decision->retry_after_ms = FULL_RETRY_AFTER_MS;
@@ -71,11 +54,12 @@
     list = &q->lists[row->w.pool * CT_TIERS + (uint32_t)level];
     victim = list->tail;
     decision->has_shed = true;
-    decision->shed.request = ct_queue_row_get(&q->rows, victim)->w.request;
+    decision->shed.request =
+        ct_queue_row_get(&q->base.rows, victim)->w.request;
     decision->shed.reason = CT_REFUSAL_OVERLOAD;
     decision->shed.retry_after_ms = FULL_RETRY_AFTER_MS;
-    ct_queue_list_remove(&q->rows, list, victim);
-    ct_queue_rows_drop(&q->rows, victim);
+    ct_queue_list_remove(&q->base.rows, list, victim);
+    ct_queue_rows_drop(&q->base.rows, victim);
     return true;
 }
 
@@ -87,8 +71,8 @@
     struct ct_handle handle = list->head;
     const struct ct_queue_row *row;
 
-    while ((row = ct_queue_row_get(&q->rows, handle))) {
-        if (ct_queue_slot_free(&q->rows.pools[row->w.pool],
+    while ((row = ct_queue_row_get(&q->base.rows, handle))) {
+        if (ct_queue_slot_free(&q->base.rows.pools[row->w.pool],
                                row->cheap_allowed)) {
             return handle;
         }
@@ -103,7 +87,7 @@
 {
     uint32_t pool = row->w.pool;
 
-    if (!ct_queue_slot_free(&q->rows.pools[pool], row->cheap_allowed)) {
+    if (!ct_queue_slot_free(&q->base.rows.pools[pool], row->cheap_allowed)) {
         return false;
     }
     for (uint32_t level = 0; level <= q->levels_ops->level(row); level++) {
@@ -124,27 +108,28 @@
     struct ct_queue_list *list;
     struct ct_queue_row *row;
     struct ct_handle handle;
-    int err = ct_queue_rows_add(&q->rows, w, &handle);
+    int err = ct_queue_rows_add(&q->base.rows, w, &handle);
 
     memset(decision, 0, sizeof(*decision));
     if (err < 0) {
         return err;
     }
-    pool = &q->rows.pools[w->pool];
-    row = ct_queue_row_get(&q->rows, handle);
+    pool = &q->base.rows.pools[w->pool];
+    row = ct_queue_row_get(&q->base.rows, handle);
     list = list_of(q, row);
     decision->queue_length = pool->queued;
     decision->give_up_ms = row->give_up_ms;
     if (may_start_now(q, row)) {
-        ct_queue_rows_start(&q->rows, row, now_ms);
+        ct_queue_rows_start(&q->base.rows, row, now_ms);
         decision->admission = CT_ADMITTED;
         return CT_OK;
     }
-    if (pool->queued >= q->rows.max_queued && !make_room(q, row, decision)) {
+    if (pool->queued >= q->base.rows.max_queued &&
+        !make_room(q, row, decision)) {
         refuse(q, handle, decision);
         return CT_OK;
     }
-    ct_queue_list_insert(&q->rows, list, list->tail, handle);
+    ct_queue_list_insert(&q->base.rows, list, list->tail, handle);
     decision->admission = CT_QUEUED;
     return CT_OK;
 }
@@ -155,20 +140,20 @@
 {
     struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
 
-    if (pool >= q->rows.n_pools ||
-        !ct_queue_slot_free(&q->rows.pools[pool], true)) {
+    if (pool >= q->base.rows.n_pools ||
+        !ct_queue_slot_free(&q->base.rows.pools[pool], true)) {
         return 0;
     }
     for (uint32_t level = 0; level < CT_TIERS; level++) {
         struct ct_queue_list *list = &q->lists[pool * CT_TIERS + level];
         struct ct_handle handle = first_startable(q, list);
-        struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+        struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
 
         if (!row) {
             continue;
         }
-        ct_queue_list_remove(&q->rows, list, handle);
-        ct_queue_rows_start(&q->rows, row, now_ms);
+        ct_queue_list_remove(&q->base.rows, list, handle);
+        ct_queue_rows_start(&q->base.rows, row, now_ms);
         *w = row->w;
         return 1;
     }
@@ -184,15 +169,15 @@
     struct ct_handle handle;
     struct ct_queue_row *row;
 
-    while ((row = ct_table_next(&q->rows.table, &cursor, &handle))) {
+    while ((row = ct_table_next(&q->base.rows.table, &cursor, &handle))) {
         if (row->state != CT_QUEUE_ROW_WAITING || row->give_up_ms > now_ms) {
             continue;
         }
         shed->request = row->w.request;
         shed->reason = CT_REFUSAL_QUEUE_TIMEOUT;
         shed->retry_after_ms = FULL_RETRY_AFTER_MS;
-        ct_queue_list_remove(&q->rows, list_of(q, row), handle);
-        ct_queue_rows_drop(&q->rows, handle);
+        ct_queue_list_remove(&q->base.rows, list_of(q, row), handle);
+        ct_queue_rows_drop(&q->base.rows, handle);
         return 1;
     }
     return 0;
@@ -204,7 +189,7 @@
 {
     struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
 
-    ct_queue_rows_placed(&q->rows, request, cheap);
+    ct_queue_rows_placed(&q->base.rows, request, cheap);
 }
 
 static int
@@ -213,15 +198,15 @@
 {
     struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
     struct ct_handle handle;
-    struct ct_queue_row *row =
-        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
+    struct ct_queue_row *row = ct_queue_rows_find(
+        &q->base.rows, request, CT_QUEUE_ROW_RUNNING, &handle);
 
     (void)now_ms;
     if (!row) {
         return CT_ERR_NOT_FOUND;
     }
-    ct_queue_rows_stop(&q->rows, row);
-    ct_queue_list_insert(&q->rows, list_of(q, row), CT_NO_HANDLE, handle);
+    ct_queue_rows_stop(&q->base.rows, row);
+    ct_queue_list_insert(&q->base.rows, list_of(q, row), CT_NO_HANDLE, handle);
     return CT_OK;
 }
 
@@ -232,14 +217,14 @@
     struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
     struct ct_handle handle;
     struct ct_queue_row *row = ct_queue_rows_find(
-        &q->rows, served->request, CT_QUEUE_ROW_RUNNING, &handle);
+        &q->base.rows, served->request, CT_QUEUE_ROW_RUNNING, &handle);
 
     (void)now_ms;
     if (!row) {
         return CT_ERR_NOT_FOUND;
     }
-    ct_queue_rows_stop(&q->rows, row);
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_rows_stop(&q->base.rows, row);
+    ct_queue_rows_drop(&q->base.rows, handle);
     return CT_OK;
 }
 
@@ -248,32 +233,23 @@
 {
     struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
     struct ct_handle handle;
-    struct ct_queue_row *row =
-        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_WAITING, &handle);
+    struct ct_queue_row *row = ct_queue_rows_find(
+        &q->base.rows, request, CT_QUEUE_ROW_WAITING, &handle);
 
     if (!row) {
         return CT_ERR_NOT_FOUND;
     }
-    ct_queue_list_remove(&q->rows, list_of(q, row), handle);
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_list_remove(&q->base.rows, list_of(q, row), handle);
+    ct_queue_rows_drop(&q->base.rows, handle);
     return CT_OK;
 }
 
-static void
-levels_totals(const struct ct_queue_policy *policy, uint32_t pool,
-              struct ct_queue_totals *totals)
-{
-    const struct ct_queue_levels *q = (const struct ct_queue_levels *)policy;
-
-    ct_queue_rows_totals(&q->rows, pool, totals);
-}
-
 static size_t
 levels_bytes(const struct ct_queue_policy *policy)
 {
     const struct ct_queue_levels *q = (const struct ct_queue_levels *)policy;
 
-    return sizeof(*q) + ct_queue_rows_bytes(&q->rows) +
+    return sizeof(*q) + ct_queue_rows_bytes(&q->base.rows) +
            q->n_lists * sizeof(*q->lists);
 }
 
@@ -282,14 +258,14 @@
 {
     struct ct_queue_levels *q = (struct ct_queue_levels *)policy;
 
-    ct_queue_rows_free(&q->rows);
+    ct_queue_rows_free(&q->base.rows);
     free(q->lists);
     free(q);
 }
 
 static const struct ct_queue_policy_ops levels_policy_ops = {
-    .set_class = levels_set_class,
-    .set_organisation = levels_set_organisation,
+    .set_class = ct_queue_base_set_class,
+    .set_organisation = ct_queue_base_set_organisation,
     .set_pool = levels_set_pool,
     .arrive = levels_arrive,
     .next = levels_next,
@@ -298,7 +274,7 @@
     .give_back = levels_give_back,
     .finished = levels_finished,
     .gone = levels_gone,
-    .totals = levels_totals,
+    .totals = ct_queue_base_totals,
     .bytes = levels_bytes,
     .free = levels_free,
 };
@@ -311,8 +287,8 @@
     if (!q) {
         return NULL;
     }
-    q->policy.ops = &levels_policy_ops;
+    q->base.policy.ops = &levels_policy_ops;
     q->levels_ops = ops;
-    ct_queue_rows_init(&q->rows, max_queued);
-    return &q->policy;
+    ct_queue_rows_init(&q->base.rows, max_queued);
+    return &q->base.policy;
 }
--- a/core/queue-levels.h
+++ b/core/queue-levels.h
@@ -19,9 +19,8 @@
 };
 
 struct ct_queue_levels {
-    struct ct_queue_policy policy;
+    struct ct_queue_base base;
     const struct ct_queue_levels_ops *levels_ops;
-    struct ct_queue_rows rows;
     /* CT_TIERS lists a pool. */
     struct ct_queue_list *lists;
     uint32_t n_lists;
--- a/core/queue-predict.c
+++ b/core/queue-predict.c
@@ -19,7 +19,7 @@
 void
 ct_predict_row(struct ct_queue_tiered *q, struct ct_queue_row *row)
 {
-    const struct ct_queue_class *klass = &q->rows.classes[row->w.klass];
+    const struct ct_queue_class *klass = &q->base.rows.classes[row->w.klass];
     const struct ct_class *settings = &klass->settings;
     uint64_t mean = ct_histogram_mean(&klass->output_tokens);
     uint64_t tokens = mean;
@@ -93,7 +93,7 @@
         }
         if (running > 0) {
             rate += (uint64_t)running * RATE_SCALE_MS /
-                    (uint64_t)class_hold_ms(&q->rows.classes[klass]);
+                    (uint64_t)class_hold_ms(&q->base.rows.classes[klass]);
         }
     }
     return rate;
@@ -105,8 +105,8 @@
                 const struct ct_queue_row *row, uint32_t slots)
 {
     const struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
-    ct_ms rate =
-        (ct_ms)slots * q->rows.classes[row->w.klass].settings.reserve_percent;
+    ct_ms rate = (ct_ms)slots *
+                 q->base.rows.classes[row->w.klass].settings.reserve_percent;
     ct_ms work_ms = use->queued * row->expected_hold_ms;
 
     if (rate == 0) {
@@ -122,7 +122,7 @@
 ct_predict_wait(const struct ct_queue_tiered *q,
                 const struct ct_queue_row *row)
 {
-    const struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    const struct ct_queue_pool *pool = &q->base.rows.pools[row->w.pool];
     uint32_t slots = pool->firm_slots;
     uint64_t rate = departures(q, row);
     ct_ms wait_ms;
@@ -147,7 +147,7 @@
 ct_predict_learn(struct ct_queue_tiered *q, const struct ct_queue_row *row,
                  const struct ct_served *served, ct_ms hold_ms)
 {
-    struct ct_queue_class *klass = &q->rows.classes[row->w.klass];
+    struct ct_queue_class *klass = &q->base.rows.classes[row->w.klass];
 
     if (served->first_token_ms >= 0) {
         ct_histogram_add(&klass->first_token_ms,
--- a/core/queue-reserve.c
+++ b/core/queue-reserve.c
@@ -17,19 +17,20 @@
 static uint32_t
 percent_of(const struct ct_queue_tiered *q, uint32_t klass)
 {
-    return q->rows.classes[klass].settings.reserve_percent;
+    return q->base.rows.classes[klass].settings.reserve_percent;
 }
 
 uint32_t
 ct_reserve_places(const struct ct_queue_tiered *q, uint32_t klass)
 {
-    return part_of(q->rows.max_queued, percent_of(q, klass));
+    return part_of(q->base.rows.max_queued, percent_of(q, klass));
 }
 
 static uint32_t
 pool_slots(const struct ct_queue_tiered *q, uint32_t pool)
 {
-    return q->rows.pools[pool].firm_slots + q->rows.pools[pool].cheap_slots;
+    return q->base.rows.pools[pool].firm_slots +
+           q->base.rows.pools[pool].cheap_slots;
 }
 
 uint32_t
@@ -98,7 +99,7 @@
 
         if (use->queued == 0 || klass == chosen->w.klass ||
             percent_of(q, klass) == 0 ||
-            q->rows.classes[klass].settings.tier < chosen->tier) {
+            q->base.rows.classes[klass].settings.tier < chosen->tier) {
             continue;
         }
         ct_reserve_accrue(q, pool, klass, now_ms);
@@ -122,7 +123,8 @@
         const struct ct_class_use *use = &tp->uses[klass];
         uint32_t usable = use->running;
 
-        if (!use->seen || q->rows.classes[klass].settings.tier <= row->tier) {
+        if (!use->seen ||
+            q->base.rows.classes[klass].settings.tier <= row->tier) {
             continue;
         }
         if (use->queued > ct_reserve_places(q, klass)) {
--- a/core/queue-rows.c
+++ b/core/queue-rows.c
@@ -56,9 +56,10 @@
 }
 
 int
-ct_queue_rows_set_class(struct ct_queue_rows *rows, uint32_t klass,
+ct_queue_base_set_class(struct ct_queue_policy *policy, uint32_t klass,
                         const struct ct_class *settings)
 {
+    struct ct_queue_rows *rows = &((struct ct_queue_base *)policy)->rows;
     int err;
 
     if (settings->tier >= CT_TIERS) {
@@ -75,9 +76,10 @@
 }
 
 int
-ct_queue_rows_set_organisation(struct ct_queue_rows *rows,
+ct_queue_base_set_organisation(struct ct_queue_policy *policy,
                                uint32_t organisation, uint32_t weight)
 {
+    struct ct_queue_rows *rows = &((struct ct_queue_base *)policy)->rows;
     int err = ct_queue_grow((void **)&rows->weights, &rows->n_weights,
                             organisation + 1, sizeof(*rows->weights));
 
@@ -240,9 +242,11 @@
 }
 
 void
-ct_queue_rows_totals(const struct ct_queue_rows *rows, uint32_t pool,
+ct_queue_base_totals(const struct ct_queue_policy *policy, uint32_t pool,
                      struct ct_queue_totals *totals)
 {
+    const struct ct_queue_rows *rows =
+        &((const struct ct_queue_base *)policy)->rows;
     const struct ct_queue_pool *p;
 
     memset(totals, 0, sizeof(*totals));
--- a/core/queue-rows.h
+++ b/core/queue-rows.h
@@ -94,10 +94,6 @@
 /* Makes *array hold at least n zeroed elements. Errors: CT_ERR_NO_MEMORY. */
 int ct_queue_grow(void **array, uint32_t *n, uint32_t wanted, size_t size);
 
-int ct_queue_rows_set_class(struct ct_queue_rows *rows, uint32_t klass,
-                            const struct ct_class *settings);
-int ct_queue_rows_set_organisation(struct ct_queue_rows *rows,
-                                   uint32_t organisation, uint32_t weight);
 int ct_queue_rows_set_pool(struct ct_queue_rows *rows, uint32_t pool,
                            uint32_t firm_slots, uint32_t cheap_slots);
 
@@ -133,8 +129,6 @@
 
 void ct_queue_rows_placed(struct ct_queue_rows *rows, struct ct_handle request,
                           bool cheap);
-void ct_queue_rows_totals(const struct ct_queue_rows *rows, uint32_t pool,
-                          struct ct_queue_totals *totals);
 
 /* Adds a waiting row to a list, after the given row; at the head for none. */
 void ct_queue_list_insert(struct ct_queue_rows *rows,
@@ -143,4 +137,17 @@
 void ct_queue_list_remove(struct ct_queue_rows *rows,
                           struct ct_queue_list *list, struct ct_handle row);
 
+/* What each policy that keeps rows begins with, and its common answers. */
+struct ct_queue_base {
+    struct ct_queue_policy policy;
+    struct ct_queue_rows rows;
+};
+
+int ct_queue_base_set_class(struct ct_queue_policy *policy, uint32_t klass,
+                            const struct ct_class *settings);
+int ct_queue_base_set_organisation(struct ct_queue_policy *policy,
+                                   uint32_t organisation, uint32_t weight);
+void ct_queue_base_totals(const struct ct_queue_policy *policy, uint32_t pool,
+                          struct ct_queue_totals *totals);
+
 #endif
--- a/core/queue-shed.c
+++ b/core/queue-shed.c
@@ -9,7 +9,7 @@
 count_inversion(struct ct_queue_tiered *q, const struct ct_queue_row *row,
                 enum ct_refusal reason)
 {
-    struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    struct ct_queue_pool *pool = &q->base.rows.pools[row->w.pool];
     const struct ct_tiered_pool *tp = &q->pools[row->w.pool];
     const uint64_t *starts =
         row->cheap_allowed ? tp->last_start : tp->last_firm_start;
@@ -48,27 +48,27 @@
 shed_row(struct ct_queue_tiered *q, struct ct_handle handle,
          enum ct_refusal reason, struct ct_shed *shed)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
 
     shed->request = row->w.request;
     shed->reason = reason;
     shed->retry_after_ms = retry_after_ms(q, row);
     ct_lane_remove(q, handle);
     count_inversion(q, row, reason);
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_rows_drop(&q->base.rows, handle);
 }
 
 void
 ct_shed_arrival(struct ct_queue_tiered *q, struct ct_handle handle,
                 enum ct_refusal reason, struct ct_queue_decision *decision)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
 
     decision->admission = CT_REFUSED;
     decision->reason = reason;
     decision->retry_after_ms = retry_after_ms(q, row);
     count_inversion(q, row, reason);
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_rows_drop(&q->base.rows, handle);
 }
 
 bool
@@ -94,7 +94,7 @@
 
         for (uint32_t klass = 0; klass < tp->n_uses; klass++) {
             if (tp->uses[klass].seen &&
-                q->rows.classes[klass].settings.tier == *tier &&
+                q->base.rows.classes[klass].settings.tier == *tier &&
                 tp->uses[klass].queued > ct_reserve_places(q, klass)) {
                 return true;
             }
@@ -172,7 +172,7 @@
 ct_shed_due(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
             struct ct_shed *shed)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
     const struct ct_class_use *use;
 
     if (!row || row->state != CT_QUEUE_ROW_WAITING) {
@@ -201,12 +201,12 @@
 {
     struct ct_tiered_pool *tp = &q->pools[pool];
 
-    if (tp->late == 0 || q->rows.pools[pool].queued == tp->late) {
+    if (tp->late == 0 || q->base.rows.pools[pool].queued == tp->late) {
         return 0;
     }
     for (uint32_t i = 0; i < tp->n_lanes; i++) {
         struct ct_handle last = tp->lanes[i].list.tail;
-        const struct ct_queue_row *row = ct_queue_row_get(&q->rows, last);
+        const struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, last);
 
         if (row && row->late &&
             ct_shed_allowed(q, row, tp->uses[row->w.klass].queued - 1)) {
--- a/core/queue-tiered.c
+++ b/core/queue-tiered.c
@@ -8,24 +8,6 @@
 /* How long after a request could not meet its target its tier is pressed. */
 #define PRESSED_MS 2000
 
-static int
-tiered_set_class(struct ct_queue_policy *policy, uint32_t klass,
-                 const struct ct_class *settings)
-{
-    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
-
-    return ct_queue_rows_set_class(&q->rows, klass, settings);
-}
-
-static int
-tiered_set_organisation(struct ct_queue_policy *policy, uint32_t organisation,
-                        uint32_t weight)
-{
-    struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
-
-    return ct_queue_rows_set_organisation(&q->rows, organisation, weight);
-}
-
 static int
 tiered_set_pool(struct ct_queue_policy *policy, uint32_t pool,
                 uint32_t firm_slots, uint32_t cheap_slots)
@@ -37,7 +19,8 @@
     if (err < 0) {
         return err;
     }
-    return ct_queue_rows_set_pool(&q->rows, pool, firm_slots, cheap_slots);
+    return ct_queue_rows_set_pool(&q->base.rows, pool, firm_slots,
+                                  cheap_slots);
 }
 
 static void
@@ -45,7 +28,7 @@
       ct_ms now_ms)
 {
     struct ct_tiered_pool *tp = &q->pools[row->w.pool];
-    struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    struct ct_queue_pool *pool = &q->base.rows.pools[row->w.pool];
     struct ct_class_use *use = &tp->uses[row->w.klass];
     struct ct_queue_lane *lane = &tp->lanes[row->lane];
     bool firm_free = ct_queue_slot_free(pool, false);
@@ -56,16 +39,16 @@
     lane->running++;
     row->from_reserve = from_reserve;
     if (!from_reserve) {
-        tp->last_start[row->tier] = q->rows.next_sequence;
+        tp->last_start[row->tier] = q->base.rows.next_sequence;
         if (firm_free) {
-            tp->last_firm_start[row->tier] = q->rows.next_sequence;
+            tp->last_firm_start[row->tier] = q->base.rows.next_sequence;
         }
     }
     if (lane->tag > tp->virtual_time[row->tier]) {
         tp->virtual_time[row->tier] = lane->tag;
     }
     ct_lane_charge(q, row, row->expected_tokens);
-    ct_queue_rows_start(&q->rows, row, now_ms);
+    ct_queue_rows_start(&q->base.rows, row, now_ms);
     use->cheap_running += row->cheap ? 1 : 0;
 }
 
@@ -81,7 +64,7 @@
     use->cheap_running -= row->cheap ? 1 : 0;
     use->reserve_running -= row->from_reserve ? 1 : 0;
     tp->lanes[row->lane].running--;
-    ct_queue_rows_stop(&q->rows, row);
+    ct_queue_rows_stop(&q->base.rows, row);
 }
 
 /* Whether a slot is free that nothing of this tier or above waits for. */
@@ -90,11 +73,11 @@
 {
     uint32_t pool = row->w.pool;
 
-    if (!ct_queue_slot_free(&q->rows.pools[pool], row->cheap_allowed)) {
+    if (!ct_queue_slot_free(&q->base.rows.pools[pool], row->cheap_allowed)) {
         return false;
     }
     for (uint32_t tier = 0; tier <= row->tier; tier++) {
-        if (q->rows.pools[pool].queued_by_tier[tier] > 0 &&
+        if (q->base.rows.pools[pool].queued_by_tier[tier] > 0 &&
             !ct_handle_is_none(ct_lane_select(q, pool, tier, -1))) {
             return false;
         }
@@ -106,7 +89,7 @@
 static int
 arm(struct ct_queue_tiered *q, struct ct_handle handle)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
     int err;
 
     if (row->armed) {
@@ -141,9 +124,9 @@
 queue_row(struct ct_queue_tiered *q, struct ct_handle handle, ct_ms now_ms,
           struct ct_queue_decision *decision)
 {
-    struct ct_queue_row *row = ct_queue_row_get(&q->rows, handle);
+    struct ct_queue_row *row = ct_queue_row_get(&q->base.rows, handle);
     struct ct_class_use *use = &q->pools[row->w.pool].uses[row->w.klass];
-    const struct ct_queue_pool *pool = &q->rows.pools[row->w.pool];
+    const struct ct_queue_pool *pool = &q->base.rows.pools[row->w.pool];
     int reason;
     int err;
 
@@ -165,7 +148,7 @@
     }
     if (use->queued >= ct_reserve_places(q, row->w.klass) &&
         pool->queued + ct_reserve_unused_places(q, row->w.pool) >=
-            q->rows.max_queued) {
+            q->base.rows.max_queued) {
         reason = ct_shed_for(q, row, decision, now_ms);
         if (reason < 0) {
             ct_shed_arrival(q, handle, (enum ct_refusal) - reason, decision);
@@ -174,7 +157,7 @@
     }
     err = arm(q, handle);
     if (err < 0) {
-        ct_queue_rows_drop(&q->rows, handle);
+        ct_queue_rows_drop(&q->base.rows, handle);
         return err;
     }
     ct_lane_insert(q, handle, false);
@@ -213,19 +196,19 @@
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
     struct ct_queue_row *row;
     struct ct_handle handle;
-    int err = ct_queue_rows_add(&q->rows, w, &handle);
+    int err = ct_queue_rows_add(&q->base.rows, w, &handle);
 
     memset(decision, 0, sizeof(*decision));
     if (err < 0) {
         return err;
     }
-    row = ct_queue_row_get(&q->rows, handle);
+    row = ct_queue_row_get(&q->base.rows, handle);
     err = enter(q, row, now_ms);
     if (err < 0) {
-        ct_queue_rows_drop(&q->rows, handle);
+        ct_queue_rows_drop(&q->base.rows, handle);
         return err;
     }
-    decision->queue_length = q->rows.pools[w->pool].queued;
+    decision->queue_length = q->base.rows.pools[w->pool].queued;
     decision->give_up_ms = row->give_up_ms;
     if (may_start_now(q, row)) {
         start(q, row, false, now_ms);
@@ -247,26 +230,26 @@
     int klass;
 
     if (pool >= q->n_pools ||
-        !ct_queue_slot_free(&q->rows.pools[pool], true)) {
+        !ct_queue_slot_free(&q->base.rows.pools[pool], true)) {
         return 0;
     }
     for (tier = 0; tier < CT_TIERS && ct_handle_is_none(chosen); tier++) {
-        if (q->rows.pools[pool].queued_by_tier[tier] > 0) {
+        if (q->base.rows.pools[pool].queued_by_tier[tier] > 0) {
             chosen = ct_lane_select(q, pool, tier, -1);
         }
     }
-    row = ct_queue_row_get(&q->rows, chosen);
+    row = ct_queue_row_get(&q->base.rows, chosen);
     if (!row) {
         return 0;
     }
     klass = ct_reserve_class(q, row, now_ms);
     if (klass >= 0) {
-        reserved = ct_lane_select(q, pool,
-                                  q->rows.classes[klass].settings.tier, klass);
+        reserved = ct_lane_select(
+            q, pool, q->base.rows.classes[klass].settings.tier, klass);
     }
     if (!ct_handle_is_none(reserved)) {
         chosen = reserved;
-        row = ct_queue_row_get(&q->rows, chosen);
+        row = ct_queue_row_get(&q->base.rows, chosen);
     }
     ct_lane_remove(q, chosen);
     start(q, row, !ct_handle_is_none(reserved), now_ms);
@@ -300,14 +283,14 @@
 {
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
     struct ct_handle handle;
-    const struct ct_queue_row *row =
-        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
+    const struct ct_queue_row *row = ct_queue_rows_find(
+        &q->base.rows, request, CT_QUEUE_ROW_RUNNING, &handle);
 
     if (row && row->cheap != cheap) {
         q->pools[row->w.pool].uses[row->w.klass].cheap_running +=
             cheap ? 1 : -1;
     }
-    ct_queue_rows_placed(&q->rows, request, cheap);
+    ct_queue_rows_placed(&q->base.rows, request, cheap);
 }
 
 static int
@@ -316,8 +299,8 @@
 {
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
     struct ct_handle handle;
-    struct ct_queue_row *row =
-        ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_RUNNING, &handle);
+    struct ct_queue_row *row = ct_queue_rows_find(
+        &q->base.rows, request, CT_QUEUE_ROW_RUNNING, &handle);
 
     if (!row) {
         return CT_ERR_NOT_FOUND;
@@ -335,7 +318,7 @@
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
     struct ct_handle handle;
     struct ct_queue_row *row = ct_queue_rows_find(
-        &q->rows, served->request, CT_QUEUE_ROW_RUNNING, &handle);
+        &q->base.rows, served->request, CT_QUEUE_ROW_RUNNING, &handle);
     int64_t tokens;
 
     if (!row) {
@@ -346,7 +329,7 @@
     ct_lane_charge(q, row, tokens - row->expected_tokens);
     ct_lane_use(q, row->w.organisation, (uint64_t)tokens, now_ms);
     stop(q, row, now_ms);
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_rows_drop(&q->base.rows, handle);
     return CT_OK;
 }
 
@@ -356,29 +339,20 @@
     struct ct_queue_tiered *q = (struct ct_queue_tiered *)policy;
     struct ct_handle handle;
 
-    if (!ct_queue_rows_find(&q->rows, request, CT_QUEUE_ROW_WAITING,
+    if (!ct_queue_rows_find(&q->base.rows, request, CT_QUEUE_ROW_WAITING,
                             &handle)) {
         return CT_ERR_NOT_FOUND;
     }
     ct_lane_remove(q, handle);
-    ct_queue_rows_drop(&q->rows, handle);
+    ct_queue_rows_drop(&q->base.rows, handle);
     return CT_OK;
 }
 
-static void
-tiered_totals(const struct ct_queue_policy *policy, uint32_t pool,
-              struct ct_queue_totals *totals)
-{
-    const struct ct_queue_tiered *q = (const struct ct_queue_tiered *)policy;
-
-    ct_queue_rows_totals(&q->rows, pool, totals);
-}
-
 static size_t
 tiered_bytes(const struct ct_queue_policy *policy)
 {
     const struct ct_queue_tiered *q = (const struct ct_queue_tiered *)policy;
-    size_t bytes = sizeof(*q) + ct_queue_rows_bytes(&q->rows);
+    size_t bytes = sizeof(*q) + ct_queue_rows_bytes(&q->base.rows);
 
     for (uint32_t i = 0; i < q->n_pools; i++) {
         bytes += q->pools[i].n_lanes * sizeof(*q->pools[i].lanes) +
@@ -401,13 +375,13 @@
     free(q->pools);
     free(q->organisations);
     ct_timers_free(&q->timers);
-    ct_queue_rows_free(&q->rows);
+    ct_queue_rows_free(&q->base.rows);
     free(q);
 }
 
 static const struct ct_queue_policy_ops tiered_ops = {
-    .set_class = tiered_set_class,
-    .set_organisation = tiered_set_organisation,
+    .set_class = ct_queue_base_set_class,
+    .set_organisation = ct_queue_base_set_organisation,
     .set_pool = tiered_set_pool,
     .arrive = tiered_arrive,
     .next = tiered_next,
@@ -416,7 +390,7 @@
     .give_back = tiered_give_back,
     .finished = tiered_finished,
     .gone = tiered_gone,
-    .totals = tiered_totals,
+    .totals = ct_queue_base_totals,
     .bytes = tiered_bytes,
     .free = tiered_free,
 };
@@ -429,8 +403,8 @@
     if (!q) {
         return NULL;
     }
-    q->policy.ops = &tiered_ops;
-    ct_queue_rows_init(&q->rows, max_queued);
+    q->base.policy.ops = &tiered_ops;
+    ct_queue_rows_init(&q->base.rows, max_queued);
     ct_timers_init(&q->timers);
-    return &q->policy;
+    return &q->base.policy;
 }
--- a/core/queue-tiered.h
+++ b/core/queue-tiered.h
@@ -90,8 +90,7 @@
 };
 
 struct ct_queue_tiered {
-    struct ct_queue_policy policy;
-    struct ct_queue_rows rows;
+    struct ct_queue_base base;
     struct ct_tiered_pool *pools;
     uint32_t n_pools;
     struct ct_organisation_use *organisations;
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -2,11 +2,11 @@
 
 #include <string.h>
 
+#include "candidates.h"
 #include "error.h"
 #include "retry.h"
 #include "state.h"
 
-#define CANDIDATES_MAX 1024
 /* Connections that may be refused or time out for one call. */
 #define UNSENT_MAX 4
 /* With less time left than this a call is not sent once more. */
@@ -14,58 +14,31 @@
 #define STATUS_OK 200
 #define FIRST_SERVER_ERROR 500
 
-static bool
-was_tried(const struct ct_relay *relay, struct ct_handle upstream)
-{
-    for (uint32_t i = 0; i < relay->n_tried; i++) {
-        if (ct_handle_eq(relay->tried[i], upstream)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Upstreams of the call's pool in that state. */
-static uint32_t
-candidates_in(const struct ct_state *state, const struct ct_relay *relay,
-              enum ct_upstream_state wanted, struct ct_candidate *out)
-{
-    const struct ct_pool_row *pool =
-        ct_table_get(&state->config.pools, relay->pool);
-    uint32_t n = 0;
-
-    for (uint32_t i = 0; i < pool->n_upstreams && n < CANDIDATES_MAX; i++) {
-        const struct ct_upstream_row *upstream =
-            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
-
-        if (!upstream || upstream->state != wanted) {
-            continue;
-        }
-        out[n++] = (struct ct_candidate){
-            .upstream = pool->upstreams[i],
-            .name_hash = upstream->name_hash,
-            .slots = upstream->conf.slots,
-            .cheap = upstream->conf.cheap,
-            .same_zone = ct_name_eq(&state->self.zone, &upstream->conf.zone),
-            .excluded = was_tried(relay, pool->upstreams[i]),
-        };
-    }
-    return n;
-}
-
+/* Those that run; where there are none, those that may have gone. */
 static uint32_t
 candidates_of(const struct ct_state *state, const struct ct_relay *relay,
               struct ct_candidate *out)
 {
-    uint32_t n = candidates_in(state, relay, CT_UPSTREAM_RUNNING, out);
+    struct ct_candidate_filter filter = {
+        .pool = relay->pool,
+        .wanted = CT_UPSTREAM_RUNNING,
+        .zone = &state->self.zone,
+        .tried = relay->tried,
+        .n_tried = relay->n_tried,
+    };
+    uint32_t n = ct_candidates_list(state, &filter, out);
 
-    return n > 0 ? n : candidates_in(state, relay, CT_UPSTREAM_DOUBTFUL, out);
+    if (n > 0) {
+        return n;
+    }
+    filter.wanted = CT_UPSTREAM_DOUBTFUL;
+    return ct_candidates_list(state, &filter, out);
 }
 
 static struct ct_handle
 choose(struct ct_state *state, const struct ct_relay *relay)
 {
-    struct ct_candidate candidates[CANDIDATES_MAX];
+    struct ct_candidate candidates[CT_CANDIDATES_MAX];
     uint32_t n = candidates_of(state, relay, candidates);
     const struct ct_balance_ask ask = {
         .now_ms = state->now_ms,
--- a/core/roster.c
+++ b/core/roster.c
@@ -4,6 +4,7 @@
 
 #include "error.h"
 #include "relay-state.h"
+#include "addresses.h"
 #include "state.h"
 
 /* Between questions: longer the more hosts ask. */
@@ -138,7 +139,6 @@
 {
     GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct ct_host));
     const struct ct_roster_row *row;
-    struct ct_effect *effect;
     struct ct_member self;
     uint32_t cursor = 0;
 
@@ -152,11 +152,6 @@
         self.address = state->self.address;
         add_host(hosts, &self);
     }
-    effect = ct_emit(state, CT_EFFECT_REPLY_ADDRESSES);
-    effect->u.addresses.caller = caller;
-    effect->u.addresses.lifetime_ms = state->self.bounds.address_ttl_ms;
-    ct_effect_set_rows(
-        state->out, effect,
-        CT_ROWS((struct ct_host *)(void *)hosts->data, hosts->len));
-    g_array_free(hosts, TRUE);
+    ct_addresses_reply(state, caller, state->self.bounds.address_ttl_ms,
+                       hosts);
 }
--- a/coriandertrack/log-view.c
+++ b/coriandertrack/log-view.c
@@ -6,6 +6,7 @@
 #include "http-call.h"
 #include "loop.h"
 #include "platform-body.h"
+#include "wait.h"
 
 #define READ_ENTRIES 512
 /* How long one read waits for an entry that is looked for. */
@@ -182,7 +183,7 @@
     while (view->own_offset == 0 && now_ms() < deadline_ms) {
         if (read_page(view, READ_WAIT_MS) < 0) {
             /* The log may be back before the time-out. */
-            g_usleep(READ_WAIT_MS * 1000);
+            ct_wait_ms(READ_WAIT_MS);
         }
     }
     return view->own_offset > 0 ? CT_OK : CT_ERR_TIMEOUT;
--- a/coriandertrackd/daemon.c
+++ b/coriandertrackd/daemon.c
@@ -1,8 +1,6 @@
 #include "daemon.h"
 
 #include <curl/curl.h>
-#include <ev.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -18,90 +16,31 @@
 #include "upstreams.h"
 
 /* Answers that their callers do not read may be cut this long after. */
-#define FLUSH_LIMIT_S 10.0
+#define FLUSH_LIMIT_MS 10000
 #define LOAD_PERIOD_MS 500
 
 struct daemon {
-    /* Executor of CT_EFFECT_DRAINED. */
-    struct ct_executor executor;
+    struct ct_host_loop host;
     const struct ct_settings *settings;
-    struct ct_self self;
-    struct ct_state *state;
-    struct ct_loop *loop;
     struct ct_answers *answers;
     struct ct_upstreams *upstreams;
     struct ct_platform *platform;
     struct ct_callers *callers;
     struct ct_operators *operators;
     struct ct_peers *peers;
-    ev_signal term;
-    ev_signal interrupt;
-    ev_timer flush_limit;
-    bool draining;
-    enum ct_exit status;
 };
 
 static void
-stop(void *arg)
-{
-    struct daemon *daemon = arg;
-
-    ct_loop_stop(daemon->loop);
-}
-
-static void
-begin_drain(void *arg)
+drain(struct ct_host_loop *host)
 {
-    struct daemon *daemon = arg;
-    struct ct_event event = {.type = CT_EVENT_DRAIN};
-
-    daemon->draining = true;
-    ct_callers_drain(daemon->callers);
-    ct_loop_post(daemon->loop, &event);
+    ct_callers_drain(((struct daemon *)host)->callers);
 }
 
 static void
-on_signal(struct ev_loop *ev, ev_signal *signal, int events)
+drained(struct ct_host_loop *host)
 {
-    struct daemon *daemon = signal->data;
-
-    (void)ev;
-    (void)events;
-    if (!daemon->draining) {
-        begin_drain(daemon);
-        return;
-    }
-    daemon->status = CT_EXIT_CUT;
-    ct_loop_stop(daemon->loop);
-}
-
-static void
-on_flush_limit(struct ev_loop *ev, ev_timer *timer, int events)
-{
-    (void)ev;
-    (void)events;
-    stop(timer->data);
-}
-
-/* The reducer is done; the last bytes may still be on their way out. */
-static bool
-run_effect(struct ct_executor *executor, const struct ct_effect *effect)
-{
-    struct daemon *daemon = (struct daemon *)executor;
-
-    if (effect->type != CT_EFFECT_DRAINED) {
-        return false;
-    }
-    ev_timer_start(ct_loop_ev(daemon->loop), &daemon->flush_limit);
-    ct_callers_finish(daemon->callers, stop, daemon);
-    return true;
-}
-
-/* The daemon outlives its loop and stands on the stack. */
-static void
-keep(struct ct_executor *executor)
-{
-    (void)executor;
+    ct_callers_finish(((struct daemon *)host)->callers, ct_host_loop_stop,
+                      host);
 }
 
 static void
@@ -128,8 +67,9 @@
 {
     const GArray *credentials = daemon->settings->credentials;
 
-    daemon->upstreams = ct_upstreams_new(daemon->loop, http, daemon->answers);
-    ct_loop_add(daemon->loop, ct_upstreams_executor(daemon->upstreams));
+    daemon->upstreams =
+        ct_upstreams_new(daemon->host.loop, http, daemon->answers);
+    ct_loop_add(daemon->host.loop, ct_upstreams_executor(daemon->upstreams));
     for (guint i = 0; credentials != NULL && i < credentials->len; i++) {
         const struct ct_named_secret *secret =
             &g_array_index(credentials, struct ct_named_secret, i);
@@ -147,24 +87,24 @@
     struct ct_http *http;
 
     daemon->answers = ct_answers_new();
-    ct_loop_add(daemon->loop, ct_answers_executor(daemon->answers));
-    http = ct_http_new(daemon->loop);
+    ct_loop_add(daemon->host.loop, ct_answers_executor(daemon->answers));
+    http = ct_http_new(daemon->host.loop);
     if (http == NULL) {
         return CT_ERR_NO_MEMORY;
     }
-    ct_loop_add(daemon->loop, ct_http_executor(http));
+    ct_loop_add(daemon->host.loop, ct_http_executor(http));
     add_upstreams(daemon, http);
-    ct_loop_add(daemon->loop,
-                ct_load_poll_executor(ct_load_poll_new(
-                    daemon->loop, http, daemon->state, LOAD_PERIOD_MS)));
+    ct_loop_add(daemon->host.loop, ct_load_poll_executor(ct_load_poll_new(
+                                       daemon->host.loop, http,
+                                       daemon->host.state, LOAD_PERIOD_MS)));
     if (g_str_has_prefix(platform, "http://")) {
         platform += strlen("http://");
     }
-    daemon->platform = ct_platform_new(daemon->loop, http, platform);
+    daemon->platform = ct_platform_new(daemon->host.loop, http, platform);
     if (daemon->platform == NULL) {
         return CT_ERR_NO_MEMORY;
     }
-    ct_loop_add(daemon->loop, ct_platform_executor(daemon->platform));
+    ct_loop_add(daemon->host.loop, ct_platform_executor(daemon->platform));
     return CT_OK;
 }
 
@@ -183,14 +123,14 @@
         .listen = settings->peer_address.text,
         .fallback_delay_ms = CT_PEER_FALLBACK_DELAY_MS,
     };
-    int err = ct_peers_new(daemon->loop, &options, &daemon->peers);
+    int err = ct_peers_new(daemon->host.loop, &options, &daemon->peers);
 
     if (err < 0) {
         fprintf(stderr, "coriandertrackd: peer_address %s: %s\n",
                 settings->peer_address.text, ct_err_name(err));
         return err;
     }
-    ct_loop_add(daemon->loop, ct_peers_executor(daemon->peers));
+    ct_loop_add(daemon->host.loop, ct_peers_executor(daemon->peers));
     return CT_OK;
 }
 
@@ -207,12 +147,12 @@
     const struct ct_operators_options operators = {
         .address = settings->operator_address.text,
         .host = settings->host,
-        .state = daemon->state,
-        .drain = begin_drain,
+        .state = daemon->host.state,
+        .drain = ct_host_loop_drain,
         .gauges = add_gauges,
         .arg = daemon,
     };
-    int err = ct_callers_new(daemon->loop, daemon->answers,
+    int err = ct_callers_new(daemon->host.loop, daemon->answers,
                              settings->caller_address.text, &limits,
                              &daemon->callers);
 
@@ -221,53 +161,34 @@
                 settings->caller_address.text, ct_err_name(err));
         return err;
     }
-    ct_loop_add(daemon->loop, ct_callers_executor(daemon->callers));
-    err = ct_operators_new(daemon->loop, &operators, &daemon->operators);
+    ct_loop_add(daemon->host.loop, ct_callers_executor(daemon->callers));
+    err = ct_operators_new(daemon->host.loop, &operators, &daemon->operators);
     if (err < 0) {
         fprintf(stderr, "coriandertrackd: operator_address %s: %s\n",
                 settings->operator_address.text, ct_err_name(err));
         return err;
     }
-    ct_loop_add(daemon->loop, ct_operators_executor(daemon->operators));
+    ct_loop_add(daemon->host.loop, ct_operators_executor(daemon->operators));
     return CT_OK;
 }
 
-static void
-watch_signals(struct daemon *daemon)
-{
-    struct ev_loop *ev = ct_loop_ev(daemon->loop);
-
-    signal(SIGPIPE, SIG_IGN);
-    ev_signal_init(&daemon->term, on_signal, SIGTERM);
-    ev_signal_init(&daemon->interrupt, on_signal, SIGINT);
-    ev_timer_init(&daemon->flush_limit, on_flush_limit, FLUSH_LIMIT_S, 0);
-    daemon->term.data = daemon->interrupt.data = daemon;
-    daemon->flush_limit.data = daemon;
-    ev_signal_start(ev, &daemon->term);
-    ev_signal_start(ev, &daemon->interrupt);
-}
-
 static int
 start(struct daemon *daemon, const char *record)
 {
-    static const struct ct_executor_ops ops = {
-        .run = run_effect,
-        .free = keep,
+    static const struct ct_host_loop_ops ops = {
+        .drain = drain,
+        .drained = drained,
     };
     int err;
 
-    ct_host_self(&daemon->self, &daemon->settings->host,
+    ct_host_self(&daemon->host.self, &daemon->settings->host,
                  &daemon->settings->zone);
-    err = ct_host_loop(&daemon->self, record, &daemon->state, &daemon->loop);
-
+    err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS);
     if (err < 0) {
         fprintf(stderr, "coriandertrackd: cannot start: %s\n",
                 ct_err_name(err));
         return err;
     }
-    daemon->executor.ops = &ops;
-    ct_loop_add(daemon->loop, &daemon->executor);
-    ct_loop_add(daemon->loop, ct_logger_new());
     err = add_clients(daemon);
     if (err == CT_OK) {
         err = add_ports(daemon);
@@ -281,30 +202,23 @@
 enum ct_exit
 ct_daemon_run(const struct ct_settings *settings, const char *record)
 {
-    struct daemon daemon = {
-        .settings = settings,
-        .status = CT_EXIT_OK,
-    };
+    struct daemon daemon = {.settings = settings};
+    enum ct_exit status;
 
-    ct_host_raise_file_limit();
     ct_logger_install(STDERR_FILENO);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     if (start(&daemon, record) < 0) {
-        daemon.status = CT_EXIT_FAILED;
+        daemon.host.status = CT_EXIT_FAILED;
         goto out;
     }
-    watch_signals(&daemon);
     printf("listening callers=%u operators=%u peers=%u\n",
            ct_callers_port(daemon.callers),
            ct_operators_port(daemon.operators), ct_peers_port(daemon.peers));
     fflush(stdout);
     ct_platform_start(daemon.platform);
-    ct_loop_run(daemon.loop);
+    ct_host_loop_run(&daemon.host);
 out:
-    ct_loop_free(daemon.loop);
-    if (daemon.state != NULL) {
-        ct_state_free(daemon.state);
-    }
+    status = ct_host_loop_end(&daemon.host);
     curl_global_cleanup();
-    return daemon.status;
+    return status;
 }
--- a/coriandertrackd/host-loop.c
+++ b/coriandertrackd/host-loop.c
@@ -2,9 +2,11 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <sys/resource.h>
 
 #include "error.h"
+#include "logger.h"
 #include "recorder.h"
 
 static uint64_t
@@ -24,36 +26,149 @@
                "%.28s-%016" PRIx64, host->text, random_number());
 }
 
-int
-ct_host_loop(const struct ct_self *self, const char *record,
-             struct ct_state **state, struct ct_loop **loop)
+/* As many connections as the machine's own limit allows. */
+static void
+raise_file_limit(void)
+{
+    struct rlimit files;
+
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
+        files.rlim_cur = files.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &files);
+    }
+}
+
+static bool
+run_effect(struct ct_executor *executor, const struct ct_effect *effect)
+{
+    struct ct_host_loop *host = ((struct ct_drain_executor *)executor)->host;
+
+    if (effect->type != CT_EFFECT_DRAINED) {
+        return false;
+    }
+    ev_timer_start(ct_loop_ev(host->loop), &host->flush_limit);
+    host->ops->drained(host);
+    return true;
+}
+
+/* The daemon outlives its loop and stands on the stack. */
+static void
+keep(struct ct_executor *executor)
+{
+    (void)executor;
+}
+
+static int
+start_loop(struct ct_host_loop *host, const char *record)
 {
     struct ct_reducer *reducer;
     int err = CT_OK;
 
-    *state = ct_state_new(self);
-    if (*state == NULL) {
+    host->state = ct_state_new(&host->self);
+    if (host->state == NULL) {
         return CT_ERR_NO_MEMORY;
     }
-    reducer = ct_state_reducer_new(*state);
+    reducer = ct_state_reducer_new(host->state);
     if (record != NULL) {
-        err = ct_recorder_new(record, self, reducer, &reducer);
+        err = ct_recorder_new(record, &host->self, reducer, &reducer);
     }
     if (err < 0) {
         reducer->ops->free(reducer);
         return err;
     }
-    *loop = ct_loop_new(reducer, ct_system_clock());
-    return *loop != NULL ? CT_OK : CT_ERR_NO_MEMORY;
+    host->loop = ct_loop_new(reducer, ct_system_clock());
+    return host->loop != NULL ? CT_OK : CT_ERR_NO_MEMORY;
+}
+
+static void
+on_stop_signal(struct ev_loop *ev, ev_signal *signal, int events)
+{
+    struct ct_host_loop *host = signal->data;
+
+    (void)ev;
+    (void)events;
+    if (!host->draining) {
+        ct_host_loop_drain(host);
+        return;
+    }
+    host->status = CT_EXIT_CUT;
+    ct_loop_stop(host->loop);
+}
+
+static void
+on_flush_limit(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    (void)ev;
+    (void)events;
+    ct_host_loop_stop(timer->data);
+}
+
+int
+ct_host_loop_start(struct ct_host_loop *host,
+                   const struct ct_host_loop_ops *ops, const char *record,
+                   ct_ms flush_limit_ms)
+{
+    static const struct ct_executor_ops drain_ops = {
+        .run = run_effect,
+        .free = keep,
+    };
+    int err;
+
+    raise_file_limit();
+    host->ops = ops;
+    err = start_loop(host, record);
+    if (err < 0) {
+        return err;
+    }
+    host->drain.executor.ops = &drain_ops;
+    host->drain.host = host;
+    ct_loop_add(host->loop, &host->drain.executor);
+    ct_loop_add(host->loop, ct_logger_new());
+    ev_timer_init(&host->flush_limit, on_flush_limit,
+                  (double)flush_limit_ms / 1000, 0);
+    host->flush_limit.data = host;
+    return CT_OK;
 }
 
 void
-ct_host_raise_file_limit(void)
+ct_host_loop_run(struct ct_host_loop *host)
 {
-    struct rlimit files;
+    struct ev_loop *ev = ct_loop_ev(host->loop);
 
-    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
-        files.rlim_cur = files.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &files);
+    signal(SIGPIPE, SIG_IGN);
+    ev_signal_init(&host->term, on_stop_signal, SIGTERM);
+    ev_signal_init(&host->interrupt, on_stop_signal, SIGINT);
+    host->term.data = host->interrupt.data = host;
+    ev_signal_start(ev, &host->term);
+    ev_signal_start(ev, &host->interrupt);
+    ct_loop_run(host->loop);
+}
+
+void
+ct_host_loop_drain(void *arg)
+{
+    struct ct_host_loop *host = arg;
+    struct ct_event event = {.type = CT_EVENT_DRAIN};
+
+    host->draining = true;
+    host->ops->drain(host);
+    ct_loop_post(host->loop, &event);
+}
+
+void
+ct_host_loop_stop(void *arg)
+{
+    struct ct_host_loop *host = arg;
+
+    ct_loop_stop(host->loop);
+}
+
+enum ct_exit
+ct_host_loop_end(struct ct_host_loop *host)
+{
+    ct_loop_free(host->loop);
+    if (host->state != NULL) {
+        ct_state_free(host->state);
     }
+    return host->status;
 }
--- a/coriandertrackd/host-loop.h
+++ b/coriandertrackd/host-loop.h
@@ -1,24 +1,71 @@
 #ifndef CT_HOST_LOOP_H
 #define CT_HOST_LOOP_H
 
+#include <ev.h>
+
+#include "daemon.h"
+#include "executor.h"
 #include "loop.h"
 #include "reduce.h"
 
-/* What both kinds of daemon begin with. */
+/*
+ * What both kinds of daemon share: the state and its loop, a drain by signal
+ * or by an operator, and the end of the process after it. The struct of each
+ * daemon has struct ct_host_loop as its first member.
+ */
+
+struct ct_host_loop;
+
+struct ct_host_loop_ops {
+    /* A drain begins: what the ports do about it. */
+    void (*drain)(struct ct_host_loop *host);
+    /* The reducer is done; the last bytes may still be on their way out. */
+    void (*drained)(struct ct_host_loop *host);
+};
+
+/* Executor of CT_EFFECT_DRAINED. */
+struct ct_drain_executor {
+    struct ct_executor executor;
+    struct ct_host_loop *host;
+};
+
+struct ct_host_loop {
+    const struct ct_host_loop_ops *ops;
+    struct ct_drain_executor drain;
+    struct ct_self self;
+    struct ct_state *state;
+    struct ct_loop *loop;
+    ev_signal term;
+    ev_signal interrupt;
+    /* The process ends then, after the drain, whoever still reads. */
+    ev_timer flush_limit;
+    bool draining;
+    enum ct_exit status;
+};
 
 /* Names the host and this process, with a seed of its own. */
 void ct_host_self(struct ct_self *self, const struct ct_name *host,
                   const struct ct_name *zone);
 
 /*
- * Makes the state and a loop that gives events to it; with a recorder around
- * it where record names a file. Both are the caller's, also on failure.
+ * Makes the state of host->self and a loop that gives events to it; with a
+ * recorder around it where record names a file. To be ended also on failure.
  * Errors: CT_ERR_NO_MEMORY, CT_ERR_IO.
  */
-int ct_host_loop(const struct ct_self *self, const char *record,
-                 struct ct_state **state, struct ct_loop **loop);
+int ct_host_loop_start(struct ct_host_loop *host,
+                       const struct ct_host_loop_ops *ops, const char *record,
+                       ct_ms flush_limit_ms);
+
+/* Runs until the drain is over or a second signal cuts it. */
+void ct_host_loop_run(struct ct_host_loop *host);
+
+/* Begins a drain; a struct ct_host_loop. */
+void ct_host_loop_drain(void *host);
+
+/* Stops the loop; a struct ct_host_loop. */
+void ct_host_loop_stop(void *host);
 
-/* As many connections as the machine's own limit allows. */
-void ct_host_raise_file_limit(void);
+/* Frees the loop with its executors, and the state. */
+enum ct_exit ct_host_loop_end(struct ct_host_loop *host);
 
 #endif
--- a/shell/executor.h
+++ b/shell/executor.h
@@ -15,7 +15,8 @@
 struct ct_executor_ops {
     /*
      * Carries out an effect; false where its type belongs to another
-     * executor. The effect and its rows are borrowed for the call.
+     * executor. The effect and its rows are borrowed for the call. NULL for
+     * what only lives with the loop.
      */
     bool (*run)(struct ct_executor *executor, const struct ct_effect *effect);
     void (*free)(struct ct_executor *executor);
--- a/shell/http.c
+++ b/shell/http.c
@@ -142,14 +142,6 @@
     return 0;
 }
 
-static bool
-run(struct ct_executor *executor, const struct ct_effect *effect)
-{
-    (void)executor;
-    (void)effect;
-    return false;
-}
-
 static void
 free_http(struct ct_executor *executor)
 {
@@ -164,7 +156,6 @@
 ct_http_new(struct ct_loop *loop)
 {
     static const struct ct_executor_ops ops = {
-        .run = run,
         .free = free_http,
     };
     struct ct_http *http = g_try_new0(struct ct_http, 1);
--- a/shell/load-poll.c
+++ b/shell/load-poll.c
@@ -118,14 +118,6 @@
     }
 }
 
-static bool
-run(struct ct_executor *executor, const struct ct_effect *effect)
-{
-    (void)executor;
-    (void)effect;
-    return false;
-}
-
 static void
 free_poll(struct ct_executor *executor)
 {
@@ -141,7 +133,6 @@
                  const struct ct_state *state, ct_ms period_ms)
 {
     static const struct ct_executor_ops ops = {
-        .run = run,
         .free = free_poll,
     };
     struct ct_load_poll *poll = g_new0(struct ct_load_poll, 1);
--- a/shell/loop.c
+++ b/shell/loop.c
@@ -202,7 +202,8 @@
         arm_wake(loop, effect->u.at_ms);
         return;
     }
-    while (executor != NULL && !executor->ops->run(executor, effect)) {
+    while (executor != NULL && (executor->ops->run == NULL ||
+                                !executor->ops->run(executor, effect))) {
         executor = executor->next;
     }
     if (executor == NULL) {
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -34,6 +34,18 @@
     return ok == 1 ? CT_OK : CT_ERR_INVALID;
 }
 
+static int
+open_for(const char *text, struct sockaddr_in *address)
+{
+    int fd;
+
+    if (parse_address(text, address) < 0) {
+        return CT_ERR_INVALID;
+    }
+    fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    return fd < 0 ? CT_ERR_IO : fd;
+}
+
 int
 ct_socket_listen(const char *text, uint16_t *port)
 {
@@ -42,12 +54,9 @@
     int on = 1;
     int fd;
 
-    if (parse_address(text, &address) < 0) {
-        return CT_ERR_INVALID;
-    }
-    fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    fd = open_for(text, &address);
     if (fd < 0) {
-        return CT_ERR_IO;
+        return fd;
     }
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     if (bind(fd, (struct sockaddr *)&address, size) < 0 ||
@@ -67,12 +76,9 @@
     int on = 1;
     int fd;
 
-    if (parse_address(text, &address) < 0) {
-        return CT_ERR_INVALID;
-    }
-    fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    fd = open_for(text, &address);
     if (fd < 0) {
-        return CT_ERR_IO;
+        return fd;
     }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     if (connect(fd, (struct sockaddr *)&address, sizeof(address)) < 0 &&
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -8,7 +8,7 @@
 
 #define TOKENS 8
 #define CALL_TIMEOUT_MS 45000
-#define PAUSE_MAX_US 40000
+#define PAUSE_MAX_MS 40
 /* Of 100 calls: streams, whole answers and bookings; the rest are lookups. */
 #define PERCENT_STREAM 45
 #define PERCENT_WHOLE 55
@@ -232,7 +232,7 @@
 
     while (!g_atomic_int_get(&caller->soak->stop)) {
         call_once(caller);
-        process_await_due(g_rand_int_range(caller->random, 0, PAUSE_MAX_US));
+        ct_wait_ms(g_rand_int_range(caller->random, 0, PAUSE_MAX_MS));
     }
     g_rand_free(caller->random);
     g_free(caller);
--- a/soak/judge.c
+++ b/soak/judge.c
@@ -235,7 +235,7 @@
         if (process_now_ms() > until_ms) {
             return false;
         }
-        process_await_look();
+        ct_wait_ms(PROCESS_LOOK_MS);
     }
     return true;
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -52,7 +52,7 @@
     while (process_now_ms() < s->until_ms) {
         soak_faults_step(faults);
         soak_operators_step(operators, faults);
-        process_await_look();
+        ct_wait_ms(PROCESS_LOOK_MS);
     }
     soak_faults_free(faults);
     deployment_await_ready(&s->d);
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -405,14 +405,6 @@
     g_array_append_val(c->log, copy);
 }
 
-static struct ct_config_row *
-add(GArray *rows, enum ct_config_kind kind)
-{
-    g_array_set_size(rows, rows->len + 1);
-    g_array_index(rows, struct ct_config_row, rows->len - 1).kind = kind;
-    return &g_array_index(rows, struct ct_config_row, rows->len - 1);
-}
-
 static void
 append_config(struct t_cluster *c)
 {
@@ -421,19 +413,20 @@
     static const char *const zones[] = {"a", "b", "c"};
 
     for (uint32_t i = 0; i < c->n; i++) {
-        struct ct_host *host = &add(rows, CT_CONFIG_HOST)->u.host;
+        struct ct_host *host =
+            &ct_config_rows_add(rows, CT_CONFIG_HOST)->u.host;
 
         host->name = c->hosts[i].state->self.host;
         CT_TEXT_SET(host->zone, zones[i % G_N_ELEMENTS(zones)]);
     }
     for (uint32_t i = 0; i < 2; i++) {
         struct ct_organisation *organisation =
-            &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+            &ct_config_rows_add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
 
         CT_TEXT_SET(organisation->name, i ? "zeta" : "acme");
         organisation->weight = 1;
     }
-    struct ct_pool *pool = &add(rows, CT_CONFIG_POOL)->u.pool;
+    struct ct_pool *pool = &ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool;
     CT_TEXT_SET(pool->name, "engines");
     pool->kind = CT_POOL_ENGINE;
     pool->min_upstreams = 2;
--- a/t/lib-core.c
+++ b/t/lib-core.c
@@ -92,19 +92,11 @@
     return digest;
 }
 
-static struct ct_config_row *
-add(GArray *rows, enum ct_config_kind kind)
-{
-    g_array_set_size(rows, rows->len + 1);
-    g_array_index(rows, struct ct_config_row, rows->len - 1).kind = kind;
-    return &g_array_index(rows, struct ct_config_row, rows->len - 1);
-}
-
 static void
 add_organisation(GArray *rows, const char *name)
 {
     struct ct_organisation *organisation =
-        &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+        &ct_config_rows_add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
 
     CT_TEXT_SET(organisation->name, name);
     organisation->weight = 1;
@@ -113,7 +105,8 @@
 static void
 add_class(GArray *rows, const char *name, uint32_t tier, bool cheap)
 {
-    struct ct_class *klass = &add(rows, CT_CONFIG_CLASS)->u.klass;
+    struct ct_class *klass =
+        &ct_config_rows_add(rows, CT_CONFIG_CLASS)->u.klass;
 
     CT_TEXT_SET(klass->name, name);
     klass->tier = tier;
@@ -129,14 +122,14 @@
 add_pool(GArray *rows, const char *name, enum ct_pool_kind kind,
          uint32_t n_upstreams, uint32_t slots)
 {
-    struct ct_pool *pool = &add(rows, CT_CONFIG_POOL)->u.pool;
+    struct ct_pool *pool = &ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool;
     uint32_t i;
 
     CT_TEXT_SET(pool->name, name);
     pool->kind = kind;
     for (i = 0; i < n_upstreams; i++) {
         struct ct_upstream *upstream =
-            &add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
+            &ct_config_rows_add(rows, CT_CONFIG_UPSTREAM)->u.upstream;
 
         g_snprintf(upstream->name.text, sizeof(upstream->name.text), "%s-%u",
                    name, i);
@@ -152,7 +145,8 @@
 add_route(GArray *rows, const char *path, const char *klass, const char *pool,
           bool open, bool idempotent)
 {
-    struct ct_route *route = &add(rows, CT_CONFIG_ROUTE)->u.route;
+    struct ct_route *route =
+        &ct_config_rows_add(rows, CT_CONFIG_ROUTE)->u.route;
 
     CT_TEXT_SET(route->path, path);
     CT_TEXT_SET(route->class_name, klass);
@@ -164,7 +158,7 @@
 static void
 add_host(GArray *rows, const char *name)
 {
-    struct ct_host *host = &add(rows, CT_CONFIG_HOST)->u.host;
+    struct ct_host *host = &ct_config_rows_add(rows, CT_CONFIG_HOST)->u.host;
 
     CT_TEXT_SET(host->name, name);
     CT_TEXT_SET(host->zone, "zone-a");
@@ -198,7 +192,7 @@
     add_pool(rows, "plain", CT_POOL_PLAIN, n_upstreams, slots);
     add_route(rows, T_CHAT_PATH, "chat", "engines", true, true);
     add_route(rows, T_PLAIN_PATH, "hold", "plain", false, false);
-    access = &add(rows, CT_CONFIG_ACCESS)->u.access;
+    access = &ct_config_rows_add(rows, CT_CONFIG_ACCESS)->u.access;
     CT_TEXT_SET(access->path, T_PLAIN_PATH);
     CT_TEXT_SET(access->organisation, "acme");
     add_host(rows, "h1");
--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -12,15 +12,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <ev.h>
 #include <glib.h>
 
 #define ARGUMENTS_MAX 32
 #define PROCESSES_MAX 256
 #define START_TIMEOUT_MS 30000
 #define RUN_TIMEOUT_MS 60000
-/* Between two looks at a condition. */
-#define LOOK_US 5000
 #define LINE_MAX_BYTES 256
 
 static pid_t running[PROCESSES_MAX];
@@ -34,53 +31,6 @@
     return g_get_monotonic_time() / 1000;
 }
 
-static void
-free_loop(gpointer loop)
-{
-    ev_loop_destroy(loop);
-}
-
-/* Each thread waits in a loop of its own. */
-static struct ev_loop *
-loop_of_thread(void)
-{
-    static GPrivate loops = G_PRIVATE_INIT(free_loop);
-    struct ev_loop *loop = g_private_get(&loops);
-
-    if (!loop) {
-        loop = ev_loop_new(EVFLAG_AUTO);
-        g_assert_nonnull(loop);
-        g_private_set(&loops, loop);
-    }
-    return loop;
-}
-
-static void
-on_due(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)timer;
-    (void)events;
-    ev_break(loop, EVBREAK_ONE);
-}
-
-void
-process_await_due(int64_t us)
-{
-    struct ev_loop *loop = loop_of_thread();
-    ev_timer timer;
-
-    ev_timer_init(&timer, on_due, (double)us / G_USEC_PER_SEC, 0);
-    ev_now_update(loop);
-    ev_timer_start(loop, &timer);
-    ev_run(loop, 0);
-}
-
-void
-process_await_look(void)
-{
-    process_await_due(LOOK_US);
-}
-
 static void
 kill_all(void)
 {
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include "wait.h"
+
 /*
  * Processes under test. A failure to start fails the test. What still runs
  * when the test program exits is killed, each by its own process id.
@@ -60,11 +62,8 @@
 /* Monotonic time, the same clock as in the logs of the stand-ins. */
 int64_t process_now_ms(void);
 
-/* Runs the event loop of the calling thread for us microseconds. */
-void process_await_due(int64_t us);
-
-/* Runs it until the next look at a condition is due; see AWAIT. */
-void process_await_look(void);
+/* Between two looks at a condition. */
+#define PROCESS_LOOK_MS 5
 
 /*
  * Waits until the condition holds; fails the test after timeout_ms. For what
@@ -79,7 +78,7 @@
                 g_error("%s:%d: timed out: %s", __FILE__, __LINE__,           \
                         #condition);                                          \
             }                                                                 \
-            process_await_look();                                             \
+            ct_wait_ms(PROCESS_LOOK_MS);                                      \
         }                                                                     \
     } while (0)
 
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -27,22 +27,12 @@
     t_core_post(core, &event);
 }
 
-static struct ct_config_row *
-add(GArray *rows, enum ct_config_kind kind)
-{
-    guint at = rows->len;
-
-    g_array_set_size(rows, at + 1);
-    g_array_index(rows, struct ct_config_row, at).kind = kind;
-    return &g_array_index(rows, struct ct_config_row, at);
-}
-
 static void
 add_route(GArray *rows, const char *prefix, const char *pool,
           enum ct_repeat repeat, bool stream)
 {
     struct ct_prefix_route *route =
-        &add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route;
+        &ct_config_rows_add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route;
     struct ct_pool_share *share;
 
     CT_TEXT_SET(route->name, prefix);
@@ -55,7 +45,7 @@
     route->attempts = 2;
     route->timeout_ms = TIMEOUT_MS;
     route->open_to_all = strcmp(prefix, "/open/") == 0;
-    share = &add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
+    share = &ct_config_rows_add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
     CT_TEXT_SET(share->route, prefix);
     CT_TEXT_SET(share->pool, pool);
     share->weight = 1;
@@ -64,7 +54,8 @@
 static void
 add_key(GArray *rows, uint8_t key, const char *organisation)
 {
-    struct ct_config_key *row = &add(rows, CT_CONFIG_KEY)->u.key;
+    struct ct_config_key *row =
+        &ct_config_rows_add(rows, CT_CONFIG_KEY)->u.key;
 
     row->digest = t_digest(key);
     CT_TEXT_SET(row->organisation, organisation);
@@ -76,11 +67,14 @@
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
     struct ct_organisation *organisation;
 
-    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "engines");
-    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "desk");
-    CT_TEXT_SET(add(rows, CT_CONFIG_ORGANISATION)->u.organisation.name,
-                "acme");
-    organisation = &add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
+    CT_TEXT_SET(ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool.name,
+                "engines");
+    CT_TEXT_SET(ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool.name, "desk");
+    CT_TEXT_SET(
+        ct_config_rows_add(rows, CT_CONFIG_ORGANISATION)->u.organisation.name,
+        "acme");
+    organisation =
+        &ct_config_rows_add(rows, CT_CONFIG_ORGANISATION)->u.organisation;
     CT_TEXT_SET(organisation->name, "zeta");
     organisation->has_rank = true;
     organisation->rank = 7;
--- a/t/proc-withdraw.c
+++ b/t/proc-withdraw.c
@@ -52,7 +52,7 @@
         while (call_with(clients[i], i, key, &reply) != 200) {
             g_assert_cmpint(process_now_ms(), <, until_ms);
             http_reply_free(&reply);
-            process_await_look();
+            ct_wait_ms(PROCESS_LOOK_MS);
         }
         http_reply_free(&reply);
     }
--- /dev/null
+++ b/t/test-candidates.c
@@ -0,0 +1,48 @@
+/* Tests of candidates.h: which upstreams of a pool are chosen from. */
+#include "candidates.h"
+#include "lib-relay.h"
+
+static void
+test_list(void)
+{
+    static const struct ct_name zone_b = {"zone-b"};
+    struct ct_candidate found[CT_CANDIDATES_MAX];
+    struct ct_candidate_filter filter = {.wanted = CT_UPSTREAM_RUNNING};
+    struct ct_name pool = {"engines"};
+    struct ct_handle tried[1];
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 5, 3);
+    filter.pool = ct_config_pool(&core.state->config, &pool);
+    g_assert_cmpuint(ct_candidates_list(core.state, &filter, found), ==, 3);
+    for (int i = 0; i < 3; i++) {
+        g_assert_false(found[i].same_zone);
+        g_assert_false(found[i].excluded);
+        g_assert_cmpuint(found[i].slots, ==, 8);
+    }
+    tried[0] = found[1].upstream;
+    filter.zone = &zone_b;
+    filter.tried = tried;
+    filter.n_tried = 1;
+    g_assert_cmpuint(ct_candidates_list(core.state, &filter, found), ==, 3);
+    for (int i = 0; i < 3; i++) {
+        const struct ct_upstream_row *upstream =
+            ct_table_get(&core.state->config.upstreams, found[i].upstream);
+
+        g_assert_cmpint(found[i].excluded, ==, i == 1);
+        g_assert_cmpint(found[i].same_zone, ==,
+                        ct_name_eq(&upstream->conf.zone, &zone_b));
+    }
+    filter.wanted = CT_UPSTREAM_DOUBTFUL;
+    g_assert_cmpuint(ct_candidates_list(core.state, &filter, found), ==, 0);
+    t_core_free(&core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/candidates/list", test_list);
+    return g_test_run();
+}
--- a/t/test-prefix-route.c
+++ b/t/test-prefix-route.c
@@ -4,22 +4,12 @@
 #include "lib-relay.h"
 #include "prefix-route.h"
 
-static struct ct_config_row *
-add(GArray *rows, enum ct_config_kind kind)
-{
-    guint at = rows->len;
-
-    g_array_set_size(rows, at + 1);
-    g_array_index(rows, struct ct_config_row, at).kind = kind;
-    return &g_array_index(rows, struct ct_config_row, at);
-}
-
 static void
 add_route(GArray *rows, const char *name, const char *authority,
           const char *prefix)
 {
     struct ct_prefix_route *route =
-        &add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route;
+        &ct_config_rows_add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route;
 
     CT_TEXT_SET(route->name, name);
     CT_TEXT_SET(route->authority, authority);
@@ -30,7 +20,7 @@
 add_share(GArray *rows, const char *route, const char *pool, uint32_t weight)
 {
     struct ct_pool_share *share =
-        &add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
+        &ct_config_rows_add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
 
     CT_TEXT_SET(share->route, route);
     CT_TEXT_SET(share->pool, pool);
@@ -126,8 +116,8 @@
     struct ct_config config;
     guint first = 0;
 
-    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "p");
-    CT_TEXT_SET(add(rows, CT_CONFIG_POOL)->u.pool.name, "q");
+    CT_TEXT_SET(ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool.name, "p");
+    CT_TEXT_SET(ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool.name, "q");
     add_route(rows, "one", "a.example", "/one/");
     add_share(rows, "one", "p", 90);
     add_share(rows, "one", "q", 10);
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -10,6 +10,17 @@
     t_relay_configure(core, 5, n);
 }
 
+/* CT_REFUSAL_COUNT: it was sent to an upstream. */
+static void
+expect(const struct t_core *core, enum ct_refusal reason)
+{
+    if (reason == CT_REFUSAL_COUNT) {
+        t_relay_started(core);
+        return;
+    }
+    t_core_assert_refused(core, reason, CT_NOT_RUN);
+}
+
 static void
 test_admission(void)
 {
@@ -32,12 +43,7 @@
 
         setup(&core, 2);
         t_relay_call(&core, cases[i].key, cases[i].path);
-        if (cases[i].reason == CT_REFUSAL_COUNT) {
-            t_relay_started(&core);
-        }
-        else {
-            t_core_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
-        }
+        expect(&core, cases[i].reason);
         t_core_free(&core);
     }
 }
@@ -81,12 +87,7 @@
         core.now_ms += cases[i].age_ms;
         core.wall_ms += cases[i].age_ms;
         t_relay_call(&core, cases[i].key, cases[i].path);
-        if (cases[i].reason == CT_REFUSAL_COUNT) {
-            t_relay_started(&core);
-        }
-        else {
-            t_core_assert_refused(&core, cases[i].reason, CT_NOT_RUN);
-        }
+        expect(&core, cases[i].reason);
         t_core_free(&core);
     }
 }
