t: what is logged of a relayed call; no keys without organisations

Cause: with a guard taken out at a time on a copy, the tests of the relay passed without the organisation, the route and the outcome in the log event, and none played a configuration that names no organisations.

--- a/core/relay.c
+++ b/core/relay.c
@@ -152,6 +152,7 @@
     if (call->deadline_ms > 0 && call->deadline_ms < route->conf.timeout_ms) {
         relay->until_ms = state->now_ms + call->deadline_ms;
     }
+    /* A configuration without organisations asks for no keys. */
     if (!route->conf.open_to_all && state->config.organisations.live > 0) {
         reason = authenticate(state, call, relay);
     }
--- a/t/lib-deployment.c
+++ b/t/lib-deployment.c
@@ -429,3 +429,15 @@
     g_free(in_state);
     g_free(in_type);
 }
+
+void
+deployment_replace_hosts(struct deployment *d)
+{
+    for (int i = 0; i < d->n_hosts; i++) {
+        process_kill(&d->hosts[i].process);
+    }
+    for (int i = 0; i < d->n_hosts; i++) {
+        deployment_start_host(d, i);
+    }
+    deployment_await_ready(d);
+}
--- a/t/lib-deployment.h
+++ b/t/lib-deployment.h
@@ -64,6 +64,9 @@
 bool deployment_is_ready(const struct deployment *d, int i);
 void deployment_await_ready(const struct deployment *d);
 
+/* Kills all hosts at once and starts new ones in their places. */
+void deployment_replace_hosts(struct deployment *d);
+
 /* Starts a stand-in, on its earlier port where it had one. */
 void deployment_start_engine(struct deployment *d, int i);
 void deployment_start_plain(struct deployment *d, int i);
--- a/t/proc-explain.c
+++ b/t/proc-explain.c
@@ -85,13 +85,7 @@
     char *id = refuse();
 
     await_recorded();
-    for (int i = 0; i < d.n_hosts; i++) {
-        process_kill(&d.hosts[i].process);
-    }
-    for (int i = 0; i < d.n_hosts; i++) {
-        deployment_start_host(&d, i);
-    }
-    deployment_await_ready(&d);
+    deployment_replace_hosts(&d);
     for (int i = 0; i < d.n_hosts; i++) {
         g_assert_cmpint(explain(i, id), ==, 0);
     }
--- a/t/proc-withdraw.c
+++ b/t/proc-withdraw.c
@@ -182,13 +182,7 @@
     g_assert_cmpint(
         DEPLOYMENT_COMMAND(&d, NULL, "key", "withdraw", "replaced", NULL), ==,
         0);
-    for (int i = 0; i < d.n_hosts; i++) {
-        process_kill(&d.hosts[i].process);
-    }
-    for (int i = 0; i < d.n_hosts; i++) {
-        deployment_start_host(&d, i);
-    }
-    deployment_await_ready(&d);
+    deployment_replace_hosts(&d);
     for (int i = 0; i < d.n_hosts; i++) {
         g_assert_true(is_refused(NULL, i, key));
         g_assert_false(is_refused(NULL, i, d.alpha));
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "lib-relay.h"
+#include "outcome.h"
 
 static void
 setup(struct t_core *core, uint32_t n)
@@ -262,6 +263,80 @@
     t_core_free(&core);
 }
 
+static const struct ct_log_effect *
+logged(const struct t_core *core, enum ct_log_event event)
+{
+    const struct ct_effect *effect;
+
+    for (uint32_t n = 0;
+         (effect = t_core_effect(core, CT_EFFECT_LOG_EVENT, n)); n++) {
+        if (effect->u.log.event == event) {
+            return &effect->u.log;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* What is logged of a call's end: what it rested on, and how it went. */
+static void
+test_logged(void)
+{
+    const struct ct_log_effect *log;
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup(&core, 3);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    start = t_relay_started(&core);
+    core.now_ms += 70;
+    core.wall_ms += 70;
+    t_relay_finish(&core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+    log = logged(&core, CT_LOG_RELAY_ENDED);
+    g_assert_cmpstr(log->request_id.text, ==, start.request_id.text);
+    g_assert_cmpstr(log->name.text, ==, "acme");
+    g_assert_cmpstr(log->other.text, ==, "/any/");
+    g_assert_cmpstr(log->upstream.text, ==, start.upstream.text);
+    g_assert_cmpstr(log->outcome.text, ==,
+                    ct_outcome_text(CT_OUTCOME_COMPLETE));
+    g_assert_cmpint(log->config_version, ==, 5);
+    g_assert_cmpint(log->elapsed_ms, ==, 70);
+    g_assert_cmpuint(log->attempts, ==, 1);
+    g_assert_cmpuint(log->status, ==, 200);
+    t_relay_call(&core, 0, T_ANY_PATH);
+    log = logged(&core, CT_LOG_RELAY_REFUSED);
+    g_assert_cmpstr(log->reason.text, ==, ct_refusal_text(CT_REFUSAL_NO_KEY));
+    g_assert_cmpstr(log->name.text, ==, "");
+    g_assert_cmpstr(log->outcome.text, ==, "");
+    t_core_free(&core);
+}
+
+/* A configuration that names no organisations asks for no keys. */
+static void
+test_no_organisations(void)
+{
+    GArray *rows = t_relay_rows();
+    struct t_core core;
+    guint i = 0;
+
+    setup(&core, 2);
+    while (i < rows->len) {
+        enum ct_config_kind kind =
+            g_array_index(rows, struct ct_config_row, i).kind;
+
+        if (kind == CT_CONFIG_KEY || kind == CT_CONFIG_ORGANISATION) {
+            g_array_remove_index(rows, i);
+        }
+        else {
+            i++;
+        }
+    }
+    t_relay_post_config(&core, 6, rows);
+    t_relay_confirm(&core);
+    t_relay_call(&core, 0, T_ANY_PATH);
+    t_relay_started(&core);
+    t_core_free(&core);
+}
+
 /* What a begun answer must not become: another run's, or an error's. */
 static void
 test_no_mixture(void)
@@ -427,6 +502,8 @@
     g_test_add_func("/relay/not-sent", test_not_sent);
     g_test_add_func("/relay/declined-twice", test_declined_twice);
     g_test_add_func("/relay/resume", test_resume);
+    g_test_add_func("/relay/logged", test_logged);
+    g_test_add_func("/relay/no-organisations", test_no_organisations);
     g_test_add_func("/relay/no-mixture", test_no_mixture);
     g_test_add_func("/relay/gone", test_gone);
     g_test_add_func("/relay/time-is-up", test_time_is_up);
