t: a caller's patience, a route without shares, a leave after the end

Cause: with a guard taken out at a time on a copy, test-relay passed without the bound by the caller's deadline, the refusal where no pool has a share, and the check that a caller who leaves still has a call.

Change: a test of each. A guard before a removal that does nothing for callers who have left is gone.

--- a/core/relay.c
+++ b/core/relay.c
@@ -184,9 +184,8 @@
     ct_table_unref(&state->config.organisations, relay->organisation);
     ct_table_unref(&state->config.prefix_routes, relay->route);
     ct_table_unref(&state->config.pools, relay->pool);
-    if (relay->caller) {
-        g_hash_table_remove(state->relays.by_caller, &relay->caller);
-    }
+    /* A caller that has left is not in there any more. */
+    g_hash_table_remove(state->relays.by_caller, &relay->caller);
     ct_table_unref(&state->relays.rows, handle);
 }
 
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -172,6 +172,13 @@
 
 uint64_t
 t_relay_call(struct t_core *core, uint8_t key, const char *path)
+{
+    return t_relay_call_within(core, key, path, 0);
+}
+
+uint64_t
+t_relay_call_within(struct t_core *core, uint8_t key, const char *path,
+                    ct_ms deadline_ms)
 {
     struct ct_event event = {.type = CT_EVENT_RELAY_ARRIVED};
     struct ct_relay_call *call = &event.u.relay;
@@ -184,6 +191,7 @@
     call->has_key = key != 0;
     call->key = t_digest(key);
     call->prefix_hash = 7;
+    call->deadline_ms = deadline_ms;
     t_core_post(core, &event);
     return call->caller;
 }
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -44,6 +44,9 @@
 
 /* Posts a call with a key; 0 for none. Returns the caller's number. */
 uint64_t t_relay_call(struct t_core *core, uint8_t key, const char *path);
+/* The same by a caller who waits no longer than that; 0 for no bound. */
+uint64_t t_relay_call_within(struct t_core *core, uint8_t key,
+                             const char *path, ct_ms deadline_ms);
 /* The attempt that the last event started; fails where there is none. */
 struct ct_relay_start t_relay_started(const struct t_core *core);
 
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -310,6 +310,66 @@
     t_core_free(&core);
 }
 
+/* The caller's patience bounds a call where it ends before the route's. */
+static void
+test_deadline(void)
+{
+    static const struct {
+        ct_ms deadline_ms;
+        ct_ms until_ms;
+    } cases[] = {{0, 10000}, {700, 700}, {60000, 10000}};
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_relay_start start;
+        struct t_core core;
+
+        setup(&core, 2);
+        t_relay_call_within(&core, 1, T_ANY_PATH, cases[i].deadline_ms);
+        start = t_relay_started(&core);
+        g_assert_cmpint(start.until_ms - core.now_ms, ==, cases[i].until_ms);
+        t_core_free(&core);
+    }
+}
+
+/* A route whose pools all have no share has nowhere to send a call. */
+static void
+test_no_pool(void)
+{
+    GArray *rows = t_relay_rows();
+    struct t_core core;
+
+    setup(&core, 2);
+    for (guint i = 0; i < rows->len; i++) {
+        if (g_array_index(rows, struct ct_config_row, i).kind ==
+            CT_CONFIG_POOL_SHARE) {
+            g_array_remove_index(rows, i--);
+        }
+    }
+    t_relay_post_config(&core, 6, rows);
+    t_relay_confirm(&core);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_core_assert_refused(&core, CT_REFUSAL_NO_UPSTREAM, CT_NOT_RUN);
+    t_core_free(&core);
+}
+
+/* A caller may close its connection when the answer has ended. */
+static void
+test_gone_after_end(void)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_GONE};
+    struct t_core core;
+
+    setup(&core, 2);
+    event.u.caller = t_relay_call(&core, 1, T_ANY_PATH);
+    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_COMPLETE,
+                   200);
+    t_core_post(&core, &event);
+    g_assert_cmpuint(core.state->counters.values[CT_COUNTER_CALLERS_GONE], ==,
+                     0);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL), ==, 0);
+    t_core_free(&core);
+}
+
 /* A configuration that names no organisations asks for no keys. */
 static void
 test_no_organisations(void)
@@ -503,6 +563,9 @@
     g_test_add_func("/relay/declined-twice", test_declined_twice);
     g_test_add_func("/relay/resume", test_resume);
     g_test_add_func("/relay/logged", test_logged);
+    g_test_add_func("/relay/deadline", test_deadline);
+    g_test_add_func("/relay/no-pool", test_no_pool);
+    g_test_add_func("/relay/gone-after-end", test_gone_after_end);
     g_test_add_func("/relay/no-organisations", test_no_organisations);
     g_test_add_func("/relay/no-mixture", test_no_mixture);
     g_test_add_func("/relay/gone", test_gone);
