--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -170,6 +170,13 @@
     t_relay_confirm(core);
 }
 
+void
+t_relay_setup(struct t_core *core, uint32_t n)
+{
+    t_relay_init(core);
+    t_relay_configure(core, 5, n);
+}
+
 uint64_t
 t_relay_call(struct t_core *core, uint8_t key, const char *path)
 {
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -27,6 +27,9 @@
  */
 void t_relay_configure(struct t_core *core, int64_t version, uint32_t n);
 
+/* Both, with version 5. */
+void t_relay_setup(struct t_core *core, uint32_t n);
+
 /* Rows of such a configuration, of struct ct_config_row. */
 GArray *t_relay_rows(void);
 void t_relay_post_config(struct t_core *core, int64_t version, GArray *rows);
--- a/t/test-candidates.c
+++ b/t/test-candidates.c
@@ -12,8 +12,7 @@
     struct ct_handle tried[1];
     struct t_core core;
 
-    t_relay_init(&core);
-    t_relay_configure(&core, 5, 3);
+    t_relay_setup(&core, 3);
     filter.pool = ct_config_pool(&core.state->config, &pool);
     g_assert_cmpuint(ct_candidates_list(core.state, &filter, found), ==, 3);
     for (int i = 0; i < 3; i++) {
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -1,16 +1,9 @@
-/* Tests of relay.h: who is let in, what is repeated, resumed and refused. */
+/* Tests of relay.h: who is let in, what is refused, logged and counted. */
 #include <string.h>
 
 #include "lib-relay.h"
 #include "outcome.h"
 
-static void
-setup(struct t_core *core, uint32_t n)
-{
-    t_relay_init(core);
-    t_relay_configure(core, 5, n);
-}
-
 /* CT_REFUSAL_COUNT: it was sent to an upstream. */
 static void
 expect(const struct t_core *core, enum ct_refusal reason)
@@ -42,7 +35,7 @@
     for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct t_core core;
 
-        setup(&core, 2);
+        t_relay_setup(&core, 2);
         t_relay_call(&core, cases[i].key, cases[i].path);
         expect(&core, cases[i].reason);
         t_core_free(&core);
@@ -84,7 +77,7 @@
     for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct t_core core;
 
-        setup(&core, 2);
+        t_relay_setup(&core, 2);
         core.now_ms += cases[i].age_ms;
         core.wall_ms += cases[i].age_ms;
         t_relay_call(&core, cases[i].key, cases[i].path);
@@ -100,7 +93,7 @@
     GArray *rows = t_relay_rows();
     struct t_core core;
 
-    setup(&core, 2);
+    t_relay_setup(&core, 2);
     for (guint i = 0; i < rows->len; i++) {
         struct ct_config_row *row =
             &g_array_index(rows, struct ct_config_row, i);
@@ -129,7 +122,7 @@
     struct ct_relay_start start;
     struct t_core core;
 
-    setup(&core, 2);
+    t_relay_setup(&core, 2);
     t_relay_call(&core, 1, T_STREAM_PATH);
     start = t_relay_started(&core);
     g_assert_cmpstr(start.organisation.text, ==, "acme");
@@ -142,127 +135,6 @@
     t_core_free(&core);
 }
 
-/* How an attempt ended, by kind of route: sent elsewhere, passed or refused.
- */
-static void
-test_ends(void)
-{
-    static const struct {
-        const char *path;
-        enum ct_outcome outcome;
-        uint32_t status;
-        bool repeated;
-        /* CT_REFUSAL_COUNT where the answer is passed on. */
-        enum ct_refusal reason;
-        enum ct_run_state run_state;
-    } cases[] = {
-        {T_ANY_PATH, CT_OUTCOME_COMPLETE, 200, false, CT_REFUSAL_COUNT},
-        {T_ANY_PATH, CT_OUTCOME_COMPLETE, 500, true, CT_REFUSAL_COUNT},
-        {T_ANY_PATH, CT_OUTCOME_BROKEN, 0, true, CT_REFUSAL_COUNT},
-        {T_ANY_PATH, CT_OUTCOME_MISMATCH, 200, true, CT_REFUSAL_COUNT},
-        {T_ANY_PATH, CT_OUTCOME_DECLINED, 503, true, CT_REFUSAL_COUNT},
-        {T_ONCE_PATH, CT_OUTCOME_COMPLETE, 500, false, CT_REFUSAL_COUNT},
-        {T_ONCE_PATH, CT_OUTCOME_BROKEN, 0, false, CT_REFUSAL_UPSTREAM_FAILED,
-         CT_MAY_HAVE_RUN},
-        {T_ONCE_PATH, CT_OUTCOME_MISMATCH, 200, false,
-         CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
-        {T_ONCE_PATH, CT_OUTCOME_DECLINED, 503, true, CT_REFUSAL_COUNT},
-        {T_STREAM_PATH, CT_OUTCOME_BROKEN, 0, false,
-         CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN},
-        {T_STREAM_PATH, CT_OUTCOME_DECLINED, 421, true, CT_REFUSAL_COUNT},
-        {T_RESUME_PATH, CT_OUTCOME_BROKEN, 0, true, CT_REFUSAL_COUNT},
-    };
-
-    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
-        struct ct_relay_start first;
-        struct t_core core;
-
-        setup(&core, 3);
-        t_relay_call(&core, 1, cases[i].path);
-        first = t_relay_started(&core);
-        t_relay_finish(&core, first.attempt, cases[i].outcome,
-                       cases[i].status);
-        if (cases[i].repeated) {
-            g_assert_cmpstr(t_relay_started(&core).upstream.text, !=,
-                            first.upstream.text);
-        }
-        else if (cases[i].reason == CT_REFUSAL_COUNT) {
-            g_assert_true(t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)
-                              ->u.forward.ends);
-        }
-        else {
-            t_core_assert_refused(&core, cases[i].reason, cases[i].run_state);
-        }
-        t_core_free(&core);
-    }
-}
-
-/* A connection that never stood leaves no doubt, whatever the kind. */
-static void
-test_not_sent(void)
-{
-    struct ct_relay_start start;
-    struct t_core core;
-
-    setup(&core, 3);
-    t_relay_call(&core, 1, T_ONCE_PATH);
-    for (guint i = 0; i < 2; i++) {
-        start = t_relay_started(&core);
-        t_relay_done(&core, start.attempt, CT_OUTCOME_NOT_SENT, 0);
-    }
-    start = t_relay_started(&core);
-    t_relay_done(&core, start.attempt, CT_OUTCOME_NOT_SENT, 0);
-    t_core_assert_refused(&core, CT_REFUSAL_NO_UPSTREAM, CT_NOT_RUN);
-    t_core_free(&core);
-}
-
-/* The second decline uses up the attempts; nothing has run, and it is said. */
-static void
-test_declined_twice(void)
-{
-    struct t_core core;
-
-    setup(&core, 3);
-    t_relay_call(&core, 1, T_ONCE_PATH);
-    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_DECLINED,
-                   503);
-    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_DECLINED,
-                   503);
-    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_FULL, CT_NOT_RUN);
-    g_assert_cmpint(
-        t_core_effect(&core, CT_EFFECT_REFUSE, 0)->u.refuse.retry_after_ms, >,
-        0);
-    t_core_free(&core);
-}
-
-/* A stream goes on elsewhere after the last event that the caller has. */
-static void
-test_resume(void)
-{
-    const struct ct_relay_forward *forward;
-    struct ct_relay_start start;
-    struct t_core core;
-
-    setup(&core, 3);
-    t_relay_call(&core, 1, T_RESUME_PATH);
-    start = t_relay_started(&core);
-    t_relay_sent(&core, start.attempt);
-    t_relay_data(&core, start.attempt, 4);
-    g_assert_true(
-        t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)->u.forward.begins);
-    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
-    start = t_relay_started(&core);
-    g_assert_cmpuint(start.after_event, ==, 4);
-    t_relay_sent(&core, start.attempt);
-    t_relay_data(&core, start.attempt, 5);
-    forward = &t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)->u.forward;
-    g_assert_false(forward->begins);
-    t_relay_done(&core, start.attempt, CT_OUTCOME_COMPLETE, 200);
-    forward = &t_core_effect(&core, CT_EFFECT_RELAY_FORWARD, 0)->u.forward;
-    g_assert_true(forward->ends);
-    t_core_free(&core);
-}
-
 static const struct ct_log_effect *
 logged(const struct t_core *core, enum ct_log_event event)
 {
@@ -285,7 +157,7 @@
     struct ct_relay_start start;
     struct t_core core;
 
-    setup(&core, 3);
+    t_relay_setup(&core, 3);
     t_relay_call(&core, 1, T_ANY_PATH);
     start = t_relay_started(&core);
     core.now_ms += 70;
@@ -323,7 +195,7 @@
         struct ct_relay_start start;
         struct t_core core;
 
-        setup(&core, 2);
+        t_relay_setup(&core, 2);
         t_relay_call_within(&core, 1, T_ANY_PATH, cases[i].deadline_ms);
         start = t_relay_started(&core);
         g_assert_cmpint(start.until_ms - core.now_ms, ==, cases[i].until_ms);
@@ -338,7 +210,7 @@
     GArray *rows = t_relay_rows();
     struct t_core core;
 
-    setup(&core, 2);
+    t_relay_setup(&core, 2);
     for (guint i = 0; i < rows->len; i++) {
         if (g_array_index(rows, struct ct_config_row, i).kind ==
             CT_CONFIG_POOL_SHARE) {
@@ -359,7 +231,7 @@
     struct ct_event event = {.type = CT_EVENT_RELAY_GONE};
     struct t_core core;
 
-    setup(&core, 2);
+    t_relay_setup(&core, 2);
     event.u.caller = t_relay_call(&core, 1, T_ANY_PATH);
     t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_COMPLETE,
                    200);
@@ -378,7 +250,7 @@
     struct t_core core;
     guint i = 0;
 
-    setup(&core, 2);
+    t_relay_setup(&core, 2);
     while (i < rows->len) {
         enum ct_config_kind kind =
             g_array_index(rows, struct ct_config_row, i).kind;
@@ -397,52 +269,6 @@
     t_core_free(&core);
 }
 
-/* What a begun answer must not become: another run's, or an error's. */
-static void
-test_no_mixture(void)
-{
-    struct ct_relay_start start;
-    struct t_core core;
-
-    /* A run that begins again. */
-    setup(&core, 3);
-    t_relay_call(&core, 1, T_RESUME_PATH);
-    start = t_relay_started(&core);
-    t_relay_sent(&core, start.attempt);
-    t_relay_data(&core, start.attempt, 4);
-    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
-    start = t_relay_started(&core);
-    t_relay_sent(&core, start.attempt);
-    t_relay_data(&core, start.attempt, 1);
-    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_FORWARD), ==, 0);
-    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_BREAK), ==, 1);
-    t_core_free(&core);
-
-    /* An error in place of the rest. */
-    setup(&core, 3);
-    t_relay_call(&core, 1, T_RESUME_PATH);
-    start = t_relay_started(&core);
-    t_relay_sent(&core, start.attempt);
-    t_relay_data(&core, start.attempt, 4);
-    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
-    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_COMPLETE,
-                   500);
-    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_FORWARD), ==, 0);
-    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_BREAK), ==, 1);
-    t_core_free(&core);
-
-    /* A stream that may not be resumed. */
-    setup(&core, 3);
-    t_relay_call(&core, 1, T_STREAM_PATH);
-    start = t_relay_started(&core);
-    t_relay_sent(&core, start.attempt);
-    t_relay_data(&core, start.attempt, 4);
-    t_relay_done(&core, start.attempt, CT_OUTCOME_BROKEN, 200);
-    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_START), ==, 0);
-    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_BREAK), ==, 1);
-    t_core_free(&core);
-}
-
 /* Work for a caller who left is stopped, but what may have run once only. */
 static void
 test_gone(void)
@@ -461,7 +287,7 @@
         struct ct_relay_start start;
         struct t_core core;
 
-        setup(&core, 2);
+        t_relay_setup(&core, 2);
         event.u.caller = t_relay_call(&core, 1, cases[i].path);
         start = t_relay_started(&core);
         if (cases[i].sent) {
@@ -487,7 +313,7 @@
 {
     struct t_core core;
 
-    setup(&core, 2);
+    t_relay_setup(&core, 2);
     t_relay_call(&core, 1, T_ONCE_PATH);
     t_relay_sent(&core, t_relay_started(&core).attempt);
     t_core_tick(&core, 10000);
@@ -498,32 +324,6 @@
     t_core_free(&core);
 }
 
-/* A pool where all fail: repeats stay within the part of one host. */
-static void
-test_repeat_budget(void)
-{
-    struct t_core core;
-    guint repeats = 0;
-
-    setup(&core, 3);
-    for (guint i = 0; i < 100; i++) {
-        struct ct_relay_start start;
-
-        t_relay_call(&core, 1, T_ANY_PATH);
-        start = t_relay_started(&core);
-        t_relay_finish(&core, start.attempt, CT_OUTCOME_BROKEN, 0);
-        if (t_core_count(&core, CT_EFFECT_RELAY_START) > 0) {
-            repeats++;
-            start = t_relay_started(&core);
-            t_relay_finish(&core, start.attempt, CT_OUTCOME_BROKEN, 0);
-        }
-    }
-    /* A fifth of the calls and a burst of 20. */
-    g_assert_cmpuint(repeats, >, 10);
-    g_assert_cmpuint(repeats, <=, 40);
-    t_core_free(&core);
-}
-
 /* Requests of an organisation count once, when their first answer comes. */
 static void
 test_counted_once(void)
@@ -532,7 +332,7 @@
     struct t_core core;
     const struct ct_tally_count *count;
 
-    setup(&core, 3);
+    t_relay_setup(&core, 3);
     t_relay_call(&core, 1, T_RESUME_PATH);
     start = t_relay_started(&core);
     t_relay_sent(&core, start.attempt);
@@ -558,19 +358,13 @@
     g_test_add_func("/relay/old-knowledge", test_old_knowledge);
     g_test_add_func("/relay/key-taken-away", test_key_taken_away);
     g_test_add_func("/relay/start", test_start);
-    g_test_add_func("/relay/ends", test_ends);
-    g_test_add_func("/relay/not-sent", test_not_sent);
-    g_test_add_func("/relay/declined-twice", test_declined_twice);
-    g_test_add_func("/relay/resume", test_resume);
     g_test_add_func("/relay/logged", test_logged);
     g_test_add_func("/relay/deadline", test_deadline);
     g_test_add_func("/relay/no-pool", test_no_pool);
     g_test_add_func("/relay/gone-after-end", test_gone_after_end);
     g_test_add_func("/relay/no-organisations", test_no_organisations);
-    g_test_add_func("/relay/no-mixture", test_no_mixture);
     g_test_add_func("/relay/gone", test_gone);
     g_test_add_func("/relay/time-is-up", test_time_is_up);
-    g_test_add_func("/relay/repeat-budget", test_repeat_budget);
     g_test_add_func("/relay/counted-once", test_counted_once);
     return g_test_run();
 }
