core: drop rows of zones that are not ordered for any more

Rows of zones that left were kept for ever.

Ruled out: keeping them for what was ordered there; an order says how many there shall be, so it can be given again.

Change: such rows go with the configuration, and the flag is looked at nowhere else. A test of each.

--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -83,6 +83,11 @@
                          .zone);
         }
     }
+    for (guint i = orders->rows->len; i > 0; i--) {
+        if (!row_at(orders, i - 1)->configured) {
+            g_array_remove_index(orders->rows, i - 1);
+        }
+    }
 }
 
 void
@@ -189,7 +194,7 @@
     uint32_t cheap;
     uint32_t firm = 0;
 
-    if (!pool || !row->configured) {
+    if (!pool) {
         return;
     }
     count = count_pool(state, pool);
--- a/t/test-relay-state.c
+++ b/t/test-relay-state.c
@@ -53,14 +53,10 @@
 {
     ct_ms start_ms = core->now_ms;
 
-    while (t_core_count(core, CT_EFFECT_DRAINED) == 0) {
-        t_core_tick(core, 50);
+    for (t_core_tick(core, 50); t_core_count(core, CT_EFFECT_DRAINED) == 0;
+         t_core_tick(core, 50)) {
         answer_append(core);
         t_relay_confirm(core);
-        t_core_tick(core, 50);
-        if (t_core_count(core, CT_EFFECT_STORE_APPEND) > 0) {
-            answer_append(core);
-        }
         g_assert_cmpint(core->now_ms - start_ms, <, 8000);
     }
     return core->now_ms - start_ms;
@@ -84,6 +80,23 @@
     t_core_free(&core);
 }
 
+/* A second request to stop neither starts the time anew nor logs again. */
+static void
+test_asked_twice(void)
+{
+    struct t_core core;
+
+    setup(&core);
+    t_relay_call(&core, 1, T_STREAM_PATH);
+    t_relay_sent(&core, t_relay_started(&core).attempt);
+    drain(&core);
+    core.now_ms += 3000;
+    drain(&core);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_STORE_LEAVE), ==, 0);
+    g_assert_cmpint(end_of_drain(&core), <=, 4500);
+    t_core_free(&core);
+}
+
 /* A call under way is waited for, up to the kill. */
 static void
 test_busy(void)
@@ -140,6 +153,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay-state/ready", test_ready);
     g_test_add_func("/relay-state/quiet", test_quiet);
+    g_test_add_func("/relay-state/asked-twice", test_asked_twice);
     g_test_add_func("/relay-state/busy", test_busy);
     g_test_add_func("/relay-state/late-calls", test_late_calls);
     return g_test_run();
--- a/t/test-tally.c
+++ b/t/test-tally.c
@@ -79,6 +79,9 @@
     g_assert_cmpint(core.wall_ms, >=, (window + 1) * WINDOW_MS);
     g_assert_cmpuint(effect->rows.n, ==, 0);
     answer(&core, effect->u.store_append.tally.sequence, CT_OK);
+    /* What the store has is kept no longer. */
+    g_assert_cmpuint(core.state->tallies.counts->len, ==, 0);
+    g_assert_cmpuint(core.state->tallies.records->len, ==, 0);
     effect = next_record(&core, WINDOW_MS + 1000);
     g_assert_cmpint(effect->u.store_append.tally.window, ==, window + 1);
     t_core_free(&core);
@@ -143,6 +146,28 @@
     t_core_free(&core);
 }
 
+/* An answer is for the record of its number, whichever was sent first. */
+static void
+test_answers_cross(void)
+{
+    const struct ct_effect *effect;
+    struct t_core core;
+    uint64_t first;
+
+    t_relay_init(&core);
+    count(&core, "acme", 3);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    first = effect->u.store_append.tally.sequence;
+    count(&core, "acme", 5);
+    effect = next_record(&core, WINDOW_MS + 1000);
+    g_assert_cmpuint(effect->u.store_append.tally.sequence, !=, first);
+    answer(&core, effect->u.store_append.tally.sequence, CT_OK);
+    g_assert_cmpuint(core.state->tallies.records->len, ==, 1);
+    answer(&core, first, CT_ERR_TIMEOUT);
+    g_assert_cmpuint(counted_again(&core, first, 3), ==, 0);
+    t_core_free(&core);
+}
+
 /* A jump of the time of day moves no count into another window. */
 static void
 test_jump(void)
@@ -188,6 +213,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/tally/windows", test_windows);
     g_test_add_func("/tally/repeats", test_repeats);
+    g_test_add_func("/tally/answers-cross", test_answers_cross);
     g_test_add_func("/tally/jump", test_jump);
     g_test_add_func("/tally/flush", test_flush);
     return g_test_run();
--- a/t/test-usage-report.c
+++ b/t/test-usage-report.c
@@ -441,6 +441,26 @@
     teardown(&w);
 }
 
+/* An answer about a window that is forgotten by then changes nothing. */
+static void
+test_unknown_window(void)
+{
+    struct ct_event event = {.type = CT_EVENT_DUTY_DONE};
+    struct world w;
+    guint before;
+
+    setup(&w);
+    run(&w, 12000, true);
+    before = w.reports->len;
+    event.u.duty.is_usage = true;
+    event.u.duty.window = 1;
+    event.u.duty.result = CT_ERR_IO;
+    t_core_post(&w.core, &event);
+    run(&w, 1000, true);
+    g_assert_cmpuint(w.reports->len, ==, before);
+    teardown(&w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -454,6 +474,7 @@
     g_test_add_func("/usage-report/waits", test_waits);
     g_test_add_func("/usage-report/sum", test_sum);
     g_test_add_func("/usage-report/forgets", test_forgets);
+    g_test_add_func("/usage-report/unknown-window", test_unknown_window);
     g_test_add_func("/usage-report/fenced", test_fenced);
     return g_test_run();
 }
--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -197,6 +197,52 @@
     t_core_free(&p.core);
 }
 
+/*
+ * The same zones again are the same rows; a zone that a configuration no more
+ * names is not ordered for.
+ */
+static void
+test_configured_again(void)
+{
+    GArray *config = rows();
+    struct platform p;
+    guint orders;
+
+    setup(&p);
+    run(&p, 10000);
+    orders = p.orders;
+    t_relay_post_config(&p.core, 2, config);
+    g_assert_cmpuint(p.core.state->zone_orders.rows->len, ==, ZONES);
+    run(&p, 3000);
+    g_assert_cmpuint(p.orders, ==, orders);
+    /* The last row is that of the last zone. */
+    g_array_set_size(config, config->len - 1);
+    t_relay_post_config(&p.core, 3, config);
+    g_assert_cmpuint(p.core.state->zone_orders.rows->len, ==, ZONES - 1);
+    set_entries(&p, ZONES - 1, true, 0);
+    run(&p, 3000);
+    g_assert_cmpuint(p.cheap[ZONES - 1], ==, 0);
+    t_core_free(&p.core);
+    g_array_free(config, TRUE);
+}
+
+/* An order that is refused as an old holder's ends the part of this host. */
+static void
+test_fenced(void)
+{
+    struct platform p;
+    guint orders;
+
+    setup(&p);
+    p.result = CT_ERR_FENCED;
+    run(&p, 5000);
+    orders = p.orders;
+    g_assert_cmpuint(orders, >=, 1);
+    run(&p, 5000);
+    g_assert_cmpuint(p.orders, ==, orders);
+    t_core_free(&p.core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -205,5 +251,7 @@
     g_test_add_func("/zone-orders/zone-lost", test_zone_lost);
     g_test_add_func("/zone-orders/unknown-result", test_unknown_result);
     g_test_add_func("/zone-orders/load", test_load);
+    g_test_add_func("/zone-orders/configured-again", test_configured_again);
+    g_test_add_func("/zone-orders/fenced", test_fenced);
     return g_test_run();
 }
