t: wait for engines that are back before one is killed

The cases before it take all engines out for times that double; the last case ends as soon as one engine is back, and where that one is the engine that is killed, the host truly has none left and says so (no-upstream, not run).

Ruled out: a call lost or cut by the host (the refusal is typed and not-run, and the engine's log shows that nothing was sent to the other two); the machine's load (it only changes which engine is back first).

The test now calls each host until each engine has served one of its calls, and only then kills one; what it asks of the host is as before.

--- a/t/proc-answer.c
+++ b/t/proc-answer.c
@@ -61,6 +61,8 @@
 
 /* Times that each engine gets the fault before it must have shown. */
 #define ROUNDS_MAX 20
+/* So many that they reach each engine. */
+#define PROMPTS 16
 
 static const struct fault faults[] = {
     {"break before the first token",
@@ -158,7 +160,40 @@
     run_faults(CHAT_WHOLE);
 }
 
-/* An engine that is killed in the middle of a stream. */
+/* Whether each engine serves calls of that host; the prompts spread them. */
+static bool
+all_serve(int host)
+{
+    int before[UPSTREAMS_MAX];
+    bool all = true;
+
+    for (int i = 0; i < d.n_engines; i++) {
+        before[i] = HTTP_COUNT_SEEN(d.engines[i].port, "\"start\"");
+    }
+    for (int i = 0; i < PROMPTS; i++) {
+        char *body = g_strdup_printf(
+            "{\"model\":\"large\",\"messages\":[{\"role\":\"user\","
+            "\"content\":\"%d is the prompt\"}]}",
+            i);
+        struct caller_call call = {
+            .key = d.alpha, .path = CHAT_PATH, .body = body};
+        struct http_reply reply;
+
+        deployment_call(&d, host, NULL, &call, &reply);
+        http_reply_free(&reply);
+        g_free(body);
+    }
+    for (int i = 0; i < d.n_engines; i++) {
+        all =
+            all && HTTP_COUNT_SEEN(d.engines[i].port, "\"start\"") > before[i];
+    }
+    return all;
+}
+
+/*
+ * An engine that is killed in the middle of a stream. Those that the faults
+ * before took out are back by then: else no engine may be left.
+ */
 static void
 test_engine_killed(void)
 {
@@ -167,6 +202,9 @@
     struct http_reply reply;
 
     deployment_set_engines(&d, UNBROKEN);
+    for (int i = 0; i < d.n_hosts; i++) {
+        AWAIT(all_serve(i), AWAIT_MS);
+    }
     process_kill(&d.engines[1]);
     for (int i = 0; i < 8; i++) {
         deployment_call(&d, i % d.n_hosts, NULL, &call, &reply);
