shell: take no connection at a drain's end that would be reset

Cause: at the end of a drain the callers' port closed its listening socket while callers went on calling.

Ruled out: accepting until nothing waits and closing then (a connection can come to be between the two); a longer wait before the close (the same, later); shutdown() of the listening socket (resets what waits).

The socket now gets a filter that drops the first packet of a connection, so that no new one comes to be; the caller's system tries again and is refused once the socket is closed, or meets the host's successor. What the kernel had taken is accepted, read and answered; connections on which nothing comes hold up the end for a second at most.

Before: test-callers finish-taken and finish-silent fail at their first check, test-socket had no such call.

--- a/shell/caller-connection.c
+++ b/shell/caller-connection.c
@@ -60,6 +60,13 @@
     ev_timer_stop(ct_loop_ev(connection->callers->loop), &connection->idle);
 }
 
+void
+ct_caller_connection_used(struct ct_caller_connection *connection)
+{
+    connection->callers->fresh -= connection->fresh;
+    connection->fresh = false;
+}
+
 struct ct_caller_connection *
 ct_caller_connection_of(struct MHD_Connection *connection)
 {
@@ -82,6 +89,8 @@
                   callers->limits.idle_timeout_ms / 1e3);
     connection->idle.data = connection;
     ev_timer_again(ct_loop_ev(callers->loop), &connection->idle);
+    connection->fresh = true;
+    callers->fresh++;
     callers->connections++;
     *context = connection;
 }
@@ -98,7 +107,9 @@
         return;
     }
     ct_caller_connection_stop(*context);
+    ct_caller_connection_used(*context);
     callers->connections--;
     g_free(*context);
     *context = NULL;
+    ct_callers_look_finished(callers);
 }
--- a/shell/caller-request.c
+++ b/shell/caller-request.c
@@ -309,7 +309,7 @@
     struct ct_caller *caller = ct_caller_add(arg);
     const char *query = strchr(uri, '?');
 
-    (void)connection;
+    ct_caller_connection_used(ct_caller_connection_of(connection));
     if (caller != NULL && query != NULL) {
         caller->query = g_strdup(query + 1);
     }
--- a/shell/caller.h
+++ b/shell/caller.h
@@ -18,7 +18,11 @@
     struct ct_http_server server;
     struct ct_table requests;
     uint32_t connections;
+    /* Of those, on which no request has begun. */
+    uint32_t fresh;
     bool draining;
+    /* How long the end waits for requests that are on their way. */
+    ev_timer last_calls;
     void (*finished)(void *arg);
     void *finished_arg;
 };
@@ -32,6 +36,8 @@
     uint64_t received;
     /* The request whose body is being read, if any. */
     struct ct_handle reading;
+    /* No request has begun on it. */
+    bool fresh;
 };
 
 enum ct_caller_phase {
@@ -93,6 +99,9 @@
 /* Ends the request: tells the reducer where it still waits. */
 void ct_caller_remove(struct ct_caller *caller);
 
+/* Tells the end of a drain, where it is reached. */
+void ct_callers_look_finished(struct ct_callers *callers);
+
 /* caller-wait.c: suspended connections. */
 void ct_caller_suspend(struct ct_caller *caller);
 void ct_caller_resume(struct ct_caller *caller);
@@ -105,6 +114,8 @@
 void ct_caller_connection_wait(struct ct_caller_connection *connection,
                                struct ct_handle reading);
 void ct_caller_connection_stop(struct ct_caller_connection *connection);
+/* The first request on a connection has begun. */
+void ct_caller_connection_used(struct ct_caller_connection *connection);
 struct ct_caller_connection *
 ct_caller_connection_of(struct MHD_Connection *connection);
 
--- a/shell/callers.c
+++ b/shell/callers.c
@@ -9,6 +9,8 @@
 #define MS_PER_S 1000
 /* Beyond the head: room for the response's head and for a part to write. */
 #define CONNECTION_EXTRA_BYTES (4 * 1024)
+/* A request that was sent before the end of a drain is there by then. */
+#define LAST_CALLS_S 1.0
 
 struct ct_caller *
 ct_caller_find(const struct ct_callers *callers, uint64_t number)
@@ -59,7 +61,7 @@
 
 /* Whether an answer is awaited or still being written. */
 static bool
-is_busy(const struct ct_callers *callers)
+is_answering(const struct ct_callers *callers)
 {
     const struct ct_caller *caller;
     struct ct_handle handle;
@@ -74,10 +76,20 @@
     return false;
 }
 
-static void
-tell_finished(struct ct_callers *callers)
+/* Whether a request may still come that a caller has begun to send. */
+static bool
+is_call_coming(const struct ct_callers *callers)
+{
+    return ev_is_active(&callers->last_calls) &&
+           (callers->fresh > 0 || callers->requests.live > 0 ||
+            ct_http_server_has_waiting(&callers->server));
+}
+
+void
+ct_callers_look_finished(struct ct_callers *callers)
 {
-    if (callers->finished != NULL && !is_busy(callers)) {
+    if (callers->finished != NULL && !is_answering(callers) &&
+        !is_call_coming(callers)) {
         void (*finished)(void *arg) = callers->finished;
 
         callers->finished = NULL;
@@ -85,6 +97,14 @@
     }
 }
 
+static void
+on_last_calls(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    (void)ev;
+    (void)events;
+    ct_callers_look_finished(timer->data);
+}
+
 void
 ct_caller_remove(struct ct_caller *caller)
 {
@@ -98,7 +118,7 @@
     ct_answers_drop_body(callers->answers, event.u.caller);
     ct_answers_close(callers->answers, caller->reader);
     ct_table_unref(&callers->requests, caller->handle);
-    tell_finished(callers);
+    ct_callers_look_finished(callers);
 }
 
 /* Resumes what is suspended, as libmicrohttpd wants it before its end. */
@@ -111,6 +131,7 @@
     uint32_t cursor = 0;
 
     callers->finished = NULL;
+    ev_timer_stop(ct_loop_ev(callers->loop), &callers->last_calls);
     while ((caller = ct_table_next(&callers->requests, &cursor, &handle))) {
         caller->gone = true;
         ct_caller_resume(caller);
@@ -162,6 +183,8 @@
     callers->limits = *limits;
     ct_table_init(&callers->requests, sizeof(struct ct_caller), 0,
                   clear_caller);
+    ev_timer_init(&callers->last_calls, on_last_calls, LAST_CALLS_S, 0);
+    callers->last_calls.data = callers;
     err = start_server(callers, address);
     if (err < 0) {
         ct_table_free(&callers->requests);
@@ -210,11 +233,12 @@
 ct_callers_finish(struct ct_callers *callers, void (*done)(void *arg),
                   void *arg)
 {
-    ct_http_server_quiesce(&callers->server);
+    ct_http_server_take_no_more(&callers->server);
+    ev_timer_start(ct_loop_ev(callers->loop), &callers->last_calls);
     refuse_unread(callers);
     callers->finished = done;
     callers->finished_arg = arg;
-    tell_finished(callers);
+    ct_callers_look_finished(callers);
 }
 
 uint32_t
--- a/shell/callers.h
+++ b/shell/callers.h
@@ -30,7 +30,8 @@
 /* From now on connections are closed after the answer that they wait for. */
 void ct_callers_drain(struct ct_callers *callers);
 /*
- * Accepts no more connections and refuses requests that are only half read;
+ * Takes no more connections and refuses requests that are only half read. What
+ * a caller had sent by then is read and answered;
  * calls done once no request is left whose answer was not written out.
  */
 void ct_callers_finish(struct ct_callers *callers, void (*done)(void *arg),
--- a/shell/http-server.c
+++ b/shell/http-server.c
@@ -1,5 +1,7 @@
 #include "http-server.h"
 
+#include <errno.h>
+#include <glib.h>
 #include <unistd.h>
 
 #include "error.h"
@@ -56,6 +58,7 @@
     if (fd < 0) {
         return fd;
     }
+    server->listener = fd;
     server->loop = loop;
     server->daemon =
         MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
@@ -85,15 +88,19 @@
 }
 
 void
-ct_http_server_quiesce(struct ct_http_server *server)
+ct_http_server_take_no_more(struct ct_http_server *server)
 {
-    MHD_socket fd = MHD_quiesce_daemon(server->daemon);
-
-    if (fd != MHD_INVALID_SOCKET) {
-        close(fd);
+    if (ct_socket_take_no_more(server->listener) < 0) {
+        g_warning("callers are still let in: %s", g_strerror(errno));
     }
 }
 
+bool
+ct_http_server_has_waiting(const struct ct_http_server *server)
+{
+    return ct_socket_has_waiting(server->listener);
+}
+
 void
 ct_http_server_stop(struct ct_http_server *server)
 {
--- a/shell/http-server.h
+++ b/shell/http-server.h
@@ -17,6 +17,7 @@
     ev_io io;
     ev_timer timer;
     ev_prepare prepare;
+    int listener;
     uint16_t port;
 };
 
@@ -32,8 +33,11 @@
 /* Lets the library look soon at connections that were resumed. */
 void ct_http_server_wake(struct ct_http_server *server);
 
-/* Accepts no more connections; those that stand go on. */
-void ct_http_server_quiesce(struct ct_http_server *server);
+/* Lets no more connections come to be; those that stand or wait go on. */
+void ct_http_server_take_no_more(struct ct_http_server *server);
+
+/* Whether a connection waits to be accepted. */
+bool ct_http_server_has_waiting(const struct ct_http_server *server);
 
 /* All suspended connections must have been resumed before. */
 void ct_http_server_stop(struct ct_http_server *server);
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -3,8 +3,10 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,6 +14,8 @@
 #include "error.h"
 
 #define PORT_MAX 65535
+/* Of the byte with the flags in the TCP header. */
+#define TCP_FLAGS_OFFSET 13
 
 static int
 parse_address(const char *text, struct sockaddr_in *address)
@@ -69,6 +73,33 @@
     return fd;
 }
 
+int
+ct_socket_take_no_more(int listener)
+{
+    /* Drops what has SYN without ACK; the filter sees the TCP header. */
+    struct sock_filter code[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    const struct sock_fprog program = {G_N_ELEMENTS(code), code};
+
+    return setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof(program)) < 0
+               ? CT_ERR_IO
+               : CT_OK;
+}
+
+bool
+ct_socket_has_waiting(int listener)
+{
+    struct pollfd look = {.fd = listener, .events = POLLIN};
+
+    return poll(&look, 1, 0) > 0 && (look.revents & POLLIN) != 0;
+}
+
 int
 ct_socket_connect(const char *text)
 {
--- a/shell/socket.h
+++ b/shell/socket.h
@@ -1,6 +1,7 @@
 #ifndef CT_SOCKET_H
 #define CT_SOCKET_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* TCP sockets by "IP:port"; all are non-blocking and closed on exec. */
@@ -11,6 +12,16 @@
  */
 int ct_socket_listen(const char *text, uint16_t *port);
 
+/*
+ * No new connection comes to be from now on: its first packet is dropped, so
+ * that the other end tries again and is refused once the socket is closed.
+ * Those that the kernel has taken wait to be accepted. Errors: CT_ERR_IO.
+ */
+int ct_socket_take_no_more(int listener);
+
+/* Whether a connection waits to be accepted. */
+bool ct_socket_has_waiting(int listener);
+
 /* Starts to connect. Errors: CT_ERR_INVALID, CT_ERR_IO. */
 int ct_socket_connect(const char *text);
 
--- a/t/test-callers.c
+++ b/t/test-callers.c
@@ -533,6 +533,42 @@
     tear_down(&f);
 }
 
+/* What the kernel took before the end of a drain is read and answered. */
+static void
+test_finish_taken(void)
+{
+    bool finished = false;
+    struct fixture f;
+    struct client client;
+
+    set_up(&f, 30000);
+    client_open(ct_callers_port(f.callers), &client);
+    client_send(&client, CHAT "Content-Length: 56\r\n\r\n" BODY);
+    ct_callers_finish(f.callers, on_finished, &finished);
+    g_assert_false(finished);
+    client_await(f.script, &client, "X-Refusal: no-key\r\n");
+    client_close(&client);
+    script_wait_for(f.script, is_set, &finished);
+    tear_down(&f);
+}
+
+/* A connection on which nothing comes does not hold up the end. */
+static void
+test_finish_silent(void)
+{
+    bool finished = false;
+    struct fixture f;
+    struct client client;
+
+    set_up(&f, 30000);
+    client_open(ct_callers_port(f.callers), &client);
+    ct_callers_finish(f.callers, on_finished, &finished);
+    g_assert_false(finished);
+    script_wait_for(f.script, is_set, &finished);
+    client_close(&client);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -558,5 +594,7 @@
     g_test_add_func("/callers/idle-connections", test_idle_connections);
     g_test_add_func("/callers/idle-end", test_idle_end);
     g_test_add_func("/callers/finish", test_finish);
+    g_test_add_func("/callers/finish-taken", test_finish_taken);
+    g_test_add_func("/callers/finish-silent", test_finish_silent);
     return g_test_run();
 }
--- /dev/null
+++ b/t/test-socket.c
@@ -0,0 +1,123 @@
+/* Tests of socket.h. */
+#include "socket.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "error.h"
+
+/* Overall limit of a wait; no verdict hangs on how long it takes. */
+#define WAIT_MS 60000
+
+static int
+listen_any(char **address)
+{
+    uint16_t port;
+    int listener = ct_socket_listen("127.0.0.1:0", &port);
+
+    g_assert_cmpint(listener, >=, 0);
+    *address = g_strdup_printf("127.0.0.1:%u", port);
+    return listener;
+}
+
+static int
+tcp_state(int fd)
+{
+    struct tcp_info info;
+    socklen_t size = sizeof(info);
+
+    g_assert_cmpint(getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size), ==,
+                    0);
+    return info.tcpi_state;
+}
+
+/* The error with which an attempt to connect ends. */
+static int
+connect_error(int fd)
+{
+    struct pollfd look = {.fd = fd, .events = POLLOUT};
+    socklen_t size = sizeof(int);
+    int err;
+
+    g_assert_cmpint(poll(&look, 1, WAIT_MS), ==, 1);
+    g_assert_cmpint(getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &size), ==, 0);
+    return err;
+}
+
+static void
+test_addresses(void)
+{
+    static const char *const bad[] = {"", "127.0.0.1", "127.0.0.1:65536",
+                                      "127.0.0.1:x", "h:1"};
+    uint16_t port;
+
+    for (guint i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_cmpint(ct_socket_listen(bad[i], &port), ==, CT_ERR_INVALID);
+        g_assert_cmpint(ct_socket_connect(bad[i]), ==, CT_ERR_INVALID);
+    }
+}
+
+static void
+test_accept(void)
+{
+    char *address;
+    int listener = listen_any(&address);
+    int client;
+    int server;
+
+    g_assert_cmpint(ct_socket_accept(listener), ==, CT_ERR_IO);
+    g_assert_false(ct_socket_has_waiting(listener));
+    client = ct_socket_connect(address);
+    g_assert_cmpint(connect_error(client), ==, 0);
+    g_assert_true(ct_socket_has_waiting(listener));
+    server = ct_socket_accept(listener);
+    g_assert_cmpint(server, >=, 0);
+    g_assert_false(ct_socket_has_waiting(listener));
+    close(server);
+    close(client);
+    close(listener);
+    g_free(address);
+}
+
+/* Nobody is reset: taken before, or never taken. */
+static void
+test_take_no_more(void)
+{
+    char *address;
+    int listener = listen_any(&address);
+    int before = ct_socket_connect(address);
+    int after;
+    int server;
+
+    g_assert_cmpint(connect_error(before), ==, 0);
+    g_assert_cmpint(ct_socket_take_no_more(listener), ==, CT_OK);
+    after = ct_socket_connect(address);
+    g_assert_cmpint(tcp_state(after), ==, TCP_SYN_SENT);
+    server = ct_socket_accept(listener);
+    g_assert_cmpint(server, >=, 0);
+    g_assert_cmpint(send(before, "x", 1, 0), ==, 1);
+    g_assert_false(ct_socket_has_waiting(listener));
+    close(listener);
+    g_assert_cmpint(tcp_state(server), ==, TCP_ESTABLISHED);
+    g_assert_cmpint(tcp_state(before), ==, TCP_ESTABLISHED);
+    g_assert_cmpint(connect_error(after), ==, ECONNREFUSED);
+    close(server);
+    close(before);
+    close(after);
+    g_free(address);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/socket/addresses", test_addresses);
+    g_test_add_func("/socket/accept", test_accept);
+    g_test_add_func("/socket/take-no-more", test_take_no_more);
+    return g_test_run();
+}
