core: ask for the members when the group has changed

Cause: each host asked the store for the members of the group every 2 to 2.5 seconds, changed or not.

Ruled out: a longer period by the number of hosts, as was meant; a host that died would stay in address answers for longer. The answer to each join brings the group's generation, which changes whenever a member comes or goes: it tells for free whether there is anything to ask.

--- a/core/roster.c
+++ b/core/roster.c
@@ -7,11 +7,13 @@
 #include "addresses.h"
 #include "state.h"
 
-/* Between questions: longer the more hosts ask. */
+/* Between questions while the group changes, or nothing tells whether. */
 #define PERIOD_MS 2000
-#define PERIOD_A_HOST_MS 60
+/* Between questions while it is the same. */
+#define CALM_MS 10000
 /* Spread of the hosts' questions, so that they do not come all at once. */
-#define SPREAD_MS 500
+#define SPREAD_MS 400
+#define SPREAD_A_HOST_MS 5
 /* Answers in a row without a host after which it is dropped. */
 #define MISSES_MAX 2
 
@@ -34,24 +36,47 @@
     return MAX(state->roster.rows.live, 1);
 }
 
+/* Asks after the delay and some more, unless that is to be done sooner. */
 static void
-arm(struct ct_state *state)
+ask_after(struct ct_state *state, ct_ms delay_ms)
 {
-    ct_arm(state, PERIOD_MS + (ct_ms)(ct_state_random(state) % SPREAD_MS),
-           CT_TIMER_MEMBERS, CT_NO_HANDLE);
+    struct ct_roster *roster = &state->roster;
+    uint64_t spread_ms =
+        SPREAD_MS + SPREAD_A_HOST_MS * (uint64_t)ct_roster_size(state);
+
+    delay_ms += (ct_ms)(ct_state_random(state) % spread_ms);
+    if (roster->ask_at_ms && roster->ask_at_ms <= state->now_ms + delay_ms) {
+        return;
+    }
+    roster->ask_at_ms = state->now_ms + delay_ms;
+    ct_arm(state, delay_ms, CT_TIMER_MEMBERS, CT_NO_HANDLE);
 }
 
 void
 ct_roster_start(struct ct_state *state)
 {
+    struct ct_roster *roster = &state->roster;
+
     ct_emit(state, CT_EFFECT_STORE_MEMBERS);
-    arm(state);
+    roster->asked_ms = state->now_ms;
+    roster->ask_at_ms = 0;
+    ask_after(state, ct_tenure_follows(state) ? CALM_MS : PERIOD_MS);
 }
 
 void
 ct_roster_on_timer(struct ct_state *state)
 {
-    ct_roster_start(state);
+    if (state->roster.ask_at_ms && state->roster.ask_at_ms <= state->now_ms) {
+        ct_roster_start(state);
+    }
+}
+
+void
+ct_roster_ask_again(struct ct_state *state)
+{
+    ct_ms since_ms = state->now_ms - state->roster.asked_ms;
+
+    ask_after(state, MAX(PERIOD_MS - since_ms, 0));
 }
 
 static struct ct_roster_row *
@@ -99,6 +124,7 @@
 
     /* Nobody at all: the group lapsed while the store was away. */
     if (event->u.members.result < 0 || event->rows.n == 0) {
+        ct_roster_ask_again(state);
         return;
     }
     while ((row = ct_table_next(&state->roster.rows, &cursor, NULL))) {
@@ -114,6 +140,9 @@
             ct_emit_log(state, CT_LOG_MEMBER_DOWN, &row->member.host, NULL, 0);
             ct_table_unref(&state->roster.rows, handle);
         }
+        else if (row->misses > 0) {
+            ct_roster_ask_again(state);
+        }
     }
 }
 
--- a/core/roster.h
+++ b/core/roster.h
@@ -7,6 +7,8 @@
 /*
  * The hosts that take callers, as members of a group in the platform's store.
  * A host that leaves says so; one that falls silent is dropped by the store.
+ * The generation that comes with each join tells whether the group is still
+ * the same; only then its members are asked for again.
  */
 
 struct ct_roster_row {
@@ -20,7 +22,9 @@
     struct ct_table rows;
     /* This host is in the group. */
     bool joined;
-    bool asked;
+    ct_ms asked_ms;
+    /* Time of the next question; 0 for none. */
+    ct_ms ask_at_ms;
 };
 
 struct ct_state;
@@ -30,6 +34,8 @@
 
 /* Asks for the members, and again from then on. */
 void ct_roster_start(struct ct_state *state);
+/* The group has changed, or may have: asks again soon. */
+void ct_roster_ask_again(struct ct_state *state);
 /* CT_TIMER_MEMBERS */
 void ct_roster_on_timer(struct ct_state *state);
 void ct_roster_on_members(struct ct_state *state,
--- a/core/tenure.c
+++ b/core/tenure.c
@@ -72,6 +72,7 @@
         if (tenure->failures++ == 0) {
             ct_emit_log(state, CT_LOG_STORE_LOST, NULL,
                         ct_err_name(joined->result), CT_TOPIC_COUNT);
+            ct_roster_ask_again(state);
         }
         update(state);
         return;
@@ -87,6 +88,7 @@
     }
     if (joined->generation != tenure->generation) {
         tenure->changed_ms = state->now_ms;
+        ct_roster_ask_again(state);
     }
     tenure->holds = joined->holds_duty;
     tenure->generation = joined->generation;
@@ -112,6 +114,12 @@
            tenure->generation > tenure->refused_fence;
 }
 
+bool
+ct_tenure_follows(const struct ct_state *state)
+{
+    return state->tenure.generation > 0 && state->tenure.failures == 0;
+}
+
 ct_ms
 ct_tenure_until_ms(const struct ct_state *state)
 {
--- a/core/tenure.h
+++ b/core/tenure.h
@@ -39,6 +39,8 @@
 
 /* Whether this host may act for all now; its number is the generation. */
 bool ct_tenure_acts(const struct ct_state *state);
+/* Whether changes of the group are heard of, with the answers to joins. */
+bool ct_tenure_follows(const struct ct_state *state);
 /* Until when it may, at the least. */
 ct_ms ct_tenure_until_ms(const struct ct_state *state);
 
--- a/coriandertrack/hosts.c
+++ b/coriandertrack/hosts.c
@@ -8,7 +8,6 @@
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
 #define STATUS_NOT_FOUND 404
-#define STATUS_UNAVAILABLE 503
 
 /* Prints the numbers, texts and truth values of an object, "name=value". */
 static void
--- a/t/test-roster.c
+++ b/t/test-roster.c
@@ -109,18 +109,107 @@
     t_core_free(&core);
 }
 
-/* The members are asked for again and again. */
+/* How often the members are asked for within ten seconds, answers included. */
+static guint
+asked_in_10_s(struct t_core *core, guint n)
+{
+    guint asked = 0;
+
+    for (guint i = 0; i < 100; i++) {
+        t_core_tick(core, 100);
+        if (t_core_count(core, CT_EFFECT_STORE_MEMBERS) > 0) {
+            asked++;
+            post_members(core, CT_OK, n);
+        }
+    }
+    return asked;
+}
+
+static void
+post_joined(struct t_core *core, int32_t result, int64_t generation)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_JOINED};
+
+    event.u.joined.result = result;
+    event.u.joined.generation = generation;
+    event.u.joined.sent_ms = core->now_ms;
+    t_core_post(core, &event);
+}
+
+/* Without a place in the group nothing tells of a change. */
 static void
-test_asks(void)
+test_asks_blind(void)
+{
+    struct t_core core;
+
+    setup(&core);
+    g_assert_cmpuint(asked_in_10_s(&core, 3), >=, 3);
+    post_joined(&core, CT_OK, 7);
+    post_joined(&core, CT_ERR_TIMEOUT, 0);
+    asked_in_10_s(&core, 3);
+    g_assert_cmpuint(asked_in_10_s(&core, 3), >=, 3);
+    t_core_free(&core);
+}
+
+/* As long as the group is the same its members are. */
+static void
+test_asks_calm(void)
+{
+    struct t_core core;
+
+    setup(&core);
+    post_joined(&core, CT_OK, 7);
+    asked_in_10_s(&core, 3);
+    g_assert_cmpuint(asked_in_10_s(&core, 3), <=, 1);
+    g_assert_cmpuint(asked_in_10_s(&core, 3) + asked_in_10_s(&core, 3), >=, 1);
+    t_core_free(&core);
+}
+
+/* Asked soon after a change, and again while one is missing. */
+static void
+test_asks_changed(void)
 {
     struct t_core core;
     guint asked = 0;
 
     setup(&core);
-    for (guint i = 0; i < 100; i++) {
+    post_joined(&core, CT_OK, 7);
+    asked_in_10_s(&core, 3);
+    asked_in_10_s(&core, 3);
+    post_joined(&core, CT_OK, 8);
+    for (guint i = 0; i < 26 && asked == 0; i++) {
+        t_core_tick(&core, 100);
+        asked += t_core_count(&core, CT_EFFECT_STORE_MEMBERS);
+    }
+    g_assert_cmpuint(asked, ==, 1);
+    post_members(&core, CT_OK, 2);
+    g_assert_cmpuint(ct_roster_size(core.state), ==, 3);
+    for (guint i = 0; i < 26 && asked == 1; i++) {
         t_core_tick(&core, 100);
         asked += t_core_count(&core, CT_EFFECT_STORE_MEMBERS);
     }
+    g_assert_cmpuint(asked, ==, 2);
+    post_members(&core, CT_OK, 2);
+    g_assert_cmpuint(ct_roster_size(core.state), ==, 2);
+    t_core_free(&core);
+}
+
+/* Changes that follow each other are not each asked for. */
+static void
+test_asks_storm(void)
+{
+    struct t_core core;
+    guint asked = 0;
+
+    setup(&core);
+    for (guint i = 0; i < 100; i++) {
+        post_joined(&core, CT_OK, 7 + i);
+        t_core_tick(&core, 100);
+        if (t_core_count(&core, CT_EFFECT_STORE_MEMBERS) > 0) {
+            asked++;
+            post_members(&core, CT_OK, 3);
+        }
+    }
     g_assert_cmpuint(asked, >=, 3);
     g_assert_cmpuint(asked, <=, 5);
     t_core_free(&core);
@@ -134,6 +223,9 @@
     g_test_add_func("/roster/missing", test_missing);
     g_test_add_func("/roster/outage", test_outage);
     g_test_add_func("/roster/self", test_self);
-    g_test_add_func("/roster/asks", test_asks);
+    g_test_add_func("/roster/asks-blind", test_asks_blind);
+    g_test_add_func("/roster/asks-calm", test_asks_calm);
+    g_test_add_func("/roster/asks-changed", test_asks_changed);
+    g_test_add_func("/roster/asks-storm", test_asks_storm);
     return g_test_run();
 }
