core: read entries of upstreams in parts, and wait longer after failures

Cause: of 300 hosts before 3,000 upstreams none served. The log of one host: 2,992 cheap upstreams are listed, 3,045 entries come in one answer of 1 MB, and from the next second on each read ends by its time-out of 700 ms. 300 hosts that ask a store that gives 80 MB/s for 1 MB each need 3.8 s; all of them give up before, and ask again, for ever. Then nobody knows the keys any more.

Also found: an answer that is cut at the store's size of 1 MB was taken for proof that everything up to its sending is known, of the configuration too.

Reads of entries ask for 64 KB at most (the page's number is in KB, as its default showed: 3,045 records of 344 bytes), go on without a pause while there is more, and renew the knowledge with the last part only. A read that failed is given twice and four times the time. A record larger than a part is read alone.

--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -11,8 +11,14 @@
  */
 #define CONFIG_WAIT_PERCENT 55
 #define UPSTREAMS_WAIT_PERCENT 70
-/* Beyond its wait an answer takes this long at most. */
+/*
+ * Beyond its wait an answer takes this long at most; doubled with failures,
+ * for a store that is slow with the reads of all hosts.
+ */
 #define READ_TIMEOUT_MS 700
+#define READ_TIMEOUT_DOUBLINGS 2
+/* Entries of upstreams are read in parts, so that each is there in time. */
+#define UPSTREAMS_PART_BYTES (64 * 1024)
 /*
  * Entries of upstreams come in bursts: those of this time are read at once.
  * Longer the more hosts read them, within the bound on leaving upstreams.
@@ -87,6 +93,14 @@
     }
 }
 
+static ct_ms
+timeout_of(const struct ct_topic_sync *sync)
+{
+    return sync->known
+               ? READ_TIMEOUT_MS << MIN(sync->failures, READ_TIMEOUT_DOUBLINGS)
+               : NEWEST_TIMEOUT_MS;
+}
+
 static void
 emit_read(struct ct_state *state, enum ct_topic topic)
 {
@@ -105,8 +119,10 @@
     if (sync->known) {
         read->wait_ms = wait_for(state, topic);
     }
-    read->timeout_ms =
-        sync->known ? read->wait_ms + READ_TIMEOUT_MS : NEWEST_TIMEOUT_MS;
+    if (topic == CT_TOPIC_UPSTREAMS && !sync->oversize) {
+        read->max_bytes = UPSTREAMS_PART_BYTES;
+    }
+    read->timeout_ms = read->wait_ms + timeout_of(sync);
 }
 
 static void
@@ -424,6 +440,29 @@
     sync->known_ms = MAX(sync->known_ms, sync->pages_ms);
 }
 
+static void
+on_records(struct ct_state *state, const struct ct_store_read *read)
+{
+    struct ct_topic_sync *sync = &state->store.topics[read->topic];
+
+    sync->next = read->next;
+    sync->oversize = read->more && read->entries == 0;
+    if (!read->more) {
+        sync->known_ms = MAX(sync->known_ms, known_until(read));
+    }
+}
+
+static ct_ms
+pause_after(const struct ct_state *state, const struct ct_store_read *read)
+{
+    if (read->more) {
+        return read->newest || read->entries > 0 ? 0 : BACKOFF_MS;
+    }
+    return read->topic == CT_TOPIC_UPSTREAMS && read->entries > 0
+               ? gather_ms(state)
+               : 0;
+}
+
 void
 ct_store_on_read(struct ct_state *state, const struct ct_store_read *read)
 {
@@ -453,17 +492,13 @@
         on_page(state, read);
     }
     else {
-        sync->next = read->next;
-        sync->known_ms = MAX(sync->known_ms, known_until(read));
+        on_records(state, read);
     }
     sweep(state);
     if (state->store.upstreams_changed) {
         publish(state);
     }
-    read_after(state, read->topic,
-               read->topic == CT_TOPIC_UPSTREAMS && read->entries > 0
-                   ? gather_ms(state)
-                   : 0);
+    read_after(state, read->topic, pause_after(state, read));
 }
 
 void
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -20,6 +20,8 @@
      * first was asked for. */
     struct ct_path after;
     ct_ms pages_ms;
+    /* The next record alone is beyond the size of a part. */
+    bool oversize;
     /* Next offset to read. */
     int64_t next;
     /* Nothing before this time is unknown; 0 for never. */
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -82,6 +82,9 @@
      */
     struct ct_path after;
     int64_t from;
+    /* Records beyond this are left for the next read; 0: as the store likes.
+     */
+    uint32_t max_bytes;
     /* How long the store may wait for a record. */
     ct_ms wait_ms;
     ct_ms timeout_ms;
@@ -97,8 +100,9 @@
     ct_ms sent_ms;
     /* How long the store had been told to wait, and no record came. */
     ct_ms idle_ms;
-    /* Of the newest: another page follows, after this key. */
+    /* Cut at its size: there was more to read. */
     bool more;
+    /* Of the newest: the next page begins after this key. */
     struct ct_path after;
     /* Offset after the last record that was read; of a page, the end. */
     int64_t next;
--- a/t/fake/fake-store.c
+++ b/t/fake/fake-store.c
@@ -10,6 +10,9 @@
 #define PARTS_A_TOPIC 2
 #define LENGTH_BYTES 4
 #define HEAD_BYTES 16
+#define BYTES_PER_KB 1024
+/* Of an answer, unless the call says less. */
+#define MAX_KB 1024
 
 struct topic {
     /* GBytes, by offset. */
@@ -74,10 +77,13 @@
     }
 }
 
+/* As many as fit into maxSize KB, and one at the least. */
 static void
 reply_records(struct fake_request *request, const struct topic *topic,
               guint from)
 {
+    gsize max = (gsize)fake_query(request, "maxSize", MAX_KB) * BYTES_PER_KB;
+
     fake_reply_text(request, MHD_HTTP_OK, "", 0);
     add_number(request->out, topic->records->len, HEAD_BYTES / 2);
     add_number(request->out, 0, HEAD_BYTES / 2);
@@ -86,6 +92,9 @@
         const char *data =
             g_bytes_get_data(g_ptr_array_index(topic->records, i), &n);
 
+        if (i > from && request->out->len + n > max) {
+            break;
+        }
         add_number(request->out, n, LENGTH_BYTES);
         g_string_append_len(request->out, data, (gssize)n);
     }
--- a/t/test-store-body.c
+++ b/t/test-store-body.c
@@ -32,29 +32,30 @@
 static void
 test_records(void)
 {
-    static const char head[16] = {0};
+    /* The topic ends at 43. */
+    static const char head[16] = {0, 0, 0, 0, 0, 0, 0, 43};
+    struct ct_store_records records;
     GByteArray *bytes = bytes_of(head, sizeof(head));
     GString *seen = g_string_new(NULL);
-    uint32_t entries;
-    int64_t next;
 
     add_record(bytes, "ab", 2);
     add_record(bytes, "", 0);
     add_record(bytes, "c", 1);
-    g_assert_cmpint(
-        ct_store_body_records(bytes, 40, collect, seen, &next, &entries), ==,
-        CT_OK);
+    g_assert_cmpint(ct_store_body_records(bytes, 40, collect, seen, &records),
+                    ==, CT_OK);
     g_assert_cmpstr(seen->str, ==, "40=ab;41=;42=c;");
-    g_assert_cmpint(next, ==, 43);
-    g_assert_cmpuint(entries, ==, 3);
+    g_assert_cmpint(records.next, ==, 43);
+    g_assert_cmpuint(records.entries, ==, 3);
+    g_assert_false(records.more);
     /* Cut off at any place but between two records. */
     for (guint n = 0; n < bytes->len; n++) {
         GByteArray *part = bytes_of((const char *)bytes->data, n);
         bool whole = n == 16 || n == 22 || n == 26;
 
         g_assert_cmpint(
-            ct_store_body_records(part, 40, collect, seen, &next, &entries),
-            ==, whole ? CT_OK : CT_ERR_DECODE);
+            ct_store_body_records(part, 40, collect, seen, &records), ==,
+            whole ? CT_OK : CT_ERR_DECODE);
+        g_assert_true(!whole || records.more);
         g_byte_array_unref(part);
     }
     g_byte_array_unref(bytes);
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -198,6 +198,72 @@
     t_core_free(&core);
 }
 
+/* An answer that was cut at its size; the records up to then are read. */
+static void
+post_cut(struct t_core *core, enum ct_topic topic)
+{
+    struct ct_event read = {.type = CT_EVENT_STORE_READ};
+
+    read.u.store_read.topic = topic;
+    read.u.store_read.sent_ms = core->now_ms;
+    read.u.store_read.entries = 200;
+    read.u.store_read.more = true;
+    read.u.store_read.next = 300;
+    t_core_post(core, &read);
+}
+
+/*
+ * Records that are many come in parts, without a pause between them, and
+ * until the last part nothing new is known of the time.
+ */
+static void
+test_parts(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    core.now_ms += 1000;
+    post_cut(&core, CT_TOPIC_UPSTREAMS);
+    g_assert_nonnull(read_of(&core, CT_TOPIC_UPSTREAMS));
+    g_assert_cmpint(read_of(&core, CT_TOPIC_UPSTREAMS)->from, ==, 300);
+    g_assert_cmpuint(read_of(&core, CT_TOPIC_UPSTREAMS)->max_bytes, >, 0);
+    g_assert_cmpuint(read_of(&core, CT_TOPIC_UPSTREAMS)->max_bytes, <=,
+                     128 * 1024);
+    g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_UPSTREAMS), ==, 1000);
+    post_cut(&core, CT_TOPIC_CONFIG);
+    g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_CONFIG), ==, 1000);
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
+    g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_CONFIG), ==, 0);
+    t_core_free(&core);
+}
+
+/* A store that is slow with all hosts' reads gets more time for each. */
+static void
+test_patience(void)
+{
+    ct_ms timeout_ms[4];
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    core.now_ms += 3000;
+    for (guint i = 0; i < G_N_ELEMENTS(timeout_ms); i++) {
+        t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_TIMEOUT, 0, 0, 0);
+        while (read_of(&core, CT_TOPIC_UPSTREAMS) == NULL) {
+            t_core_tick(&core, 10);
+        }
+        timeout_ms[i] = read_of(&core, CT_TOPIC_UPSTREAMS)->timeout_ms;
+    }
+    g_assert_cmpint(timeout_ms[1], >=, 2 * timeout_ms[0]);
+    g_assert_cmpint(timeout_ms[3], <=, 3000);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 0, 0, 0);
+    g_assert_cmpint(read_of(&core, CT_TOPIC_UPSTREAMS)->timeout_ms -
+                        read_of(&core, CT_TOPIC_UPSTREAMS)->wait_ms,
+                    <, timeout_ms[0]);
+    t_core_free(&core);
+}
+
 /* Records that are gone: the newest of each key are read again. */
 static void
 test_truncated(void)
@@ -370,6 +436,8 @@
     g_test_add_func("/store-sync/bad-config", test_bad_config);
     g_test_add_func("/store-sync/age", test_age);
     g_test_add_func("/store-sync/failures", test_failures);
+    g_test_add_func("/store-sync/parts", test_parts);
+    g_test_add_func("/store-sync/patience", test_patience);
     g_test_add_func("/store-sync/truncated", test_truncated);
     g_test_add_func("/store-sync/missing-in-newest", test_missing_in_newest);
     g_test_add_func("/store-sync/unchanged", test_unchanged);
