core: send upstreams away in steps

Ruled out: larger parts (the same bytes); reading leaving entries first (the store's topic has one order); a bound by the number of hosts (more than the figure at hand needs).

An order sends at most 25 of a kind and zone away; the next one follows when those are seen to leave. Deployments with fewer a zone order as before.

--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -18,6 +18,11 @@
 /* Part of what is kept below which firm ones stand in for cheap ones. */
 #define COVERED_PERCENT 60
 #define ORDER_RETRY_MS 1000
+/*
+ * Upstreams of a kind and zone that one order sends away at most: every host
+ * must read each entry that changes, within the bound on leaving upstreams.
+ */
+#define DISMISSED_MAX 25
 /* Cheap upstreams that are not to be had are asked for again after this. */
 #define EXHAUSTED_RETRY_MS 3000
 
@@ -184,6 +189,13 @@
     return (n + zones - 1) / zones;
 }
 
+/* The next number on the way down from what runs to what is wanted. */
+static uint32_t
+in_steps(uint32_t wanted, uint32_t runs)
+{
+    return MAX(wanted, runs - MIN(runs, DISMISSED_MAX));
+}
+
 static void
 plan(struct ct_state *state, struct ct_zone_order_row *row)
 {
@@ -208,8 +220,10 @@
     firm = MIN(firm, pool->conf.max_upstreams -
                          MIN(running(state, pool, &row->zone, true),
                              pool->conf.max_upstreams));
-    order(state, row, pool, true, &row->cheap, cheap);
-    order(state, row, pool, false, &row->firm, firm);
+    order(state, row, pool, true, &row->cheap,
+          in_steps(cheap, running(state, pool, &row->zone, true)));
+    order(state, row, pool, false, &row->firm,
+          in_steps(firm, running(state, pool, &row->zone, false)));
 }
 
 /* Follows the number of calls in flight at the pool's upstreams. */
--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -5,6 +5,8 @@
 
 #define ZONES 3
 #define MAX_A_ZONE 8
+/* A zone of a large deployment. */
+#define MANY 200
 
 /* The platform: what is ordered stands, with entries in the store. */
 struct platform {
@@ -15,12 +17,13 @@
     int dry;
     guint orders;
     int32_t result;
+    uint32_t max_a_zone;
 };
 
 static const char *const zones[ZONES] = {"za", "zb", "zc"};
 
 static GArray *
-rows(void)
+rows(uint32_t max_a_zone)
 {
     GArray *rows = t_relay_rows();
     struct ct_pool *engines;
@@ -36,14 +39,14 @@
     engines = &g_array_index(rows, struct ct_config_row, 0).u.pool;
     g_assert_cmpstr(engines->name.text, ==, "engines");
     engines->min_upstreams = 1;
-    engines->max_upstreams = MAX_A_ZONE;
+    engines->max_upstreams = max_a_zone;
     return rows;
 }
 
 static void
 set_entries(struct platform *p, guint zone, bool cheap, uint32_t n)
 {
-    for (uint32_t i = 0; i < MAX_A_ZONE; i++) {
+    for (uint32_t i = 0; i < p->max_a_zone; i++) {
         struct ct_store_upstream entry = t_upstream("engines", i);
 
         g_snprintf(entry.upstream.name.text, sizeof(entry.upstream.name.text),
@@ -73,7 +76,7 @@
     if (order->cheap && (int)zone == p->dry) {
         event.u.duty.result = CT_ERR_EXHAUSTED;
     }
-    g_assert_cmpuint(order->upstreams, <=, MAX_A_ZONE);
+    g_assert_cmpuint(order->upstreams, <=, p->max_a_zone);
     t_core_post(&p->core, &event);
     if (event.u.duty.result == CT_OK) {
         set_entries(p, zone, order->cheap, order->upstreams);
@@ -107,11 +110,12 @@
 }
 
 static void
-setup(struct platform *p)
+setup_zones(struct platform *p, uint32_t max_a_zone)
 {
-    GArray *config = rows();
+    GArray *config = rows(max_a_zone);
 
     memset(p, 0, sizeof(*p));
+    p->max_a_zone = max_a_zone;
     p->dry = -1;
     t_relay_init(&p->core);
     t_relay_post_config(&p->core, 1, config);
@@ -122,6 +126,12 @@
     g_array_free(config, TRUE);
 }
 
+static void
+setup(struct platform *p)
+{
+    setup_zones(p, MAX_A_ZONE);
+}
+
 /* Cheap ones take the place of firm ones, and orders come to rest. */
 static void
 test_settles(void)
@@ -179,6 +189,26 @@
     t_core_free(&p.core);
 }
 
+/* Many go in steps: every host must hear of each of them in time. */
+static void
+test_steps(void)
+{
+    uint32_t most = 0;
+    struct platform p;
+
+    setup_zones(&p, MANY);
+    set_entries(&p, 0, false, MANY);
+    for (uint32_t before = MANY; p.firm[0] > 0; before = p.firm[0]) {
+        run(&p, 50);
+        most = MAX(most, before - p.firm[0]);
+        g_assert_cmpuint(p.orders, <, 100);
+    }
+    g_assert_cmpuint(most, >, 0);
+    g_assert_cmpuint(most, <=, 30);
+    g_assert_cmpuint(p.cheap[0], ==, MANY * 3 / 4);
+    t_core_free(&p.core);
+}
+
 /* With many calls in flight more are ordered, up to the bound. */
 static void
 test_load(void)
@@ -204,7 +234,7 @@
 static void
 test_configured_again(void)
 {
-    GArray *config = rows();
+    GArray *config = rows(MAX_A_ZONE);
     struct platform p;
     guint orders;
 
@@ -250,6 +280,7 @@
     g_test_add_func("/zone-orders/settles", test_settles);
     g_test_add_func("/zone-orders/zone-lost", test_zone_lost);
     g_test_add_func("/zone-orders/unknown-result", test_unknown_result);
+    g_test_add_func("/zone-orders/steps", test_steps);
     g_test_add_func("/zone-orders/load", test_load);
     g_test_add_func("/zone-orders/configured-again", test_configured_again);
     g_test_add_func("/zone-orders/fenced", test_fenced);
