core: wait longer before acting, as a model of the group asks for

Cause: a model of the platform's group (model/tenure.pml) has a counterexample to what the code did: the store may deal all parts anew without a word. Dealt to B and back to A at once, A acts up to its next join, a second later; B acts after half of the lease, A again after another half. The two acts of A are the lease less that second apart, with another host's between them.

Ruled out: a wait of the whole lease (longer than the counterexample asks); waiting anew whenever the generation rose by more than one (each change of a member would stop the duties, and A can hear of each deal and still take turns).

The wait is half of lease and join period, and the time of an answer: 2.1 s where it was 1.5 s.

--- a/core/tenure.c
+++ b/core/tenure.c
@@ -9,6 +9,8 @@
 #define JOIN_SOON_MS 400
 #define SETTLED_MS 3000
 #define JOIN_TIMEOUT_MS 900
+/* An answer of a store in order takes this long at most. */
+#define ANSWER_MS 100
 /* Kept from the time to live for what runs at another pace. */
 #define MARGIN_MS 300
 
@@ -18,6 +20,17 @@
     return MAX(TTL_MS, state->self.bounds.member_ttl_min_ms);
 }
 
+/*
+ * From getting the part to acting. The store may deal anew without a word;
+ * the holder before then acts up to its next join. Where it gets the part
+ * back at once, its two acts are two of these waits less that time apart.
+ */
+static ct_ms
+settle_ms(const struct ct_state *state)
+{
+    return (state->self.bounds.lease_ms + JOIN_MS) / 2 + ANSWER_MS;
+}
+
 void
 ct_tenure_start(struct ct_state *state)
 {
@@ -109,8 +122,7 @@
     const struct ct_tenure *tenure = &state->tenure;
 
     return tenure->holds && state->now_ms < tenure->until_ms &&
-           state->now_ms - tenure->held_ms >=
-               state->self.bounds.lease_ms / 2 &&
+           state->now_ms - tenure->held_ms >= settle_ms(state) &&
            tenure->generation > tenure->refused_fence;
 }
 
--- a/model/run.sh
+++ b/model/run.sh
@@ -60,4 +60,17 @@
 for config in NO_CAS NO_TOMBSTONE NO_CURRENT; do
 	check config 1 $config
 done
+for config in FIGURES TOUCH EXPIRY; do
+	check tenure 0 $config
+done
+for config in "FIGURES KEEP_PART" "FIGURES OWN_FIGURES" "FIGURES LAST_FINAL" \
+	"TOUCH NO_WAIT" "TOUCH HALF_WAIT" "EXPIRY COUNT_FROM_ANSWER"; do
+	# shellcheck disable=SC2086
+	check tenure 1 $config
+done
+check store 0
+for config in NO_VERSION_CHECK NEXT_FROM_LAST_PAGE AGE_FROM_LAST_PAGE \
+	AGE_FROM_ANSWER CUT_IS_CURRENT WAIT_ALWAYS_COUNTS; do
+	check store 1 $config
+done
 exit $failed
--- a/t/test-tenure.c
+++ b/t/test-tenure.c
@@ -49,7 +49,7 @@
     setup(&core);
     post_joined(&core, CT_OK, 4, true, 10);
     g_assert_false(acts(&core));
-    core.now_ms += 1400;
+    core.now_ms += 2000;
     post_joined(&core, CT_OK, 4, true, 10);
     g_assert_false(acts(&core));
     core.now_ms += 200;
@@ -57,6 +57,28 @@
     t_core_free(&core);
 }
 
+/*
+ * The store may deal anew without a word, twice in a row: the first holder
+ * acts up to its next join, a second later, and again after the second one
+ * has acted once. Between its two acts the lease time has gone by.
+ */
+static void
+test_turns(void)
+{
+    struct t_core core;
+    ct_ms wait_ms = 0;
+
+    setup(&core);
+    post_joined(&core, CT_OK, 4, true, 0);
+    while (!acts(&core)) {
+        core.now_ms += 50;
+        wait_ms += 50;
+        post_joined(&core, CT_OK, 4, true, 0);
+    }
+    g_assert_cmpint(2 * wait_ms - 1000, >=, core.state->self.bounds.lease_ms);
+    t_core_free(&core);
+}
+
 /* Belief ends before the store may give the part to another. */
 static void
 test_ends_by_itself(void)
@@ -87,7 +109,7 @@
     core.now_ms += 5000;
     post_joined(&core, CT_OK, 4, true, 10);
     g_assert_false(acts(&core));
-    core.now_ms += 1600;
+    core.now_ms += 2200;
     post_joined(&core, CT_OK, 4, true, 10);
     g_assert_true(acts(&core));
     t_core_free(&core);
@@ -155,6 +177,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/tenure/settles", test_settles);
+    g_test_add_func("/tenure/turns", test_turns);
     g_test_add_func("/tenure/ends-by-itself", test_ends_by_itself);
     g_test_add_func("/tenure/lapsed", test_lapsed);
     g_test_add_func("/tenure/taken-away", test_taken_away);
