core: ask again within two seconds after the store turned a host away

The store had turned edge-sivas-8 away with 429 for 9 s; its reads had backed off to gaps of 3.2 to 9.6 s, and it asked again 4.5 s after the store had it back, when the host counted as in touch for long.

The pause after 429 is 1.4 s at most, with its spread 0.7 to 2.1 s.

--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -31,8 +31,11 @@
 /* Between reads that failed; doubled up to the limit. */
 #define BACKOFF_MS 100
 #define BACKOFF_MAX_MS 800
-/* The store has too many calls of all hosts: they must become fewer. */
-#define OVERLOAD_BACKOFF_MAX_MS 6400
+/*
+ * The store has too many calls of all hosts, which must become fewer, or turns
+ * this one away: soon after that it must know what the others know.
+ */
+#define OVERLOAD_BACKOFF_MAX_MS 1400
 /* All hosts may start at once: the first reads are spread over this. */
 #define START_SPREAD_MS 150
 /*
@@ -412,7 +415,7 @@
     ct_ms delay_ms = BACKOFF_MS;
 
     for (uint32_t i = 0; i < sync->failures && delay_ms < max_ms; i++) {
-        delay_ms *= 2;
+        delay_ms = MIN(2 * delay_ms, max_ms);
     }
     if (sync->failures++ == 0) {
         ct_emit_log(state, CT_LOG_STORE_LOST, NULL, ct_err_name(read->result),
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -198,6 +198,36 @@
     t_core_free(&core);
 }
 
+/*
+ * A store may turn one host away and serve the others, and 3 s later the host
+ * must know again what they know: it asks often enough, if less often.
+ */
+static void
+test_turned_away(void)
+{
+    struct t_core core;
+    ct_ms last_ms;
+    ct_ms gap_ms = 0;
+    guint reads = 0;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_OVERLOADED, 0, 0, 0);
+    last_ms = core.now_ms;
+    while (core.now_ms < 40000) {
+        t_core_tick(&core, 10);
+        if (read_of(&core, CT_TOPIC_CONFIG)) {
+            t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_OVERLOADED, 0, 0, 0);
+            gap_ms = MAX(gap_ms, core.now_ms - last_ms);
+            last_ms = core.now_ms;
+            reads++;
+        }
+    }
+    g_assert_cmpint(gap_ms, <, 3000 - 700);
+    g_assert_cmpuint(reads, <, 45);
+    t_core_free(&core);
+}
+
 /* An answer that was cut at its size; the records up to then are read. */
 static void
 post_cut(struct t_core *core, enum ct_topic topic)
@@ -436,6 +466,7 @@
     g_test_add_func("/store-sync/bad-config", test_bad_config);
     g_test_add_func("/store-sync/age", test_age);
     g_test_add_func("/store-sync/failures", test_failures);
+    g_test_add_func("/store-sync/turned-away", test_turned_away);
     g_test_add_func("/store-sync/parts", test_parts);
     g_test_add_func("/store-sync/patience", test_patience);
     g_test_add_func("/store-sync/truncated", test_truncated);
