core: go on at once where the group is the same

Ruled out: a shorter wait for all (the model's counterexample); a wait that starts when the store is back, not when the part is heard of (the same time).

The generation grows with each change of the group and a part has one holder a generation. A holder that lapsed and hears of its part with the generation that it had goes on; with another one it waits as before. test-tenure lapsed now has another generation, which is what it is about; same-group is new.

After: test-tenure passes, the models of tenure have 0 errors and a counterexample for each variant.

--- a/core/tenure.c
+++ b/core/tenure.c
@@ -74,6 +74,17 @@
     ct_tenure_start(state);
 }
 
+/* A part has one holder a generation; without a new one nobody had it. */
+static bool
+may_have_been_lost(const struct ct_state *state,
+                   const struct ct_store_joined *joined)
+{
+    const struct ct_tenure *tenure = &state->tenure;
+
+    return !tenure->holds || (state->now_ms >= tenure->until_ms &&
+                              joined->generation != tenure->generation);
+}
+
 void
 ct_tenure_on_joined(struct ct_state *state,
                     const struct ct_store_joined *joined)
@@ -95,8 +106,7 @@
         tenure->failures = 0;
     }
     state->roster.joined = true;
-    if (joined->holds_duty &&
-        (!tenure->holds || state->now_ms >= tenure->until_ms)) {
+    if (joined->holds_duty && may_have_been_lost(state, joined)) {
         tenure->held_ms = state->now_ms;
     }
     if (joined->generation != tenure->generation) {
--- a/t/test-tenure.c
+++ b/t/test-tenure.c
@@ -107,11 +107,30 @@
     setup(&core);
     hold(&core, 4, 3);
     core.now_ms += 5000;
-    post_joined(&core, CT_OK, 4, true, 10);
+    g_assert_false(acts(&core));
+    post_joined(&core, CT_OK, 5, true, 10);
     g_assert_false(acts(&core));
     core.now_ms += 2200;
+    post_joined(&core, CT_OK, 5, true, 10);
+    g_assert_true(acts(&core));
+    t_core_free(&core);
+}
+
+/* The store was away and the group is the same: nobody can have acted. */
+static void
+test_same_group(void)
+{
+    struct t_core core;
+
+    setup(&core);
+    hold(&core, 4, 3);
+    core.now_ms += 5000;
+    g_assert_false(acts(&core));
     post_joined(&core, CT_OK, 4, true, 10);
     g_assert_true(acts(&core));
+    post_joined(&core, CT_OK, 5, false, 10);
+    post_joined(&core, CT_OK, 6, true, 10);
+    g_assert_false(acts(&core));
     t_core_free(&core);
 }
 
@@ -180,6 +199,7 @@
     g_test_add_func("/tenure/turns", test_turns);
     g_test_add_func("/tenure/ends-by-itself", test_ends_by_itself);
     g_test_add_func("/tenure/lapsed", test_lapsed);
+    g_test_add_func("/tenure/same-group", test_same_group);
     g_test_add_func("/tenure/taken-away", test_taken_away);
     g_test_add_func("/tenure/refused", test_refused);
     g_test_add_func("/tenure/joins", test_joins);
