--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -9,141 +9,19 @@
 #include <unistd.h>
 #include <string.h>
 
-#include "lib-http.h"
-#include "lib-platform.h"
-#include "lib-process.h"
+#include "lib-relay-process.h"
 
-#define RUNNERS 2
-#define AWAIT_TIMEOUT_MS 30000
+#define RUNNERS RELAY_PROCESS_RUNNERS
+#define AWAIT_TIMEOUT_MS RELAY_PROCESS_TIMEOUT_MS
 #define HOST_HEADER PLATFORM_HOST_HEADER
-#define KEY_HEADER "Key: k1"
+#define KEY_HEADER RELAY_PROCESS_KEY
 
-struct fixture {
-    char *directory;
-    char *settings;
-    struct process store;
-    struct process runners[RUNNERS];
-    struct process host;
-    int version;
-    int calls;
-};
-
-static struct fixture f;
-
-/* Writes a newer configuration in which acme has these keys. */
-static void
-put_config(const char *keys)
-{
-    GString *organisations = g_string_new(NULL);
-
-    platform_add_organisation(organisations, "acme", keys);
-    platform_put_config(f.store.port, ++f.version, organisations->str);
-    g_string_free(organisations, TRUE);
-}
-
-static void
-put_runner(int i, const char *state)
-{
-    platform_put_upstream(f.store.port, i, f.runners[i].port, state);
-}
-
-static void
-set_runners(const char *json)
-{
-    for (int i = 0; i < RUNNERS; i++) {
-        http_set(f.runners[i].port, "/fake/set", json);
-    }
-}
-
-static bool
-is_ready(void)
-{
-    struct http_call call = {.body = NULL};
-    struct http_reply reply;
-    bool ready;
-
-    http_call(f.host.third_port, "/v1/readyz", &call, &reply);
-    ready = reply.error == 0 && reply.status == 200;
-    http_reply_free(&reply);
-    return ready;
-}
-
-static void
-start_host(void)
-{
-    PROCESS_START(&f.host, "coriandertrackd/coriandertrackd", "--relay",
-                  "--config", f.settings);
-    AWAIT(is_ready(), AWAIT_TIMEOUT_MS);
-}
-
-static void
-start_processes(void)
-{
-    char *text;
-
-    f.directory = g_dir_make_tmp("ct-relay-XXXXXX", NULL);
-    process_set_log_directory(f.directory);
-    PROCESS_START(&f.store, "t/fake/fake-store", "--port", "0");
-    for (int i = 0; i < RUNNERS; i++) {
-        char id[16];
-
-        g_snprintf(id, sizeof(id), "run-%d", i);
-        PROCESS_START(&f.runners[i], "t/fake/fake-runner", "--id", id);
-        put_runner(i, "ready");
-    }
-    put_config("\"k1\",\"k2\"");
-    f.settings = g_build_filename(f.directory, "settings.json", NULL);
-    text = g_strdup_printf(
-        "{\"host\":\"h1\",\"zone\":\"z\",\"caller_address\":\"127.0.0.1:0\","
-        "\"peer_address\":\"127.0.0.1:0\","
-        "\"peer_secret\":\"0123456789abcdef\","
-        "\"guide_address\":\"127.0.0.1:0\",\"ready_address\":"
-        "\"127.0.0.1:0\",\"operator_address\":\"127.0.0.1:0\",\"store\":"
-        "\"127.0.0.1:%u\",\"duties\":\"127.0.0.1:%u\",\"bounds\":{"
-        "\"revoke_ms\":3000,\"lease_ms\":600,\"usage_window_s\":1,"
-        "\"usage_late_s\":4,\"grace_s\":3,\"repeat_burst\":1000}}",
-        f.store.port, f.store.port);
-    g_assert_true(g_file_set_contents(f.settings, text, -1, NULL));
-    g_free(text);
-    start_host();
-}
-
-static void
-call_with_headers(const char *path, const char *body,
-                  const char *const *more_headers, struct http_reply *reply,
-                  char id[24])
-{
-    const char *headers[8] = {HOST_HEADER, NULL};
-    struct http_call call = {.body = body, .headers = headers};
-    char line[48];
-    size_t n = 1;
-
-    g_snprintf(id, 24, "id-%d-%d", getpid(), f.calls++);
-    g_snprintf(line, sizeof(line), "Request-Id: %s", id);
-    headers[n++] = line;
-    while (*more_headers != NULL) {
-        headers[n++] = *more_headers++;
-    }
-    headers[n] = NULL;
-    http_call(f.host.port, path, &call, reply);
-}
+static struct relay_process f;
 
 #define CALL(path, body, reply, id, ...)                                      \
-    call_with_headers((path), (body),                                         \
-                      (const char *const[]){__VA_ARGS__, NULL}, (reply),      \
-                      (id))
-
-/* Returns how often all upstreams together ran the request. */
-static int
-count_runs(const char *id)
-{
-    int n = 0;
-
-    for (int i = 0; i < RUNNERS; i++) {
-        n += HTTP_COUNT_SEEN(f.runners[i].port, "\"ran\"", id);
-    }
-    return n;
-}
+    relay_process_call(&f, (path), (body),                                    \
+                       (const char *const[]){__VA_ARGS__, NULL}, (reply),     \
+                       (id))
 
 /*
  * Admission depends on key and route; the response body and the headers with
@@ -168,7 +46,8 @@
 
         CALL(cases[i].path, "some body", &reply, id, cases[i].key);
         g_assert_cmpint(reply.status, ==, cases[i].status);
-        g_assert_cmpint(count_runs(id), ==, cases[i].status == 200);
+        g_assert_cmpint(relay_process_count_runs(&f, id), ==,
+                        cases[i].status == 200);
         if (cases[i].status == 200) {
             g_assert_cmpstr(reply.body->str, ==, "some body");
             value = http_reply_header(&reply, "Request-Id");
@@ -225,7 +104,7 @@
         struct http_reply reply;
         char id[24];
 
-        set_runners(cases[i].set);
+        relay_process_set_runners(&f, cases[i].set);
         CALL(cases[i].path, "{}", &reply, id, KEY_HEADER);
         g_assert_cmpint(reply.error, ==, cases[i].error);
         g_assert_cmpint(reply.status, ==, 200);
@@ -241,7 +120,7 @@
             g_assert_null(strstr(found + 1, event));
         }
         http_reply_free(&reply);
-        set_runners("{\"break_after\":0}");
+        relay_process_set_runners(&f, "{\"break_after\":0}");
     }
 }
 
@@ -274,10 +153,10 @@
         struct http_reply reply;
         char id[24];
 
-        set_runners(cases[i].set);
+        relay_process_set_runners(&f, cases[i].set);
         CALL(cases[i].path, "{}", &reply, id, KEY_HEADER);
         g_assert_cmpint(reply.status, ==, cases[i].status);
-        g_assert_cmpint(count_runs(id), ==, cases[i].runs);
+        g_assert_cmpint(relay_process_count_runs(&f, id), ==, cases[i].runs);
         if (cases[i].status == 503) {
             char *value = http_reply_header(&reply, "Retry-After");
 
@@ -285,7 +164,7 @@
             g_free(value);
         }
         http_reply_free(&reply);
-        set_runners(cases[i].reset);
+        relay_process_set_runners(&f, cases[i].reset);
     }
 }
 
@@ -296,11 +175,11 @@
     struct http_reply reply;
     char id[24];
 
-    set_runners("{\"silent\":1}");
+    relay_process_set_runners(&f, "{\"silent\":1}");
     CALL("/once/x", "{}", &reply, id, KEY_HEADER, "Deadline-Ms: 300");
     g_assert_cmpint(reply.status, ==, 504);
     http_reply_free(&reply);
-    set_runners("{\"silent\":0}");
+    relay_process_set_runners(&f, "{\"silent\":0}");
 }
 
 static bool
@@ -332,11 +211,11 @@
         .body = "{}", .headers = headers, .on_data = abort_on_data};
     struct http_reply reply;
 
-    set_runners("{\"silent\":1}");
+    relay_process_set_runners(&f, "{\"silent\":1}");
     http_call(f.host.port, "/s/str/x", &call, &reply);
     http_reply_free(&reply);
     AWAIT(count_ended("leaves") == 1, AWAIT_TIMEOUT_MS);
-    set_runners("{\"silent\":0}");
+    relay_process_set_runners(&f, "{\"silent\":0}");
 }
 
 /* One connection carries several calls in turn, streamed and not streamed. */
@@ -372,7 +251,7 @@
 
     CALL("/any/x", body, &reply, id, KEY_HEADER);
     g_assert_cmpint(reply.status, ==, 413);
-    g_assert_cmpint(count_runs(id), ==, 0);
+    g_assert_cmpint(relay_process_count_runs(&f, id), ==, 0);
     http_reply_free(&reply);
     g_free(body);
 }
@@ -413,10 +292,10 @@
 static void
 test_key_withdrawn(void)
 {
-    put_config("\"k1\"");
+    relay_process_put_config(&f, "\"k1\"");
     AWAIT(status_of("/any/x", "Key: k2") == 401, AWAIT_TIMEOUT_MS);
     g_assert_cmpint(status_of("/any/x", KEY_HEADER), ==, 200);
-    put_config("\"k1\",\"k2\"");
+    relay_process_put_config(&f, "\"k1\",\"k2\"");
     AWAIT(status_of("/any/x", "Key: k2") == 200, AWAIT_TIMEOUT_MS);
 }
 
@@ -460,10 +339,10 @@
 static void
 test_draining_upstream(void)
 {
-    put_runner(0, "draining");
+    relay_process_put_runner(&f, 0, "draining");
     AWAIT(is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
     g_assert_true(is_first_runner_idle(20));
-    put_runner(0, "ready");
+    relay_process_put_runner(&f, 0, "ready");
     AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
 }
 
@@ -486,10 +365,10 @@
     AWAIT(status_of("/any/x", KEY_HEADER) == 503, AWAIT_TIMEOUT_MS);
     g_assert_cmpint(status_of("/any/x", "Key: nobody"), ==, 503);
     g_assert_cmpint(status_of("/open/x", KEY_HEADER), ==, 200);
-    g_assert_false(is_ready());
+    g_assert_false(relay_process_is_ready(&f));
     http_set(f.store.port, "/fake/set", "{\"down\":0}");
     AWAIT(status_of("/any/x", KEY_HEADER) == 200, AWAIT_TIMEOUT_MS);
-    AWAIT(is_ready(), AWAIT_TIMEOUT_MS);
+    AWAIT(relay_process_is_ready(&f), AWAIT_TIMEOUT_MS);
 }
 
 /* The metrics page counts the calls and the calls to the store. */
@@ -513,9 +392,9 @@
     struct http_reply reply;
     char id[24];
 
-    set_runners("{\"delay_ms\":400}");
+    relay_process_set_runners(&f, "{\"delay_ms\":400}");
     process_signal(&f.host, SIGTERM);
-    AWAIT(!is_ready(), AWAIT_TIMEOUT_MS);
+    AWAIT(!relay_process_is_ready(&f), AWAIT_TIMEOUT_MS);
     CALL("/once/x", "{}", &reply, id, KEY_HEADER);
     g_assert_cmpint(reply.status, ==, 200);
     http_reply_free(&reply);
@@ -528,7 +407,7 @@
     int rc;
 
     g_test_init(&argc, &argv, NULL);
-    start_processes();
+    relay_process_start(&f);
     g_test_add_func("/relay/admission", test_admission);
     g_test_add_func("/relay/headers", test_headers);
     g_test_add_func("/relay/streams", test_streams);
@@ -546,9 +425,6 @@
     g_test_add_func("/relay/metrics", test_metrics);
     g_test_add_func("/relay/drain-by-signal", test_drain_by_signal);
     rc = g_test_run();
-    process_kill(&f.store);
-    for (int i = 0; i < RUNNERS; i++) {
-        process_kill(&f.runners[i]);
-    }
+    relay_process_stop(&f);
     return rc;
 }
