shell: bound what an upstream may send in a response

Cause: libcurl passes trailers and tiny chunks on without a limit, and discards chunk extensions and other bytes without a callback; each byte, head line and interim head restarted the gap timer of an attempt. One upstream could hold a core and gigabytes, and a call without an end.

Change: a transfer fails when its heads and trailers exceed 128 KiB, its body exceeds 16 MiB, or 256 KiB in a row arrive that are neither. libcurl has no count of what it discards, so the kernel's count of the connection is read, after four runs of libcurl without a callback. What arrives in one run of libcurl is posted as one event. Only an event of a stream restarts the timer of an attempt; a response of another kind has a bound on its whole time, the larger of the class's gap and total target. A caller that leaves 16 MiB of a relayed stream unread is disconnected.

Ruled out: llhttp (Debian has no development package of it), libcurl's limits on speed (they count the body only).

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -35,7 +35,8 @@
     const struct ct_route_row *route =
         ct_table_get(&state->config.routes, request->route);
     const struct ct_class_row *klass = class_of(state, request);
-    ct_ms gap_ms = klass->conf.gap_timeout_ms;
+    ct_ms gap_ms = klass->conf.gap_timeout_ms ? klass->conf.gap_timeout_ms
+                                              : DEFAULT_GAP_TIMEOUT_MS;
     struct ct_attempt_effect *start =
         &ct_emit_effect(state, CT_EFFECT_START_ATTEMPT)->u.attempt;
 
@@ -51,7 +52,8 @@
     start->priority = request->tier;
     start->at_most_once = !request->idempotent;
     start->resume_offset = request->response_bytes;
-    start->gap_timeout_ms = gap_ms ? gap_ms : DEFAULT_GAP_TIMEOUT_MS;
+    start->gap_timeout_ms = gap_ms;
+    start->total_timeout_ms = MAX(gap_ms, klass->conf.total_target_ms);
     start->not_after_ms = state->now_ms + START_LIMIT_MS;
 }
 
--- a/core/effect.h
+++ b/core/effect.h
@@ -146,7 +146,13 @@
     bool at_most_once;
     /* Bytes of the response already received; the attempt resumes there. */
     uint64_t resume_offset;
+    /* Longest wait for the head, and for the next event of a stream. */
     ct_ms gap_timeout_ms;
+    /*
+     * Longest time from the start to the end of a response that is not an
+     * event stream.
+     */
+    ct_ms total_timeout_ms;
     /* The attempt must not start at or after this monotonic time. */
     ct_ms not_after_ms;
 };
--- a/shell/attempt.h
+++ b/shell/attempt.h
@@ -28,7 +28,9 @@
     struct ct_handle row;
     struct ct_attempt_effect effect;
     struct ct_stored_call *body;
-    ev_timer gap;
+    ct_ms started_ms;
+    /* Ends the attempt; restarted by each event of a stream. */
+    ev_timer timeout;
     bool sent;
     /* The attempt is the writer of the response. */
     bool is_writer;
@@ -36,8 +38,11 @@
     enum ct_outcome early_outcome;
     struct ct_response_head head;
     bool head_complete;
-    /* Offset of the next byte in the response. */
+    /* Offset in the response of the next byte to be posted. */
     uint64_t offset;
+    /* Bytes stored, and tokens in them, that were not posted yet. */
+    uint32_t unposted_bytes;
+    uint32_t unposted_tokens;
     struct ct_sse_scan scan;
 };
 
--- a/shell/http.c
+++ b/shell/http.c
@@ -3,8 +3,9 @@
 #include <ev.h>
 #include <glib.h>
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "error.h"
@@ -20,6 +21,13 @@
 #define UNACKNOWLEDGED_TIMEOUT_MS 2500
 /* Buffer for the body of a request; smaller than libcurl's default. */
 #define UPLOAD_BUFFER_BYTES (16 * 1024)
+/* Limit of a response's heads and trailers together. */
+#define HEAD_MAX_BYTES (128 * 1024)
+#define BODY_MAX_BYTES (16 * 1024 * 1024)
+/* Limit of bytes received in a row that are neither head nor body. */
+#define DISCARDED_MAX_BYTES (256 * 1024)
+/* libcurl runs without a part of the response, until these are checked. */
+#define IDLE_RUNS_PER_CHECK 4
 
 struct ct_http {
     struct ct_executor executor;
@@ -34,6 +42,17 @@
     struct ct_http *http;
 };
 
+/* Resets the state that is kept between runs of libcurl. */
+static void
+end_run(struct ct_transfer *transfer)
+{
+    transfer->received = false;
+    transfer->idle_runs = 0;
+    if (transfer->ops->flush != NULL) {
+        transfer->ops->flush(transfer);
+    }
+}
+
 /* Ends the transfers that libcurl reports as done. */
 static void
 finish_transfers(struct ct_http *http)
@@ -52,6 +71,7 @@
                           (char **)&transfer);
         curl_multi_remove_handle(http->multi, transfer->easy);
         transfer->running = false;
+        end_run(transfer);
         transfer->ops->done(transfer, result);
     }
 }
@@ -114,9 +134,13 @@
     struct ct_http *http = arg;
     struct socket_watch *watch = watch_arg;
     struct ev_loop *ev = ct_loop_ev(http->loop);
+    struct ct_transfer *transfer = NULL;
     int events = 0;
 
-    (void)easy;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
+    if (transfer != NULL) {
+        transfer->fd = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : fd;
+    }
     if (what == CURL_POLL_REMOVE) {
         if (watch != NULL) {
             ev_io_stop(ev, &watch->io);
@@ -211,6 +235,11 @@
 {
     struct ct_transfer *transfer = arg;
 
+    transfer->received = true;
+    transfer->head_bytes += size * n;
+    if (transfer->head_bytes > HEAD_MAX_BYTES) {
+        return 0;
+    }
     if (transfer->ops->header != NULL &&
         transfer->ops->header(transfer, line, size * n) < 0) {
         return 0;
@@ -223,12 +252,78 @@
 {
     struct ct_transfer *transfer = arg;
 
+    transfer->received = true;
+    transfer->body_bytes += size * n;
+    if (transfer->body_bytes > transfer->body_max_bytes) {
+        return 0;
+    }
     if (transfer->ops->data(transfer, data, size * n) < 0) {
         return 0;
     }
     return size * n;
 }
 
+/* Returns the bytes received on the transfer's connection; 0 if unknown. */
+static uint64_t
+connection_bytes(const struct ct_transfer *transfer)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+
+    if (transfer->fd == CURL_SOCKET_BAD ||
+        getsockopt(transfer->fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_received;
+}
+
+/*
+ * Called after each run of libcurl on the transfer; a value other than 0 ends
+ * it. libcurl discards some bytes without a callback, such as the extension of
+ * a chunk, so what the connection received in the meantime is checked instead.
+ */
+static int
+on_progress(void *arg, curl_off_t down_total, curl_off_t down,
+            curl_off_t up_total, curl_off_t up)
+{
+    struct ct_transfer *transfer = arg;
+    uint64_t bytes;
+
+    (void)down_total;
+    (void)down;
+    (void)up_total;
+    (void)up;
+    if (transfer->received) {
+        end_run(transfer);
+        return 0;
+    }
+    if (++transfer->idle_runs % IDLE_RUNS_PER_CHECK != 0) {
+        return 0;
+    }
+    bytes = connection_bytes(transfer);
+    if (transfer->idle_runs == IDLE_RUNS_PER_CHECK) {
+        transfer->idle_from_bytes = bytes;
+    }
+    return bytes > transfer->idle_from_bytes + DISCARDED_MAX_BYTES;
+}
+
+static void
+set_callbacks(struct ct_transfer *transfer)
+{
+    CURL *easy = transfer->easy;
+
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, transfer);
+}
+
 int
 ct_transfer_init(struct ct_transfer *transfer, struct ct_http *http,
                  const struct ct_transfer_ops *ops, const char *address,
@@ -241,11 +336,12 @@
         return CT_ERR_NO_MEMORY;
     }
     url = g_strconcat("http://", address, path, NULL);
+    memset(transfer, 0, sizeof(*transfer));
     transfer->ops = ops;
     transfer->http = http;
     transfer->easy = easy;
-    transfer->headers = NULL;
-    transfer->running = false;
+    transfer->fd = CURL_SOCKET_BAD;
+    transfer->body_max_bytes = BODY_MAX_BYTES;
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -256,13 +352,7 @@
                      (long)CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE,
                      (long)UPLOAD_BUFFER_BYTES);
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
-    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    set_callbacks(transfer);
     g_free(url);
     return ct_transfer_add_header(transfer, "Expect", "");
 }
@@ -337,6 +427,12 @@
                      set_socket_options);
 }
 
+void
+ct_transfer_set_body_limit(struct ct_transfer *transfer, size_t max_bytes)
+{
+    transfer->body_max_bytes = max_bytes;
+}
+
 void
 ct_transfer_set_timeout(struct ct_transfer *transfer, ct_ms timeout_ms)
 {
--- a/shell/http.h
+++ b/shell/http.h
@@ -8,7 +8,9 @@
 
 /*
  * HTTP client: a libcurl multi handle driven by the loop. Each kind of
- * transfer handles its response through its vtable.
+ * transfer handles its response through its vtable. A response is bounded
+ * whatever the server sends: its head and trailers, its body, and bytes that
+ * libcurl consumes without passing any on.
  */
 
 struct ct_http;
@@ -26,6 +28,11 @@
     int (*header)(struct ct_transfer *transfer, const char *line, size_t n);
     /* Receives a part of the body; a negative error stops the transfer. */
     int (*data)(struct ct_transfer *transfer, const char *data, size_t n);
+    /*
+     * Called once after data() was called, however often that was, while
+     * libcurl ran. May be NULL.
+     */
+    void (*flush)(struct ct_transfer *transfer);
     /*
      * Called once when the transfer has ended and was removed from the multi
      * handle, but not after ct_http_cancel(). Frees the transfer.
@@ -41,6 +48,18 @@
     struct curl_slist *headers;
     /* Added to the multi handle. */
     bool running;
+    /* Bytes received of heads, interim ones included, and trailers. */
+    size_t head_bytes;
+    size_t body_bytes;
+    size_t body_max_bytes;
+    /* The socket that libcurl uses, or CURL_SOCKET_BAD. */
+    curl_socket_t fd;
+    /* Part of the response was received since libcurl last ran. */
+    bool received;
+    /* Times that libcurl ran since a part of the response was received. */
+    unsigned idle_runs;
+    /* Bytes received on the connection by the first check of idle runs. */
+    uint64_t idle_from_bytes;
 };
 
 struct ct_http *ct_http_new(struct ct_loop *loop);
@@ -71,6 +90,9 @@
 void ct_transfer_use_new_connection(struct ct_transfer *transfer);
 /* Detects soon that the peer stopped responding without closing. */
 void ct_transfer_enable_keepalive(struct ct_transfer *transfer);
+/* A longer body fails the transfer; the default is 16 MiB. */
+void ct_transfer_set_body_limit(struct ct_transfer *transfer,
+                                size_t max_bytes);
 /* Limits the duration of the entire transfer. */
 void ct_transfer_set_timeout(struct ct_transfer *transfer, ct_ms timeout_ms);
 /* Frees the handle and headers; cancels the transfer if it is running. */
--- a/shell/platform.c
+++ b/shell/platform.c
@@ -91,9 +91,6 @@
 {
     struct call *call = (struct call *)transfer;
 
-    if (n > RESPONSE_MAX_BYTES - call->response->len) {
-        return CT_ERR_TOO_LARGE;
-    }
     g_string_append_len(call->response, data, (gssize)n);
     return CT_OK;
 }
@@ -138,8 +135,8 @@
                          platform->address, path) < 0) {
         g_error("failed to create a libcurl handle: out of memory");
     }
-    curl_easy_setopt(call->transfer.easy, CURLOPT_TIMEOUT_MS,
-                     (long)timeout_ms);
+    ct_transfer_set_body_limit(&call->transfer, RESPONSE_MAX_BYTES);
+    ct_transfer_set_timeout(&call->transfer, timeout_ms);
     if (body) {
         ct_transfer_add_header(&call->transfer, "Content-Type",
                                "application/json");
--- a/shell/relay-call.c
+++ b/shell/relay-call.c
@@ -83,20 +83,20 @@
     ct_table_unref(&call->io->calls, call->handle);
 }
 
-/*
- * Posts CT_EVENT_RELAY_CALLER_DISCONNECTED if the call is open, and resumes
- * the connection, so that libmicrohttpd ends the request.
- */
-static void
-on_disconnect(void *arg)
+void
+relay_call_disconnect(struct relay_call *call)
 {
-    struct relay_call *call = arg;
-
     call->disconnected = true;
     post_disconnected(call);
     relay_call_resume(call);
 }
 
+static void
+on_disconnect(void *arg)
+{
+    relay_call_disconnect(arg);
+}
+
 void
 relay_call_suspend(struct relay_call *call)
 {
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -88,6 +88,8 @@
     GByteArray *received;
     guint posted_bytes;
     struct ct_sse_split split;
+    /* Events posted so far, and the bytes up to the end of the last one. */
+    uint32_t posted_events;
     uint64_t split_complete;
 };
 
@@ -103,6 +105,11 @@
                                    uint64_t number);
 void relay_call_remove(struct relay_call *call);
 void relay_call_clear(void *row);
+/*
+ * Posts CT_EVENT_RELAY_CALLER_DISCONNECTED if the call is open, and resumes
+ * the connection, so that libmicrohttpd ends the request.
+ */
+void relay_call_disconnect(struct relay_call *call);
 void relay_call_suspend(struct relay_call *call);
 void relay_call_resume(struct relay_call *call);
 void relay_message_unref(struct relay_message *message);
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -5,6 +5,9 @@
 #include "relay-call.h"
 
 #define STREAM_BLOCK_BYTES 4096
+/* A caller that leaves this much of its response unread is disconnected. */
+#define PENDING_MAX_BYTES (16 * 1024 * 1024)
+#define COMPACT_MIN_BYTES (64 * 1024)
 #define JSON "application/json"
 
 static void
@@ -48,6 +51,21 @@
     set_response(call, (uint32_t)ct_refusal_status(refuse->reason), response);
 }
 
+/* Frees the written bytes, but not after each small write. */
+static void
+compact_pending(struct relay_call *call)
+{
+    if (call->pending_offset == call->pending->len) {
+        g_byte_array_set_size(call->pending, 0);
+        call->pending_offset = 0;
+    }
+    else if (call->pending_offset > COMPACT_MIN_BYTES &&
+             call->pending_offset > call->pending->len / 2) {
+        g_byte_array_remove_range(call->pending, 0, call->pending_offset);
+        call->pending_offset = 0;
+    }
+}
+
 /* Passes the pending bytes of a streamed response to libmicrohttpd. */
 static ssize_t
 read_stream(void *arg, uint64_t position, char *out, size_t max)
@@ -62,10 +80,7 @@
     if (n > 0) {
         memcpy(out, call->pending->data + call->pending_offset, n);
         call->pending_offset += (guint)n;
-        if (call->pending_offset == call->pending->len) {
-            g_byte_array_set_size(call->pending, 0);
-            call->pending_offset = 0;
-        }
+        compact_pending(call);
         return (ssize_t)n;
     }
     if (call->aborted) {
@@ -125,6 +140,10 @@
         call->pending = g_byte_array_new();
     }
     relay_attempt_move_bytes(attempt, forward->bytes, call->pending);
+    if (call->pending->len - call->pending_offset > PENDING_MAX_BYTES) {
+        relay_call_disconnect(call);
+        return;
+    }
     if (forward->is_last) {
         call->ended = true;
         call->open = false;
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -143,28 +143,6 @@
            (attempt->head.proven || !is_success(attempt));
 }
 
-/* Posts the number and bytes of the stream events that became complete. */
-static void
-post_complete_events(struct relay_attempt *attempt, const char *data, size_t n)
-{
-    struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_DATA};
-    struct ct_sse_split *split = &attempt->split;
-    uint32_t events = split->events;
-
-    ct_sse_split_push(split, data, n);
-    if (split->complete_bytes == attempt->split_complete ||
-        split->events == events) {
-        return;
-    }
-    event.u.progress.events = split->events - events;
-    event.u.progress.bytes =
-        (uint32_t)(split->complete_bytes - attempt->split_complete);
-    event.u.progress.last_event = split->last_id;
-    attempt->split_complete = split->complete_bytes;
-    attempt->posted_bytes += event.u.progress.bytes;
-    post_progress(attempt, &event);
-}
-
 static int
 on_data(struct ct_transfer *transfer, const char *data, size_t n)
 {
@@ -176,11 +154,35 @@
     }
     g_byte_array_append(attempt->received, (const guint8 *)data, (guint)n);
     if (attempt->start.stream && is_success(attempt)) {
-        post_complete_events(attempt, data, n);
+        ct_sse_split_push(&attempt->split, data, n);
     }
     return CT_OK;
 }
 
+/*
+ * Posts the number and bytes of the stream events that became complete since
+ * the last call.
+ */
+static void
+on_flush(struct ct_transfer *transfer)
+{
+    struct relay_attempt *attempt = (struct relay_attempt *)transfer;
+    struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_DATA};
+    const struct ct_sse_split *split = &attempt->split;
+
+    if (split->events == attempt->posted_events) {
+        return;
+    }
+    event.u.progress.events = split->events - attempt->posted_events;
+    event.u.progress.bytes =
+        (uint32_t)(split->complete_bytes - attempt->split_complete);
+    event.u.progress.last_event = split->last_id;
+    attempt->posted_events = split->events;
+    attempt->split_complete = split->complete_bytes;
+    attempt->posted_bytes += event.u.progress.bytes;
+    post_progress(attempt, &event);
+}
+
 static enum ct_outcome
 classify_outcome(const struct relay_attempt *attempt, CURLcode result)
 {
@@ -250,6 +252,7 @@
         .before_send = on_before_send,
         .header = on_header,
         .data = on_data,
+        .flush = on_flush,
         .done = on_done,
     };
     const struct relay_message *message = attempt->message;
@@ -267,6 +270,10 @@
                              message->body->len);
         ct_transfer_set_method(transfer, message->method);
     }
+    if (attempt->start.stream) {
+        /* Its events are forwarded; only those not yet complete are kept. */
+        ct_transfer_set_body_limit(transfer, SIZE_MAX);
+    }
     ct_transfer_use_new_connection(transfer);
     ct_transfer_enable_keepalive(transfer);
     return add_headers(attempt, MAX(left_ms, 1));
--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -10,6 +10,7 @@
 #define RESCAN_BYTES (64 * 1024)
 /* Usage figures are not read from a plain JSON response larger than this. */
 #define USAGE_BODY_MAX_BYTES (1024 * 1024)
+#define MS_PER_S 1000
 #define STATUS_UNAVAILABLE 503
 #define FIRST_SERVER_ERROR 500
 
@@ -47,7 +48,7 @@
 {
     struct ct_upstreams *up = attempt->upstreams;
 
-    ev_timer_stop(ct_loop_ev(up->loop), &attempt->gap);
+    ev_timer_stop(ct_loop_ev(up->loop), &attempt->timeout);
     ct_transfer_clear(&attempt->transfer);
     ct_sse_scan_free(&attempt->scan);
     ct_response_store_end_write(up->responses, attempt->effect.request,
@@ -168,6 +169,33 @@
     return CT_OK;
 }
 
+static void
+restart_timeout(struct ct_attempt *attempt, ct_ms timeout_ms)
+{
+    struct ev_loop *ev = ct_loop_ev(attempt->upstreams->loop);
+
+    attempt->timeout.repeat = (double)MAX(timeout_ms, 1) / MS_PER_S;
+    ev_now_update(ev);
+    ev_timer_again(ev, &attempt->timeout);
+}
+
+/*
+ * Only events are progress of a stream; a response of another kind must be
+ * complete within its total time, however its bytes are spread over it.
+ */
+static void
+restart_timeout_after_head(struct ct_attempt *attempt)
+{
+    const struct ct_clock *clock = ct_loop_clock(attempt->upstreams->loop);
+    ct_ms elapsed_ms = ct_clock_steady_ms(clock) - attempt->started_ms;
+
+    if (attempt->head.event_stream) {
+        restart_timeout(attempt, attempt->effect.gap_timeout_ms);
+        return;
+    }
+    restart_timeout(attempt, attempt->effect.total_timeout_ms - elapsed_ms);
+}
+
 static int
 on_head_end(struct ct_attempt *attempt)
 {
@@ -185,6 +213,7 @@
                 : CT_OUTCOME_FAILED;
         return CT_OK;
     }
+    restart_timeout_after_head(attempt);
     ct_response_store_set_media_type(attempt->upstreams->responses,
                                      attempt->effect.request,
                                      head->media_type);
@@ -198,7 +227,6 @@
 {
     struct ct_attempt *attempt = (struct ct_attempt *)transfer;
 
-    ev_timer_again(ct_loop_ev(attempt->upstreams->loop), &attempt->gap);
     /* Trailers, which follow the body, are ignored. */
     if (attempt->head_complete ||
         !ct_response_head_parse_line(&attempt->head, line, n,
@@ -213,10 +241,8 @@
 on_data(struct ct_transfer *transfer, const char *data, size_t n)
 {
     struct ct_attempt *attempt = (struct ct_attempt *)transfer;
-    struct ct_event event = {.type = CT_EVENT_ATTEMPT_DATA};
     int err;
 
-    ev_timer_again(ct_loop_ev(attempt->upstreams->loop), &attempt->gap);
     if (attempt->early_outcome != 0) {
         return CT_OK;
     }
@@ -229,16 +255,37 @@
     if (err < 0) {
         return err;
     }
-    event.u.attempt.offset = attempt->offset;
-    event.u.attempt.bytes = (uint32_t)n;
     if (attempt->head.event_stream) {
-        event.u.attempt.tokens = ct_sse_scan_push(&attempt->scan, data, n);
+        uint64_t events = attempt->scan.events;
+
+        attempt->unposted_tokens += ct_sse_scan_push(&attempt->scan, data, n);
+        if (attempt->scan.events > events) {
+            restart_timeout(attempt, attempt->effect.gap_timeout_ms);
+        }
     }
-    attempt->offset += n;
-    post_event(attempt, &event);
+    attempt->unposted_bytes += (uint32_t)n;
     return CT_OK;
 }
 
+/* Posts the bytes stored since the last call, as one event. */
+static void
+on_flush(struct ct_transfer *transfer)
+{
+    struct ct_attempt *attempt = (struct ct_attempt *)transfer;
+    struct ct_event event = {.type = CT_EVENT_ATTEMPT_DATA};
+
+    if (attempt->unposted_bytes == 0) {
+        return;
+    }
+    event.u.attempt.offset = attempt->offset;
+    event.u.attempt.bytes = attempt->unposted_bytes;
+    event.u.attempt.tokens = attempt->unposted_tokens;
+    attempt->offset += attempt->unposted_bytes;
+    attempt->unposted_bytes = 0;
+    attempt->unposted_tokens = 0;
+    post_event(attempt, &event);
+}
+
 static enum ct_outcome
 classify_outcome(struct ct_attempt *attempt, CURLcode result)
 {
@@ -270,7 +317,7 @@
 }
 
 static void
-on_gap_timeout(struct ev_loop *ev, ev_timer *timer, int events)
+on_timeout(struct ev_loop *ev, ev_timer *timer, int events)
 {
     struct ct_attempt *attempt = timer->data;
 
@@ -407,6 +454,7 @@
         .before_send = on_before_send,
         .header = on_header,
         .data = on_data,
+        .flush = on_flush,
         .done = on_done,
     };
     const struct ct_stored_call *body = attempt->body;
@@ -458,9 +506,9 @@
         g_rc_box_acquire(attempt->body);
     }
     ct_sse_scan_init(&attempt->scan);
-    ev_timer_init(&attempt->gap, on_gap_timeout, 0,
-                  effect->gap_timeout_ms / 1e3);
-    attempt->gap.data = attempt;
+    attempt->started_ms = ct_clock_steady_ms(ct_loop_clock(up->loop));
+    ev_timer_init(&attempt->timeout, on_timeout, 0, 0);
+    attempt->timeout.data = attempt;
     g_hash_table_insert(up->by_handle, &attempt->effect.attempt, attempt);
     return attempt;
 }
@@ -483,8 +531,7 @@
         end_attempt(attempt, CT_OUTCOME_NOT_SENT);
         return;
     }
-    ev_now_update(ct_loop_ev(up->loop));
-    ev_timer_again(ct_loop_ev(up->loop), &attempt->gap);
+    restart_timeout(attempt, effect->gap_timeout_ms);
 }
 
 static bool
--- a/t/fake/fake-http.c
+++ b/t/fake/fake-http.c
@@ -1,6 +1,7 @@
 #include "fake-http.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -128,6 +129,38 @@
     mark_ready(request);
 }
 
+/* Writes to the socket itself; libmicrohttpd has suspended the connection. */
+static void
+on_endless_writable(struct ev_loop *loop, struct ev_io *io, int events)
+{
+    struct fake_request *request = io->data;
+    ssize_t n = send(io->fd, request->endless->str, request->endless->len,
+                     MSG_DONTWAIT | MSG_NOSIGNAL);
+
+    (void)events;
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+        ev_io_stop(loop, io);
+        fake_abort(request);
+    }
+}
+
+void
+fake_reply_endless(struct fake_request *request,
+                   const struct fake_endless *kind, const char *fields)
+{
+    int fd = MHD_get_connection_info(request->connection,
+                                     MHD_CONNECTION_INFO_CONNECTION_FD)
+                 ->connect_fd;
+    char *head = fake_endless_head(kind, fields);
+
+    (void)!send(fd, head, strlen(head), MSG_DONTWAIT | MSG_NOSIGNAL);
+    g_free(head);
+    request->endless = fake_endless_block(kind);
+    ev_io_init(&request->endless_io, on_endless_writable, fd, EV_WRITE);
+    request->endless_io.data = request;
+    ev_io_start(request->server->loop, &request->endless_io);
+}
+
 void
 fake_stream_begin(struct fake_request *request)
 {
@@ -373,6 +406,10 @@
     struct fake_request *request = row;
 
     ev_timer_stop(request->server->loop, &request->delay);
+    if (request->endless) {
+        ev_io_stop(request->server->loop, &request->endless_io);
+        g_string_free(request->endless, TRUE);
+    }
     g_free(request->method);
     g_free(request->path);
     g_string_free(request->body, TRUE);
--- a/t/fake/fake-http.h
+++ b/t/fake/fake-http.h
@@ -7,6 +7,7 @@
 #include <popt.h>
 
 #include "clock.h"
+#include "fake-endless.h"
 #include "table.h"
 
 /*
@@ -96,6 +97,10 @@
     /* For use by the fake: the log offset that a read waits for, else 0. */
     int64_t wait_offset;
     struct ct_handle call;
+    /* Bytes that are written to the socket again and again, and its watcher.
+     */
+    GString *endless;
+    struct ev_io endless_io;
 };
 
 /* Monotonic time, the same clock in all processes of a machine. */
@@ -140,6 +145,13 @@
 /* Closes the connection without a response, or truncates the stream. */
 void fake_abort(struct fake_request *request);
 
+/*
+ * Replies with bytes without end, until the client closes the connection.
+ * fields are header lines, each with its CRLF.
+ */
+void fake_reply_endless(struct fake_request *request,
+                        const struct fake_endless *kind, const char *fields);
+
 /* Begins an event stream; it is written and ended later. */
 void fake_stream_begin(struct fake_request *request);
 void fake_stream_write(struct fake_request *request, const char *bytes,
--- a/t/fake/fake-runner.c
+++ b/t/fake/fake-runner.c
@@ -23,6 +23,8 @@
     int64_t close_after_read;
     int64_t silent;
     int64_t delay_ms;
+    /* Number of the kind of endless response, from 1 on; 0: none. */
+    int64_t endless;
 };
 
 static void
@@ -72,6 +74,19 @@
     }
 }
 
+static void
+reply_endless(const struct runner *runner, struct fake_request *request)
+{
+    const char *id = fake_request_header(request, "Request-Id");
+    char *fields =
+        g_strdup_printf("Request-Id: %s\r\nRunner-Signature: %s\r\n",
+                        id ? id : "", runner->id);
+
+    fake_reply_endless(request, &fake_endless_kinds[runner->endless - 1],
+                       fields);
+    g_free(fields);
+}
+
 static void
 handle_request(struct fake_server *server, struct fake_request *request)
 {
@@ -92,6 +107,10 @@
         return;
     }
     log_call(runner, request);
+    if (runner->endless > 0 && runner->endless <= fake_endless_kinds_n) {
+        reply_endless(runner, request);
+        return;
+    }
     if (!runner->no_proof) {
         fake_add_header(request, "Runner-Signature", runner->id);
     }
@@ -135,6 +154,7 @@
         {"close_after_read", &runner.close_after_read},
         {"silent", &runner.silent},
         {"delay_ms", &runner.delay_ms},
+        {"endless", &runner.endless},
         {NULL, NULL}};
     struct poptOption options[] = {
         {"id", 0, POPT_ARG_STRING, &runner.id, 0, "instance id", "ID"},
--- a/t/lib-raw-server.c
+++ b/t/lib-raw-server.c
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define US_PER_MS 1000
+
 struct raw_server {
     int fd;
     char address[32];
@@ -71,6 +73,17 @@
     return reply;
 }
 
+/* Sends the repeated bytes until the client closes the connection. */
+static void
+send_repeatedly(int fd, const struct raw_reply *reply)
+{
+    size_t n = strlen(reply->repeated);
+
+    while (send(fd, reply->repeated, n, MSG_NOSIGNAL) == (ssize_t)n) {
+        g_usleep((gulong)reply->pause_ms * US_PER_MS);
+    }
+}
+
 /* Sends a reply; returns FALSE if the connection is to be closed. */
 static gboolean
 send_reply(int fd, const struct raw_reply *reply, const char *request)
@@ -85,6 +98,9 @@
         while (read(fd, &byte, 1) > 0) {
         }
     }
+    if (reply->next_action == RAW_REPEAT) {
+        send_repeatedly(fd, reply);
+    }
     return reply->next_action == RAW_KEEP_ALIVE;
 }
 
--- a/t/lib-raw-server.h
+++ b/t/lib-raw-server.h
@@ -12,7 +12,11 @@
      * After the bytes: read the next request, close the connection, or hang
      * until the client closes it.
      */
-    enum { RAW_KEEP_ALIVE, RAW_CLOSE, RAW_HANG } next_action;
+    enum { RAW_KEEP_ALIVE, RAW_CLOSE, RAW_HANG, RAW_REPEAT } next_action;
+    /* RAW_REPEAT: sent again and again until the client closes. */
+    const char *repeated;
+    /* Pause before each repetition; 0: as fast as the client reads. */
+    guint pause_ms;
 };
 
 struct raw_server;
--- /dev/null
+++ b/t/test-http.c
@@ -0,0 +1,164 @@
+/*
+ * Tests of http.h: a response never goes to another transfer that reuses the
+ * connection, and parts of a response are flushed once a run.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "http.h"
+#include "lib-raw-server.h"
+#include "lib-script.h"
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
+#define FIRST OK_HEAD "5\r\n\r\nfirst"
+#define SECOND OK_HEAD "6\r\n\r\nsecond"
+/* By this time the bytes that the server sent late have arrived. */
+#define LATE_MS 200
+
+struct get {
+    struct ct_transfer transfer;
+    struct script *script;
+    GString *body;
+    guint flushes;
+    CURLcode result;
+    bool done;
+};
+
+static int
+on_data(struct ct_transfer *transfer, const char *data, size_t n)
+{
+    g_string_append_len(((struct get *)transfer)->body, data, (gssize)n);
+    return 0;
+}
+
+static void
+on_flush(struct ct_transfer *transfer)
+{
+    ((struct get *)transfer)->flushes++;
+}
+
+static void
+on_done(struct ct_transfer *transfer, CURLcode result)
+{
+    struct get *get = (struct get *)transfer;
+
+    get->result = result;
+    get->done = true;
+}
+
+static bool
+is_done(void *arg)
+{
+    return ((struct get *)arg)->done;
+}
+
+static void
+run_get(struct ct_http *http, struct script *script, const char *address,
+        struct get *get)
+{
+    static const struct ct_transfer_ops ops = {
+        .data = on_data, .flush = on_flush, .done = on_done};
+
+    memset(get, 0, sizeof(*get));
+    get->script = script;
+    get->body = g_string_new(NULL);
+    get->transfer.http = http;
+    g_assert_cmpint(ct_transfer_init(&get->transfer, http, &ops, address, "/"),
+                    ==, 0);
+    g_assert_cmpint(ct_http_start(http, &get->transfer), ==, 0);
+    script_wait_until(script, is_done, get);
+}
+
+static void
+clear_get(struct get *get)
+{
+    ct_transfer_clear(&get->transfer);
+    g_string_free(get->body, TRUE);
+}
+
+static bool
+is_time(void *arg)
+{
+    return g_get_monotonic_time() >= *(gint64 *)arg;
+}
+
+static void
+wait_ms(struct script *script, gint64 ms)
+{
+    gint64 until = g_get_monotonic_time() + ms * 1000;
+
+    script_wait_until(script, is_time, &until);
+}
+
+/*
+ * The server sends its response twice, the copy at once or late. The next
+ * request must get the response to itself.
+ */
+static void
+test_second_copy(gconstpointer arg)
+{
+    const struct raw_reply at_once = {FIRST FIRST, RAW_KEEP_ALIVE, NULL, 0};
+    const struct raw_reply late = {FIRST, RAW_REPEAT, FIRST, LATE_MS / 4};
+    struct raw_reply replies[] = {arg != NULL ? late : at_once,
+                                  {SECOND, RAW_KEEP_ALIVE, NULL, 0}};
+    struct raw_server *server = raw_server_new(replies, 2);
+    struct script *script = script_new();
+    struct ct_http *http = ct_http_new(script->loop);
+    struct get get;
+
+    ct_loop_add(script->loop, ct_http_executor(http));
+    run_get(http, script, raw_server_address(server), &get);
+    g_assert_cmpint(get.result, ==, CURLE_OK);
+    g_assert_cmpstr(get.body->str, ==, "first");
+    clear_get(&get);
+    wait_ms(script, LATE_MS);
+    run_get(http, script, raw_server_address(server), &get);
+    g_assert_cmpint(get.result, ==, CURLE_OK);
+    g_assert_cmpstr(get.body->str, ==, "second");
+    clear_get(&get);
+    ct_loop_free(script->loop);
+    script_free(script);
+    raw_server_free(server);
+}
+
+/* However many chunks arrive at once, they are flushed together. */
+static void
+test_flush(void)
+{
+    GString *text =
+        g_string_new("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    struct raw_reply reply = {NULL, RAW_KEEP_ALIVE, NULL, 0};
+    struct raw_server *server;
+    struct script *script = script_new();
+    struct ct_http *http = ct_http_new(script->loop);
+    struct get get;
+
+    for (int i = 0; i < 1000; i++) {
+        g_string_append(text, "1\r\nx\r\n");
+    }
+    g_string_append(text, "0\r\n\r\n");
+    reply.text = text->str;
+    server = raw_server_new(&reply, 1);
+    ct_loop_add(script->loop, ct_http_executor(http));
+    run_get(http, script, raw_server_address(server), &get);
+    g_assert_cmpuint(get.body->len, ==, 1000);
+    g_assert_cmpuint(get.flushes, >=, 1);
+    g_assert_cmpuint(get.flushes, <, 100);
+    clear_get(&get);
+    ct_loop_free(script->loop);
+    script_free(script);
+    raw_server_free(server);
+    g_string_free(text, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    g_test_add_data_func("/http/second-copy/at-once", NULL, test_second_copy);
+    g_test_add_data_func("/http/second-copy/late", "late", test_second_copy);
+    g_test_add_func("/http/flush", test_flush);
+    return g_test_run();
+}
--- a/wire/response-body.c
+++ b/wire/response-body.c
@@ -102,6 +102,10 @@
         return 0;
     }
     value = g_strstrip(scan->line + sizeof(field) - 1);
+    if (*value == '\0') {
+        return 0;
+    }
+    scan->events++;
     if (strcmp(value, "[DONE]") == 0) {
         scan->done = true;
         return 0;
--- a/wire/response-body.h
+++ b/wire/response-body.h
@@ -20,6 +20,8 @@
     uint32_t cap;
     /* The current line is too long; it is ignored up to its end. */
     bool overlong;
+    /* Events read that carry data, the last one of the stream included. */
+    uint64_t events;
     /* "data: [DONE]" was read: the stream is complete. */
     bool done;
     struct ct_response_usage usage;
