--- a/core/config-row.h
+++ b/core/config-row.h
@@ -150,8 +150,6 @@
     uint32_t attempts;
     /* Time limit of a call. */
     ct_ms timeout_ms;
-    /* Time in which the first event or the response is due; 0 for none. */
-    ct_ms target_ms;
 };
 
 /* A pool's share of the calls of a prefix route. */
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -52,9 +52,6 @@
         }
         ct_drain_on_timer(state);
         return;
-    case CT_TIMER_RELAY_WAIT:
-        ct_relay_on_wait_timer(state, timer->handle);
-        return;
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
         return;
@@ -426,9 +423,6 @@
     ct_wall_clock_update(&state->wall_clock, event->now_ms, event->wall_ms);
     state->out = effects;
     err = apply_event(state, event);
-    if (state->relays.has_room) {
-        ct_relays_send_waiting(state);
-    }
     schedule_tick(state);
     state->out = NULL;
     if (err < 0) {
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -135,40 +135,6 @@
     }
 }
 
-/* Part of the target above which a first event counts as late. */
-#define LATE_PERCENT 75
-
-static bool
-is_late(const struct ct_relay *relay, ct_ms wait_ms)
-{
-    return relay->target_ms > 0 &&
-           wait_ms > relay->target_ms * LATE_PERCENT / 100;
-}
-
-/*
- * Tells the limit of the call's rank that its first event arrived, or that the
- * attempt ended without one.
- */
-static void
-update_rank_limit(struct ct_state *state, const struct ct_relay *relay,
-                  const struct ct_relay_attempt *attempt, bool has_event)
-{
-    struct ct_rank_limit *limit = ct_relay_rank_limit(state, relay->pool);
-    bool late = is_late(relay, state->now_ms - attempt->started_ms);
-
-    if (relay->prompt_tokens == 0) {
-        return;
-    }
-    if (has_event || late) {
-        ct_rank_limit_first_event(limit, relay->rank, relay->prompt_tokens,
-                                  late, state->now_ms);
-    }
-    else {
-        ct_rank_limit_ended(limit, relay->rank, relay->prompt_tokens);
-    }
-    state->relays.has_room |= ct_rank_limit_has_waiting(limit);
-}
-
 void
 ct_relay_send(struct ct_state *state, struct ct_handle handle)
 {
@@ -201,8 +167,6 @@
     ct_table_ref(&state->config.upstreams, chosen);
     upstream->in_flight++;
     ct_increment_counter(state, CT_COUNTER_ATTEMPTS);
-    ct_rank_limit_sent(ct_relay_rank_limit(state, relay->pool), relay->rank,
-                       relay->prompt_tokens);
     state->relay_balance->ops->started(state->relay_balance, chosen,
                                        state->now_ms);
     emit_attempt_start(
@@ -221,9 +185,6 @@
         ct_table_get(&state->config.upstreams, attempt->upstream);
 
     upstream->in_flight--;
-    if (!attempt->first_event_seen) {
-        update_rank_limit(state, relay, attempt, false);
-    }
     state->relay_balance->ops->ended(state->relay_balance, attempt->upstream,
                                      outcome, state->now_ms);
     ct_table_unref(&state->config.upstreams, attempt->upstream);
@@ -322,7 +283,6 @@
     count_usage(state, relay);
     if (!attempt->first_event_seen) {
         attempt->first_event_seen = true;
-        update_rank_limit(state, relay, attempt, true);
         state->relay_balance->ops->first_token(
             state->relay_balance, attempt->upstream,
             state->now_ms - attempt->started_ms, state->now_ms);
--- a/core/relay.c
+++ b/core/relay.c
@@ -29,16 +29,11 @@
     relays->by_caller = g_hash_table_new(g_int64_hash, g_int64_equal);
     relays->retry_windows =
         g_array_new(FALSE, TRUE, sizeof(struct ct_retry_window));
-    relays->rank_limits =
-        g_array_new(FALSE, TRUE, sizeof(struct ct_rank_limit));
-    g_array_set_clear_func(relays->rank_limits,
-                           (GDestroyNotify)ct_rank_limit_free);
 }
 
 void
 ct_relays_free(struct ct_relays *relays)
 {
-    g_array_free(relays->rank_limits, TRUE);
     g_array_free(relays->retry_windows, TRUE);
     g_hash_table_destroy(relays->by_caller);
     ct_table_free(&relays->attempts);
@@ -56,44 +51,6 @@
     return &g_array_index(retry_windows, struct ct_retry_window, pool.index);
 }
 
-struct ct_rank_limit *
-ct_relay_rank_limit(struct ct_state *state, struct ct_handle pool)
-{
-    GArray *rank_limits = state->relays.rank_limits;
-
-    if (pool.index >= rank_limits->len) {
-        g_array_set_size(rank_limits, pool.index + 1);
-    }
-    return &g_array_index(rank_limits, struct ct_rank_limit, pool.index);
-}
-
-/*
- * Returns the longest time that the call may wait at this host. The other half
- * of the target is left to the upstream, and half of the call's time to a
- * retry by the caller.
- */
-static ct_ms
-wait_limit_ms(const struct ct_relay *relay)
-{
-    ct_ms left_ms = relay->deadline_ms - relay->arrived_ms;
-
-    return MIN(relay->target_ms > 0 ? relay->target_ms / 2 : left_ms / 4,
-               left_ms / 2);
-}
-
-/*
- * Returns the time after which the caller may retry. While less urgent calls
- * are held back, those that wait now are sent or refused within the time that
- * a call may wait.
- */
-static ct_ms
-retry_after_ms(const struct ct_relay *relay, enum ct_refusal reason)
-{
-    return reason == CT_REFUSAL_QUEUE_TIMEOUT
-               ? MAX(wait_limit_ms(relay), RETRY_AFTER_MS)
-               : RETRY_AFTER_MS;
-}
-
 struct ct_log_effect *
 ct_relay_log(struct ct_state *state, const struct ct_relay *relay,
              enum ct_log_event event)
@@ -139,7 +96,7 @@
     state->counters.refusals[reason]++;
     if (relay->caller) {
         ct_emit_refusal(state, relay->caller, &relay->id, reason, run_state,
-                        retry_after_ms(relay, reason));
+                        RETRY_AFTER_MS);
     }
 }
 
@@ -203,7 +160,6 @@
     relay->stream = route->conf.stream;
     relay->attempts_max = route->conf.attempts;
     relay->rank = route->conf.rank;
-    relay->target_ms = route->conf.target_ms;
     relay->prefix_hash = route->conf.sticky ? call->prefix_hash : 0;
     relay->prompt_tokens = call->prompt_tokens;
     relay->deadline_ms = state->now_ms + route->conf.timeout_ms;
@@ -248,61 +204,6 @@
     ct_table_unref(&state->relays.rows, handle);
 }
 
-/*
- * Sends the call, or lets it wait at this host. Only the prompts of calls
- * whose size is known are limited.
- */
-static void
-send_or_wait(struct ct_state *state, struct ct_handle handle)
-{
-    struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-    struct ct_rank_limit *limit = ct_relay_rank_limit(state, relay->pool);
-
-    if (relay->prompt_tokens == 0 ||
-        ct_rank_limit_admits(limit, relay->rank, relay->prompt_tokens)) {
-        ct_relay_send(state, handle);
-        return;
-    }
-    relay->waiting = true;
-    ct_rank_limit_wait(limit, relay->rank, handle, relay->prompt_tokens);
-    ct_increment_counter(state, CT_COUNTER_CALLS_HELD_BACK);
-    ct_arm_timer(state, wait_limit_ms(relay), CT_TIMER_RELAY_WAIT, handle);
-}
-
-void
-ct_relay_on_wait_timer(struct ct_state *state, struct ct_handle handle)
-{
-    const struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-
-    if (relay && relay->waiting) {
-        ct_relay_fail(state, handle, CT_REFUSAL_QUEUE_TIMEOUT);
-    }
-}
-
-static void
-send_waiting_of(struct ct_state *state, struct ct_handle pool)
-{
-    struct ct_handle handle;
-
-    while (ct_rank_limit_next(ct_relay_rank_limit(state, pool), &handle)) {
-        struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-
-        if (relay && relay->waiting) {
-            relay->waiting = false;
-            ct_relay_send(state, handle);
-        }
-    }
-}
-
-void
-ct_relays_send_waiting(struct ct_state *state)
-{
-    state->relays.has_room = false;
-    for (guint i = 0; i < state->relays.rank_limits->len; i++) {
-        send_waiting_of(state, (struct ct_handle){.index = i});
-    }
-}
-
 void
 ct_relay_on_arrived(struct ct_state *state, const struct ct_relay_call *call)
 {
@@ -339,7 +240,7 @@
                              &state->self.bounds, state->now_ms);
     ct_arm_timer(state, row->deadline_ms - state->now_ms + DEADLINE_MARGIN_MS,
                  CT_TIMER_RELAY, handle);
-    send_or_wait(state, handle);
+    ct_relay_send(state, handle);
 }
 
 void
--- a/core/relay.h
+++ b/core/relay.h
@@ -5,7 +5,6 @@
 
 #include "effect.h"
 #include "event.h"
-#include "rank-limit.h"
 #include "refusal.h"
 #include "retry-window.h"
 #include "table.h"
@@ -37,10 +36,6 @@
     ct_ms arrived_ms;
     /* Earlier of the caller's deadline and the route's time limit. */
     ct_ms deadline_ms;
-    /* Target of the route for the first event; 0 for none. */
-    ct_ms target_ms;
-    /* Waits at this host until the limit of its rank lets it be sent. */
-    bool waiting;
     /* Configuration by which the call was admitted, and its age. */
     int64_t config_version;
     ct_ms config_age_ms;
@@ -81,10 +76,6 @@
     GHashTable *by_caller;
     /* struct ct_retry_window, by the index of the pool's row. */
     GArray *retry_windows;
-    /* struct ct_rank_limit, by the index of the pool's row. */
-    GArray *rank_limits;
-    /* A call that waits may be sent. */
-    bool has_room;
     /* Time at which the last call arrived. */
     ct_ms arrived_ms;
 };
@@ -109,14 +100,6 @@
 struct ct_retry_window *ct_relay_retry_window(struct ct_state *state,
                                               struct ct_handle pool);
 
-/* Returns the limits of a pool's ranks. */
-struct ct_rank_limit *ct_relay_rank_limit(struct ct_state *state,
-                                          struct ct_handle pool);
-/* CT_TIMER_RELAY_WAIT: refuses the call if it still waits at this host. */
-void ct_relay_on_wait_timer(struct ct_state *state, struct ct_handle handle);
-/* Sends the calls that waited and may be sent now. */
-void ct_relays_send_waiting(struct ct_state *state);
-
 /*
  * Refuses the call, or aborts its response if that has started. Frees the
  * row.
