core: order calls of an organisation by their route's rank

Change: the organisation's rank decides first, the route's among equals. The pairs that occur in a configuration are mapped to the ten levels of the engines, in order; with more pairs than levels, neighbours share one.

The expectation of test-relay's attempt fields changes with it: levels 0 and 1 in place of ranks 2 and 7 for the only two pairs there.

--- a/core/config.c
+++ b/core/config.c
@@ -349,6 +349,7 @@
     }
     link_upstreams(config);
     ct_prefix_routes_link(config, rows);
+    ct_rank_levels_set(&config->rank_levels, rows);
     for (i = 0; i < rows.n; i++) {
         if (row[i].kind == CT_CONFIG_ACCESS) {
             allow_access(config, &row[i].u.access);
--- a/core/config.h
+++ b/core/config.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "config-row.h"
+#include "rank-levels.h"
 #include "retry.h"
 #include "rows.h"
 #include "table.h"
@@ -109,6 +110,7 @@
     struct ct_table hosts;
     struct ct_table upstreams;
     struct ct_table prefix_routes;
+    struct ct_rank_levels rank_levels;
     /*
      * From name to packed handle, one for each table; the keys are in the
      * rows.
--- a/core/relay.c
+++ b/core/relay.c
@@ -159,7 +159,6 @@
     relay->repeat = route->conf.repeat;
     relay->stream = route->conf.stream;
     relay->attempts_max = route->conf.attempts;
-    relay->rank = route->conf.rank;
     relay->prefix_hash = route->conf.sticky ? call->prefix_hash : 0;
     relay->prompt_tokens = call->prompt_tokens;
     relay->deadline_ms = state->now_ms + route->conf.timeout_ms;
@@ -172,9 +171,11 @@
     }
     organisation =
         ct_table_get(&state->config.organisations, relay->organisation);
-    if (organisation && organisation->conf.has_rank) {
-        relay->rank = organisation->conf.rank;
-    }
+    relay->rank = ct_rank_level(&state->config.rank_levels,
+                                organisation && organisation->conf.has_rank
+                                    ? organisation->conf.rank
+                                    : route->conf.rank,
+                                route->conf.rank);
     relay->pool = ct_prefix_route_pool(
         route, ct_hash_bytes(CT_HASH_SEED, call->request_id.text,
                              (uint32_t)strlen(call->request_id.text)));
--- a/core/relay.h
+++ b/core/relay.h
@@ -29,6 +29,7 @@
     struct ct_handle pool;
     enum ct_repeat repeat;
     bool stream;
+    /* Level of priority at the engine, by rank-levels.h. */
     uint32_t rank;
     uint32_t attempts_max;
     uint64_t prefix_hash;
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -125,6 +125,58 @@
     g_array_free(rows, TRUE);
 }
 
+/* Adds a stream route of a rank to the configuration, at the path /RANK/. */
+static void
+add_ranked_route(GArray *rows, uint32_t rank)
+{
+    char *path = g_strdup_printf("/%u/", rank);
+    struct ct_prefix_route route = {.stream = true};
+    struct ct_pool_share *share;
+
+    CT_TEXT_SET(route.name, path);
+    CT_TEXT_SET(route.authority, T_HOST);
+    CT_TEXT_SET(route.prefix, path);
+    route.repeat = CT_REPEAT_NEVER;
+    route.rank = rank;
+    route.attempts = 1;
+    route.timeout_ms = 10000;
+    ct_config_rows_add(rows, CT_CONFIG_PREFIX_ROUTE)->u.prefix_route = route;
+    share = &ct_config_rows_add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
+    CT_TEXT_SET(share->route, path);
+    CT_TEXT_SET(share->pool, "engines");
+    share->weight = 1;
+    g_free(path);
+}
+
+/*
+ * The rank of an organisation decides before that of the route, but does not
+ * make its calls equal: of two calls of one organisation the one on the more
+ * urgent route stays ahead.
+ */
+static void
+test_ranks(void)
+{
+    static const struct {
+        uint8_t key;
+        const char *path;
+    } order[] = {{1, "/0/x"}, {1, "/1/x"}, {1, "/2/x"},
+                 {3, "/0/x"}, {3, "/1/x"}, {3, "/2/x"}};
+    GArray *rows = t_relay_rows();
+    struct t_core core;
+
+    for (uint32_t rank = 0; rank < 3; rank++) {
+        add_ranked_route(rows, rank);
+    }
+    t_relay_setup(&core, 2);
+    t_relay_post_config(&core, 6, rows);
+    for (guint i = 0; i < G_N_ELEMENTS(order); i++) {
+        t_relay_call(&core, order[i].key, order[i].path);
+        g_assert_cmpuint(t_relay_started(&core).rank, ==, i);
+    }
+    t_core_free(&core);
+    g_array_free(rows, TRUE);
+}
+
 /*
  * The attempt carries the organisation, the rank and the deadline to the
  * upstream.
@@ -139,10 +191,10 @@
     t_relay_call(&core, 1, T_STREAM_PATH);
     start = t_relay_started(&core);
     g_assert_cmpstr(start.organisation.text, ==, "acme");
-    g_assert_cmpuint(start.rank, ==, 2);
+    g_assert_cmpuint(start.rank, ==, 0);
     g_assert_cmpint(start.deadline_ms, ==, core.now_ms + 10000);
     t_relay_call(&core, 3, T_STREAM_PATH);
-    g_assert_cmpuint(t_relay_started(&core).rank, ==, 7);
+    g_assert_cmpuint(t_relay_started(&core).rank, ==, 1);
     t_relay_call(&core, 1, T_OPEN_PATH);
     g_assert_cmpstr(t_relay_started(&core).organisation.text, ==, "");
     t_core_free(&core);
@@ -391,6 +443,7 @@
     g_test_add_func("/relay/no-config", test_no_config);
     g_test_add_func("/relay/outdated-data", test_outdated_data);
     g_test_add_func("/relay/key-removed", test_key_removed);
+    g_test_add_func("/relay/ranks", test_ranks);
     g_test_add_func("/relay/attempt-fields", test_attempt_fields);
     g_test_add_func("/relay/log-events", test_log_events);
     g_test_add_func("/relay/deadline", test_deadline);
