core: avoid an upstream longer each time it fails again

Change: a decline avoids the engine for 500 ms; a failure within 10 s of the last avoidance doubles it, up to 8 s. Failures while it is avoided count once, since a crash ends many requests together.

--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -11,12 +11,20 @@
 #define HOME_EXTRA 1
 
 /*
- * How long an upstream is avoided after it accepted no connection, or aborted
- * a response. Short, because the upstream list soon shows which upstreams were
- * removed.
+ * How long an upstream is avoided after it accepted no connection, aborted a
+ * response or declined a request. Short, because the upstream list soon shows
+ * which upstreams were removed.
  */
 #define UNREACHABLE_AVOID_MS 1500
 #define ABORTED_AVOID_MS 400
+#define DECLINED_AVOID_MS 500
+/*
+ * An upstream that fails again soon after it was avoided is avoided for twice
+ * as long, up to a maximum: it fails part of its requests although it looks
+ * healthy to the platform.
+ */
+#define AVOID_MAX_MS 8000
+#define FAILS_AGAIN_MS 10000
 
 /* Prompts of up to this length count as short. */
 #define SHORT_PROMPT_TOKENS 4096
@@ -324,6 +332,24 @@
     }
 }
 
+/*
+ * Failures while the upstream is avoided belong to requests sent before, and
+ * are not counted again.
+ */
+static void
+avoid_upstream(struct ct_balance_row *row, ct_ms avoid_ms, ct_ms now_ms)
+{
+    if (now_ms < row->ejected_until_ms) {
+        return;
+    }
+    if (row->avoided_ms > 0 &&
+        now_ms - row->ejected_until_ms < FAILS_AGAIN_MS) {
+        avoid_ms = CLAMP(row->avoided_ms * 2, avoid_ms, AVOID_MAX_MS);
+    }
+    row->avoided_ms = avoid_ms;
+    row->ejected_until_ms = now_ms + avoid_ms;
+}
+
 static void
 home_ended(struct ct_balance_policy *policy, struct ct_handle upstream,
            enum ct_outcome outcome, ct_ms now_ms)
@@ -335,15 +361,19 @@
         return;
     }
     ct_balance_row_ended(row, now_ms);
-    if (outcome == CT_OUTCOME_DECLINED) {
+    switch (outcome) {
+    case CT_OUTCOME_DECLINED:
+        avoid_upstream(row, DECLINED_AVOID_MS, now_ms);
         start_short_overflow(base, row, now_ms);
-    }
-    if (outcome == CT_OUTCOME_NOT_SENT) {
-        row->ejected_until_ms = now_ms + UNREACHABLE_AVOID_MS;
-    }
-    else if (outcome == CT_OUTCOME_CONNECTION_LOST) {
-        row->ejected_until_ms =
-            MAX(row->ejected_until_ms, now_ms + ABORTED_AVOID_MS);
+        return;
+    case CT_OUTCOME_NOT_SENT:
+        avoid_upstream(row, UNREACHABLE_AVOID_MS, now_ms);
+        return;
+    case CT_OUTCOME_CONNECTION_LOST:
+        avoid_upstream(row, ABORTED_AVOID_MS, now_ms);
+        return;
+    default:
+        return;
     }
 }
 
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -33,6 +33,8 @@
     uint32_t failures;
     uint32_t ejections;
     ct_ms ejected_until_ms;
+    /* Home policy: how long it was avoided after its last failure. */
+    ct_ms avoided_ms;
     /* Reserved for short prompts. */
     bool reserved_for_short;
     /* When it was first among the candidates. */
--- a/t/test-balance-prefix-home.c
+++ b/t/test-balance-prefix-home.c
@@ -167,6 +167,67 @@
     teardown(&f);
 }
 
+/*
+ * Each time an upstream fails again, it is avoided for twice as long. Requests
+ * that fail together count once, and after a good while it starts anew.
+ */
+static void
+test_failing_again(gconstpointer arg)
+{
+    enum ct_outcome outcome = (enum ct_outcome)GPOINTER_TO_INT(arg);
+    ct_ms avoid_ms = outcome == CT_OUTCOME_DECLINED ? 500 : 400;
+    ct_ms first_ms = avoid_ms;
+    struct fixture f;
+
+    setup(&f);
+    for (int i = 0; i < 4; i++) {
+        int home = end_request_at_home(&f, outcome);
+
+        f.policy->ops->ended(f.policy, f.candidates[home].upstream, outcome,
+                             f.request.now_ms);
+        f.request.now_ms += avoid_ms - 1;
+        g_assert_cmpint(choose_for_prefix(&f, 99), !=, home);
+        f.request.now_ms += 1;
+        g_assert_cmpint(choose_for_prefix(&f, 99), ==, home);
+        avoid_ms *= 2;
+    }
+    f.request.now_ms += 10000;
+    end_request_at_home(&f, outcome);
+    f.request.now_ms += first_ms;
+    choose_for_prefix(&f, 99);
+    end_request_at_home(&f, outcome);
+    teardown(&f);
+}
+
+/*
+ * Seven of twelve upstreams decline two requests in five: with what each
+ * decline tells, nearly all requests go to the others.
+ */
+static void
+test_partly_declining(void)
+{
+    struct fixture f;
+    guint declined = 0;
+
+    setup(&f);
+    for (guint i = 0; i < 1200; i++) {
+        int chosen = choose_for_prefix(&f, (i % 300 + 1) *
+                                               G_GUINT64_CONSTANT(2654435761));
+        bool declines = chosen < 7 && i % 5 < 2;
+
+        start_request(&f, chosen);
+        f.request.now_ms += 10;
+        declined += declines;
+        f.policy->ops->ended(f.policy, f.candidates[chosen].upstream,
+                             declines ? CT_OUTCOME_DECLINED
+                                      : CT_OUTCOME_COMPLETE,
+                             f.request.now_ms);
+    }
+    /* 280 if the requests were spread evenly. */
+    g_assert_cmpuint(declined, <, 60);
+    teardown(&f);
+}
+
 /*
  * An upstream that accepted no connection is avoided for a while, unless there
  * is no other.
@@ -435,6 +496,14 @@
     g_test_add_func("/balance-prefix-home/no-prefix", test_no_prefix);
     g_test_add_func("/balance-prefix-home/aborted-response",
                     test_aborted_response);
+    g_test_add_data_func("/balance-prefix-home/failing-again/declined",
+                         GINT_TO_POINTER(CT_OUTCOME_DECLINED),
+                         test_failing_again);
+    g_test_add_data_func("/balance-prefix-home/failing-again/aborted",
+                         GINT_TO_POINTER(CT_OUTCOME_CONNECTION_LOST),
+                         test_failing_again);
+    g_test_add_func("/balance-prefix-home/partly-declining",
+                    test_partly_declining);
     g_test_add_func("/balance-prefix-home/unreachable", test_unreachable);
     g_test_add_func("/balance-prefix-home/prompt-sizes", test_prompt_sizes);
     g_test_add_func("/balance-prefix-home/prompt-size-without-upstreams",
