core: fix a usage window only after its tallies were read

After an outage a leader also fixed the windows at once, before the hosts had appended what they kept.

Change: a window is fixed after a read that began after its end and came to the end of the tallies. For two seconds after an outage, or after a host became the leader, it waits for the hosts, unless the report would be late.

The stand-in for the store in test-usage-report now returns the tallies of all windows that were not read yet, as the store does.

Left there: windows that end while the store is down come late.

--- a/core/usage-report.c
+++ b/core/usage-report.c
@@ -16,6 +16,13 @@
  * Tallies that are not written this long before a report is due are left out.
  */
 #define FIX_BEFORE_DUE_MS 5000
+/*
+ * For this long after an outage of the store hosts still append the tallies
+ * that they kept, unless a report would be late.
+ */
+#define CATCH_UP_MS 2000
+/* Time that an append of the figures and their report take. */
+#define REPORT_MS 1500
 #define READ_TIMEOUT_MS 1200
 #define APPEND_TIMEOUT_MS 1200
 #define REPORT_RETRY_MS 600
@@ -52,6 +59,7 @@
     /* Another leader may have fixed windows since the last read. */
     report->finals_read_to_end = false;
     report->fixing_window = 0;
+    report->tallies_back_ms = state->now_ms;
     if (report->last_final == 0) {
         /* Earlier windows are overdue. */
         report->last_final =
@@ -84,13 +92,32 @@
 }
 
 static void
-read_tallies(struct ct_state *state)
+continue_reading_tallies(struct ct_state *state)
 {
     state->usage_report.tallies_reading = true;
-    state->usage_report.tallies_read_ms = state->now_ms;
     emit_read(state, CT_TOPIC_TALLIES, state->usage_report.tallies_next);
 }
 
+static void
+read_tallies(struct ct_state *state)
+{
+    state->usage_report.tallies_started_ms = state->now_ms;
+    continue_reading_tallies(state);
+}
+
+/* Records that the tallies were read to their end. */
+static void
+end_reading_tallies(struct ct_state *state)
+{
+    struct ct_usage_report *report = &state->usage_report;
+
+    report->tallies_read_ms = report->tallies_started_ms;
+    if (report->tallies_failed) {
+        report->tallies_failed = false;
+        report->tallies_back_ms = state->now_ms;
+    }
+}
+
 void
 ct_usage_report_on_read(struct ct_state *state,
                         const struct ct_store_read_done *read)
@@ -110,13 +137,19 @@
         *next = 0;
     }
     else {
+        report->tallies_failed |= !finals;
         return;
     }
     if (read->result == CT_ERR_LOG_TRUNCATED || read->entries > 0) {
-        finals ? read_finals(state) : read_tallies(state);
+        finals ? read_finals(state) : continue_reading_tallies(state);
         return;
     }
-    report->finals_read_to_end |= finals;
+    if (finals) {
+        report->finals_read_to_end = true;
+    }
+    else {
+        end_reading_tallies(state);
+    }
 }
 
 static bool
@@ -369,35 +402,55 @@
     report->finals_read_to_end = false;
 }
 
-/* Fixes the next window once its tallies are complete or its time runs out. */
+/*
+ * Whether a window is fixed without the tallies of some hosts, since_ms after
+ * its end. Once its report is late anyway, right figures come first.
+ */
+static bool
+is_wait_over(const struct ct_state *state, ct_ms since_ms)
+{
+    ct_ms late_ms = state->self.bounds.usage_late_ms;
+
+    if (since_ms < late_ms - FIX_BEFORE_DUE_MS) {
+        return false;
+    }
+    if (state->now_ms - state->usage_report.tallies_back_ms >= CATCH_UP_MS) {
+        return true;
+    }
+    return since_ms >= late_ms - REPORT_MS && since_ms < late_ms;
+}
+
+/*
+ * Fixes the next window once its tallies are complete or its time runs out. A
+ * read that failed says nothing about the tallies, so the window waits for one
+ * that began after it ended.
+ */
 static void
 fix_next_window(struct ct_state *state)
 {
     struct ct_usage_report *report = &state->usage_report;
     int64_t window = report->last_final + 1;
-    ct_ms late_ms = state->self.bounds.usage_late_ms;
-    ct_ms since_ms;
+    ct_ms wanted_ms;
+    bool was_read;
 
     /* Windows that no leader fixed in time are skipped. */
     while (state->now_ms > last_report_ms(state, window)) {
         window++;
         report->last_final++;
     }
-    since_ms = state->now_ms - ct_window_end_ms(state, window);
-    if (since_ms < READ_AFTER_MS || report->tallies_reading) {
-        return;
-    }
-    if (report->tallies_read_ms <
-        ct_window_end_ms(state, window) + READ_AFTER_MS) {
-        read_tallies(state);
+    wanted_ms = ct_window_end_ms(state, window) + READ_AFTER_MS;
+    if (state->now_ms < wanted_ms || report->tallies_reading) {
         return;
     }
-    if (is_complete(state, window) ||
-        since_ms >= late_ms - FIX_BEFORE_DUE_MS) {
+    was_read = report->tallies_read_ms >= wanted_ms;
+    if (was_read &&
+        (is_complete(state, window) ||
+         is_wait_over(state, state->now_ms - wanted_ms + READ_AFTER_MS))) {
         fix_window(state, window);
         return;
     }
-    if (state->now_ms - report->tallies_read_ms >= READ_AGAIN_MS) {
+    if (report->tallies_started_ms < wanted_ms ||
+        state->now_ms - report->tallies_started_ms >= READ_AGAIN_MS) {
         read_tallies(state);
     }
 }
--- a/core/usage-report.h
+++ b/core/usage-report.h
@@ -55,8 +55,14 @@
     bool finals_reading;
     /* The topic of final figures was read to its end. */
     bool finals_read_to_end;
-    /* When the hosts' tallies were last read. */
+    /* When the last read of the hosts' tallies began. */
+    ct_ms tallies_started_ms;
+    /* When the last read began that came to the end of the tallies. */
     ct_ms tallies_read_ms;
+    /* The last read of the tallies failed. */
+    bool tallies_failed;
+    /* When reads of the tallies first succeeded after a failure. */
+    ct_ms tallies_back_ms;
     /* The window that is being fixed; 0 for none. */
     int64_t fixing_window;
     int64_t last_final;
--- a/t/test-usage-report.c
+++ b/t/test-usage-report.c
@@ -25,6 +25,8 @@
     bool lose_append_response;
     int64_t last_tally_window;
     bool tallies_read;
+    /* Reads of the tallies fail until this time. */
+    ct_ms tallies_fail_until_ms;
 };
 
 struct figure {
@@ -49,8 +51,8 @@
 }
 
 static void
-post_read(struct simulation *sim, enum ct_topic topic, int64_t next,
-          uint32_t entries)
+post_read_result(struct simulation *sim, enum ct_topic topic, int64_t next,
+                 uint32_t entries, int32_t result)
 {
     struct ct_event event = {.type = CT_EVENT_STORE_READ_DONE};
 
@@ -58,9 +60,17 @@
     event.u.store_read.sent_ms = sim->core.now_ms;
     event.u.store_read.next = next;
     event.u.store_read.entries = entries;
+    event.u.store_read.result = result;
     t_core_post(&sim->core, &event);
 }
 
+static void
+post_read(struct simulation *sim, enum ct_topic topic, int64_t next,
+          uint32_t entries)
+{
+    post_read_result(sim, topic, next, entries, CT_OK);
+}
+
 static void
 post_finals(struct simulation *sim, int64_t from)
 {
@@ -75,24 +85,42 @@
               (uint32_t)(sim->fixed->len - from));
 }
 
-/* Each writer has a record of the window that ended last. */
+static void
+post_window(struct simulation *sim, int64_t window)
+{
+    for (guint i = 0; i < sim->writers; i++) {
+        char writer[8];
+
+        g_snprintf(writer, sizeof(writer), "w%u", i);
+        post_rows(sim, CT_EVENT_STORE_TALLY, window, writer, sim->requests);
+        /* A repeated record is counted once. */
+        post_rows(sim, CT_EVENT_STORE_TALLY, window, writer, sim->requests);
+    }
+}
+
+/*
+ * Each writer has a record of the window that ended last, and of those before
+ * it that were not read yet.
+ */
 static void
 post_tallies(struct simulation *sim, int64_t from)
 {
+    int64_t first;
+
     int64_t window = sim->core.wall_ms / WINDOW_MS - 1;
 
+    if (sim->core.now_ms < sim->tallies_fail_until_ms) {
+        post_read_result(sim, CT_TOPIC_TALLIES, from, 0, CT_ERR_UNAVAILABLE);
+        return;
+    }
     if (from > 0 && window == sim->last_tally_window) {
         post_read(sim, CT_TOPIC_TALLIES, from, 0);
         return;
     }
+    first = sim->last_tally_window > 0 ? sim->last_tally_window + 1 : window;
     sim->last_tally_window = window;
-    for (guint i = 0; i < sim->writers; i++) {
-        char writer[8];
-
-        g_snprintf(writer, sizeof(writer), "w%u", i);
-        post_rows(sim, CT_EVENT_STORE_TALLY, window, writer, sim->requests);
-        /* A repeated record is counted once. */
-        post_rows(sim, CT_EVENT_STORE_TALLY, window, writer, sim->requests);
+    while (first <= window) {
+        post_window(sim, first++);
     }
     post_read(sim, CT_TOPIC_TALLIES, from + 1, sim->writers);
 }
@@ -431,6 +459,70 @@
     }
 }
 
+static const struct figure *
+find_figure(const GArray *figures, int64_t window)
+{
+    for (guint i = 0; i < figures->len; i++) {
+        const struct figure *figure =
+            &g_array_index(figures, struct figure, i);
+
+        if (figure->window == window) {
+            return figure;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * The store's part with the tallies fails while the part with the final
+ * figures works: a window whose tallies could not be read is not fixed as if
+ * it had none, even if its report comes late.
+ */
+static void
+test_failed_reads(gconstpointer arg)
+{
+    ct_ms outage_ms = GPOINTER_TO_INT(arg);
+    struct simulation sim;
+    int64_t window;
+
+    init_simulation(&sim);
+    /* This is one second into a window. */
+    run_simulation(&sim, 4 * WINDOW_MS + 1000, true);
+    window = sim.core.wall_ms / WINDOW_MS;
+    sim.tallies_fail_until_ms = sim.core.now_ms + 4000 + outage_ms;
+    run_simulation(&sim, 4000 + outage_ms - 100, true);
+    g_assert_null(find_figure(sim.fixed, window));
+    run_simulation(&sim, 3000, true);
+    g_assert_nonnull(find_figure(sim.reports, window));
+    g_assert_cmpuint(find_figure(sim.reports, window)->requests, ==, 7);
+    assert_reports_fixed(&sim);
+    free_simulation(&sim);
+}
+
+/*
+ * After an outage of the store the hosts append what they kept, each in its
+ * turn: the leader waits for a host that is not back yet.
+ */
+static void
+test_hosts_catch_up(void)
+{
+    struct simulation sim;
+    int64_t window;
+
+    init_simulation(&sim);
+    run_simulation(&sim, 4 * WINDOW_MS + 1000, true);
+    window = sim.core.wall_ms / WINDOW_MS;
+    post_rows(&sim, CT_EVENT_STORE_TALLY, window - 1, "other", 3);
+    /* The outage ends 6 s after the window; its report is due after 10 s. */
+    sim.tallies_fail_until_ms = sim.core.now_ms + 10000;
+    run_simulation(&sim, 11000, true);
+    post_rows(&sim, CT_EVENT_STORE_TALLY, window, "other", 3);
+    run_simulation(&sim, 3000, true);
+    g_assert_nonnull(find_figure(sim.reports, window));
+    g_assert_cmpuint(find_figure(sim.reports, window)->requests, ==, 10);
+    free_simulation(&sim);
+}
+
 /* The tallies of all hosts for an organisation are added up. */
 static void
 test_sum(void)
@@ -514,6 +606,11 @@
     g_test_add_func("/usage-report/two-records", test_two_records);
     g_test_add_func("/usage-report/not-leader", test_not_leader);
     g_test_add_func("/usage-report/wait-for-host", test_wait_for_host);
+    g_test_add_data_func("/usage-report/failed-reads/in-time",
+                         GINT_TO_POINTER(7000), test_failed_reads);
+    g_test_add_data_func("/usage-report/failed-reads/late",
+                         GINT_TO_POINTER(11000), test_failed_reads);
+    g_test_add_func("/usage-report/hosts-catch-up", test_hosts_catch_up);
     g_test_add_func("/usage-report/sum", test_sum);
     g_test_add_func("/usage-report/bounded-memory", test_bounded_memory);
     g_test_add_func("/usage-report/unknown-window", test_unknown_window);
