core: reserve engines for interactive calls by gap target, and in order

The engines reserved for short prompts did not help: prompts of up to 4,096 tokens include those of reviews, which alone kept a reserved engine busy for half of its time; with nine engines the hash reserved one to three of them, or none; and when they were half full all engines took chats. Besides, 325 prefixes have uneven homes on 60 engines: the busiest engine had twice the mean, while a host has too few calls in flight to notice.

Change: interactive calls are those with a short prompt on a route whose gap target is the shortest of the pool. Engines are reserved in the order of a hash, 15 in 100 of the healthy ones and at least one of three; while these are half full more are reserved, up to half of all. An engine that is reserved no more counts as new, so long prompts copy their cache to it. A home is passed over when this host sent it more prompt tokens in about 10 s than 125 percent of the mean and two calls.

Tests: two expectations changed with the behaviour. Where all reserved engines are excluded, others are now reserved in their place, and no long prompt uses them (before: any engine). Where they are half full, as many more are reserved as keep them at half, and long prompts keep the rest (before: any engine).

--- a/core/balance-affinity.c
+++ b/core/balance-affinity.c
@@ -573,6 +573,7 @@
 static const struct ct_balance_policy_ops affinity_ops = {
     .choose_upstream = affinity_choose,
     .cache_donor = ct_balance_base_cache_donor,
+    .choose_backup = ct_balance_base_choose_backup,
     .started = affinity_started,
     .ended = affinity_ended,
     .first_token = affinity_first_token,
--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -33,6 +33,11 @@
     uint64_t prefix_hash;
     /* 0 if unknown. */
     uint32_t prompt_tokens;
+    /*
+     * No other requests to the pool have a shorter target for the gap between
+     * two parts of a response.
+     */
+    bool tight_gap;
     uint32_t tier;
     /*
      * Hosts that send requests to the pool, including this one; 0 if unknown.
@@ -65,6 +70,18 @@
                        const struct ct_candidate *candidates, uint32_t n,
                        uint32_t chosen);
 
+    /*
+     * Returns, after a choice, the index of the candidate that is to hold a
+     * copy of the request's cache while the chosen one runs it. Here the
+     * candidates in the availability zone of the chosen one are marked
+     * same_zone. Errors: CT_ERR_NOT_FOUND if there is none, or no room for
+     * copies.
+     */
+    int (*choose_backup)(struct ct_balance_policy *policy,
+                         const struct ct_balance_request *request,
+                         const struct ct_candidate *candidates, uint32_t n,
+                         uint32_t chosen);
+
     /* An attempt at the upstream was started, or ended. */
     void (*started)(struct ct_balance_policy *policy,
                     struct ct_handle upstream, ct_ms now_ms);
@@ -113,8 +130,9 @@
  * has a home upstream; while that has far more requests in flight than the
  * mean, the next one in the prefix's order is used. Calls without a prefix go
  * to the upstream with the fewest requests in flight. Some upstreams are
- * reserved for short prompts, whose tokens would otherwise be delayed while
- * the engine reads long prompts.
+ * reserved for interactive requests, those with a short prompt and the
+ * tightest target for gaps, whose tokens would otherwise be delayed while the
+ * engine reads the prompts of other requests.
  */
 struct ct_balance_policy *ct_balance_prefix_home_new(void);
 
--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -1,6 +1,8 @@
 #include <glib.h>
+#include <stdlib.h>
 
 #include "balance-rows.h"
+#include "candidates.h"
 #include "error.h"
 
 /*
@@ -9,6 +11,14 @@
  */
 #define HOME_MEAN_PERCENT 150
 #define HOME_EXTRA 1
+/*
+ * A home is also passed over if this host sent it more prompt tokens, in about
+ * the last PROMPT_WINDOW_MS, than this percentage of the mean plus those of
+ * PROMPT_EXTRA requests of this size.
+ */
+#define PROMPT_MEAN_PERCENT 125
+#define PROMPT_EXTRA 2
+#define PROMPT_WINDOW_MS 10000
 
 /*
  * How long an upstream is avoided after it accepted no connection, aborted a
@@ -28,23 +38,29 @@
 
 /* Prompts of up to this length count as short. */
 #define SHORT_PROMPT_TOKENS 4096
-/* Percentage of the upstreams that is reserved for short prompts. */
-#define SHORT_PERCENT 15
-#define SHORT_SEED UINT64_C(0x5b0f7c1d2a94e863)
+/*
+ * Percentage of the upstreams that is reserved for interactive requests, and
+ * its maximum when these need more. A pool with fewer upstreams than
+ * RESERVE_MIN_UPSTREAMS reserves none.
+ */
+#define RESERVED_PERCENT 15
+#define RESERVED_MAX_PERCENT 50
+#define RESERVE_MIN_UPSTREAMS 3
+#define RESERVE_SEED UINT64_C(0x5b0f7c1d2a94e863)
 
 /*
- * The upstreams for short prompts count as full if more than this percentage
- * of their slots is in use, because full engines interrupt running requests.
- * All hosts are assumed to send as much as this one.
+ * More upstreams are reserved if more than this percentage of their slots is
+ * in use, because full engines interrupt running requests. All hosts are
+ * assumed to send as much as this one.
  */
-#define SHORT_FULL_PERCENT 50
+#define RESERVED_FULL_PERCENT 50
 /*
- * If a short prompt waits longer than this for its first token, the upstreams
- * for short prompts are too few, and short prompts may go to any upstream for
- * SHORT_OVERFLOW_MS.
+ * If an interactive request waits longer than this for its first token, the
+ * reserved upstreams are too few, and interactive requests may go to any
+ * upstream for OVERFLOW_MS.
  */
-#define SHORT_WAIT_MS 500
-#define SHORT_OVERFLOW_MS 2000
+#define RESERVED_WAIT_MS 500
+#define OVERFLOW_MS 2000
 
 /*
  * For this long after its arrival an upstream counts as new: it lacks prefixes
@@ -60,8 +76,10 @@
  */
 struct scope {
     const struct ct_balance_request *request;
-    /* Includes upstreams for prompts of the other size. */
-    bool any_size;
+    /* As in struct reserve. */
+    uint64_t reserved_up_to;
+    /* Ignores which upstreams are reserved. */
+    bool any_kind;
     /* Includes upstreams that failed recently. */
     bool any_health;
     /*
@@ -69,6 +87,8 @@
      * have more, or if there are no homes.
      */
     uint64_t bound;
+    /* The same for prompt tokens sent recently. */
+    uint64_t prompt_bound;
     /*
      * Totals of the candidates in scope: this host's requests in flight, and
      * slots.
@@ -93,11 +113,11 @@
     return z ^ (z >> 31);
 }
 
-static bool
-is_reserved_for_short(const struct ct_candidate *candidate)
+/* Places the upstream in the order in which upstreams are reserved. */
+static uint64_t
+reserve_hash(const struct ct_candidate *candidate)
 {
-    return rendezvous_hash(SHORT_SEED, candidate->name_hash) <
-           UINT64_MAX / 100 * SHORT_PERCENT;
+    return rendezvous_hash(RESERVE_SEED, candidate->name_hash);
 }
 
 static bool
@@ -107,11 +127,19 @@
 }
 
 static bool
-matches_prompt_size(const struct ct_balance_request *request,
-                    const struct ct_candidate *candidate)
+is_interactive(const struct ct_balance_request *request)
 {
+    return request->tight_gap && is_short_prompt(request);
+}
+
+static bool
+matches_kind(const struct scope *scope, const struct ct_candidate *candidate)
+{
+    const struct ct_balance_request *request = scope->request;
+
     return !request->prefix_hash || !request->prompt_tokens ||
-           is_reserved_for_short(candidate) == is_short_prompt(request);
+           (reserve_hash(candidate) <= scope->reserved_up_to) ==
+               is_interactive(request);
 }
 
 static bool
@@ -121,18 +149,141 @@
     return !candidate->excluded &&
            (scope->any_health ||
             row->ejected_until_ms <= scope->request->now_ms) &&
-           (scope->any_size || matches_prompt_size(scope->request, candidate));
+           (scope->any_kind || matches_kind(scope, candidate));
+}
+
+/* The upstreams reserved for interactive requests. */
+struct reserve {
+    /* Hash of the last one in the order of reserve_hash(); 0 if none. */
+    uint64_t up_to;
+    /* No more can be reserved. */
+    bool at_maximum;
+};
+
+struct reserve_entry {
+    uint64_t hash;
+    uint32_t in_flight;
+    uint32_t slots;
+};
+
+static int
+compare_entries(const void *a, const void *b)
+{
+    const struct reserve_entry *x = a;
+    const struct reserve_entry *y = b;
+
+    return (x->hash > y->hash) - (x->hash < y->hash);
+}
+
+/* Lists the healthy candidates in the order in which they are reserved. */
+static uint32_t
+list_reserve(struct ct_balance_base *base,
+             const struct ct_balance_request *request,
+             const struct ct_candidate *candidates, uint32_t n,
+             struct reserve_entry *out)
+{
+    uint32_t listed = 0;
+
+    for (uint32_t i = 0; i < n; i++) {
+        const struct ct_balance_row *row =
+            ct_balance_row(&base->rows, candidates[i].upstream);
+
+        if (row && !candidates[i].excluded &&
+            row->ejected_until_ms <= request->now_ms) {
+            out[listed++] = (struct reserve_entry){
+                .hash = reserve_hash(&candidates[i]),
+                .in_flight = row->in_flight,
+                .slots = candidates[i].slots,
+            };
+        }
+    }
+    qsort(out, listed, sizeof(out[0]), compare_entries);
+    return listed;
+}
+
+/*
+ * Reserves upstreams for interactive requests: a part of all, and more while
+ * these are half full. The set of a smaller number is part of that of a larger
+ * one, so hosts that reserve different numbers disagree about few upstreams.
+ */
+static struct reserve
+reserve_upstreams(struct ct_balance_base *base,
+                  const struct ct_balance_request *request,
+                  const struct ct_candidate *candidates, uint32_t n)
+{
+    struct reserve_entry entries[CT_CANDIDATES_MAX];
+    uint32_t listed = list_reserve(base, request, candidates,
+                                   MIN(n, CT_CANDIDATES_MAX), entries);
+    uint32_t least = MAX((listed * RESERVED_PERCENT + 50) / 100, 1);
+    uint32_t most = MAX(listed * RESERVED_MAX_PERCENT / 100, least);
+    uint64_t in_flight = 0;
+    uint64_t slots = 0;
+    uint32_t reserved = 0;
+
+    if (!request->prefix_hash || listed < RESERVE_MIN_UPSTREAMS) {
+        return (struct reserve){0};
+    }
+    while (reserved < least ||
+           (reserved < most && in_flight * request->hosts * 100 >
+                                   slots * RESERVED_FULL_PERCENT)) {
+        in_flight += entries[reserved].in_flight;
+        slots += entries[reserved].slots;
+        reserved++;
+    }
+    return (struct reserve){
+        .up_to = entries[reserved - 1].hash,
+        .at_maximum = reserved == most,
+    };
+}
+
+/* Returns the prompt tokens sent recently; older ones count less. */
+static uint64_t
+recent_prompt_tokens(const struct ct_balance_row *row, ct_ms now_ms)
+{
+    ct_ms age_ms =
+        CLAMP(now_ms - row->prompt_tokens_at_ms, 0, PROMPT_WINDOW_MS);
+
+    return row->prompt_tokens * (uint64_t)(PROMPT_WINDOW_MS - age_ms) /
+           PROMPT_WINDOW_MS;
+}
+
+static void
+add_prompt_tokens(struct ct_balance_row *row, uint32_t tokens, ct_ms now_ms)
+{
+    row->prompt_tokens = recent_prompt_tokens(row, now_ms) + tokens;
+    row->prompt_tokens_at_ms = now_ms;
 }
 
 /*
- * Sets the number of requests in flight above which a home is passed over,
- * UINT64_MAX if no candidate is in scope. Errors: CT_ERR_NO_MEMORY.
+ * An upstream that is no longer reserved counts as new: it has not read the
+ * prompts that it now gets.
+ */
+static void
+update_row(struct ct_balance_row *row, const struct scope *scope,
+           const struct ct_candidate *candidate)
+{
+    bool reserved = reserve_hash(candidate) <= scope->reserved_up_to;
+
+    if (!row->first_seen_ms) {
+        row->first_seen_ms = scope->request->now_ms;
+    }
+    if (row->reserved && !reserved) {
+        row->unreserved_ms = scope->request->now_ms;
+    }
+    row->reserved = reserved;
+}
+
+/*
+ * Sets the requests in flight and the prompt tokens above which a home is
+ * passed over, UINT64_MAX if no candidate is in scope. Errors:
+ * CT_ERR_NO_MEMORY.
  */
 static int
 compute_bound(struct ct_balance_base *base, struct scope *scope,
               const struct ct_candidate *candidates, uint32_t n)
 {
     uint64_t n_in_scope = 0;
+    uint64_t prompt_tokens = 0;
 
     scope->in_flight = 0;
     scope->slots = 0;
@@ -143,11 +294,10 @@
         if (!row) {
             return CT_ERR_NO_MEMORY;
         }
-        if (!row->first_seen_ms) {
-            row->first_seen_ms = scope->request->now_ms;
-        }
+        update_row(row, scope, &candidates[i]);
         if (is_in_scope(scope, &candidates[i], row)) {
             scope->in_flight += row->in_flight;
+            prompt_tokens += recent_prompt_tokens(row, scope->request->now_ms);
             scope->slots += candidates[i].slots;
             n_in_scope++;
         }
@@ -156,16 +306,21 @@
                                             (100 * n_in_scope) +
                                         HOME_EXTRA
                                   : UINT64_MAX;
+    scope->prompt_bound =
+        n_in_scope > 0
+            ? prompt_tokens * PROMPT_MEAN_PERCENT / (100 * n_in_scope) +
+                  (uint64_t)PROMPT_EXTRA * scope->request->prompt_tokens
+            : UINT64_MAX;
     return CT_OK;
 }
 
-/* Whether the upstreams for short prompts count as full. */
+/* Whether the reserved upstreams, the candidates in scope, count as full. */
 static bool
-are_short_upstreams_full(const struct scope *scope)
+are_reserved_full(const struct scope *scope)
 {
-    return !scope->any_size && scope->request->prefix_hash &&
+    return !scope->any_kind && scope->request->prefix_hash &&
            scope->in_flight * scope->request->hosts * 100 >
-               scope->slots * SHORT_FULL_PERCENT;
+               scope->slots * RESERVED_FULL_PERCENT;
 }
 
 /*
@@ -179,6 +334,15 @@
            (UINT32_MAX - distance);
 }
 
+static bool
+is_over_bound(const struct scope *scope, const struct ct_balance_row *row)
+{
+    return row->in_flight > scope->bound ||
+           (scope->request->prefix_hash &&
+            recent_prompt_tokens(row, scope->request->now_ms) >
+                scope->prompt_bound);
+}
+
 /*
  * Returns the candidate with the best score: by the prefix's order of homes,
  * or by the fewest requests in flight if there is no prefix or all homes are
@@ -196,7 +360,7 @@
         uint64_t score;
 
         if (!is_in_scope(scope, &candidates[i], row) ||
-            row->in_flight > scope->bound) {
+            is_over_bound(scope, row)) {
             continue;
         }
         if (scope->request->prefix_hash && scope->bound != UINT64_MAX) {
@@ -222,8 +386,10 @@
     struct ct_balance_base *base = (struct ct_balance_base *)policy;
     struct scope scope = {
         .request = request,
-        .any_size = is_short_prompt(request) &&
-                    request->now_ms < base->short_overflow_until_ms,
+        .reserved_up_to =
+            reserve_upstreams(base, request, candidates, n).up_to,
+        .any_kind = is_interactive(request) &&
+                    request->now_ms < base->overflow_until_ms,
     };
     struct pick pick;
     int err = compute_bound(base, &scope, candidates, n);
@@ -233,8 +399,8 @@
     }
     if (err == CT_OK &&
         (scope.bound == UINT64_MAX ||
-         (is_short_prompt(request) && are_short_upstreams_full(&scope)))) {
-        scope.any_size = true;
+         (is_interactive(request) && are_reserved_full(&scope)))) {
+        scope.any_kind = true;
         err = compute_bound(base, &scope, candidates, n);
     }
     if (err < 0) {
@@ -243,6 +409,7 @@
     pick = find_best_candidate(base, &scope, candidates, n);
     if (pick.index < 0) {
         scope.bound = UINT64_MAX;
+        scope.prompt_bound = UINT64_MAX;
         pick = find_best_candidate(base, &scope, candidates, n);
     }
     if (pick.index < 0) {
@@ -251,10 +418,11 @@
         pick = find_best_candidate(base, &scope, candidates, n);
     }
     if (pick.index >= 0) {
+        struct ct_balance_row *row =
+            ct_balance_row(&base->rows, candidates[pick.index].upstream);
+
         base->last_index = candidates[pick.index].upstream.index;
-        ct_balance_row(&base->rows, candidates[pick.index].upstream)
-            ->reserved_for_short =
-            is_reserved_for_short(&candidates[pick.index]);
+        add_prompt_tokens(row, request->prompt_tokens, request->now_ms);
     }
     return pick.index;
 }
@@ -263,6 +431,9 @@
 is_new_upstream(const struct ct_balance_base *base,
                 const struct ct_balance_row *row, ct_ms now_ms)
 {
+    if (row->unreserved_ms && now_ms - row->unreserved_ms < NEW_UPSTREAM_MS) {
+        return true;
+    }
     return row->first_seen_ms > base->first_choice_ms + STARTUP_MS &&
            now_ms - row->first_seen_ms < NEW_UPSTREAM_MS;
 }
@@ -280,11 +451,14 @@
                  uint32_t chosen)
 {
     struct ct_balance_base *base = (struct ct_balance_base *)policy;
+    struct scope scope = {.request = request};
     struct pick pick = {.index = CT_ERR_NOT_FOUND};
 
     if (!request->prefix_hash || is_short_prompt(request)) {
         return CT_ERR_NOT_FOUND;
     }
+    scope.reserved_up_to =
+        reserve_upstreams(base, request, candidates, n).up_to;
     if (!is_new_upstream(
             base, ct_balance_row(&base->rows, candidates[chosen].upstream),
             request->now_ms)) {
@@ -297,8 +471,7 @@
         uint64_t score =
             rendezvous_hash(request->prefix_hash, candidates[i].name_hash);
 
-        if (i == chosen || !row ||
-            !matches_prompt_size(request, &candidates[i]) ||
+        if (i == chosen || !row || !matches_kind(&scope, &candidates[i]) ||
             (candidates[i].excluded && !candidates[i].leaving) ||
             row->ejected_until_ms > request->now_ms ||
             is_new_upstream(base, row, request->now_ms)) {
@@ -311,12 +484,61 @@
     return pick.index;
 }
 
+/*
+ * Returns a score that prefers another availability zone, whose cheap
+ * upstreams are not reclaimed together with the chosen one, then reserved
+ * upstreams, which long prompts do not delay, then few requests in flight.
+ */
+static uint64_t
+backup_score(const struct ct_candidate *candidate,
+             const struct ct_balance_row *row, const struct reserve *reserve)
+{
+    bool reserved = reserve_hash(candidate) <= reserve->up_to;
+
+    return ((uint64_t)!candidate->same_zone << 34) +
+           ((uint64_t)reserved << 33) + (UINT32_MAX - row->in_flight);
+}
+
+/*
+ * Makes no copies while interactive requests need more upstreams than can be
+ * reserved: copies take memory that the running requests then need.
+ */
+static int
+home_choose_backup(struct ct_balance_policy *policy,
+                   const struct ct_balance_request *request,
+                   const struct ct_candidate *candidates, uint32_t n,
+                   uint32_t chosen)
+{
+    struct ct_balance_base *base = (struct ct_balance_base *)policy;
+    struct reserve reserve = reserve_upstreams(base, request, candidates, n);
+    struct pick pick = {.index = CT_ERR_NOT_FOUND};
+
+    if (reserve.at_maximum || request->now_ms < base->overflow_until_ms) {
+        return CT_ERR_NOT_FOUND;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        const struct ct_balance_row *row =
+            ct_balance_row(&base->rows, candidates[i].upstream);
+        uint64_t score;
+
+        if (i == chosen || !row || candidates[i].excluded ||
+            row->ejected_until_ms > request->now_ms) {
+            continue;
+        }
+        score = backup_score(&candidates[i], row, &reserve);
+        if (pick.index < 0 || score > pick.score) {
+            pick = (struct pick){(int)i, score};
+        }
+    }
+    return pick.index;
+}
+
 static void
-start_short_overflow(struct ct_balance_base *base,
-                     const struct ct_balance_row *row, ct_ms now_ms)
+start_overflow(struct ct_balance_base *base, const struct ct_balance_row *row,
+               ct_ms now_ms)
 {
-    if (row->reserved_for_short) {
-        base->short_overflow_until_ms = now_ms + SHORT_OVERFLOW_MS;
+    if (row->reserved) {
+        base->overflow_until_ms = now_ms + OVERFLOW_MS;
     }
 }
 
@@ -327,8 +549,8 @@
     struct ct_balance_base *base = (struct ct_balance_base *)policy;
     const struct ct_balance_row *row = ct_balance_row(&base->rows, upstream);
 
-    if (row && wait_ms > SHORT_WAIT_MS) {
-        start_short_overflow(base, row, now_ms);
+    if (row && wait_ms > RESERVED_WAIT_MS) {
+        start_overflow(base, row, now_ms);
     }
 }
 
@@ -364,7 +586,7 @@
     switch (outcome) {
     case CT_OUTCOME_DECLINED:
         avoid_upstream(row, DECLINED_AVOID_MS, now_ms);
-        start_short_overflow(base, row, now_ms);
+        start_overflow(base, row, now_ms);
         return;
     case CT_OUTCOME_NOT_SENT:
         avoid_upstream(row, UNREACHABLE_AVOID_MS, now_ms);
@@ -380,6 +602,7 @@
 static const struct ct_balance_policy_ops home_ops = {
     .choose_upstream = home_choose,
     .cache_donor = home_cache_donor,
+    .choose_backup = home_choose_backup,
     .started = ct_balance_base_started,
     .ended = home_ended,
     .first_token = home_first_token,
--- a/core/balance-rows.c
+++ b/core/balance-rows.c
@@ -140,6 +140,20 @@
     return CT_ERR_NOT_FOUND;
 }
 
+int
+ct_balance_base_choose_backup(struct ct_balance_policy *policy,
+                              const struct ct_balance_request *request,
+                              const struct ct_candidate *candidates,
+                              uint32_t n, uint32_t chosen)
+{
+    (void)policy;
+    (void)request;
+    (void)candidates;
+    (void)n;
+    (void)chosen;
+    return CT_ERR_NOT_FOUND;
+}
+
 void
 ct_balance_base_started(struct ct_balance_policy *policy,
                         struct ct_handle upstream, ct_ms now_ms)
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -35,8 +35,16 @@
     ct_ms ejected_until_ms;
     /* Home policy: how long it was avoided after its last failure. */
     ct_ms avoided_ms;
-    /* Reserved for short prompts. */
-    bool reserved_for_short;
+    /* Home policy: reserved for interactive requests. */
+    bool reserved;
+    /* When it was reserved no more; 0 if never. */
+    ct_ms unreserved_ms;
+    /*
+     * Home policy: prompt tokens sent to it, decreasing over time, as of
+     * prompt_tokens_at_ms.
+     */
+    uint64_t prompt_tokens;
+    ct_ms prompt_tokens_at_ms;
     /* When it was first among the candidates. */
     ct_ms first_seen_ms;
     /* Counts as full until this time, because it declined a request. */
@@ -96,8 +104,8 @@
     struct ct_balance_rows rows;
     /* Index of the upstream that was chosen last. */
     uint32_t last_index;
-    /* Home policy: until then short prompts may go to any upstream. */
-    ct_ms short_overflow_until_ms;
+    /* Home policy: until then interactive requests may go to any upstream. */
+    ct_ms overflow_until_ms;
     /* Home policy: time of the first choice. */
     ct_ms first_choice_ms;
 };
@@ -115,6 +123,11 @@
                                 const struct ct_balance_request *request,
                                 const struct ct_candidate *candidates,
                                 uint32_t n, uint32_t chosen);
+/* Returns CT_ERR_NOT_FOUND: these policies make no copies. */
+int ct_balance_base_choose_backup(struct ct_balance_policy *policy,
+                                  const struct ct_balance_request *request,
+                                  const struct ct_candidate *candidates,
+                                  uint32_t n, uint32_t chosen);
 void ct_balance_base_started(struct ct_balance_policy *policy,
                              struct ct_handle upstream, ct_ms now_ms);
 void ct_balance_base_ended(struct ct_balance_policy *policy,
@@ -136,6 +149,7 @@
 
 #define CT_BALANCE_BASE_OPS                                                   \
     .cache_donor = ct_balance_base_cache_donor,                               \
+    .choose_backup = ct_balance_base_choose_backup,                           \
     .started = ct_balance_base_started, .ended = ct_balance_base_ended,       \
     .first_token = ct_balance_base_first_token,                               \
     .token_gap = ct_balance_base_token_gap,                                   \
--- a/core/config-row.h
+++ b/core/config-row.h
@@ -84,6 +84,8 @@
      */
     uint32_t min_upstreams;
     uint32_t max_upstreams;
+    /* An engine can copy the cache of a running request to another engine. */
+    bool backs_up;
 };
 
 /* An availability zone in which upstreams of a pool can be ordered. */
@@ -150,6 +152,9 @@
     uint32_t attempts;
     /* Time limit of a call. */
     ct_ms timeout_ms;
+    /* Longest gap between two events of a stream that is on time; 0 if none.
+     */
+    ct_ms gap_target_ms;
 };
 
 /* A pool's share of the calls of a prefix route. */
--- a/core/config.h
+++ b/core/config.h
@@ -43,6 +43,8 @@
     uint64_t load_milli;
     /* struct ct_order_zone; NULL if upstreams are not ordered by zone. */
     GArray *order_zones;
+    /* Shortest gap target of the streams routed to it; 0 if there is none. */
+    ct_ms tightest_gap_ms;
     /* Tier inversions that the counter already includes. */
     uint64_t inversions;
     uint32_t slots_held;
--- a/core/prefix-route.c
+++ b/core/prefix-route.c
@@ -29,16 +29,32 @@
     return g_hash_table_new(route_hash, route_equal);
 }
 
+static void
+include_gap_target(struct ct_pool_row *pool,
+                   const struct ct_prefix_route *route)
+{
+    if (route->gap_target_ms > 0 &&
+        (!pool->tightest_gap_ms ||
+         route->gap_target_ms < pool->tightest_gap_ms)) {
+        pool->tightest_gap_ms = route->gap_target_ms;
+    }
+}
+
 static void
 add_share(struct ct_config *config, const struct ct_pool_share *share)
 {
+    struct ct_handle pool = ct_config_pool(config, &share->pool);
+    struct ct_pool_row *pool_row = ct_table_get(&config->pools, pool);
     struct ct_prefix_route_row *route = ct_table_get(
         &config->prefix_routes,
         ct_index_get(config->prefix_route_by_name, &share->route));
 
     if (route && route->n_pools < CT_POOL_SHARES_MAX) {
-        route->pools[route->n_pools] = ct_config_pool(config, &share->pool);
+        route->pools[route->n_pools] = pool;
         route->weights[route->n_pools++] = share->weight;
+        if (pool_row) {
+            include_gap_target(pool_row, &route->conf);
+        }
     }
 }
 
@@ -71,6 +87,7 @@
     }
     cursor = 0;
     while ((pool = ct_table_next(&config->pools, &cursor, NULL))) {
+        pool->tightest_gap_ms = 0;
         if (pool->order_zones) {
             g_array_set_size(pool->order_zones, 0);
         }
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -73,6 +73,18 @@
     struct ct_handle cache_donor;
 };
 
+/* Whether no other route to the pool has a shorter gap target. */
+static bool
+has_tight_gap(const struct ct_state *state, const struct ct_relay *relay)
+{
+    const struct ct_prefix_route_row *route =
+        ct_table_get(&state->config.prefix_routes, relay->route);
+    const struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, relay->pool);
+
+    return route->conf.gap_target_ms <= pool->tightest_gap_ms;
+}
+
 static struct upstream_choice
 choose_upstream(struct ct_state *state, const struct ct_relay *relay)
 {
@@ -84,6 +96,7 @@
         .now_ms = state->now_ms,
         .prefix_hash = relay->prefix_hash,
         .prompt_tokens = relay->prompt_tokens,
+        .tight_gap = has_tight_gap(state, relay),
         .tier = relay->rank,
         .hosts = ct_group_size(state),
         .cheap_allowed = true,
--- a/t/test-balance-prefix-home.c
+++ b/t/test-balance-prefix-home.c
@@ -19,6 +19,7 @@
     *f = (struct fixture){.policy = ct_balance_prefix_home_new()};
     f->request.now_ms = 1000;
     f->request.cheap_allowed = true;
+    f->request.tight_gap = true;
     for (uint32_t i = 0; i < CANDIDATES; i++) {
         f->candidates[i] = (struct ct_candidate){
             .upstream = {i, 1},
@@ -312,40 +313,132 @@
     teardown(&f);
 }
 
-/*
- * If all upstreams for one prompt size are excluded, the others get its
- * prompts.
+/* If all reserved upstreams are excluded, others are reserved in their place.
  */
 static void
-test_prompt_size_without_upstreams(void)
+test_reserved_excluded(void)
 {
     struct ct_candidate candidates[MANY_CANDIDATES];
     bool used_by_short[MANY_CANDIDATES];
-    bool used[MANY_CANDIDATES];
+    bool used_by_long[MANY_CANDIDATES];
     struct fixture f;
+    guint n;
 
     setup(&f);
     fill_candidates(candidates);
-    count_used_upstreams(&f, candidates, SHORT_TOKENS, used_by_short);
+    n = count_used_upstreams(&f, candidates, SHORT_TOKENS, used_by_short);
     for (guint i = 0; i < MANY_CANDIDATES; i++) {
         candidates[i].excluded = used_by_short[i];
     }
+    g_assert_cmpuint(
+        count_used_upstreams(&f, candidates, SHORT_TOKENS, used_by_short), >,
+        (MANY_CANDIDATES - n) / 20);
+    count_used_upstreams(&f, candidates, LONG_TOKENS, used_by_long);
+    for (guint i = 0; i < MANY_CANDIDATES; i++) {
+        g_assert_false(used_by_short[i] &&
+                       (used_by_long[i] || candidates[i].excluded));
+    }
+    teardown(&f);
+}
+
+/* A few upstreams have a reserved one among them, two have none. */
+static void
+test_reserved_of_few(void)
+{
+    struct ct_candidate candidates[MANY_CANDIDATES];
+    bool used[MANY_CANDIDATES];
+    struct fixture f;
+
+    setup(&f);
+    fill_candidates(candidates);
+    for (guint i = 6; i < MANY_CANDIDATES; i++) {
+        candidates[i].excluded = true;
+    }
     g_assert_cmpuint(count_used_upstreams(&f, candidates, SHORT_TOKENS, used),
-                     >, 100);
+                     ==, 1);
+    g_assert_cmpuint(count_used_upstreams(&f, candidates, LONG_TOKENS, used),
+                     ==, 5);
+    for (guint i = 2; i < 6; i++) {
+        candidates[i].excluded = true;
+    }
+    g_assert_cmpuint(count_used_upstreams(&f, candidates, LONG_TOKENS, used),
+                     ==, 2);
+    teardown(&f);
+}
+
+/*
+ * A short prompt whose route tolerates longer gaps does not use the reserved
+ * upstreams: it would delay the interactive requests there.
+ */
+static void
+test_reserved_for_tight_gaps(void)
+{
+    struct ct_candidate candidates[MANY_CANDIDATES];
+    bool used_by_interactive[MANY_CANDIDATES];
+    bool used_by_others[MANY_CANDIDATES];
+    struct fixture f;
+
+    setup(&f);
+    fill_candidates(candidates);
+    count_used_upstreams(&f, candidates, SHORT_TOKENS, used_by_interactive);
+    f.request.tight_gap = false;
+    count_used_upstreams(&f, candidates, SHORT_TOKENS, used_by_others);
+    for (guint i = 0; i < MANY_CANDIDATES; i++) {
+        g_assert_false(used_by_interactive[i] && used_by_others[i]);
+    }
+    teardown(&f);
+}
+
+/*
+ * Some prefixes are much more frequent than others. What an upstream is sent
+ * stays near the mean, although each host has few requests in flight.
+ */
+static void
+test_prompt_tokens_spread(void)
+{
+    guint64 sent[CANDIDATES] = {0};
+    guint64 max_sent = 0;
+    struct fixture f;
+
+    setup(&f);
+    f.request.tight_gap = false;
+    f.request.prompt_tokens = SHORT_TOKENS;
+    for (guint i = 0; i < 3000; i++) {
+        guint prefix = i % 3 ? i % 24 + 1 : 99;
+        int chosen =
+            choose_for_prefix(&f, prefix * G_GUINT64_CONSTANT(2654435761));
+
+        start_request(&f, chosen);
+        f.policy->ops->ended(f.policy, f.candidates[chosen].upstream,
+                             CT_OUTCOME_COMPLETE, f.request.now_ms);
+        f.request.now_ms += 50;
+        sent[chosen]++;
+    }
+    for (guint i = 0; i < CANDIDATES; i++) {
+        max_sent = MAX(max_sent, sent[i]);
+    }
+    /*
+     * A third of the requests would go to one home without the bound. Two
+     * upstreams are reserved.
+     */
+    g_assert_cmpuint(max_sent, <, 3000 / (CANDIDATES - 2) * 3 / 2);
     teardown(&f);
 }
 
 /*
- * If all hosts together would fill the upstreams for short prompts, the
- * prompts may go to any upstream.
+ * If all hosts together would fill half of the reserved upstreams, as many
+ * more are reserved as that takes; long prompts keep the rest.
  */
 static void
-test_short_upstreams_full(void)
+test_reserve_extended(void)
 {
     struct ct_candidate candidates[MANY_CANDIDATES];
     bool used[MANY_CANDIDATES];
+    bool used_by_long[MANY_CANDIDATES];
     struct fixture f;
     guint n_short = 0;
+    guint n_started = 0;
+    guint n_extended;
     guint n;
 
     setup(&f);
@@ -361,10 +454,20 @@
         if (used[i] && n_short++ % 2 == 0) {
             f.policy->ops->started(f.policy, candidates[i].upstream,
                                    f.request.now_ms);
+            n_started++;
         }
     }
-    g_assert_cmpuint(count_used_upstreams(&f, candidates, SHORT_TOKENS, used),
-                     >, 2 * n);
+    f.request.now_ms += 60000;
+    n_extended = count_used_upstreams(&f, candidates, SHORT_TOKENS, used);
+    /* At most half of 64 slots each. */
+    g_assert_cmpuint(n_extended * 32, >=, n_started * f.request.hosts);
+    g_assert_cmpuint(n_extended, <=, MANY_CANDIDATES / 2);
+    g_assert_cmpuint(
+        count_used_upstreams(&f, candidates, LONG_TOKENS, used_by_long), ==,
+        MANY_CANDIDATES - n_extended);
+    for (guint i = 0; i < MANY_CANDIDATES; i++) {
+        g_assert_false(used[i] && used_by_long[i]);
+    }
     f.request.hosts = 10;
     g_assert_cmpuint(count_used_upstreams(&f, candidates, SHORT_TOKENS, used),
                      <=, n);
@@ -419,6 +522,75 @@
     teardown(&f);
 }
 
+static int
+choose_backup(struct fixture *f, int chosen)
+{
+    return f->policy->ops->choose_backup(f->policy, &f->request, f->candidates,
+                                         CANDIDATES, (uint32_t)chosen);
+}
+
+/*
+ * The backup is in another availability zone than the chosen upstream, if it
+ * can be, and is one that long prompts do not use, if there is one.
+ */
+static void
+test_backup(void)
+{
+    bool used_by_long[CANDIDATES] = {false};
+    struct fixture f;
+    int reserved_elsewhere = 0;
+    int chosen;
+    int backup;
+
+    setup(&f);
+    f.request.prompt_tokens = LONG_TOKENS;
+    for (uint64_t prefix = 1; prefix <= 600; prefix++) {
+        used_by_long[choose_for_prefix(
+            &f, prefix * G_GUINT64_CONSTANT(2654435761))] = true;
+    }
+    f.request.prompt_tokens = SHORT_TOKENS;
+    chosen = choose_for_prefix(&f, 99);
+    for (int i = 0; i < CANDIDATES; i++) {
+        f.candidates[i].same_zone = i == chosen || used_by_long[i];
+        reserved_elsewhere += !f.candidates[i].same_zone;
+    }
+    g_assert_cmpint(reserved_elsewhere, ==, 1);
+    backup = choose_backup(&f, chosen);
+    g_assert_cmpint(backup, !=, chosen);
+    g_assert_false(used_by_long[backup]);
+    for (int i = 0; i < CANDIDATES; i++) {
+        f.candidates[i].excluded = i == backup;
+    }
+    g_assert_cmpint(choose_backup(&f, chosen), >=, 0);
+    g_assert_cmpint(choose_backup(&f, chosen), !=, chosen);
+    for (int i = 0; i < CANDIDATES; i++) {
+        f.candidates[i].excluded = i != chosen;
+    }
+    g_assert_cmpint(choose_backup(&f, chosen), ==, CT_ERR_NOT_FOUND);
+    teardown(&f);
+}
+
+/* No backup is made while interactive requests need all reserved upstreams. */
+static void
+test_no_backup_under_load(void)
+{
+    struct fixture f;
+    int chosen;
+
+    setup(&f);
+    f.request.prompt_tokens = SHORT_TOKENS;
+    f.request.hosts = 50;
+    chosen = choose_for_prefix(&f, 99);
+    /* With 50 hosts, 50 requests in 128 reserved slots, later 200 in 384. */
+    start_request(&f, chosen);
+    g_assert_cmpint(choose_backup(&f, chosen), >=, 0);
+    for (int i = 0; i < 3; i++) {
+        start_request(&f, chosen);
+    }
+    g_assert_cmpint(choose_backup(&f, chosen), ==, CT_ERR_NOT_FOUND);
+    teardown(&f);
+}
+
 /*
  * Returns the cache donor for the chosen upstream; CT_ERR_NOT_FOUND if there
  * is none.
@@ -506,12 +678,21 @@
                     test_partly_declining);
     g_test_add_func("/balance-prefix-home/unreachable", test_unreachable);
     g_test_add_func("/balance-prefix-home/prompt-sizes", test_prompt_sizes);
-    g_test_add_func("/balance-prefix-home/prompt-size-without-upstreams",
-                    test_prompt_size_without_upstreams);
+    g_test_add_func("/balance-prefix-home/reserved-excluded",
+                    test_reserved_excluded);
+    g_test_add_func("/balance-prefix-home/reserved-of-few",
+                    test_reserved_of_few);
+    g_test_add_func("/balance-prefix-home/reserved-for-tight-gaps",
+                    test_reserved_for_tight_gaps);
+    g_test_add_func("/balance-prefix-home/prompt-tokens-spread",
+                    test_prompt_tokens_spread);
     g_test_add_func("/balance-prefix-home/short-overflow",
                     test_short_overflow);
-    g_test_add_func("/balance-prefix-home/short-upstreams-full",
-                    test_short_upstreams_full);
+    g_test_add_func("/balance-prefix-home/reserve-extended",
+                    test_reserve_extended);
+    g_test_add_func("/balance-prefix-home/backup", test_backup);
+    g_test_add_func("/balance-prefix-home/no-backup-under-load",
+                    test_no_backup_under_load);
     g_test_add_func("/balance-prefix-home/cache-donor-full-home",
                     test_cache_donor_full_home);
     g_test_add_func("/balance-prefix-home/cache-donor-new-home",
--- a/t/test-prefix-route.c
+++ b/t/test-prefix-route.c
@@ -138,6 +138,44 @@
     g_array_free(rows, TRUE);
 }
 
+/*
+ * A pool's tightest gap is the shortest target of the routes to it that have
+ * one, also after a new configuration.
+ */
+static void
+test_tightest_gap(void)
+{
+    static const struct {
+        ct_ms gap_ms[2], tightest_ms;
+    } cases[] = {
+        {{800, 200}, 200}, {{200, 800}, 200}, {{0, 300}, 300}, {{0, 0}, 0}};
+    const struct ct_pool_row *pool;
+    struct ct_config config;
+    struct ct_name name = {{0}};
+
+    CT_TEXT_SET(name, "engines");
+    ct_config_init(&config);
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+
+        CT_TEXT_SET(ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool.name,
+                    "engines");
+        for (guint j = 0; j < 2; j++) {
+            const char *route = j == 0 ? "one" : "two";
+
+            add_route(rows, route, "a.example", j == 0 ? "/1/" : "/2/");
+            g_array_index(rows, struct ct_config_row, rows->len - 1)
+                .u.prefix_route.gap_target_ms = cases[i].gap_ms[j];
+            add_pool_share(rows, route, "engines", 1);
+        }
+        apply_config(&config, i + 1, rows);
+        pool = ct_table_get(&config.pools, ct_config_pool(&config, &name));
+        g_assert_cmpint(pool->tightest_gap_ms, ==, cases[i].tightest_ms);
+        g_array_free(rows, TRUE);
+    }
+    ct_config_free(&config);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -145,5 +183,6 @@
     g_test_add_func("/prefix-route/find", test_find);
     g_test_add_func("/prefix-route/changes", test_changes);
     g_test_add_func("/prefix-route/shares", test_shares);
+    g_test_add_func("/prefix-route/tightest-gap", test_tightest_gap);
     return g_test_run();
 }
--- a/t/test-store-entry.c
+++ b/t/test-store-entry.c
@@ -42,13 +42,14 @@
 test_config(void)
 {
     static const char text[] = CONFIG(
-        SERVICE
-        ",{\"name\":\"s2\",\"engine\":{\"slots\":64},\"scaling\":{\"min\":1,"
-        "\"max\":10,\"bootS\":4.5,\"spotPrice\":0.18,"
-        "\"zonePrices\":{\"za\":1.0,\"zb\":0.8}}}",
+        SERVICE ",{\"name\":\"s2\",\"engine\":{\"slots\":64,"
+                "\"backups\":true},\"scaling\":{\"min\":1,"
+                "\"max\":10,\"bootS\":4.5,\"spotPrice\":0.18,"
+                "\"zonePrices\":{\"za\":1.0,\"zb\":0.8}}}",
         "{\"name\":\"acme\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1},"
         "{\"name\":\"zeta\",\"apiKeys\":[]}",
-        ROUTE(",\"resumable\":true,\"backends\":[{\"service\":\"s1\","
+        ROUTE(",\"resumable\":true,\"itlTargetMs\":250,\"backends\":[{"
+              "\"service\":\"s1\","
               "\"weight\":90},{\"service\":\"s2\",\"weight\":10}]"));
     const struct ct_config_row *row;
     struct ct_store_config config;
@@ -63,6 +64,7 @@
     g_assert_cmpint(row->u.prefix_route.repeat, ==, CT_REPEAT_RESUME);
     g_assert_true(row->u.prefix_route.stream);
     g_assert_cmpint(row->u.prefix_route.timeout_ms, ==, 12000);
+    g_assert_cmpint(row->u.prefix_route.gap_target_ms, ==, 250);
     g_assert_cmpuint(row->u.prefix_route.attempts, ==, 2);
     row = nth_row(rows, CT_CONFIG_POOL_SHARE, 1);
     g_assert_cmpstr(row->u.pool_share.pool.text, ==, "s2");
@@ -70,6 +72,8 @@
     row = nth_row(rows, CT_CONFIG_POOL, 1);
     g_assert_cmpint(row->u.pool.kind, ==, CT_POOL_ENGINE);
     g_assert_cmpuint(row->u.pool.max_upstreams, ==, 10);
+    g_assert_true(row->u.pool.backs_up);
+    g_assert_false(nth_row(rows, CT_CONFIG_POOL, 0)->u.pool.backs_up);
     row = nth_row(rows, CT_CONFIG_ORDER_ZONE, 0);
     g_assert_cmpstr(row->u.order_zone.pool.text, ==, "s2");
     g_assert_cmpstr(row->u.order_zone.zone.text, ==, "za");
