core: continue a broken stream from a copy of its cache

Change: such a call with a prompt of up to 4,096 tokens names a second engine, in another availability zone where possible, to which the first one copies its cache as it grows. If the response breaks off after its first event, the call continues there, as the same run, after the last event that was forwarded; it spends one retry of the budget. A backup that declines or cannot be reached ends the call: any other engine would run it again. No copies are made while interactive calls need all engines that can be reserved.

Calls before their first event still fail, since nothing shows whether the engine has a copy then.

--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -4,6 +4,7 @@
 
 #include "candidates.h"
 #include "error.h"
+#include "relay-backup.h"
 #include "retry.h"
 #include "state.h"
 
@@ -71,6 +72,9 @@
      * chosen one lacks.
      */
     struct ct_handle cache_donor;
+    struct ct_handle backup;
+    /* The upstream holds the backup of the call's last attempt. */
+    bool from_backup;
 };
 
 /* Whether no other route to the pool has a shorter gap target. */
@@ -85,14 +89,10 @@
     return route->conf.gap_target_ms <= pool->tightest_gap_ms;
 }
 
-static struct upstream_choice
-choose_upstream(struct ct_state *state, const struct ct_relay *relay)
+static struct ct_balance_request
+describe_request(const struct ct_state *state, const struct ct_relay *relay)
 {
-    const struct ct_balance_policy_ops *ops = state->relay_balance->ops;
-    struct ct_candidate candidates[CT_CANDIDATES_MAX];
-    uint32_t n = list_candidates(state, relay, candidates);
-    struct upstream_choice choice = {CT_NO_HANDLE, CT_NO_HANDLE};
-    const struct ct_balance_request request = {
+    return (struct ct_balance_request){
         .now_ms = state->now_ms,
         .prefix_hash = relay->prefix_hash,
         .prompt_tokens = relay->prompt_tokens,
@@ -102,6 +102,16 @@
         .cheap_allowed = true,
         .may_probe = true,
     };
+}
+
+static struct upstream_choice
+choose_upstream(struct ct_state *state, const struct ct_relay *relay)
+{
+    const struct ct_balance_policy_ops *ops = state->relay_balance->ops;
+    const struct ct_balance_request request = describe_request(state, relay);
+    struct ct_candidate candidates[CT_CANDIDATES_MAX];
+    uint32_t n = list_candidates(state, relay, candidates);
+    struct upstream_choice choice = {.upstream = CT_NO_HANDLE};
     int chosen =
         ops->choose_upstream(state->relay_balance, &request, candidates, n);
     int donor;
@@ -110,6 +120,8 @@
         return choice;
     }
     choice.upstream = candidates[chosen].upstream;
+    choice.backup =
+        ct_relay_backup_choose(state, relay, &request, choice.upstream);
     if (relay->prefix_hash) {
         n += list_leaving(state, relay, &candidates[n], CT_CANDIDATES_MAX - n);
         donor = ops->cache_donor(state->relay_balance, &request, candidates, n,
@@ -121,11 +133,30 @@
     return choice;
 }
 
+/* Returns the backup of the call's last attempt, and a backup of its own. */
+static struct upstream_choice
+choose_backup(struct ct_state *state, const struct ct_relay *relay)
+{
+    const struct ct_balance_request request = describe_request(state, relay);
+
+    return (struct upstream_choice){
+        .upstream = relay->backup,
+        .backup =
+            ct_relay_backup_choose(state, relay, &request, relay->backup),
+        .from_backup = true,
+    };
+}
+
 static void
 emit_attempt_start(struct ct_state *state, const struct ct_relay *relay,
-                   const struct ct_upstream_row *upstream,
-                   const struct ct_upstream_row *cache_donor)
+                   const struct upstream_choice *choice)
 {
+    const struct ct_upstream_row *upstream =
+        ct_table_get(&state->config.upstreams, choice->upstream);
+    const struct ct_upstream_row *cache_donor =
+        ct_table_get(&state->config.upstreams, choice->cache_donor);
+    const struct ct_upstream_row *backup =
+        ct_table_get(&state->config.upstreams, choice->backup);
     const struct ct_organisation_row *organisation =
         ct_table_get(&state->config.organisations, relay->organisation);
     struct ct_relay_start *start =
@@ -146,14 +177,18 @@
     if (cache_donor) {
         start->cache_donor = cache_donor->conf.address;
     }
+    if (backup) {
+        start->cache_backup = backup->conf.address;
+    }
+    start->from_backup = choice->from_backup;
 }
 
-void
-ct_relay_send(struct ct_state *state, struct ct_handle handle)
+static void
+start_attempt(struct ct_state *state, struct ct_handle handle,
+              const struct upstream_choice *choice)
 {
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-    struct upstream_choice choice = choose_upstream(state, relay);
-    struct ct_handle chosen = choice.upstream;
+    struct ct_handle chosen = choice->upstream;
     struct ct_upstream_row *upstream =
         ct_table_get(&state->config.upstreams, chosen);
     struct ct_relay_attempt *attempt;
@@ -174,6 +209,7 @@
     attempt->relay = handle;
     attempt->upstream = chosen;
     attempt->started_ms = state->now_ms;
+    relay->backup = choice->backup;
     if (relay->n_tried < CT_RELAY_TRIED_MAX) {
         relay->tried[relay->n_tried++] = chosen;
     }
@@ -182,9 +218,16 @@
     ct_increment_counter(state, CT_COUNTER_ATTEMPTS);
     state->relay_balance->ops->started(state->relay_balance, chosen,
                                        state->now_ms);
-    emit_attempt_start(
-        state, relay, upstream,
-        ct_table_get(&state->config.upstreams, choice.cache_donor));
+    emit_attempt_start(state, relay, choice);
+}
+
+void
+ct_relay_send(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
+    struct upstream_choice choice = choose_upstream(state, relay);
+
+    start_attempt(state, handle, &choice);
 }
 
 /* Frees the call's attempt; later events of the attempt are ignored. */
@@ -317,6 +360,8 @@
     /* Forward the response to the caller unchanged. */
     STEP_PASS_RESPONSE,
     STEP_RETRY,
+    /* Continue the run at the upstream that holds its backup. */
+    STEP_USE_BACKUP,
     STEP_FAIL,
 };
 
@@ -331,14 +376,13 @@
 }
 
 /*
- * Checks whether attempts, time and the retry budget allow a retry, and
- * spends one retry of the budget if so.
+ * Checks whether time and the retry budget allow one more attempt, and spends
+ * one retry of the budget if so.
  */
 static bool
-try_spend_retry(struct ct_state *state, const struct ct_relay *relay)
+try_spend_budget(struct ct_state *state, const struct ct_relay *relay)
 {
-    if (relay->sent_attempts >= relay->attempts_max ||
-        relay->deadline_ms - state->now_ms < RETRY_MIN_REMAINING_MS) {
+    if (relay->deadline_ms - state->now_ms < RETRY_MIN_REMAINING_MS) {
         return false;
     }
     if (!ct_retry_window_spend_retry(ct_relay_retry_window(state, relay->pool),
@@ -350,6 +394,27 @@
     return true;
 }
 
+static bool
+try_spend_retry(struct ct_state *state, const struct ct_relay *relay)
+{
+    return relay->sent_attempts < relay->attempts_max &&
+           try_spend_budget(state, relay);
+}
+
+/* A run that a backup continues counts as the same attempt of the call. */
+static enum next_step
+step_after_loss(struct ct_state *state, const struct ct_relay *relay)
+{
+    if (may_run_again(relay)) {
+        return try_spend_retry(state, relay) ? STEP_RETRY : STEP_FAIL;
+    }
+    return ct_relay_backup_needed(relay) &&
+                   ct_relay_backup_usable(state, relay) &&
+                   try_spend_budget(state, relay)
+               ? STEP_USE_BACKUP
+               : STEP_FAIL;
+}
+
 static enum next_step
 step_after_response(struct ct_state *state, const struct ct_relay *relay,
                     const struct ct_relay_progress *progress)
@@ -374,14 +439,16 @@
     case CT_OUTCOME_COMPLETE:
         return step_after_response(state, relay, progress);
     case CT_OUTCOME_NOT_SENT:
-        return relay->unsent_attempts < UNSENT_ATTEMPTS_MAX ? STEP_RETRY
-                                                            : STEP_FAIL;
+        return !ct_relay_backup_needed(relay) &&
+                       relay->unsent_attempts < UNSENT_ATTEMPTS_MAX
+                   ? STEP_RETRY
+                   : STEP_FAIL;
     case CT_OUTCOME_DECLINED:
-        return try_spend_retry(state, relay) ? STEP_RETRY : STEP_FAIL;
-    default:
-        return may_run_again(relay) && try_spend_retry(state, relay)
+        return !ct_relay_backup_needed(relay) && try_spend_retry(state, relay)
                    ? STEP_RETRY
                    : STEP_FAIL;
+    default:
+        return step_after_loss(state, relay);
     }
 }
 
@@ -428,16 +495,19 @@
 
 static void
 retry_call(struct ct_state *state, struct ct_handle handle,
-           const struct ct_relay_progress *progress)
+           const struct ct_relay_progress *progress, bool from_backup)
 {
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
+    struct upstream_choice choice;
 
     ct_increment_counter(state, retry_counter(progress->outcome));
     if (relay->response_started) {
         ct_increment_counter(state, CT_COUNTER_RESUMES);
     }
     log_retry(state, relay, progress);
-    ct_relay_send(state, handle);
+    choice = from_backup ? choose_backup(state, relay)
+                         : choose_upstream(state, relay);
+    start_attempt(state, handle, &choice);
 }
 
 /* Records whether the call may have run; a declined attempt did not run. */
@@ -487,8 +557,8 @@
         ct_relay_complete(state, handle, progress->status);
         return;
     }
-    if (next_step == STEP_RETRY) {
-        retry_call(state, handle, progress);
+    if (next_step != STEP_FAIL) {
+        retry_call(state, handle, progress, next_step == STEP_USE_BACKUP);
         return;
     }
     ct_relay_fail(state, handle, failure_reason(relay, progress->outcome));
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -81,6 +81,16 @@
      * which they can be copied; empty for none.
      */
     struct ct_address cache_donor;
+    /*
+     * Another upstream to which the cache of this attempt is copied while it
+     * runs; empty for none.
+     */
+    struct ct_address cache_backup;
+    /*
+     * The upstream continues an earlier attempt of the call, of whose cache it
+     * holds the backup.
+     */
+    bool from_backup;
 };
 
 /* CT_EFFECT_RELAY_FORWARD_RESPONSE */
--- a/core/relay.h
+++ b/core/relay.h
@@ -47,6 +47,8 @@
     uint32_t unsent_attempts;
     struct ct_handle tried[CT_RELAY_TRIED_MAX];
     uint32_t n_tried;
+    /* Holds a copy of the attempt's cache, see relay-backup.h. */
+    struct ct_handle backup;
     /* An upstream may have run the call, as far as this host knows. */
     bool may_have_run;
     /* An attempt that has ended may have run the call. */
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -182,15 +182,9 @@
     t_relay_configure(core, 5, n);
 }
 
-uint64_t
-t_relay_call(struct t_core *core, uint8_t key, const char *path)
-{
-    return t_relay_call_within(core, key, path, 0);
-}
-
-uint64_t
-t_relay_call_within(struct t_core *core, uint8_t key, const char *path,
-                    ct_ms deadline_ms)
+static uint64_t
+post_call(struct t_core *core, uint8_t key, const char *path,
+          uint32_t prompt_tokens, ct_ms deadline_ms)
 {
     struct ct_event event = {.type = CT_EVENT_RELAY_CALL_ARRIVED};
     struct ct_relay_call *call = &event.u.relay;
@@ -203,12 +197,31 @@
     call->has_key = key != 0;
     call->key = t_digest(key);
     call->prefix_hash = 7;
-    call->prompt_tokens = PROMPT_TOKENS;
+    call->prompt_tokens = prompt_tokens;
     call->timeout_ms = deadline_ms;
     t_core_post(core, &event);
     return call->caller;
 }
 
+uint64_t
+t_relay_call(struct t_core *core, uint8_t key, const char *path)
+{
+    return t_relay_call_within(core, key, path, 0);
+}
+
+uint64_t
+t_relay_call_within(struct t_core *core, uint8_t key, const char *path,
+                    ct_ms deadline_ms)
+{
+    return post_call(core, key, path, PROMPT_TOKENS, deadline_ms);
+}
+
+uint64_t
+t_relay_call_of_size(struct t_core *core, uint8_t key, const char *path,
+                     uint32_t prompt_tokens)
+{
+    return post_call(core, key, path, prompt_tokens, 0);
+}
 struct ct_relay_start
 t_relay_started(const struct t_core *core)
 {
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -57,6 +57,9 @@
 /* The same with a deadline of the caller; 0 for none. */
 uint64_t t_relay_call_within(struct t_core *core, uint8_t key,
                              const char *path, ct_ms deadline_ms);
+/* The prompt has prompt_tokens tokens. */
+uint64_t t_relay_call_of_size(struct t_core *core, uint8_t key,
+                              const char *path, uint32_t prompt_tokens);
 /* The attempt that the last event started; fails the test if none was. */
 struct ct_relay_start t_relay_started(const struct t_core *core);
 
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -156,6 +156,26 @@
     curl_slist_free_all(transfer.headers);
 }
 
+/* An attempt with a backup, and one that continues from it. */
+static void
+test_backup_headers(void)
+{
+    struct ct_relay_start start = {.stream = true, .from_backup = true};
+    struct ct_transfer transfer = {0};
+
+    CT_TEXT_SET(start.request_id, "9c41");
+    CT_TEXT_SET(start.address, "10.1.0.7:8400");
+    CT_TEXT_SET(start.cache_backup, "10.1.0.9:8400");
+    start.after_event = 3;
+    g_assert_cmpint(
+        ops()->attempt_headers(ct_platform_dialect(), &start, 1234, &transfer),
+        ==, CT_OK);
+    g_assert_true(has_line(transfer.headers, "Kv-From: 10.1.0.7:8400/9c41"));
+    g_assert_true(has_line(transfer.headers, "Kv-Backup: 10.1.0.9:8400"));
+    g_assert_true(has_line(transfer.headers, "Last-Event-Id: 3"));
+    curl_slist_free_all(transfer.headers);
+}
+
 static void
 test_response_headers(void)
 {
@@ -221,6 +241,7 @@
     g_test_add_func("/call-dialect/parsed-headers", test_parsed_headers);
     g_test_add_func("/call-dialect/bad-values", test_bad_values);
     g_test_add_func("/call-dialect/attempt-headers", test_attempt_headers);
+    g_test_add_func("/call-dialect/backup-headers", test_backup_headers);
     g_test_add_func("/call-dialect/response-headers", test_response_headers);
     g_test_add_func("/call-dialect/own-responses", test_own_responses);
     return g_test_run();
--- a/t/test-relay-attempt.c
+++ b/t/test-relay-attempt.c
@@ -317,6 +317,160 @@
     t_core_free(&core);
 }
 
+#define PROMPT_WITH_BACKUP_TOKENS 1000
+
+/* Sets up three engines that can copy their caches to each other. */
+static void
+setup_backups(struct t_core *core)
+{
+    GArray *rows = t_relay_rows();
+
+    t_relay_setup(core, 3);
+    for (guint i = 0; i < rows->len; i++) {
+        struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == CT_CONFIG_POOL) {
+            row->u.pool.backs_up = true;
+        }
+    }
+    t_relay_post_config(core, 6, rows);
+    t_relay_confirm(core);
+    g_array_free(rows, TRUE);
+}
+
+static struct ct_relay_start
+start_stream(struct t_core *core, const char *path, uint32_t prompt_tokens)
+{
+    struct ct_relay_start start;
+
+    t_relay_call_of_size(core, 1, path, prompt_tokens);
+    start = t_relay_started(core);
+    t_relay_sent(core, start.attempt);
+    return start;
+}
+
+/*
+ * Starts a stream that may run once, forwards its first events, loses the
+ * upstream, and returns the attempt that continues it.
+ */
+static struct ct_relay_start
+continue_from_backup(struct t_core *core)
+{
+    struct ct_relay_start first;
+    struct ct_relay_start next;
+
+    setup_backups(core);
+    first = start_stream(core, T_STREAM_PATH, PROMPT_WITH_BACKUP_TOKENS);
+    g_assert_cmpstr(first.cache_backup.text, !=, "");
+    g_assert_cmpstr(first.cache_backup.text, !=, first.address.text);
+    g_assert_false(first.from_backup);
+    t_relay_data(core, first.attempt, 4);
+    t_relay_done(core, first.attempt, CT_OUTCOME_CONNECTION_LOST, 200);
+    next = t_relay_started(core);
+    g_assert_cmpstr(next.address.text, ==, first.cache_backup.text);
+    g_assert_true(next.from_backup);
+    g_assert_cmpuint(next.after_event, ==, 4);
+    t_relay_sent(core, next.attempt);
+    return next;
+}
+
+/*
+ * The backup continues a stream that may run only once, and the next backup
+ * continues it again.
+ */
+static void
+test_backup(void)
+{
+    struct ct_relay_start next;
+    struct t_core core;
+
+    next = continue_from_backup(&core);
+    t_relay_data(&core, next.attempt, 5);
+    t_relay_done(&core, next.attempt, CT_OUTCOME_CONNECTION_LOST, 200);
+    g_assert_cmpstr(t_relay_started(&core).address.text, ==,
+                    next.cache_backup.text);
+    t_relay_finish(&core, t_relay_started(&core).attempt, CT_OUTCOME_COMPLETE,
+                   200);
+    g_assert_true(t_core_effect(&core, CT_EFFECT_RELAY_FORWARD_RESPONSE, 0)
+                      ->u.forward.is_last);
+    t_core_free(&core);
+}
+
+/*
+ * A backup that has no copy declines, or cannot be reached: the run cannot
+ * continue, and another upstream would run the call again.
+ */
+static void
+test_backup_without_copy(gconstpointer arg)
+{
+    struct ct_relay_start next;
+    struct t_core core;
+
+    next = continue_from_backup(&core);
+    t_relay_done(&core, next.attempt, (enum ct_outcome)GPOINTER_TO_INT(arg),
+                 503);
+    assert_response_aborted(&core);
+    t_core_free(&core);
+}
+
+/* A backup that is leaving gets no more work. */
+static void
+test_backup_leaving(void)
+{
+    struct ct_store_upstream entry;
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup_backups(&core);
+    start = start_stream(&core, T_STREAM_PATH, PROMPT_WITH_BACKUP_TOKENS);
+    t_relay_data(&core, start.attempt, 4);
+    for (uint32_t i = 0; i < 3; i++) {
+        entry = t_upstream("engines", i);
+        if (strcmp(entry.upstream.address.text, start.cache_backup.text) ==
+            0) {
+            entry.leaving = true;
+            t_relay_post_upstream(&core, &entry);
+        }
+    }
+    t_relay_confirm(&core);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_CONNECTION_LOST, 200);
+    assert_response_aborted(&core);
+    t_core_free(&core);
+}
+
+/*
+ * Calls that can be retried, long prompts, and engines that cannot copy have
+ * no backup; without an event forwarded a call fails as before.
+ */
+static void
+test_no_backup(void)
+{
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup_backups(&core);
+    g_assert_cmpstr(
+        start_stream(&core, T_RESUME_PATH, PROMPT_WITH_BACKUP_TOKENS)
+            .cache_backup.text,
+        ==, "");
+    g_assert_cmpstr(
+        start_stream(&core, T_STREAM_PATH, 20000).cache_backup.text, ==, "");
+    g_assert_cmpstr(start_stream(&core, T_ONCE_PATH, PROMPT_WITH_BACKUP_TOKENS)
+                        .cache_backup.text,
+                    ==, "");
+    start = start_stream(&core, T_STREAM_PATH, PROMPT_WITH_BACKUP_TOKENS);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_CONNECTION_LOST, 200);
+    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN);
+    t_core_free(&core);
+    t_relay_setup(&core, 3);
+    g_assert_cmpstr(
+        start_stream(&core, T_STREAM_PATH, PROMPT_WITH_BACKUP_TOKENS)
+            .cache_backup.text,
+        ==, "");
+    t_core_free(&core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -333,5 +487,14 @@
     g_test_add_func("/relay-attempt/retry-budget", test_retry_budget);
     g_test_add_func("/relay-attempt/cache-copy-from-leaving",
                     test_cache_copy_from_leaving);
+    g_test_add_func("/relay-attempt/backup", test_backup);
+    g_test_add_data_func("/relay-attempt/backup-without-copy/declined",
+                         GINT_TO_POINTER(CT_OUTCOME_DECLINED),
+                         test_backup_without_copy);
+    g_test_add_data_func("/relay-attempt/backup-without-copy/not-sent",
+                         GINT_TO_POINTER(CT_OUTCOME_NOT_SENT),
+                         test_backup_without_copy);
+    g_test_add_func("/relay-attempt/backup-leaving", test_backup_leaving);
+    g_test_add_func("/relay-attempt/no-backup", test_no_backup);
     return g_test_run();
 }
