core: copy caches also where one engine of three is reserved

Cause: the rule against copies under load took the largest number of engines that may be reserved for a full one. With three to five engines that number is one, so no call had a copy.

--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -156,8 +156,8 @@
 struct reserve {
     /* Hash of the last one in the order of reserve_hash(); 0 if none. */
     uint64_t up_to;
-    /* No more can be reserved. */
-    bool at_maximum;
+    /* They are half full, and no more can be reserved. */
+    bool full;
 };
 
 struct reserve_entry {
@@ -201,6 +201,16 @@
     return listed;
 }
 
+/*
+ * Whether the requests of all hosts use more than the permitted part of the
+ * slots, if each host has as many in flight.
+ */
+static bool
+exceeds_share(uint64_t in_flight, uint64_t slots, uint32_t hosts)
+{
+    return in_flight * hosts * 100 > slots * RESERVED_FULL_PERCENT;
+}
+
 /*
  * Reserves upstreams for interactive requests: a part of all, and more while
  * these are half full. The set of a smaller number is part of that of a larger
@@ -223,16 +233,16 @@
     if (!request->prefix_hash || listed < RESERVE_MIN_UPSTREAMS) {
         return (struct reserve){0};
     }
-    while (reserved < least ||
-           (reserved < most && in_flight * request->hosts * 100 >
-                                   slots * RESERVED_FULL_PERCENT)) {
+    while (
+        reserved < least ||
+        (reserved < most && exceeds_share(in_flight, slots, request->hosts))) {
         in_flight += entries[reserved].in_flight;
         slots += entries[reserved].slots;
         reserved++;
     }
     return (struct reserve){
         .up_to = entries[reserved - 1].hash,
-        .at_maximum = reserved == most,
+        .full = exceeds_share(in_flight, slots, request->hosts),
     };
 }
 
@@ -319,8 +329,8 @@
 are_reserved_full(const struct scope *scope)
 {
     return !scope->any_kind && scope->request->prefix_hash &&
-           scope->in_flight * scope->request->hosts * 100 >
-               scope->slots * RESERVED_FULL_PERCENT;
+           exceeds_share(scope->in_flight, scope->slots,
+                         scope->request->hosts);
 }
 
 /*
@@ -513,7 +523,7 @@
     struct reserve reserve = reserve_upstreams(base, request, candidates, n);
     struct pick pick = {.index = CT_ERR_NOT_FOUND};
 
-    if (reserve.at_maximum || request->now_ms < base->overflow_until_ms) {
+    if (reserve.full || request->now_ms < base->overflow_until_ms) {
         return CT_ERR_NOT_FOUND;
     }
     for (uint32_t i = 0; i < n; i++) {
