core: take readiness and the ends of calls out of two circles

Cause: group and relay asked relay-host, which starts and drains them, whether the host is ready; relay and relay-attempt called each other.

Change: relay-ready answers what a host can take on, relay-end ends calls and attempts. Gone are the arrows group -> relay-host, relay -> relay-host and relay-attempt -> relay. Code moved, none changed; two functions lost "host" in their names.

--- a/core/group.c
+++ b/core/group.c
@@ -4,7 +4,7 @@
 
 #include "addresses.h"
 #include "error.h"
-#include "relay-host.h"
+#include "relay-ready.h"
 #include "state.h"
 
 /*
@@ -217,7 +217,7 @@
             add_host(hosts, &row->member);
         }
     }
-    if (ct_relay_host_is_ready(state, state->now_ms)) {
+    if (ct_relay_is_ready(state, state->now_ms)) {
         self.host = state->self.host;
         self.address = state->self.address;
         add_host(hosts, &self);
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -5,6 +5,7 @@
 #include "candidates.h"
 #include "error.h"
 #include "relay-backup.h"
+#include "relay-end.h"
 #include "retry.h"
 #include "state.h"
 
@@ -230,35 +231,6 @@
     start_attempt(state, handle, &choice);
 }
 
-/* Frees the call's attempt; later events of the attempt are ignored. */
-static void
-end_attempt(struct ct_state *state, struct ct_relay *relay,
-            enum ct_outcome outcome)
-{
-    struct ct_relay_attempt *attempt =
-        ct_table_get(&state->relays.attempts, relay->attempt);
-    struct ct_upstream_row *upstream =
-        ct_table_get(&state->config.upstreams, attempt->upstream);
-
-    upstream->in_flight--;
-    state->relay_balance->ops->ended(state->relay_balance, attempt->upstream,
-                                     outcome, state->now_ms);
-    ct_table_unref(&state->config.upstreams, attempt->upstream);
-    ct_table_unref(&state->relays.attempts, relay->attempt);
-    relay->attempt = CT_NO_HANDLE;
-}
-
-void
-ct_relay_cancel(struct ct_state *state, struct ct_relay *relay)
-{
-    if (ct_handle_is_none(relay->attempt)) {
-        return;
-    }
-    ct_emit_effect(state, CT_EFFECT_RELAY_CANCEL_ATTEMPT)->u.relay.attempt =
-        relay->attempt;
-    end_attempt(state, relay, CT_OUTCOME_CANCELLED);
-}
-
 /*
  * Returns the attempt of an event and its call; counts events of attempts
  * that have ended and returns NULL for them.
@@ -552,7 +524,7 @@
     /* Frees the bytes that the front end holds for the attempt. */
     ct_emit_effect(state, CT_EFFECT_RELAY_CANCEL_ATTEMPT)->u.relay.attempt =
         relay->attempt;
-    end_attempt(state, relay, progress->outcome);
+    ct_relay_end_attempt(state, relay, progress->outcome);
     if (next_step == STEP_PASS_RESPONSE) {
         ct_relay_complete(state, handle, progress->status);
         return;
--- a/core/relay-host.c
+++ b/core/relay-host.c
@@ -1,5 +1,6 @@
 #include "relay-host.h"
 
+#include "relay-ready.h"
 #include "state.h"
 
 /*
@@ -12,27 +13,12 @@
  * hosts.
  */
 #define QUIET_MS 1000
-/*
- * Time that a call needs before the process exits. With a grace period of 8 s
- * no stream is accepted later than 2.9 s after the stop began: the platform
- * counts an aborted stream as lost if it was sent later than 3 s after the
- * stop began.
- */
-#define STREAM_MIN_REMAINING_MS 4400
-#define PLAIN_MIN_REMAINING_MS 1000
-/* Time between the exit deadline and the kill, for writing the last bytes. */
-#define KILL_MARGIN_MS 700
 /*
  * This long before the exit deadline tallies are written even if calls are
  * still running.
  */
 #define FLUSH_MS 600
 #define DRAIN_CHECK_MS 100
-/*
- * A host is not ready for callers if its configuration becomes too old within
- * this time.
- */
-#define READY_MARGIN_MS 900
 
 void
 ct_relay_host_start(struct ct_state *state)
@@ -47,36 +33,6 @@
     ct_tallies_start(state);
 }
 
-bool
-ct_relay_host_is_ready(const struct ct_state *state, ct_ms now_ms)
-{
-    ct_ms covered_until_ms =
-        state->store.topics[CT_TOPIC_CONFIG].covered_until_ms;
-
-    return state->store.config_known && !state->draining &&
-           state->store.topics[CT_TOPIC_UPSTREAMS].full_read_done &&
-           now_ms - covered_until_ms <
-               state->self.bounds.revoke_ms - READY_MARGIN_MS;
-}
-
-static ct_ms
-exit_deadline_ms(const struct ct_state *state)
-{
-    return state->drain_started_ms + state->self.bounds.grace_ms -
-           KILL_MARGIN_MS;
-}
-
-bool
-ct_relay_host_can_finish_call(const struct ct_state *state, bool stream)
-{
-    ct_ms needed_ms =
-        stream ? STREAM_MIN_REMAINING_MS : PLAIN_MIN_REMAINING_MS;
-
-    return !state->draining ||
-           (!state->drained &&
-            state->now_ms + needed_ms < exit_deadline_ms(state));
-}
-
 void
 ct_relay_host_drain(struct ct_state *state)
 {
@@ -97,13 +53,14 @@
     bool quiet = state->relays.rows.live == 0 &&
                  state->now_ms - state->drain_started_ms >= MIN_DRAIN_MS &&
                  state->now_ms - state->relays.arrived_ms >= QUIET_MS;
-    bool last = state->now_ms >= exit_deadline_ms(state) - FLUSH_MS;
+    bool last = state->now_ms >= ct_relay_exit_deadline_ms(state) - FLUSH_MS;
     bool flushed = (quiet || last) && ct_tallies_flush(state);
 
     if (state->drained) {
         return;
     }
-    if ((quiet && flushed) || state->now_ms >= exit_deadline_ms(state)) {
+    if ((quiet && flushed) ||
+        state->now_ms >= ct_relay_exit_deadline_ms(state)) {
         state->drained = true;
         ct_emit_log(state, CT_LOG_DRAIN_DONE, &state->self.host, NULL,
                     state->relays.rows.live);
--- a/core/relay.h
+++ b/core/relay.h
@@ -99,25 +99,10 @@
 /* CT_TIMER_RELAY: fails the call, whose time limit has passed. */
 void ct_relay_on_timer(struct ct_state *state, struct ct_handle handle);
 
-/* Returns the retry budget of a pool, or NULL if out of memory. */
-struct ct_retry_window *ct_relay_retry_window(struct ct_state *state,
-                                              struct ct_handle pool);
-
-/*
- * Refuses the call, or aborts its response if that has started. Frees the
- * row.
- */
-void ct_relay_fail(struct ct_state *state, struct ct_handle handle,
-                   enum ct_refusal reason);
-/* Ends a call whose complete response was forwarded. Frees the row. */
-void ct_relay_complete(struct ct_state *state, struct ct_handle handle,
-                       uint32_t status);
-
 /* relay-attempt.c */
 
 /* Starts an attempt at an upstream; fails the call if there is none. */
 void ct_relay_send(struct ct_state *state, struct ct_handle handle);
-void ct_relay_cancel(struct ct_state *state, struct ct_relay *relay);
 void ct_relay_on_sent(struct ct_state *state,
                       const struct ct_relay_progress *progress);
 void ct_relay_on_data(struct ct_state *state,
@@ -125,9 +110,4 @@
 void ct_relay_on_done(struct ct_state *state,
                       const struct ct_relay_progress *progress);
 
-/* Adds a log event about the call. */
-struct ct_log_effect *ct_relay_log(struct ct_state *state,
-                                   const struct ct_relay *relay,
-                                   enum ct_log_event event);
-
 #endif
--- a/core/state-view.c
+++ b/core/state-view.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "admission.h"
-#include "relay-host.h"
+#include "relay-ready.h"
 #include "state.h"
 
 enum ct_health
@@ -13,9 +13,9 @@
         return CT_HEALTH_DRAINING;
     }
     if (state->relaying) {
-        return ct_relay_host_is_ready(state, now_ms) ? CT_HEALTH_READY
-               : state->store.config_known           ? CT_HEALTH_NOT_CURRENT
-                                                     : CT_HEALTH_STARTING;
+        return ct_relay_is_ready(state, now_ms) ? CT_HEALTH_READY
+               : state->store.config_known      ? CT_HEALTH_NOT_CURRENT
+                                                : CT_HEALTH_STARTING;
     }
     if (!state->log.ready) {
         return CT_HEALTH_STARTING;
--- a/shell/discovery-port.c
+++ b/shell/discovery-port.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "error.h"
-#include "relay-host.h"
+#include "relay-ready.h"
 
 #define CONNECTIONS_MAX 512
 #define IDLE_TIMEOUT_S 60
@@ -56,7 +56,7 @@
     if (strcmp(url, port->dialect->ops->ready_path) != 0) {
         return queue_status(connection, MHD_HTTP_NOT_FOUND);
     }
-    return queue_status(connection, ct_relay_host_is_ready(port->state, now_ms)
+    return queue_status(connection, ct_relay_is_ready(port->state, now_ms)
                                         ? MHD_HTTP_OK
                                         : MHD_HTTP_SERVICE_UNAVAILABLE);
 }
