core: let state, the log and peer-status be called from above only

The reducer hands on the messages of known peers, and tells withdrawals of links and heartbeats; a heartbeat's withdrawals now follow the arming of its timer.

--- a/core/log-replay.h
+++ b/core/log-replay.h
@@ -50,18 +50,4 @@
 void ct_log_on_peer_state(struct ct_state *state, int64_t offset,
                           struct ct_rows rows);
 
-/*
- * Appends a record of this host and returns its sequence number. The caller
- * sets base offset, payload and rows; the function sets writer, sequence
- * number and time.
- */
-uint64_t ct_log_append(struct ct_state *state, const struct ct_record *record,
-                       ct_ms not_after_ms);
-
-/*
- * Returns the time since the newest successful read was sent; CT_MS_NEVER if
- * there was none.
- */
-ct_ms ct_log_age_ms(const struct ct_state *state);
-
 #endif
--- a/core/peer-status.c
+++ b/core/peer-status.c
@@ -203,7 +203,6 @@
     ct_emit_log(state, CT_LOG_PEER_UP, peer, NULL, 0);
     fill_heartbeat(state, &message);
     ct_peer_status_send(state, peer, &message);
-    ct_withdrawals_on_peer_up(state, peer);
 }
 
 void
@@ -233,25 +232,6 @@
     }
 }
 
-static void
-on_state_request(struct ct_state *state, const struct ct_peer_message *message)
-{
-    struct ct_snapshot_row *rows;
-    struct ct_peer_message reply;
-    uint32_t n;
-
-    if (!state->log.ready) {
-        return;
-    }
-    rows = ct_snapshot_export(state, &n);
-    memset(&reply, 0, sizeof(reply));
-    reply.type = CT_PEER_STATE;
-    reply.u.offset = state->log.applied;
-    reply.rows = CT_ROWS(rows, n);
-    ct_peer_status_send(state, &message->sender, &reply);
-    g_free(rows);
-}
-
 static bool
 is_log_fresh(const struct ct_state *state, ct_ms now_ms)
 {
@@ -260,39 +240,28 @@
            now_ms - state->log.last_read_sent_ms < CT_CURRENT_LIMIT_MS;
 }
 
-void
+bool
+ct_peer_status_needs_state(const struct ct_state *state, int64_t offset)
+{
+    return !is_log_fresh(state, state->now_ms) &&
+           offset >= state->peer_status.known_head;
+}
+
+bool
 ct_peer_status_on_message(struct ct_state *state,
                           const struct ct_peer_message *message)
 {
     struct ct_peer_row *row = ct_peer_status_find(state, &message->sender);
 
     if (!row) {
-        return;
+        return false;
     }
     ct_increment_counter(state, CT_COUNTER_PEER_MESSAGES);
     row->last_seen_ms = state->now_ms;
-    switch (message->type) {
-    case CT_PEER_HEARTBEAT:
+    if (message->type == CT_PEER_HEARTBEAT) {
         on_heartbeat(state, row, &message->u.heartbeat);
-        return;
-    case CT_PEER_WITHDRAW:
-        ct_withdrawals_on_withdraw(state, message);
-        return;
-    case CT_PEER_WITHDRAWN:
-        ct_withdrawals_on_withdrawn(state, message);
-        return;
-    case CT_PEER_STATE_REQUEST:
-        on_state_request(state, message);
-        return;
-    case CT_PEER_STATE:
-        if (!is_log_fresh(state, state->now_ms) &&
-            message->u.offset >= state->peer_status.known_head) {
-            ct_log_on_peer_state(state, message->u.offset, message->rows);
-        }
-        return;
-    default:
-        return;
     }
+    return true;
 }
 
 void
@@ -424,6 +393,5 @@
     fill_heartbeat(state, &message);
     ct_peer_status_send_all(state, &message, NULL);
     request_state(state);
-    ct_withdrawals_on_heartbeat(state);
     ct_arm_timer(state, HEARTBEAT_MS, CT_TIMER_HEARTBEAT, CT_NO_HANDLE);
 }
--- a/core/peer-status.h
+++ b/core/peer-status.h
@@ -65,8 +65,17 @@
                                const struct ct_name *peer);
 void ct_peer_status_on_link_down(struct ct_state *state,
                                  const struct ct_name *peer);
-void ct_peer_status_on_message(struct ct_state *state,
+/*
+ * Records that the sender is alive and applies a heartbeat. Returns whether
+ * the sender is a known peer.
+ */
+bool ct_peer_status_on_message(struct ct_state *state,
                                const struct ct_peer_message *message);
+/*
+ * Whether a peer's state as of the offset is newer than what this host can
+ * read from the log now.
+ */
+bool ct_peer_status_needs_state(const struct ct_state *state, int64_t offset);
 void ct_peer_status_on_host_list(struct ct_state *state, struct ct_rows rows);
 /* CT_TIMER_HEARTBEAT */
 void ct_peer_status_on_timer(struct ct_state *state);
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -78,6 +78,7 @@
         return;
     case CT_TIMER_HEARTBEAT:
         ct_peer_status_on_timer(state);
+        ct_withdrawals_on_heartbeat(state);
         return;
     case CT_TIMER_LEASE:
         ct_leases_on_timer(state);
@@ -126,6 +127,30 @@
     }
 }
 
+static void
+on_message_of_known_peer(struct ct_state *state,
+                         const struct ct_peer_message *message)
+{
+    switch (message->type) {
+    case CT_PEER_WITHDRAW:
+        ct_withdrawals_on_withdraw(state, message);
+        return;
+    case CT_PEER_WITHDRAWN:
+        ct_withdrawals_on_withdrawn(state, message);
+        return;
+    case CT_PEER_STATE_REQUEST:
+        ct_snapshot_on_state_request(state, message);
+        return;
+    case CT_PEER_STATE:
+        if (ct_peer_status_needs_state(state, message->u.offset)) {
+            ct_log_on_peer_state(state, message->u.offset, message->rows);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
 static void
 on_peer_message(struct ct_state *state, const struct ct_peer_message *message)
 {
@@ -162,7 +187,9 @@
         ct_replication_on_members_update(state, message);
         return;
     default:
-        ct_peer_status_on_message(state, message);
+        if (ct_peer_status_on_message(state, message)) {
+            on_message_of_known_peer(state, message);
+        }
         return;
     }
 }
@@ -234,6 +261,7 @@
     }
     if (up) {
         ct_peer_status_on_link_up(state, peer);
+        ct_withdrawals_on_peer_up(state, peer);
     }
     else {
         ct_peer_status_on_link_down(state, peer);
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -103,6 +103,26 @@
     return (struct ct_snapshot_row *)(void *)g_array_free(out, FALSE);
 }
 
+void
+ct_snapshot_on_state_request(struct ct_state *state,
+                             const struct ct_peer_message *message)
+{
+    struct ct_snapshot_row *rows;
+    struct ct_peer_message reply;
+    uint32_t n;
+
+    if (!state->log.ready) {
+        return;
+    }
+    rows = ct_snapshot_export(state, &n);
+    memset(&reply, 0, sizeof(reply));
+    reply.type = CT_PEER_STATE;
+    reply.u.offset = state->log.applied;
+    reply.rows = CT_ROWS(rows, n);
+    ct_peer_status_send(state, &message->sender, &reply);
+    g_free(rows);
+}
+
 static int
 import_config(struct ct_state *state, struct ct_rows rows)
 {
--- a/core/snapshot.h
+++ b/core/snapshot.h
@@ -9,12 +9,17 @@
  * which it was taken; the entries after that offset are applied to it.
  */
 
+struct ct_peer_message;
 struct ct_state;
 
 /* Returns the rows of a snapshot of the state; free with g_free(). */
 struct ct_snapshot_row *ct_snapshot_export(const struct ct_state *state,
                                            uint32_t *n);
 
+/* CT_PEER_STATE_REQUEST: sends the state to the peer, if the log was read. */
+void ct_snapshot_on_state_request(struct ct_state *state,
+                                  const struct ct_peer_message *message);
+
 /*
  * Replaces the replicated state by that of a snapshot taken at offset.
  * Errors: CT_ERR_INVALID for rows of an unknown kind, errors of the modules.
