core: copy the caches of prompts from 1,024 tokens on

Cause: since homes are passed over by prompt tokens sent, calls with a prompt of a few thousand tokens meet engines that lack their shared parts, and only prompts above 4,096 tokens copied them.

Change: a home's cache is copied for prompts of 1,024 tokens and more; a copy takes 5 ms to set up, reading such a prompt 15 ms and more.

--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -62,6 +62,9 @@
 #define RESERVED_WAIT_MS 500
 #define OVERFLOW_MS 2000
 
+/* Copying the cache of a shorter prompt takes longer than reading it. */
+#define COPY_PROMPT_MIN_TOKENS 1024
+
 /*
  * For this long after its arrival an upstream counts as new: it lacks prefixes
  * whose home it has become. Upstreams that were present up to STARTUP_MS after
@@ -451,8 +454,7 @@
 /*
  * Returns the highest-ranked home of the prefix other than the chosen
  * candidate, if the home ranks above the chosen candidate or the latter is
- * new. Returns CT_ERR_NOT_FOUND for short prompts: copying the cache takes
- * longer than reading the prompt.
+ * new. Returns CT_ERR_NOT_FOUND for prompts that are read faster than copied.
  */
 static int
 home_cache_donor(struct ct_balance_policy *policy,
@@ -464,7 +466,8 @@
     struct scope scope = {.request = request};
     struct pick pick = {.index = CT_ERR_NOT_FOUND};
 
-    if (!request->prefix_hash || is_short_prompt(request)) {
+    if (!request->prefix_hash ||
+        request->prompt_tokens < COPY_PROMPT_MIN_TOKENS) {
         return CT_ERR_NOT_FOUND;
     }
     scope.reserved_up_to =
