--- a/conf/schema.c
+++ b/conf/schema.c
@@ -296,11 +296,11 @@
     }
 }
 
-/* Returns the value for a finding; NULL for a secret, which is not shown. */
+/* Returns the value for a finding; NULL for secrets, which are not shown. */
 static const char *
 printable_value(const struct ct_schema_field *field, JsonObject *object)
 {
-    return field->kind == CT_SCHEMA_SECRET
+    return field->kind == CT_SCHEMA_SECRET || field->kind == CT_SCHEMA_SECRETS
                ? NULL
                : ct_json_get_string(object, field->name);
 }
--- a/t/test-settings.c
+++ b/t/test-settings.c
@@ -140,21 +140,32 @@
     }
 }
 
+/* A finding about a secret does not show it, whatever is wrong with it. */
 static void
 test_secret_not_shown(void)
 {
-    GString *out = g_string_new(NULL);
-    struct ct_settings settings;
-    struct ct_diags diags;
+    static const struct {
+        guint line;
+        const char *text;
+    } invalid[] = {
+        {8, "\"peer_secret\": \"tiny5ecret\","},
+        {9, "\"credentials\": \"tiny5ecret\","},
+    };
 
-    write_file(8, "\"peer_secret\": \"tiny5ecret\",");
-    ct_diags_init(&diags);
-    ct_settings_load(path, &settings, &diags);
-    ct_diag_format(ct_diags_get(&diags, 0), out);
-    g_assert_null(strstr(out->str, "tiny5ecret"));
-    g_string_free(out, TRUE);
-    ct_settings_free(&settings);
-    ct_diags_free(&diags);
+    for (gsize i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        GString *out = g_string_new(NULL);
+        struct ct_settings settings;
+        struct ct_diags diags;
+
+        write_file(invalid[i].line, invalid[i].text);
+        ct_diags_init(&diags);
+        ct_settings_load(path, &settings, &diags);
+        ct_diag_format(ct_diags_get(&diags, 0), out);
+        g_assert_null(strstr(out->str, "tiny5ecret"));
+        g_string_free(out, TRUE);
+        ct_settings_free(&settings);
+        ct_diags_free(&diags);
+    }
 }
 
 /* The settings files of the example deployments are valid. */
