platform: accept only a number as the part of a member's row

Cause: a row of the group's parts whose number is a text, an object or null was read as part 0, the leader slot, with a critical message of json-glib: one malformed response made a host take itself for the leader.

Change: such a row is skipped. test-store-body has rows of each kind in the responses to joins and to reads of the members; both failed before.

--- a/t/test-store-body.c
+++ b/t/test-store-body.c
@@ -151,6 +151,9 @@
         {"{\"generation\":7,\"parts\":[]}", CT_OK, false},
         {"{\"generation\":7,\"parts\":[5,[],[null,0,0]]}", CT_OK, false},
         {"{\"parts\":[[\"seats-00\",0,4]]}", CT_ERR_FIELD_MISSING, false},
+        {"{\"generation\":7,\"parts\":[[\"seats-00\",\"0\",4],"
+         "[\"seats-00\",{},4],[\"seats-00\",null,4]]}",
+         CT_OK, false},
     };
 
     for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -174,7 +177,8 @@
         "{\"parts\":[[\"seats-00\",0,\"h1@10.0.0.1:80\",0],"
         "[\"seats-00\",1,\"h2@10.0.0.2:80@Yaba@10.0.0.2:7340\",0],"
         "[\"seats-00\",2,\"h1@10.0.0.1:80\",0],[\"seats-00\",3,null,0],"
-        "[\"seats-00\",4,\"odd\",0]]}",
+        "[\"seats-00\",4,\"odd\",0],[\"seats-00\",{},\"h3@10.0.0.3:80\",0],"
+        "[[],0,\"h4@10.0.0.4:80\",0],[\"seats-00\"],7]}",
         -1);
     GArray *members = g_array_new(FALSE, TRUE, sizeof(struct ct_member));
 
