wire: parse an empty JSON text without a pointer to it

Cause: an empty body has no data, and the scan added an offset to the null pointer; builds with the sanitizer ended the process.

--- a/t/test-json-text.c
+++ b/t/test-json-text.c
@@ -76,6 +76,18 @@
     ct_json_free(&json);
 }
 
+/* An empty text is no JSON; the data of an empty array may be NULL. */
+static void
+test_empty(void)
+{
+    struct ct_json json;
+
+    g_assert_cmpint(ct_json_parse(&json, NULL, 0), ==, CT_ERR_JSON_SYNTAX);
+    ct_json_free(&json);
+    g_assert_cmpint(ct_json_parse(&json, "", 0), ==, CT_ERR_JSON_SYNTAX);
+    ct_json_free(&json);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -83,5 +95,6 @@
     g_test_add_func("/json-text/nesting-limit", test_nesting_limit);
     g_test_add_func("/json-text/line-numbers", test_line_numbers);
     g_test_add_func("/json-text/getters", test_getters);
+    g_test_add_func("/json-text/empty", test_empty);
     return g_test_run();
 }
--- a/wire/json-text.c
+++ b/wire/json-text.c
@@ -239,9 +239,13 @@
 int
 ct_json_parse(struct ct_json *json, const char *text, size_t n)
 {
-    struct scan scan = {.p = text, .end = text + n, .line = 1, .json = json};
+    struct scan scan = {.line = 1, .json = json};
     int err;
 
+    /* The data of an empty array may be NULL. */
+    text = n > 0 ? text : "";
+    scan.p = text;
+    scan.end = text + n;
     memset(json, 0, sizeof(*json));
     json->parser = json_parser_new();
     json->lines = g_hash_table_new(NULL, NULL);
