--- a/core/log-append.c
+++ b/core/record-append.c
@@ -1,4 +1,4 @@
-#include "log-append.h"
+#include "record-append.h"
 
 #include "state.h"
 
--- a/core/log-append.h
+++ b/core/record-append.h
@@ -1,5 +1,5 @@
-#ifndef CT_LOG_APPEND_H
-#define CT_LOG_APPEND_H
+#ifndef CT_RECORD_APPEND_H
+#define CT_RECORD_APPEND_H
 
 #include "record.h"
 
--- a/core/state.h
+++ b/core/state.h
@@ -14,7 +14,7 @@
 #include "keys.h"
 #include "lease.h"
 #include "upstream-registry.h"
-#include "log-append.h"
+#include "record-append.h"
 #include "log-replay.h"
 #include "peer-status.h"
 #include "order-plan.h"
