core: report a window of usage as soon as it is fixed

Cause: the steps from tallies that were read to a report waited for a timer of 250 ms each.

Change: each step follows the response to the one before; reports that are due go first. test-usage-report reported-at-once saw 500 ms before.

--- a/core/usage-report.c
+++ b/core/usage-report.c
@@ -118,40 +118,6 @@
     }
 }
 
-void
-ct_usage_report_on_read(struct ct_state *state,
-                        const struct ct_store_read_done *read)
-{
-    struct ct_usage_report *report = &state->usage_report;
-    bool finals = read->topic == CT_TOPIC_FINALS;
-    int64_t *next = finals ? &report->finals_next : &report->tallies_next;
-    bool *reading =
-        finals ? &report->finals_reading : &report->tallies_reading;
-
-    *reading = false;
-    if (read->result == CT_OK || read->result == CT_ERR_LOG_TRUNCATED) {
-        *next = read->next;
-    }
-    else if (read->result == CT_ERR_NOT_FOUND) {
-        /* Nothing was written to the topic yet. */
-        *next = 0;
-    }
-    else {
-        report->tallies_failed |= !finals;
-        return;
-    }
-    if (read->result == CT_ERR_LOG_TRUNCATED || read->entries > 0) {
-        finals ? read_finals(state) : continue_reading_tallies(state);
-        return;
-    }
-    if (finals) {
-        report->finals_read_to_end = true;
-    }
-    else {
-        end_reading_tallies(state);
-    }
-}
-
 static bool
 was_read(const struct ct_usage_report *report, const struct ct_tally *tally)
 {
@@ -385,23 +351,6 @@
     ct_emit_log(state, CT_LOG_USAGE_FIXED, NULL, NULL, window);
 }
 
-void
-ct_usage_report_on_appended(struct ct_state *state,
-                            const struct ct_store_append_done *appended)
-{
-    struct ct_usage_report *report = &state->usage_report;
-
-    if (report->fixing_window != appended->window) {
-        return;
-    }
-    report->fixing_window = 0;
-    /*
-     * Whatever the result of the append, the topic shows which windows are
-     * fixed.
-     */
-    report->finals_read_to_end = false;
-}
-
 /*
  * Whether a window is fixed without the tallies of some hosts, since_ms after
  * its end. Once its report is late anyway, right figures come first.
@@ -491,15 +440,19 @@
     }
 }
 
-void
-ct_usage_report_on_timer(struct ct_state *state)
+/*
+ * Reports, reads or fixes what is due; a step follows the one before at once,
+ * because a leader may lose its slot between them.
+ */
+static void
+take_next_step(struct ct_state *state)
 {
     struct ct_usage_report *report = &state->usage_report;
 
     if (!ct_leadership_is_held(state)) {
-        report->armed = false;
         return;
     }
+    report_due(state);
     if (!report->finals_read_to_end) {
         if (!report->finals_reading && !report->fixing_window) {
             read_finals(state);
@@ -508,7 +461,71 @@
     else if (!report->fixing_window) {
         fix_next_window(state);
     }
-    report_due(state);
+}
+
+void
+ct_usage_report_on_read(struct ct_state *state,
+                        const struct ct_store_read_done *read)
+{
+    struct ct_usage_report *report = &state->usage_report;
+    bool finals = read->topic == CT_TOPIC_FINALS;
+    int64_t *next = finals ? &report->finals_next : &report->tallies_next;
+    bool *reading =
+        finals ? &report->finals_reading : &report->tallies_reading;
+
+    *reading = false;
+    if (read->result == CT_OK || read->result == CT_ERR_LOG_TRUNCATED) {
+        *next = read->next;
+    }
+    else if (read->result == CT_ERR_NOT_FOUND) {
+        /* Nothing was written to the topic yet. */
+        *next = 0;
+    }
+    else {
+        report->tallies_failed |= !finals;
+        return;
+    }
+    if (read->result == CT_ERR_LOG_TRUNCATED || read->entries > 0) {
+        finals ? read_finals(state) : continue_reading_tallies(state);
+        return;
+    }
+    if (finals) {
+        report->finals_read_to_end = true;
+    }
+    else {
+        end_reading_tallies(state);
+    }
+    take_next_step(state);
+}
+
+void
+ct_usage_report_on_appended(struct ct_state *state,
+                            const struct ct_store_append_done *appended)
+{
+    struct ct_usage_report *report = &state->usage_report;
+
+    if (report->fixing_window != appended->window) {
+        return;
+    }
+    report->fixing_window = 0;
+    /*
+     * Whatever the result of the append, the topic shows which windows are
+     * fixed.
+     */
+    report->finals_read_to_end = false;
+    take_next_step(state);
+}
+
+void
+ct_usage_report_on_timer(struct ct_state *state)
+{
+    struct ct_usage_report *report = &state->usage_report;
+
+    if (!ct_leadership_is_held(state)) {
+        report->armed = false;
+        return;
+    }
+    take_next_step(state);
     ct_zone_orders_on_timer(state);
     ct_arm_timer(state, PERIOD_MS, CT_TIMER_DUTY, CT_NO_HANDLE);
 }
--- a/t/test-usage-report.c
+++ b/t/test-usage-report.c
@@ -32,6 +32,8 @@
 struct figure {
     int64_t window;
     uint64_t requests;
+    /* When it was fixed or reported. */
+    ct_ms at_ms;
 };
 
 static void
@@ -133,7 +135,8 @@
     struct ct_event event = {.type = CT_EVENT_STORE_APPEND_DONE};
     const struct ct_tally_row *row = rows.data;
     struct figure figure = {append->tally.window,
-                            rows.n > 0 ? row[0].requests : 0};
+                            rows.n > 0 ? row[0].requests : 0,
+                            sim->core.now_ms};
 
     event.u.store_append.topic = append->topic;
     event.u.store_append.writer = append->tally.writer;
@@ -159,7 +162,8 @@
     struct ct_event event = {.type = CT_EVENT_DUTY_DONE};
     const struct ct_tally_row *row = effect->rows.data;
     struct figure figure = {effect->u.duty_usage.window,
-                            effect->rows.n > 0 ? row[0].requests : 0};
+                            effect->rows.n > 0 ? row[0].requests : 0,
+                            sim->core.now_ms};
 
     g_array_append_val(sim->reports, figure);
     event.u.duty.is_usage = true;
@@ -286,6 +290,30 @@
     free_simulation(&sim);
 }
 
+/*
+ * A window is reported as soon as its figures are fixed: the host may not be
+ * the leader for much longer.
+ */
+static void
+test_reported_at_once(void)
+{
+    struct simulation sim;
+
+    init_simulation(&sim);
+    run_simulation(&sim, 32000, true);
+    g_assert_cmpuint(sim.reports->len, >=, 5);
+    for (guint i = 0; i < sim.reports->len; i++) {
+        const struct figure *report =
+            &g_array_index(sim.reports, struct figure, i);
+        const struct figure *fixed =
+            &g_array_index(sim.fixed, struct figure, i);
+
+        g_assert_cmpint(report->window, ==, fixed->window);
+        g_assert_cmpint(report->at_ms - fixed->at_ms, <, 50);
+    }
+    free_simulation(&sim);
+}
+
 /* A report that is not accepted is repeated with the same figures. */
 static void
 test_repeated_report(void)
@@ -600,6 +628,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/usage-report/windows", test_windows);
+    g_test_add_func("/usage-report/reported-at-once", test_reported_at_once);
     g_test_add_func("/usage-report/repeated-report", test_repeated_report);
     g_test_add_func("/usage-report/lost-append", test_lost_append);
     g_test_add_func("/usage-report/lost-race", test_lost_race);
