--- a/t/test-balance-prefix-home.c
+++ b/t/test-balance-prefix-home.c
@@ -558,6 +558,11 @@
     backup = choose_backup(&f, chosen);
     g_assert_cmpint(backup, !=, chosen);
     g_assert_false(used_by_long[backup]);
+    /* With both reserved upstreams in one zone, another zone goes first. */
+    for (int i = 0; i < CANDIDATES; i++) {
+        f.candidates[i].same_zone = !used_by_long[i];
+    }
+    g_assert_true(used_by_long[choose_backup(&f, chosen)]);
     for (int i = 0; i < CANDIDATES; i++) {
         f.candidates[i].excluded = i == backup;
     }
