core: hold a backup at an upstream that failed when there is no other

Cause: an upstream that is avoided after a failure was no candidate for a backup at all. With two upstreams left, or after a failure of many at once, streams that may run once had no backup and were aborted with their upstream.

Change: such an upstream counts last instead. The fake runner can decline to continue a run; proc-relay plays a stream that breaks off with and without a copy at the other upstream, and a caller that sets the headers itself. The soak's callers send their numbers of tokens, so that its streams have backups.

--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -498,17 +498,21 @@
 }
 
 /*
- * Returns a score that prefers another availability zone, whose cheap
- * upstreams are not reclaimed together with the chosen one, then reserved
- * upstreams, which long prompts do not delay, then few requests in flight.
+ * Returns a score that prefers an upstream that did not fail recently, then
+ * another availability zone, whose cheap upstreams are not reclaimed together
+ * with the chosen one, then reserved upstreams, which long prompts do not
+ * delay, then few requests in flight.
  */
 static uint64_t
 backup_score(const struct ct_candidate *candidate,
-             const struct ct_balance_row *row, const struct reserve *reserve)
+             const struct ct_balance_row *row, const struct reserve *reserve,
+             ct_ms now_ms)
 {
+    bool healthy = row->ejected_until_ms <= now_ms;
     bool reserved = reserve_hash(candidate) <= reserve->up_to;
 
-    return ((uint64_t)!candidate->same_zone << 34) +
+    return ((uint64_t)healthy << 35) +
+           ((uint64_t)!candidate->same_zone << 34) +
            ((uint64_t)reserved << 33) + (UINT32_MAX - row->in_flight);
 }
 
@@ -534,11 +538,10 @@
             ct_balance_row(&base->rows, candidates[i].upstream);
         uint64_t score;
 
-        if (i == chosen || !row || candidates[i].excluded ||
-            row->ejected_until_ms > request->now_ms) {
+        if (i == chosen || !row || candidates[i].excluded) {
             continue;
         }
-        score = backup_score(&candidates[i], row, &reserve);
+        score = backup_score(&candidates[i], row, &reserve, request->now_ms);
         if (pick.index < 0 || score > pick.score) {
             pick = (struct pick){(int)i, score};
         }
--- a/soak/relay-callers.c
+++ b/soak/relay-callers.c
@@ -133,7 +133,8 @@
     bool disrupted = g_atomic_int_get(&host->active_disruptions) > 0;
     char id_line[48];
     char key_line[48];
-    const char *headers[] = {PLATFORM_HOST_HEADER, id_line, key_line, NULL};
+    const char *headers[] = {PLATFORM_HOST_HEADER, PLATFORM_TOKENS_HEADER,
+                             id_line, key_line, NULL};
     struct http_call call = {
         .body = record->id,
         .headers = headers,
--- a/t/fake/fake-runner.c
+++ b/t/fake/fake-runner.c
@@ -25,15 +25,19 @@
     int64_t delay_ms;
     /* Number of the kind of endless response, from 1 on; 0: none. */
     int64_t endless;
+    /* Declines to continue a run: it has no copy of any. */
+    int64_t no_copy;
 };
 
 static void
 log_call(struct runner *runner, const struct fake_request *request)
 {
-    static const char *const headers[] = {"Tenant",        "Key",
-                                          "Deadline-Ms",   "Request-Priority",
-                                          "Last-Event-Id", "X-Custom"};
-    JsonObject *entry = fake_new_entry("ran");
+    static const char *const headers[] = {
+        "Tenant",        "Key",      "Deadline-Ms", "Request-Priority",
+        "Last-Event-Id", "X-Custom", "Kv-Backup",   "Kv-From"};
+    /* A run that continues from a copy is no second run. */
+    bool continued = fake_request_header(request, "Kv-From") != NULL;
+    JsonObject *entry = fake_new_entry(continued ? "continued" : "ran");
 
     json_object_set_string_member(entry, "path", request->path);
     json_object_set_string_member(entry, "body", request->body->str);
@@ -101,7 +105,8 @@
         fake_reply(request, STATUS_MISDIRECTED, NULL, 0);
         return;
     }
-    if (runner->decline) {
+    if (runner->decline ||
+        (runner->no_copy && fake_request_header(request, "Kv-From"))) {
         fake_add_header(request, "Not-Executed", "1");
         fake_reply(request, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, 0);
         return;
@@ -155,6 +160,7 @@
         {"silent", &runner.silent},
         {"delay_ms", &runner.delay_ms},
         {"endless", &runner.endless},
+        {"no_copy", &runner.no_copy},
         {NULL, NULL}};
     struct poptOption options[] = {
         {"id", 0, POPT_ARG_STRING, &runner.id, 0, "instance id", "ID"},
--- a/t/lib-platform.c
+++ b/t/lib-platform.c
@@ -60,7 +60,8 @@
     text = g_strdup_printf(
         "{\"version\":%d,\"limits\":{\"maxHeaderBytes\":16384,"
         "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
-        "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\"}],"
+        "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\","
+        "\"engine\":{\"backups\":true}}],"
         "\"tenants\":[%s],\"routes\":[%s]}",
         version, organisations, routes->str);
     platform_put(store, PLATFORM_TOPIC_CONFIG, "config", text);
--- a/t/lib-platform.h
+++ b/t/lib-platform.h
@@ -14,6 +14,8 @@
 
 /* Headers of calls and responses, and the authority of all routes. */
 #define PLATFORM_HOST_HEADER "Host: svc.example"
+/* A prompt of 100 tokens and at most 20 more: short enough for a backup. */
+#define PLATFORM_TOKENS_HEADER "Token-Count: 100,20"
 #define PLATFORM_ID "Request-Id"
 #define PLATFORM_PROOF "Runner-Signature"
 
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -124,6 +124,63 @@
     }
 }
 
+static int
+count_seen(const char *id, const char *text)
+{
+    int n = 0;
+
+    for (int i = 0; i < RUNNERS; i++) {
+        n += HTTP_COUNT_SEEN(f.runners[i].port, id, text);
+    }
+    return n;
+}
+
+/*
+ * A stream that may run once continues at the upstream that holds its backup,
+ * and is aborted if that one has no copy. The caller cannot set the headers.
+ */
+static void
+test_backups(void)
+{
+    static const struct {
+        const char *set;
+        int error;
+        const char *suffix;
+        int continued;
+    } cases[] = {
+        {"{\"break_after\":3}", 0, "id: 5\ndata: e5\n\n", 1},
+        {"{\"break_after\":3,\"no_copy\":1}", 18, "id: 3\ndata: e3\n\n", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct http_reply reply;
+        char *source;
+        char id[24];
+
+        relay_process_set_runners(&f, cases[i].set);
+        CALL("/s/str/x", "{}", &reply, id, KEY_HEADER, PLATFORM_TOKENS_HEADER,
+             "Kv-From: 10.9.9.9:1/forged", "Kv-Backup: 10.9.9.9:1");
+        g_assert_cmpint(reply.error, ==, cases[i].error);
+        g_assert_true(g_str_has_prefix(reply.body->str, "id: 1\n"));
+        g_assert_true(g_str_has_suffix(reply.body->str, cases[i].suffix));
+        for (int k = 1; k <= 3; k++) {
+            char event[32];
+            const char *found;
+
+            g_snprintf(event, sizeof(event), "id: %d\n", k);
+            found = strstr(reply.body->str, event);
+            g_assert_null(strstr(found + 1, event));
+        }
+        source = g_strdup_printf("/%s\"", id);
+        g_assert_cmpint(count_seen(id, "\"Kv-Backup\":\"127.0.0.1:"), >=, 1);
+        g_assert_cmpint(count_seen(id, source), ==, cases[i].continued);
+        g_assert_cmpint(count_seen(id, "10.9.9.9"), ==, 0);
+        g_free(source);
+        http_reply_free(&reply);
+        relay_process_set_runners(&f, "{\"break_after\":0,\"no_copy\":0}");
+    }
+}
+
 /*
  * For each fault of the upstreams: the status that the caller receives, and
  * how often the call ran.
@@ -411,6 +468,7 @@
     g_test_add_func("/relay/admission", test_admission);
     g_test_add_func("/relay/headers", test_headers);
     g_test_add_func("/relay/streams", test_streams);
+    g_test_add_func("/relay/backups", test_backups);
     g_test_add_func("/relay/faults", test_faults);
     g_test_add_func("/relay/silent-upstream", test_silent_upstream);
     g_test_add_func("/relay/caller-disconnects", test_caller_disconnects);
--- a/t/test-balance-prefix-home.c
+++ b/t/test-balance-prefix-home.c
@@ -575,6 +575,29 @@
     teardown(&f);
 }
 
+/* An upstream that failed recently holds backups only if there is no other. */
+static void
+test_backup_after_failure(void)
+{
+    struct fixture f;
+    int chosen;
+    int backup;
+
+    setup(&f);
+    f.request.prompt_tokens = SHORT_TOKENS;
+    chosen = choose_for_prefix(&f, 99);
+    backup = choose_backup(&f, chosen);
+    start_request(&f, backup);
+    f.policy->ops->ended(f.policy, f.candidates[backup].upstream,
+                         CT_OUTCOME_CONNECTION_LOST, f.request.now_ms);
+    g_assert_cmpint(choose_backup(&f, chosen), !=, backup);
+    for (int i = 0; i < CANDIDATES; i++) {
+        f.candidates[i].excluded = i != chosen && i != backup;
+    }
+    g_assert_cmpint(choose_backup(&f, chosen), ==, backup);
+    teardown(&f);
+}
+
 /* No backup is made while interactive requests need all reserved upstreams. */
 static void
 test_no_backup_under_load(void)
@@ -696,6 +719,8 @@
     g_test_add_func("/balance-prefix-home/reserve-extended",
                     test_reserve_extended);
     g_test_add_func("/balance-prefix-home/backup", test_backup);
+    g_test_add_func("/balance-prefix-home/backup-after-failure",
+                    test_backup_after_failure);
     g_test_add_func("/balance-prefix-home/no-backup-under-load",
                     test_no_backup_under_load);
     g_test_add_func("/balance-prefix-home/cache-donor-full-home",
