core: gather configurations, and repeat failed reads less often

Change: versions that follow each other are gathered as upstreams' entries are, for a quarter of the bound on a new configuration at most (bounds.config_ms, a new setting). A host that knows no group yet assumes a large one. While both topics fail, each is read as rarely as at an overloaded store, and the first read that succeeds repeats the other.

test-store-sync has a case for each; all three fail without the change. test_age read the next long poll as an effect of the response; it waits for it now and checks the same bound on the age.

--- a/core/bounds.h
+++ b/core/bounds.h
@@ -11,6 +11,8 @@
     ct_ms revoke_ms;
     /* A leaving upstream must get no new call after this time. */
     ct_ms drain_ms;
+    /* A new configuration must be in force on every host after this time. */
+    ct_ms config_ms;
     /*
      * The bounds hold for a host after it, its links and the store were
      * undisturbed for this time.
--- a/core/group.c
+++ b/core/group.c
@@ -44,6 +44,12 @@
     return MAX(state->group.rows.live, 1);
 }
 
+bool
+ct_group_is_known(const struct ct_state *state)
+{
+    return state->group.rows.live > 0;
+}
+
 /* Schedules a read after the delay plus jitter, unless one is due sooner. */
 static void
 schedule_read(struct ct_state *state, ct_ms delay_ms)
--- a/core/group.h
+++ b/core/group.h
@@ -47,6 +47,8 @@
 
 /* Returns the number of known hosts, including this one; at least 1. */
 uint32_t ct_group_size(const struct ct_state *state);
+/* Whether a member list was read since the start. */
+bool ct_group_is_known(const struct ct_state *state);
 
 /* Replies to a caller with the addresses of the hosts. */
 void ct_group_on_addresses_requested(struct ct_state *state, uint64_t caller);
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -23,13 +23,14 @@
 /* Upstream entries are read in parts so that each part arrives in time. */
 #define UPSTREAMS_PART_BYTES (64 * 1024)
 /*
- * Upstream entries change in bursts: those written within this time are read
- * together. The time grows with the number of hosts that read them, within the
- * bound on leaving upstreams.
+ * Upstream entries and configurations change in bursts: those written within
+ * this time are read together. The time grows with the number of hosts that
+ * read them, within the bound on leaving upstreams or on a new configuration.
  */
 #define GATHER_MS 300
 #define GATHER_PER_HOST_MS 10
 #define GATHER_MAX_DRAIN_PERCENT 35
+#define GATHER_MAX_CONFIG_PERCENT 25
 #define FULL_READ_TIMEOUT_MS 1700
 /* Delay after a failed read; doubled with each failure up to the limit. */
 #define BACKOFF_MS 100
@@ -39,7 +40,8 @@
  * calls of all hosts, which must become fewer, or it refuses calls of this
  * host, whose data must soon be as recent as that of the others. The limit
  * also applies to a host with a source, which reports when the store has
- * recovered.
+ * recovered, and to a topic while reads of another one fail too: the first
+ * read that succeeds repeats those of the other topics.
  */
 #define OVERLOAD_BACKOFF_MAX_MS 1400
 /* All hosts may start at once: their first reads are spread over this time. */
@@ -247,21 +249,42 @@
     }
 }
 
+/* A host that does not know the group yet assumes a large one. */
 static ct_ms
-gather_delay_ms(const struct ct_state *state)
+gather_delay_ms(const struct ct_state *state, enum ct_topic topic)
 {
+    const struct ct_bounds *bounds = &state->self.bounds;
+    ct_ms max_ms = topic == CT_TOPIC_CONFIG
+                       ? bounds->config_ms * GATHER_MAX_CONFIG_PERCENT / 100
+                       : bounds->drain_ms * GATHER_MAX_DRAIN_PERCENT / 100;
+
+    if (!ct_group_is_known(state)) {
+        return max_ms;
+    }
     return MIN(GATHER_MS + GATHER_PER_HOST_MS * (ct_ms)ct_group_size(state),
-               state->self.bounds.drain_ms * GATHER_MAX_DRAIN_PERCENT / 100);
+               max_ms);
+}
+
+/* Whether reads of another topic fail as well, so that the store is down. */
+static bool
+fails_elsewhere(const struct ct_state *state, enum ct_topic topic)
+{
+    for (uint32_t i = 0; i < CT_TOPIC_COUNT; i++) {
+        if (i != topic && state->store.topics[i].failures > 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static void
 on_read_failed(struct ct_state *state, const struct ct_store_read_done *read)
 {
     struct ct_topic_sync *sync = &state->store.topics[read->topic];
-    ct_ms max_ms =
-        read->result == CT_ERR_OVERLOADED || ct_replication_has_source(state)
-            ? OVERLOAD_BACKOFF_MAX_MS
-            : BACKOFF_MAX_MS;
+    bool rarely = read->result == CT_ERR_OVERLOADED ||
+                  ct_replication_has_source(state) ||
+                  fails_elsewhere(state, read->topic);
+    ct_ms max_ms = rarely ? OVERLOAD_BACKOFF_MAX_MS : BACKOFF_MAX_MS;
     ct_ms delay_ms = BACKOFF_MS;
 
     for (uint32_t i = 0; i < sync->failures && delay_ms < max_ms; i++) {
@@ -340,12 +363,31 @@
     if (read->more) {
         return read->newest || read->entries > 0 ? 0 : BACKOFF_MS;
     }
-    delay_ms = read->topic == CT_TOPIC_UPSTREAMS && read->entries > 0
-                   ? gather_delay_ms(state)
-                   : 0;
+    delay_ms = read->entries > 0 ? gather_delay_ms(state, read->topic) : 0;
     return MAX(delay_ms, update_valid_ms(state, read->topic));
 }
 
+/* Schedules the next read of a topic soon, regardless of updates. */
+static void
+schedule_read_soon(struct ct_state *state, enum ct_topic topic)
+{
+    state->store.topics[topic].behind = true;
+    schedule_read(state, topic, random_delay_ms(state, FOLLOWERS_SPREAD_MS));
+}
+
+/* The store is back: repeats the failed reads that wait. */
+static void
+repeat_failed_reads(struct ct_state *state)
+{
+    for (uint32_t i = 0; i < CT_TOPIC_COUNT; i++) {
+        const struct ct_topic_sync *sync = &state->store.topics[i];
+
+        if (sync->failures > 0 && sync->next_read_ms != 0) {
+            schedule_read_soon(state, (enum ct_topic)i);
+        }
+    }
+}
+
 void
 ct_store_on_read(struct ct_state *state, const struct ct_store_read_done *read)
 {
@@ -370,6 +412,7 @@
         sync->failures = 0;
         mark_recovered(state, read->topic, state->now_ms);
         ct_emit_log(state, CT_LOG_STORE_BACK, NULL, NULL, read->topic);
+        repeat_failed_reads(state);
     }
     if (read->newest) {
         on_page(state, read);
@@ -382,14 +425,6 @@
     schedule_read(state, read->topic, next_read_delay_ms(state, read));
 }
 
-/* Schedules the next read of a topic soon, regardless of updates. */
-static void
-schedule_read_soon(struct ct_state *state, enum ct_topic topic)
-{
-    state->store.topics[topic].behind = true;
-    schedule_read(state, topic, random_delay_ms(state, FOLLOWERS_SPREAD_MS));
-}
-
 void
 ct_store_on_update(struct ct_state *state,
                    const struct ct_store_update *update, struct ct_rows rows)
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -16,6 +16,7 @@
     core->state->self.bounds = (struct ct_bounds){
         .revoke_ms = 5000,
         .drain_ms = 2000,
+        .config_ms = 2000,
         .steady_ms = 3000,
         .repeat_permille = 200,
         .repeat_burst = 20,
@@ -131,6 +132,24 @@
     t_core_post(core, &event);
 }
 
+void
+t_relay_post_members(struct t_core *core, int32_t result, uint32_t n)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_MEMBERS_READ};
+    struct ct_member *members = g_new0(struct ct_member, n);
+
+    for (uint32_t i = 0; i < n; i++) {
+        g_snprintf(members[i].host.text, sizeof(members[i].host.text), "h%u",
+                   i + 1);
+        g_snprintf(members[i].address.text, sizeof(members[i].address.text),
+                   "10.0.0.%u:80", i + 1);
+    }
+    event.u.members.result = result;
+    event.rows = CT_ROWS(members, n);
+    t_core_post(core, &event);
+    g_free(members);
+}
+
 void
 t_relay_read(struct t_core *core, enum ct_topic topic, int32_t result,
              uint32_t entries, ct_ms took_ms, ct_ms idle_ms)
--- a/t/test-group.c
+++ b/t/test-group.c
@@ -3,24 +3,6 @@
 
 #include "lib-relay.h"
 
-static void
-post_members(struct t_core *core, int32_t result, guint n)
-{
-    struct ct_event event = {.type = CT_EVENT_STORE_MEMBERS_READ};
-    struct ct_member members[8];
-
-    memset(members, 0, sizeof(members));
-    for (guint i = 0; i < n; i++) {
-        g_snprintf(members[i].host.text, sizeof(members[i].host.text), "h%u",
-                   i + 1);
-        g_snprintf(members[i].address.text, sizeof(members[i].address.text),
-                   "10.0.0.%u:80", i + 1);
-    }
-    event.u.members.result = result;
-    event.rows = CT_ROWS(members, n);
-    t_core_post(core, &event);
-}
-
 static uint32_t
 request_addresses(struct t_core *core)
 {
@@ -40,7 +22,7 @@
 {
     t_relay_init(core);
     t_relay_configure(core, 1, 1);
-    post_members(core, CT_OK, 3);
+    t_relay_post_members(core, CT_OK, 3);
 }
 
 /* Callers get the members of the group, and this host once it is ready. */
@@ -51,7 +33,7 @@
 
     t_relay_init(&core);
     g_assert_cmpuint(request_addresses(&core), ==, 0);
-    post_members(&core, CT_OK, 3);
+    t_relay_post_members(&core, CT_OK, 3);
     /* This host is in the list but not ready. */
     g_assert_cmpuint(request_addresses(&core), ==, 2);
     t_relay_configure(&core, 1, 1);
@@ -69,12 +51,12 @@
     struct t_core core;
 
     set_up(&core);
-    post_members(&core, CT_OK, 2);
+    t_relay_post_members(&core, CT_OK, 2);
     g_assert_cmpuint(request_addresses(&core), ==, 2);
     g_assert_cmpuint(ct_group_size(core.state), ==, 3);
-    post_members(&core, CT_OK, 2);
+    t_relay_post_members(&core, CT_OK, 2);
     g_assert_cmpuint(ct_group_size(core.state), ==, 2);
-    post_members(&core, CT_OK, 3);
+    t_relay_post_members(&core, CT_OK, 3);
     g_assert_cmpuint(request_addresses(&core), ==, 3);
     t_core_free(&core);
 }
@@ -90,8 +72,8 @@
 
     set_up(&core);
     for (guint i = 0; i < 4; i++) {
-        post_members(&core, CT_ERR_TIMEOUT, 0);
-        post_members(&core, CT_OK, 0);
+        t_relay_post_members(&core, CT_ERR_TIMEOUT, 0);
+        t_relay_post_members(&core, CT_OK, 0);
     }
     g_assert_cmpuint(request_addresses(&core), ==, 3);
     t_core_free(&core);
@@ -125,7 +107,7 @@
         t_core_tick(core, 100);
         if (t_core_count(core, CT_EFFECT_STORE_READ_MEMBERS) > 0) {
             reads++;
-            post_members(core, CT_OK, n);
+            t_relay_post_members(core, CT_OK, n);
         }
     }
     return reads;
@@ -158,7 +140,7 @@
     while (t_core_count(&core, CT_EFFECT_STORE_READ_MEMBERS) == 0) {
         t_core_tick(&core, 100);
     }
-    post_members(&core, CT_OK, 3);
+    t_relay_post_members(&core, CT_OK, 3);
     post_joined(&core, CT_ERR_TIMEOUT, 0);
     g_assert_cmpuint(count_reads_in_10_s(&core, 3), >=, 4);
     t_core_free(&core);
@@ -196,14 +178,14 @@
         reads += t_core_count(&core, CT_EFFECT_STORE_READ_MEMBERS);
     }
     g_assert_cmpuint(reads, ==, 1);
-    post_members(&core, CT_OK, 2);
+    t_relay_post_members(&core, CT_OK, 2);
     g_assert_cmpuint(ct_group_size(core.state), ==, 3);
     for (guint i = 0; i < 26 && reads == 1; i++) {
         t_core_tick(&core, 100);
         reads += t_core_count(&core, CT_EFFECT_STORE_READ_MEMBERS);
     }
     g_assert_cmpuint(reads, ==, 2);
-    post_members(&core, CT_OK, 2);
+    t_relay_post_members(&core, CT_OK, 2);
     g_assert_cmpuint(ct_group_size(core.state), ==, 2);
     t_core_free(&core);
 }
@@ -221,7 +203,7 @@
         t_core_tick(&core, 100);
         if (t_core_count(&core, CT_EFFECT_STORE_READ_MEMBERS) > 0) {
             reads++;
-            post_members(&core, CT_OK, 3);
+            t_relay_post_members(&core, CT_OK, 3);
         }
     }
     g_assert_cmpuint(reads, >=, 3);
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -130,6 +130,19 @@
     g_array_free(rows, TRUE);
 }
 
+/* Ticks until a read of the topic is sent, and returns it. */
+static const struct ct_store_read_effect *
+await_read(struct t_core *core, enum ct_topic topic)
+{
+    ct_ms end_ms = core->now_ms + 10000;
+
+    while (sent_read(core, topic) == NULL) {
+        g_assert_cmpint(core->now_ms, <, end_ms);
+        t_core_tick(core, 10);
+    }
+    return sent_read(core, topic);
+}
+
 /*
  * A response without records shows the state at the end of its long poll, one
  * with records only the state when the read was sent.
@@ -148,7 +161,8 @@
     t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 1, 2000, 2750);
     g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_CONFIG), ==, 2000);
     /* The next read must refresh the data before it is outdated. */
-    g_assert_cmpint(sent_read(&core, CT_TOPIC_CONFIG)->wait_ms, <=, 750);
+    g_assert_cmpint(await_read(&core, CT_TOPIC_CONFIG)->wait_ms, <=,
+                    2750 - ct_store_age_ms(core.state, CT_TOPIC_CONFIG));
     t_core_free(&core);
 }
 
@@ -236,6 +250,109 @@
     t_core_free(&core);
 }
 
+/* Counts the reads of a topic until end_ms, each with this result. */
+static guint
+count_reads(struct t_core *core, enum ct_topic topic, int32_t result,
+            uint32_t entries, ct_ms end_ms)
+{
+    guint reads = 0;
+
+    while (core->now_ms < end_ms) {
+        if (sent_read(core, topic)) {
+            t_relay_read(core, topic, result, entries, 0, 0);
+            reads++;
+            core->now_ms++;
+        }
+        else {
+            t_core_tick(core, 10);
+        }
+    }
+    return reads;
+}
+
+/*
+ * Configurations that follow each other every 300 ms are gathered, and the
+ * last one is read well within the bound on a new configuration. The hosts of
+ * a large group gather for longer.
+ */
+static void
+test_config_burst(void)
+{
+    static const struct {
+        uint32_t hosts;
+        ct_ms config_ms;
+        guint reads_max;
+    } cases[] = {{8, 2000, 12}, {95, 4000, 5}, {95, 2000, 10}};
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct t_core core;
+        ct_ms last_ms;
+
+        t_relay_init(&core);
+        core.state->self.bounds.config_ms = cases[i].config_ms;
+        t_relay_configure(&core, 1, 1);
+        t_relay_post_members(&core, CT_OK, cases[i].hosts);
+        t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
+        g_assert_cmpuint(
+            count_reads(&core, CT_TOPIC_CONFIG, CT_OK, 1, core.now_ms + 4000),
+            <=, cases[i].reads_max);
+        last_ms = core.now_ms;
+        await_read(&core, CT_TOPIC_CONFIG);
+        g_assert_cmpint(core.now_ms - last_ms, <=, cases[i].config_ms / 4);
+        t_core_free(&core);
+    }
+}
+
+/* A host that does not know the group yet gathers entries for long. */
+static void
+test_unknown_group(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    t_core_tick(&core, 600);
+    g_assert_null(sent_read(&core, CT_TOPIC_UPSTREAMS));
+    t_core_free(&core);
+}
+
+/*
+ * While the reads of both topics fail, each is repeated less often than one
+ * that fails alone; the first that succeeds repeats the other one at once.
+ */
+static void
+test_store_down(void)
+{
+    struct t_core core;
+    guint alone;
+    guint both = 0;
+    ct_ms end_ms;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_IO, 0, 0, 0);
+    alone =
+        count_reads(&core, CT_TOPIC_CONFIG, CT_ERR_IO, 0, core.now_ms + 20000);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_IO, 0, 0, 0);
+    for (end_ms = core.now_ms + 20000; core.now_ms < end_ms;) {
+        t_core_tick(&core, 10);
+        for (int topic = 0; topic <= CT_TOPIC_UPSTREAMS; topic++) {
+            if (sent_read(&core, (enum ct_topic)topic)) {
+                t_relay_read(&core, (enum ct_topic)topic, CT_ERR_IO, 0, 0, 0);
+                both++;
+            }
+        }
+    }
+    g_assert_cmpuint(both * 2, <=, alone * 3);
+    await_read(&core, CT_TOPIC_UPSTREAMS);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 0, 0, 0);
+    end_ms = core.now_ms + 60;
+    await_read(&core, CT_TOPIC_CONFIG);
+    g_assert_cmpint(core.now_ms, <=, end_ms);
+    t_core_free(&core);
+}
+
 /*
  * Posts a response that was truncated at its maximum size and whose records
  * were read.
@@ -359,6 +476,9 @@
     g_test_add_func("/store-sync/failures", test_failures);
     g_test_add_func("/store-sync/read-timeout", test_read_timeout);
     g_test_add_func("/store-sync/overloaded", test_overloaded);
+    g_test_add_func("/store-sync/config-burst", test_config_burst);
+    g_test_add_func("/store-sync/unknown-group", test_unknown_group);
+    g_test_add_func("/store-sync/store-down", test_store_down);
     g_test_add_func("/store-sync/parts", test_parts);
     g_test_add_func("/store-sync/oversize", test_oversize);
     g_test_add_func("/store-sync/slow-store", test_slow_store);
