core: order no firm upstreams for a deployment that has had no call yet

Change: until the first call, firm upstreams above the lower bound leave once the cheap ones of their zone are ordered. A zone without cheap ones keeps them, and the first call brings back the usual cover. Only a host whose settings say so (first_start) does this, not one that was restarted. This answers no load; with load nothing changes.

test-zone-orders has two cases, which fail without the change.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -58,6 +58,7 @@
      AT(relay_settings, peer_secret), SECRET_MIN_BYTES, CT_SECRET_MAX - 1},
     {"store", CT_SCHEMA_ADDRESS, REQUIRED, AT(relay_settings, store)},
     {"duties", CT_SCHEMA_ADDRESS, OPTIONAL, AT(relay_settings, duties)},
+    {"first_start", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, first_start)},
     {"max_connections", CT_SCHEMA_U32, OPTIONAL,
      AT(relay_settings, max_connections), 1, 1000000,
      .fallback = DEFAULT_MAX_CONNECTIONS},
--- a/conf/relay-settings.h
+++ b/conf/relay-settings.h
@@ -29,6 +29,8 @@
     struct ct_address peer_address;
     struct ct_secret peer_secret;
     uint32_t max_connections;
+    /* The deployment is started for the first time; it has no callers yet. */
+    bool first_start;
     struct ct_bounds bounds;
 };
 
--- a/core/reduce.h
+++ b/core/reduce.h
@@ -27,6 +27,8 @@
     /* Address for callers, once known, and bounds of the deployment. */
     struct ct_address address;
     struct ct_bounds bounds;
+    /* The deployment is started for the first time. */
+    bool first_start;
 };
 
 /* Returns NULL if out of memory. */
--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -221,6 +221,27 @@
     return MAX(wanted, n_running - MIN(n_running, REMOVED_MAX));
 }
 
+/* Whether no call has arrived since the deployment was first started. */
+static bool
+awaits_first_call(const struct ct_state *state)
+{
+    return state->self.first_start && state->relays.arrived_ms == 0;
+}
+
+/*
+ * Returns the number of upstreams below which firm ones take the place of
+ * cheap ones. Without any caller the lower bound is enough until the cheap
+ * ones have booted.
+ */
+static uint32_t
+covered_upstreams(const struct ct_state *state, const struct ct_pool_row *pool,
+                  uint32_t cheap_per_zone, uint32_t zones)
+{
+    return awaits_first_call(state)
+               ? pool->conf.min_upstreams * zones
+               : cheap_per_zone * zones * CHEAP_COVER_PERCENT / 100;
+}
+
 static void
 plan_zone(struct ct_state *state, struct ct_zone_order_row *row)
 {
@@ -242,7 +263,7 @@
         cheap = per_zone(cheap * count.zones, count.zones - count.lost);
     }
     cheap = CLAMP(cheap, pool->conf.min_upstreams, pool->conf.max_upstreams);
-    covered = cheap * count.zones * CHEAP_COVER_PERCENT / 100;
+    covered = covered_upstreams(state, pool, cheap, count.zones);
     if (count.cheap < covered) {
         firm = per_zone(covered - count.cheap, count.zones);
     }
@@ -252,6 +273,10 @@
     order_upstreams(
         state, row, pool, true, &row->cheap,
         limit_decrease(cheap, count_running(state, pool, &row->zone, true)));
+    if (awaits_first_call(state) && !row->cheap.confirmed) {
+        /* Cheap upstreams may not be available: firm ones stay. */
+        return;
+    }
     order_upstreams(
         state, row, pool, false, &row->firm,
         limit_decrease(firm, count_running(state, pool, &row->zone, false)));
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -263,6 +263,7 @@
     ct_host_init_self(&daemon->host.self, &daemon->settings.host,
                       &daemon->settings.zone);
     daemon->host.self.bounds = daemon->settings.bounds;
+    daemon->host.self.first_start = daemon->settings.first_start;
     err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS);
     if (err < 0) {
         return err;
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -62,6 +62,12 @@
     g_assert_cmpint(settings.bounds.repeat_permille, ==, 250);
     g_assert_cmpint(settings.bounds.usage_window_ms, ==, 2500);
     g_assert_cmpint(settings.bounds.lease_ms, ==, 3000);
+    g_assert_cmpint(settings.bounds.config_ms, ==, 2000);
+    g_assert_false(settings.first_start);
+    g_assert_cmpint(load_with_line(9, "\"first_start\": true,", &settings), ==,
+                    CT_OK);
+    g_assert_true(settings.first_start);
+    g_assert_cmpint(load_with_line(0, NULL, &settings), ==, CT_OK);
     g_assert_cmpuint(settings.max_connections, ==, 2048);
 }
 
--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -23,6 +23,8 @@
     int exhausted_zone;
     guint orders;
     int32_t result;
+    /* Orders are accepted, but cheap upstreams do not appear. */
+    bool boots_never;
     uint32_t max_per_zone;
 };
 
@@ -84,7 +86,8 @@
     }
     g_assert_cmpuint(order->upstreams, <=, platform->max_per_zone);
     t_core_post(&platform->core, &event);
-    if (event.u.duty.result == CT_OK) {
+    if (event.u.duty.result == CT_OK &&
+        !(order->cheap && platform->boots_never)) {
         set_entries(platform, zone, order->cheap, order->upstreams);
     }
 }
@@ -246,6 +249,46 @@
     t_core_free(&platform.core);
 }
 
+/*
+ * At the first start no call is served yet: the firm upstreams above the lower
+ * bound leave as soon as the cheap ones are ordered, not when these have
+ * booted. With the first call the load is covered as on any other day.
+ */
+static void
+test_first_start(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    platform.core.state->self.first_start = true;
+    platform.boots_never = true;
+    run_platform(&platform, 6000);
+    for (guint i = 0; i < ZONES; i++) {
+        g_assert_cmpuint(platform.cheap[i], ==, 0);
+        g_assert_cmpuint(platform.firm[i], ==, 1);
+    }
+    t_relay_call(&platform.core, 1, T_STREAM_PATH);
+    run_platform(&platform, 3000);
+    g_assert_cmpuint(platform.firm[0], >=, MAX_PER_ZONE / 3);
+    t_core_free(&platform.core);
+}
+
+/* Firm upstreams stay in a zone that has no cheap ones, also before calls. */
+static void
+test_first_start_without_cheap(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    platform.core.state->self.first_start = true;
+    platform.boots_never = true;
+    platform.exhausted_zone = 0;
+    run_platform(&platform, 10000);
+    g_assert_cmpuint(platform.firm[0], ==, 4);
+    g_assert_cmpuint(platform.firm[1], ==, 1);
+    t_core_free(&platform.core);
+}
+
 /*
  * Configuring the same zones again preserves their rows; a zone that the
  * configuration no longer names gets no orders.
@@ -332,6 +375,9 @@
     g_test_add_func("/zone-orders/unknown-result", test_unknown_result);
     g_test_add_func("/zone-orders/removal-in-steps", test_removal_in_steps);
     g_test_add_func("/zone-orders/load-increase", test_load_increase);
+    g_test_add_func("/zone-orders/first-start", test_first_start);
+    g_test_add_func("/zone-orders/first-start-without-cheap",
+                    test_first_start_without_cheap);
     g_test_add_func("/zone-orders/reconfigured", test_reconfigured);
     g_test_add_func("/zone-orders/covering-zones", test_covering_zones);
     g_test_add_func("/zone-orders/fenced", test_fenced);
