core: cover a load beyond the upper bound by firm upstreams

When firm ones were ordered for a lost zone, they were split over all zones, most of which had no room.

Change: this answers a load above what the bound carries. The share that must be covered is taken of what the load needs, not of the bound, and firm engines go to the zones with room. Firm ones are no longer ordered while cheap ones that were ordered boot: these would not come any later.

test-zone-orders has a case for each; load-fills-lost-zone and booting fail without the change.

--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -34,6 +34,11 @@
  * Cheap upstreams that were not available are ordered again after this time.
  */
 #define EXHAUSTED_RETRY_MS 3000
+/*
+ * Cheap upstreams that were ordered count as running for this long: firm ones
+ * would not boot any sooner.
+ */
+#define BOOT_MS 6000
 
 void
 ct_zone_orders_init(struct ct_zone_orders *orders)
@@ -135,13 +140,22 @@
     return n;
 }
 
+/* Limits the decrease per order from the running to the wanted number. */
+static uint32_t
+limit_decrease(uint32_t wanted, uint32_t n_running)
+{
+    return MAX(wanted, n_running - MIN(n_running, REMOVED_MAX));
+}
+
 static void
 order_upstreams(struct ct_state *state, const struct ct_zone_order_row *row,
                 const struct ct_pool_row *pool, bool cheap,
-                struct ct_zone_order_kind *kind, uint32_t wanted)
+                struct ct_zone_order_kind *kind, uint32_t wanted,
+                uint32_t n_running)
 {
     struct ct_duty_order *effect;
 
+    wanted = limit_decrease(wanted, n_running);
     if (kind->order || state->now_ms < kind->next_ms ||
         (kind->confirmed && kind->ordered == wanted)) {
         return;
@@ -157,21 +171,37 @@
     effect->not_after_ms = ct_leadership_valid_until_ms(state);
     kind->order = effect->order;
     kind->ordered = wanted;
+    kind->added = wanted - MIN(n_running, wanted);
+    kind->ordered_ms = state->now_ms;
     kind->confirmed = false;
     ct_increment_counter(state, CT_COUNTER_ORDERS);
     ct_emit_log(state, CT_LOG_ORDER_SENT, &row->zone, cheap ? "cheap" : "firm",
                 wanted);
 }
 
-/* Zones of the pool, and its upstreams that accept requests, by kind. */
+/* Zones of the pool, and its cheap upstreams. */
 struct pool_count {
     uint32_t zones;
     /* Zones in which cheap upstreams have run and none runs now. */
     uint32_t lost;
-    uint32_t cheap;
-    uint32_t firm;
+    /* Zones with fewer cheap upstreams than the pool's upper bound. */
+    uint32_t with_room;
+    /* Those that accept requests, and others that will soon. */
+    uint32_t running;
+    uint32_t booting;
 };
 
+/* Returns the number of ordered upstreams that are expected to boot soon. */
+static uint32_t
+count_booting(const struct ct_state *state,
+              const struct ct_zone_order_kind *kind, uint32_t n_running)
+{
+    bool expected = kind->confirmed && kind->ordered > n_running &&
+                    state->now_ms - kind->ordered_ms < BOOT_MS;
+
+    return expected ? MIN(kind->ordered - n_running, kind->added) : 0;
+}
+
 static struct pool_count
 count_pool(struct ct_state *state, struct ct_handle handle)
 {
@@ -189,8 +219,9 @@
         cheap = count_running(state, pool, &row->zone, true);
         row->had_cheap |= cheap > 0;
         count.lost += row->had_cheap && cheap == 0;
-        count.cheap += cheap;
-        count.firm += count_running(state, pool, &row->zone, false);
+        count.with_room += cheap < pool->conf.max_upstreams;
+        count.running += cheap;
+        count.booting += count_booting(state, &row->cheap, cheap);
     }
     return count;
 }
@@ -214,13 +245,6 @@
     return (n + zones - 1) / zones;
 }
 
-/* Limits the decrease per order from the running to the wanted number. */
-static uint32_t
-limit_decrease(uint32_t wanted, uint32_t n_running)
-{
-    return MAX(wanted, n_running - MIN(n_running, REMOVED_MAX));
-}
-
 /* Whether no call has arrived since the deployment was first started. */
 static bool
 awaits_first_call(const struct ct_state *state)
@@ -228,18 +252,68 @@
     return state->self.first_start && state->relays.arrived_ms == 0;
 }
 
+/*
+ * Returns the number of cheap upstreams to order in each zone: for the load,
+ * at least the part that runs regardless of it. The other zones cover a zone
+ * whose cheap upstreams were reclaimed.
+ */
+static uint32_t
+cheap_per_zone(const struct ct_pool_row *pool, const struct pool_count *count,
+               uint32_t needed_per_zone)
+{
+    uint32_t cheap =
+        MAX(pool->conf.max_upstreams * FLOOR_PERCENT / 100, needed_per_zone);
+
+    if (count->lost < count->zones) {
+        cheap = per_zone(cheap * count->zones, count->zones - count->lost);
+    }
+    return CLAMP(cheap, pool->conf.min_upstreams, pool->conf.max_upstreams);
+}
+
 /*
  * Returns the number of upstreams below which firm ones take the place of
  * cheap ones. Without any caller the lower bound is enough until the cheap
- * ones have booted.
+ * ones have booted; a load for more than the upper bound needs all of it.
  */
 static uint32_t
 covered_upstreams(const struct ct_state *state, const struct ct_pool_row *pool,
-                  uint32_t cheap_per_zone, uint32_t zones)
+                  uint32_t zones, uint32_t planned_per_zone)
 {
     return awaits_first_call(state)
                ? pool->conf.min_upstreams * zones
-               : cheap_per_zone * zones * CHEAP_COVER_PERCENT / 100;
+               : MIN(planned_per_zone * zones * CHEAP_COVER_PERCENT / 100,
+                     pool->conf.max_upstreams * zones);
+}
+
+/* Returns the zone's part of the upstreams that n_cheap do not cover. */
+static uint32_t
+firm_part(const struct pool_count *count, uint32_t covered, uint32_t n_cheap)
+{
+    return n_cheap < covered && count->with_room > 0
+               ? per_zone(covered - n_cheap, count->with_room)
+               : 0;
+}
+
+/*
+ * Returns how many firm upstreams the zone gets. Those that run leave when
+ * enough cheap ones run; none are added in place of cheap ones that boot.
+ */
+static uint32_t
+firm_for_zone(const struct ct_state *state,
+              const struct ct_zone_order_row *row,
+              const struct ct_pool_row *pool, const struct pool_count *count,
+              uint32_t covered)
+{
+    uint32_t cheap = count_running(state, pool, &row->zone, true);
+    uint32_t firm = count_running(state, pool, &row->zone, false);
+    uint32_t most = firm_part(count, covered, count->running);
+    uint32_t least =
+        firm_part(count, covered, count->running + count->booting);
+    uint32_t room =
+        pool->conf.max_upstreams - MIN(cheap, pool->conf.max_upstreams);
+
+    firm += count_booting(state, &row->firm, firm);
+    return MIN(CLAMP(firm, least, most), room);
 }
 
 static void
@@ -248,38 +322,26 @@
     const struct ct_pool_row *pool =
         ct_table_get(&state->config.pools, row->pool);
     struct pool_count count;
+    uint32_t needed;
     uint32_t covered;
     uint32_t cheap;
-    uint32_t firm = 0;
 
     if (!pool) {
         return;
     }
     count = count_pool(state, row->pool);
-    cheap = MAX(pool->conf.max_upstreams * FLOOR_PERCENT / 100,
-                per_zone(upstreams_needed(state, pool), count.zones));
-    /* The other zones cover a zone whose cheap upstreams were reclaimed. */
-    if (count.lost < count.zones) {
-        cheap = per_zone(cheap * count.zones, count.zones - count.lost);
-    }
-    cheap = CLAMP(cheap, pool->conf.min_upstreams, pool->conf.max_upstreams);
-    covered = covered_upstreams(state, pool, cheap, count.zones);
-    if (count.cheap < covered) {
-        firm = per_zone(covered - count.cheap, count.zones);
-    }
-    firm = MIN(firm, pool->conf.max_upstreams -
-                         MIN(count_running(state, pool, &row->zone, true),
-                             pool->conf.max_upstreams));
-    order_upstreams(
-        state, row, pool, true, &row->cheap,
-        limit_decrease(cheap, count_running(state, pool, &row->zone, true)));
+    needed = per_zone(upstreams_needed(state, pool), count.zones);
+    cheap = cheap_per_zone(pool, &count, needed);
+    covered = covered_upstreams(state, pool, count.zones, MAX(cheap, needed));
+    order_upstreams(state, row, pool, true, &row->cheap, cheap,
+                    count_running(state, pool, &row->zone, true));
     if (awaits_first_call(state) && !row->cheap.confirmed) {
         /* Cheap upstreams may not be available: firm ones stay. */
         return;
     }
-    order_upstreams(
-        state, row, pool, false, &row->firm,
-        limit_decrease(firm, count_running(state, pool, &row->zone, false)));
+    order_upstreams(state, row, pool, false, &row->firm,
+                    firm_for_zone(state, row, pool, &count, covered),
+                    count_running(state, pool, &row->zone, false));
 }
 
 /* Tracks the number of calls in flight at the pool's upstreams. */
--- a/core/zone-orders.h
+++ b/core/zone-orders.h
@@ -17,6 +17,9 @@
 struct ct_zone_order_kind {
     bool confirmed;
     uint32_t ordered;
+    /* How many more than the running ones were ordered, and when. */
+    uint32_t added;
+    ct_ms ordered_ms;
     /* The order in progress; 0 for none. */
     uint64_t order;
     /* No further order before this time. */
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#define TIMEOUT_MS 10000
 /* Size of a long prompt. */
 #define PROMPT_TOKENS 20000
 
@@ -47,7 +46,7 @@
     route->sticky = stream;
     route->rank = 2;
     route->attempts = 2;
-    route->timeout_ms = TIMEOUT_MS;
+    route->timeout_ms = T_RELAY_TIMEOUT_MS;
     route->open_to_all = strcmp(prefix, "/open/") == 0;
     share = &ct_config_rows_add(rows, CT_CONFIG_POOL_SHARE)->u.pool_share;
     CT_TEXT_SET(share->route, prefix);
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -15,6 +15,8 @@
 #define T_STREAM_PATH "/stream/x"
 #define T_OPEN_PATH "/open/x"
 #define T_HOST "svc.example"
+/* Time limit of their calls. */
+#define T_RELAY_TIMEOUT_MS 10000
 
 /* Creates a host that has started to read its store and knows nothing yet. */
 void t_relay_init(struct t_core *core);
--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -289,6 +289,54 @@
     t_core_free(&platform.core);
 }
 
+/*
+ * While cheap upstreams boot no firm ones are ordered in their place; firm
+ * ones follow if the cheap ones do not appear.
+ */
+static void
+test_booting(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    run_platform(&platform, 10000);
+    for (guint i = 0; i < 400; i++) {
+        t_relay_call(&platform.core, 1, T_STREAM_PATH);
+    }
+    platform.boots_never = true;
+    run_platform(&platform, 4000);
+    g_assert_cmpuint(platform.firm[0] + platform.firm[1] + platform.firm[2],
+                     ==, 0);
+    run_platform(&platform, 5000);
+    g_assert_cmpuint(platform.firm[0], ==, MAX_PER_ZONE / 4);
+    t_core_free(&platform.core);
+}
+
+/*
+ * If the load needs more than the upper bound, firm upstreams fill a zone
+ * whose cheap ones are not available; they leave when the load is gone.
+ */
+static void
+test_load_fills_lost_zone(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    run_platform(&platform, 6000);
+    platform.exhausted_zone = 0;
+    set_entries(&platform, 0, true, 0);
+    for (guint i = 0; i < 400; i++) {
+        t_relay_call(&platform.core, 1, T_STREAM_PATH);
+    }
+    run_platform(&platform, 6000);
+    g_assert_cmpuint(platform.firm[0], ==, MAX_PER_ZONE);
+    g_assert_cmpuint(platform.firm[1] + platform.firm[2], ==, 0);
+    t_core_tick(&platform.core, T_RELAY_TIMEOUT_MS);
+    run_platform(&platform, 60000);
+    g_assert_cmpuint(platform.firm[0], ==, 0);
+    t_core_free(&platform.core);
+}
+
 /*
  * Configuring the same zones again preserves their rows; a zone that the
  * configuration no longer names gets no orders.
@@ -378,6 +426,9 @@
     g_test_add_func("/zone-orders/first-start", test_first_start);
     g_test_add_func("/zone-orders/first-start-without-cheap",
                     test_first_start_without_cheap);
+    g_test_add_func("/zone-orders/booting", test_booting);
+    g_test_add_func("/zone-orders/load-fills-lost-zone",
+                    test_load_fills_lost_zone);
     g_test_add_func("/zone-orders/reconfigured", test_reconfigured);
     g_test_add_func("/zone-orders/covering-zones", test_covering_zones);
     g_test_add_func("/zone-orders/fenced", test_fenced);
