coriandertrack: count failed calls by cause from the hosts' logs

Change: `coriandertrack causes LOG-FILE...` counts them. Lines of calls that end while an attempt runs name its upstream; 1704 has the last event.

proc-cli causes, and test-relay caller-disconnected, which failed before.

--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -38,6 +38,19 @@
     return &g_array_index(retry_windows, struct ct_retry_window, pool.index);
 }
 
+/* Returns the name of the upstream that runs the call, or of the last one. */
+static struct ct_name
+upstream_name(const struct ct_state *state, const struct ct_relay *relay)
+{
+    const struct ct_relay_attempt *attempt =
+        ct_table_get(&state->relays.attempts, relay->attempt);
+    const struct ct_upstream_row *upstream =
+        attempt ? ct_table_get(&state->config.upstreams, attempt->upstream)
+                : NULL;
+
+    return upstream ? upstream->conf.name : relay->last_upstream;
+}
+
 struct ct_log_effect *
 ct_relay_log(struct ct_state *state, const struct ct_relay *relay,
              enum ct_log_event event)
@@ -61,7 +74,7 @@
     log->config_age_ms = relay->config_age_ms;
     log->elapsed_ms = state->now_ms - relay->arrived_ms;
     log->attempts = relay->sent_attempts + relay->unsent_attempts;
-    log->upstream = relay->last_upstream;
+    log->upstream = upstream_name(state, relay);
     if (relay->last_outcome) {
         CT_TEXT_SET(log->outcome, ct_outcome_text(relay->last_outcome));
     }
--- a/core/relay.c
+++ b/core/relay.c
@@ -161,7 +161,8 @@
         return;
     }
     ct_increment_counter(state, CT_COUNTER_CALLERS_DISCONNECTED);
-    ct_relay_log(state, relay, CT_LOG_RELAY_GONE);
+    ct_relay_log(state, relay, CT_LOG_RELAY_GONE)->number =
+        (int64_t)relay->last_event;
     /*
      * A non-streaming call that may run only once and may have run is not
      * cancelled, so that the upstream finishes it.
--- a/coriandertrack/command.h
+++ b/coriandertrack/command.h
@@ -49,5 +49,6 @@
 extern const struct ct_command ct_command_status;
 extern const struct ct_command ct_command_explain;
 extern const struct ct_command ct_command_drain;
+extern const struct ct_command ct_command_causes;
 
 #endif
--- a/coriandertrack/main.c
+++ b/coriandertrack/main.c
@@ -13,7 +13,7 @@
 static const struct ct_command *const commands[] = {
     &ct_command_check,        &ct_command_publish,  &ct_command_key_grant,
     &ct_command_key_withdraw, &ct_command_key_list, &ct_command_status,
-    &ct_command_explain,      &ct_command_drain,
+    &ct_command_explain,      &ct_command_causes,   &ct_command_drain,
 };
 
 static const char overview[] =
--- a/t/proc-cli.c
+++ b/t/proc-cli.c
@@ -450,12 +450,49 @@
 #define ADD(name, function)                                                   \
     g_test_add("/cli/" name, struct fixture, NULL, set_up, function, tear_down)
 
+/* Failed calls are counted by cause; lines that are no calls are ignored. */
+static void
+test_causes(void)
+{
+    static const char log[] =
+        "1.5 h1 {\"event\":\"1701\",\"name\":\"RELAY_ENDED\","
+        "\"other\":\"r1\",\"status\":\"200\",\"outcome\":\"complete\"}\n"
+        "{\"event\":\"1702\",\"name\":\"RELAY_REFUSED\",\"other\":\"r1\","
+        "\"reason\":\"upstream-full\",\"outcome\":\"declined\","
+        "\"status\":\"503\",\"elapsed_ms\":\"30\",\"upstream\":\"u1\"}\n"
+        "{\"event\":\"1702\",\"name\":\"RELAY_REFUSED\",\"other\":\"r1\","
+        "\"reason\":\"upstream-full\",\"outcome\":\"declined\","
+        "\"status\":\"503\",\"elapsed_ms\":\"10\",\"upstream\":\"u1\"}\n"
+        "{\"event\":\"1704\",\"name\":\"RELAY_GONE\",\"other\":\"r2\","
+        "\"elapsed_ms\":\"2000\"}\n"
+        "{\"event\":\"1705\",\"name\":\"RELAY_REPEATED\"}\n"
+        "listening {not an object\n{\"event\": 7, \"status\": null}\n[1]\n";
+    char *path = g_build_filename(g_get_tmp_dir(), "ct-causes-XXXXXX", NULL);
+    char *command;
+    char *output;
+
+    g_close(g_mkstemp(path), NULL);
+    g_assert_true(g_file_set_contents(path, log, -1, NULL));
+    command = g_strdup_printf("causes %s", path);
+    g_assert_cmpint(run_command(&output, command), ==, DONE);
+    g_assert_true(g_str_has_prefix(output, "3 of 4 calls failed\n"
+                                           "      2  r1 "));
+    g_assert_nonnull(
+        strstr(output, "median_ms=30 upstream=u1:2\n      1  r2"));
+    g_free(output);
+    g_unlink(path);
+    g_assert_cmpint(run_command(NULL, command), ==, USAGE);
+    g_free(command);
+    g_free(path);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/cli/command-line", test_command_line);
     g_test_add_func("/cli/unknown-outcome", test_unknown_outcome);
+    g_test_add_func("/cli/causes", test_causes);
     ADD("publish", test_publish);
     ADD("publish-refused", test_publish_refused);
     ADD("publish-race", test_publish_race);
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -374,6 +374,12 @@
             t_relay_sent(&core, start.attempt);
         }
         t_core_post(&core, &event);
+        g_assert_cmpint(
+            t_core_effect(&core, CT_EFFECT_LOG_EVENT, 0)->u.log.event, ==,
+            CT_LOG_RELAY_GONE);
+        g_assert_cmpstr(
+            t_core_effect(&core, CT_EFFECT_LOG_EVENT, 0)->u.log.upstream.text,
+            ==, start.upstream.text);
         g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL_ATTEMPT),
                          ==, cases[i].cancelled);
         if (!cases[i].cancelled) {
