core: call the leader's duties from the reducer only

Cause: group, leadership, replication, store-sync, tally, usage-report and zone-orders called each other in one circle: leadership began the duties, store-sync passed on what the leader reads and the new configuration, tally and usage-report drove the timers of zone-orders.

Change: the reducer does each of these. leadership says once that the duties begin; zone-orders keeps the time of its last look at the load, and a look after a long pause no longer moves the load past its value. Gone are the arrows leadership -> usage-report and zone-orders, store-sync -> usage-report and zone-orders, tally -> zone-orders and usage-report -> zone-orders; tally, usage-report and zone-orders have left the circle.

--- a/core/leadership.c
+++ b/core/leadership.c
@@ -52,10 +52,7 @@
     join->timeout_ms = JOIN_TIMEOUT_MS;
 }
 
-/*
- * Logs when this host became or ceased to be the leader; a new leader begins
- * its duties.
- */
+/* Logs when this host became or ceased to be the leader. */
 static void
 update_leading(struct ct_state *state)
 {
@@ -65,10 +62,7 @@
         ct_emit_log(state, leads ? CT_LOG_DUTY_TAKEN : CT_LOG_DUTY_LOST, NULL,
                     NULL, state->leadership.generation);
         state->leadership.leading = leads;
-        if (leads) {
-            ct_usage_report_begin(state);
-            ct_zone_orders_begin(state);
-        }
+        state->leadership.duties_pending = leads;
     }
 }
 
@@ -148,6 +142,15 @@
            leadership->generation > leadership->refused_fence;
 }
 
+bool
+ct_leadership_take_duties(struct ct_state *state)
+{
+    bool pending = state->leadership.duties_pending;
+
+    state->leadership.duties_pending = false;
+    return pending;
+}
+
 bool
 ct_leadership_sees_group_changes(const struct ct_state *state)
 {
--- a/core/leadership.h
+++ b/core/leadership.h
@@ -25,6 +25,8 @@
     /* Highest fencing token with which a call was refused as too old. */
     int64_t refused_fence;
     bool leading;
+    /* This host became the leader and has not begun its duties yet. */
+    bool duties_pending;
     uint32_t failures;
 };
 
@@ -43,6 +45,8 @@
 
 /* Whether this host is the leader now; its fencing token is the generation. */
 bool ct_leadership_is_held(const struct ct_state *state);
+/* Returns true once after this host became the leader: its duties begin. */
+bool ct_leadership_take_duties(struct ct_state *state);
 /* Whether joins succeed, whose responses show changes of the group. */
 bool ct_leadership_sees_group_changes(const struct ct_state *state);
 /*
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -66,9 +66,11 @@
         return;
     case CT_TIMER_TALLY:
         ct_tallies_on_timer(state);
+        ct_zone_orders_track_load(state);
         return;
     case CT_TIMER_DUTY:
         ct_usage_report_on_timer(state);
+        ct_zone_orders_on_timer(state);
         return;
     case CT_TIMER_REPLICATION:
         ct_replication_on_timer(state);
@@ -218,6 +220,18 @@
     }
 }
 
+/* The leader reads the tallies and the final figures, every host the rest. */
+static void
+on_store_read_done(struct ct_state *state,
+                   const struct ct_store_read_done *read)
+{
+    if (read->topic == CT_TOPIC_TALLIES || read->topic == CT_TOPIC_FINALS) {
+        ct_usage_report_on_read(state, read);
+        return;
+    }
+    ct_store_on_read(state, read);
+}
+
 static void
 on_store_append_done(struct ct_state *state,
                      const struct ct_store_append_done *done)
@@ -300,6 +314,7 @@
         return CT_OK;
     case CT_EVENT_STORE_CONFIG:
         ct_store_on_config(state, event);
+        ct_zone_orders_configure(state);
         return CT_OK;
     case CT_EVENT_STORE_UPSTREAM:
         ct_upstream_registry_on_entry(state, &event->u.store_upstream);
@@ -315,7 +330,7 @@
         ct_store_on_invalid_entry(state, &event->u.store_invalid_entry);
         return CT_OK;
     case CT_EVENT_STORE_READ_DONE:
-        ct_store_on_read(state, &event->u.store_read);
+        on_store_read_done(state, &event->u.store_read);
         return CT_OK;
     case CT_EVENT_STORE_APPEND_DONE:
         on_store_append_done(state, &event->u.store_append);
@@ -427,6 +442,16 @@
     }
 }
 
+/* A host that became the leader begins its duties. */
+static void
+begin_duties(struct ct_state *state)
+{
+    if (ct_leadership_take_duties(state)) {
+        ct_usage_report_begin(state);
+        ct_zone_orders_begin(state);
+    }
+}
+
 /* Requests a tick if the earliest due time changed. */
 static void
 schedule_tick(struct ct_state *state)
@@ -451,6 +476,7 @@
     ct_wall_clock_update(&state->wall_clock, event->now_ms, event->wall_ms);
     state->out = effects;
     err = apply_event(state, event);
+    begin_duties(state);
     schedule_tick(state);
     state->out = NULL;
     if (err < 0) {
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -177,7 +177,6 @@
                                              CT_TOPIC_UPSTREAMS};
 
     for (uint32_t i = 0; i < G_N_ELEMENTS(followed); i++) {
-        state->store.topics[followed[i]].started = true;
         schedule_read(state, followed[i],
                       random_delay_ms(state, START_SPREAD_MS));
     }
@@ -227,7 +226,6 @@
     ct_emit_effect(state, CT_EFFECT_SET_CALLER_LIMITS)->u.bounds =
         config->bounds;
     ct_emit_log(state, CT_LOG_CONFIG_ACCEPTED, NULL, NULL, config->version);
-    ct_zone_orders_configure(state);
 }
 
 void
@@ -395,10 +393,6 @@
 {
     struct ct_topic_sync *sync = &state->store.topics[read->topic];
 
-    if (!sync->started) {
-        ct_usage_report_on_read(state, read);
-        return;
-    }
     if (read->result == CT_ERR_LOG_TRUNCATED) {
         ct_emit_log(state, CT_LOG_STORE_TRIMMED, NULL, NULL, read->topic);
         sync->full_read_done = false;
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -14,7 +14,6 @@
  */
 
 struct ct_topic_sync {
-    bool started;
     /* The full read has completed. */
     bool full_read_done;
     /*
--- a/core/tally.c
+++ b/core/tally.c
@@ -251,7 +251,6 @@
 ct_tallies_start(struct ct_state *state)
 {
     state->tallies.open_window = ct_window_at(state, state->now_ms);
-    state->tallies.load_tracked_ms = state->now_ms;
     arm_timer(state);
 }
 
@@ -269,8 +268,6 @@
         create_record(state, tallies->open_window, false, false);
     }
     send_due(state);
-    ct_zone_orders_track_load(state, state->now_ms - tallies->load_tracked_ms);
-    tallies->load_tracked_ms = state->now_ms;
     arm_timer(state);
 }
 
--- a/core/tally.h
+++ b/core/tally.h
@@ -39,8 +39,6 @@
     uint64_t next_sequence;
     /* The last append that the store responded to failed. */
     bool append_failed;
-    /* When the load was last measured. */
-    ct_ms load_tracked_ms;
     /* The record that marks the end of this process was created. */
     bool ended;
     /* When counts were last put into a record. */
--- a/core/usage-report.c
+++ b/core/usage-report.c
@@ -526,7 +526,6 @@
         return;
     }
     take_next_step(state);
-    ct_zone_orders_on_timer(state);
     ct_arm_timer(state, PERIOD_MS, CT_TIMER_DUTY, CT_NO_HANDLE);
 }
 
--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -365,21 +365,26 @@
 }
 
 void
-ct_zone_orders_track_load(struct ct_state *state, ct_ms step_ms)
+ct_zone_orders_track_load(struct ct_state *state)
 {
+    ct_ms step_ms = state->now_ms - state->zone_orders.tracked_ms;
     struct ct_pool_row *pool;
     uint32_t cursor = 0;
 
     while ((pool = ct_table_next(&state->config.pools, &cursor, NULL))) {
         if (pool->configured && pool->order_zones) {
-            track_load(state, pool, step_ms);
+            track_load(state, pool, MIN(step_ms, RISE_MS));
         }
     }
+    state->zone_orders.tracked_ms = state->now_ms;
 }
 
 void
 ct_zone_orders_on_timer(struct ct_state *state)
 {
+    if (!ct_leadership_is_held(state)) {
+        return;
+    }
     for (guint i = 0; i < state->zone_orders.rows->len; i++) {
         plan_zone(state, row_at(&state->zone_orders, i));
     }
--- a/core/zone-orders.h
+++ b/core/zone-orders.h
@@ -40,6 +40,8 @@
     /* struct ct_zone_order_row */
     GArray *rows;
     uint64_t next_order;
+    /* When the load of the pools was last tracked. */
+    ct_ms tracked_ms;
 };
 
 struct ct_state;
@@ -60,7 +62,7 @@
  * Tracks the load of this host; every host does so, in case it becomes the
  * leader.
  */
-void ct_zone_orders_track_load(struct ct_state *state, ct_ms step_ms);
+void ct_zone_orders_track_load(struct ct_state *state);
 
 void ct_zone_orders_on_done(struct ct_state *state,
                             const struct ct_duty_done *done);
