shell: pause a transfer that has had its share of a run

Cause: libcurl reads a connection in one run for as long as there is something to read. Beside an upstream that sends a body without end, other calls of the host waited until that body's limit was reached: p99 of calls that reach no upstream 9 to 45 ms, 0.2 to 0.4 ms alone (proc-endless, /endless/times). Seen with strace: no other socket was looked at for 16 MiB.

Change: a transfer that passed 32 KiB in a run is paused and resumed by the next iteration of the event loop; each part counts 64 bytes more, so that tiny chunks count by the time they take.

test-http fair-share checks the bytes in one iteration of the loop and fails without the pause (393,216 bytes). proc-endless prints the times; there is no verdict on them.

--- a/shell/http.c
+++ b/shell/http.c
@@ -29,11 +29,25 @@
 /* libcurl runs without a part of the response, until these are checked. */
 #define IDLE_RUNS_PER_CHECK 4
 
+/*
+ * libcurl reads for as long as there is something to read. A transfer that
+ * passed this much of a body in one run is paused until the loop has looked at
+ * the other sockets. Small parts count for more than their size, for the time
+ * that each takes.
+ */
+#define RUN_MAX_BYTES (32 * 1024)
+#define PART_OVERHEAD_BYTES 64
+
 struct ct_http {
     struct ct_executor executor;
     struct ct_loop *loop;
     CURLM *multi;
     ev_timer timer;
+    /* Runs of libcurl so far. */
+    unsigned runs;
+    /* Paused struct ct_transfer, and the timer that resumes them. */
+    GQueue paused;
+    ev_timer resume;
 };
 
 /* A libev watcher for one of libcurl's sockets. */
@@ -69,8 +83,7 @@
         }
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
                           (char **)&transfer);
-        curl_multi_remove_handle(http->multi, transfer->easy);
-        transfer->running = false;
+        ct_http_cancel(http, transfer);
         end_run(transfer);
         transfer->ops->done(transfer, result);
     }
@@ -83,6 +96,7 @@
     int running;
 
     ct_loop_hold(http->loop);
+    http->runs++;
     curl_multi_socket_action(http->multi, fd, flags, &running);
     finish_transfers(http);
     ct_loop_release(http->loop);
@@ -112,6 +126,35 @@
     run_socket_action(timer->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
+/* Resumes a paused transfer, which gets the part that it was paused at. */
+static void
+resume_transfer(struct ct_transfer *transfer)
+{
+    CURLcode result = curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
+
+    if (result != CURLE_OK) {
+        ct_http_cancel(transfer->http, transfer);
+        end_run(transfer);
+        transfer->ops->done(transfer, result);
+    }
+}
+
+static void
+on_resume(struct ev_loop *ev, ev_timer *timer, int events)
+{
+    struct ct_http *http = timer->data;
+    guint n = http->paused.length;
+
+    (void)ev;
+    (void)events;
+    ct_loop_hold(http->loop);
+    http->runs++;
+    for (guint i = 0; i < n; i++) {
+        resume_transfer(g_queue_pop_head(&http->paused));
+    }
+    ct_loop_release(http->loop);
+}
+
 static int
 set_timer(CURLM *multi, long timeout_ms, void *arg)
 {
@@ -174,6 +217,8 @@
 
     curl_multi_cleanup(http->multi);
     ev_timer_stop(ct_loop_ev(http->loop), &http->timer);
+    ev_timer_stop(ct_loop_ev(http->loop), &http->resume);
+    g_queue_clear(&http->paused);
     g_free(http);
 }
 
@@ -197,6 +242,9 @@
     http->loop = loop;
     ev_timer_init(&http->timer, on_timer, 0, 0);
     http->timer.data = http;
+    ev_timer_init(&http->resume, on_resume, 0, 0);
+    http->resume.data = http;
+    g_queue_init(&http->paused);
     curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
     curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
     curl_multi_setopt(http->multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -247,11 +295,36 @@
     return size * n;
 }
 
+/* Whether the transfer has passed enough in this run of libcurl. */
+static bool
+is_run_over(struct ct_transfer *transfer)
+{
+    if (transfer->run != transfer->http->runs) {
+        transfer->run = transfer->http->runs;
+        transfer->run_bytes = 0;
+    }
+    return transfer->run_bytes >= RUN_MAX_BYTES;
+}
+
+static size_t
+pause_transfer(struct ct_transfer *transfer)
+{
+    struct ct_http *http = transfer->http;
+
+    g_queue_push_tail(&http->paused, transfer);
+    ev_timer_start(ct_loop_ev(http->loop), &http->resume);
+    return CURL_WRITEFUNC_PAUSE;
+}
+
 static size_t
 on_data(char *data, size_t size, size_t n, void *arg)
 {
     struct ct_transfer *transfer = arg;
 
+    if (is_run_over(transfer)) {
+        return pause_transfer(transfer);
+    }
+    transfer->run_bytes += size * n + PART_OVERHEAD_BYTES;
     transfer->received = true;
     transfer->body_bytes += size * n;
     if (transfer->body_bytes > transfer->body_max_bytes) {
@@ -465,6 +538,7 @@
 {
     if (transfer->running) {
         transfer->running = false;
+        g_queue_remove(&http->paused, transfer);
         curl_multi_remove_handle(http->multi, transfer->easy);
     }
 }
--- a/shell/http.h
+++ b/shell/http.h
@@ -54,6 +54,9 @@
     size_t body_max_bytes;
     /* The socket that libcurl uses, or CURL_SOCKET_BAD. */
     curl_socket_t fd;
+    /* The run of libcurl that passed body bytes last, and how many. */
+    unsigned run;
+    size_t run_bytes;
     /* Part of the response was received since libcurl last ran. */
     bool received;
     /* Times that libcurl ran since a part of the response was received. */
--- a/t/proc-endless.c
+++ b/t/proc-endless.c
@@ -15,6 +15,9 @@
 /* Clock ticks of processor time for one call; less than its deadline. */
 #define CPU_MAX_TICKS 150
 
+/* Calls whose times are compared. */
+#define TIMED_CALLS 200
+
 static struct relay_process f;
 
 static long
@@ -114,6 +117,59 @@
     return NULL;
 }
 
+static int
+compare_times(const void *a, const void *b)
+{
+    gint64 first = *(const gint64 *)a;
+    gint64 second = *(const gint64 *)b;
+
+    return (first > second) - (first < second);
+}
+
+/*
+ * Returns the 99th percentile of the time that the host takes for calls which
+ * reach no upstream, as their route does not exist.
+ */
+static gint64
+measure_p99_us(void)
+{
+    gint64 times_us[TIMED_CALLS];
+
+    for (int i = 0; i < TIMED_CALLS; i++) {
+        gint64 started_us = g_get_monotonic_time();
+        struct http_reply reply;
+
+        call_upstream("/nowhere", &reply);
+        times_us[i] = g_get_monotonic_time() - started_us;
+        g_assert_cmpint(reply.status, ==, 404);
+        http_reply_free(&reply);
+    }
+    qsort(times_us, TIMED_CALLS, sizeof(times_us[0]), compare_times);
+    return times_us[TIMED_CALLS * 99 / 100 - 1];
+}
+
+/*
+ * Prints how long other calls take beside the upstream. There is no verdict on
+ * times, which other processes on the machine change.
+ */
+static void
+test_other_times(gconstpointer arg)
+{
+    const struct fake_endless *kind = arg;
+    gint64 alone_us = measure_p99_us();
+    char *set = g_strdup_printf("{\"endless\":%d}",
+                                (int)(kind - fake_endless_kinds) + 1);
+    GThread *thread;
+
+    relay_process_set_runners(&f, set);
+    thread = g_thread_new("caller", call_repeatedly, NULL);
+    g_test_message("p99 of other calls: %d us alone, %d us beside %s",
+                   (int)alone_us, (int)measure_p99_us(), kind->name);
+    g_thread_join(thread);
+    relay_process_set_runners(&f, "{\"endless\":0}");
+    g_free(set);
+}
+
 static void
 test_other_calls(gconstpointer arg)
 {
@@ -147,6 +203,9 @@
     path = g_strdup_printf("/endless/others/%s", kind->name);
     g_test_add_data_func(path, kind, test_other_calls);
     g_free(path);
+    path = g_strdup_printf("/endless/times/%s", kind->name);
+    g_test_add_data_func(path, kind, test_other_times);
+    g_free(path);
 }
 
 int
--- a/t/test-http.c
+++ b/t/test-http.c
@@ -2,6 +2,7 @@
  * Tests of http.h: a response never goes to another transfer that reuses the
  * connection, and parts of a response are flushed once a run.
  */
+#include <ev.h>
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
@@ -53,18 +54,18 @@
     return ((struct get *)arg)->done;
 }
 
+static const struct ct_transfer_ops get_ops = {
+    .data = on_data, .flush = on_flush, .done = on_done};
+
 static void
 run_get(struct ct_http *http, struct script *script, const char *address,
-        struct get *get)
+        const struct ct_transfer_ops *ops, struct get *get)
 {
-    static const struct ct_transfer_ops ops = {
-        .data = on_data, .flush = on_flush, .done = on_done};
-
     memset(get, 0, sizeof(*get));
     get->script = script;
     get->body = g_string_new(NULL);
     get->transfer.http = http;
-    g_assert_cmpint(ct_transfer_init(&get->transfer, http, &ops, address, "/"),
+    g_assert_cmpint(ct_transfer_init(&get->transfer, http, ops, address, "/"),
                     ==, 0);
     g_assert_cmpint(ct_http_start(http, &get->transfer), ==, 0);
     script_wait_until(script, is_done, get);
@@ -108,12 +109,12 @@
     struct get get;
 
     ct_loop_add(script->loop, ct_http_executor(http));
-    run_get(http, script, raw_server_address(server), &get);
+    run_get(http, script, raw_server_address(server), &get_ops, &get);
     g_assert_cmpint(get.result, ==, CURLE_OK);
     g_assert_cmpstr(get.body->str, ==, "first");
     clear_get(&get);
     wait_ms(script, LATE_MS);
-    run_get(http, script, raw_server_address(server), &get);
+    run_get(http, script, raw_server_address(server), &get_ops, &get);
     g_assert_cmpint(get.result, ==, CURLE_OK);
     g_assert_cmpstr(get.body->str, ==, "second");
     clear_get(&get);
@@ -141,7 +142,7 @@
     reply.text = text->str;
     server = raw_server_new(&reply, 1);
     ct_loop_add(script->loop, ct_http_executor(http));
-    run_get(http, script, raw_server_address(server), &get);
+    run_get(http, script, raw_server_address(server), &get_ops, &get);
     g_assert_cmpuint(get.body->len, ==, 1000);
     g_assert_cmpuint(get.flushes, >=, 1);
     g_assert_cmpuint(get.flushes, <, 100);
@@ -152,6 +153,65 @@
     g_string_free(text, TRUE);
 }
 
+/* Counts the body bytes that arrive in one iteration of the event loop. */
+struct iteration {
+    struct ev_prepare prepare;
+    size_t bytes;
+    size_t most_bytes;
+};
+
+static struct iteration iteration;
+
+static void
+on_prepare(struct ev_loop *ev, struct ev_prepare *prepare, int events)
+{
+    (void)ev;
+    (void)prepare;
+    (void)events;
+    iteration.most_bytes = MAX(iteration.most_bytes, iteration.bytes);
+    iteration.bytes = 0;
+}
+
+static int
+on_counted_data(struct ct_transfer *transfer, const char *data, size_t n)
+{
+    iteration.bytes += n;
+    return on_data(transfer, data, n);
+}
+
+/*
+ * A body that arrives faster than it is read, up to its limit, does not keep
+ * the event loop from other sockets, and is complete until then.
+ */
+static void
+test_fair_share(void)
+{
+    static const struct ct_transfer_ops ops = {
+        .data = on_counted_data, .flush = on_flush, .done = on_done};
+    char *block = g_strnfill(64 * 1024, 'x');
+    struct raw_reply reply = {"HTTP/1.1 200 OK\r\n\r\n", RAW_REPEAT, block, 0};
+    struct raw_server *server = raw_server_new(&reply, 1);
+    struct script *script = script_new();
+    struct ct_http *http = ct_http_new(script->loop);
+    struct get get;
+
+    ct_loop_add(script->loop, ct_http_executor(http));
+    ev_prepare_init(&iteration.prepare, on_prepare);
+    ev_prepare_start(ct_loop_ev(script->loop), &iteration.prepare);
+    run_get(http, script, raw_server_address(server), &ops, &get);
+    g_assert_cmpint(get.result, ==, CURLE_WRITE_ERROR);
+    g_assert_cmpuint(get.body->len, >, 15 * 1024 * 1024);
+    g_assert_cmpuint(strspn(get.body->str, "x"), ==, get.body->len);
+    g_assert_cmpuint(iteration.most_bytes, >, 0);
+    g_assert_cmpuint(iteration.most_bytes, <=, 128 * 1024);
+    ev_prepare_stop(ct_loop_ev(script->loop), &iteration.prepare);
+    clear_get(&get);
+    ct_loop_free(script->loop);
+    script_free(script);
+    raw_server_free(server);
+    g_free(block);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -160,5 +220,6 @@
     g_test_add_data_func("/http/second-copy/at-once", NULL, test_second_copy);
     g_test_add_data_func("/http/second-copy/late", "late", test_second_copy);
     g_test_add_func("/http/flush", test_flush);
+    g_test_add_func("/http/fair-share", test_fair_share);
     return g_test_run();
 }
