conf: accept bounds with a fraction

Cause: a deployment whose retry burst was 66.7 started no host: the settings were refused with "bounds.repeat_burst: wrong type". The platform gives bounds as whole numbers or fractions; the small twins of the large deployment do, and no host of theirs started, with this code or any before.

Change: the integers of "bounds" may have a fraction, which is cut off. Other settings and service files still take whole numbers only.

test-relay-settings fractions failed before (CT_ERR_FIELD_TYPE).

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -9,11 +9,11 @@
 #define REQUIRED CT_SCHEMA_REQUIRED
 #define OPTIONAL CT_SCHEMA_OPTIONAL
 #define AT CT_SCHEMA_AT
-/* A duration in milliseconds, and one in seconds that may have a fraction. */
+/* A duration in milliseconds, and one in seconds; both may have a fraction. */
 #define DURATION(name, member, default_ms)                                    \
     {                                                                         \
         name, CT_SCHEMA_MS, OPTIONAL, AT(bounds, member), 1, HOUR_MS,         \
-            .fallback = (default_ms)                                          \
+            .fallback = (default_ms), .fraction = true                        \
     }
 #define SECONDS(name, member, default_ms)                                     \
     {                                                                         \
@@ -36,7 +36,7 @@
     {"repeat_ratio", CT_SCHEMA_MILLI, OPTIONAL, AT(bounds, repeat_permille), 0,
      1000, .fallback = 100},
     {"repeat_burst", CT_SCHEMA_U32, OPTIONAL, AT(bounds, repeat_burst), 0,
-     1000000, .fallback = 20},
+     1000000, .fallback = 20, .fraction = true},
 };
 static const struct ct_schema bounds_schema = {G_N_ELEMENTS(bound_fields),
                                                bound_fields};
--- a/conf/schema.h
+++ b/conf/schema.h
@@ -74,6 +74,11 @@
     int64_t max;
     /* Default of a number that is missing. */
     int64_t fallback;
+    /*
+     * CT_SCHEMA_U32, CT_SCHEMA_MS: the number may have a fraction, which is
+     * cut off.
+     */
+    bool fraction;
     const struct ct_schema_word *words;
     const struct ct_schema *object;
 };
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -71,6 +71,29 @@
     g_assert_cmpuint(settings.max_connections, ==, 2048);
 }
 
+/* Bounds may have a fraction, which is cut off. */
+static void
+test_fractions(void)
+{
+    struct ct_relay_settings settings;
+
+    g_assert_cmpint(
+        load_with_line(12,
+                       "\"bounds\": {\"revoke_ms\": 4000.75, "
+                       "\"repeat_burst\": 66.7, \"lease_ms\": 2e3,",
+                       &settings),
+        ==, CT_OK);
+    g_assert_cmpint(settings.bounds.revoke_ms, ==, 4000);
+    g_assert_cmpuint(settings.bounds.repeat_burst, ==, 66);
+    g_assert_cmpint(settings.bounds.lease_ms, ==, 2000);
+    g_assert_cmpint(
+        load_with_line(12, "\"bounds\": {\"revoke_ms\": 0.5,", &settings), ==,
+        CT_ERR_FIELD_RANGE);
+    g_assert_cmpint(
+        load_with_line(12, "\"bounds\": {\"repeat_burst\": 1e300,", &settings),
+        ==, CT_ERR_FIELD_RANGE);
+}
+
 static void
 test_invalid(void)
 {
@@ -106,6 +129,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay-settings/valid", test_valid);
+    g_test_add_func("/relay-settings/fractions", test_fractions);
     g_test_add_func("/relay-settings/invalid", test_invalid);
     return g_test_run();
 }
