platform: accept times and sizes with a fraction in configurations

Change: time limits, targets and sizes of a configuration may have a fraction, which is cut off; one function reads such numbers, here and in the settings. Versions, ranks, attempts and entries of upstreams take whole numbers only.

--- a/conf/schema.c
+++ b/conf/schema.c
@@ -136,50 +136,12 @@
     return CT_ERR_FIELD_RANGE;
 }
 
-/*
- * Reads a number with a fraction, in units of 1 / scale; min and max are in
- * these units.
- */
-static int
-read_fraction(const struct ct_schema_field *field, JsonObject *object,
-              double scale, double *out)
-{
-    JsonNode *node = json_object_get_member(object, field->name);
-
-    if (!JSON_NODE_HOLDS_VALUE(node) ||
-        (json_node_get_value_type(node) != G_TYPE_DOUBLE &&
-         json_node_get_value_type(node) != G_TYPE_INT64)) {
-        return CT_ERR_FIELD_TYPE;
-    }
-    *out = json_node_get_double(node) * scale;
-    return *out >= (double)field->min && *out <= (double)field->max
-               ? CT_OK
-               : CT_ERR_FIELD_RANGE;
-}
-
-static int
-read_integer(const struct ct_schema_field *field, JsonObject *object,
-             int64_t *out)
-{
-    double value;
-    int err;
-
-    if (!field->fraction) {
-        return ct_json_get_int(object, field->name, field->min, field->max,
-                               out);
-    }
-    err = read_fraction(field, object, 1, &value);
-    if (err == CT_OK) {
-        *out = (int64_t)value;
-    }
-    return err;
-}
-
 static int
 read_number(const struct ct_schema_field *field, JsonObject *object, void *out)
 {
     int64_t value;
-    int err = read_integer(field, object, &value);
+    int err = (field->fraction ? ct_json_get_floor : ct_json_get_int)(
+        object, field->name, field->min, field->max, &value);
 
     if (err < 0) {
         return err;
@@ -292,16 +254,24 @@
     return CT_OK;
 }
 
+/* field->min and field->max are in thousandths as well. */
 static int
 read_milli(const struct ct_schema_field *field, JsonObject *object, void *out)
 {
+    JsonNode *node = json_object_get_member(object, field->name);
     double value;
-    int err = read_fraction(field, object, 1000, &value);
 
-    if (err == CT_OK) {
-        *(int64_t *)out = (int64_t)(value + 0.5);
+    if (!JSON_NODE_HOLDS_VALUE(node) ||
+        (json_node_get_value_type(node) != G_TYPE_DOUBLE &&
+         json_node_get_value_type(node) != G_TYPE_INT64)) {
+        return CT_ERR_FIELD_TYPE;
     }
-    return err;
+    value = json_node_get_double(node) * 1000;
+    if (!(value >= (double)field->min && value <= (double)field->max)) {
+        return CT_ERR_FIELD_RANGE;
+    }
+    *(int64_t *)out = (int64_t)(value + 0.5);
+    return CT_OK;
 }
 
 static int
--- a/t/test-json-text.c
+++ b/t/test-json-text.c
@@ -47,7 +47,7 @@
 test_getters(void)
 {
     static const char text[] =
-        "{\"i\":5,\"s\":\"x\",\"b\":true,\"n\":null,\"a\":[{},1]}";
+        "{\"i\":5,\"f\":4.9,\"s\":\"x\",\"b\":true,\"n\":null,\"a\":[{},1]}";
     int64_t number = 0;
     bool flag = false;
     struct ct_json json;
@@ -65,6 +65,16 @@
                     CT_ERR_FIELD_MISSING);
     g_assert_cmpint(ct_json_get_int(root, "z", 0, 5, &number), ==,
                     CT_ERR_FIELD_MISSING);
+    g_assert_cmpint(ct_json_get_int(root, "f", 0, 5, &number), ==,
+                    CT_ERR_FIELD_TYPE);
+    g_assert_cmpint(ct_json_get_floor(root, "f", 0, 5, &number), ==, CT_OK);
+    g_assert_cmpint(number, ==, 4);
+    g_assert_cmpint(ct_json_get_floor(root, "f", 5, 9, &number), ==,
+                    CT_ERR_FIELD_RANGE);
+    g_assert_cmpint(ct_json_get_floor(root, "i", 0, 5, &number), ==, CT_OK);
+    g_assert_cmpint(number, ==, 5);
+    g_assert_cmpint(ct_json_get_floor(root, "s", 0, 5, &number), ==,
+                    CT_ERR_FIELD_TYPE);
     g_assert_cmpint(ct_json_get_bool(root, "b", &flag), ==, CT_OK);
     g_assert_true(flag);
     g_assert_cmpint(ct_json_get_bool(root, "a", &flag), ==, CT_ERR_FIELD_TYPE);
--- a/t/test-store-entry.c
+++ b/t/test-store-entry.c
@@ -38,6 +38,29 @@
     return ct_store_entry_config(text, strlen(text), config, *rows);
 }
 
+/* Times and sizes may have a fraction, which is cut off. */
+static void
+test_fractions(void)
+{
+    static const char text[] =
+        "{\"version\":7,\"limits\":{\"maxHeaderBytes\":16384.0,"
+        "\"maxBodyBytes\":4194304.5,\"headerTimeoutMs\":3000.5,"
+        "\"idleTimeoutMs\":15000.5},\"services\":[" SERVICE
+        "],\"tenants\":[],\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\","
+        "\"pathPrefix\":\"/x/\",\"type\":\"stream\",\"timeoutMs\":12000.7,"
+        "\"sloMs\":2000.5,\"itlTargetMs\":250.9,\"service\":\"s1\"}]}";
+    const struct ct_config_row *row;
+    struct ct_store_config config;
+    GArray *rows;
+
+    g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+    row = nth_row(rows, CT_CONFIG_PREFIX_ROUTE, 0);
+    g_assert_cmpint(row->u.prefix_route.timeout_ms, ==, 12000);
+    g_assert_cmpint(row->u.prefix_route.gap_target_ms, ==, 250);
+    g_assert_cmpuint(config.bounds.body_bytes, ==, 4194304);
+    g_array_free(rows, TRUE);
+}
+
 static void
 test_config(void)
 {
@@ -209,6 +232,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store-entry/config", test_config);
+    g_test_add_func("/store-entry/fractions", test_fractions);
     g_test_add_func("/store-entry/route-types", test_route_types);
     g_test_add_func("/store-entry/invalid-configs", test_invalid_configs);
     g_test_add_func("/store-entry/upstreams", test_upstreams);
--- a/wire/json-text.c
+++ b/wire/json-text.c
@@ -342,6 +342,24 @@
     return CT_OK;
 }
 
+int
+ct_json_get_floor(JsonObject *object, const char *name, int64_t min,
+                  int64_t max, int64_t *value)
+{
+    JsonNode *node;
+    double result;
+
+    if (get_value(object, name, G_TYPE_DOUBLE, &node) < 0) {
+        return ct_json_get_int(object, name, min, max, value);
+    }
+    result = json_node_get_double(node);
+    if (!(result >= (double)min && result <= (double)max)) {
+        return CT_ERR_FIELD_RANGE;
+    }
+    *value = (int64_t)result;
+    return CT_OK;
+}
+
 int
 ct_json_get_bool(JsonObject *object, const char *name, bool *value)
 {
--- a/wire/json-text.h
+++ b/wire/json-text.h
@@ -43,9 +43,12 @@
 const char *ct_json_get_string(JsonObject *object, const char *name);
 
 /*
- * A member that is null counts as missing.
+ * A member that is null counts as missing. ct_json_get_floor() also accepts a
+ * number with a fraction, which is cut off.
  * Errors: CT_ERR_FIELD_MISSING, CT_ERR_FIELD_TYPE, CT_ERR_FIELD_RANGE.
  */
+int ct_json_get_floor(JsonObject *object, const char *name, int64_t min,
+                      int64_t max, int64_t *value);
 int ct_json_get_int(JsonObject *object, const char *name, int64_t min,
                     int64_t max, int64_t *value);
 int ct_json_get_bool(JsonObject *object, const char *name, bool *value);
