--- a/core/config.h
+++ b/core/config.h
@@ -150,6 +150,8 @@
  */
 int ct_config_list_upstreams(struct ct_config *config, struct ct_rows rows);
 
+/* config-lookup.c */
+
 /* Look up a name; return CT_NO_HANDLE if no configured item has the name. */
 struct ct_handle ct_config_organisation(const struct ct_config *config,
                                         const struct ct_name *name);
--- a/core/order.c
+++ b/core/order.c
@@ -315,7 +315,7 @@
     }
 }
 
-void
+bool
 ct_orders_on_timer(struct ct_state *state)
 {
     ct_ms valid_until_ms = ct_lease_valid_until_ms(state, CT_ROLE_ORDERS);
@@ -323,21 +323,18 @@
 
     ct_arm_timer(state, CHECK_PERIOD_MS, CT_TIMER_ORDERS, CT_NO_HANDLE);
     remove_settled(state);
-    ct_order_plan_send_demand(state);
     /* An order of a predecessor may be in flight for one time-out. */
     if (valid_until_ms == 0 || state->draining ||
         state->now_ms < held_since_ms + CT_ORDER_TIMEOUT_MS) {
         discard_wanted(&state->orders);
-        return;
+        return false;
     }
     if (state->orders.intent_sequence &&
         state->now_ms >= state->orders.intent_until_ms) {
         discard_wanted(&state->orders);
     }
-    if (send_due_orders(state, valid_until_ms) == 0 &&
-        state->orders.wanted->len == 0) {
-        ct_order_plan(state);
-    }
+    return send_due_orders(state, valid_until_ms) == 0 &&
+           state->orders.wanted->len == 0;
 }
 
 void
--- a/core/order.h
+++ b/core/order.h
@@ -69,8 +69,8 @@
 
 /* Starts CT_TIMER_ORDERS once the log has been read to its head. */
 void ct_orders_start(struct ct_state *state);
-/* CT_TIMER_ORDERS */
-void ct_orders_on_timer(struct ct_state *state);
+/* CT_TIMER_ORDERS. Returns whether this host may plan orders now. */
+bool ct_orders_on_timer(struct ct_state *state);
 
 /* Queues an order of a plan; it is sent once its intent was read back. */
 void ct_order_queue_intent(struct ct_state *state,
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -11,6 +11,17 @@
 #include "snapshot.h"
 #include "state.h"
 
+static void
+on_orders_timer(struct ct_state *state)
+{
+    bool may_plan = ct_orders_on_timer(state);
+
+    ct_order_plan_send_demand(state);
+    if (may_plan) {
+        ct_order_plan(state);
+    }
+}
+
 static void
 on_timer(struct ct_state *state, const struct ct_timer *timer)
 {
@@ -87,9 +98,10 @@
         return;
     case CT_TIMER_USAGE:
         ct_usage_on_timer(state);
+        ct_usage_finals_advance(state);
         return;
     case CT_TIMER_ORDERS:
-        ct_orders_on_timer(state);
+        on_orders_timer(state);
         return;
     case CT_TIMER_LOG:
     default:
--- a/core/usage.c
+++ b/core/usage.c
@@ -290,7 +290,6 @@
 {
     ct_usage_flush(state);
     send_ended_windows(state);
-    ct_usage_finals_advance(state);
     ct_arm_timer(state, COPY_PERIOD_MS, CT_TIMER_USAGE, CT_NO_HANDLE);
 }
 
