core: cover by firm upstreams only from ten calls at each

The share of what leaves room for a burst (3.5 calls an upstream) began at 5.8 calls.

Change: above the share of the planned cheap ones, firm ones are ordered for a load of more than ten calls at each upstream. This answers a load that delays the calls that run, not one that a burst would.

test-zone-orders load-without-firm fails without the change (8 firm ones).

--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -10,6 +10,12 @@
  * burst.
  */
 #define CALLS_PER_UPSTREAM_TENTHS 35
+/*
+ * Number of calls in flight per upstream, in tenths, above which firm
+ * upstreams are ordered besides the cheap ones: they cost several times as
+ * much.
+ */
+#define CALLS_PER_COVERED_TENTHS 100
 /* Time constants of the load: it rises quickly and falls slowly. */
 #define RISE_MS 2500
 #define FALL_MS 20000
@@ -228,15 +234,16 @@
 
 /*
  * Returns the number of upstreams for the load of all hosts, estimated from
- * this host's load.
+ * this host's load, with this number of calls at each.
  */
 static uint32_t
-upstreams_needed(const struct ct_state *state, const struct ct_pool_row *pool)
+upstreams_needed(const struct ct_state *state, const struct ct_pool_row *pool,
+                 uint64_t calls_tenths)
 {
     uint64_t load = pool->load_milli * ct_group_size(state);
 
-    return (uint32_t)((load * 10 + CALLS_PER_UPSTREAM_TENTHS * 1000 - 1) /
-                      (CALLS_PER_UPSTREAM_TENTHS * 1000));
+    return (uint32_t)((load * 10 + calls_tenths * 1000 - 1) /
+                      (calls_tenths * 1000));
 }
 
 static uint32_t
@@ -272,17 +279,21 @@
 
 /*
  * Returns the number of upstreams below which firm ones take the place of
- * cheap ones. Without any caller the lower bound is enough until the cheap
- * ones have booted; a load for more than the upper bound needs all of it.
+ * cheap ones: a part of the cheap ones that are planned, or what a high load
+ * needs. Without any caller the lower bound is enough until the cheap ones
+ * have booted.
  */
 static uint32_t
 covered_upstreams(const struct ct_state *state, const struct ct_pool_row *pool,
-                  uint32_t zones, uint32_t planned_per_zone)
+                  uint32_t zones, uint32_t cheap_planned)
 {
-    return awaits_first_call(state)
-               ? pool->conf.min_upstreams * zones
-               : MIN(planned_per_zone * zones * CHEAP_COVER_PERCENT / 100,
-                     pool->conf.max_upstreams * zones);
+    uint32_t needed = upstreams_needed(state, pool, CALLS_PER_COVERED_TENTHS);
+
+    if (awaits_first_call(state)) {
+        return pool->conf.min_upstreams * zones;
+    }
+    return MAX(cheap_planned * zones * CHEAP_COVER_PERCENT / 100,
+               MIN(needed, pool->conf.max_upstreams * zones));
 }
 
 /* Returns the zone's part of the upstreams that n_cheap do not cover. */
@@ -330,9 +341,9 @@
         return;
     }
     count = count_pool(state, row->pool);
-    needed = per_zone(upstreams_needed(state, pool), count.zones);
-    cheap = cheap_per_zone(pool, &count, needed);
-    covered = covered_upstreams(state, pool, count.zones, MAX(cheap, needed));
+    needed = upstreams_needed(state, pool, CALLS_PER_UPSTREAM_TENTHS);
+    cheap = cheap_per_zone(pool, &count, per_zone(needed, count.zones));
+    covered = covered_upstreams(state, pool, count.zones, cheap);
     order_upstreams(state, row, pool, true, &row->cheap, cheap,
                     count_running(state, pool, &row->zone, true));
     if (awaits_first_call(state) && !row->cheap.confirmed) {
--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -337,6 +337,30 @@
     t_core_free(&platform.core);
 }
 
+/*
+ * A load that the cheap upstreams of the other zones carry orders no firm ones
+ * for a lost zone.
+ */
+static void
+test_load_without_firm(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    run_platform(&platform, 6000);
+    platform.exhausted_zone = 0;
+    set_entries(&platform, 0, true, 0);
+    for (guint i = 0; i < 150; i++) {
+        t_relay_call(&platform.core, 1, T_STREAM_PATH);
+    }
+    run_platform(&platform, 8000);
+    g_assert_cmpuint(platform.cheap[1] + platform.cheap[2], ==,
+                     2 * MAX_PER_ZONE);
+    g_assert_cmpuint(platform.firm[0] + platform.firm[1] + platform.firm[2],
+                     ==, 0);
+    t_core_free(&platform.core);
+}
+
 /*
  * Configuring the same zones again preserves their rows; a zone that the
  * configuration no longer names gets no orders.
@@ -429,6 +453,7 @@
     g_test_add_func("/zone-orders/booting", test_booting);
     g_test_add_func("/zone-orders/load-fills-lost-zone",
                     test_load_fills_lost_zone);
+    g_test_add_func("/zone-orders/load-without-firm", test_load_without_firm);
     g_test_add_func("/zone-orders/reconfigured", test_reconfigured);
     g_test_add_func("/zone-orders/covering-zones", test_covering_zones);
     g_test_add_func("/zone-orders/fenced", test_fenced);
