core, docs: say what the boot time of orders does

Cause: read once more, the comment said that ordered upstreams count as running; they only keep others from being ordered.

Code and tests are unchanged.

--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -41,8 +41,8 @@
  */
 #define EXHAUSTED_RETRY_MS 3000
 /*
- * Cheap upstreams that were ordered count as running for this long: firm ones
- * would not boot any sooner.
+ * Upstreams that were ordered are expected to run within this time. Until then
+ * no firm ones are ordered in place of cheap ones: they would boot no sooner.
  */
 #define BOOT_MS 6000
 
