core, platform: log the prompt parts of calls whose upstream broke off

Change: the parts of a prompt, all but the last, come with the call. An attempt that breaks off before its first event logs one line for each (1707, RELAY_PART_LOST), with the status if the response had begun.

--- a/core/effect.h
+++ b/core/effect.h
@@ -215,6 +215,8 @@
     X(RELAY_GONE, 1704, INFO, "caller of a relayed call disconnected")        \
     X(RELAY_REPEATED, 1705, INFO, "relayed call retried")                     \
     X(RELAY_RESUMED, 1706, INFO, "relayed stream resumed by a new attempt")   \
+    X(RELAY_PART_LOST, 1707, INFO,                                            \
+      "prompt part of a call whose upstream broke off")                       \
     X(STORE_LOST, 1801, WARNING, "store unavailable")                         \
     X(STORE_BACK, 1802, INFO, "store available again")                        \
     X(STORE_TRIMMED, 1803, INFO, "records trimmed; reading newest entries")   \
@@ -258,6 +260,8 @@
     /* Upstream of the last attempt and the attempt's outcome. */
     struct ct_name upstream;
     struct ct_name outcome;
+    /* Id of a prompt part; 0 for none. */
+    uint64_t prompt_part;
 };
 
 struct ct_effect {
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -465,6 +465,32 @@
     log->number = (int64_t)relay->last_event;
 }
 
+/*
+ * Logs each shared part of the prompt: a part that many upstreams met when
+ * they broke off may have crashed them.
+ */
+static void
+log_lost_parts(struct ct_state *state, const struct ct_relay *relay,
+               const struct ct_relay_progress *progress)
+{
+    for (uint32_t i = 0; i < relay->parts.n; i++) {
+        struct ct_log_effect *log =
+            ct_relay_log(state, relay, CT_LOG_RELAY_PART_LOST);
+
+        log->prompt_part = relay->parts.ids[i];
+        log->status = progress->status;
+    }
+}
+
+/* Whether the upstream broke off before the first event of its response. */
+static bool
+lost_before_first_event(const struct ct_relay_attempt *attempt,
+                        const struct ct_relay_progress *progress)
+{
+    return progress->outcome == CT_OUTCOME_CONNECTION_LOST &&
+           !attempt->first_event_seen;
+}
+
 static void
 retry_call(struct ct_state *state, struct ct_handle handle,
            const struct ct_relay_progress *progress, bool from_backup)
@@ -514,6 +540,9 @@
     relay->last_upstream = upstream->conf.name;
     relay->last_outcome = progress->outcome;
     record_attempt_end(relay, attempt, progress->outcome);
+    if (lost_before_first_event(attempt, progress)) {
+        log_lost_parts(state, relay, progress);
+    }
     next_step = step_after_attempt(state, relay, progress);
     if (next_step == STEP_PASS_RESPONSE) {
         count_usage(state, relay);
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -11,6 +11,18 @@
 
 /* Members of events and effects of relayed calls; flat values. */
 
+/* Shared parts of a prompt that a call may name; further ones are ignored. */
+#define CT_PROMPT_PARTS_MAX 32
+
+/*
+ * Parts of a call's prompt that other calls may share, by id. The last part,
+ * which is the call's own, is not listed.
+ */
+struct ct_prompt_parts {
+    uint64_t ids[CT_PROMPT_PARTS_MAX];
+    uint32_t n;
+};
+
 /* CT_EVENT_RELAY_CALL_ARRIVED: a complete call was read. */
 struct ct_relay_call {
     /* Number by which the front end identifies the call. */
@@ -33,6 +45,7 @@
      * none.
      */
     uint64_t prefix_hash;
+    struct ct_prompt_parts parts;
     uint32_t prompt_tokens;
     uint32_t max_tokens;
 };
--- a/core/relay.c
+++ b/core/relay.c
@@ -79,6 +79,7 @@
     relay->stream = route->conf.stream;
     relay->attempts_max = route->conf.attempts;
     relay->prefix_hash = route->conf.sticky ? call->prefix_hash : 0;
+    relay->parts = call->parts;
     relay->prompt_tokens = call->prompt_tokens;
     relay->deadline_ms = state->now_ms + route->conf.timeout_ms;
     if (call->timeout_ms > 0 && call->timeout_ms < route->conf.timeout_ms) {
--- a/core/relay.h
+++ b/core/relay.h
@@ -33,6 +33,7 @@
     uint32_t rank;
     uint32_t attempts_max;
     uint64_t prefix_hash;
+    struct ct_prompt_parts parts;
     uint32_t prompt_tokens;
     ct_ms arrived_ms;
     /* Earlier of the caller's deadline and the route's time limit. */
--- a/shell/logger.c
+++ b/shell/logger.c
@@ -8,7 +8,7 @@
 #include "json-append.h"
 
 /* Maximum number of fields of a message. */
-#define FIELDS_MAX 18
+#define FIELDS_MAX 19
 
 static int log_fd = STDERR_FILENO;
 static uint64_t dropped_lines;
@@ -41,6 +41,19 @@
     }
 }
 
+/* Adds a field in hexadecimal unless its value is 0. */
+static void
+add_hex(struct entry *entry, const char *key, uint64_t value)
+{
+    char *text = entry->numbers[entry->n];
+
+    if (value != 0) {
+        g_snprintf(text, sizeof(entry->numbers[0]), "%" G_GINT64_MODIFIER "x",
+                   value);
+        add_field(entry, key, text);
+    }
+}
+
 struct catalogue_row {
     enum ct_log_event event;
     const char *name;
@@ -112,6 +125,7 @@
     add_field(&entry, "NUMBER", number);
     add_field(&entry, "UPSTREAM", effect->upstream.text);
     add_field(&entry, "OUTCOME", effect->outcome.text);
+    add_hex(&entry, "PROMPT_PART", effect->prompt_part);
     add_number(&entry, "STATUS", effect->status);
     add_number(&entry, "ATTEMPTS", effect->attempts);
     add_number(&entry, "ELAPSED_MS", effect->elapsed_ms);
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -202,7 +202,7 @@
 
 static uint64_t
 post_call(struct t_core *core, uint8_t key, const char *path,
-          uint32_t prompt_tokens, ct_ms deadline_ms)
+          uint32_t prompt_tokens, ct_ms deadline_ms, const uint64_t *parts)
 {
     struct ct_event event = {.type = CT_EVENT_RELAY_CALL_ARRIVED};
     struct ct_relay_call *call = &event.u.relay;
@@ -217,6 +217,10 @@
     call->prefix_hash = 7;
     call->prompt_tokens = prompt_tokens;
     call->timeout_ms = deadline_ms;
+    while (parts && parts[call->parts.n] != 0) {
+        call->parts.ids[call->parts.n] = parts[call->parts.n];
+        call->parts.n++;
+    }
     t_core_post(core, &event);
     return call->caller;
 }
@@ -231,15 +235,23 @@
 t_relay_call_within(struct t_core *core, uint8_t key, const char *path,
                     ct_ms deadline_ms)
 {
-    return post_call(core, key, path, PROMPT_TOKENS, deadline_ms);
+    return post_call(core, key, path, PROMPT_TOKENS, deadline_ms, NULL);
 }
 
 uint64_t
 t_relay_call_of_size(struct t_core *core, uint8_t key, const char *path,
                      uint32_t prompt_tokens)
 {
-    return post_call(core, key, path, prompt_tokens, 0);
+    return post_call(core, key, path, prompt_tokens, 0, NULL);
+}
+
+uint64_t
+t_relay_call_with_parts(struct t_core *core, uint8_t key, const char *path,
+                        const uint64_t *parts)
+{
+    return post_call(core, key, path, PROMPT_TOKENS, 0, parts);
 }
+
 struct ct_relay_start
 t_relay_started(const struct t_core *core)
 {
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -65,6 +65,11 @@
 /* The prompt has prompt_tokens tokens. */
 uint64_t t_relay_call_of_size(struct t_core *core, uint8_t key,
                               const char *path, uint32_t prompt_tokens);
+/*
+ * Posts a call whose prompt has these shared parts; the id 0 ends the list.
+ */
+uint64_t t_relay_call_with_parts(struct t_core *core, uint8_t key,
+                                 const char *path, const uint64_t *parts);
 /* The attempt that the last event started; fails the test if none was. */
 struct ct_relay_start t_relay_started(const struct t_core *core);
 
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -98,6 +98,35 @@
     g_assert_cmpuint(call.prefix_hash, !=, other_call.prefix_hash);
 }
 
+/* All parts but the last are listed, up to a maximum; ids need not be hex. */
+static void
+test_prompt_parts(void)
+{
+    GString *long_list = g_string_new("1:5");
+    struct ct_relay_call call = {0};
+    bool forwarded;
+
+    parse_call_header("Prefix-Hash", "5c1e07a2:800, 91BD:410,e4402b7d:250",
+                      &call, &forwarded);
+    g_assert_cmpuint(call.parts.n, ==, 2);
+    g_assert_cmphex(call.parts.ids[0], ==, 0x5c1e07a2);
+    g_assert_cmphex(call.parts.ids[1], ==, 0x91bd);
+    parse_call_header("Prefix-Hash", "e4402b7d:250", &call, &forwarded);
+    g_assert_cmpuint(call.parts.n, ==, 0);
+    parse_call_header("Prefix-Hash",
+                      "any thing:1,"
+                      "5c1e07a25c1e07a25c1e07a2:1,:,x",
+                      &call, &forwarded);
+    g_assert_cmpuint(call.parts.n, ==, 3);
+    g_assert_cmphex(call.parts.ids[0], !=, call.parts.ids[1]);
+    for (guint i = 0; i < 100; i++) {
+        g_string_append(long_list, ",2:6");
+    }
+    parse_call_header("Prefix-Hash", long_list->str, &call, &forwarded);
+    g_assert_cmpuint(call.parts.n, ==, CT_PROMPT_PARTS_MAX);
+    g_string_free(long_list, TRUE);
+}
+
 static void
 test_bad_values(void)
 {
@@ -239,6 +268,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/call-dialect/forwarded-headers", test_forwarded_headers);
     g_test_add_func("/call-dialect/parsed-headers", test_parsed_headers);
+    g_test_add_func("/call-dialect/prompt-parts", test_prompt_parts);
     g_test_add_func("/call-dialect/bad-values", test_bad_values);
     g_test_add_func("/call-dialect/attempt-headers", test_attempt_headers);
     g_test_add_func("/call-dialect/backup-headers", test_backup_headers);
--- a/t/test-logger.c
+++ b/t/test-logger.c
@@ -19,6 +19,7 @@
         CT_TEXT_SET(effect.u.log.request_id, "id-1");
         CT_TEXT_SET(effect.u.log.reason, "over\"load\n");
         effect.u.log.number = -3;
+        effect.u.log.prompt_part = 0x91bd3f06;
         g_assert_true(logger->ops->run(logger, &effect));
         g_debug("not shown");
         g_message("shown");
@@ -30,7 +31,8 @@
     g_test_trap_assert_stderr(
         "{\"wall_ms\":*,\"priority\":\"6\",\"message\":\"request refused\","
         "\"event\":\"1201\",\"name\":\"REFUSED\",\"request_id\":\"id-1\","
-        "\"reason\":\"over\\\"load\\u000a\",\"number\":\"-3\"}\n"
+        "\"reason\":\"over\\\"load\\u000a\",\"number\":\"-3\","
+        "\"prompt_part\":\"91bd3f06\"}\n"
         "{\"wall_ms\":*\"message\":\"shown\",*}\n");
     g_test_trap_assert_stderr_unmatched("*not shown*");
 }
--- a/t/test-relay-attempt.c
+++ b/t/test-relay-attempt.c
@@ -108,6 +108,39 @@
     t_core_free(&core);
 }
 
+/*
+ * An upstream that breaks off before the first event is logged once for each
+ * part of the prompt, one that breaks off later is not.
+ */
+static void
+test_lost_parts_logged(void)
+{
+    static const uint64_t parts[] = {0xa1, 0xb2, 0};
+    struct ct_relay_start start;
+    struct t_core core;
+
+    t_relay_setup(&core, 3);
+    t_relay_call_with_parts(&core, 1, T_RESUME_PATH, parts);
+    start = t_relay_started(&core);
+    t_relay_finish(&core, start.attempt, CT_OUTCOME_CONNECTION_LOST, 200);
+    for (guint i = 0; i < 2; i++) {
+        const struct ct_log_effect *log =
+            &t_core_effect(&core, CT_EFFECT_LOG_EVENT, i)->u.log;
+
+        g_assert_cmpint(log->event, ==, CT_LOG_RELAY_PART_LOST);
+        g_assert_cmphex(log->prompt_part, ==, parts[i]);
+        g_assert_cmpstr(log->upstream.text, ==, start.upstream.text);
+        g_assert_cmpuint(log->status, ==, 200);
+    }
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    t_relay_data(&core, start.attempt, 4);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_CONNECTION_LOST, 200);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_LOG_EVENT, 0)->u.log.event,
+                    !=, CT_LOG_RELAY_PART_LOST);
+    t_core_free(&core);
+}
+
 /* Starts a stream whose last event is 4, then loses the connection. */
 static void
 start_and_break_stream(struct t_core *core, const char *path)
@@ -478,6 +511,8 @@
     g_test_add_func("/relay-attempt/outcomes", test_outcomes);
     g_test_add_func("/relay-attempt/not-sent", test_not_sent);
     g_test_add_func("/relay-attempt/declined-twice", test_declined_twice);
+    g_test_add_func("/relay-attempt/lost-parts-logged",
+                    test_lost_parts_logged);
     g_test_add_func("/relay-attempt/resume", test_resume);
     g_test_add_func("/relay-attempt/started-not-resumed",
                     test_started_not_resumed);
