t: count both topics' reads of one tick in store-sync store-down

Cause: the test completed the reads of one tick one by one, and the second was no longer among the last event's effects; while it waited for a read of one topic it left one of the other unanswered. Whether it passed depended on the random delays: one more draw at the start of a host made it wait for a read that was already in progress.

Change: the reads of a tick are noted first, and reads of the other topic are answered while it waits. Bounds and checks are the same, and every read is counted now.

--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -336,16 +336,32 @@
         count_reads(&core, CT_TOPIC_CONFIG, CT_ERR_IO, 0, core.now_ms + 20000);
     t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_IO, 0, 0, 0);
     for (end_ms = core.now_ms + 20000; core.now_ms < end_ms;) {
+        bool sent[CT_TOPIC_UPSTREAMS + 1];
+
         t_core_tick(&core, 10);
         for (int topic = 0; topic <= CT_TOPIC_UPSTREAMS; topic++) {
-            if (sent_read(&core, (enum ct_topic)topic)) {
+            sent[topic] = sent_read(&core, (enum ct_topic)topic) != NULL;
+        }
+        for (int topic = 0; topic <= CT_TOPIC_UPSTREAMS; topic++) {
+            if (sent[topic]) {
                 t_relay_read(&core, (enum ct_topic)topic, CT_ERR_IO, 0, 0, 0);
                 both++;
             }
         }
     }
     g_assert_cmpuint(both * 2, <=, alone * 3);
-    await_read(&core, CT_TOPIC_UPSTREAMS);
+    /* The other topic waits for its next read, too, when one succeeds. */
+    while (sent_read(&core, CT_TOPIC_UPSTREAMS) == NULL ||
+           sent_read(&core, CT_TOPIC_CONFIG) != NULL) {
+        enum ct_topic topic = sent_read(&core, CT_TOPIC_CONFIG)
+                                  ? CT_TOPIC_CONFIG
+                                  : CT_TOPIC_UPSTREAMS;
+
+        if (sent_read(&core, topic)) {
+            t_relay_read(&core, topic, CT_ERR_IO, 0, 0, 0);
+        }
+        t_core_tick(&core, 10);
+    }
     t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 0, 0, 0);
     end_ms = core.now_ms + 60;
     await_read(&core, CT_TOPIC_CONFIG);
