core: quarantine prompt parts that crash upstreams

Cause: calls that share one part of their prompts crash the upstream that begins a response to them. Nothing related a crash to the call, so each new call and each retry took another upstream with it.

Change: hosts count, by part, the upstreams that broke off before they answered a call with it, and share the counts through a topic of the store. A part at the limit is refused on all hosts, with 503 (prompt-quarantined, not run) and the end of the quarantine as Retry-After; a call with it that is answered after all releases it. A waiting read that returns nothing is replaced when the store comes back, or when the host's own record does not return by it.

test-prompt-quarantine deadly-part-stops-reaching-upstreams failed before: (38 == 0). Why this works: a sound part is answered between crashes, which resets its count; the deadly one never is.

--- a/core/counter.h
+++ b/core/counter.h
@@ -22,6 +22,7 @@
     X(RETRY_EXPIRED, "retries_expired_total")                                 \
     X(RETRY_OVER_BUDGET, "retries_over_budget_total")                         \
     X(RESUMES, "resumes_total")                                               \
+    X(PARTS_QUARANTINED, "prompt_parts_quarantined_total")                    \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
     X(LATE_EVENTS, "late_attempt_events_total")                               \
--- a/core/effect.c
+++ b/core/effect.c
@@ -115,6 +115,7 @@
         [CT_EFFECT_SET_CALLER_LIMITS] = "caller-limits",
         [CT_EFFECT_STORE_READ] = "store-read",
         [CT_EFFECT_STORE_APPEND] = "store-append",
+        [CT_EFFECT_STORE_APPEND_PARTS] = "store-append-parts",
         [CT_EFFECT_STORE_JOIN] = "store-join",
         [CT_EFFECT_STORE_LEAVE] = "store-leave",
         [CT_EFFECT_STORE_READ_MEMBERS] = "store-members",
--- a/core/effect.h
+++ b/core/effect.h
@@ -71,6 +71,7 @@
     CT_EFFECT_STORE_READ,
     /* rows: struct ct_tally_row */
     CT_EFFECT_STORE_APPEND,
+    CT_EFFECT_STORE_APPEND_PARTS,
     CT_EFFECT_STORE_JOIN,
     CT_EFFECT_STORE_LEAVE,
     CT_EFFECT_STORE_READ_MEMBERS,
@@ -217,6 +218,8 @@
     X(RELAY_RESUMED, 1706, INFO, "relayed stream resumed by a new attempt")   \
     X(RELAY_PART_LOST, 1707, INFO,                                            \
       "prompt part of a call whose upstream broke off")                       \
+    X(PART_QUARANTINED, 1711, WARNING, "prompt part quarantined")             \
+    X(PART_RELEASED, 1712, INFO, "prompt part released")                      \
     X(STORE_LOST, 1801, WARNING, "store unavailable")                         \
     X(STORE_BACK, 1802, INFO, "store available again")                        \
     X(STORE_TRIMMED, 1803, INFO, "records trimmed; reading newest entries")   \
@@ -291,6 +294,7 @@
         struct ct_caller_bounds bounds;
         struct ct_store_read_effect store_read;
         struct ct_store_append_effect store_append;
+        struct ct_part_record part_record;
         struct ct_store_join_effect join;
         struct ct_duty_usage duty_usage;
         struct ct_duty_order duty_order;
--- a/core/event.c
+++ b/core/event.c
@@ -40,6 +40,7 @@
         [CT_EVENT_STORE_UPSTREAM] = "store-upstream",
         [CT_EVENT_STORE_TALLY] = "store-tally",
         [CT_EVENT_STORE_FINAL] = "store-final",
+        [CT_EVENT_STORE_PARTS] = "store-parts",
         [CT_EVENT_STORE_INVALID_ENTRY] = "store-odd",
         [CT_EVENT_STORE_READ_DONE] = "store-read",
         [CT_EVENT_STORE_APPEND_DONE] = "store-appended",
--- a/core/event.h
+++ b/core/event.h
@@ -85,6 +85,7 @@
     CT_EVENT_STORE_TALLY,
     /* rows: struct ct_tally_row */
     CT_EVENT_STORE_FINAL,
+    CT_EVENT_STORE_PARTS,
     /* An entry that cannot be parsed or is no longer valid. */
     CT_EVENT_STORE_INVALID_ENTRY,
     CT_EVENT_STORE_READ_DONE,
@@ -260,6 +261,7 @@
         struct ct_store_config store_config;
         struct ct_store_upstream store_upstream;
         struct ct_tally tally;
+        struct ct_part_record part_record;
         struct ct_store_invalid_entry store_invalid_entry;
         struct ct_store_read_done store_read;
         struct ct_store_append_done store_append;
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -89,6 +89,9 @@
     case CT_TIMER_FORWARDED_TALLIES:
         ct_forwarded_tallies_on_timer(state);
         return;
+    case CT_TIMER_QUARANTINE:
+        ct_quarantine_sync_on_timer(state);
+        return;
     case CT_TIMER_HEARTBEAT:
         ct_peer_status_on_timer(state);
         ct_withdrawals_on_heartbeat(state);
@@ -237,17 +240,30 @@
 on_store_read_done(struct ct_state *state,
                    const struct ct_store_read_done *read)
 {
-    if (read->topic == CT_TOPIC_TALLIES || read->topic == CT_TOPIC_FINALS) {
+    switch (read->topic) {
+    case CT_TOPIC_TALLIES:
+    case CT_TOPIC_FINALS:
         ct_usage_report_on_read(state, read);
         return;
+    case CT_TOPIC_PROMPT_PARTS:
+        ct_quarantine_sync_on_read(state, read);
+        return;
+    default:
+        if (ct_store_on_read(state, read)) {
+            ct_quarantine_sync_on_store_back(state);
+        }
+        return;
     }
-    ct_store_on_read(state, read);
 }
 
 static void
 on_store_append_done(struct ct_state *state,
                      const struct ct_store_append_done *done)
 {
+    if (done->topic == CT_TOPIC_PROMPT_PARTS) {
+        ct_quarantine_sync_on_appended(state, done->result);
+        return;
+    }
     if (done->topic != CT_TOPIC_TALLIES) {
         ct_usage_report_on_appended(state, done);
         return;
@@ -338,6 +354,9 @@
     case CT_EVENT_STORE_FINAL:
         ct_usage_report_on_final(state, event);
         return CT_OK;
+    case CT_EVENT_STORE_PARTS:
+        ct_prompt_quarantine_on_record(state, &event->u.part_record);
+        return CT_OK;
     case CT_EVENT_STORE_INVALID_ENTRY:
         ct_store_on_invalid_entry(state, &event->u.store_invalid_entry);
         return CT_OK;
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -311,6 +311,7 @@
     count_usage(state, relay);
     if (!attempt->first_event_seen) {
         attempt->first_event_seen = true;
+        ct_prompt_quarantine_on_answer(state, &relay->parts);
         state->relay_balance->ops->first_token(
             state->relay_balance, attempt->upstream,
             state->now_ms - attempt->started_ms, state->now_ms);
@@ -407,6 +408,10 @@
 step_after_attempt(struct ct_state *state, const struct ct_relay *relay,
                    const struct ct_relay_progress *progress)
 {
+    if (progress->outcome != CT_OUTCOME_COMPLETE &&
+        ct_prompt_quarantine_blocks(state, &relay->parts)) {
+        return STEP_FAIL;
+    }
     switch (progress->outcome) {
     case CT_OUTCOME_COMPLETE:
         return step_after_response(state, relay, progress);
@@ -443,11 +448,15 @@
 }
 
 static enum ct_refusal
-failure_reason(const struct ct_relay *relay, enum ct_outcome outcome)
+failure_reason(const struct ct_state *state, const struct ct_relay *relay,
+               enum ct_outcome outcome)
 {
     if (relay->may_have_run) {
         return CT_REFUSAL_UPSTREAM_FAILED;
     }
+    if (ct_prompt_quarantine_blocks(state, &relay->parts)) {
+        return CT_REFUSAL_PROMPT_QUARANTINED;
+    }
     return outcome == CT_OUTCOME_DECLINED ? CT_REFUSAL_UPSTREAM_FULL
                                           : CT_REFUSAL_NO_UPSTREAM;
 }
@@ -491,6 +500,37 @@
            !attempt->first_event_seen;
 }
 
+/* Identifies an upstream and its start, the same on all hosts. */
+static uint64_t
+hash_upstream_start(const struct ct_state *state,
+                    const struct ct_upstream_row *upstream)
+{
+    ct_ms started_ms =
+        ct_upstream_registry_started_ms(state, &upstream->conf.name);
+
+    return ct_hash_bytes(upstream->name_hash, &started_ms, sizeof(started_ms));
+}
+
+/* Tells the quarantine whether the call's prompt was answered. */
+static void
+report_to_quarantine(struct ct_state *state, const struct ct_relay *relay,
+                     const struct ct_relay_attempt *attempt,
+                     const struct ct_relay_progress *progress)
+{
+    if (lost_before_first_event(attempt, progress)) {
+        log_lost_parts(state, relay, progress);
+        ct_prompt_quarantine_on_crash(
+            state, &relay->parts,
+            hash_upstream_start(state, ct_table_get(&state->config.upstreams,
+                                                    attempt->upstream)),
+            progress->status == STATUS_OK);
+    }
+    else if (progress->outcome == CT_OUTCOME_COMPLETE &&
+             progress->status == STATUS_OK && !attempt->first_event_seen) {
+        ct_prompt_quarantine_on_answer(state, &relay->parts);
+    }
+}
+
 static void
 retry_call(struct ct_state *state, struct ct_handle handle,
            const struct ct_relay_progress *progress, bool from_backup)
@@ -540,9 +580,7 @@
     relay->last_upstream = upstream->conf.name;
     relay->last_outcome = progress->outcome;
     record_attempt_end(relay, attempt, progress->outcome);
-    if (lost_before_first_event(attempt, progress)) {
-        log_lost_parts(state, relay, progress);
-    }
+    report_to_quarantine(state, relay, attempt, progress);
     next_step = step_after_attempt(state, relay, progress);
     if (next_step == STEP_PASS_RESPONSE) {
         count_usage(state, relay);
@@ -562,5 +600,6 @@
         retry_call(state, handle, progress, next_step == STEP_USE_BACKUP);
         return;
     }
-    ct_relay_fail(state, handle, failure_reason(relay, progress->outcome));
+    ct_relay_fail(state, handle,
+                  failure_reason(state, relay, progress->outcome));
 }
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -7,6 +7,7 @@
 
 /* Delay after which a caller may retry a refused call. */
 #define RETRY_AFTER_MS 200
+
 void
 ct_relays_init(struct ct_relays *relays)
 {
@@ -81,6 +82,15 @@
     return log;
 }
 
+static ct_ms
+retry_after_ms(const struct ct_state *state, const struct ct_relay *relay,
+               enum ct_refusal reason)
+{
+    return reason == CT_REFUSAL_PROMPT_QUARANTINED
+               ? ct_prompt_quarantine_retry_after_ms(state, &relay->parts)
+               : RETRY_AFTER_MS;
+}
+
 void
 ct_relay_refuse(struct ct_state *state, const struct ct_relay *relay,
                 enum ct_refusal reason)
@@ -95,7 +105,10 @@
     state->counters.refusals[reason]++;
     if (relay->caller) {
         ct_emit_refusal(state, relay->caller, &relay->id, reason, run_state,
-                        RETRY_AFTER_MS);
+                        retry_after_ms(state, relay, reason));
+    }
+    if (reason == CT_REFUSAL_PROMPT_QUARANTINED) {
+        ct_prompt_quarantine_on_refused(state, &relay->parts);
     }
 }
 
--- a/core/relay-host.c
+++ b/core/relay-host.c
@@ -26,6 +26,7 @@
     ct_emit_log(state, CT_LOG_HOST_STARTED, &state->self.host,
                 state->self.writer.text, 0);
     ct_store_sync_start(state);
+    ct_quarantine_sync_start(state);
     state->leadership.changed_ms = state->now_ms;
     ct_leadership_join(state);
     ct_group_read_members(state);
--- a/core/relay.c
+++ b/core/relay.c
@@ -133,6 +133,11 @@
     relay.config_version = state->store.config_version;
     relay.config_age_ms = ct_store_age_ms(state, CT_TOPIC_CONFIG);
     reason = admit_call(state, call, &relay);
+    if (reason == CT_REFUSAL_COUNT &&
+        ct_prompt_quarantine_blocks(state, &relay.parts) &&
+        !ct_prompt_quarantine_may_probe(state, &relay.parts)) {
+        reason = CT_REFUSAL_PROMPT_QUARANTINED;
+    }
     if (reason == CT_REFUSAL_COUNT &&
         ct_table_add(&relays->rows, &handle) < 0) {
         reason = CT_REFUSAL_TABLE_FULL;
--- a/core/state.h
+++ b/core/state.h
@@ -20,6 +20,8 @@
 #include "order-plan.h"
 #include "order-policy.h"
 #include "order.h"
+#include "prompt-quarantine.h"
+#include "quarantine-sync.h"
 #include "queue-policy.h"
 #include "reduce.h"
 #include "refusal-log.h"
@@ -87,6 +89,8 @@
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
+    struct ct_prompt_quarantine prompt_quarantine;
+    struct ct_quarantine_sync quarantine_sync;
     struct ct_tallies tallies;
     struct ct_forwarded_tallies forwarded_tallies;
     struct ct_usage_report usage_report;
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -388,23 +388,24 @@
     }
 }
 
-void
+bool
 ct_store_on_read(struct ct_state *state, const struct ct_store_read_done *read)
 {
     struct ct_topic_sync *sync = &state->store.topics[read->topic];
+    bool is_back = read->result >= 0 && sync->failures > 0;
 
     if (read->result == CT_ERR_LOG_TRUNCATED) {
         ct_emit_log(state, CT_LOG_STORE_TRIMMED, NULL, NULL, read->topic);
         sync->full_read_done = false;
         memset(&sync->after, 0, sizeof(sync->after));
         schedule_read(state, read->topic, 0);
-        return;
+        return false;
     }
     if (read->result < 0) {
         on_read_failed(state, read);
-        return;
+        return false;
     }
-    if (sync->failures > 0) {
+    if (is_back) {
         sync->failures = 0;
         mark_recovered(state, read->topic, state->now_ms);
         ct_emit_log(state, CT_LOG_STORE_BACK, NULL, NULL, read->topic);
@@ -419,6 +420,7 @@
     ct_upstream_registry_publish(state);
     ct_replication_on_read_done(state, read);
     schedule_read(state, read->topic, next_read_delay_ms(state, read));
+    return is_back;
 }
 
 void
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -56,7 +56,8 @@
 void ct_store_on_config(struct ct_state *state, const struct ct_event *event);
 void ct_store_on_invalid_entry(struct ct_state *state,
                                const struct ct_store_invalid_entry *invalid);
-void ct_store_on_read(struct ct_state *state,
+/* Returns whether the store responds again after reads that failed. */
+bool ct_store_on_read(struct ct_state *state,
                       const struct ct_store_read_done *read);
 /*
  * Applies an update from the source; rows: struct ct_store_upstream. Ignored
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -25,6 +25,8 @@
     CT_TOPIC_TALLIES,
     /* The final figures of each window, which are reported. */
     CT_TOPIC_FINALS,
+    /* Prompt parts that crash upstreams, see prompt-quarantine.h. */
+    CT_TOPIC_PROMPT_PARTS,
     CT_TOPIC_COUNT,
 };
 
@@ -72,6 +74,33 @@
     int64_t offset;
 };
 
+enum ct_part_record_kind {
+    /* An upstream broke off before it answered a call with the parts. */
+    CT_PART_CRASHED = 1,
+    /* Calls with the part are refused. */
+    CT_PART_QUARANTINED,
+    /* A call with the part was answered. */
+    CT_PART_ANSWERED,
+};
+
+/* CT_EFFECT_STORE_APPEND_PARTS, CT_EVENT_STORE_PARTS */
+struct ct_part_record {
+    enum ct_part_record_kind kind;
+    /* A single part unless kind is CT_PART_CRASHED. */
+    struct ct_prompt_parts parts;
+    /*
+     * CT_PART_CRASHED: hash of the upstream's name and start, and whether it
+     * had sent the head of its response.
+     */
+    uint64_t upstream;
+    bool begun;
+    /*
+     * True time of the crash, or at which the quarantine ends; not set for
+     * CT_PART_ANSWERED.
+     */
+    ct_ms wall_ms;
+};
+
 /* CT_EVENT_STORE_INVALID_ENTRY */
 struct ct_store_invalid_entry {
     enum ct_topic topic;
@@ -82,6 +111,9 @@
 /* CT_EFFECT_STORE_READ: the newest of each key, or records from an offset. */
 struct ct_store_read_effect {
     enum ct_topic topic;
+    /* Returned with the response; 0 if the reader does not number its reads.
+     */
+    uint32_t read_id;
     bool newest;
     /*
      * With newest set: key after which the page begins; empty for the first.
@@ -101,6 +133,7 @@
 /* CT_EVENT_STORE_READ_DONE: follows the events of the entries it read. */
 struct ct_store_read_done {
     enum ct_topic topic;
+    uint32_t read_id;
     bool newest;
     /*
      * CT_ERR_LOG_TRUNCATED: the records were removed, the first left is at
--- a/core/timer.h
+++ b/core/timer.h
@@ -36,6 +36,7 @@
     CT_TIMER_DUTY,
     CT_TIMER_REPLICATION,
     CT_TIMER_FORWARDED_TALLIES,
+    CT_TIMER_QUARANTINE,
 };
 
 struct ct_timer {
--- a/core/upstream-registry.c
+++ b/core/upstream-registry.c
@@ -29,7 +29,8 @@
 }
 
 static struct ct_upstream_entry *
-find_entry(struct ct_upstream_registry *registry, const struct ct_name *name)
+find_entry(const struct ct_upstream_registry *registry,
+           const struct ct_name *name)
 {
     return ct_table_get(&registry->entries,
                         ct_index_get(registry->by_name, name));
@@ -235,6 +236,16 @@
     add_entry(state, &new_entry);
 }
 
+ct_ms
+ct_upstream_registry_started_ms(const struct ct_state *state,
+                                const struct ct_name *name)
+{
+    const struct ct_upstream_entry *entry =
+        find_entry(&state->upstream_registry, name);
+
+    return entry ? entry->started_ms : 0;
+}
+
 void
 ct_upstream_registry_mark_present(struct ct_state *state,
                                   const struct ct_name *name)
--- a/core/upstream-registry.h
+++ b/core/upstream-registry.h
@@ -54,6 +54,10 @@
 void ct_upstream_registry_begin_full_read(struct ct_state *state);
 void ct_upstream_registry_end_full_read(struct ct_state *state);
 
+/* Returns when the upstream's process started; 0 if it has no entry. */
+ct_ms ct_upstream_registry_started_ms(const struct ct_state *state,
+                                      const struct ct_name *name);
+
 /* Removes missing entries and passes changes to the configuration's tables. */
 void ct_upstream_registry_publish(struct ct_state *state);
 /* CT_TIMER_STORE */
--- a/t/fuzz/fuzz-store.c
+++ b/t/fuzz/fuzz-store.c
@@ -5,9 +5,13 @@
 #include <glib.h>
 #include <string.h>
 
+#include "part-record-body.h"
 #include "store-body.h"
 #include "store-entry.h"
 
+#define BODY_DECODERS 5
+#define DECODERS 9
+
 static void
 on_record(void *arg, int64_t offset, const char *data, size_t n)
 {
@@ -75,8 +79,15 @@
         }
         return;
     }
-    if (ct_store_body_upstream("i-1", text, n, &event) == 0) {
-        ct_store_body_clear(&event);
+    if (kind == 1) {
+        if (ct_store_body_upstream("i-1", text, n, &event) == 0) {
+            ct_store_body_clear(&event);
+        }
+        return;
+    }
+    if (ct_part_record_parse(kind == 2 ? "crashed" : "part-1", text, n,
+                             &event.u.part_record) == 0) {
+        g_assert_cmpuint(event.u.part_record.parts.n, <=, CT_PROMPT_PARTS_MAX);
     }
 }
 
@@ -98,13 +109,14 @@
     if (n < 1) {
         return 0;
     }
-    if (bytes[0] % 7 >= 5) {
-        decode_entry(bytes[0] % 7 - 5, (const char *)bytes + 1, n - 1);
+    if (bytes[0] % DECODERS >= BODY_DECODERS) {
+        decode_entry(bytes[0] % DECODERS - BODY_DECODERS,
+                     (const char *)bytes + 1, n - 1);
         return 0;
     }
     body = g_byte_array_new();
     g_byte_array_append(body, bytes + 1, (guint)(n - 1));
-    decode_body(bytes[0] % 7, body);
+    decode_body(bytes[0] % DECODERS, body);
     g_byte_array_free(body, TRUE);
     return 0;
 }
--- /dev/null
+++ b/t/test-prompt-quarantine.c
@@ -0,0 +1,462 @@
+/*
+ * Tests of prompt-quarantine.h: prompt parts that crash upstreams are refused,
+ * other parts of the same prompts are not.
+ */
+#include <string.h>
+
+#include "error.h"
+#include "lib-relay.h"
+
+#define PART_SHARED UINT64_C(0x51)
+#define PART_DEADLY UINT64_C(0xdead)
+#define PART_SOUND UINT64_C(0x50)
+/* Time between two crashes, longer than that in which a rack is lost. */
+#define STEP_MS 300
+
+static const uint64_t deadly_parts[] = {PART_SHARED, PART_DEADLY, 0};
+static const uint64_t sound_parts[] = {PART_SHARED, PART_SOUND, 0};
+
+/* A host and the number of upstreams that were ever listed in its pool. */
+struct world {
+    struct t_core core;
+    uint32_t listed;
+    /* Calls with the deadly part that reached an upstream. */
+    uint32_t sent;
+};
+
+static void
+setup(struct world *world, uint32_t upstreams)
+{
+    memset(world, 0, sizeof(*world));
+    t_relay_setup(&world->core, upstreams);
+    world->listed = upstreams;
+}
+
+/* The upstream ends; another one takes its place. */
+static void
+replace_upstream(struct world *world, const struct ct_name *name)
+{
+    struct ct_store_upstream entry = t_upstream("engines", world->listed++);
+
+    t_relay_post_upstream(&world->core, &entry);
+    memset(&entry, 0, sizeof(entry));
+    entry.upstream.name = *name;
+    entry.removed = true;
+    t_relay_post_upstream(&world->core, &entry);
+    t_relay_confirm(&world->core);
+}
+
+static bool
+is_started(const struct t_core *core)
+{
+    return t_core_count(core, CT_EFFECT_RELAY_START_ATTEMPT) > 0;
+}
+
+/*
+ * Sends a call, all of whose attempts crash their upstreams with this status;
+ * returns the number of attempts.
+ */
+static uint32_t
+crash_by_call(struct world *world, const uint64_t *parts, uint32_t status)
+{
+    uint32_t attempts = 0;
+
+    t_relay_call_with_parts(&world->core, 1, T_RESUME_PATH, parts);
+    while (is_started(&world->core)) {
+        struct ct_relay_start start = t_relay_started(&world->core);
+
+        t_relay_finish(&world->core, start.attempt, CT_OUTCOME_CONNECTION_LOST,
+                       status);
+        attempts++;
+        if (!is_started(&world->core)) {
+            replace_upstream(world, &start.upstream);
+        }
+    }
+    return attempts;
+}
+
+/* Sends a call that is answered; returns whether an upstream got it. */
+static bool
+answer_call(struct t_core *core, const uint64_t *parts)
+{
+    struct ct_relay_start start;
+
+    t_relay_call_with_parts(core, 1, T_RESUME_PATH, parts);
+    if (!is_started(core)) {
+        return false;
+    }
+    start = t_relay_started(core);
+    t_relay_sent(core, start.attempt);
+    t_relay_data(core, start.attempt, 1);
+    t_relay_done(core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+    return true;
+}
+
+static void
+step(struct t_core *core)
+{
+    t_core_tick(core, STEP_MS);
+    t_relay_confirm(core);
+}
+
+/* Guards against calls that crash one upstream after the other (rule BUDGET). */
+static void
+test_deadly_part_stops_reaching_upstreams(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+        g_assert_true(answer_call(&world.core, sound_parts));
+    }
+    for (guint i = 0; i < 20; i++) {
+        world.sent += crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+        g_assert_true(answer_call(&world.core, sound_parts));
+    }
+    g_assert_cmpuint(world.sent, ==, 0);
+    t_core_free(&world.core);
+}
+
+/* A deadly part that comes with ever other parts is told from them. */
+static void
+test_other_parts_of_deadly_calls_stay_allowed(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        const uint64_t parts[] = {PART_SHARED + 1 + i, PART_DEADLY, 0};
+
+        crash_by_call(&world, parts, 200);
+        step(&world.core);
+    }
+    for (guint i = 0; i < 5; i++) {
+        const uint64_t parts[] = {PART_SHARED + 1 + i, PART_SOUND, 0};
+
+        g_assert_true(answer_call(&world.core, parts));
+    }
+    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    t_core_free(&world.core);
+}
+
+/*
+ * No host has seen an answer to the shared part yet: a sound call is let
+ * through to tell it from the deadly one.
+ */
+static void
+test_unanswered_shared_part_released_by_probe(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+    }
+    g_assert_true(answer_call(&world.core, sound_parts));
+    g_assert_cmpint(
+        t_core_effect(&world.core, CT_EFFECT_LOG_EVENT, 0)->u.log.event, !=,
+        CT_LOG_PART_QUARANTINED);
+    g_assert_true(answer_call(&world.core, sound_parts));
+    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    t_core_free(&world.core);
+}
+
+/* In a group only a part of the calls are let through to find out. */
+static void
+test_few_probes_in_a_group(void)
+{
+    uint32_t passed = 0;
+    struct world world;
+
+    setup(&world, 12);
+    t_relay_post_members(&world.core, CT_OK, 50);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+    }
+    for (guint i = 0; i < 50; i++) {
+        t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, sound_parts);
+        passed += is_started(&world.core);
+    }
+    g_assert_cmpuint(passed, <=, 5);
+    t_core_free(&world.core);
+}
+
+/* Engines that send no head before they crash take twice as many crashes. */
+static void
+test_crashes_without_a_head(void)
+{
+    struct world world;
+
+    setup(&world, 20);
+    for (guint i = 0; i < 6; i++) {
+        crash_by_call(&world, deadly_parts, 0);
+        step(&world.core);
+        g_assert_true(answer_call(&world.core, sound_parts));
+    }
+    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 0), ==, 0);
+    t_core_free(&world.core);
+}
+
+/* Upstreams that are lost together, with their zone, accuse no part. */
+static void
+test_lost_zone_accuses_no_part(void)
+{
+    struct ct_relay_start starts[8];
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < G_N_ELEMENTS(starts); i++) {
+        t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, sound_parts);
+        starts[i] = t_relay_started(&world.core);
+        t_relay_sent(&world.core, starts[i].attempt);
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(starts); i++) {
+        t_relay_done(&world.core, starts[i].attempt,
+                     CT_OUTCOME_CONNECTION_LOST, 200);
+    }
+    step(&world.core);
+    g_assert_true(answer_call(&world.core, sound_parts));
+    t_core_free(&world.core);
+}
+
+/* An upstream that keeps breaking off counts once, since it has not restarted.
+ */
+static void
+test_one_faulty_upstream_accuses_no_part(void)
+{
+    struct t_core core;
+
+    t_relay_setup(&core, 1);
+    for (guint i = 0; i < 10; i++) {
+        t_relay_call_with_parts(&core, 1, T_RESUME_PATH, sound_parts);
+        t_relay_finish(&core, t_relay_started(&core).attempt,
+                       CT_OUTCOME_CONNECTION_LOST, 200);
+        step(&core);
+    }
+    g_assert_true(answer_call(&core, sound_parts));
+    t_core_free(&core);
+}
+
+/* The refusal is true and says when the quarantine ends. */
+static void
+test_refusal(void)
+{
+    const struct ct_refuse_effect *refuse;
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+    }
+    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
+    t_core_assert_refused(&world.core, CT_REFUSAL_PROMPT_QUARANTINED,
+                          CT_NOT_RUN);
+    refuse =
+        &t_core_effect(&world.core, CT_EFFECT_REFUSE_REQUEST, 0)->u.refuse;
+    g_assert_cmpint(refuse->retry_after_ms, >, 500000);
+    g_assert_cmpint(refuse->retry_after_ms, <=, 600000);
+    t_core_free(&world.core);
+}
+
+/* After the quarantine calls pass again, until the next crash. */
+static void
+test_end_of_quarantine(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+        answer_call(&world.core, sound_parts);
+    }
+    t_core_tick(&world.core, 601000);
+    t_relay_confirm(&world.core);
+    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 1);
+    step(&world.core);
+    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    t_core_free(&world.core);
+}
+
+static void
+post_record(struct t_core *core, const struct ct_part_record *record)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_PARTS};
+
+    event.u.part_record = *record;
+    t_core_post(core, &event);
+}
+
+/* Passes the records that a host has just appended on to another one. */
+static void
+pass_records(const struct t_core *from, struct t_core *to)
+{
+    const struct ct_effect *effect;
+
+    for (guint i = 0;
+         (effect = t_core_effect(from, CT_EFFECT_STORE_APPEND_PARTS, i));
+         i++) {
+        post_record(to, &effect->u.part_record);
+    }
+}
+
+/* Crashes that each host sees only some of count together. */
+static void
+test_hosts_share_crashes(void)
+{
+    struct t_core hosts[3];
+
+    for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        t_relay_setup(&hosts[i], 12);
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        struct ct_store_upstream entry = t_upstream("engines", 20 + i);
+        struct ct_relay_start start;
+
+        t_relay_call_with_parts(&hosts[i], 1, T_STREAM_PATH, deadly_parts);
+        start = t_relay_started(&hosts[i]);
+        /* Each host lost another upstream, or the same one restarted. */
+        entry.upstream.name = start.upstream;
+        entry.started_ms = 100 + i;
+        t_relay_post_upstream(&hosts[i], &entry);
+        t_relay_finish(&hosts[i], start.attempt, CT_OUTCOME_CONNECTION_LOST,
+                       200);
+        for (guint j = 0; j < G_N_ELEMENTS(hosts); j++) {
+            if (j != i) {
+                pass_records(&hosts[i], &hosts[j]);
+                step(&hosts[j]);
+            }
+        }
+        step(&hosts[i]);
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        t_relay_call_with_parts(&hosts[i], 1, T_STREAM_PATH, deadly_parts);
+        g_assert_false(is_started(&hosts[i]));
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        t_core_free(&hosts[i]);
+    }
+}
+
+static struct ct_part_record
+record_of(enum ct_part_record_kind kind, ct_ms wall_ms)
+{
+    return (struct ct_part_record){
+        .kind = kind,
+        .parts = {.ids = {PART_DEADLY}, .n = 1},
+        .wall_ms = wall_ms,
+    };
+}
+
+/* A host that starts learns of quarantines, and of their early end. */
+static void
+test_quarantine_from_the_store(void)
+{
+    struct ct_part_record record;
+    struct t_core core;
+
+    t_relay_setup(&core, 3);
+    record = record_of(CT_PART_QUARANTINED, core.wall_ms - 1);
+    post_record(&core, &record);
+    g_assert_true(answer_call(&core, deadly_parts));
+    record = record_of(CT_PART_QUARANTINED, core.wall_ms + 100 * 3600 * 1000);
+    post_record(&core, &record);
+    t_relay_call_with_parts(&core, 1, T_RESUME_PATH, deadly_parts);
+    g_assert_false(is_started(&core));
+    /* What the store has is not written again. */
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_STORE_APPEND_PARTS), ==, 0);
+    record = record_of(CT_PART_ANSWERED, 0);
+    post_record(&core, &record);
+    g_assert_true(answer_call(&core, deadly_parts));
+    record = record_of(CT_PART_QUARANTINED, core.wall_ms + 100 * 3600 * 1000);
+    post_record(&core, &record);
+    t_core_tick(&core, 601000);
+    t_relay_confirm(&core);
+    g_assert_true(answer_call(&core, deadly_parts));
+    t_core_free(&core);
+}
+
+/* A refusal writes the quarantine for hosts that start later, once a second. */
+static void
+test_quarantine_written(void)
+{
+    const struct ct_effect *effect;
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+        answer_call(&world.core, sound_parts);
+    }
+    t_core_tick(&world.core, 1000);
+    t_relay_confirm(&world.core);
+    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
+    effect = t_core_effect(&world.core, CT_EFFECT_STORE_APPEND_PARTS, 0);
+    g_assert_cmpint(effect->u.part_record.kind, ==, CT_PART_QUARANTINED);
+    g_assert_cmphex(effect->u.part_record.parts.ids[0], ==, PART_DEADLY);
+    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
+    g_assert_cmpuint(t_core_count(&world.core, CT_EFFECT_STORE_APPEND_PARTS),
+                     ==, 0);
+    t_core_free(&world.core);
+}
+
+/* More parts than the table holds do not displace a quarantined one. */
+static void
+test_many_parts(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(&world, deadly_parts, 200);
+        step(&world.core);
+        answer_call(&world.core, sound_parts);
+    }
+    for (guint i = 0; i < 5000; i++) {
+        const uint64_t parts[] = {0x10000 + i, 0};
+
+        g_assert_true(answer_call(&world.core, parts));
+    }
+    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    t_core_free(&world.core);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/prompt-quarantine/deadly-part-stops-reaching-upstreams",
+                    test_deadly_part_stops_reaching_upstreams);
+    g_test_add_func(
+        "/prompt-quarantine/other-parts-of-deadly-calls-stay-allowed",
+        test_other_parts_of_deadly_calls_stay_allowed);
+    g_test_add_func(
+        "/prompt-quarantine/unanswered-shared-part-released-by-probe",
+        test_unanswered_shared_part_released_by_probe);
+    g_test_add_func("/prompt-quarantine/few-probes-in-a-group",
+                    test_few_probes_in_a_group);
+    g_test_add_func("/prompt-quarantine/crashes-without-a-head",
+                    test_crashes_without_a_head);
+    g_test_add_func("/prompt-quarantine/lost-zone-accuses-no-part",
+                    test_lost_zone_accuses_no_part);
+    g_test_add_func("/prompt-quarantine/one-faulty-upstream-accuses-no-part",
+                    test_one_faulty_upstream_accuses_no_part);
+    g_test_add_func("/prompt-quarantine/refusal", test_refusal);
+    g_test_add_func("/prompt-quarantine/end-of-quarantine",
+                    test_end_of_quarantine);
+    g_test_add_func("/prompt-quarantine/hosts-share-crashes",
+                    test_hosts_share_crashes);
+    g_test_add_func("/prompt-quarantine/quarantine-from-the-store",
+                    test_quarantine_from_the_store);
+    g_test_add_func("/prompt-quarantine/quarantine-written",
+                    test_quarantine_written);
+    g_test_add_func("/prompt-quarantine/many-parts", test_many_parts);
+    return g_test_run();
+}
