core, platform: log the limits that upstreams name

Change: the head of a response is an event of its own (relay-head) with a typed notice of what the upstream says of itself; core/upstream-notices keeps it by upstream and logs changes (1815, 1816) and values that cannot be read (1819, at most one in 10 s).

--- a/core/event.h
+++ b/core/event.h
@@ -74,6 +74,8 @@
     CT_EVENT_RELAY_CALLER_DISCONNECTED,
     /* Bytes of the call are being sent. */
     CT_EVENT_RELAY_ATTEMPT_SENT,
+    /* The head of the response to this call was received. */
+    CT_EVENT_RELAY_ATTEMPT_HEAD,
     /* Complete events of a streamed response. */
     CT_EVENT_RELAY_ATTEMPT_DATA,
     CT_EVENT_RELAY_ATTEMPT_DONE,
--- a/core/prompt-quarantine.c
+++ b/core/prompt-quarantine.c
@@ -184,8 +184,8 @@
 
         if (row && is_quarantined(row, state->now_ms) &&
             !separates(row, parts)) {
-            retry_after_ms = MAX(retry_after_ms,
-                                 row->quarantined_until_ms - state->now_ms);
+            retry_after_ms =
+                MAX(retry_after_ms, row->quarantined_until_ms - state->now_ms);
         }
     }
     return retry_after_ms;
@@ -267,7 +267,8 @@
 }
 
 static void
-begin_quarantine(struct ct_state *state, struct ct_part_row *row, ct_ms until_ms)
+begin_quarantine(struct ct_state *state, struct ct_part_row *row,
+                 ct_ms until_ms)
 {
     if (!is_quarantined(row, state->now_ms)) {
         log_part(state, CT_LOG_PART_QUARANTINED, row, "crashes");
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -334,6 +334,11 @@
     case CT_EVENT_RELAY_ATTEMPT_SENT:
         ct_relay_on_sent(state, &event->u.progress);
         return CT_OK;
+    case CT_EVENT_RELAY_ATTEMPT_HEAD:
+        ct_upstream_notices_on_head(
+            state, ct_relay_attempt_upstream(state, &event->u.progress),
+            &event->u.progress.notice);
+        return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_DATA:
         ct_relay_on_data(state, &event->u.progress);
         return CT_OK;
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -265,6 +265,16 @@
     relay->may_have_run = true;
 }
 
+struct ct_handle
+ct_relay_attempt_upstream(const struct ct_state *state,
+                          const struct ct_relay_progress *progress)
+{
+    const struct ct_relay_attempt *attempt =
+        ct_table_get(&state->relays.attempts, progress->attempt);
+
+    return attempt ? attempt->upstream : CT_NO_HANDLE;
+}
+
 static void
 count_usage(struct ct_state *state, struct ct_relay *relay)
 {
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -50,9 +50,18 @@
     uint32_t max_tokens;
 };
 
+/* What an upstream says about itself in the head of a response. */
+struct ct_upstream_notice {
+    /* It takes limit_permille / 1000 requests a second from all hosts. */
+    bool limited;
+    int64_t limit_permille;
+    /* A value that cannot be read was ignored. */
+    bool invalid;
+};
+
 /*
- * CT_EVENT_RELAY_ATTEMPT_SENT, CT_EVENT_RELAY_ATTEMPT_DATA,
- * CT_EVENT_RELAY_ATTEMPT_DONE
+ * CT_EVENT_RELAY_ATTEMPT_SENT, CT_EVENT_RELAY_ATTEMPT_HEAD,
+ * CT_EVENT_RELAY_ATTEMPT_DATA, CT_EVENT_RELAY_ATTEMPT_DONE
  */
 struct ct_relay_progress {
     struct ct_handle attempt;
@@ -63,6 +72,8 @@
     uint32_t events;
     uint32_t bytes;
     uint64_t last_event;
+    /* CT_EVENT_RELAY_ATTEMPT_HEAD */
+    struct ct_upstream_notice notice;
     /* CT_EVENT_RELAY_ATTEMPT_DONE */
     enum ct_outcome outcome;
     uint32_t status;
--- a/core/relay.h
+++ b/core/relay.h
@@ -106,6 +106,10 @@
 void ct_relay_send(struct ct_state *state, struct ct_handle handle);
 void ct_relay_on_sent(struct ct_state *state,
                       const struct ct_relay_progress *progress);
+/* Returns the upstream of the attempt, or CT_NO_HANDLE if it has ended. */
+struct ct_handle
+ct_relay_attempt_upstream(const struct ct_state *state,
+                          const struct ct_relay_progress *progress);
 void ct_relay_on_data(struct ct_state *state,
                       const struct ct_relay_progress *progress);
 void ct_relay_on_done(struct ct_state *state,
--- a/core/state.h
+++ b/core/state.h
@@ -13,6 +13,7 @@
 #include "forwarded-tally.h"
 #include "keys.h"
 #include "lease.h"
+#include "upstream-notices.h"
 #include "upstream-registry.h"
 #include "record-append.h"
 #include "log-replay.h"
@@ -89,6 +90,7 @@
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
+    struct ct_upstream_notices upstream_notices;
     struct ct_prompt_quarantine prompt_quarantine;
     struct ct_quarantine_sync quarantine_sync;
     struct ct_tallies tallies;
--- a/shell/dialect.h
+++ b/shell/dialect.h
@@ -21,6 +21,7 @@
     bool declined;
     /* The response carries the upstream's proof of origin. */
     bool proven;
+    struct ct_upstream_notice notice;
 };
 
 struct ct_dialect;
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -104,6 +104,19 @@
     }
 }
 
+/* The head of another request's response says nothing about this upstream. */
+static void
+post_head(struct relay_attempt *attempt)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_HEAD};
+
+    if (attempt->head.id_matches) {
+        event.u.progress.status = attempt->head.status;
+        event.u.progress.notice = attempt->head.notice;
+        post_progress(attempt, &event);
+    }
+}
+
 static int
 on_header(struct ct_transfer *transfer, const char *line, size_t n)
 {
@@ -120,6 +133,9 @@
     }
     else if (copy[0] == '\0') {
         attempt->head_complete = attempt->head.status >= FIRST_FINAL_STATUS;
+        if (attempt->head_complete) {
+            post_head(attempt);
+        }
     }
     else {
         parse_header_line(attempt, copy);
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -241,6 +241,49 @@
     }
 }
 
+/* Limits that an upstream names; values that cannot be read are ignored. */
+static void
+test_limits(void)
+{
+    static const struct {
+        const char *value;
+        bool limited, invalid;
+        int64_t permille;
+    } cases[] = {
+        {"3.2", true, false, 3200},
+        {"0", true, false, 0},
+        {"0.0004", true, false, 0},
+        {"250", true, false, 250000},
+        {"", false, true, 0},
+        {"-1", false, true, 0},
+        {"+1", false, true, 0},
+        {"1e3", false, true, 0},
+        {"0x10", false, true, 0},
+        {"inf", false, true, 0},
+        {"nan", false, true, 0},
+        {"many", false, true, 0},
+        {"3.2 a second", false, true, 0},
+        {"1.2.3", false, true, 0},
+        {"3,2", false, true, 0},
+        {"9999999", false, true, 0},
+        {"11111111111111111111111111111111111111", false, true, 0},
+        {"0.0000000000000000000000000000000001", false, true, 0},
+        {"Sat, 05 Dec 2026 14:00:00 GMT", false, true, 0},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_upstream_response_head head = {.status = 200};
+        struct ct_relay_start start = {.rank = 0};
+
+        g_assert_true(ops()->response_header(ct_platform_dialect(), &start,
+                                             "server-limit", cases[i].value,
+                                             &head));
+        g_assert_cmpint(head.notice.limited, ==, cases[i].limited);
+        g_assert_cmpint(head.notice.invalid, ==, cases[i].invalid);
+        g_assert_cmpint(head.notice.limit_permille, ==, cases[i].permille);
+    }
+}
+
 static void
 test_own_responses(void)
 {
@@ -273,6 +316,7 @@
     g_test_add_func("/call-dialect/attempt-headers", test_attempt_headers);
     g_test_add_func("/call-dialect/backup-headers", test_backup_headers);
     g_test_add_func("/call-dialect/response-headers", test_response_headers);
+    g_test_add_func("/call-dialect/limits", test_limits);
     g_test_add_func("/call-dialect/own-responses", test_own_responses);
     return g_test_run();
 }
--- a/t/test-part-record-body.c
+++ b/t/test-part-record-body.c
@@ -22,9 +22,9 @@
     g_assert_cmphex(out.upstream, ==, record->upstream);
     g_assert_cmpint(out.begun, ==, record->begun);
     g_assert_cmpuint(out.parts.n, ==, record->parts.n);
-    g_assert_cmpint(memcmp(out.parts.ids, record->parts.ids,
-                           sizeof(out.parts.ids)),
-                    ==, 0);
+    g_assert_cmpint(
+        memcmp(out.parts.ids, record->parts.ids, sizeof(out.parts.ids)), ==,
+        0);
     g_string_free(name, TRUE);
     g_string_free(body, TRUE);
 }
@@ -75,25 +75,31 @@
         {"crashed", "", CT_ERR_JSON_SYNTAX},
         {"crashed", "{\"begun\":true,\"at_ms\":1,\"parts\":[]}",
          CT_ERR_FIELD_MISSING},
-        {"crashed", "{\"upstream\":\"g\",\"begun\":true,\"at_ms\":1,"
-                    "\"parts\":[]}",
+        {"crashed",
+         "{\"upstream\":\"g\",\"begun\":true,\"at_ms\":1,"
+         "\"parts\":[]}",
          CT_ERR_FIELD_RANGE},
-        {"crashed", "{\"upstream\":\"1\",\"begun\":1,\"at_ms\":1,"
-                    "\"parts\":[]}",
+        {"crashed",
+         "{\"upstream\":\"1\",\"begun\":1,\"at_ms\":1,"
+         "\"parts\":[]}",
          CT_ERR_FIELD_TYPE},
         {"crashed", "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1}",
          CT_ERR_FIELD_MISSING},
-        {"crashed", "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
-                    "\"parts\":{}}",
+        {"crashed",
+         "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
+         "\"parts\":{}}",
          CT_ERR_FIELD_TYPE},
-        {"crashed", "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
-                    "\"parts\":[1]}",
+        {"crashed",
+         "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
+         "\"parts\":[1]}",
          CT_ERR_FIELD_TYPE},
-        {"crashed", "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
-                    "\"parts\":[[]]}",
+        {"crashed",
+         "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
+         "\"parts\":[[]]}",
          CT_ERR_FIELD_TYPE},
-        {"crashed", "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
-                    "\"parts\":[\"\"]}",
+        {"crashed",
+         "{\"upstream\":\"1\",\"begun\":true,\"at_ms\":1,"
+         "\"parts\":[\"\"]}",
          CT_ERR_FIELD_RANGE},
     };
 
--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -99,7 +99,8 @@
     t_relay_confirm(core);
 }
 
-/* Guards against calls that crash one upstream after the other (rule BUDGET). */
+/* Guards against calls that crash one upstream after the other (rule BUDGET).
+ */
 static void
 test_deadly_part_stops_reaching_upstreams(void)
 {
@@ -382,7 +383,8 @@
     t_core_free(&core);
 }
 
-/* A refusal writes the quarantine for hosts that start later, once a second. */
+/* A refusal writes the quarantine for hosts that start later, once a second.
+ */
 static void
 test_quarantine_written(void)
 {
--- a/wire/part-record-body.c
+++ b/wire/part-record-body.c
@@ -106,15 +106,15 @@
 static int
 parse_crash(JsonObject *object, struct ct_part_record *record)
 {
-    int err = parse_hex(ct_json_get_string(object, "upstream"),
-                        &record->upstream);
+    int err =
+        parse_hex(ct_json_get_string(object, "upstream"), &record->upstream);
 
     if (err == CT_OK) {
         err = ct_json_get_bool(object, "begun", &record->begun);
     }
     if (err == CT_OK) {
-        err = ct_json_get_int(object, "at_ms", 0, G_MAXINT64,
-                              &record->wall_ms);
+        err =
+            ct_json_get_int(object, "at_ms", 0, G_MAXINT64, &record->wall_ms);
     }
     if (err == CT_OK) {
         err = parse_parts(object, &record->parts);
