core: share the limits that upstreams name among the hosts

Callers saw: nothing yet; upstreams in need got up to 27 calls in 4 s where they had named 3.2 a second.

Cause: the limit in an upstream's responses was forwarded to callers and read by nobody who chooses upstreams.

Change: an upstream that names a limit is barred for a host without a token in its bucket; few hosts share a small limit. Calls that find all upstreams of their pool limited wait up to 400 ms, then are refused as not run (upstream-limited) with a Retry-After; less urgent ones yield. All places that choose an upstream read the same table.

Why this works: in any 4 s the hosts together send four times the limit and one call each, and no more hosts share a limit than that allows.

Tried and taken out: a bound on the calls at upstreams without a limit beside limited ones, at 25, 60 and 100 percent of their slots.

--- a/core/balance-affinity.c
+++ b/core/balance-affinity.c
@@ -170,7 +170,7 @@
     choice->slots = candidate->slots > 0 ? candidate->slots : 1;
     choice->cheap = candidate->cheap;
     choice->slow = row->health == CT_EJECTED_SLOW;
-    choice->eligible = !candidate->excluded &&
+    choice->eligible = !candidate->excluded && !candidate->barred &&
                        (!candidate->cheap || request->cheap_allowed) &&
                        row->in_flight < candidate->slots &&
                        row->full_until_ms <= request->now_ms;
--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -25,6 +25,8 @@
     bool excluded;
     /* Accepts no new requests, but still has its cached prefixes. */
     bool leaving;
+    /* Must get no request now, by what it says of itself. */
+    bool barred;
 };
 
 struct ct_balance_request {
--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -149,7 +149,7 @@
 is_in_scope(const struct scope *scope, const struct ct_candidate *candidate,
             const struct ct_balance_row *row)
 {
-    return !candidate->excluded &&
+    return !candidate->excluded && !candidate->barred &&
            (scope->any_health ||
             row->ejected_until_ms <= scope->request->now_ms) &&
            (scope->any_kind || matches_kind(scope, candidate));
@@ -538,7 +538,8 @@
             ct_balance_row(&base->rows, candidates[i].upstream);
         uint64_t score;
 
-        if (i == chosen || !row || candidates[i].excluded) {
+        if (i == chosen || !row || candidates[i].excluded ||
+            candidates[i].barred) {
             continue;
         }
         score = backup_score(&candidates[i], row, &reserve, request->now_ms);
--- a/core/balance-rows.c
+++ b/core/balance-rows.c
@@ -119,7 +119,8 @@
                             const struct ct_candidate *candidate,
                             const struct ct_balance_request *request)
 {
-    if (candidate->excluded || (candidate->cheap && !request->cheap_allowed)) {
+    if (candidate->excluded || candidate->barred ||
+        (candidate->cheap && !request->cheap_allowed)) {
         return false;
     }
     return row->in_flight < candidate->slots &&
--- a/core/candidates.c
+++ b/core/candidates.c
@@ -39,7 +39,35 @@
                 filter->zone && ct_name_eq(filter->zone, &upstream->conf.zone),
             .excluded = ct_candidate_was_tried(filter->tried, filter->n_tried,
                                                pool->upstreams[i]),
+            .barred = ct_upstream_notices_bar(state, pool->upstreams[i],
+                                              filter->rank),
         };
     }
     return n;
 }
+
+ct_ms
+ct_candidates_free_in_ms(const struct ct_state *state,
+                         const struct ct_candidate_filter *filter)
+{
+    const struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, filter->pool);
+    ct_ms least_ms = 0;
+
+    for (uint32_t i = 0; i < pool->n_upstreams; i++) {
+        const struct ct_upstream_row *upstream =
+            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+        ct_ms free_in_ms;
+
+        if (!upstream || upstream->state != filter->state ||
+            ct_candidate_was_tried(filter->tried, filter->n_tried,
+                                   pool->upstreams[i])) {
+            continue;
+        }
+        free_in_ms = ct_upstream_notices_free_in_ms(state, pool->upstreams[i]);
+        if (free_in_ms > 0 && (least_ms == 0 || free_in_ms < least_ms)) {
+            least_ms = free_in_ms;
+        }
+    }
+    return least_ms;
+}
--- a/core/candidates.h
+++ b/core/candidates.h
@@ -21,6 +21,8 @@
     /* Upstreams that the request was sent to before; they are excluded. */
     const struct ct_handle *tried;
     uint32_t n_tried;
+    /* Level of priority of the request, see upstream-notices.h. */
+    uint32_t rank;
 };
 
 /* Writes at most max candidates and returns their number. */
@@ -28,6 +30,14 @@
                             const struct ct_candidate_filter *filter,
                             struct ct_candidate *out, uint32_t max);
 
+/*
+ * Returns the time until one of the upstreams that were not tried and are
+ * barred now may get a request, CT_MS_NEVER if none ever may, or 0 if none is
+ * barred.
+ */
+ct_ms ct_candidates_free_in_ms(const struct ct_state *state,
+                               const struct ct_candidate_filter *filter);
+
 bool ct_candidate_was_tried(const struct ct_handle *tried, uint32_t n_tried,
                             struct ct_handle upstream);
 
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -66,6 +66,9 @@
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
         return;
+    case CT_TIMER_RELAY_WAIT:
+        ct_relay_on_wait_timer(state, timer->handle);
+        return;
     case CT_TIMER_STORE:
         ct_store_on_timer(state);
         return;
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -34,7 +34,8 @@
     X(DRAINING, "draining", 503)                                              \
     X(RESPONSE_UNKNOWN, "answer-unknown", 404)                                \
     X(UPSTREAM_FULL, "upstream-full", 503)                                    \
-    X(PROMPT_QUARANTINED, "prompt-quarantined", 503)
+    X(PROMPT_QUARANTINED, "prompt-quarantined", 503)                          \
+    X(UPSTREAM_LIMITED, "upstream-limited", 503)
 
 enum ct_refusal {
 #define X(name, text, status) CT_REFUSAL_##name,
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -16,9 +16,26 @@
 #define UNSENT_ATTEMPTS_MAX 4
 /* A call with less time left than this is not retried. */
 #define RETRY_MIN_REMAINING_MS 50
+/* How long a call waits at this host for a limited upstream, and in steps. */
+#define LIMIT_WAIT_MAX_MS 400
+#define LIMIT_WAIT_STEP_MS 10
 #define STATUS_OK 200
 #define FIRST_SERVER_ERROR 500
 
+/* Selects the running upstreams of the call's pool. */
+static struct ct_candidate_filter
+filter_running(const struct ct_state *state, const struct ct_relay *relay)
+{
+    return (struct ct_candidate_filter){
+        .pool = relay->pool,
+        .state = CT_UPSTREAM_RUNNING,
+        .zone = &state->self.zone,
+        .tried = relay->tried,
+        .n_tried = relay->n_tried,
+        .rank = relay->rank,
+    };
+}
+
 /*
  * Lists the running upstreams of the pool or, if there are none, the
  * unconfirmed ones.
@@ -27,13 +44,7 @@
 list_candidates(const struct ct_state *state, const struct ct_relay *relay,
                 struct ct_candidate *out)
 {
-    struct ct_candidate_filter filter = {
-        .pool = relay->pool,
-        .state = CT_UPSTREAM_RUNNING,
-        .zone = &state->self.zone,
-        .tried = relay->tried,
-        .n_tried = relay->n_tried,
-    };
+    struct ct_candidate_filter filter = filter_running(state, relay);
     uint32_t n = ct_candidates_list(state, &filter, out, CT_CANDIDATES_MAX);
 
     if (n > 0) {
@@ -111,12 +122,15 @@
     const struct ct_balance_policy_ops *ops = state->relay_balance->ops;
     const struct ct_balance_request request = describe_request(state, relay);
     struct ct_candidate candidates[CT_CANDIDATES_MAX];
-    uint32_t n = list_candidates(state, relay, candidates);
     struct upstream_choice choice = {.upstream = CT_NO_HANDLE};
-    int chosen =
-        ops->choose_upstream(state->relay_balance, &request, candidates, n);
+    uint32_t n;
+    int chosen;
     int donor;
 
+    ct_upstream_notices_share(state);
+    n = list_candidates(state, relay, candidates);
+    chosen =
+        ops->choose_upstream(state->relay_balance, &request, candidates, n);
     if (chosen < 0) {
         return choice;
     }
@@ -184,6 +198,37 @@
     start->from_backup = choice->from_backup;
 }
 
+/*
+ * No upstream can take the call: it waits if one is limited and free soon,
+ * else it fails.
+ */
+static void
+wait_or_fail(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
+    const struct ct_candidate_filter filter = filter_running(state, relay);
+    ct_ms wait_ms = ct_candidates_free_in_ms(state, &filter);
+    ct_ms waited_ms =
+        relay->waiting_since_ms ? state->now_ms - relay->waiting_since_ms : 0;
+
+    if (wait_ms > 0) {
+        ct_upstream_notices_on_wait(state, relay->pool, relay->rank);
+    }
+    if (wait_ms > 0 && waited_ms + wait_ms <= LIMIT_WAIT_MAX_MS) {
+        relay->waiting_since_ms = state->now_ms - waited_ms;
+        ct_arm_timer(state, MAX(wait_ms, LIMIT_WAIT_STEP_MS),
+                     CT_TIMER_RELAY_WAIT, handle);
+        return;
+    }
+    if (relay->may_have_run) {
+        ct_relay_fail(state, handle, CT_REFUSAL_UPSTREAM_FAILED);
+        return;
+    }
+    ct_relay_fail(state, handle,
+                  wait_ms > 0 ? CT_REFUSAL_UPSTREAM_LIMITED
+                              : CT_REFUSAL_NO_UPSTREAM);
+}
+
 static void
 start_attempt(struct ct_state *state, struct ct_handle handle,
               const struct upstream_choice *choice)
@@ -196,11 +241,10 @@
     int err;
 
     if (!upstream) {
-        ct_relay_fail(state, handle,
-                      relay->may_have_run ? CT_REFUSAL_UPSTREAM_FAILED
-                                          : CT_REFUSAL_NO_UPSTREAM);
+        wait_or_fail(state, handle);
         return;
     }
+    relay->waiting_since_ms = 0;
     err = ct_table_add(&state->relays.attempts, &relay->attempt);
     if (err < 0) {
         state->out->err = err;
@@ -217,11 +261,22 @@
     ct_table_ref(&state->config.upstreams, chosen);
     upstream->in_flight++;
     ct_increment_counter(state, CT_COUNTER_ATTEMPTS);
+    ct_upstream_notices_on_attempt(state, chosen);
     state->relay_balance->ops->started(state->relay_balance, chosen,
                                        state->now_ms);
     emit_attempt_start(state, relay, choice);
 }
 
+void
+ct_relay_on_wait_timer(struct ct_state *state, struct ct_handle handle)
+{
+    const struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
+
+    if (relay && relay->waiting_since_ms) {
+        ct_relay_send(state, handle);
+    }
+}
+
 void
 ct_relay_send(struct ct_state *state, struct ct_handle handle)
 {
--- a/core/relay-backup.c
+++ b/core/relay-backup.c
@@ -44,6 +44,7 @@
         .zone = &upstream->conf.zone,
         .tried = relay->tried,
         .n_tried = relay->n_tried,
+        .rank = relay->rank,
     };
     struct ct_candidate candidates[CT_CANDIDATES_MAX];
     uint32_t n;
@@ -72,5 +73,6 @@
     const struct ct_upstream_row *upstream =
         ct_table_get(&state->config.upstreams, relay->backup);
 
-    return upstream && upstream->state != CT_UPSTREAM_LEAVING;
+    return upstream && upstream->state != CT_UPSTREAM_LEAVING &&
+           !ct_upstream_notices_bar(state, relay->backup, relay->rank);
 }
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -2,11 +2,14 @@
 
 #include <string.h>
 
+#include "candidates.h"
 #include "index.h"
 #include "state.h"
 
 /* Delay after which a caller may retry a refused call. */
 #define RETRY_AFTER_MS 200
+/* Limits change, so the end of a longer time is not known. */
+#define LIMITED_RETRY_AFTER_MAX_MS 5000
 
 void
 ct_relays_init(struct ct_relays *relays)
@@ -86,9 +89,18 @@
 retry_after_ms(const struct ct_state *state, const struct ct_relay *relay,
                enum ct_refusal reason)
 {
-    return reason == CT_REFUSAL_PROMPT_QUARANTINED
-               ? ct_prompt_quarantine_retry_after_ms(state, &relay->parts)
-               : RETRY_AFTER_MS;
+    struct ct_candidate_filter filter = {.state = CT_UPSTREAM_RUNNING};
+
+    switch (reason) {
+    case CT_REFUSAL_PROMPT_QUARANTINED:
+        return ct_prompt_quarantine_retry_after_ms(state, &relay->parts);
+    case CT_REFUSAL_UPSTREAM_LIMITED:
+        filter.pool = relay->pool;
+        return CLAMP(ct_candidates_free_in_ms(state, &filter), RETRY_AFTER_MS,
+                     LIMITED_RETRY_AFTER_MAX_MS);
+    default:
+        return RETRY_AFTER_MS;
+    }
 }
 
 void
--- a/core/relay.h
+++ b/core/relay.h
@@ -43,6 +43,8 @@
     ct_ms config_age_ms;
 
     struct ct_handle attempt;
+    /* When the call began to wait for a limited upstream; 0 if it does not. */
+    ct_ms waiting_since_ms;
     /* Attempts that sent bytes to an upstream, and those that sent none. */
     uint32_t sent_attempts;
     uint32_t unsent_attempts;
@@ -102,8 +104,13 @@
 
 /* relay-attempt.c */
 
-/* Starts an attempt at an upstream; fails the call if there is none. */
+/*
+ * Starts an attempt at an upstream; fails the call if there is none. If all
+ * are limited and one is free soon, the call waits for it.
+ */
 void ct_relay_send(struct ct_state *state, struct ct_handle handle);
+/* CT_TIMER_RELAY_WAIT: tries again to send a call that waits. */
+void ct_relay_on_wait_timer(struct ct_state *state, struct ct_handle handle);
 void ct_relay_on_sent(struct ct_state *state,
                       const struct ct_relay_progress *progress);
 /* Returns the upstream of the attempt, or CT_NO_HANDLE if it has ended. */
--- a/core/timer.h
+++ b/core/timer.h
@@ -37,6 +37,7 @@
     CT_TIMER_REPLICATION,
     CT_TIMER_FORWARDED_TALLIES,
     CT_TIMER_QUARANTINE,
+    CT_TIMER_RELAY_WAIT,
 };
 
 struct ct_timer {
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -5,6 +5,23 @@
 #include "error.h"
 #include "state.h"
 
+/* A token is one request; buckets count in millionths of one. */
+#define TOKEN INT64_C(1000000)
+/*
+ * Hosts that share a limit. Each may send one request at once after a pause,
+ * so the fewer there are, the less a small limit can be exceeded.
+ */
+#define SHARERS_MIN 5
+#define SHARERS_PER_REQUEST 2
+/* Size of the group before its members are known. */
+#define UNKNOWN_GROUP 100
+/* A limit below this would keep the hosts from hearing of its end. */
+#define LIMIT_MIN_PERMILLE 20
+#define SHARE_PERIOD_MS 1000
+/* A host without a share forgets a limit that it has not heard for so long. */
+#define FORGET_MS 120000
+/* How long less urgent calls yield to one that found no upstream. */
+#define TIER_HOLD_MS 1000
 /* Invalid notices are logged this often at most. */
 #define INVALID_LOG_MS 10000
 
@@ -13,14 +30,25 @@
 {
     memset(notices, 0, sizeof(*notices));
     notices->rows = g_array_new(FALSE, TRUE, sizeof(struct ct_notice_row));
+    notices->pools = g_array_new(FALSE, TRUE, sizeof(struct ct_notice_pool));
 }
 
 void
 ct_upstream_notices_free(struct ct_upstream_notices *notices)
 {
+    g_array_free(notices->pools, TRUE);
     g_array_free(notices->rows, TRUE);
 }
 
+static struct ct_notice_pool *
+get_pool(struct ct_upstream_notices *notices, struct ct_handle pool)
+{
+    if (pool.index >= notices->pools->len) {
+        g_array_set_size(notices->pools, pool.index + 1);
+    }
+    return &g_array_index(notices->pools, struct ct_notice_pool, pool.index);
+}
+
 /* Returns the row of an upstream; a new upstream gets a cleared one. */
 static struct ct_notice_row *
 get_row(struct ct_upstream_notices *notices, struct ct_handle upstream)
@@ -37,14 +65,27 @@
     return row;
 }
 
+/* Returns the row of an upstream that has sent a head, or NULL. */
+static const struct ct_notice_row *
+find_row(const struct ct_upstream_notices *notices, struct ct_handle upstream)
+{
+    const struct ct_notice_row *row;
+
+    if (upstream.index >= notices->rows->len) {
+        return NULL;
+    }
+    row = &g_array_index(notices->rows, struct ct_notice_row, upstream.index);
+    return ct_handle_eq(row->upstream, upstream) ? row : NULL;
+}
+
 static void
 log_notice(struct ct_state *state, enum ct_log_event event,
-           struct ct_handle upstream, int64_t number)
+           struct ct_handle upstream, const char *reason, int64_t number)
 {
     const struct ct_upstream_row *row =
         ct_table_get(&state->config.upstreams, upstream);
 
-    ct_emit_log(state, event, &row->conf.name, NULL, number);
+    ct_emit_log(state, event, &row->conf.name, reason, number);
 }
 
 static void
@@ -57,34 +98,221 @@
         return;
     }
     notices->invalid_logged_ms = state->now_ms;
-    log_notice(state, CT_LOG_UPSTREAM_NOTICE_BAD, upstream, 0);
+    log_notice(state, CT_LOG_UPSTREAM_NOTICE_BAD, upstream, NULL, 0);
+}
+
+/*
+ * Whether this host is one of those that share the upstream's limit: the first
+ * in an order of all hosts that differs by upstream.
+ */
+static bool
+is_sharer(const struct ct_state *state, const struct ct_upstream_row *upstream,
+          uint32_t sharers)
+{
+    uint64_t own = ct_hash_bytes(upstream->name_hash, state->self.host.text,
+                                 (uint32_t)strlen(state->self.host.text));
+    const struct ct_group_row *row;
+    uint32_t before = 0;
+    uint32_t cursor = 0;
+
+    while ((row = ct_table_next(&state->group.rows, &cursor, NULL))) {
+        const char *host = row->member.host.text;
+
+        before += ct_hash_bytes(upstream->name_hash, host,
+                                (uint32_t)strlen(host)) > own;
+    }
+    return before < sharers;
+}
+
+/* Returns the tokens of the bucket now, at most one request's. */
+static int64_t
+tokens_now(const struct ct_notice_row *row, ct_ms now_ms)
+{
+    return MIN(row->tokens + row->tokens_per_ms * (now_ms - row->filled_ms),
+               TOKEN);
 }
 
+/* Sets the rate of the bucket to this host's share of the limit. */
+static void
+share_limit(struct ct_state *state, struct ct_notice_row *row)
+{
+    const struct ct_upstream_row *upstream =
+        ct_table_get(&state->config.upstreams, row->upstream);
+    int64_t limit_permille = MAX(row->limit_permille, LIMIT_MIN_PERMILLE);
+    uint32_t hosts =
+        ct_group_is_known(state) ? ct_group_size(state) : UNKNOWN_GROUP;
+    uint32_t sharers =
+        (uint32_t)MIN((int64_t)hosts, SHARERS_MIN + SHARERS_PER_REQUEST *
+                                                        limit_permille / 1000);
+
+    row->tokens = tokens_now(row, state->now_ms);
+    row->filled_ms = state->now_ms;
+    row->tokens_per_ms = 0;
+    if (upstream && is_sharer(state, upstream, sharers)) {
+        row->tokens_per_ms = limit_permille / sharers;
+    }
+}
+
+static void
+end_limit(struct ct_state *state, struct ct_notice_row *row,
+          const char *reason)
+{
+    row->limited = false;
+    if (ct_table_get(&state->config.upstreams, row->upstream)) {
+        log_notice(state, CT_LOG_UPSTREAM_UNLIMITED, row->upstream, reason, 0);
+    }
+}
+
+/* The upstream's last response named a limit, which may be a new one. */
 static void
 apply_limit(struct ct_state *state, struct ct_notice_row *row,
-            const struct ct_upstream_notice *notice)
+            int64_t limit_permille)
 {
-    if (row->limited == notice->limited &&
-        row->limit_permille == notice->limit_permille) {
+    if (row->limited && row->limit_permille == limit_permille) {
         return;
     }
-    row->limited = notice->limited;
-    row->limit_permille = notice->limit_permille;
-    log_notice(state,
-               row->limited ? CT_LOG_UPSTREAM_LIMITED
-                            : CT_LOG_UPSTREAM_UNLIMITED,
-               row->upstream, row->limit_permille);
+    if (!row->limited) {
+        /* The response belongs to a request that has taken this host's turn.
+         */
+        row->limited = true;
+        row->tokens = 0;
+        row->tokens_per_ms = 0;
+        row->filled_ms = state->now_ms;
+    }
+    row->limit_permille = limit_permille;
+    share_limit(state, row);
+    log_notice(state, CT_LOG_UPSTREAM_LIMITED, row->upstream, NULL,
+               limit_permille);
 }
 
 void
 ct_upstream_notices_on_head(struct ct_state *state, struct ct_handle upstream,
                             const struct ct_upstream_notice *notice)
 {
+    struct ct_notice_row *row;
+
     if (ct_handle_is_none(upstream)) {
         return;
     }
     if (notice->invalid) {
         log_invalid(state, upstream);
     }
-    apply_limit(state, get_row(&state->upstream_notices, upstream), notice);
+    row = get_row(&state->upstream_notices, upstream);
+    row->heard_ms = state->now_ms;
+    if (notice->limited) {
+        apply_limit(state, row, notice->limit_permille);
+    }
+    else if (row->limited) {
+        end_limit(state, row, "unnamed");
+    }
+}
+
+void
+ct_upstream_notices_share(struct ct_state *state)
+{
+    struct ct_upstream_notices *notices = &state->upstream_notices;
+
+    if (state->now_ms - notices->shared_ms < SHARE_PERIOD_MS) {
+        return;
+    }
+    notices->shared_ms = state->now_ms;
+    for (guint i = 0; i < notices->rows->len; i++) {
+        struct ct_notice_row *row =
+            &g_array_index(notices->rows, struct ct_notice_row, i);
+
+        if (!row->limited) {
+            continue;
+        }
+        share_limit(state, row);
+        if (!ct_table_get(&state->config.upstreams, row->upstream) ||
+            (row->tokens_per_ms == 0 &&
+             state->now_ms - row->heard_ms > FORGET_MS)) {
+            end_limit(state, row, "expired");
+        }
+    }
+}
+
+/* Returns the pool's row, or NULL if none of its upstreams sent a notice. */
+static const struct ct_notice_pool *
+find_pool(const struct ct_state *state, struct ct_handle pool)
+{
+    const GArray *pools = state->upstream_notices.pools;
+
+    return pool.index < pools->len
+               ? &g_array_index(pools, struct ct_notice_pool, pool.index)
+               : NULL;
+}
+
+/* Whether a call must leave what is free to a more urgent one. */
+static bool
+must_yield(const struct ct_state *state, const struct ct_notice_pool *pool,
+           uint32_t rank)
+{
+    return pool->waited_ms > 0 && pool->waiting_rank < rank &&
+           state->now_ms - pool->waited_ms < TIER_HOLD_MS;
+}
+
+bool
+ct_upstream_notices_bar(const struct ct_state *state,
+                        struct ct_handle upstream, uint32_t rank)
+{
+    const struct ct_notice_row *row =
+        find_row(&state->upstream_notices, upstream);
+    const struct ct_upstream_row *conf =
+        ct_table_get(&state->config.upstreams, upstream);
+    const struct ct_notice_pool *pool =
+        conf ? find_pool(state, conf->pool) : NULL;
+
+    if (!row || !row->limited) {
+        return false;
+    }
+    return tokens_now(row, state->now_ms) < TOKEN ||
+           (pool && must_yield(state, pool, rank));
+}
+
+void
+ct_upstream_notices_on_attempt(struct ct_state *state,
+                               struct ct_handle upstream)
+{
+    struct ct_notice_row *row;
+
+    if (!find_row(&state->upstream_notices, upstream)) {
+        return;
+    }
+    row = get_row(&state->upstream_notices, upstream);
+    if (row->limited) {
+        row->tokens = MAX(tokens_now(row, state->now_ms) - TOKEN, -TOKEN);
+        row->filled_ms = state->now_ms;
+    }
+}
+
+ct_ms
+ct_upstream_notices_free_in_ms(const struct ct_state *state,
+                               struct ct_handle upstream)
+{
+    const struct ct_notice_row *row =
+        find_row(&state->upstream_notices, upstream);
+    int64_t missing;
+
+    if (!row || !row->limited) {
+        return 0;
+    }
+    missing = TOKEN - tokens_now(row, state->now_ms);
+    if (missing <= 0) {
+        return 1;
+    }
+    return row->tokens_per_ms > 0 ? missing / row->tokens_per_ms + 1
+                                  : CT_MS_NEVER;
+}
+
+void
+ct_upstream_notices_on_wait(struct ct_state *state, struct ct_handle pool,
+                            uint32_t rank)
+{
+    struct ct_notice_pool *row = get_pool(&state->upstream_notices, pool);
+
+    if (!must_yield(state, row, rank)) {
+        row->waited_ms = state->now_ms;
+        row->waiting_rank = rank;
+    }
 }
--- a/core/upstream-notices.h
+++ b/core/upstream-notices.h
@@ -18,11 +18,34 @@
     struct ct_handle upstream;
     bool limited;
     int64_t limit_permille;
+    /* When the upstream last sent a head. */
+    ct_ms heard_ms;
+    /*
+     * Token bucket of this host's share of the limit: tokens as of filled_ms,
+     * in millionths of a request, and their rate per millisecond.
+     */
+    int64_t tokens;
+    int64_t tokens_per_ms;
+    ct_ms filled_ms;
+};
+
+/* Calls of a pool that found every upstream barred. */
+struct ct_notice_pool {
+    /*
+     * When a call last found every upstream barred, and the most urgent level
+     * of such calls lately.
+     */
+    ct_ms waited_ms;
+    uint32_t waiting_rank;
 };
 
 struct ct_upstream_notices {
     /* struct ct_notice_row */
     GArray *rows;
+    /* struct ct_notice_pool, by the index of the pool's row */
+    GArray *pools;
+    /* When this host's shares were last computed. */
+    ct_ms shared_ms;
     /* When an invalid notice was last logged; 0 for never. */
     ct_ms invalid_logged_ms;
 };
@@ -40,4 +63,32 @@
                                  struct ct_handle upstream,
                                  const struct ct_upstream_notice *notice);
 
+/* Adapts this host's shares of the limits to the group; cheap if recent. */
+void ct_upstream_notices_share(struct ct_state *state);
+
+/*
+ * Whether the upstream must get no request of this level of priority from this
+ * host now.
+ */
+bool ct_upstream_notices_bar(const struct ct_state *state,
+                             struct ct_handle upstream, uint32_t rank);
+
+/* An attempt is sent to the upstream. */
+void ct_upstream_notices_on_attempt(struct ct_state *state,
+                                    struct ct_handle upstream);
+
+/*
+ * Returns the time until the upstream may get a call of this host by its
+ * notices, CT_MS_NEVER if it never may, or 0 if it has none that bars it.
+ */
+ct_ms ct_upstream_notices_free_in_ms(const struct ct_state *state,
+                                     struct ct_handle upstream);
+
+/*
+ * A call found every upstream of its pool barred: less urgent ones get no
+ * limited one for a while.
+ */
+void ct_upstream_notices_on_wait(struct ct_state *state, struct ct_handle pool,
+                                 uint32_t rank);
+
 #endif
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -7,10 +7,17 @@
 
 void
 t_relay_init(struct t_core *core)
+{
+    t_relay_init_named(core, "h1");
+}
+
+void
+t_relay_init_named(struct t_core *core, const char *host)
 {
     struct ct_event event = {.type = CT_EVENT_RELAY_HOST_STARTED};
+    g_autofree char *writer = g_strconcat(host, "-1", NULL);
 
-    t_core_init_named(core, "h1", "h1-1");
+    t_core_init_named(core, host, writer);
     CT_TEXT_SET(event.u.relay_address, "10.0.0.1:80");
     core->state->self.bounds = (struct ct_bounds){
         .revoke_ms = 5000,
@@ -200,13 +207,14 @@
     t_relay_configure(core, 5, n);
 }
 
+/* Posts the call with the members that the caller has not set. */
 static uint64_t
 post_call(struct t_core *core, uint8_t key, const char *path,
-          uint32_t prompt_tokens, ct_ms deadline_ms, const uint64_t *parts)
+          struct ct_event *event)
 {
-    struct ct_event event = {.type = CT_EVENT_RELAY_CALL_ARRIVED};
-    struct ct_relay_call *call = &event.u.relay;
+    struct ct_relay_call *call = &event->u.relay;
 
+    event->type = CT_EVENT_RELAY_CALL_ARRIVED;
     call->caller = core->next_caller++;
     g_snprintf(call->request_id.text, sizeof(call->request_id.text),
                "call-%" G_GUINT64_FORMAT, call->caller);
@@ -214,14 +222,13 @@
     CT_TEXT_SET(call->path, path);
     call->has_key = key != 0;
     call->key = t_digest(key);
-    call->prefix_hash = 7;
-    call->prompt_tokens = prompt_tokens;
-    call->timeout_ms = deadline_ms;
-    while (parts && parts[call->parts.n] != 0) {
-        call->parts.ids[call->parts.n] = parts[call->parts.n];
-        call->parts.n++;
+    if (call->prefix_hash == 0) {
+        call->prefix_hash = 7;
     }
-    t_core_post(core, &event);
+    if (call->prompt_tokens == 0) {
+        call->prompt_tokens = PROMPT_TOKENS;
+    }
+    t_core_post(core, event);
     return call->caller;
 }
 
@@ -235,21 +242,41 @@
 t_relay_call_within(struct t_core *core, uint8_t key, const char *path,
                     ct_ms deadline_ms)
 {
-    return post_call(core, key, path, PROMPT_TOKENS, deadline_ms, NULL);
+    struct ct_event event = {.u.relay.timeout_ms = deadline_ms};
+
+    return post_call(core, key, path, &event);
 }
 
 uint64_t
 t_relay_call_of_size(struct t_core *core, uint8_t key, const char *path,
                      uint32_t prompt_tokens)
 {
-    return post_call(core, key, path, prompt_tokens, 0, NULL);
+    struct ct_event event = {.u.relay.prompt_tokens = prompt_tokens};
+
+    return post_call(core, key, path, &event);
+}
+
+uint64_t
+t_relay_call_with_prefix(struct t_core *core, uint8_t key, const char *path,
+                         uint64_t prefix_hash)
+{
+    struct ct_event event = {.u.relay.prefix_hash = prefix_hash};
+
+    return post_call(core, key, path, &event);
 }
 
 uint64_t
 t_relay_call_with_parts(struct t_core *core, uint8_t key, const char *path,
                         const uint64_t *parts)
 {
-    return post_call(core, key, path, PROMPT_TOKENS, 0, parts);
+    struct ct_event event = {.type = 0};
+    struct ct_prompt_parts *listed = &event.u.relay.parts;
+
+    while (parts[listed->n] != 0) {
+        listed->ids[listed->n] = parts[listed->n];
+        listed->n++;
+    }
+    return post_call(core, key, path, &event);
 }
 
 struct ct_relay_start
@@ -280,6 +307,19 @@
     post_progress(core, CT_EVENT_RELAY_ATTEMPT_SENT, &progress);
 }
 
+void
+t_relay_head(struct t_core *core, struct ct_handle attempt,
+             const struct ct_upstream_notice *notice)
+{
+    const struct ct_relay_progress progress = {
+        .attempt = attempt,
+        .status = 200,
+        .notice = *notice,
+    };
+
+    post_progress(core, CT_EVENT_RELAY_ATTEMPT_HEAD, &progress);
+}
+
 void
 t_relay_data(struct t_core *core, struct ct_handle attempt,
              uint64_t last_event)
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -21,6 +21,9 @@
 /* Creates a host that has started to read its store and knows nothing yet. */
 void t_relay_init(struct t_core *core);
 
+/* The same for a host of another name. */
+void t_relay_init_named(struct t_core *core, const char *host);
+
 /*
  * Completes the pending store reads with this version of a configuration:
  * pools "engines" and "desk", organisations acme (keys 1 and 2) and zeta
@@ -70,10 +73,16 @@
  */
 uint64_t t_relay_call_with_parts(struct t_core *core, uint8_t key,
                                  const char *path, const uint64_t *parts);
+/* Posts a call whose prompt has this prefix hash. */
+uint64_t t_relay_call_with_prefix(struct t_core *core, uint8_t key,
+                                  const char *path, uint64_t prefix_hash);
 /* The attempt that the last event started; fails the test if none was. */
 struct ct_relay_start t_relay_started(const struct t_core *core);
 
 void t_relay_sent(struct t_core *core, struct ct_handle attempt);
+/* The upstream says this about itself in the head of its response. */
+void t_relay_head(struct t_core *core, struct ct_handle attempt,
+                  const struct ct_upstream_notice *notice);
 void t_relay_data(struct t_core *core, struct ct_handle attempt,
                   uint64_t last_event);
 void t_relay_done(struct t_core *core, struct ct_handle attempt,
