--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -363,8 +363,16 @@
     static const char unknown_state[] =
         "{\"service\":\"app\",\"addr\":\"127.0.0.1:9\",\"zone\":\"z\","
         "\"slots\":1,\"state\":\"odd\"}";
-    static const char *const unreadable[] = {"{", "[]", "{\"service\":7}",
-                                             "\xff\xfe\xfd", unknown_state};
+    static const char large_slots[] =
+        "{\"service\":\"app\",\"addr\":\"127.0.0.1:9\",\"zone\":\"z\","
+        "\"slots\":1e999,\"born\":99999999999999999999,\"state\":\"ready\"}";
+    static const char bad_port[] =
+        "{\"service\":\"app\",\"addr\":\"127.0.0.1:99999\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"ready\"}";
+    g_autofree char *deep = g_strnfill(20000, '[');
+    const char *const unreadable[] = {
+        "{",           "[]",     "{\"service\":7}", "\xff\xfe\xfd",
+        unknown_state, bad_port, large_slots,       deep};
 
     for (size_t i = 0; i < G_N_ELEMENTS(unreadable); i++) {
         char key[16];
--- a/t/test-store-entry.c
+++ b/t/test-store-entry.c
@@ -227,6 +227,79 @@
     }
 }
 
+/*
+ * An entry of another writer: an address where no upstream can be, numbers too
+ * large, values nested too deeply.
+ */
+static void
+test_odd_upstreams(void)
+{
+    static const char *const bad_addresses[] = {
+        "",
+        "10.1.0.9",
+        "10.1.0.9:",
+        ":80",
+        "10.1.0.9:0",
+        "10.1.0.9:65536",
+        "10.1.0.9:99999",
+        "10.1.0.9:-1",
+        "10.1.0.9:+80",
+        "10.1.0.9: 80",
+        "10.1.0.9:80/x",
+        "10.1.0.9:80?x",
+        "10.1.0.9:4294967376",
+        "u@10.1.0.9:80",
+        "10.1.0.300:80",
+        "server.example:80",
+        "[10.1.0.9]:80",
+        "::1:80",
+        "10.1.0.9\\u000a:80",
+    };
+    static const char *const good_addresses[] = {"10.1.0.9:1",
+                                                 "10.1.0.9:65535", "[::1]:80"};
+    static const char *const bad_slots[] = {
+        "-1", "1e999", "4294967297", "99999999999999999999", "2147483647"};
+    struct ct_store_upstream entry;
+    GString *deep = g_string_new("{\"x\":");
+
+    for (guint i = 0; i < G_N_ELEMENTS(bad_addresses); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"service\":\"s1\",\"addr\":\"%s\",\"zone\":\"za\","
+            "\"slots\":1,\"state\":\"ready\"}",
+            bad_addresses[i]);
+
+        g_test_message("%s", bad_addresses[i]);
+        g_assert_cmpint(
+            ct_store_entry_upstream("i-1", text, strlen(text), &entry), <, 0);
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(good_addresses); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"service\":\"s1\",\"addr\":\"%s\",\"zone\":\"za\","
+            "\"slots\":1,\"state\":\"ready\"}",
+            good_addresses[i]);
+
+        g_assert_cmpint(
+            ct_store_entry_upstream("i-1", text, strlen(text), &entry), ==,
+            CT_OK);
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(bad_slots); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"service\":\"s1\",\"addr\":\"10.1.0.9:80\",\"zone\":\"za\","
+            "\"slots\":%s,\"state\":\"ready\"}",
+            bad_slots[i]);
+
+        g_test_message("%s", bad_slots[i]);
+        g_assert_cmpint(
+            ct_store_entry_upstream("i-1", text, strlen(text), &entry), <, 0);
+    }
+    for (guint i = 0; i < 100000; i++) {
+        g_string_append_c(deep, '[');
+    }
+    g_assert_cmpint(
+        ct_store_entry_upstream("i-1", deep->str, deep->len, &entry), <, 0);
+    g_string_free(deep, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -236,5 +309,6 @@
     g_test_add_func("/store-entry/route-types", test_route_types);
     g_test_add_func("/store-entry/invalid-configs", test_invalid_configs);
     g_test_add_func("/store-entry/upstreams", test_upstreams);
+    g_test_add_func("/store-entry/odd-upstreams", test_odd_upstreams);
     return g_test_run();
 }
