shell: take a refusal as one only if it has the id of the request

Seen by other operators: a faulty upstream wrote an earlier refusal once more, and callers were told 'not run' for a request that ran.

Cause here: a relayed attempt's response with the header of a refusal counted as a decline before its request id was compared. Each attempt has a connection of its own, so an earlier refusal can only come from an upstream that mixes up its requests; then a call that may run once was refused as not run, or run at a second upstream.

Change: the id is compared first; such a response is a mismatch, and the call may have run.

Result: proc-relay faults, the new row, failed before: (503 == 502).

--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -205,12 +205,13 @@
     if (!attempt->sent) {
         return CT_OUTCOME_NOT_SENT;
     }
-    if (attempt->head_complete && attempt->head.declined) {
-        return CT_OUTCOME_DECLINED;
-    }
+    /* A refusal of another request does not say that this one was not run. */
     if (attempt->head_complete && !attempt->head.id_matches) {
         return CT_OUTCOME_MISMATCH;
     }
+    if (attempt->head_complete && attempt->head.declined) {
+        return CT_OUTCOME_DECLINED;
+    }
     if (result != CURLE_OK || !is_acceptable(attempt)) {
         return CT_OUTCOME_CONNECTION_LOST;
     }
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -202,6 +202,9 @@
         {"/once/x", "{\"close_after_read\":1}", "{\"close_after_read\":0}",
          502, 1},
         {"/once/x", "{\"mismatch\":1}", "{\"mismatch\":0}", 502, 1},
+        /* The refusal of another request says nothing about this one. */
+        {"/once/x", "{\"mismatch\":1,\"decline\":1}",
+         "{\"mismatch\":0,\"decline\":0}", 502, 0},
         {"/once/x", "{\"no_proof\":1}", "{\"no_proof\":0}", 502, 1},
         {"/s/str/x", "{\"no_proof\":1}", "{\"no_proof\":0}", 502, 1},
     };
