core: share fewer crashes of prompt parts

Cause: each call that broke off before its first event wrote a record, and each record wakes the waiting reads of all hosts. Most of these calls only waited at an engine that ended for another reason.

Change: a crash under a response that had begun is shared at once, others from a part's second crash at this host on. Records are gathered for longer in a large group (100 ms and 10 ms a host, 1 s at most), and reads wait 28 s.

--- a/core/prompt-quarantine.c
+++ b/core/prompt-quarantine.c
@@ -17,6 +17,11 @@
 /* The same for a part of a call that was answered within ANSWERED_MS. */
 #define SCORE_LIMIT_ANSWERED 12
 #define ANSWERED_MS 60000
+/*
+ * A crash that began no response is made known to the other hosts for parts
+ * that have this score at this host: single ones are those of other calls.
+ */
+#define SCORE_WAITING_SHARED 2
 /* An answer on a part with this score is made known to the other hosts. */
 #define SCORE_SHARED 4
 /* Crashes that are further apart have different causes. */
@@ -387,6 +392,36 @@
     }
 }
 
+/* Removes the parts whose crash tells the other hosts too little. */
+static void
+keep_suspected_parts(const struct ct_state *state,
+                     struct ct_prompt_parts *parts)
+{
+    uint32_t kept = 0;
+
+    for (uint32_t i = 0; i < parts->n; i++) {
+        const struct ct_part_row *row =
+            find_row(&state->prompt_quarantine, parts->ids[i]);
+
+        if (row && row->score >= SCORE_WAITING_SHARED) {
+            parts->ids[kept++] = parts->ids[i];
+        }
+    }
+    parts->n = kept;
+}
+
+static void
+share_crash(struct ct_state *state, struct ct_part_record crash)
+{
+    if (!crash.begun) {
+        keep_suspected_parts(state, &crash.parts);
+    }
+    if (crash.parts.n > 0) {
+        ct_emit_effect(state, CT_EFFECT_STORE_APPEND_PARTS)->u.part_record =
+            crash;
+    }
+}
+
 void
 ct_prompt_quarantine_on_crash(struct ct_state *state,
                               const struct ct_prompt_parts *parts,
@@ -400,11 +435,8 @@
         .wall_ms = true_ms(state, state->now_ms),
     };
 
-    if (parts->n == 0) {
-        return;
-    }
-    ct_emit_effect(state, CT_EFFECT_STORE_APPEND_PARTS)->u.part_record = crash;
     suspect_parts(state, &crash, state->now_ms);
+    share_crash(state, crash);
 }
 
 /* Applies what another host, or an earlier process, wrote of a quarantine. */
--- a/core/quarantine-sync.c
+++ b/core/quarantine-sync.c
@@ -5,12 +5,17 @@
 #include "error.h"
 #include "state.h"
 
-/* Longest wait of a read that the store allows is 30 s. */
-#define READ_WAIT_MS 20000
+/* The store allows a wait of 30 s. */
+#define READ_WAIT_MS 28000
 /* Response time limit in addition to the wait. */
 #define READ_TIMEOUT_MS 900
-/* Records of one crash are read together. */
+/*
+ * Records that follow each other within this time are read together. It grows
+ * with the number of hosts that read them.
+ */
 #define GATHER_MS 100
+#define GATHER_PER_HOST_MS 10
+#define GATHER_MAX_MS 1000
 /* All hosts may start at once: their first reads are spread over this time. */
 #define START_SPREAD_MS 300
 /* Delay after a failed read; doubled with each failure up to the limit. */
@@ -117,6 +122,13 @@
     memset(&sync->after, 0, sizeof(sync->after));
 }
 
+static ct_ms
+gather_ms(const struct ct_state *state)
+{
+    return MIN(GATHER_MS + GATHER_PER_HOST_MS * (ct_ms)ct_group_size(state),
+               GATHER_MAX_MS);
+}
+
 static void
 on_page(struct ct_quarantine_sync *sync, const struct ct_store_read_done *read)
 {
@@ -161,5 +173,5 @@
         return;
     }
     sync->next = read->next;
-    read_at(state, read->entries > 0 && !read->more ? GATHER_MS : 1);
+    read_at(state, read->entries > 0 && !read->more ? gather_ms(state) : 1);
 }
--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -203,6 +203,37 @@
     t_core_free(&world.core);
 }
 
+/*
+ * Calls that wait at an upstream when it ends are mostly victims: the other
+ * hosts, which all read each record, learn of a part from its second crash on.
+ */
+static void
+test_victims_are_not_shared(void)
+{
+    struct ct_relay_start start;
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 3; i++) {
+        t_relay_call_with_parts(&world.core, 1, T_STREAM_PATH, sound_parts);
+        start = t_relay_started(&world.core);
+        t_relay_finish(&world.core, start.attempt, CT_OUTCOME_CONNECTION_LOST,
+                       0);
+        g_assert_cmpuint(
+            t_core_count(&world.core, CT_EFFECT_STORE_APPEND_PARTS), ==,
+            i > 0);
+        replace_upstream(&world, &start.upstream);
+        step(&world.core);
+    }
+    t_relay_call_with_parts(&world.core, 1, T_STREAM_PATH, deadly_parts);
+    start = t_relay_started(&world.core);
+    t_relay_finish(&world.core, start.attempt, CT_OUTCOME_CONNECTION_LOST,
+                   200);
+    g_assert_cmpuint(t_core_count(&world.core, CT_EFFECT_STORE_APPEND_PARTS),
+                     ==, 1);
+    t_core_free(&world.core);
+}
+
 /* Upstreams that are lost together, with their zone, accuse no part. */
 static void
 test_lost_zone_accuses_no_part(void)
@@ -446,6 +477,8 @@
                     test_few_probes_in_a_group);
     g_test_add_func("/prompt-quarantine/crashes-without-a-head",
                     test_crashes_without_a_head);
+    g_test_add_func("/prompt-quarantine/victims-are-not-shared",
+                    test_victims_are_not_shared);
     g_test_add_func("/prompt-quarantine/lost-zone-accuses-no-part",
                     test_lost_zone_accuses_no_part);
     g_test_add_func("/prompt-quarantine/one-faulty-upstream-accuses-no-part",
--- a/t/test-quarantine-sync.c
+++ b/t/test-quarantine-sync.c
@@ -72,7 +72,7 @@
     complete(&core, id, CT_OK, false, 9);
     read = find_read(&core);
     g_assert_cmpint(read->from, ==, 9);
-    g_assert_cmpint(read->wait_ms, ==, 20000);
+    g_assert_cmpint(read->wait_ms, ==, 28000);
     g_assert_cmpint(read->timeout_ms, >, read->wait_ms);
     t_core_free(&core);
 }
