core: replace the waiting read of prompt parts once an outage

Cause: both topics that a host follows report that the store is back, and each report replaced the waiting read: two calls a host.

Change: a read that was sent within a second is not replaced.

Result: test-quarantine-sync replaced-when-store-is-back has both reports now; a second read was sent before.

--- a/core/quarantine-sync.c
+++ b/core/quarantine-sync.c
@@ -21,6 +21,11 @@
 /* Delay after a failed read; doubled with each failure up to the limit. */
 #define BACKOFF_MS 200
 #define BACKOFF_MAX_MS 1600
+/*
+ * Each topic reports that the store is back: a read sent within this time was
+ * sent after the outage.
+ */
+#define RECENT_READ_MS 1000
 /* Time within which a record of this host returns by the waiting read. */
 #define READ_BACK_MS 500
 
@@ -39,6 +44,7 @@
         &ct_emit_effect(state, CT_EFFECT_STORE_READ)->u.store_read;
 
     sync->reading = true;
+    sync->sent_ms = state->now_ms;
     read->topic = CT_TOPIC_PROMPT_PARTS;
     read->read_id = ++sync->read_id;
     read->newest = !sync->listed;
@@ -66,7 +72,9 @@
 void
 ct_quarantine_sync_on_store_back(struct ct_state *state)
 {
-    if (state->quarantine_sync.reading) {
+    const struct ct_quarantine_sync *sync = &state->quarantine_sync;
+
+    if (sync->reading && state->now_ms - sync->sent_ms > RECENT_READ_MS) {
         replace_read(state);
     }
 }
--- a/core/quarantine-sync.h
+++ b/core/quarantine-sync.h
@@ -21,6 +21,8 @@
     /* Number of the last read; responses to earlier ones are ignored. */
     uint32_t read_id;
     bool reading;
+    /* When that read was sent. */
+    ct_ms sent_ms;
     /* Time of the next read, while none is in progress. */
     ct_ms next_read_ms;
     /* Consecutive reads that failed. */
--- a/t/test-quarantine-sync.c
+++ b/t/test-quarantine-sync.c
@@ -163,9 +163,16 @@
     t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_TIMEOUT, 0, 0, 0);
     t_core_tick(&core, 1000);
     g_assert_null(find_read(&core));
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_ERR_TIMEOUT, 0, 0, 0);
+    t_core_tick(&core, 500);
     t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, 0, 0);
     t_core_tick(&core, 1);
     g_assert_nonnull(find_read(&core));
+    /* The read was sent after the outage: the other topic changes nothing. */
+    t_core_tick(&core, 100);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 0, 0, 0);
+    t_core_tick(&core, 1);
+    g_assert_null(find_read(&core));
     t_core_free(&core);
 }
 
