core, platform: send no calls to an upstream that says that it leaves

Cause: an upstream that leaves says so in its responses, and nothing read it; a host learnt it from the store alone, which may be silent or slow.

Change: the notice joins the limit in core/upstream-notices and bars the upstream for first attempts, retries, resumed streams and backups, for this start of the upstream. A response without it does not end that, since it may have been sent before; bounds.upstream_pause_max_s (300) does, unless it is said again. Caches can still be copied from it.

Result: proc-relay leaving-beside-silent-store (plain response, stream, refusal) failed before at its first case: 'is_first_runner_idle(20)' should be TRUE. Guards removed one by one in test-upstream-notices leaving: engines-1 chosen; 10.1.0.1:80 as backup; not used again after 300 s.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -33,6 +33,7 @@
     SECONDS("usage_late_s", usage_late_ms, 10000),
     SECONDS("address_ttl_s", address_ttl_ms, 2000),
     SECONDS("grace_s", grace_ms, 8000),
+    SECONDS("upstream_pause_max_s", upstream_pause_max_ms, 300000),
     {"repeat_ratio", CT_SCHEMA_MILLI, OPTIONAL, AT(bounds, repeat_permille), 0,
      1000, .fallback = 100},
     {"repeat_burst", CT_SCHEMA_U32, OPTIONAL, AT(bounds, repeat_burst), 0,
--- a/core/bounds.h
+++ b/core/bounds.h
@@ -31,6 +31,11 @@
     ct_ms usage_late_ms;
     /* How long callers may cache the addresses that they looked up. */
     ct_ms address_ttl_ms;
+    /*
+     * Longest time for which an upstream's own word keeps requests from it,
+     * unless it says so again.
+     */
+    ct_ms upstream_pause_max_ms;
     /* Time from the stop signal to the kill. */
     ct_ms grace_ms;
 };
--- a/core/counter.h
+++ b/core/counter.h
@@ -23,6 +23,8 @@
     X(RETRY_OVER_BUDGET, "retries_over_budget_total")                         \
     X(RESUMES, "resumes_total")                                               \
     X(PARTS_QUARANTINED, "prompt_parts_quarantined_total")                    \
+    X(NOTICES_LIMIT, "upstream_notices_limit_total")                          \
+    X(NOTICES_LEAVING, "upstream_notices_leaving_total")                      \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
     X(LATE_EVENTS, "late_attempt_events_total")                               \
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -52,6 +52,8 @@
 
 /* What an upstream says about itself in the head of a response. */
 struct ct_upstream_notice {
+    /* It leaves and takes no more requests. */
+    bool leaving;
     /* It takes limit_permille / 1000 requests a second from all hosts. */
     bool limited;
     int64_t limit_permille;
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -181,10 +181,27 @@
     }
     row->limit_permille = limit_permille;
     share_limit(state, row);
+    ct_increment_counter(state, CT_COUNTER_NOTICES_LIMIT);
     log_notice(state, CT_LOG_UPSTREAM_LIMITED, row->upstream, NULL,
                limit_permille);
 }
 
+/*
+ * A response without the notice may have been sent before one with it, so only
+ * time ends this.
+ */
+static void
+apply_leaving(struct ct_state *state, struct ct_notice_row *row)
+{
+    if (row->leaving_until_ms <= state->now_ms) {
+        ct_increment_counter(state, CT_COUNTER_NOTICES_LEAVING);
+        log_notice(state, CT_LOG_UPSTREAM_SAYS_LEAVING, row->upstream, NULL,
+                   0);
+    }
+    row->leaving_until_ms =
+        state->now_ms + state->self.bounds.upstream_pause_max_ms;
+}
+
 void
 ct_upstream_notices_on_head(struct ct_state *state, struct ct_handle upstream,
                             const struct ct_upstream_notice *notice)
@@ -199,6 +216,9 @@
     }
     row = get_row(&state->upstream_notices, upstream);
     row->heard_ms = state->now_ms;
+    if (notice->leaving) {
+        apply_leaving(state, row);
+    }
     if (notice->limited) {
         apply_limit(state, row, notice->limit_permille);
     }
@@ -263,11 +283,14 @@
     const struct ct_notice_pool *pool =
         conf ? find_pool(state, conf->pool) : NULL;
 
-    if (!row || !row->limited) {
+    if (!row) {
         return false;
     }
-    return tokens_now(row, state->now_ms) < TOKEN ||
-           (pool && must_yield(state, pool, rank));
+    if (row->leaving_until_ms > state->now_ms) {
+        return true;
+    }
+    return row->limited && (tokens_now(row, state->now_ms) < TOKEN ||
+                            (pool && must_yield(state, pool, rank)));
 }
 
 void
@@ -294,7 +317,7 @@
         find_row(&state->upstream_notices, upstream);
     int64_t missing;
 
-    if (!row || !row->limited) {
+    if (!row || !row->limited || row->leaving_until_ms > state->now_ms) {
         return 0;
     }
     missing = TOKEN - tokens_now(row, state->now_ms);
--- a/core/upstream-notices.h
+++ b/core/upstream-notices.h
@@ -16,6 +16,9 @@
 struct ct_notice_row {
     /* The upstream; rows are found by the handle's index. */
     struct ct_handle upstream;
+    /* It leaves, as far as this host knows until this time; 0 if it does not.
+     */
+    ct_ms leaving_until_ms;
     bool limited;
     int64_t limit_permille;
     /* When the upstream last sent a head. */
@@ -79,7 +82,7 @@
 
 /*
  * Returns the time until the upstream may get a call of this host by its
- * notices, CT_MS_NEVER if it never may, or 0 if it has none that bars it.
+ * notices, CT_MS_NEVER if none is known, or 0 if it has no notice or leaves.
  */
 ct_ms ct_upstream_notices_free_in_ms(const struct ct_state *state,
                                      struct ct_handle upstream);
--- a/t/fake/fake-runner.c
+++ b/t/fake/fake-runner.c
@@ -27,6 +27,14 @@
     int64_t endless;
     /* Declines to continue a run: it has no copy of any. */
     int64_t no_copy;
+    /*
+     * What it says of itself in each response: that it leaves, how many
+     * requests it takes in 1,000 s, and with a refusal, for how many
+     * milliseconds it wants nothing; 0: nothing.
+     */
+    int64_t leaving;
+    int64_t limit;
+    int64_t pause_ms;
 };
 
 static void
@@ -91,6 +99,25 @@
     g_free(fields);
 }
 
+static void
+add_notices(const struct runner *runner, struct fake_request *request)
+{
+    char value[32];
+
+    if (runner->leaving) {
+        fake_add_header(request, "Server-Leaving", "1");
+    }
+    if (runner->limit) {
+        g_snprintf(value, sizeof(value), "%.3f", (double)runner->limit / 1000);
+        fake_add_header(request, "Server-Limit", value);
+    }
+    if (runner->decline && runner->pause_ms) {
+        g_snprintf(value, sizeof(value), "%.3f",
+                   (double)runner->pause_ms / 1000);
+        fake_add_header(request, "Retry-After", value);
+    }
+}
+
 static void
 handle_request(struct fake_server *server, struct fake_request *request)
 {
@@ -100,6 +127,7 @@
 
     fake_add_header(request, "Request-Id",
                     runner->mismatch || id == NULL ? "another" : id);
+    add_notices(runner, request);
     if (expected != NULL && strcmp(expected, runner->id) != 0) {
         fake_add_header(request, "Instance-Id", runner->id);
         fake_reply(request, STATUS_MISDIRECTED, NULL, 0);
@@ -161,6 +189,9 @@
         {"delay_ms", &runner.delay_ms},
         {"endless", &runner.endless},
         {"no_copy", &runner.no_copy},
+        {"leaving", &runner.leaving},
+        {"limit", &runner.limit},
+        {"pause_ms", &runner.pause_ms},
         {NULL, NULL}};
     struct poptOption options[] = {
         {"id", 0, POPT_ARG_STRING, &runner.id, 0, "instance id", "ID"},
--- a/t/lib-platform.c
+++ b/t/lib-platform.c
@@ -12,20 +12,32 @@
     g_free(path);
 }
 
-void
-platform_put_upstream(uint16_t store, int n, uint16_t port, const char *state)
+static void
+put_upstream(uint16_t store, int n, uint16_t port, const char *state, int born)
 {
     char *key = g_strdup_printf("run-%d", n);
     char *text = g_strdup_printf(
         "{\"service\":\"app\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"z\","
         "\"version\":\"v1\",\"slots\":64,\"state\":\"%s\",\"born\":%d}",
-        port, state, n + 1);
+        port, state, born);
 
     platform_put(store, PLATFORM_TOPIC_UPSTREAMS, key, text);
     g_free(text);
     g_free(key);
 }
 
+void
+platform_put_upstream(uint16_t store, int n, uint16_t port, const char *state)
+{
+    put_upstream(store, n, port, state, n + 1);
+}
+
+void
+platform_put_restarted(uint16_t store, int n, uint16_t port, int born)
+{
+    put_upstream(store, n, port, "ready", born);
+}
+
 void
 platform_add_organisation(GString *list, const char *name, const char *keys)
 {
--- a/t/lib-platform.h
+++ b/t/lib-platform.h
@@ -26,6 +26,8 @@
 /* Writes the entry of upstream "run-N" with a state such as "ready". */
 void platform_put_upstream(uint16_t store, int n, uint16_t port,
                            const char *state);
+/* The same for another process, which started at born, under that name. */
+void platform_put_restarted(uint16_t store, int n, uint16_t port, int born);
 
 /* Adds an organisation to a list; keys are quoted and comma-separated. */
 void platform_add_organisation(GString *list, const char *name,
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -33,6 +33,7 @@
         .usage_late_ms = 10000,
         .address_ttl_ms = 2000,
         .grace_ms = 8000,
+        .upstream_pause_max_ms = 300000,
     };
     t_core_post(core, &event);
 }
@@ -207,6 +208,25 @@
     t_relay_configure(core, 5, n);
 }
 
+void
+t_relay_setup_backups(struct t_core *core)
+{
+    GArray *rows = t_relay_rows();
+
+    t_relay_setup(core, 3);
+    for (guint i = 0; i < rows->len; i++) {
+        struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == CT_CONFIG_POOL) {
+            row->u.pool.backs_up = true;
+        }
+    }
+    t_relay_post_config(core, 6, rows);
+    t_relay_confirm(core);
+    g_array_free(rows, TRUE);
+}
+
 /* Posts the call with the members that the caller has not set. */
 static uint64_t
 post_call(struct t_core *core, uint8_t key, const char *path,
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -36,6 +36,9 @@
 /* t_relay_init(), then t_relay_configure() with version 5. */
 void t_relay_setup(struct t_core *core, uint32_t n);
 
+/* t_relay_setup() with 3 upstreams in pools that make backups. */
+void t_relay_setup_backups(struct t_core *core);
+
 /* Rows of the configuration of t_relay_configure(): struct ct_config_row. */
 GArray *t_relay_rows(void);
 void t_relay_post_config(struct t_core *core, int64_t version, GArray *rows);
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -414,6 +414,45 @@
     AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
 }
 
+/*
+ * An upstream says that it leaves, beside a store that says nothing, in a
+ * plain response, a stream or a refusal: once the response was forwarded, or
+ * another upstream was tried, it gets no more calls. Another process under its
+ * name does.
+ */
+static void
+test_leaving_beside_silent_store(void)
+{
+    static const struct {
+        const char *path, *set;
+    } cases[] = {
+        {"/any/x", "{\"leaving\":1}"},
+        {"/s/str/x", "{\"leaving\":1}"},
+        {"/any/x", "{\"leaving\":1,\"decline\":1}"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        int before;
+
+        AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
+        http_set(f.store.port, "/fake/set", "{\"down\":1}");
+        http_set(f.runners[0].port, "/fake/set", cases[i].set);
+        for (int j = 0; j < 8; j++) {
+            g_assert_cmpint(status_of(cases[i].path, KEY_HEADER), ==, 200);
+        }
+        before = HTTP_COUNT_SEEN(f.runners[0].port, "\"ran\"");
+        http_set(f.runners[0].port, "/fake/set", "{\"decline\":0}");
+        g_assert_true(is_first_runner_idle(20));
+        g_assert_cmpint(HTTP_COUNT_SEEN(f.runners[0].port, "\"ran\""), ==,
+                        before);
+        http_set(f.runners[0].port, "/fake/set", "{\"leaving\":0}");
+        http_set(f.store.port, "/fake/set", "{\"down\":0}");
+        platform_put_restarted(f.store.port, 0, f.runners[0].port,
+                               100 + (int)i);
+    }
+    AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
+}
+
 /* The only host is the leader and reports the usage windows. */
 static void
 test_usage_report(void)
@@ -489,6 +528,8 @@
     g_test_add_func("/relay/key-withdrawn", test_key_withdrawn);
     g_test_add_func("/relay/unreadable-entries", test_unreadable_entries);
     g_test_add_func("/relay/draining-upstream", test_draining_upstream);
+    g_test_add_func("/relay/leaving-beside-silent-store",
+                    test_leaving_beside_silent_store);
     g_test_add_func("/relay/usage-report", test_usage_report);
     g_test_add_func("/relay/store-outage", test_store_outage);
     g_test_add_func("/relay/metrics", test_metrics);
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -241,6 +241,29 @@
     }
 }
 
+static void
+test_leaving(void)
+{
+    static const struct {
+        const char *value;
+        bool leaving, invalid;
+    } cases[] = {{"1", true, false},  {"0", false, false},
+                 {"", false, true},   {"true", false, true},
+                 {"11", false, true}, {"-1", false, true},
+                 {"1 1", false, true}};
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_upstream_response_head head = {.status = 200};
+        struct ct_relay_start start = {.rank = 0};
+
+        g_assert_true(ops()->response_header(ct_platform_dialect(), &start,
+                                             "Server-Leaving", cases[i].value,
+                                             &head));
+        g_assert_cmpint(head.notice.leaving, ==, cases[i].leaving);
+        g_assert_cmpint(head.notice.invalid, ==, cases[i].invalid);
+    }
+}
+
 /* Limits that an upstream names; values that cannot be read are ignored. */
 static void
 test_limits(void)
@@ -316,6 +339,7 @@
     g_test_add_func("/call-dialect/attempt-headers", test_attempt_headers);
     g_test_add_func("/call-dialect/backup-headers", test_backup_headers);
     g_test_add_func("/call-dialect/response-headers", test_response_headers);
+    g_test_add_func("/call-dialect/leaving", test_leaving);
     g_test_add_func("/call-dialect/limits", test_limits);
     g_test_add_func("/call-dialect/own-responses", test_own_responses);
     return g_test_run();
--- a/t/test-relay-attempt.c
+++ b/t/test-relay-attempt.c
@@ -352,26 +352,6 @@
 
 #define PROMPT_WITH_BACKUP_TOKENS 1000
 
-/* Sets up three engines that can copy their caches to each other. */
-static void
-setup_backups(struct t_core *core)
-{
-    GArray *rows = t_relay_rows();
-
-    t_relay_setup(core, 3);
-    for (guint i = 0; i < rows->len; i++) {
-        struct ct_config_row *row =
-            &g_array_index(rows, struct ct_config_row, i);
-
-        if (row->kind == CT_CONFIG_POOL) {
-            row->u.pool.backs_up = true;
-        }
-    }
-    t_relay_post_config(core, 6, rows);
-    t_relay_confirm(core);
-    g_array_free(rows, TRUE);
-}
-
 static struct ct_relay_start
 start_stream(struct t_core *core, const char *path, uint32_t prompt_tokens)
 {
@@ -393,7 +373,7 @@
     struct ct_relay_start first;
     struct ct_relay_start next;
 
-    setup_backups(core);
+    t_relay_setup_backups(core);
     first = start_stream(core, T_STREAM_PATH, PROMPT_WITH_BACKUP_TOKENS);
     g_assert_cmpstr(first.cache_backup.text, !=, "");
     g_assert_cmpstr(first.cache_backup.text, !=, first.address.text);
@@ -455,7 +435,7 @@
     struct ct_relay_start start;
     struct t_core core;
 
-    setup_backups(&core);
+    t_relay_setup_backups(&core);
     start = start_stream(&core, T_STREAM_PATH, PROMPT_WITH_BACKUP_TOKENS);
     t_relay_data(&core, start.attempt, 4);
     for (uint32_t i = 0; i < 3; i++) {
@@ -482,7 +462,7 @@
     struct ct_relay_start start;
     struct t_core core;
 
-    setup_backups(&core);
+    t_relay_setup_backups(&core);
     g_assert_cmpstr(
         start_stream(&core, T_RESUME_PATH, PROMPT_WITH_BACKUP_TOKENS)
             .cache_backup.text,
--- a/t/test-upstream-notices.c
+++ b/t/test-upstream-notices.c
@@ -376,6 +376,94 @@
     t_core_free(&core);
 }
 
+/* Makes a call at each upstream; the one that says that it leaves is returned.
+ */
+static struct ct_relay_start
+learn_leaving(struct t_core *core, const struct ct_upstream_notice *notice)
+{
+    struct ct_relay_start start;
+
+    t_relay_call(core, 1, T_RESUME_PATH);
+    start = t_relay_started(core);
+    t_relay_sent(core, start.attempt);
+    t_relay_head(core, start.attempt, notice);
+    complete(core, &start);
+    return start;
+}
+
+/* Declines the attempt; returns the retry. */
+static struct ct_relay_start
+decline(struct t_core *core, const struct ct_relay_start *start)
+{
+    t_relay_finish(core, start->attempt, CT_OUTCOME_DECLINED, 503);
+    return t_relay_started(core);
+}
+
+/*
+ * An upstream that says that it leaves gets no first attempts, retries or
+ * backups, whatever its prefixes, until that is too old.
+ */
+static void
+test_leaving(void)
+{
+    const struct ct_upstream_notice notice = {
+        .leaving = true, .limited = true, .limit_permille = 1000000};
+    struct ct_relay_start leaving;
+    struct t_core core;
+    bool used = false;
+
+    t_relay_setup_backups(&core);
+    leaving = learn_leaving(&core, &notice);
+    for (guint i = 0; i < 50; i++) {
+        struct ct_relay_start start;
+
+        t_relay_call_with_prefix(&core, 1, T_RESUME_PATH, 1 + i);
+        start = t_relay_started(&core);
+        g_assert_cmpstr(start.upstream.text, !=, leaving.upstream.text);
+        start = decline(&core, &start);
+        g_assert_cmpstr(start.upstream.text, !=, leaving.upstream.text);
+        t_relay_sent(&core, start.attempt);
+        complete(&core, &start);
+        t_relay_call_of_size(&core, 1, T_STREAM_PATH, 100);
+        start = t_relay_started(&core);
+        g_assert_cmpstr(start.cache_backup.text, !=, "");
+        g_assert_cmpstr(start.cache_backup.text, !=, leaving.address.text);
+        t_relay_sent(&core, start.attempt);
+        complete(&core, &start);
+        t_core_tick(&core, 1000);
+        t_relay_confirm(&core);
+    }
+    for (guint i = 0; i < 300; i++) {
+        t_core_tick(&core, 1000);
+        t_relay_confirm(&core);
+    }
+    for (guint i = 0; i < 50 && !used; i++) {
+        struct ct_relay_start start;
+
+        t_relay_call_with_prefix(&core, 1, T_RESUME_PATH, 1 + i);
+        start = t_relay_started(&core);
+        used = strcmp(start.upstream.text, leaving.upstream.text) == 0;
+        t_relay_sent(&core, start.attempt);
+        complete(&core, &start);
+    }
+    g_assert_true(used);
+    t_core_free(&core);
+}
+
+/* If all upstreams leave there is none; nothing has run. */
+static void
+test_all_leave(void)
+{
+    const struct ct_upstream_notice notice = {.leaving = true};
+    struct t_core core;
+
+    t_relay_setup(&core, 1);
+    learn_leaving(&core, &notice);
+    t_relay_call(&core, 1, T_RESUME_PATH);
+    t_core_assert_refused(&core, CT_REFUSAL_NO_UPSTREAM, CT_NOT_RUN);
+    t_core_free(&core);
+}
+
 /* Values that cannot be read are logged at a bounded rate, and change nothing.
  */
 static void
@@ -422,6 +510,8 @@
     g_test_add_func("/upstream-notices/end-of-limit", test_end_of_limit);
     g_test_add_func("/upstream-notices/restart-inherits-nothing",
                     test_restart_inherits_nothing);
+    g_test_add_func("/upstream-notices/leaving", test_leaving);
+    g_test_add_func("/upstream-notices/all-leave", test_all_leave);
     g_test_add_func("/upstream-notices/invalid-notice", test_invalid_notice);
     return g_test_run();
 }
