core, platform: leave an upstream alone for as long as its refusal says

Cause: an upstream that refuses may say for how long it wants nothing; nothing read it, and a declining upstream was avoided for half a second only.

Change: the time joins the notices of core/upstream-notices and bars the upstream, up to bounds.upstream_pause_max_s; a longer one is cut and logged. Where all upstreams of a pool are barred, callers get the earliest end as Retry-After. Event 1818 and a counter.

--- a/core/counter.h
+++ b/core/counter.h
@@ -24,6 +24,7 @@
     X(RESUMES, "resumes_total")                                               \
     X(PARTS_QUARANTINED, "prompt_parts_quarantined_total")                    \
     X(NOTICES_LIMIT, "upstream_notices_limit_total")                          \
+    X(NOTICES_PAUSE, "upstream_notices_pause_total")                          \
     X(NOTICES_LEAVING, "upstream_notices_leaving_total")                      \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
--- a/core/effect.h
+++ b/core/effect.h
@@ -231,6 +231,7 @@
     X(UPSTREAM_LIMITED, 1815, INFO, "upstream named a limit")                 \
     X(UPSTREAM_UNLIMITED, 1816, INFO, "upstream names no limit any more")     \
     X(UPSTREAM_SAYS_LEAVING, 1817, INFO, "upstream says that it leaves")      \
+    X(UPSTREAM_PAUSED, 1818, INFO, "upstream wants no calls for a while")     \
     X(UPSTREAM_NOTICE_BAD, 1819, WARNING, "upstream's notice ignored")        \
     X(MEMBER_UP, 1821, INFO, "host joined")                                   \
     X(MEMBER_DOWN, 1822, INFO, "host missing from the member list")           \
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -8,8 +8,8 @@
 
 /* Delay after which a caller may retry a refused call. */
 #define RETRY_AFTER_MS 200
-/* Limits change, so the end of a longer time is not known. */
-#define LIMITED_RETRY_AFTER_MAX_MS 5000
+/* Notices change, so a longer time tells callers nothing. */
+#define LIMITED_RETRY_AFTER_MAX_MS 60000
 
 void
 ct_relays_init(struct ct_relays *relays)
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -202,6 +202,23 @@
         state->now_ms + state->self.bounds.upstream_pause_max_ms;
 }
 
+static void
+apply_pause(struct ct_state *state, struct ct_notice_row *row, ct_ms pause_ms)
+{
+    ct_ms max_ms = state->self.bounds.upstream_pause_max_ms;
+
+    if (pause_ms > max_ms) {
+        log_invalid(state, row->upstream);
+        pause_ms = max_ms;
+    }
+    if (row->paused_until_ms <= state->now_ms) {
+        ct_increment_counter(state, CT_COUNTER_NOTICES_PAUSE);
+        log_notice(state, CT_LOG_UPSTREAM_PAUSED, row->upstream, NULL,
+                   pause_ms);
+    }
+    row->paused_until_ms = MAX(row->paused_until_ms, state->now_ms + pause_ms);
+}
+
 void
 ct_upstream_notices_on_head(struct ct_state *state, struct ct_handle upstream,
                             const struct ct_upstream_notice *notice)
@@ -219,6 +236,9 @@
     if (notice->leaving) {
         apply_leaving(state, row);
     }
+    if (notice->pause_ms > 0) {
+        apply_pause(state, row, notice->pause_ms);
+    }
     if (notice->limited) {
         apply_limit(state, row, notice->limit_permille);
     }
@@ -286,7 +306,8 @@
     if (!row) {
         return false;
     }
-    if (row->leaving_until_ms > state->now_ms) {
+    if (row->leaving_until_ms > state->now_ms ||
+        row->paused_until_ms > state->now_ms) {
         return true;
     }
     return row->limited && (tokens_now(row, state->now_ms) < TOKEN ||
@@ -309,18 +330,15 @@
     }
 }
 
-ct_ms
-ct_upstream_notices_free_in_ms(const struct ct_state *state,
-                               struct ct_handle upstream)
+/* Returns the time until the bucket has a token; 0 if it has no limit. */
+static ct_ms
+token_in_ms(const struct ct_notice_row *row, ct_ms now_ms)
 {
-    const struct ct_notice_row *row =
-        find_row(&state->upstream_notices, upstream);
-    int64_t missing;
+    int64_t missing = TOKEN - tokens_now(row, now_ms);
 
-    if (!row || !row->limited || row->leaving_until_ms > state->now_ms) {
+    if (!row->limited) {
         return 0;
     }
-    missing = TOKEN - tokens_now(row, state->now_ms);
     if (missing <= 0) {
         return 1;
     }
@@ -328,6 +346,20 @@
                                   : CT_MS_NEVER;
 }
 
+ct_ms
+ct_upstream_notices_free_in_ms(const struct ct_state *state,
+                               struct ct_handle upstream)
+{
+    const struct ct_notice_row *row =
+        find_row(&state->upstream_notices, upstream);
+
+    if (!row || row->leaving_until_ms > state->now_ms) {
+        return 0;
+    }
+    return MAX(token_in_ms(row, state->now_ms),
+               MAX(row->paused_until_ms - state->now_ms, 0));
+}
+
 void
 ct_upstream_notices_on_wait(struct ct_state *state, struct ct_handle pool,
                             uint32_t rank)
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -453,6 +453,30 @@
     AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
 }
 
+/* An upstream that refuses and wants nothing for a while gets no calls then.
+ */
+static void
+test_pause_after_refusal(void)
+{
+    int before;
+
+    AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
+    http_set(f.runners[0].port, "/fake/set",
+             "{\"decline\":1,\"pause_ms\":4000}");
+    for (int i = 0; i < 8; i++) {
+        g_assert_cmpint(status_of("/any/x", KEY_HEADER), ==, 200);
+    }
+    http_set(f.runners[0].port, "/fake/set", "{\"decline\":0,\"pause_ms\":0}");
+    before = HTTP_COUNT_SEEN(f.runners[0].port, "\"ran\"");
+    /* Longer than a declining upstream is avoided anyway. */
+    for (gint64 until = g_get_monotonic_time() + 2 * G_USEC_PER_SEC;
+         g_get_monotonic_time() < until;) {
+        g_assert_cmpint(status_of("/any/x", KEY_HEADER), ==, 200);
+    }
+    g_assert_cmpint(HTTP_COUNT_SEEN(f.runners[0].port, "\"ran\""), ==, before);
+    AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
+}
+
 /* The only host is the leader and reports the usage windows. */
 static void
 test_usage_report(void)
@@ -530,6 +554,7 @@
     g_test_add_func("/relay/draining-upstream", test_draining_upstream);
     g_test_add_func("/relay/leaving-beside-silent-store",
                     test_leaving_beside_silent_store);
+    g_test_add_func("/relay/pause-after-refusal", test_pause_after_refusal);
     g_test_add_func("/relay/usage-report", test_usage_report);
     g_test_add_func("/relay/store-outage", test_store_outage);
     g_test_add_func("/relay/metrics", test_metrics);
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -264,6 +264,45 @@
     }
 }
 
+/* Only a refusal says for how long the upstream wants nothing. */
+static void
+test_pauses(void)
+{
+    static const struct {
+        uint32_t status;
+        const char *value;
+        bool invalid;
+        ct_ms pause_ms;
+    } cases[] = {
+        {503, "2", false, 2000},
+        {503, "0.25", false, 250},
+        {503, "31536000", false, 31536000000},
+        {503, "0", false, 0},
+        {429, "2", false, 0},
+        {200, "2", false, 0},
+        {503, "", true, 0},
+        {503, "-1", true, 0},
+        {503, "soon", true, 0},
+        {503, "1e9", true, 0},
+        {503, "nan", true, 0},
+        {503, "2s", true, 0},
+        {503, "99999999999", true, 0},
+        {503, "11111111111111111111111111111111111111", true, 0},
+        {503, "Sat, 05 Dec 2026 14:00:00 GMT", true, 0},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_upstream_response_head head = {.status = cases[i].status};
+        struct ct_relay_start start = {.rank = 0};
+
+        g_assert_true(ops()->response_header(ct_platform_dialect(), &start,
+                                             "Retry-After", cases[i].value,
+                                             &head));
+        g_assert_cmpint(head.notice.invalid, ==, cases[i].invalid);
+        g_assert_cmpint(head.notice.pause_ms, ==, cases[i].pause_ms);
+    }
+}
+
 /* Limits that an upstream names; values that cannot be read are ignored. */
 static void
 test_limits(void)
@@ -340,6 +379,7 @@
     g_test_add_func("/call-dialect/backup-headers", test_backup_headers);
     g_test_add_func("/call-dialect/response-headers", test_response_headers);
     g_test_add_func("/call-dialect/leaving", test_leaving);
+    g_test_add_func("/call-dialect/pauses", test_pauses);
     g_test_add_func("/call-dialect/limits", test_limits);
     g_test_add_func("/call-dialect/own-responses", test_own_responses);
     return g_test_run();
--- a/t/test-upstream-notices.c
+++ b/t/test-upstream-notices.c
@@ -464,6 +464,90 @@
     t_core_free(&core);
 }
 
+/* The upstream of the call refuses it and wants nothing for pause_ms. */
+static struct ct_relay_start
+refuse_with_pause(struct t_core *core, ct_ms pause_ms)
+{
+    const struct ct_upstream_notice notice = {.pause_ms = pause_ms};
+    struct ct_relay_start start;
+
+    t_relay_call(core, 1, T_RESUME_PATH);
+    start = t_relay_started(core);
+    t_relay_sent(core, start.attempt);
+    t_relay_head(core, start.attempt, &notice);
+    return start;
+}
+
+/* An upstream that wants nothing for 4 s gets nothing, then calls again. */
+static void
+test_pause(void)
+{
+    struct ct_relay_start paused;
+    struct t_core core;
+    ct_ms end_ms;
+    bool used = false;
+
+    t_relay_setup(&core, 3);
+    paused = refuse_with_pause(&core, 4000);
+    end_ms = core.now_ms + 4000;
+    t_relay_done(&core, paused.attempt, CT_OUTCOME_DECLINED, 503);
+    for (guint i = 0; core.now_ms < end_ms + 2000; i++) {
+        struct ct_relay_start start;
+
+        t_relay_call_with_prefix(&core, 1, T_RESUME_PATH, 1 + i);
+        start = t_relay_started(&core);
+        if (strcmp(start.upstream.text, paused.upstream.text) == 0) {
+            g_assert_cmpint(core.now_ms, >=, end_ms);
+            used = true;
+        }
+        t_relay_sent(&core, start.attempt);
+        complete(&core, &start);
+        t_core_tick(&core, 100);
+        t_relay_confirm(&core);
+    }
+    g_assert_true(used);
+    t_core_free(&core);
+}
+
+/*
+ * If all upstreams want nothing, calls are refused until the first end; a
+ * pause of a year is cut to the longest one and logged.
+ */
+static void
+test_all_pause(void)
+{
+    struct ct_relay_start start;
+    struct t_core core;
+    guint bad = 0;
+
+    t_relay_setup(&core, 2);
+    start = refuse_with_pause(&core, CT_MS_NEVER / 1000);
+    for (guint i = 0; t_core_effect(&core, CT_EFFECT_LOG_EVENT, i); i++) {
+        bad += t_core_effect(&core, CT_EFFECT_LOG_EVENT, i)->u.log.event ==
+               CT_LOG_UPSTREAM_NOTICE_BAD;
+    }
+    g_assert_cmpuint(bad, ==, 1);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_DECLINED, 503);
+    start = t_relay_started(&core);
+    t_relay_sent(&core, start.attempt);
+    complete(&core, &start);
+    start = refuse_with_pause(&core, 7000);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_DECLINED, 503);
+    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_LIMITED, CT_NOT_RUN);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_REFUSE_REQUEST, 0)
+                        ->u.refuse.retry_after_ms,
+                    ==, 7000);
+    for (guint i = 0; i < 300; i++) {
+        t_core_tick(&core, 1000);
+        t_relay_confirm(&core);
+    }
+    /* Both get calls again: the second is tried when the first refuses. */
+    start = refuse_with_pause(&core, 1);
+    t_relay_done(&core, start.attempt, CT_OUTCOME_DECLINED, 503);
+    t_relay_started(&core);
+    t_core_free(&core);
+}
+
 /* Values that cannot be read are logged at a bounded rate, and change nothing.
  */
 static void
@@ -512,6 +596,8 @@
                     test_restart_inherits_nothing);
     g_test_add_func("/upstream-notices/leaving", test_leaving);
     g_test_add_func("/upstream-notices/all-leave", test_all_leave);
+    g_test_add_func("/upstream-notices/pause", test_pause);
+    g_test_add_func("/upstream-notices/all-pause", test_all_pause);
     g_test_add_func("/upstream-notices/invalid-notice", test_invalid_notice);
     return g_test_run();
 }
