core: choose upstreams of relayed calls in a module of its own

Cause: core/relay-attempt.c had grown to 670 lines and two jobs.

Change: core/relay-choice.c chooses upstream, cache donor and backup of an attempt, and says when a barred one is free; the Retry-After of a refusal counts upstreams that the refused call had tried, as a new call may use them.

--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
-#include "candidates.h"
 #include "error.h"
 #include "relay-backup.h"
+#include "relay-choice.h"
 #include "relay-end.h"
 #include "retry.h"
 #include "state.h"
@@ -22,149 +22,9 @@
 #define STATUS_OK 200
 #define FIRST_SERVER_ERROR 500
 
-/* Selects the running upstreams of the call's pool. */
-static struct ct_candidate_filter
-filter_running(const struct ct_state *state, const struct ct_relay *relay)
-{
-    return (struct ct_candidate_filter){
-        .pool = relay->pool,
-        .state = CT_UPSTREAM_RUNNING,
-        .zone = &state->self.zone,
-        .tried = relay->tried,
-        .n_tried = relay->n_tried,
-        .rank = relay->rank,
-    };
-}
-
-/*
- * Lists the running upstreams of the pool or, if there are none, the
- * unconfirmed ones.
- */
-static uint32_t
-list_candidates(const struct ct_state *state, const struct ct_relay *relay,
-                struct ct_candidate *out)
-{
-    struct ct_candidate_filter filter = filter_running(state, relay);
-    uint32_t n = ct_candidates_list(state, &filter, out, CT_CANDIDATES_MAX);
-
-    if (n > 0) {
-        return n;
-    }
-    filter.state = CT_UPSTREAM_UNCONFIRMED;
-    return ct_candidates_list(state, &filter, out, CT_CANDIDATES_MAX);
-}
-
-/*
- * Lists the leaving upstreams. All are excluded from the choice, but those
- * not tried are marked as leaving: their caches can still be copied from.
- */
-static uint32_t
-list_leaving(const struct ct_state *state, const struct ct_relay *relay,
-             struct ct_candidate *out, uint32_t max)
-{
-    const struct ct_candidate_filter filter = {
-        .pool = relay->pool,
-        .state = CT_UPSTREAM_LEAVING,
-        .tried = relay->tried,
-        .n_tried = relay->n_tried,
-    };
-    uint32_t n = ct_candidates_list(state, &filter, out, max);
-
-    for (uint32_t i = 0; i < n; i++) {
-        out[i].leaving = !out[i].excluded;
-        out[i].excluded = true;
-    }
-    return n;
-}
-
-struct upstream_choice {
-    struct ct_handle upstream;
-    /*
-     * Upstream that may hold parts of the prompt in its cache which the
-     * chosen one lacks.
-     */
-    struct ct_handle cache_donor;
-    struct ct_handle backup;
-    /* The upstream holds the backup of the call's last attempt. */
-    bool from_backup;
-};
-
-/* Whether no other route to the pool has a shorter gap target. */
-static bool
-has_tight_gap(const struct ct_state *state, const struct ct_relay *relay)
-{
-    const struct ct_prefix_route_row *route =
-        ct_table_get(&state->config.prefix_routes, relay->route);
-    const struct ct_pool_row *pool =
-        ct_table_get(&state->config.pools, relay->pool);
-
-    return route->conf.gap_target_ms <= pool->tightest_gap_ms;
-}
-
-static struct ct_balance_request
-describe_request(const struct ct_state *state, const struct ct_relay *relay)
-{
-    return (struct ct_balance_request){
-        .now_ms = state->now_ms,
-        .prefix_hash = relay->prefix_hash,
-        .prompt_tokens = relay->prompt_tokens,
-        .tight_gap = has_tight_gap(state, relay),
-        .tier = relay->rank,
-        .hosts = ct_group_size(state),
-        .cheap_allowed = true,
-        .may_probe = true,
-    };
-}
-
-static struct upstream_choice
-choose_upstream(struct ct_state *state, const struct ct_relay *relay)
-{
-    const struct ct_balance_policy_ops *ops = state->relay_balance->ops;
-    const struct ct_balance_request request = describe_request(state, relay);
-    struct ct_candidate candidates[CT_CANDIDATES_MAX];
-    struct upstream_choice choice = {.upstream = CT_NO_HANDLE};
-    uint32_t n;
-    int chosen;
-    int donor;
-
-    ct_upstream_notices_share(state);
-    n = list_candidates(state, relay, candidates);
-    chosen =
-        ops->choose_upstream(state->relay_balance, &request, candidates, n);
-    if (chosen < 0) {
-        return choice;
-    }
-    choice.upstream = candidates[chosen].upstream;
-    choice.backup =
-        ct_relay_backup_choose(state, relay, &request, choice.upstream);
-    if (relay->prefix_hash) {
-        n += list_leaving(state, relay, &candidates[n], CT_CANDIDATES_MAX - n);
-        donor = ops->cache_donor(state->relay_balance, &request, candidates, n,
-                                 (uint32_t)chosen);
-        if (donor >= 0) {
-            choice.cache_donor = candidates[donor].upstream;
-        }
-    }
-    return choice;
-}
-
-/* Returns the backup of the call's last attempt, and a backup of its own. */
-static struct upstream_choice
-choose_backup(struct ct_state *state, const struct ct_relay *relay)
-{
-    const struct ct_balance_request request = describe_request(state, relay);
-
-    return (struct upstream_choice){
-        .upstream = relay->backup,
-        .backup =
-            ct_relay_backup_choose(state, relay, &request, relay->backup),
-        .from_backup = true,
-    };
-}
-
 static void
 emit_attempt_start(struct ct_state *state, const struct ct_relay *relay,
-                   const struct upstream_choice *choice)
+                   const struct ct_relay_choice *choice)
 {
     const struct ct_upstream_row *upstream =
         ct_table_get(&state->config.upstreams, choice->upstream);
@@ -206,8 +66,7 @@
 wait_or_fail(struct ct_state *state, struct ct_handle handle)
 {
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-    const struct ct_candidate_filter filter = filter_running(state, relay);
-    ct_ms wait_ms = ct_candidates_free_in_ms(state, &filter);
+    ct_ms wait_ms = ct_relay_upstream_free_in_ms(state, relay);
     ct_ms waited_ms =
         relay->waiting_since_ms ? state->now_ms - relay->waiting_since_ms : 0;
 
@@ -231,7 +90,7 @@
 
 static void
 start_attempt(struct ct_state *state, struct ct_handle handle,
-              const struct upstream_choice *choice)
+              const struct ct_relay_choice *choice)
 {
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
     struct ct_handle chosen = choice->upstream;
@@ -281,7 +140,7 @@
 ct_relay_send(struct ct_state *state, struct ct_handle handle)
 {
     const struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-    struct upstream_choice choice = choose_upstream(state, relay);
+    struct ct_relay_choice choice = ct_relay_choose_upstream(state, relay);
 
     start_attempt(state, handle, &choice);
 }
@@ -601,15 +460,15 @@
            const struct ct_relay_progress *progress, bool from_backup)
 {
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
-    struct upstream_choice choice;
+    struct ct_relay_choice choice;
 
     ct_increment_counter(state, retry_counter(progress->outcome));
     if (relay->response_started) {
         ct_increment_counter(state, CT_COUNTER_RESUMES);
     }
     log_retry(state, relay, progress);
-    choice = from_backup ? choose_backup(state, relay)
-                         : choose_upstream(state, relay);
+    choice = from_backup ? ct_relay_choose_backup(state, relay)
+                         : ct_relay_choose_upstream(state, relay);
     start_attempt(state, handle, &choice);
 }
 
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "candidates.h"
 #include "index.h"
+#include "relay-choice.h"
 #include "state.h"
 
 /* Delay after which a caller may retry a refused call. */
@@ -89,14 +89,11 @@
 retry_after_ms(const struct ct_state *state, const struct ct_relay *relay,
                enum ct_refusal reason)
 {
-    struct ct_candidate_filter filter = {.state = CT_UPSTREAM_RUNNING};
-
     switch (reason) {
     case CT_REFUSAL_PROMPT_QUARANTINED:
         return ct_prompt_quarantine_retry_after_ms(state, &relay->parts);
     case CT_REFUSAL_UPSTREAM_LIMITED:
-        filter.pool = relay->pool;
-        return CLAMP(ct_candidates_free_in_ms(state, &filter), RETRY_AFTER_MS,
+        return CLAMP(ct_relay_new_call_in_ms(state, relay), RETRY_AFTER_MS,
                      LIMITED_RETRY_AFTER_MAX_MS);
     default:
         return RETRY_AFTER_MS;
--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -99,6 +99,19 @@
     t_relay_confirm(core);
 }
 
+/* Five calls with the deadly part; the shared one is answered if told so. */
+static void
+crash_by_deadly_calls(struct world *world, bool answer_shared)
+{
+    for (guint i = 0; i < 5; i++) {
+        crash_by_call(world, deadly_parts, 200);
+        step(&world->core);
+        if (answer_shared) {
+            g_assert_true(answer_call(&world->core, sound_parts));
+        }
+    }
+}
+
 /* Guards against calls that crash one upstream after the other (rule BUDGET).
  */
 static void
@@ -107,11 +120,7 @@
     struct world world;
 
     setup(&world, 12);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-        g_assert_true(answer_call(&world.core, sound_parts));
-    }
+    crash_by_deadly_calls(&world, true);
     for (guint i = 0; i < 20; i++) {
         world.sent += crash_by_call(&world, deadly_parts, 200);
         step(&world.core);
@@ -153,10 +162,7 @@
     struct world world;
 
     setup(&world, 12);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-    }
+    crash_by_deadly_calls(&world, false);
     g_assert_true(answer_call(&world.core, sound_parts));
     g_assert_cmpint(
         t_core_effect(&world.core, CT_EFFECT_LOG_EVENT, 0)->u.log.event, !=,
@@ -175,10 +181,7 @@
 
     setup(&world, 12);
     t_relay_post_members(&world.core, CT_OK, 50);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-    }
+    crash_by_deadly_calls(&world, false);
     for (guint i = 0; i < 50; i++) {
         t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, sound_parts);
         passed += is_started(&world.core);
@@ -282,10 +285,7 @@
     struct world world;
 
     setup(&world, 12);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-    }
+    crash_by_deadly_calls(&world, false);
     t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
     t_core_assert_refused(&world.core, CT_REFUSAL_PROMPT_QUARANTINED,
                           CT_NOT_RUN);
@@ -303,11 +303,7 @@
     struct world world;
 
     setup(&world, 12);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-        answer_call(&world.core, sound_parts);
-    }
+    crash_by_deadly_calls(&world, true);
     t_core_tick(&world.core, 601000);
     t_relay_confirm(&world.core);
     g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 1);
@@ -423,11 +419,7 @@
     struct world world;
 
     setup(&world, 12);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-        answer_call(&world.core, sound_parts);
-    }
+    crash_by_deadly_calls(&world, true);
     t_core_tick(&world.core, 1000);
     t_relay_confirm(&world.core);
     t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
@@ -447,11 +439,7 @@
     struct world world;
 
     setup(&world, 12);
-    for (guint i = 0; i < 5; i++) {
-        crash_by_call(&world, deadly_parts, 200);
-        step(&world.core);
-        answer_call(&world.core, sound_parts);
-    }
+    crash_by_deadly_calls(&world, true);
     for (guint i = 0; i < 5000; i++) {
         const uint64_t parts[] = {0x10000 + i, 0};
 
--- a/t/test-store-entry.c
+++ b/t/test-store-entry.c
@@ -227,6 +227,19 @@
     }
 }
 
+static int
+parse_upstream(const char *address, const char *slots)
+{
+    struct ct_store_upstream entry;
+    g_autofree char *text =
+        g_strdup_printf("{\"service\":\"s1\",\"addr\":\"%s\",\"zone\":\"za\","
+                        "\"slots\":%s,\"state\":\"ready\"}",
+                        address, slots);
+
+    g_test_message("%s", text);
+    return ct_store_entry_upstream("i-1", text, strlen(text), &entry);
+}
+
 /*
  * An entry of another writer: an address where no upstream can be, numbers too
  * large, values nested too deeply.
@@ -263,34 +276,13 @@
     GString *deep = g_string_new("{\"x\":");
 
     for (guint i = 0; i < G_N_ELEMENTS(bad_addresses); i++) {
-        g_autofree char *text = g_strdup_printf(
-            "{\"service\":\"s1\",\"addr\":\"%s\",\"zone\":\"za\","
-            "\"slots\":1,\"state\":\"ready\"}",
-            bad_addresses[i]);
-
-        g_test_message("%s", bad_addresses[i]);
-        g_assert_cmpint(
-            ct_store_entry_upstream("i-1", text, strlen(text), &entry), <, 0);
+        g_assert_cmpint(parse_upstream(bad_addresses[i], "1"), <, 0);
     }
     for (guint i = 0; i < G_N_ELEMENTS(good_addresses); i++) {
-        g_autofree char *text = g_strdup_printf(
-            "{\"service\":\"s1\",\"addr\":\"%s\",\"zone\":\"za\","
-            "\"slots\":1,\"state\":\"ready\"}",
-            good_addresses[i]);
-
-        g_assert_cmpint(
-            ct_store_entry_upstream("i-1", text, strlen(text), &entry), ==,
-            CT_OK);
+        g_assert_cmpint(parse_upstream(good_addresses[i], "1"), ==, CT_OK);
     }
     for (guint i = 0; i < G_N_ELEMENTS(bad_slots); i++) {
-        g_autofree char *text = g_strdup_printf(
-            "{\"service\":\"s1\",\"addr\":\"10.1.0.9:80\",\"zone\":\"za\","
-            "\"slots\":%s,\"state\":\"ready\"}",
-            bad_slots[i]);
-
-        g_test_message("%s", bad_slots[i]);
-        g_assert_cmpint(
-            ct_store_entry_upstream("i-1", text, strlen(text), &entry), <, 0);
+        g_assert_cmpint(parse_upstream("10.1.0.9:80", bad_slots[i]), <, 0);
     }
     for (guint i = 0; i < 100000; i++) {
         g_string_append_c(deep, '[');
--- a/t/test-upstream-notices.c
+++ b/t/test-upstream-notices.c
@@ -230,21 +230,29 @@
 
 /* Sends a call and returns its attempt, whose head has the notice. */
 static struct ct_relay_start
-call_with_head(struct t_core *core, int64_t limit_permille)
+call_with_notice(struct t_core *core, const struct ct_upstream_notice *notice)
 {
-    const struct ct_upstream_notice notice = {
-        .limited = limit_permille >= 0,
-        .limit_permille = MAX(limit_permille, 0),
-    };
     struct ct_relay_start start;
 
     t_relay_call(core, 1, T_RESUME_PATH);
     start = t_relay_started(core);
     t_relay_sent(core, start.attempt);
-    t_relay_head(core, start.attempt, &notice);
+    t_relay_head(core, start.attempt, notice);
     return start;
 }
 
+/* The same; a negative limit is none. */
+static struct ct_relay_start
+call_with_head(struct t_core *core, int64_t limit_permille)
+{
+    const struct ct_upstream_notice notice = {
+        .limited = limit_permille >= 0,
+        .limit_permille = MAX(limit_permille, 0),
+    };
+
+    return call_with_notice(core, &notice);
+}
+
 static void
 complete(struct t_core *core, const struct ct_relay_start *start)
 {
@@ -376,17 +384,12 @@
     t_core_free(&core);
 }
 
-/* Makes a call at each upstream; the one that says that it leaves is returned.
- */
+/* A call is answered with the notice; its attempt is returned. */
 static struct ct_relay_start
 learn_leaving(struct t_core *core, const struct ct_upstream_notice *notice)
 {
-    struct ct_relay_start start;
+    struct ct_relay_start start = call_with_notice(core, notice);
 
-    t_relay_call(core, 1, T_RESUME_PATH);
-    start = t_relay_started(core);
-    t_relay_sent(core, start.attempt);
-    t_relay_head(core, start.attempt, notice);
     complete(core, &start);
     return start;
 }
@@ -469,13 +472,8 @@
 refuse_with_pause(struct t_core *core, ct_ms pause_ms)
 {
     const struct ct_upstream_notice notice = {.pause_ms = pause_ms};
-    struct ct_relay_start start;
 
-    t_relay_call(core, 1, T_RESUME_PATH);
-    start = t_relay_started(core);
-    t_relay_sent(core, start.attempt);
-    t_relay_head(core, start.attempt, &notice);
-    return start;
+    return call_with_notice(core, &notice);
 }
 
 /* An upstream that wants nothing for 4 s gets nothing, then calls again. */
@@ -559,12 +557,8 @@
 
     t_relay_setup(&core, 1);
     for (guint i = 0; i < 100; i++) {
-        struct ct_relay_start start;
+        struct ct_relay_start start = call_with_notice(&core, &notice);
 
-        t_relay_call(&core, 1, T_RESUME_PATH);
-        start = t_relay_started(&core);
-        t_relay_sent(&core, start.attempt);
-        t_relay_head(&core, start.attempt, &notice);
         for (guint j = 0; t_core_effect(&core, CT_EFFECT_LOG_EVENT, j); j++) {
             logged +=
                 t_core_effect(&core, CT_EFFECT_LOG_EVENT, j)->u.log.event ==
