core: take the reserve for interactive requests out of the home policy

Change: core/balance-reserve.c says which upstreams are reserved; the analyzer's finding in test-upstream-notices (a division by zero) is out.

--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -1,8 +1,7 @@
 #include <glib.h>
-#include <stdlib.h>
 
+#include "balance-reserve.h"
 #include "balance-rows.h"
-#include "candidates.h"
 #include "error.h"
 
 /*
@@ -36,24 +35,6 @@
 #define AVOID_MAX_MS 8000
 #define FAILS_AGAIN_MS 10000
 
-/* Prompts of up to this length count as short. */
-#define SHORT_PROMPT_TOKENS 4096
-/*
- * Percentage of the upstreams that is reserved for interactive requests, and
- * its maximum when these need more. A pool with fewer upstreams than
- * RESERVE_MIN_UPSTREAMS reserves none.
- */
-#define RESERVED_PERCENT 15
-#define RESERVED_MAX_PERCENT 50
-#define RESERVE_MIN_UPSTREAMS 3
-#define RESERVE_SEED UINT64_C(0x5b0f7c1d2a94e863)
-
-/*
- * More upstreams are reserved if more than this percentage of their slots is
- * in use, because full engines interrupt running requests. All hosts are
- * assumed to send as much as this one.
- */
-#define RESERVED_FULL_PERCENT 50
 /*
  * If an interactive request waits longer than this for its first token, the
  * reserved upstreams are too few, and interactive requests may go to any
@@ -79,7 +60,7 @@
  */
 struct scope {
     const struct ct_balance_request *request;
-    /* As in struct reserve. */
+    /* As in struct ct_balance_reserve. */
     uint64_t reserved_up_to;
     /* Ignores which upstreams are reserved. */
     bool any_kind;
@@ -105,44 +86,14 @@
     uint64_t score;
 };
 
-static uint64_t
-rendezvous_hash(uint64_t prefix_hash, uint64_t name_hash)
-{
-    uint64_t z = prefix_hash ^ name_hash;
-
-    /* The steps of splitmix64 mix the pair. */
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return z ^ (z >> 31);
-}
-
-/* Places the upstream in the order in which upstreams are reserved. */
-static uint64_t
-reserve_hash(const struct ct_candidate *candidate)
-{
-    return rendezvous_hash(RESERVE_SEED, candidate->name_hash);
-}
-
-static bool
-is_short_prompt(const struct ct_balance_request *request)
-{
-    return request->prompt_tokens <= SHORT_PROMPT_TOKENS;
-}
-
-static bool
-is_interactive(const struct ct_balance_request *request)
-{
-    return request->tight_gap && is_short_prompt(request);
-}
-
 static bool
 matches_kind(const struct scope *scope, const struct ct_candidate *candidate)
 {
     const struct ct_balance_request *request = scope->request;
 
     return !request->prefix_hash || !request->prompt_tokens ||
-           (reserve_hash(candidate) <= scope->reserved_up_to) ==
-               is_interactive(request);
+           (ct_balance_reserve_hash(candidate) <= scope->reserved_up_to) ==
+               ct_balance_is_interactive(request);
 }
 
 static bool
@@ -155,100 +106,6 @@
            (scope->any_kind || matches_kind(scope, candidate));
 }
 
-/* The upstreams reserved for interactive requests. */
-struct reserve {
-    /* Hash of the last one in the order of reserve_hash(); 0 if none. */
-    uint64_t up_to;
-    /* They are half full, and no more can be reserved. */
-    bool full;
-};
-
-struct reserve_entry {
-    uint64_t hash;
-    uint32_t in_flight;
-    uint32_t slots;
-};
-
-static int
-compare_entries(const void *a, const void *b)
-{
-    const struct reserve_entry *x = a;
-    const struct reserve_entry *y = b;
-
-    return (x->hash > y->hash) - (x->hash < y->hash);
-}
-
-/* Lists the healthy candidates in the order in which they are reserved. */
-static uint32_t
-list_reserve(struct ct_balance_base *base,
-             const struct ct_balance_request *request,
-             const struct ct_candidate *candidates, uint32_t n,
-             struct reserve_entry *out)
-{
-    uint32_t listed = 0;
-
-    for (uint32_t i = 0; i < n; i++) {
-        const struct ct_balance_row *row =
-            ct_balance_row(&base->rows, candidates[i].upstream);
-
-        if (row && !candidates[i].excluded &&
-            row->ejected_until_ms <= request->now_ms) {
-            out[listed++] = (struct reserve_entry){
-                .hash = reserve_hash(&candidates[i]),
-                .in_flight = row->in_flight,
-                .slots = candidates[i].slots,
-            };
-        }
-    }
-    qsort(out, listed, sizeof(out[0]), compare_entries);
-    return listed;
-}
-
-/*
- * Whether the requests of all hosts use more than the permitted part of the
- * slots, if each host has as many in flight.
- */
-static bool
-exceeds_share(uint64_t in_flight, uint64_t slots, uint32_t hosts)
-{
-    return in_flight * hosts * 100 > slots * RESERVED_FULL_PERCENT;
-}
-
-/*
- * Reserves upstreams for interactive requests: a part of all, and more while
- * these are half full. The set of a smaller number is part of that of a larger
- * one, so hosts that reserve different numbers disagree about few upstreams.
- */
-static struct reserve
-reserve_upstreams(struct ct_balance_base *base,
-                  const struct ct_balance_request *request,
-                  const struct ct_candidate *candidates, uint32_t n)
-{
-    struct reserve_entry entries[CT_CANDIDATES_MAX];
-    uint32_t listed = list_reserve(base, request, candidates,
-                                   MIN(n, CT_CANDIDATES_MAX), entries);
-    uint32_t least = MAX((listed * RESERVED_PERCENT + 50) / 100, 1);
-    uint32_t most = MAX(listed * RESERVED_MAX_PERCENT / 100, least);
-    uint64_t in_flight = 0;
-    uint64_t slots = 0;
-    uint32_t reserved = 0;
-
-    if (!request->prefix_hash || listed < RESERVE_MIN_UPSTREAMS) {
-        return (struct reserve){0};
-    }
-    while (
-        reserved < least ||
-        (reserved < most && exceeds_share(in_flight, slots, request->hosts))) {
-        in_flight += entries[reserved].in_flight;
-        slots += entries[reserved].slots;
-        reserved++;
-    }
-    return (struct reserve){
-        .up_to = entries[reserved - 1].hash,
-        .full = exceeds_share(in_flight, slots, request->hosts),
-    };
-}
-
 /* Returns the prompt tokens sent recently; older ones count less. */
 static uint64_t
 recent_prompt_tokens(const struct ct_balance_row *row, ct_ms now_ms)
@@ -275,7 +132,8 @@
 update_row(struct ct_balance_row *row, const struct scope *scope,
            const struct ct_candidate *candidate)
 {
-    bool reserved = reserve_hash(candidate) <= scope->reserved_up_to;
+    bool reserved =
+        ct_balance_reserve_hash(candidate) <= scope->reserved_up_to;
 
     if (!row->first_seen_ms) {
         row->first_seen_ms = scope->request->now_ms;
@@ -332,8 +190,8 @@
 are_reserved_full(const struct scope *scope)
 {
     return !scope->any_kind && scope->request->prefix_hash &&
-           exceeds_share(scope->in_flight, scope->slots,
-                         scope->request->hosts);
+           ct_balance_exceeds_reserve(scope->in_flight, scope->slots,
+                                      scope->request->hosts);
 }
 
 /*
@@ -377,8 +235,8 @@
             continue;
         }
         if (scope->request->prefix_hash && scope->bound != UINT64_MAX) {
-            score = rendezvous_hash(scope->request->prefix_hash,
-                                    candidates[i].name_hash);
+            score = ct_rendezvous_hash(scope->request->prefix_hash,
+                                       candidates[i].name_hash);
         }
         else {
             score = load_score(row, candidates[i].upstream.index -
@@ -400,8 +258,8 @@
     struct scope scope = {
         .request = request,
         .reserved_up_to =
-            reserve_upstreams(base, request, candidates, n).up_to,
-        .any_kind = is_interactive(request) &&
+            ct_balance_reserve(base, request, candidates, n).up_to,
+        .any_kind = ct_balance_is_interactive(request) &&
                     request->now_ms < base->overflow_until_ms,
     };
     struct pick pick;
@@ -412,7 +270,7 @@
     }
     if (err == CT_OK &&
         (scope.bound == UINT64_MAX ||
-         (is_interactive(request) && are_reserved_full(&scope)))) {
+         (ct_balance_is_interactive(request) && are_reserved_full(&scope)))) {
         scope.any_kind = true;
         err = compute_bound(base, &scope, candidates, n);
     }
@@ -471,18 +329,18 @@
         return CT_ERR_NOT_FOUND;
     }
     scope.reserved_up_to =
-        reserve_upstreams(base, request, candidates, n).up_to;
+        ct_balance_reserve(base, request, candidates, n).up_to;
     if (!is_new_upstream(
             base, ct_balance_row(&base->rows, candidates[chosen].upstream),
             request->now_ms)) {
-        pick.score = rendezvous_hash(request->prefix_hash,
-                                     candidates[chosen].name_hash);
+        pick.score = ct_rendezvous_hash(request->prefix_hash,
+                                        candidates[chosen].name_hash);
     }
     for (uint32_t i = 0; i < n; i++) {
         const struct ct_balance_row *row =
             ct_balance_row(&base->rows, candidates[i].upstream);
         uint64_t score =
-            rendezvous_hash(request->prefix_hash, candidates[i].name_hash);
+            ct_rendezvous_hash(request->prefix_hash, candidates[i].name_hash);
 
         if (i == chosen || !row || !matches_kind(&scope, &candidates[i]) ||
             (candidates[i].excluded && !candidates[i].leaving) ||
@@ -505,11 +363,11 @@
  */
 static uint64_t
 backup_score(const struct ct_candidate *candidate,
-             const struct ct_balance_row *row, const struct reserve *reserve,
-             ct_ms now_ms)
+             const struct ct_balance_row *row,
+             const struct ct_balance_reserve *reserve, ct_ms now_ms)
 {
     bool healthy = row->ejected_until_ms <= now_ms;
-    bool reserved = reserve_hash(candidate) <= reserve->up_to;
+    bool reserved = ct_balance_reserve_hash(candidate) <= reserve->up_to;
 
     return ((uint64_t)healthy << 35) +
            ((uint64_t)!candidate->same_zone << 34) +
@@ -527,7 +385,8 @@
                    uint32_t chosen)
 {
     struct ct_balance_base *base = (struct ct_balance_base *)policy;
-    struct reserve reserve = reserve_upstreams(base, request, candidates, n);
+    struct ct_balance_reserve reserve =
+        ct_balance_reserve(base, request, candidates, n);
     struct pick pick = {.index = CT_ERR_NOT_FOUND};
 
     if (reserve.full || request->now_ms < base->overflow_until_ms) {
--- a/t/test-upstream-notices.c
+++ b/t/test-upstream-notices.c
@@ -116,7 +116,7 @@
 next_random(struct world *world, uint32_t n)
 {
     world->random = world->random * UINT64_C(6364136223846793005) + 1;
-    return (uint32_t)(world->random >> 33) % n;
+    return (uint32_t)(world->random >> 33) % MAX(n, 1);
 }
 
 /* Sends per_s calls a second to random hosts for a time. */
