--- a/core/balance-reserve.c
+++ b/core/balance-reserve.c
@@ -101,8 +101,8 @@
 
 struct ct_balance_reserve
 ct_balance_reserve(struct ct_balance_base *base,
-                  const struct ct_balance_request *request,
-                  const struct ct_candidate *candidates, uint32_t n)
+                   const struct ct_balance_request *request,
+                   const struct ct_candidate *candidates, uint32_t n)
 {
     struct reserve_entry entries[CT_CANDIDATES_MAX];
     uint32_t listed = list_reserve(base, request, candidates,
@@ -116,9 +116,9 @@
     if (!request->prefix_hash || listed < RESERVE_MIN_UPSTREAMS) {
         return (struct ct_balance_reserve){0};
     }
-    while (
-        reserved < least ||
-        (reserved < most && ct_balance_exceeds_reserve(in_flight, slots, request->hosts))) {
+    while (reserved < least ||
+           (reserved < most &&
+            ct_balance_exceeds_reserve(in_flight, slots, request->hosts))) {
         in_flight += entries[reserved].in_flight;
         slots += entries[reserved].slots;
         reserved++;
--- a/core/balance-reserve.h
+++ b/core/balance-reserve.h
@@ -4,14 +4,15 @@
 #include "balance-rows.h"
 
 /*
- * Which upstreams the home policy reserves for interactive requests: those with
- * a short prompt and the tightest target for gaps, whose tokens would otherwise
- * be delayed while an engine reads the prompts of other requests.
+ * Which upstreams the home policy reserves for interactive requests: those
+ * with a short prompt and the tightest target for gaps, whose tokens would
+ * otherwise be delayed while an engine reads the prompts of other requests.
  */
 
 /* The upstreams reserved for interactive requests. */
 struct ct_balance_reserve {
-    /* Hash of the last one in the order of ct_balance_reserve_hash(); 0 if none. */
+    /* Hash of the last one in the order of ct_balance_reserve_hash(); 0 if
+     * none. */
     uint64_t up_to;
     /* They are half full, and no more can be reserved. */
     bool full;
--- a/soak/relay-world.c
+++ b/soak/relay-world.c
@@ -55,7 +55,7 @@
         "\"duties\":\"127.0.0.1:%u\",\"bounds\":{\"revoke_ms\":%d,"
         "\"drain_ms\":%d,\"steady_ms\":%d,\"lease_ms\":1000,"
         "\"usage_window_s\":2,\"usage_late_s\":8,\"grace_s\":%d,"
-        "\"repeat_burst\":1000}}",
+        "\"repeat_burst\":1000,\"upstream_pause_max_s\":3}}",
         i + 1, host->process.port, host->process.second_port,
         host->process.third_port, host->process.fourth_port,
         host->store_proxy.port, host->store_proxy.port, RELAY_REVOKE_MS,
