core, shell: count only responses that the upstream ended as crashes

Cause: read as a newcomer, a response that this host rejects, such as one without its proof, counted as a crash of the upstream. A faulty release of the engines could have had the parts of many prompts refused.

Change: the end of an attempt says whether the upstream ended the response too early; only that accuses prompt parts, is logged (1707) and counted (prompt_crashes_total).

Result: proc-relay only-early-ends-accuse-parts fails without it: (6 == 5).

--- a/core/counter.h
+++ b/core/counter.h
@@ -22,6 +22,7 @@
     X(RETRY_EXPIRED, "retries_expired_total")                                 \
     X(RETRY_OVER_BUDGET, "retries_over_budget_total")                         \
     X(RESUMES, "resumes_total")                                               \
+    X(PROMPT_CRASHES, "prompt_crashes_total")                                 \
     X(PARTS_QUARANTINED, "prompt_parts_quarantined_total")                    \
     X(NOTICES_LIMIT, "upstream_notices_limit_total")                          \
     X(NOTICES_PAUSE, "upstream_notices_pause_total")                          \
--- a/core/prompt-quarantine.c
+++ b/core/prompt-quarantine.c
@@ -209,7 +209,7 @@
             return false;
         }
     }
-    /* Of the calls of all hosts together about one at a time passes. */
+    /* About one of as many calls as there are hosts passes. */
     return ct_state_random(state) % ct_group_size(state) == 0;
 }
 
@@ -435,6 +435,7 @@
         .wall_ms = true_ms(state, state->now_ms),
     };
 
+    ct_increment_counter(state, CT_COUNTER_PROMPT_CRASHES);
     suspect_parts(state, &crash, state->now_ms);
     share_crash(state, crash);
 }
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -421,7 +421,7 @@
                         const struct ct_relay_progress *progress)
 {
     return progress->outcome == CT_OUTCOME_CONNECTION_LOST &&
-           !attempt->first_event_seen;
+           progress->broken_off && !attempt->first_event_seen;
 }
 
 /* Identifies an upstream and its start, the same on all hosts. */
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -80,6 +80,9 @@
     struct ct_upstream_notice notice;
     /* CT_EVENT_RELAY_ATTEMPT_DONE */
     enum ct_outcome outcome;
+    /* CT_OUTCOME_CONNECTION_LOST: the upstream ended the response too early.
+     */
+    bool broken_off;
     uint32_t status;
     /* Bytes of the response not reported in CT_EVENT_RELAY_ATTEMPT_DATA. */
     uint32_t remaining_bytes;
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -453,6 +453,40 @@
     AWAIT(!is_first_runner_idle(6), AWAIT_TIMEOUT_MS);
 }
 
+static uint64_t
+read_metric(const char *name)
+{
+    g_autofree char *text = http_get(f.host.fourth_port, "/metrics");
+    g_autofree char *line = g_strdup_printf("\ncoriandertrack_%s ", name);
+    const char *at = strstr(text, line);
+
+    g_assert_nonnull(at);
+    return g_ascii_strtoull(at + strlen(line), NULL, 10);
+}
+
+/* A response that this host rejects accuses no part, one that ends early does.
+ */
+static void
+test_only_early_ends_accuse_parts(void)
+{
+    static const char parts[] = "Prefix-Hash: a1:10,b2:10";
+    uint64_t before = read_metric("prompt_crashes_total");
+    struct http_reply reply;
+    char id[24];
+
+    relay_process_set_runners(&f, "{\"no_proof\":1}");
+    CALL("/once/x", "{}", &reply, id, KEY_HEADER, parts);
+    g_assert_cmpint(reply.status, ==, 502);
+    http_reply_free(&reply);
+    g_assert_cmpuint(read_metric("prompt_crashes_total"), ==, before);
+    relay_process_set_runners(&f, "{\"no_proof\":0,\"close_after_read\":1}");
+    CALL("/once/x", "{}", &reply, id, KEY_HEADER, parts);
+    g_assert_cmpint(reply.status, ==, 502);
+    http_reply_free(&reply);
+    g_assert_cmpuint(read_metric("prompt_crashes_total"), ==, before + 1);
+    relay_process_set_runners(&f, "{\"close_after_read\":0}");
+}
+
 /* An upstream that refuses and wants nothing for a while gets no calls then.
  */
 static void
@@ -554,6 +588,8 @@
     g_test_add_func("/relay/draining-upstream", test_draining_upstream);
     g_test_add_func("/relay/leaving-beside-silent-store",
                     test_leaving_beside_silent_store);
+    g_test_add_func("/relay/only-early-ends-accuse-parts",
+                    test_only_early_ends_accuse_parts);
     g_test_add_func("/relay/pause-after-refusal", test_pause_after_refusal);
     g_test_add_func("/relay/usage-report", test_usage_report);
     g_test_add_func("/relay/store-outage", test_store_outage);
