--- a/core/effect.h
+++ b/core/effect.h
@@ -217,7 +217,7 @@
     X(RELAY_REPEATED, 1705, INFO, "relayed call retried")                     \
     X(RELAY_RESUMED, 1706, INFO, "relayed stream resumed by a new attempt")   \
     X(RELAY_PART_LOST, 1707, INFO,                                            \
-      "prompt part of a call whose upstream broke off")                       \
+      "prompt part of a call whose upstream failed")                          \
     X(PART_QUARANTINED, 1711, WARNING, "prompt part quarantined")             \
     X(PART_RELEASED, 1712, INFO, "prompt part released")                      \
     X(STORE_LOST, 1801, WARNING, "store unavailable")                         \
--- a/core/prompt-quarantine.c
+++ b/core/prompt-quarantine.c
@@ -8,7 +8,7 @@
 #define PARTS_MAX 4096
 /*
  * Weight of a crash: an upstream that had begun its response was at work on
- * the call, another one may have broken off because of a call beside it.
+ * the call, another one may have failed because of a call beside it.
  */
 #define WEIGHT_BEGUN 2
 #define WEIGHT_WAITING 1
@@ -26,7 +26,7 @@
 #define SCORE_SHARED 4
 /* Crashes that are further apart have different causes. */
 #define SUSPECT_MS 60000
-/* Upstreams that break off within this time were lost with a zone or rack. */
+/* Upstreams that fail within this time were lost with a zone or rack. */
 #define SAME_LOSS_MS 200
 #define QUARANTINE_MS 600000
 /* A call that could probe may retry after this time. */
@@ -243,7 +243,7 @@
 
 /* A call with the part was answered, so it crashes no upstream. */
 static void
-acquit(struct ct_state *state, struct ct_part_row *row)
+release_part(struct ct_state *state, struct ct_part_row *row)
 {
     if (is_quarantined(row, state->now_ms)) {
         log_part(state, CT_LOG_PART_RELEASED, row, "answered");
@@ -267,7 +267,7 @@
         if (row->score >= SCORE_SHARED) {
             append_part(state, CT_PART_ANSWERED, row, 0);
         }
-        acquit(state, row);
+        release_part(state, row);
     }
 }
 
@@ -356,7 +356,7 @@
                : SCORE_LIMIT;
 }
 
-/* Counts a crash for a part of the call, whose upstream broke off at at_ms. */
+/* Counts a crash for a part of the call, whose upstream failed at at_ms. */
 static void
 suspect(struct ct_state *state, struct ct_part_row *row,
         const struct ct_part_record *crash, ct_ms at_ms)
@@ -478,7 +478,7 @@
     case CT_PART_ANSWERED:
         row = find_row(&state->prompt_quarantine, record->parts.ids[0]);
         if (row) {
-            acquit(state, row);
+            release_part(state, row);
         }
         return;
     }
--- a/core/prompt-quarantine.h
+++ b/core/prompt-quarantine.h
@@ -9,7 +9,7 @@
 
 /*
  * Prompt parts that crash the upstreams that begin a response to them. Each
- * host counts the upstreams that broke off before the first event of a call
+ * host counts the upstreams that failed before the first event of a call
  * with a part, since a call with that part was last answered; the hosts share
  * these counts through the store. A part that reaches the limit is
  * quarantined: calls whose prompt contains it are refused, on all hosts, until
@@ -89,7 +89,7 @@
                                     const struct ct_prompt_parts *parts);
 
 /*
- * An upstream, identified by name and start, broke off before it answered such
+ * An upstream, identified by name and start, failed before it answered such
  * a call; begun: it had sent the head of its response.
  */
 void ct_prompt_quarantine_on_crash(struct ct_state *state,
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -400,7 +400,7 @@
 
 /*
  * Logs each shared part of the prompt: a part that many upstreams met when
- * they broke off may have crashed them.
+ * they failed may have crashed them.
  */
 static void
 log_lost_parts(struct ct_state *state, const struct ct_relay *relay,
@@ -415,13 +415,13 @@
     }
 }
 
-/* Whether the upstream broke off before the first event of its response. */
+/* Whether the upstream failed before the first event of its response. */
 static bool
 lost_before_first_event(const struct ct_relay_attempt *attempt,
                         const struct ct_relay_progress *progress)
 {
     return progress->outcome == CT_OUTCOME_CONNECTION_LOST &&
-           progress->broken_off && !attempt->first_event_seen;
+           progress->closed_early && !attempt->first_event_seen;
 }
 
 /* Identifies an upstream and its start, the same on all hosts. */
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -82,7 +82,7 @@
     enum ct_outcome outcome;
     /* CT_OUTCOME_CONNECTION_LOST: the upstream ended the response too early.
      */
-    bool broken_off;
+    bool closed_early;
     uint32_t status;
     /* Bytes of the response not reported in CT_EVENT_RELAY_ATTEMPT_DATA. */
     uint32_t remaining_bytes;
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -75,7 +75,7 @@
 };
 
 enum ct_part_record_kind {
-    /* An upstream broke off before it answered a call with the parts. */
+    /* An upstream failed before it answered a call with the parts. */
     CT_PART_CRASHED = 1,
     /* Calls with the part are refused. */
     CT_PART_QUARANTINED,
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -172,8 +172,7 @@
         return;
     }
     if (!row->limited) {
-        /* The response belongs to a request that has taken this host's turn.
-         */
+        /* The response belongs to a request, which counts for the limit. */
         row->limited = true;
         row->tokens = 0;
         row->tokens_per_ms = 0;
@@ -272,7 +271,7 @@
     }
 }
 
-/* Returns the pool's row, or NULL if none of its upstreams sent a notice. */
+/* Returns the pool's row, or NULL if no call of it has waited. */
 static const struct ct_notice_pool *
 find_pool(const struct ct_state *state, struct ct_handle pool)
 {
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -228,7 +228,7 @@
  * response that is rejected is not a crash.
  */
 static bool
-is_broken_off(CURLcode result)
+is_closed_early(CURLcode result)
 {
     return result == CURLE_OK || result == CURLE_RECV_ERROR ||
            result == CURLE_SEND_ERROR || result == CURLE_GOT_NOTHING ||
@@ -242,9 +242,9 @@
     struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_DONE};
 
     event.u.progress.outcome = classify_outcome(attempt, result);
-    event.u.progress.broken_off =
+    event.u.progress.closed_early =
         event.u.progress.outcome == CT_OUTCOME_CONNECTION_LOST &&
-        is_broken_off(result);
+        is_closed_early(result);
     event.u.progress.status = attempt->head.status;
     event.u.progress.remaining_bytes =
         attempt->received->len - attempt->posted_bytes;
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -361,7 +361,7 @@
     const struct ct_relay_progress progress = {
         .attempt = attempt,
         .outcome = outcome,
-        .broken_off = outcome == CT_OUTCOME_CONNECTION_LOST,
+        .closed_early = outcome == CT_OUTCOME_CONNECTION_LOST,
         .status = status,
     };
 
--- a/t/proc-relay.c
+++ b/t/proc-relay.c
@@ -464,10 +464,11 @@
     return g_ascii_strtoull(at + strlen(line), NULL, 10);
 }
 
-/* A response that this host rejects accuses no part, one that ends early does.
+/* A response that this host rejects counts against no part, one that ends
+ * early does.
  */
 static void
-test_only_early_ends_accuse_parts(void)
+test_only_early_ends_count(void)
 {
     static const char parts[] = "Prefix-Hash: a1:10,b2:10";
     uint64_t before = read_metric("prompt_crashes_total");
@@ -588,8 +589,8 @@
     g_test_add_func("/relay/draining-upstream", test_draining_upstream);
     g_test_add_func("/relay/leaving-beside-silent-store",
                     test_leaving_beside_silent_store);
-    g_test_add_func("/relay/only-early-ends-accuse-parts",
-                    test_only_early_ends_accuse_parts);
+    g_test_add_func("/relay/only-early-ends-count",
+                    test_only_early_ends_count);
     g_test_add_func("/relay/pause-after-refusal", test_pause_after_refusal);
     g_test_add_func("/relay/usage-report", test_usage_report);
     g_test_add_func("/relay/store-outage", test_store_outage);
--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -8,19 +8,19 @@
 #include "lib-relay.h"
 
 #define PART_SHARED UINT64_C(0x51)
-#define PART_DEADLY UINT64_C(0xdead)
+#define PART_CRASHING UINT64_C(0xdead)
 #define PART_SOUND UINT64_C(0x50)
 /* Time between two crashes, longer than that in which a rack is lost. */
 #define STEP_MS 300
 
-static const uint64_t deadly_parts[] = {PART_SHARED, PART_DEADLY, 0};
+static const uint64_t crashing_parts[] = {PART_SHARED, PART_CRASHING, 0};
 static const uint64_t sound_parts[] = {PART_SHARED, PART_SOUND, 0};
 
 /* A host and the number of upstreams that were ever listed in its pool. */
 struct world {
     struct t_core core;
     uint32_t listed;
-    /* Calls with the deadly part that reached an upstream. */
+    /* Calls with the crashing part that reached an upstream. */
     uint32_t sent;
 };
 
@@ -99,12 +99,12 @@
     t_relay_confirm(core);
 }
 
-/* Five calls with the deadly part; the shared one is answered if told so. */
+/* Five calls with the crashing part; the shared one is answered if told so. */
 static void
-crash_by_deadly_calls(struct world *world, bool answer_shared)
+crash_by_crashing_calls(struct world *world, bool answer_shared)
 {
     for (guint i = 0; i < 5; i++) {
-        crash_by_call(world, deadly_parts, 200);
+        crash_by_call(world, crashing_parts, 200);
         step(&world->core);
         if (answer_shared) {
             g_assert_true(answer_call(&world->core, sound_parts));
@@ -115,14 +115,14 @@
 /* Guards against calls that crash one upstream after the other (rule BUDGET).
  */
 static void
-test_deadly_part_stops_reaching_upstreams(void)
+test_crashing_part_stops_reaching_upstreams(void)
 {
     struct world world;
 
     setup(&world, 12);
-    crash_by_deadly_calls(&world, true);
+    crash_by_crashing_calls(&world, true);
     for (guint i = 0; i < 20; i++) {
-        world.sent += crash_by_call(&world, deadly_parts, 200);
+        world.sent += crash_by_call(&world, crashing_parts, 200);
         step(&world.core);
         g_assert_true(answer_call(&world.core, sound_parts));
     }
@@ -130,15 +130,15 @@
     t_core_free(&world.core);
 }
 
-/* A deadly part that comes with ever other parts is told from them. */
+/* A crashing part that comes with ever other parts is told from them. */
 static void
-test_other_parts_of_deadly_calls_stay_allowed(void)
+test_other_parts_of_crashing_calls_stay_allowed(void)
 {
     struct world world;
 
     setup(&world, 12);
     for (guint i = 0; i < 5; i++) {
-        const uint64_t parts[] = {PART_SHARED + 1 + i, PART_DEADLY, 0};
+        const uint64_t parts[] = {PART_SHARED + 1 + i, PART_CRASHING, 0};
 
         crash_by_call(&world, parts, 200);
         step(&world.core);
@@ -148,13 +148,13 @@
 
         g_assert_true(answer_call(&world.core, parts));
     }
-    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 200), ==, 0);
     t_core_free(&world.core);
 }
 
 /*
  * No host has seen an answer to the shared part yet: a sound call is let
- * through to tell it from the deadly one.
+ * through to tell it from the crashing one.
  */
 static void
 test_unanswered_shared_part_released_by_probe(void)
@@ -162,13 +162,13 @@
     struct world world;
 
     setup(&world, 12);
-    crash_by_deadly_calls(&world, false);
+    crash_by_crashing_calls(&world, false);
     g_assert_true(answer_call(&world.core, sound_parts));
     g_assert_cmpint(
         t_core_effect(&world.core, CT_EFFECT_LOG_EVENT, 0)->u.log.event, !=,
         CT_LOG_PART_QUARANTINED);
     g_assert_true(answer_call(&world.core, sound_parts));
-    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 200), ==, 0);
     t_core_free(&world.core);
 }
 
@@ -181,7 +181,7 @@
 
     setup(&world, 12);
     t_relay_post_members(&world.core, CT_OK, 50);
-    crash_by_deadly_calls(&world, false);
+    crash_by_crashing_calls(&world, false);
     for (guint i = 0; i < 50; i++) {
         t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, sound_parts);
         passed += is_started(&world.core);
@@ -198,20 +198,21 @@
 
     setup(&world, 20);
     for (guint i = 0; i < 6; i++) {
-        crash_by_call(&world, deadly_parts, 0);
+        crash_by_call(&world, crashing_parts, 0);
         step(&world.core);
         g_assert_true(answer_call(&world.core, sound_parts));
     }
-    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 0), ==, 0);
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 0), ==, 0);
     t_core_free(&world.core);
 }
 
 /*
- * Calls that wait at an upstream when it ends are mostly victims: the other
- * hosts, which all read each record, learn of a part from its second crash on.
+ * Calls that wait at an upstream when it ends are mostly not its cause: the
+ * other hosts, which all read each record, learn of a part from its second
+ * crash on.
  */
 static void
-test_victims_are_not_shared(void)
+test_waiting_calls_are_not_shared(void)
 {
     struct ct_relay_start start;
     struct world world;
@@ -228,7 +229,7 @@
         replace_upstream(&world, &start.upstream);
         step(&world.core);
     }
-    t_relay_call_with_parts(&world.core, 1, T_STREAM_PATH, deadly_parts);
+    t_relay_call_with_parts(&world.core, 1, T_STREAM_PATH, crashing_parts);
     start = t_relay_started(&world.core);
     t_relay_finish(&world.core, start.attempt, CT_OUTCOME_CONNECTION_LOST,
                    200);
@@ -237,9 +238,9 @@
     t_core_free(&world.core);
 }
 
-/* Upstreams that are lost together, with their zone, accuse no part. */
+/* Upstreams that are lost together, with their zone, count once. */
 static void
-test_lost_zone_accuses_no_part(void)
+test_lost_zone_quarantines_no_part(void)
 {
     struct ct_relay_start starts[8];
     struct world world;
@@ -259,10 +260,10 @@
     t_core_free(&world.core);
 }
 
-/* An upstream that keeps breaking off counts once, since it has not restarted.
+/* An upstream that keeps failing counts once, since it has not restarted.
  */
 static void
-test_one_faulty_upstream_accuses_no_part(void)
+test_one_faulty_upstream_quarantines_no_part(void)
 {
     struct t_core core;
 
@@ -285,8 +286,8 @@
     struct world world;
 
     setup(&world, 12);
-    crash_by_deadly_calls(&world, false);
-    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
+    crash_by_crashing_calls(&world, false);
+    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, crashing_parts);
     t_core_assert_refused(&world.core, CT_REFUSAL_PROMPT_QUARANTINED,
                           CT_NOT_RUN);
     refuse =
@@ -303,12 +304,12 @@
     struct world world;
 
     setup(&world, 12);
-    crash_by_deadly_calls(&world, true);
+    crash_by_crashing_calls(&world, true);
     t_core_tick(&world.core, 601000);
     t_relay_confirm(&world.core);
-    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 1);
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 200), ==, 1);
     step(&world.core);
-    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 200), ==, 0);
     t_core_free(&world.core);
 }
 
@@ -347,7 +348,7 @@
         struct ct_store_upstream entry = t_upstream("engines", 20 + i);
         struct ct_relay_start start;
 
-        t_relay_call_with_parts(&hosts[i], 1, T_STREAM_PATH, deadly_parts);
+        t_relay_call_with_parts(&hosts[i], 1, T_STREAM_PATH, crashing_parts);
         start = t_relay_started(&hosts[i]);
         /* Each host lost another upstream, or the same one restarted. */
         entry.upstream.name = start.upstream;
@@ -364,7 +365,7 @@
         step(&hosts[i]);
     }
     for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
-        t_relay_call_with_parts(&hosts[i], 1, T_STREAM_PATH, deadly_parts);
+        t_relay_call_with_parts(&hosts[i], 1, T_STREAM_PATH, crashing_parts);
         g_assert_false(is_started(&hosts[i]));
     }
     for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
@@ -377,7 +378,7 @@
 {
     return (struct ct_part_record){
         .kind = kind,
-        .parts = {.ids = {PART_DEADLY}, .n = 1},
+        .parts = {.ids = {PART_CRASHING}, .n = 1},
         .wall_ms = wall_ms,
     };
 }
@@ -392,21 +393,21 @@
     t_relay_setup(&core, 3);
     record = record_of(CT_PART_QUARANTINED, core.wall_ms - 1);
     post_record(&core, &record);
-    g_assert_true(answer_call(&core, deadly_parts));
+    g_assert_true(answer_call(&core, crashing_parts));
     record = record_of(CT_PART_QUARANTINED, core.wall_ms + 100 * 3600 * 1000);
     post_record(&core, &record);
-    t_relay_call_with_parts(&core, 1, T_RESUME_PATH, deadly_parts);
+    t_relay_call_with_parts(&core, 1, T_RESUME_PATH, crashing_parts);
     g_assert_false(is_started(&core));
     /* What the store has is not written again. */
     g_assert_cmpuint(t_core_count(&core, CT_EFFECT_STORE_APPEND_PARTS), ==, 0);
     record = record_of(CT_PART_ANSWERED, 0);
     post_record(&core, &record);
-    g_assert_true(answer_call(&core, deadly_parts));
+    g_assert_true(answer_call(&core, crashing_parts));
     record = record_of(CT_PART_QUARANTINED, core.wall_ms + 100 * 3600 * 1000);
     post_record(&core, &record);
     t_core_tick(&core, 601000);
     t_relay_confirm(&core);
-    g_assert_true(answer_call(&core, deadly_parts));
+    g_assert_true(answer_call(&core, crashing_parts));
     t_core_free(&core);
 }
 
@@ -419,14 +420,14 @@
     struct world world;
 
     setup(&world, 12);
-    crash_by_deadly_calls(&world, true);
+    crash_by_crashing_calls(&world, true);
     t_core_tick(&world.core, 1000);
     t_relay_confirm(&world.core);
-    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
+    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, crashing_parts);
     effect = t_core_effect(&world.core, CT_EFFECT_STORE_APPEND_PARTS, 0);
     g_assert_cmpint(effect->u.part_record.kind, ==, CT_PART_QUARANTINED);
-    g_assert_cmphex(effect->u.part_record.parts.ids[0], ==, PART_DEADLY);
-    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, deadly_parts);
+    g_assert_cmphex(effect->u.part_record.parts.ids[0], ==, PART_CRASHING);
+    t_relay_call_with_parts(&world.core, 1, T_RESUME_PATH, crashing_parts);
     g_assert_cmpuint(t_core_count(&world.core, CT_EFFECT_STORE_APPEND_PARTS),
                      ==, 0);
     t_core_free(&world.core);
@@ -439,13 +440,13 @@
     struct world world;
 
     setup(&world, 12);
-    crash_by_deadly_calls(&world, true);
+    crash_by_crashing_calls(&world, true);
     for (guint i = 0; i < 5000; i++) {
         const uint64_t parts[] = {0x10000 + i, 0};
 
         g_assert_true(answer_call(&world.core, parts));
     }
-    g_assert_cmpuint(crash_by_call(&world, deadly_parts, 200), ==, 0);
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 200), ==, 0);
     t_core_free(&world.core);
 }
 
@@ -453,11 +454,12 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/prompt-quarantine/deadly-part-stops-reaching-upstreams",
-                    test_deadly_part_stops_reaching_upstreams);
     g_test_add_func(
-        "/prompt-quarantine/other-parts-of-deadly-calls-stay-allowed",
-        test_other_parts_of_deadly_calls_stay_allowed);
+        "/prompt-quarantine/crashing-part-stops-reaching-upstreams",
+        test_crashing_part_stops_reaching_upstreams);
+    g_test_add_func(
+        "/prompt-quarantine/other-parts-of-crashing-calls-stay-allowed",
+        test_other_parts_of_crashing_calls_stay_allowed);
     g_test_add_func(
         "/prompt-quarantine/unanswered-shared-part-released-by-probe",
         test_unanswered_shared_part_released_by_probe);
@@ -465,12 +467,13 @@
                     test_few_probes_in_a_group);
     g_test_add_func("/prompt-quarantine/crashes-without-a-head",
                     test_crashes_without_a_head);
-    g_test_add_func("/prompt-quarantine/victims-are-not-shared",
-                    test_victims_are_not_shared);
-    g_test_add_func("/prompt-quarantine/lost-zone-accuses-no-part",
-                    test_lost_zone_accuses_no_part);
-    g_test_add_func("/prompt-quarantine/one-faulty-upstream-accuses-no-part",
-                    test_one_faulty_upstream_accuses_no_part);
+    g_test_add_func("/prompt-quarantine/waiting-calls-are-not-shared",
+                    test_waiting_calls_are_not_shared);
+    g_test_add_func("/prompt-quarantine/lost-zone-quarantines-no-part",
+                    test_lost_zone_quarantines_no_part);
+    g_test_add_func(
+        "/prompt-quarantine/one-faulty-upstream-quarantines-no-part",
+        test_one_faulty_upstream_quarantines_no_part);
     g_test_add_func("/prompt-quarantine/refusal", test_refusal);
     g_test_add_func("/prompt-quarantine/end-of-quarantine",
                     test_end_of_quarantine);
--- a/t/test-relay-attempt.c
+++ b/t/test-relay-attempt.c
@@ -109,8 +109,8 @@
 }
 
 /*
- * An upstream that breaks off before the first event is logged once for each
- * part of the prompt, one that breaks off later is not.
+ * An upstream that fails before the first event is logged once for each
+ * part of the prompt, one that fails later is not.
  */
 static void
 test_lost_parts_logged(void)
