core: keep an upstream's limit when its next one cannot be read

Cause: read as a newcomer, a head with an invalid notice ended the limit, since it has none that can be read.

Change: it stays until a response without a notice.

Result: test-upstream-notices unreadable-limit-keeps-limit failed before: the call was sent, not refused.

--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -241,7 +241,7 @@
     if (notice->limited) {
         apply_limit(state, row, notice->limit_permille);
     }
-    else if (row->limited) {
+    else if (row->limited && !notice->invalid) {
         end_limit(state, row, "unnamed");
     }
 }
--- a/t/test-upstream-notices.c
+++ b/t/test-upstream-notices.c
@@ -368,6 +368,24 @@
     t_core_free(&core);
 }
 
+/* A limit that cannot be read does not end the one before it. */
+static void
+test_unreadable_limit_keeps_limit(void)
+{
+    const struct ct_upstream_notice unreadable = {.invalid = true};
+    struct ct_relay_start start;
+    struct t_core core;
+
+    setup_single(&core);
+    t_core_tick(&core, 2000);
+    t_relay_confirm(&core);
+    start = call_with_notice(&core, &unreadable);
+    complete(&core, &start);
+    t_relay_call(&core, 1, T_RESUME_PATH);
+    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_LIMITED, CT_NOT_RUN);
+    t_core_free(&core);
+}
+
 /* Another process under the same name and address is not limited. */
 static void
 test_restart_inherits_nothing(void)
@@ -586,6 +604,8 @@
     g_test_add_func("/upstream-notices/less-urgent-calls-yield",
                     test_less_urgent_calls_yield);
     g_test_add_func("/upstream-notices/end-of-limit", test_end_of_limit);
+    g_test_add_func("/upstream-notices/unreadable-limit-keeps-limit",
+                    test_unreadable_limit_keeps_limit);
     g_test_add_func("/upstream-notices/restart-inherits-nothing",
                     test_restart_inherits_nothing);
     g_test_add_func("/upstream-notices/leaving", test_leaving);
