core: read prompt parts after what a host needs to serve

Cause: all hosts that start at once read the topic of prompt parts within 300 ms, beside the configuration and the upstreams, from a store that answers a limited number of calls.

--- a/core/quarantine-sync.c
+++ b/core/quarantine-sync.c
@@ -16,8 +16,11 @@
 #define GATHER_MS 100
 #define GATHER_PER_HOST_MS 10
 #define GATHER_MAX_MS 1000
-/* All hosts may start at once: their first reads are spread over this time. */
-#define START_SPREAD_MS 300
+/*
+ * All hosts may start at once: their first reads of this topic are spread over
+ * this time, after those without which they cannot serve.
+ */
+#define START_SPREAD_MS 2000
 /* Delay after a failed read; doubled with each failure up to the limit. */
 #define BACKOFF_MS 200
 #define BACKOFF_MAX_MS 1600
--- a/t/test-quarantine-sync.c
+++ b/t/test-quarantine-sync.c
@@ -9,7 +9,7 @@
 setup(struct t_core *core)
 {
     t_relay_setup(core, 3);
-    t_core_tick(core, 400);
+    t_core_tick(core, 2100);
 }
 
 /* Returns the read of the topic that the last event started, or NULL. */
