--- a/t/test-quarantine-sync.c
+++ b/t/test-quarantine-sync.c
@@ -61,6 +61,32 @@
     return read->read_id;
 }
 
+/*
+ * Hosts that start together read the topic at different times: the store
+ * answers a limited number of calls, and they need others to serve.
+ */
+static void
+test_first_reads_are_spread(void)
+{
+    guint at_once = 0;
+
+    for (guint i = 0; i < 100; i++) {
+        struct ct_event event = {.type = CT_EVENT_RELAY_HOST_STARTED};
+        struct t_core core;
+
+        t_core_init_named(&core, "h1", "h1-1");
+        core.state->random = i + 1;
+        CT_TEXT_SET(event.u.relay_address, "10.0.0.1:80");
+        t_core_post(&core, &event);
+        for (guint ms = 0; ms < 300 && find_read(&core) == NULL; ms += 10) {
+            t_core_tick(&core, 10);
+        }
+        at_once += find_read(&core) != NULL;
+        t_core_free(&core);
+    }
+    g_assert_cmpuint(at_once, <=, 30);
+}
+
 /* All keys first, then a long wait at the end of the topic. */
 static void
 test_follow(void)
@@ -180,6 +206,8 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/quarantine-sync/first-reads-are-spread",
+                    test_first_reads_are_spread);
     g_test_add_func("/quarantine-sync/follow", test_follow);
     g_test_add_func("/quarantine-sync/failures", test_failures);
     g_test_add_func("/quarantine-sync/lost-read-is-replaced",
