--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -112,8 +112,7 @@
     }
 }
 
-/* Guards against calls that crash one upstream after the other (rule BUDGET).
- */
+/* Guards against calls that crash one upstream after the other. */
 static void
 test_crashing_part_stops_reaching_upstreams(void)
 {
@@ -130,7 +129,7 @@
     t_core_free(&world.core);
 }
 
-/* A crashing part that comes with ever other parts is told from them. */
+/* Parts that each come with the crashing part once are not refused. */
 static void
 test_other_parts_of_crashing_calls_stay_allowed(void)
 {
@@ -172,7 +171,7 @@
     t_core_free(&world.core);
 }
 
-/* In a group only a part of the calls are let through to find out. */
+/* In a large group few calls are let through to find out. */
 static void
 test_few_probes_in_a_group(void)
 {
@@ -190,7 +189,7 @@
     t_core_free(&world.core);
 }
 
-/* Engines that send no head before they crash take twice as many crashes. */
+/* Without heads it takes twice as many crashes to quarantine a part. */
 static void
 test_crashes_without_a_head(void)
 {
@@ -260,8 +259,7 @@
     t_core_free(&world.core);
 }
 
-/* An upstream that keeps failing counts once, since it has not restarted.
- */
+/* An upstream that keeps failing without a restart counts once. */
 static void
 test_one_faulty_upstream_quarantines_no_part(void)
 {
@@ -411,8 +409,7 @@
     t_core_free(&core);
 }
 
-/* A refusal writes the quarantine for hosts that start later, once a second.
- */
+/* A refusal writes the quarantine for hosts that start later. */
 static void
 test_quarantine_written(void)
 {
--- a/t/test-upstream-notices.c
+++ b/t/test-upstream-notices.c
@@ -175,7 +175,7 @@
     }
 }
 
-/* Guards against an upstream that gets more than it takes (rule LIMIT). */
+/* Guards against an upstream that gets more requests than it takes. */
 static void
 test_limit_of_all_hosts_together(void)
 {
