--- a/core/effect.h
+++ b/core/effect.h
@@ -228,10 +228,10 @@
     X(UPSTREAM_LISTED, 1811, INFO, "upstream listed")                         \
     X(UPSTREAM_LEAVING, 1812, INFO, "upstream leaving")                       \
     X(UPSTREAM_GONE, 1813, INFO, "upstream removed from the list")            \
-    X(UPSTREAM_LIMITED, 1815, INFO, "upstream named a limit")                 \
-    X(UPSTREAM_UNLIMITED, 1816, INFO, "upstream names no limit any more")     \
-    X(UPSTREAM_SAYS_LEAVING, 1817, INFO, "upstream says that it leaves")      \
-    X(UPSTREAM_PAUSED, 1818, INFO, "upstream wants no calls for a while")     \
+    X(UPSTREAM_LIMITED, 1815, INFO, "upstream announced a rate limit")        \
+    X(UPSTREAM_UNLIMITED, 1816, INFO, "upstream lifted its rate limit")       \
+    X(UPSTREAM_SAYS_LEAVING, 1817, INFO, "upstream announced its drain")      \
+    X(UPSTREAM_PAUSED, 1818, INFO, "upstream asked for a pause")              \
     X(UPSTREAM_NOTICE_BAD, 1819, WARNING, "upstream's notice ignored")        \
     X(MEMBER_UP, 1821, INFO, "host joined")                                   \
     X(MEMBER_DOWN, 1822, INFO, "host missing from the member list")           \
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -57,7 +57,8 @@
     /* It takes limit_permille / 1000 requests a second from all hosts. */
     bool limited;
     int64_t limit_permille;
-    /* With a refusal: for how long it wants no request of this host; or 0. */
+    /* With a refusal: how long this host must send it nothing; 0 if not said.
+     */
     ct_ms pause_ms;
     /* A value that cannot be read was ignored. */
     bool invalid;
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -163,7 +163,7 @@
     }
 }
 
-/* The upstream's last response named a limit, which may be a new one. */
+/* The upstream's last response announced a limit, which may be a new one. */
 static void
 apply_limit(struct ct_state *state, struct ct_notice_row *row,
             int64_t limit_permille)
--- a/core/upstream-notices.h
+++ b/core/upstream-notices.h
@@ -19,7 +19,7 @@
     /* It leaves, as far as this host knows until this time; 0 if it does not.
      */
     ct_ms leaving_until_ms;
-    /* It wants no calls of this host until this time; 0 if it does. */
+    /* This host must send it nothing until this time; 0 for no pause. */
     ct_ms paused_until_ms;
     bool limited;
     int64_t limit_permille;
