--- a/review/lib.sh
+++ b/review/lib.sh
@@ -9,6 +9,11 @@
 pids=""
 : >"$record"
 
+# The names of headers that the stand-ins use.
+export HEADER_EXPECT=Expect-Instance HEADER_INSTANCE=Instance-Id
+export HEADER_PROOF=Runner-Signature HEADER_DEADLINE=Deadline-Ms
+export HEADER_TOKENS=Token-Count HEADER_PARTS=Prefix-Hash
+
 note() {
 	printf '%s\n' "$*" | tee -a "$record"
 }
--- a/review/stand-ins/caller.c
+++ b/review/stand-ins/caller.c
@@ -4,10 +4,10 @@
  *
  * Usage: caller PORT METHOD TARGET [OPTION=VALUE...]
  * Options: host, key, id, deadline (ms), file (the body), rate (bytes a second
- *          that the caller reads; 0: as fast as it can), wait (seconds until it
- *          gives up)
- * The line: ID TARGET status=N body=READ/LENGTH whole|cut|silent at TIME_MS
- * Exit code: 0 if a whole answer came, else 1.
+ *          that the caller reads; 0: as fast as it can), wait (seconds until
+ * it gives up) The line: ID TARGET status=N body=READ/LENGTH whole|cut|silent
+ * at TIME_MS The environment names a header: HEADER_DEADLINE. Exit code: 0 if
+ * a whole answer came, else 1.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -98,8 +98,9 @@
 {
     static char body[REQUEST_MAX / 2];
     size_t body_bytes = read_file(options->file, body, sizeof(body));
-    size_t n = (size_t)snprintf(out, REQUEST_MAX, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                                argv[2], argv[3], options->host);
+    size_t n =
+        (size_t)snprintf(out, REQUEST_MAX, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+                         argv[2], argv[3], options->host);
 
     if (options->id[0] != '-') {
         n += (size_t)snprintf(out + n, REQUEST_MAX - n, "Request-Id: %s\r\n",
@@ -110,8 +111,8 @@
                               options->key);
     }
     if (options->deadline != NULL) {
-        n += (size_t)snprintf(out + n, REQUEST_MAX - n, "Deadline-Ms: %s\r\n",
-                              options->deadline);
+        n += (size_t)snprintf(out + n, REQUEST_MAX - n, "%s: %s\r\n",
+                              getenv("HEADER_DEADLINE"), options->deadline);
     }
     n += (size_t)snprintf(out + n, REQUEST_MAX - n,
                           "Content-Length: %zu\r\n\r\n", body_bytes);
@@ -177,8 +178,9 @@
     size_t n;
     int fd;
 
-    if (argc < 4) {
-        fprintf(stderr, "usage: caller PORT METHOD TARGET [OPTION=VALUE...]\n");
+    if (argc < 4 || getenv("HEADER_DEADLINE") == NULL) {
+        fprintf(stderr,
+                "usage: caller PORT METHOD TARGET [OPTION=VALUE...]\n");
         return 2;
     }
     for (int i = 4; i < argc; i++) {
--- a/review/stand-ins/load.c
+++ b/review/stand-ins/load.c
@@ -7,6 +7,7 @@
  * The line: ID nth=N status=S bytes=B whole|cut|none|refused at TIME_MS
  * N counts the requests of the connection from 1; "none": the connection was
  * closed before any byte of an answer; "refused": no connection.
+ * The environment names headers: HEADER_TOKENS, HEADER_PARTS, HEADER_DEADLINE.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -41,6 +42,10 @@
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static const char *port_file;
 static const char *prefix;
+/* Names of headers. */
+static const char *header_tokens;
+static const char *header_parts;
+static const char *header_deadline;
 static FILE *log_file;
 static int stopping;
 
@@ -90,7 +95,8 @@
     }
     body += 4;
     if (length != NULL && length < body) {
-        return answer + n >= body + atol(length + strlen("\r\nContent-Length: "));
+        return answer + n >=
+               body + atol(length + strlen("\r\nContent-Length: "));
     }
     return n >= 7 && strcmp(answer + n - 7, "\r\n0\r\n\r\n") == 0;
 }
@@ -129,11 +135,11 @@
     bytes = snprintf(request, sizeof(request),
                      "POST /archive/q HTTP/1.1\r\nHost: halls.example\r\n"
                      "Request-Id: %s\r\nKey: key-one\r\nModel: m\r\n"
-                     "Token-Count: 17020,120\r\n"
-                     "Prefix-Hash: %lx:13300,%lx:3720\r\n"
-                     "Deadline-Ms: %d\r\nContent-Length: 5\r\n\r\nquery",
-                     id, 0x1000 + c->request % SHARED_PARTS,
-                     0x100000 + c->request, DEADLINE_MS);
+                     "%s: 17020,120\r\n%s: %lx:13300,%lx:3720\r\n"
+                     "%s: %d\r\nContent-Length: 5\r\n\r\nquery",
+                     id, header_tokens, header_parts,
+                     0x1000 + c->request % SHARED_PARTS, 0x100000 + c->request,
+                     header_deadline, DEADLINE_MS);
     send(c->fd, request, (size_t)bytes, MSG_NOSIGNAL);
     c->served++;
     while (n < ANSWER_MAX - 1) {
@@ -180,7 +186,8 @@
     return NULL;
 }
 
-/* Gives the request to an idle connection, one that is open if there is any. */
+/* Gives the request to an idle connection, one that is open if there is any.
+ */
 static void
 dispatch(long request)
 {
@@ -210,7 +217,11 @@
     double per_s;
     long n;
 
-    if (argc != 6 || (log_file = fopen(argv[5], "a")) == NULL) {
+    header_tokens = getenv("HEADER_TOKENS");
+    header_parts = getenv("HEADER_PARTS");
+    header_deadline = getenv("HEADER_DEADLINE");
+    if (argc != 6 || header_tokens == NULL || header_parts == NULL ||
+        header_deadline == NULL || (log_file = fopen(argv[5], "a")) == NULL) {
         fprintf(stderr, "usage: load PORT_FILE PREFIX PER_S SECONDS LOG\n");
         return 2;
     }
--- a/review/stand-ins/runner.c
+++ b/review/stand-ins/runner.c
@@ -1,7 +1,9 @@
 /*
- * Stand-in for a runner. It takes one request at a time on a connection, echoes
- * Request-Id, adds Runner-Signature, and answers 421 to a request that expects
- * another instance. It appends a line to its log for each request that it runs.
+ * Stand-in for a runner. It takes one request at a time on a connection,
+ * echoes its id, adds the proof, and answers 421 to a request that expects
+ * another instance. It appends a line to its log for each request that it
+ * runs. The environment names the headers: HEADER_EXPECT, HEADER_INSTANCE,
+ * HEADER_PROOF.
  *
  * Usage: runner ID LOG ANSWER BYTES DELAY_MS
  * The answer begins DELAY_MS after the request. ANSWER:
@@ -34,6 +36,10 @@
 static const char *answer;
 static long answer_bytes;
 static long delay_ms;
+/* Names of headers. */
+static const char *header_expect;
+static const char *header_instance;
+static const char *header_proof;
 static FILE *log_file;
 static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
 
@@ -111,8 +117,8 @@
     end[4] = '\0';
     while (left > 0) {
         char block[BLOCK_BYTES];
-        ssize_t got =
-            recv(fd, block, left < BLOCK_BYTES ? (size_t)left : BLOCK_BYTES, 0);
+        ssize_t got = recv(fd, block,
+                           left < BLOCK_BYTES ? (size_t)left : BLOCK_BYTES, 0);
 
         if (got <= 0) {
             return -1;
@@ -211,20 +217,20 @@
     char out[512];
 
     get_header(head, "Request-Id", id, sizeof(id));
-    get_header(head, "Expect-Instance", expected, sizeof(expected));
+    get_header(head, header_expect, expected, sizeof(expected));
     if (expected[0] != '\0' && strcmp(expected, own_id) != 0) {
         snprintf(out, sizeof(out),
                  "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\n"
-                 "Instance-Id: %s\r\nContent-Length: 0\r\n\r\n",
-                 id, own_id);
+                 "%s: %s\r\nContent-Length: 0\r\n\r\n",
+                 id, header_instance, own_id);
         return send_all(fd, out, strlen(out)) == 0;
     }
     log_run(head, id);
     usleep((useconds_t)delay_ms * 1000);
     snprintf(out, sizeof(out),
              "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-             "Runner-Signature: signed-%s\r\n",
-             id, own_id);
+             "%s: signed-%s\r\n",
+             id, header_proof, own_id);
     if (send_all(fd, out, strlen(out)) < 0) {
         return 0;
     }
@@ -265,7 +271,11 @@
     socklen_t size = sizeof(address);
     int listener = socket(AF_INET, SOCK_STREAM, 0);
 
-    if (argc != 6 || (log_file = fopen(argv[2], "a")) == NULL) {
+    header_expect = getenv("HEADER_EXPECT");
+    header_instance = getenv("HEADER_INSTANCE");
+    header_proof = getenv("HEADER_PROOF");
+    if (argc != 6 || header_expect == NULL || header_instance == NULL ||
+        header_proof == NULL || (log_file = fopen(argv[2], "a")) == NULL) {
         fprintf(stderr, "usage: runner ID LOG ANSWER BYTES DELAY_MS\n");
         return 2;
     }
