review: case 5, a planned stop drops pipelined requests

Cause: each answer of a host that drains closes its connection, also when the next request was already read from it.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -121,7 +121,7 @@
 	done
 }
 
-for program in $store_program $tools/runner $tools/caller $tools/load \
+for program in $store_program $tools/runner $tools/caller $tools/load $tools/pair \
 	target/coriandertrackd/coriandertrackd; do
 	[ -x "$program" ] || cannot_run "$program is not built"
 done
