review: one site for all cases, each script names its record

Cause: the cases named two sites, and the path of record.txt stood in the shared functions only.

Each run.sh sets and empties its own record.txt before anything else.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,15 +1,16 @@
 #!/bin/sh
-# Case 2: a configuration that adds a route with a host name of 69 characters,
+# Case 2: a configuration that adds a route with a host name of 73 characters,
 # drops a route and takes a key away. Two hosts, one runner.
 set -u
 cd "$(dirname "$0")/../.."
-case=review/2
+record=review/2/record.txt
+: >"$record"
 trouble=${TROUBLE:-1}
 . review/lib.sh
 
 # revokeMs and configApplyMs are 5 s and 2 s.
 wait_s=8
-long_host=booking-assistant.lecture-theatres.municipal-halls.lagos-state.example
+long_host=order-assistant.pattern-archive.cushion-workshops.anatolian-guild.example
 
 start store "$store_program" --port 0
 start i-1 $tools/runner i-1 "$dir/runs" whole 800 30
@@ -33,7 +34,7 @@
 	"protocol":"h1","tls":false}],
 	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
 	"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-	"tenants":[{"name":"law","apiKeys":[$keys],"priority":1}]}
+	"tenants":[{"name":"weavers","apiKeys":[$keys],"priority":1}]}
 	END
 	put keyed.op config "$dir/config"
 	note "$(date +%s%3N) version $version acked: keys $keys, routes $*"
@@ -46,27 +47,27 @@
 	note "$1: $line"
 }
 
-write_config 1 '"key-kept","key-taken"' r-hold,halls.example,/hold/ \
-	r-old,halls.example,/old/
+write_config 1 '"key-kept","key-taken"' r-order,guild.example,/order/ \
+	r-old,guild.example,/old/
 for host in h1 h2; do
 	write_settings $host
 	start_host $host || cannot_run "$host is not ready"
-	send $host before-$host key-taken halls.example /hold/a
+	send $host before-$host key-taken guild.example /order/a
 done
 
-added=annex.halls.example
+added=annex.guild.example
 [ "$trouble" = 0 ] || added=$long_host
-write_config 2 '"key-kept"' r-hold,halls.example,/hold/ r-annex,$added,/annex/
+write_config 2 '"key-kept"' r-order,guild.example,/order/ r-annex,$added,/annex/
 sleep $wait_s
 for host in h1 h2; do
-	send $host taken-$host key-taken halls.example /hold/b
-	send $host dropped-$host key-kept halls.example /old/c
+	send $host taken-$host key-taken guild.example /order/b
+	send $host dropped-$host key-kept guild.example /old/c
 	send $host added-$host key-kept $added /annex/d
-	send $host kept-$host key-kept halls.example /hold/e
+	send $host kept-$host key-kept guild.example /order/e
 done
 
-cat "$dir/runs" >>"$record"
-grep -h STORE_ODD "$dir"/h?.out >>"$record"
+cat "$dir/runs" >>review/2/record.txt
+grep -h STORE_ODD "$dir"/h?.out >>review/2/record.txt
 grep -q 'runs before-h1 ' "$dir/runs" || cannot_run "no request was served"
 taken=$(grep -c ' runs taken-' "$dir/runs")
 dropped=$(grep -c ' runs dropped-' "$dir/runs")
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,8 @@
 # Two hosts, one runner.
 set -u
 cd "$(dirname "$0")/../.."
-case=review/3
+record=review/3/record.txt
+: >"$record"
 trouble=${TROUBLE:-1}
 . review/lib.sh
 
@@ -17,8 +18,8 @@
 # write_config VERSION TENANTS
 write_config() {
 	cat >"$dir/config" <<-END
-	{"version":$1,"routes":[{"name":"r-hold","host":"halls.example",
-	"pathPrefix":"/hold/","type":"unsafe","timeoutMs":2500,"sloMs":150,
+	{"version":$1,"routes":[{"name":"r-order","host":"guild.example",
+	"pathPrefix":"/order/","type":"unsafe","timeoutMs":2500,"sloMs":150,
 	"priority":2,"service":"desk","attempts":1,"public":false,"sticky":false}],
 	"services":[{"name":"desk","healthPath":"/healthz","maxConns":110,
 	"protocol":"h1","tls":false}],
@@ -32,16 +33,16 @@
 
 # send HOST ID KEY
 send() {
-	line=$($tools/caller "$(port_of "$1" callers)" POST /hold/a id="$2" key="$3" \
+	line=$($tools/caller "$(port_of "$1" callers)" POST /order/a id="$2" key="$3" \
 		deadline=2500 wait=4)
 	note "$1: $line (key $3)"
 }
 
-law='{"name":"law","apiKeys":["key-taken"],"priority":1}'
+weavers='{"name":"weavers","apiKeys":["key-taken"],"priority":1}'
 # Without the disruption a tenant remains beside the one that is removed.
-arts='{"name":"arts","apiKeys":["key-kept"],"priority":1}'
-before=$law after=""
-[ "$trouble" != 0 ] || { before=$law,$arts after=$arts; }
+fillers='{"name":"fillers","apiKeys":["key-kept"],"priority":1}'
+before=$weavers after=""
+[ "$trouble" != 0 ] || { before=$weavers,$fillers after=$fillers; }
 
 write_config 1 "$before"
 for host in h1 h2; do
@@ -57,7 +58,7 @@
 	send $host never-$host key-never-held
 done
 
-cat "$dir/runs" >>"$record"
+cat "$dir/runs" >>review/3/record.txt
 grep -q 'runs before-h1 ' "$dir/runs" || cannot_run "no request was served"
 ! grep -q 'runs refused-' "$dir/runs" || cannot_run "version 1 admits every key"
 never=$(grep -c ' runs never-' "$dir/runs")
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,13 +1,11 @@
-# Functions of the scripts of the cases. A script sets $case to its folder, goes
-# to the root of the repository and sources this file. Everything that it starts
-# is ended when it ends.
+# Functions of the scripts of the cases. A script goes to the root of the
+# repository, sets $record to the record.txt of its folder, empties it and sources
+# this file. Everything that it starts is ended when it ends.
 
 tools=target/review
 store_program=$tools/project/t/fake/fake-store
 dir=$(mktemp -d)
-record=$case/record.txt
 pids=""
-: >"$record"
 
 # The names of headers that the stand-ins use.
 export HEADER_EXPECT=Expect-Instance HEADER_INSTANCE=Instance-Id
@@ -72,7 +70,7 @@
 # put_runner ID SERVICE: enters a runner that was started under the name ID
 put_runner() {
 	cat >"$dir/entry" <<-END
-	{"service":"$2","addr":"127.0.0.1:$(port_of "$1")","zone":"ikeja",
+	{"service":"$2","addr":"127.0.0.1:$(port_of "$1")","zone":"kayseri",
 	"version":"v1","slots":64,"state":"ready","coldLeftMs":0,"phase":"both",
 	"models":[{"name":"m","version":1,"adapters":[]}],"seq":1}
 	END
@@ -84,7 +82,7 @@
 write_settings() {
 	cat >"$dir/$1.conf" <<-END
 	{
-	  "host": "$1", "zone": "ikeja",
+	  "host": "$1", "zone": "kayseri",
 	  "caller_address": "127.0.0.1:0", "guide_address": "127.0.0.1:0",
 	  "ready_address": "127.0.0.1:0", "operator_address": "127.0.0.1:0",
 	  "peer_address": "127.0.0.1:0", "peer_secret": "links-between-hosts",
--- a/review/stand-ins/caller.c
+++ b/review/stand-ins/caller.c
@@ -167,7 +167,7 @@
     static char request[REQUEST_MAX];
     static char head[HEAD_MAX];
     struct options options = {
-        .host = "halls.example", .id = "-", .wait_s = 20};
+        .host = "guild.example", .id = "-", .wait_s = 20};
     const char *end_text = "silent";
     long long start_ms = now_ms();
     size_t head_bytes = 0;
--- a/review/stand-ins/load.c
+++ b/review/stand-ins/load.c
@@ -133,7 +133,7 @@
         return;
     }
     bytes = snprintf(request, sizeof(request),
-                     "POST /archive/q HTTP/1.1\r\nHost: halls.example\r\n"
+                     "POST /archive/q HTTP/1.1\r\nHost: guild.example\r\n"
                      "Request-Id: %s\r\nKey: key-one\r\nModel: m\r\n"
                      "%s: 17020,120\r\n%s: %lx:13300,%lx:3720\r\n"
                      "%s: %d\r\nContent-Length: 5\r\n\r\nquery",
--- a/review/stand-ins/pair.c
+++ b/review/stand-ins/pair.c
@@ -82,7 +82,7 @@
     }
     for (int i = 1; i <= REQUESTS; i++) {
         bytes += snprintf(requests + bytes, sizeof(requests) - (size_t)bytes,
-                          "GET %s HTTP/1.1\r\nHost: halls.example\r\n"
+                          "GET %s HTTP/1.1\r\nHost: guild.example\r\n"
                           "Request-Id: %s-%d\r\nKey: %s\r\n%s: 8000\r\n\r\n",
                           argv[2], argv[3], i, argv[4], header_deadline);
     }
