core, shell: hash names by a size of their own

Cause: hashes that hosts compare (claim digests, ranks of leases, sources and slot shares, proofs of links) cover sizeof(field).

Change: ct_name_hash() and ct_text_hash_bytes() cover the padding of the sizes so far, 48 and 96 bytes, and all of a longer text.

Result: values of short names are as before (test-name compares them with the padded bytes); no test changed.

--- a/core/admission.c
+++ b/core/admission.c
@@ -80,6 +80,13 @@
     return CT_REFUSAL_COUNT;
 }
 
+static void
+add_text(GChecksum *sum, const char *text, uint32_t min)
+{
+    g_checksum_update(sum, (const guchar *)text,
+                      ct_text_hash_bytes(text, min));
+}
+
 /*
  * Returns a digest over the organisation, the route and the idempotency key,
  * because the key is scoped to one organisation and one route.
@@ -94,10 +101,8 @@
     struct ct_digest digest;
     gsize n = sizeof(digest.bytes);
 
-    g_checksum_update(sum, (const guchar *)organisation->conf.name.text,
-                      sizeof(organisation->conf.name.text));
-    g_checksum_update(sum, (const guchar *)call->path.text,
-                      sizeof(call->path.text));
+    add_text(sum, organisation->conf.name.text, CT_NAME_HASH_BYTES_MIN);
+    add_text(sum, call->path.text, CT_PATH_HASH_BYTES_MIN);
     g_checksum_update(sum, call->idempotency_key.bytes,
                       sizeof(call->idempotency_key.bytes));
     g_checksum_get_digest(sum, digest.bytes, &n);
--- a/core/config.c
+++ b/core/config.c
@@ -253,8 +253,7 @@
     pool->upstreams =
         g_renew(struct ct_handle, pool->upstreams, pool->n_upstreams + 1);
     pool->upstreams[pool->n_upstreams++] = handle;
-    upstream->name_hash = ct_hash_bytes(CT_HASH_SEED, upstream->conf.name.text,
-                                        sizeof(upstream->conf.name.text));
+    upstream->name_hash = ct_name_hash(CT_HASH_SEED, &upstream->conf.name);
 }
 
 static void
--- a/core/lease.c
+++ b/core/lease.c
@@ -27,8 +27,7 @@
 {
     uint8_t seed = (uint8_t)role;
 
-    return ct_hash_bytes(ct_hash_bytes(CT_HASH_SEED, &seed, 1), host->text,
-                         sizeof(host->text));
+    return ct_name_hash(ct_hash_bytes(CT_HASH_SEED, &seed, 1), host);
 }
 
 uint32_t
--- a/core/name.c
+++ b/core/name.c
@@ -47,3 +47,19 @@
     h ^= h >> 33;
     return h;
 }
+
+uint32_t
+ct_text_hash_bytes(const char *text, uint32_t min)
+{
+    size_t n = strlen(text);
+
+    return n > min ? (uint32_t)n : min;
+}
+
+uint64_t
+ct_name_hash(uint64_t seed, const struct ct_name *name)
+{
+    return ct_hash_bytes(
+        seed, name->text,
+        ct_text_hash_bytes(name->text, CT_NAME_HASH_BYTES_MIN));
+}
--- a/core/name.h
+++ b/core/name.h
@@ -61,4 +61,21 @@
 uint64_t ct_hash_bytes(uint64_t seed, const void *bytes, uint32_t n);
 #define CT_HASH_SEED UINT64_C(14695981039346656037)
 
+/*
+ * Hashes and proofs that hosts compare cover a text with its padding up to
+ * these sizes, whatever the size of its field: hosts of different versions
+ * have to agree on them.
+ */
+#define CT_NAME_HASH_BYTES_MIN 48
+#define CT_PATH_HASH_BYTES_MIN 96
+
+/*
+ * Returns the number of bytes of a padded text to hash: its length, but at
+ * least min.
+ */
+uint32_t ct_text_hash_bytes(const char *text, uint32_t min);
+
+/* Returns ct_hash_bytes() of a name. */
+uint64_t ct_name_hash(uint64_t seed, const struct ct_name *name);
+
 #endif
--- a/core/replication.c
+++ b/core/replication.c
@@ -203,8 +203,7 @@
 {
     uint32_t n_sources =
         (members->len + HOSTS_PER_SOURCE - 1) / HOSTS_PER_SOURCE;
-    uint64_t hash = ct_hash_bytes(CT_HASH_SEED, state->self.host.text,
-                                  sizeof(state->self.host.text));
+    uint64_t hash = ct_name_hash(CT_HASH_SEED, &state->self.host);
 
     if (members->len < ZONE_HOSTS_MIN || self < (int)n_sources) {
         return NULL;
--- a/core/slot-loan.c
+++ b/core/slot-loan.c
@@ -188,8 +188,7 @@
 base_share(const struct ct_slot_loans *slot_loans,
            const struct ct_slot_pool *pool, ct_ms now_ms)
 {
-    uint64_t rotation =
-        ct_hash_bytes(CT_HASH_SEED, pool->name.text, sizeof(pool->name.text));
+    uint64_t rotation = ct_name_hash(CT_HASH_SEED, &pool->name);
     uint32_t n = 0;
     uint32_t rank = 0;
 
--- a/core/usage.c
+++ b/core/usage.c
@@ -14,12 +14,10 @@
 hash_row(gconstpointer key)
 {
     const struct ct_usage_row *row = key;
-    uint64_t h = ct_hash_bytes(CT_HASH_SEED, row->writer.text,
-                               sizeof(row->writer.text));
+    uint64_t h = ct_name_hash(CT_HASH_SEED, &row->writer);
 
     h = ct_hash_bytes(h, &row->window_start_ms, sizeof(row->window_start_ms));
-    return (guint)ct_hash_bytes(h, row->organisation.text,
-                                sizeof(row->organisation.text));
+    return (guint)ct_name_hash(h, &row->organisation);
 }
 
 static gboolean
@@ -186,16 +184,14 @@
 rank_peers(const struct ct_state *state)
 {
     GArray *ranks = g_array_new(FALSE, TRUE, sizeof(struct copy_rank));
-    uint64_t seed = ct_hash_bytes(CT_HASH_SEED, state->self.host.text,
-                                  sizeof(state->self.host.text));
+    uint64_t seed = ct_name_hash(CT_HASH_SEED, &state->self.host);
     const struct ct_peer_row *row;
     uint32_t cursor = 0;
 
     while ((row = ct_table_next(&state->peer_status.peers, &cursor, NULL))) {
         struct copy_rank rank = {
             .peer = row,
-            .weight = ct_hash_bytes(seed, row->conf.name.text,
-                                    sizeof(row->conf.name.text)),
+            .weight = ct_name_hash(seed, &row->conf.name),
             .other_zone = !ct_name_eq(&row->conf.zone, &state->self.zone),
         };
 
--- a/shell/peer-link.c
+++ b/shell/peer-link.c
@@ -54,6 +54,13 @@
     ct_peer_link_free(link);
 }
 
+static void
+add_name(GHmac *hmac, const struct ct_name *name)
+{
+    g_hmac_update(hmac, (const guchar *)name->text,
+                  ct_text_hash_bytes(name->text, CT_NAME_HASH_BYTES_MIN));
+}
+
 /*
  * Computes the proof that one host sends to another. It covers the names and
  * nonces in the order sender, receiver, so that a proof sent back is not
@@ -69,9 +76,8 @@
         g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)identity->secret,
                    strlen(identity->secret));
 
-    g_hmac_update(hmac, (const guchar *)from->host.text,
-                  sizeof(from->host.text));
-    g_hmac_update(hmac, (const guchar *)to->host.text, sizeof(to->host.text));
+    add_name(hmac, &from->host);
+    add_name(hmac, &to->host);
     g_hmac_update(hmac, from->nonce, sizeof(from->nonce));
     g_hmac_update(hmac, to->nonce, sizeof(to->nonce));
     g_hmac_get_digest(hmac, out, &n);
