core: sum the hosts' tallies as they are read

Cause: the leader kept each row of each host's tallies, with its writer, for twelve windows: at the target 360 hosts x 92 rows x 12 x 120 bytes = 48 MB (computed), and would keep several times as much with names of another size.

Change: core/window-sums keeps one row by window and organisation, at most 2,400 x 12; a record counts once, as before, by its writer and sequence number.

--- a/core/usage-report.c
+++ b/core/usage-report.c
@@ -37,7 +37,7 @@
     memset(report, 0, sizeof(*report));
     report->records =
         g_array_new(FALSE, TRUE, sizeof(struct ct_report_record));
-    report->counts = g_array_new(FALSE, TRUE, sizeof(struct ct_report_count));
+    ct_window_sums_init(&report->sums);
     report->finals = g_array_new(FALSE, TRUE, sizeof(struct ct_final_window));
     report->final_rows = g_array_new(FALSE, TRUE, sizeof(struct ct_tally_row));
 }
@@ -46,7 +46,7 @@
 ct_usage_report_free(struct ct_usage_report *report)
 {
     g_array_free(report->records, TRUE);
-    g_array_free(report->counts, TRUE);
+    ct_window_sums_free(&report->sums);
     g_array_free(report->finals, TRUE);
     g_array_free(report->final_rows, TRUE);
 }
@@ -149,10 +149,7 @@
     }
     g_array_append_val(report->records, record);
     for (uint32_t i = 0; i < event->rows.n; i++) {
-        struct ct_report_count count = {tally->window, tally->writer,
-                                        tally->sequence, rows[i]};
-
-        g_array_append_val(report->counts, count);
+        ct_window_sums_add(&report->sums, tally->window, &rows[i]);
     }
 }
 
@@ -225,16 +222,7 @@
             i++;
         }
     }
-    i = 0;
-    while (i < report->counts->len) {
-        if (g_array_index(report->counts, struct ct_report_count, i).window <
-            oldest) {
-            g_array_remove_index_fast(report->counts, i);
-        }
-        else {
-            i++;
-        }
-    }
+    ct_window_sums_remove_before(&report->sums, oldest);
     remove_old_finals(state, oldest);
 }
 
@@ -299,43 +287,12 @@
     return closed >= ct_group_size(state);
 }
 
-static GArray *
-sum_counts(const struct ct_usage_report *report, int64_t window)
-{
-    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_tally_row));
-
-    for (guint i = 0; i < report->counts->len; i++) {
-        const struct ct_report_count *count =
-            &g_array_index(report->counts, struct ct_report_count, i);
-        guint index = 0;
-
-        if (count->window != window) {
-            continue;
-        }
-        while (
-            index < rows->len &&
-            !ct_name_eq(
-                &g_array_index(rows, struct ct_tally_row, index).organisation,
-                &count->row.organisation)) {
-            index++;
-        }
-        if (index < rows->len) {
-            g_array_index(rows, struct ct_tally_row, index).requests +=
-                count->row.requests;
-        }
-        else {
-            g_array_append_val(rows, count->row);
-        }
-    }
-    return rows;
-}
-
 /* Appends the figures of a window, from which any leader reports. */
 static void
 fix_window(struct ct_state *state, int64_t window)
 {
     struct ct_usage_report *report = &state->usage_report;
-    GArray *rows = sum_counts(report, window);
+    GArray *rows = ct_window_sums_rows(&report->sums, window);
     struct ct_effect *effect = ct_emit_effect(state, CT_EFFECT_STORE_APPEND);
 
     effect->u.store_append.topic = CT_TOPIC_FINALS;
--- a/core/usage-report.h
+++ b/core/usage-report.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "event.h"
+#include "window-sums.h"
 
 /*
  * Usage reports for all hosts, sent while this host is the leader. The figures
@@ -13,14 +14,6 @@
  * figures for a window.
  */
 
-/* Requests of one organisation in one record of a host. */
-struct ct_report_count {
-    int64_t window;
-    struct ct_name writer;
-    uint64_t sequence;
-    struct ct_tally_row row;
-};
-
 /* A host's record that was read. */
 struct ct_report_record {
     int64_t window;
@@ -68,8 +61,8 @@
     int64_t last_final;
     /* struct ct_report_record */
     GArray *records;
-    /* struct ct_report_count */
-    GArray *counts;
+    /* Sums of the rows of all records. */
+    struct ct_window_sums sums;
     /* struct ct_final_window, and struct ct_tally_row of all of them */
     GArray *finals;
     GArray *final_rows;
--- a/t/test-usage-report.c
+++ b/t/test-usage-report.c
@@ -578,7 +578,8 @@
     run_simulation(&sim, 30 * WINDOW_MS, true);
     g_assert_cmpuint(sim.fixed->len, >=, 25);
     g_assert_cmpuint(sim.core.state->usage_report.records->len, <=, 16);
-    g_assert_cmpuint(sim.core.state->usage_report.counts->len, <=, 16);
+    g_assert_cmpuint(g_hash_table_size(sim.core.state->usage_report.sums.sums),
+                     <=, 16);
     g_assert_cmpuint(sim.core.state->usage_report.finals->len, <=, 16);
     g_assert_cmpuint(sim.core.state->usage_report.final_rows->len, <=, 16);
     free_simulation(&sim);
