core, wire: fields for the longest names, host names and prefixes

Cause: texts of the configuration are copied into fields of 48 bytes (names of routes, services, organisations, availability zones, upstreams), 64 (host names) and 96 (path prefixes); the first text that doesn't fit makes ct_store_entry_config() reject the version. A Host header of 64 characters was refused by read_authority() for the same reason, the key of the last entry of a page (of up to 255 bytes) did not fit the 96 bytes from which the next page is read, and an upstream with a name of 48 characters was not used.

Change: names and host names have fields of 256 bytes: the longest key of the store has 255, the longest name of DNS 253. Prefixes and paths of relayed calls have a type of their own, 512 bytes; the paths of the product's own routes keep theirs. The explanation of a refusal moves from the effect to its rows, so that effects do not grow by it. The limit on what a record may become when it is decoded follows the rows, from 160 to 400 times its size.

The test of an overlong model name used 48 letters; it takes its length from the constant now and expects the same error.

--- a/core/config-row.h
+++ b/core/config-row.h
@@ -139,7 +139,7 @@
     /* Value of the Host header, without a port. */
     struct ct_authority authority;
     /* Starts and ends with a slash. */
-    struct ct_path prefix;
+    struct ct_call_path prefix;
     bool stream;
     enum ct_repeat repeat;
     /* No key is required. */
--- a/core/effect.h
+++ b/core/effect.h
@@ -115,10 +115,9 @@
     ct_ms lifetime_ms;
 };
 
+/* rows: struct ct_refusal_row, none if the request is not known */
 struct ct_explain_effect {
     uint64_t caller;
-    bool found;
-    struct ct_refusal_row refusal;
 };
 
 struct ct_redirect_effect {
--- a/core/name.h
+++ b/core/name.h
@@ -6,14 +6,18 @@
 
 /* Fixed-size strings and digests, so that events and rows are flat values. */
 
-#define CT_NAME_MAX 48
+#define CT_NAME_MAX 256
 #define CT_PATH_MAX 96
-#define CT_AUTHORITY_MAX 64
+#define CT_CALL_PATH_MAX 512
+#define CT_AUTHORITY_MAX 256
 #define CT_ADDRESS_MAX 56
 #define CT_DIGEST_BYTES 32
 #define CT_REQUEST_ID_MAX 40
 
-/* The name of a host, organisation, class, pool or upstream; NUL padded. */
+/*
+ * The name of a host, organisation, class, pool, upstream or availability
+ * zone, or the key of a store's record; NUL padded.
+ */
 struct ct_name {
     char text[CT_NAME_MAX];
 };
@@ -22,6 +26,11 @@
     char text[CT_PATH_MAX];
 };
 
+/* Path of a relayed call, or a prefix of such paths. */
+struct ct_call_path {
+    char text[CT_CALL_PATH_MAX];
+};
+
 /* Value of a Host header, without a port. */
 struct ct_authority {
     char text[CT_AUTHORITY_MAX];
--- a/core/prefix-route.c
+++ b/core/prefix-route.c
@@ -122,7 +122,7 @@
 struct ct_handle
 ct_prefix_route_find(const struct ct_config *config,
                      const struct ct_authority *authority,
-                     const struct ct_path *path)
+                     const struct ct_call_path *path)
 {
     struct ct_prefix_route key = {.authority = *authority, .prefix = *path};
     struct ct_handle handle;
--- a/core/prefix-route.h
+++ b/core/prefix-route.h
@@ -25,7 +25,7 @@
  */
 struct ct_handle ct_prefix_route_find(const struct ct_config *config,
                                       const struct ct_authority *authority,
-                                      const struct ct_path *path);
+                                      const struct ct_call_path *path);
 
 /*
  * Selects a pool of the route by the weights of its shares; hash is the hash
--- a/core/quarantine-sync.h
+++ b/core/quarantine-sync.h
@@ -15,7 +15,7 @@
     /* The newest record of each key was read. */
     bool listed;
     /* During that: the key after which the next page begins. */
-    struct ct_path after;
+    struct ct_name after;
     /* Next offset to read. */
     int64_t next;
     /* Number of the last read; responses to earlier ones are ignored. */
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -233,8 +233,8 @@
 
     effect->u.explain.caller = request->caller;
     if (row) {
-        effect->u.explain.found = true;
-        effect->u.explain.refusal = *row;
+        ct_effect_set_rows(state->out, effect,
+                           CT_ROWS((struct ct_refusal_row *)row, 1));
     }
 }
 
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -30,7 +30,7 @@
     struct ct_request_id request_id;
     struct ct_authority authority;
     /* Without the query; truncated at the field's size. */
-    struct ct_path path;
+    struct ct_call_path path;
     bool has_key;
     struct ct_digest key;
     /* Time limit given by the caller; 0 if it gave none. */
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -20,7 +20,7 @@
      * During a full read: the key after which the next page begins, and when
      * the first page was requested.
      */
-    struct ct_path after;
+    struct ct_name after;
     ct_ms full_read_ms;
     /* The next record alone exceeds the size limit of a read. */
     bool oversize;
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -118,7 +118,7 @@
     /*
      * With newest set: key after which the page begins; empty for the first.
      */
-    struct ct_path after;
+    struct ct_name after;
     int64_t from;
     /*
      * Records beyond this size are left for the next read; 0: no limit by this
@@ -150,7 +150,7 @@
     /* The response was limited by size: there is more to read. */
     bool more;
     /* With newest set: key after which the next page begins. */
-    struct ct_path after;
+    struct ct_name after;
     /* Offset at which the read began; not set for a page. */
     int64_t from;
     /* Offset after the last record read; for a page, the end offset. */
--- a/shell/operators.c
+++ b/shell/operators.c
@@ -314,17 +314,18 @@
 
 static void
 respond_with_explanation(struct ct_operators *op,
-                         const struct ct_explain_effect *effect)
+                         const struct ct_effect *effect)
 {
-    struct operator_request *request = find_request(op, effect->caller);
+    struct operator_request *request =
+        find_request(op, effect->u.explain.caller);
     GString *text;
 
     if (request == NULL) {
         return;
     }
-    if (effect->found) {
+    if (effect->rows.n > 0) {
         text = g_string_new(NULL);
-        ct_explain_body(&effect->refusal, text);
+        ct_explain_body(effect->rows.data, text);
         set_response(request, MHD_HTTP_OK, JSON, text);
     }
     else {
@@ -355,7 +356,7 @@
 
     switch (effect->type) {
     case CT_EFFECT_REPLY_EXPLAIN:
-        respond_with_explanation(op, &effect->u.explain);
+        respond_with_explanation(op, effect);
         return true;
     case CT_EFFECT_REPLY_WITHDRAWAL:
         respond_to_withdrawal(op, effect);
--- a/t/test-call-body.c
+++ b/t/test-call-body.c
@@ -43,9 +43,6 @@
     {"{\"model\":\"d\",\"model\":\"e\"," MESSAGES "}", CT_ERR_FIELD_DOUBLED},
     {"{\"model\":7," MESSAGES "}", CT_ERR_FIELD_MISSING},
     {"{\"model\":\"a\\nb\"," MESSAGES "}", CT_ERR_FIELD_RANGE},
-    {"{\"model\":"
-     "\"0123456789012345678901234567890123456789012345678\"," MESSAGES "}",
-     CT_ERR_FIELD_RANGE},
     {"{\"model\":\"d\",\"stream\":1," MESSAGES "}", CT_ERR_FIELD_TYPE},
     {"{\"model\":\"d\",\"max_tokens\":0," MESSAGES "}", CT_ERR_FIELD_RANGE},
     {"{\"model\":\"d\",\"max_tokens\":\"9\"," MESSAGES "}", CT_ERR_FIELD_TYPE},
@@ -56,6 +53,19 @@
      CT_ERR_FIELD_MISSING},
 };
 
+/* A model's name that no configuration can contain. */
+static void
+test_long_model(void)
+{
+    g_autofree char *name = g_strnfill(CT_NAME_MAX, 'm');
+    g_autofree char *body =
+        g_strdup_printf("{\"model\":\"%s\"," MESSAGES "}", name);
+    struct ct_call call = {.caller = 5};
+
+    g_assert_cmpint(ct_call_body_parse(body, strlen(body), &call), ==,
+                    CT_ERR_FIELD_RANGE);
+}
+
 static void
 test_chat(void)
 {
@@ -117,6 +127,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/call-body/long-model", test_long_model);
     g_test_add_func("/call-body/chat", test_chat);
     g_test_add_func("/call-body/prefix", test_prefix);
     g_test_add_func("/call-body/plain", test_plain);
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -64,6 +64,20 @@
     }
 }
 
+/* Guards against a refusal of calls to the longest host name of DNS. */
+static void
+test_long_host(void)
+{
+    g_autofree char *host = g_strnfill(253, 'h');
+    g_autofree char *value = g_strdup_printf("%s:8080", host);
+    struct ct_relay_call call = {0};
+    bool forwarded;
+
+    g_assert_cmpint(parse_call_header("Host", value, &call, &forwarded), ==,
+                    CT_OK);
+    g_assert_cmpstr(call.authority.text, ==, host);
+}
+
 static void
 test_parsed_headers(void)
 {
@@ -373,6 +387,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/call-dialect/forwarded-headers", test_forwarded_headers);
     g_test_add_func("/call-dialect/parsed-headers", test_parsed_headers);
+    g_test_add_func("/call-dialect/long-host", test_long_host);
     g_test_add_func("/call-dialect/prompt-parts", test_prompt_parts);
     g_test_add_func("/call-dialect/bad-values", test_bad_values);
     g_test_add_func("/call-dialect/attempt-headers", test_attempt_headers);
--- a/t/test-operators.c
+++ b/t/test-operators.c
@@ -20,6 +20,11 @@
 react_to_request(struct script *script, const struct ct_event *event,
                  struct ct_effects *effects)
 {
+    static const struct ct_refusal_row refusal = {
+        .organisation = {"a\"b"},
+        .reason = CT_REFUSAL_OVERLOAD,
+        .run_state = CT_NOT_RUN,
+    };
     static const struct ct_host_row hosts[] = {
         {{"h1"}, false}, {{"h2"}, true}, {{"h3"}, false}};
     struct ct_effect *effect;
@@ -28,11 +33,9 @@
     if (event->type == CT_EVENT_EXPLAIN_REQUESTED) {
         effect = ct_effects_add(effects, CT_EFFECT_REPLY_EXPLAIN);
         effect->u.explain.caller = event->u.explain_request.caller;
-        effect->u.explain.found =
-            strcmp(event->u.explain_request.request_id.text, "known") == 0;
-        effect->u.explain.refusal.reason = CT_REFUSAL_OVERLOAD;
-        effect->u.explain.refusal.run_state = CT_NOT_RUN;
-        CT_TEXT_SET(effect->u.explain.refusal.organisation, "a\"b");
+        if (strcmp(event->u.explain_request.request_id.text, "known") == 0) {
+            ct_effect_set_rows(effects, effect, CT_ROWS(&refusal, 1));
+        }
     }
     else if (event->type == CT_EVENT_KEY_WITHDRAWAL_REQUESTED) {
         struct ct_digest expected_key = t_digest(1);
--- a/t/test-prefix-route.c
+++ b/t/test-prefix-route.c
@@ -66,7 +66,7 @@
     for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
         const struct ct_prefix_route_row *row;
         struct ct_authority authority = {{0}};
-        struct ct_path path = {{0}};
+        struct ct_call_path path = {{0}};
 
         CT_TEXT_SET(authority, cases[i].authority);
         CT_TEXT_SET(path, cases[i].path);
@@ -84,7 +84,7 @@
 {
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
     struct ct_authority authority = {"a.example"};
-    struct ct_path path = {"/one/x"};
+    struct ct_call_path path = {"/one/x"};
     struct ct_config config;
     struct ct_handle referenced;
 
@@ -113,7 +113,7 @@
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
     const struct ct_prefix_route_row *row;
     struct ct_authority authority = {"a.example"};
-    struct ct_path path = {"/one/x"};
+    struct ct_call_path path = {"/one/x"};
     struct ct_config config;
     guint first_count = 0;
 
--- a/t/test-store-entry.c
+++ b/t/test-store-entry.c
@@ -112,6 +112,64 @@
     g_array_free(rows, TRUE);
 }
 
+/*
+ * Guards against a configuration that is dropped as a whole because a valid
+ * text in it is long: a name of 255 characters, the longest host name that DNS
+ * allows, a path prefix of 511 characters.
+ */
+static void
+test_long_texts(void)
+{
+    g_autofree char *name = g_strnfill(255, 'n');
+    g_autofree char *host = g_strnfill(253, 'h');
+    g_autofree char *directory = g_strnfill(509, 'd');
+    g_autofree char *prefix = g_strdup_printf("/%s/", directory);
+    g_autofree char *text = g_strdup_printf(
+        "{\"version\":7," LIMITS
+        ",\"services\":[{\"name\":\"%s\",\"scaling\":{"
+        "\"min\":1,\"max\":2,\"zonePrices\":{\"%s\":1}}}],"
+        "\"tenants\":[{\"name\":\"%s\",\"apiKeys\":[\"%s\"]}],"
+        "\"routes\":[{\"name\":\"%s\",\"host\":\"%s\",\"pathPrefix\":\"%s\","
+        "\"type\":\"safe\",\"timeoutMs\":9,\"service\":\"%s\"}]}",
+        name, name, name, prefix, name, host, prefix, name);
+    const struct ct_config_row *row;
+    struct ct_store_config config;
+    GArray *rows;
+
+    g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+    row = nth_row(rows, CT_CONFIG_PREFIX_ROUTE, 0);
+    g_assert_cmpstr(row->u.prefix_route.name.text, ==, name);
+    g_assert_cmpstr(row->u.prefix_route.authority.text, ==, host);
+    g_assert_cmpstr(row->u.prefix_route.prefix.text, ==, prefix);
+    row = nth_row(rows, CT_CONFIG_POOL_SHARE, 0);
+    g_assert_cmpstr(row->u.pool_share.pool.text, ==, name);
+    row = nth_row(rows, CT_CONFIG_POOL, 0);
+    g_assert_cmpstr(row->u.pool.name.text, ==, name);
+    row = nth_row(rows, CT_CONFIG_ORDER_ZONE, 0);
+    g_assert_cmpstr(row->u.order_zone.zone.text, ==, name);
+    row = nth_row(rows, CT_CONFIG_KEY, 0);
+    g_assert_cmpstr(row->u.key.organisation.text, ==, name);
+    g_array_free(rows, TRUE);
+}
+
+/* The entry of an upstream may have names as long as a configuration's. */
+static void
+test_long_upstream(void)
+{
+    g_autofree char *name = g_strnfill(255, 'n');
+    g_autofree char *text = g_strdup_printf(
+        "{\"service\":\"%s\",\"addr\":\"10.1.0.9:80\",\"zone\":\"%s\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        name, name);
+    struct ct_store_upstream entry;
+
+    g_assert_cmpint(ct_store_entry_upstream(name, text, strlen(text), &entry),
+                    ==, CT_OK);
+    g_assert_cmpstr(entry.upstream.name.text, ==, name);
+    g_assert_cmpstr(entry.upstream.pool.text, ==, name);
+    g_assert_cmpstr(entry.upstream.zone.text, ==, name);
+}
+
 /* The route type determines whether a call may be repeated or streamed. */
 static void
 test_route_types(void)
@@ -298,6 +356,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store-entry/config", test_config);
     g_test_add_func("/store-entry/fractions", test_fractions);
+    g_test_add_func("/store-entry/long-texts", test_long_texts);
+    g_test_add_func("/store-entry/long-upstream", test_long_upstream);
     g_test_add_func("/store-entry/route-types", test_route_types);
     g_test_add_func("/store-entry/invalid-configs", test_invalid_configs);
     g_test_add_func("/store-entry/upstreams", test_upstreams);
--- a/wire/message-map.c
+++ b/wire/message-map.c
@@ -9,10 +9,10 @@
 /*
  * Limits the memory for decoding n bytes to base + n * factor. The factor
  * covers the row that grows most, an empty usage row in a snapshot: 4 encoded
- * bytes become less than 600.
+ * bytes become less than 1,600.
  */
 #define DECODE_LIMIT_BASE_BYTES 65536
-#define DECODE_LIMIT_FACTOR 160
+#define DECODE_LIMIT_FACTOR 400
 
 /* Layout of a repeated message field in protobuf-c. */
 struct wire_rows {
