core: let any number of pools share a route

Cause: a route kept at most eight pools; further backends of a configuration were dropped without a word, and their share went to the first eight.

Change: the pools of a route are an array of their own, freed with the row.

Result: prefix-route/many-shares fails with the limit of eight.

--- a/core/config.c
+++ b/core/config.c
@@ -43,6 +43,16 @@
     }
 }
 
+static void
+clear_prefix_route(void *row)
+{
+    struct ct_prefix_route_row *route = row;
+
+    if (route->pools) {
+        g_array_free(route->pools, TRUE);
+    }
+}
+
 void
 ct_config_init(struct ct_config *config)
 {
@@ -56,7 +66,7 @@
     ct_table_init(&config->hosts, sizeof(struct ct_host_conf_row), 0, NULL);
     ct_table_init(&config->upstreams, sizeof(struct ct_upstream_row), 0, NULL);
     ct_table_init(&config->prefix_routes, sizeof(struct ct_prefix_route_row),
-                  0, NULL);
+                  0, clear_prefix_route);
     config->organisation_by_name = ct_index_new_by_name();
     config->class_by_name = ct_index_new_by_name();
     config->pool_by_name = ct_index_new_by_name();
--- a/core/config.h
+++ b/core/config.h
@@ -60,15 +60,17 @@
     uint32_t allowed_bytes;
 };
 
-/* Maximum number of pools that share the calls of one route. */
-#define CT_POOL_SHARES_MAX 8
+/* A pool that takes a share of a route's calls. */
+struct ct_route_pool {
+    struct ct_handle pool;
+    uint32_t weight;
+};
 
 struct ct_prefix_route_row {
     struct ct_prefix_route conf;
     bool configured;
-    uint32_t n_pools;
-    struct ct_handle pools[CT_POOL_SHARES_MAX];
-    uint32_t weights[CT_POOL_SHARES_MAX];
+    /* struct ct_route_pool; NULL until the route has its first pool. */
+    GArray *pools;
 };
 
 struct ct_host_conf_row {
--- a/core/prefix-route.c
+++ b/core/prefix-route.c
@@ -49,12 +49,17 @@
         &config->prefix_routes,
         ct_index_get(config->prefix_route_by_name, &share->route));
 
-    if (route && route->n_pools < CT_POOL_SHARES_MAX) {
-        route->pools[route->n_pools] = pool;
-        route->weights[route->n_pools++] = share->weight;
-        if (pool_row) {
-            include_gap_target(pool_row, &route->conf);
-        }
+    const struct ct_route_pool route_pool = {pool, share->weight};
+
+    if (!route) {
+        return;
+    }
+    if (!route->pools) {
+        route->pools = g_array_new(FALSE, TRUE, sizeof(struct ct_route_pool));
+    }
+    g_array_append_val(route->pools, route_pool);
+    if (pool_row) {
+        include_gap_target(pool_row, &route->conf);
     }
 }
 
@@ -83,7 +88,9 @@
     uint32_t cursor = 0;
 
     while ((route = ct_table_next(&config->prefix_routes, &cursor, NULL))) {
-        route->n_pools = 0;
+        if (route->pools) {
+            g_array_set_size(route->pools, 0);
+        }
     }
     cursor = 0;
     while ((pool = ct_table_next(&config->pools, &cursor, NULL))) {
@@ -142,19 +149,24 @@
 struct ct_handle
 ct_prefix_route_pool(const struct ct_prefix_route_row *route, uint64_t hash)
 {
+    const struct ct_route_pool *pools;
     uint64_t total = 0;
     uint64_t point;
-    uint32_t i;
+    guint i;
 
-    for (i = 0; i < route->n_pools; i++) {
-        total += route->weights[i];
+    if (!route->pools) {
+        return CT_NO_HANDLE;
+    }
+    pools = (const struct ct_route_pool *)(void *)route->pools->data;
+    for (i = 0; i < route->pools->len; i++) {
+        total += pools[i].weight;
     }
     if (total == 0) {
         return CT_NO_HANDLE;
     }
     point = hash % total;
-    for (i = 0; point >= route->weights[i]; i++) {
-        point -= route->weights[i];
+    for (i = 0; point >= pools[i].weight; i++) {
+        point -= pools[i].weight;
     }
-    return route->pools[i];
+    return pools[i].pool;
 }
--- a/t/test-prefix-route.c
+++ b/t/test-prefix-route.c
@@ -114,6 +114,7 @@
     const struct ct_prefix_route_row *row;
     struct ct_authority authority = {"a.example"};
     struct ct_call_path path = {"/one/x"};
+    struct ct_name first = {"p"};
     struct ct_config config;
     guint first_count = 0;
 
@@ -127,8 +128,8 @@
     row = ct_table_get(&config.prefix_routes,
                        ct_prefix_route_find(&config, &authority, &path));
     for (uint64_t hash = 0; hash < 1000; hash++) {
-        first_count +=
-            ct_handle_eq(ct_prefix_route_pool(row, hash), row->pools[0]);
+        first_count += ct_handle_eq(ct_prefix_route_pool(row, hash),
+                                    ct_config_pool(&config, &first));
     }
     g_assert_cmpuint(first_count, ==, 900);
     g_array_set_size(rows, rows->len - 2);
@@ -138,6 +139,43 @@
     g_array_free(rows, TRUE);
 }
 
+/*
+ * Guards against pools that get no calls because a route has many: each of 40
+ * takes its share.
+ */
+static void
+test_many_shares(void)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct ct_config_row));
+    const struct ct_prefix_route_row *row;
+    struct ct_authority authority = {"a.example"};
+    struct ct_call_path path = {"/one/x"};
+    struct ct_config config;
+
+    add_route(rows, "one", "a.example", "/one/");
+    for (int i = 0; i < 40; i++) {
+        char name[8];
+
+        g_snprintf(name, sizeof(name), "p%d", i);
+        CT_TEXT_SET(ct_config_rows_add(rows, CT_CONFIG_POOL)->u.pool.name,
+                    name);
+        add_pool_share(rows, "one", name, 5);
+    }
+    ct_config_init(&config);
+    apply_config(&config, 1, rows);
+    row = ct_table_get(&config.prefix_routes,
+                       ct_prefix_route_find(&config, &authority, &path));
+    for (uint64_t hash = 0; hash < 200; hash++) {
+        struct ct_name name = {{0}};
+
+        g_snprintf(name.text, sizeof(name.text), "p%d", (int)hash / 5);
+        g_assert_true(ct_handle_eq(ct_prefix_route_pool(row, hash),
+                                   ct_config_pool(&config, &name)));
+    }
+    ct_config_free(&config);
+    g_array_free(rows, TRUE);
+}
+
 /*
  * A pool's tightest gap is the shortest target of the routes to it that have
  * one, also after a new configuration.
@@ -183,6 +221,7 @@
     g_test_add_func("/prefix-route/find", test_find);
     g_test_add_func("/prefix-route/changes", test_changes);
     g_test_add_func("/prefix-route/shares", test_shares);
+    g_test_add_func("/prefix-route/many-shares", test_many_shares);
     g_test_add_func("/prefix-route/tightest-gap", test_tightest_gap);
     return g_test_run();
 }
