platform, core: leave out the items of a configuration that cannot be read

Cause: the decoder stopped at the first item with a text too long, a weight or a rank with a fraction, a null, an unknown service or a member of another type, and rejected the version with all that it takes away. The reader of the topic went on as if nothing had been written, so the data counted as fresh.

Change: each item is read by itself. One that cannot be read is left out and counted; the first is named in the new event 1806 CONFIG_PARTIAL. Nothing runs that the item might forbid: a route keeps its place without a pool (503, not run), also one whose prefix is too long, by the part that fits, so that its calls do not go to the route of a shorter prefix; while a version is partial, unknown keys and routes are refused with 503 instead of 401 and 404. Limits that cannot be read leave those in force. Read now: fractions (weights keep their ratio), null as missing, numbers beyond every use, and route names that are missing, doubled or of any length, since they only tell routes apart. A text without version, limits, services and routes is no configuration, as before; the one in force stays.

The cases of config-entry/invalid-configs that expected the whole to be rejected for one item asserted the fault; config-entry/left-out replaces them and checks each kind of row of the rest.

--- a/core/effect.h
+++ b/core/effect.h
@@ -224,6 +224,7 @@
     X(STORE_TRIMMED, 1803, INFO, "records trimmed; reading newest entries")   \
     X(STORE_ODD, 1804, WARNING, "invalid store entry")                        \
     X(CONFIG_OLD, 1805, INFO, "older configuration ignored")                  \
+    X(CONFIG_PARTIAL, 1806, WARNING, "items of a configuration left out")     \
     X(UPSTREAM_LISTED, 1811, INFO, "upstream listed")                         \
     X(UPSTREAM_LEAVING, 1812, INFO, "upstream leaving")                       \
     X(UPSTREAM_GONE, 1813, INFO, "upstream removed from the list")            \
--- a/core/relay.c
+++ b/core/relay.c
@@ -30,6 +30,26 @@
            state->self.bounds.revoke_ms - REVOKE_MARGIN_MS;
 }
 
+/*
+ * Whether a key or route that the configuration does not name is known not to
+ * exist: it may be one of the items that could not be read.
+ */
+static bool
+config_is_complete(const struct ct_state *state)
+{
+    return key_state_is_current(state) && !state->store.config_partial;
+}
+
+static enum ct_refusal
+refuse_key(const struct ct_state *state, const struct ct_relay_call *call)
+{
+    if (!call->has_key) {
+        return CT_REFUSAL_NO_KEY;
+    }
+    return config_is_complete(state) ? CT_REFUSAL_UNKNOWN_KEY
+                                     : CT_REFUSAL_NOT_CURRENT;
+}
+
 static enum ct_refusal
 authenticate_call(const struct ct_state *state,
                   const struct ct_relay_call *call, struct ct_relay *relay)
@@ -42,11 +62,11 @@
         return CT_REFUSAL_NOT_CURRENT;
     }
     if (!usable) {
-        return call->has_key ? CT_REFUSAL_UNKNOWN_KEY : CT_REFUSAL_NO_KEY;
+        return refuse_key(state, call);
     }
     relay->organisation =
         ct_config_organisation(&state->config, &key->key.organisation);
-    return ct_handle_is_none(relay->organisation) ? CT_REFUSAL_UNKNOWN_KEY
+    return ct_handle_is_none(relay->organisation) ? refuse_key(state, call)
                                                   : CT_REFUSAL_COUNT;
 }
 
@@ -69,8 +89,8 @@
         ct_prefix_route_find(&state->config, &call->authority, &call->path);
     route = ct_table_get(&state->config.prefix_routes, relay->route);
     if (!route) {
-        return key_state_is_current(state) ? CT_REFUSAL_ROUTE_UNKNOWN
-                                           : CT_REFUSAL_NOT_CURRENT;
+        return config_is_complete(state) ? CT_REFUSAL_ROUTE_UNKNOWN
+                                         : CT_REFUSAL_NOT_CURRENT;
     }
     if (!ct_relay_can_finish_call(state, route->conf.stream)) {
         return CT_REFUSAL_DRAINING;
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -223,8 +223,15 @@
     }
     store->config_known = true;
     store->config_version = config->version;
-    ct_emit_effect(state, CT_EFFECT_SET_CALLER_LIMITS)->u.bounds =
-        config->bounds;
+    store->config_partial = config->n_left_out > 0;
+    if (config->has_bounds) {
+        ct_emit_effect(state, CT_EFFECT_SET_CALLER_LIMITS)->u.bounds =
+            config->bounds;
+    }
+    if (store->config_partial) {
+        ct_emit_log(state, CT_LOG_CONFIG_PARTIAL, &config->left_out_name,
+                    ct_err_name(config->left_out_reason), config->version);
+    }
     ct_emit_log(state, CT_LOG_CONFIG_ACCEPTED, NULL, NULL, config->version);
 }
 
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -33,7 +33,16 @@
 /* CT_EVENT_STORE_CONFIG; rows: struct ct_config_row */
 struct ct_store_config {
     int64_t version;
+    /* Not set if the bounds could not be read: those in force stay. */
+    bool has_bounds;
     struct ct_caller_bounds bounds;
+    /*
+     * Items that could not be read and were left out, and the name, if known,
+     * and the error of the first one.
+     */
+    uint32_t n_left_out;
+    struct ct_name left_out_name;
+    int32_t left_out_reason;
 };
 
 /* CT_EVENT_STORE_UPSTREAM: an entry was written or removed. */
--- /dev/null
+++ b/t/proc-config-forms.c
@@ -0,0 +1,188 @@
+/*
+ * Guards against a version of the configuration that a host drops because of
+ * one of its items (review/2): whatever the form, size or number of the items
+ * that a version adds, the key and the route that it removes are gone, the
+ * others go on, on a host that runs and on one that starts.
+ */
+#include <signal.h>
+
+#include "lib-relay-process.h"
+
+#define TIMEOUT_MS RELAY_PROCESS_TIMEOUT_MS
+
+static struct relay_process f;
+
+/* What a version adds; NULL members add nothing. */
+struct form {
+    const char *name;
+    const char *services, *organisations, *routes;
+    /* Request target and Host header of the added route. */
+    const char *path, *host_header;
+    /* Status of a call of that route, and of a removed key. */
+    long status, removed_key_status;
+};
+
+static long
+status_of(const char *path, const char *host_header, const char *key_header)
+{
+    const char *const headers[] = {host_header, key_header, "Request-Id: f-1",
+                                   NULL};
+    struct http_call call = {.body = "{}", .headers = headers};
+    struct http_reply reply;
+    long status;
+
+    http_call(f.host.port, path, &call, &reply);
+    status = reply.error == 0 ? reply.status : 0;
+    http_reply_free(&reply);
+    return status;
+}
+
+#define STATUS_OF(path, key_header)                                           \
+    status_of((path), PLATFORM_HOST_HEADER, (key_header))
+
+#define ROUTE(name, host, prefix, more)                                       \
+    "{\"name\":\"" name "\",\"host\":\"" host "\",\"pathPrefix\":\"" prefix   \
+    "\",\"timeoutMs\":8000,\"type\":\"safe\"," more "}"
+#define APP "\"service\":\"app\""
+
+/* Publishes a version with the keys, and the routes /any/ and the given one.
+ */
+static void
+put_config(const char *keys, const char *last_route, const struct form *form)
+{
+    char *text = g_strdup_printf(
+        "{\"version\":%d,\"limits\":{\"maxHeaderBytes\":16384,"
+        "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
+        "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\"}%s],"
+        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}%s],\"routes\":"
+        "[" ROUTE("any", "svc.example", "/any/", APP) "%s%s]}",
+        ++f.version, form->services ? form->services : "", keys,
+        form->organisations ? form->organisations : "", last_route,
+        form->routes ? form->routes : "");
+
+    platform_put(f.store.port, PLATFORM_TOPIC_CONFIG, "config", text);
+    g_free(text);
+}
+
+static void
+assert_in_force(const struct form *form)
+{
+    AWAIT(STATUS_OF("/any/x", "Key: k2") == form->removed_key_status,
+          TIMEOUT_MS);
+    g_assert_cmpint(STATUS_OF("/old/x", "Key: k1"), ==,
+                    form->removed_key_status == 401 ? 404 : 503);
+    g_assert_cmpint(STATUS_OF("/any/x", "Key: k1"), ==, 200);
+    if (form->path != NULL) {
+        g_assert_cmpint(status_of(form->path,
+                                  form->host_header ? form->host_header
+                                                    : PLATFORM_HOST_HEADER,
+                                  "Key: k1"),
+                        ==, form->status);
+    }
+}
+
+static void
+test_form(gconstpointer arg)
+{
+    static const struct form nothing = {.name = "nothing"};
+    const struct form *form = arg;
+
+    put_config("\"k1\",\"k2\"", "," ROUTE("old", "svc.example", "/old/", APP),
+               &nothing);
+    AWAIT(STATUS_OF("/any/x", "Key: k2") == 200 &&
+              STATUS_OF("/old/x", "Key: k1") == 200,
+          TIMEOUT_MS);
+    put_config("\"k1\"", "", form);
+    assert_in_force(form);
+    process_kill(&f.host);
+    relay_process_start_host(&f);
+    assert_in_force(form);
+}
+
+#define TEN(text) text text text text text text text text text text
+#define LABEL "l3456789012345678901234567890123456789012345678."
+#define LONG_HOST LABEL LABEL LABEL LABEL LABEL "example"
+#define LONG_NAME TEN("name567890123456789") "long"
+#define LONG_PREFIX "/" TEN("long-directory-name-of-forty-characters-") "/"
+#define TOO_LONG_PREFIX LONG_PREFIX TEN("long-directory-name-of-forty-/")
+#define BACKENDS(list)                                                        \
+    "," ROUTE("added", "svc.example", "/added/", "\"backends\":[" list "]")
+#define ADDED(more) "," ROUTE("added", "svc.example", "/added/", more)
+#define EMPTY_SERVICES                                                        \
+    ",{\"name\":\"e1\"},{\"name\":\"e2\"},{\"name\":\"e3\"},"                 \
+    "{\"name\":\"e4\"},{\"name\":\"e5\"},{\"name\":\"e6\"},"                  \
+    "{\"name\":\"e7\"},{\"name\":\"e8\"}"
+#define NO_SHARE(service) "{\"service\":\"" service "\",\"weight\":0}"
+#define NO_SHARES                                                             \
+    NO_SHARE("e1")                                                            \
+    "," NO_SHARE("e2") "," NO_SHARE("e3") "," NO_SHARE("e4") "," NO_SHARE(    \
+        "e5") "," NO_SHARE("e6") "," NO_SHARE("e7") "," NO_SHARE("e8")
+
+static const struct form forms[] = {
+    {"nothing", NULL, NULL, NULL, NULL, NULL, 0, 401},
+    {"long host name", NULL, NULL,
+     "," ROUTE("added", LONG_HOST, "/added/", APP), "/added/x",
+     "Host: " LONG_HOST ":8080", 200, 401},
+    {"long prefix", NULL, NULL,
+     "," ROUTE("added", "svc.example", LONG_PREFIX, APP), LONG_PREFIX "x",
+     NULL, 200, 401},
+    {"long route name", NULL, NULL,
+     "," ROUTE(LONG_NAME, "svc.example", "/added/", APP), "/added/x", NULL,
+     200, 401},
+    {"route name of any length", NULL, NULL,
+     "," ROUTE(LONG_NAME LONG_NAME, "svc.example", "/added/", APP), "/added/x",
+     NULL, 200, 401},
+    {"long service name", ",{\"name\":\"" LONG_NAME "\"}", NULL,
+     ADDED("\"service\":\"" LONG_NAME "\""), "/added/x", NULL, 503, 401},
+    {"long organisation name", NULL,
+     ",{\"name\":\"" LONG_NAME "\",\"apiKeys\":[\"k3\"]}", NULL, "/any/x",
+     NULL, 200, 401},
+    {"long zone",
+     ",{\"name\":\"s\",\"scaling\":{\"min\":1,\"max\":2,\"zonePrices\":{"
+     "\"" LONG_NAME "\":1}}}",
+     NULL, NULL, NULL, NULL, 0, 401},
+    {"fractions", NULL, NULL, BACKENDS("{\"service\":\"app\",\"weight\":0.5}"),
+     "/added/x", NULL, 200, 401},
+    {"many backends", EMPTY_SERVICES, NULL,
+     BACKENDS(NO_SHARES ",{\"service\":\"app\",\"weight\":1}"), "/added/x",
+     NULL, 200, 401},
+    {"null members", NULL,
+     ",{\"name\":\"b\",\"apiKeys\":[\"k3\"],\"priority\":null}",
+     ADDED(APP ",\"priority\":null,\"attempts\":null"), "/added/x", NULL, 200,
+     401},
+    /* Items that cannot be read: the rest is in force. */
+    {"prefix too long", NULL, NULL,
+     "," ROUTE("added", "svc.example", TOO_LONG_PREFIX, APP),
+     TOO_LONG_PREFIX "x", NULL, 503, 503},
+    {"organisation name too long", NULL,
+     ",{\"name\":\"" LONG_NAME LONG_NAME "\",\"apiKeys\":[\"k3\"]}", NULL,
+     NULL, NULL, 0, 503},
+    {"service name too long", ",{\"name\":\"" LONG_NAME LONG_NAME "\"}", NULL,
+     ADDED("\"service\":\"" LONG_NAME LONG_NAME "\""), "/added/x", NULL, 503,
+     503},
+    {"weight that is no number", NULL, NULL,
+     BACKENDS("{\"service\":\"app\",\"weight\":\"1\"}"), "/added/x", NULL, 503,
+     503},
+    {"unknown service", NULL, NULL, ADDED("\"service\":\"none\""), "/added/x",
+     NULL, 503, 503},
+    {"items that are no objects", ",5", ",[]", ",\"x\"", NULL, NULL, 0, 503},
+};
+
+int
+main(int argc, char **argv)
+{
+    int rc;
+
+    g_test_init(&argc, &argv, NULL);
+    relay_process_start(&f);
+    for (guint i = 0; i < G_N_ELEMENTS(forms); i++) {
+        char *path = g_strdup_printf("/config-forms/%s", forms[i].name);
+
+        g_test_add_data_func(path, &forms[i], test_form);
+        g_free(path);
+    }
+    rc = g_test_run();
+    process_kill(&f.host);
+    relay_process_stop(&f);
+    return rc;
+}
--- a/t/test-config-entry.c
+++ b/t/test-config-entry.c
@@ -190,6 +190,7 @@
     }
 }
 
+/* Texts that are no configuration; the one in force stays. */
 static void
 test_invalid_configs(void)
 {
@@ -204,14 +205,8 @@
         {"{\"version\":\"7\"," LIMITS "}", CT_ERR_FIELD_TYPE},
         {"{\"version\":7}", CT_ERR_FIELD_MISSING},
         {"{\"version\":7,\"limits\":{}}", CT_ERR_FIELD_MISSING},
-        {CONFIG("5", "", ""), CT_ERR_FIELD_TYPE},
-        {CONFIG("{}", "", ""), CT_ERR_FIELD_MISSING},
-        {CONFIG(SERVICE, "{\"apiKeys\":[]}", ""), CT_ERR_FIELD_MISSING},
-        {CONFIG(SERVICE, "{\"name\":\"a\",\"apiKeys\":[{}]}", ""),
-         CT_ERR_FIELD_TYPE},
-        {CONFIG(SERVICE, "", ROUTE("")), CT_ERR_FIELD_MISSING},
-        {CONFIG(SERVICE, "", ROUTE(",\"backends\":[1]")), CT_ERR_FIELD_TYPE},
-        {CONFIG(SERVICE, "", ROUTE(",\"backends\":[{\"service\":\"s1\"}]")),
+        {"{\"version\":7," LIMITS ",\"routes\":[]}", CT_ERR_FIELD_MISSING},
+        {"{\"version\":7," LIMITS ",\"services\":[],\"routes\":{}}",
          CT_ERR_FIELD_MISSING},
     };
 
@@ -225,6 +220,246 @@
     }
 }
 
+static guint
+count_rows(const GArray *rows, enum ct_config_kind kind)
+{
+    guint n = 0;
+
+    while (nth_row(rows, kind, n) != NULL) {
+        n++;
+    }
+    return n;
+}
+
+#define GOOD_TENANT "{\"name\":\"acme\",\"apiKeys\":[\"k1\"]}"
+#define GOOD_ROUTE                                                            \
+    "{\"name\":\"good\",\"host\":\"a.example\",\"pathPrefix\":\"/good/\","    \
+    "\"type\":\"safe\",\"timeoutMs\":9,\"service\":\"s1\"}"
+#define ADDED(members)                                                        \
+    ",{\"name\":\"added\",\"host\":\"a.example\",\"pathPrefix\":\"/added/"    \
+    "\"," members "}"
+#define BACKENDS(list)                                                        \
+    ADDED("\"type\":\"safe\",\"timeoutMs\":9,\"backends\":[" list "]")
+
+/*
+ * Guards against a configuration that is dropped as a whole because one item
+ * cannot be read: the others are in force. A route that is left out keeps its
+ * place without a pool, so that its calls are refused.
+ */
+static void
+test_left_out(void)
+{
+    static const struct {
+        const char *services, *tenants, *routes;
+        int reason;
+        const char *name;
+        guint n_routes, n_shares, n_keys;
+    } cases[] = {
+        {"", "", "", CT_OK, "", 1, 1, 1},
+        {",5", "", "", CT_ERR_FIELD_TYPE, "", 1, 1, 1},
+        {",{}", "", "", CT_ERR_FIELD_MISSING, "", 1, 1, 1},
+        {",{\"name\":\"s2\",\"scaling\":{\"min\":\"1\",\"max\":2}}", "", "",
+         CT_ERR_FIELD_TYPE, "s2", 1, 1, 1},
+        {",{\"name\":\"s2\",\"engine\":{\"backups\":1}}", "", "",
+         CT_ERR_FIELD_TYPE, "s2", 1, 1, 1},
+        {"", ",{\"apiKeys\":[\"k2\"]}", "", CT_ERR_FIELD_MISSING, "", 1, 1, 1},
+        {"", ",{\"name\":\"b\",\"apiKeys\":[{},\"k2\"]}", "",
+         CT_ERR_FIELD_TYPE, "b", 1, 1, 2},
+        {"", ",{\"name\":\"b\",\"apiKeys\":[\"k2\"],\"priority\":\"x\"}", "",
+         CT_ERR_FIELD_TYPE, "b", 1, 1, 2},
+        {"", ",{\"name\":\"b\",\"apiKeys\":[\"k2\"],\"priority\":-1}", "",
+         CT_ERR_FIELD_RANGE, "b", 1, 1, 2},
+        {"", "", ",7", CT_ERR_FIELD_TYPE, "", 1, 1, 1},
+        {"", "", ADDED("\"timeoutMs\":9,\"service\":\"s1\""),
+         CT_ERR_FIELD_MISSING, "added", 2, 1, 1},
+        {"", "", ADDED("\"type\":\"safe\",\"timeoutMs\":9"),
+         CT_ERR_FIELD_MISSING, "added", 2, 1, 1},
+        {"", "", ADDED("\"type\":\"safe\",\"service\":\"s1\""),
+         CT_ERR_FIELD_MISSING, "added", 2, 1, 1},
+        {"", "",
+         ADDED("\"type\":\"safe\",\"timeoutMs\":9,\"service\":\"s1\","
+               "\"public\":\"no\""),
+         CT_ERR_FIELD_TYPE, "added", 2, 1, 1},
+        {"", "",
+         ADDED("\"type\":\"safe\",\"timeoutMs\":-9,\"service\":\"s1\""),
+         CT_ERR_FIELD_RANGE, "added", 2, 1, 1},
+        {"", "",
+         ADDED("\"type\":\"safe\",\"timeoutMs\":9,\"service\":\"unknown\""),
+         CT_ERR_REFERENCE_UNKNOWN, "added", 2, 1, 1},
+        {"", "", BACKENDS("1"), CT_ERR_FIELD_TYPE, "added", 2, 1, 1},
+        {"", "", BACKENDS("{\"service\":\"s1\"}"), CT_ERR_FIELD_MISSING,
+         "added", 2, 1, 1},
+        {"", "", BACKENDS("{\"service\":\"s1\",\"weight\":-1}"),
+         CT_ERR_FIELD_RANGE, "added", 2, 1, 1},
+        {"", "",
+         BACKENDS("{\"service\":\"s1\",\"weight\":1},"
+                  "{\"service\":\"s1\",\"weight\":\"1\"}"),
+         CT_ERR_FIELD_TYPE, "added", 2, 1, 1},
+        {"", "", ",{\"name\":\"added\",\"pathPrefix\":\"/added/\"}",
+         CT_ERR_FIELD_MISSING, "added", 1, 1, 1},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"version\":7," LIMITS ",\"services\":[" SERVICE
+            "%s],\"tenants\":[" GOOD_TENANT "%s],\"routes\":[" GOOD_ROUTE
+            "%s]}",
+            cases[i].services, cases[i].tenants, cases[i].routes);
+        struct ct_store_config config;
+        GArray *rows;
+
+        g_test_message("%s", text);
+        g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+        g_assert_cmpuint(config.n_left_out, ==, cases[i].reason != CT_OK);
+        g_assert_cmpint(config.left_out_reason, ==, cases[i].reason);
+        g_assert_cmpstr(config.left_out_name.text, ==, cases[i].name);
+        g_assert_true(config.has_bounds);
+        g_assert_cmpuint(count_rows(rows, CT_CONFIG_PREFIX_ROUTE), ==,
+                         cases[i].n_routes);
+        g_assert_cmpuint(count_rows(rows, CT_CONFIG_POOL_SHARE), ==,
+                         cases[i].n_shares);
+        g_assert_cmpuint(count_rows(rows, CT_CONFIG_KEY), ==, cases[i].n_keys);
+        g_array_free(rows, TRUE);
+    }
+}
+
+/* Limits that cannot be read leave those in force; the rest applies. */
+static void
+test_left_out_limits(void)
+{
+    static const char text[] =
+        "{\"version\":7,\"limits\":{\"maxHeaderBytes\":\"x\"},\"services\":"
+        "[" SERVICE "],\"tenants\":[" GOOD_TENANT "],\"routes\":[" GOOD_ROUTE
+        "]}";
+    struct ct_store_config config;
+    GArray *rows;
+
+    g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+    g_assert_false(config.has_bounds);
+    g_assert_cmpuint(config.n_left_out, ==, 1);
+    g_assert_cmpuint(count_rows(rows, CT_CONFIG_PREFIX_ROUTE), ==, 1);
+    g_array_free(rows, TRUE);
+}
+
+/*
+ * Forms of a number or a name that are read: fractions, null for a member that
+ * may be missing, numbers beyond every use, and route names that do not tell
+ * routes apart.
+ */
+static void
+test_forms(void)
+{
+    static const char *const routes[] = {
+        ADDED("\"type\":\"safe\",\"timeoutMs\":9e12,\"service\":\"s1\""),
+        ADDED("\"type\":\"safe\",\"timeoutMs\":9,\"attempts\":2.0,"
+              "\"priority\":1.5,\"service\":\"s1\""),
+        ADDED("\"type\":\"safe\",\"timeoutMs\":9,\"attempts\":null,"
+              "\"priority\":null,\"itlTargetMs\":null,\"public\":null,"
+              "\"service\":\"s1\""),
+        ADDED("\"type\":\"safe\",\"timeoutMs\":9,\"attempts\":1e30,"
+              "\"priority\":99999999999,\"service\":\"s1\""),
+        BACKENDS("{\"service\":\"s1\",\"weight\":0.5}"),
+        BACKENDS("{\"service\":\"s1\",\"weight\":1e300}"),
+        ",{\"host\":\"a.example\",\"pathPrefix\":\"/added/"
+        "\",\"type\":\"safe\","
+        "\"timeoutMs\":9,\"service\":\"s1\"}",
+        ",{\"name\":\"good\",\"host\":\"a.example\",\"pathPrefix\":\"/added/"
+        "\","
+        "\"type\":\"safe\",\"timeoutMs\":9,\"service\":\"s1\"}",
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(routes); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"version\":7.0," LIMITS ",\"services\":[" SERVICE
+            "],\"tenants\":[{\"name\":\"b\",\"apiKeys\":[\"k1\"],"
+            "\"priority\":null}],\"routes\":[" GOOD_ROUTE "%s]}",
+            routes[i]);
+        const struct ct_config_row *added;
+        struct ct_store_config config;
+        GArray *rows;
+
+        g_test_message("%s", text);
+        g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+        g_assert_cmpuint(config.n_left_out, ==, 0);
+        g_assert_cmpint(config.version, ==, 7);
+        g_assert_cmpuint(count_rows(rows, CT_CONFIG_POOL_SHARE), ==, 2);
+        added = nth_row(rows, CT_CONFIG_PREFIX_ROUTE, 1);
+        g_assert_cmpstr(added->u.prefix_route.prefix.text, ==, "/added/");
+        g_assert_cmpstr(added->u.prefix_route.name.text, !=,
+                        nth_row(rows, CT_CONFIG_PREFIX_ROUTE, 0)
+                            ->u.prefix_route.name.text);
+        g_assert_cmpstr(
+            nth_row(rows, CT_CONFIG_POOL_SHARE, 1)->u.pool_share.route.text,
+            ==, added->u.prefix_route.name.text);
+        g_assert_cmpuint(
+            nth_row(rows, CT_CONFIG_POOL_SHARE, 1)->u.pool_share.weight, >, 0);
+        g_array_free(rows, TRUE);
+    }
+}
+
+/* Weights with fractions keep their ratio. */
+static void
+test_weights(void)
+{
+    static const struct {
+        const char *first, *second;
+        uint32_t permille;
+    } cases[] = {
+        {"90", "10", 900},          {"0.5", "0.5", 500},
+        {"0.9", "0.1", 900},        {"2.5", "7.5", 250},
+        {"3e9", "1e9", 750},        {"1e300", "1e300", 500},
+        {"1000000", "0.001", 1000}, {"0", "4", 0},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"version\":7," LIMITS ",\"services\":[" SERVICE
+            ",{\"name\":\"s2\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+            "\"pathPrefix\":\"/\",\"type\":\"safe\",\"timeoutMs\":9,"
+            "\"backends\":[{\"service\":\"s1\",\"weight\":%s},"
+            "{\"service\":\"s2\",\"weight\":%s}]}]}",
+            cases[i].first, cases[i].second);
+        struct ct_store_config config;
+        uint64_t first, second;
+        GArray *rows;
+
+        g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+        first = nth_row(rows, CT_CONFIG_POOL_SHARE, 0)->u.pool_share.weight;
+        second = nth_row(rows, CT_CONFIG_POOL_SHARE, 1)->u.pool_share.weight;
+        g_assert_cmpuint((first * 1000 + (first + second) / 2) /
+                             (first + second),
+                         ==, cases[i].permille);
+        g_assert_true(second > 0);
+        g_array_free(rows, TRUE);
+    }
+}
+
+/*
+ * Of a prefix that is too long the longest part that fits stays, without a
+ * pool: its calls are not run by the route of a shorter prefix.
+ */
+static void
+test_too_long_prefix(void)
+{
+    g_autofree char *directory = g_strnfill(300, 'd');
+    g_autofree char *text = g_strdup_printf(
+        "{\"version\":7," LIMITS ",\"services\":[" SERVICE
+        "],\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":"
+        "\"/%s/%s/\",\"type\":\"safe\",\"timeoutMs\":9,\"service\":\"s1\"}]}",
+        directory, directory);
+    g_autofree char *kept = g_strdup_printf("/%s/", directory);
+    struct ct_store_config config;
+    GArray *rows;
+
+    g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+    g_assert_cmpint(config.left_out_reason, ==, CT_ERR_TOO_LARGE);
+    g_assert_cmpstr(
+        nth_row(rows, CT_CONFIG_PREFIX_ROUTE, 0)->u.prefix_route.prefix.text,
+        ==, kept);
+    g_assert_null(nth_row(rows, CT_CONFIG_POOL_SHARE, 0));
+    g_array_free(rows, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -234,5 +469,10 @@
     g_test_add_func("/config-entry/long-texts", test_long_texts);
     g_test_add_func("/config-entry/route-types", test_route_types);
     g_test_add_func("/config-entry/invalid-configs", test_invalid_configs);
+    g_test_add_func("/config-entry/left-out", test_left_out);
+    g_test_add_func("/config-entry/left-out-limits", test_left_out_limits);
+    g_test_add_func("/config-entry/forms", test_forms);
+    g_test_add_func("/config-entry/weights", test_weights);
+    g_test_add_func("/config-entry/too-long-prefix", test_too_long_prefix);
     return g_test_run();
 }
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -125,6 +125,44 @@
     g_array_free(rows, TRUE);
 }
 
+/*
+ * While items of the configuration could not be read, a key or route that it
+ * does not name is refused as not current, not as unknown; the others hold.
+ */
+static void
+test_partial_config(void)
+{
+    static const struct {
+        uint8_t key;
+        const char *path;
+        enum ct_refusal reason;
+    } cases[] = {
+        {1, T_ANY_PATH, CT_REFUSAL_COUNT},
+        {0, T_ANY_PATH, CT_REFUSAL_NO_KEY},
+        {9, T_ANY_PATH, CT_REFUSAL_NOT_CURRENT},
+        {1, "/none/x", CT_REFUSAL_NOT_CURRENT},
+        {0, T_OPEN_PATH, CT_REFUSAL_COUNT},
+    };
+    GArray *rows = t_relay_rows();
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_event event = {.type = CT_EVENT_STORE_CONFIG};
+        struct t_core core;
+
+        t_relay_setup(&core, 2);
+        event.u.store_config.version = 6;
+        event.u.store_config.n_left_out = 1;
+        event.rows =
+            CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
+        t_core_post(&core, &event);
+        g_assert_null(t_core_effect(&core, CT_EFFECT_SET_CALLER_LIMITS, 0));
+        t_relay_call(&core, cases[i].key, cases[i].path);
+        assert_result(&core, cases[i].reason);
+        t_core_free(&core);
+    }
+    g_array_free(rows, TRUE);
+}
+
 /* Adds a stream route of a rank to the configuration, at the path /RANK/. */
 static void
 add_ranked_route(GArray *rows, uint32_t rank)
@@ -449,6 +487,7 @@
     g_test_add_func("/relay/no-config", test_no_config);
     g_test_add_func("/relay/outdated-data", test_outdated_data);
     g_test_add_func("/relay/key-removed", test_key_removed);
+    g_test_add_func("/relay/partial-config", test_partial_config);
     g_test_add_func("/relay/ranks", test_ranks);
     g_test_add_func("/relay/attempt-fields", test_attempt_fields);
     g_test_add_func("/relay/log-events", test_log_events);
