core, platform: an empty list of organisations admits no key

Cause: admit_call() asked for a key only while the table of organisations had rows, and the decoder did not tell an empty list from a missing member. So the removal of the last organisation looked like a deployment without keys. Calls in flight hid the fault for as long as they held the last row.

Change: whether keys are required is a member of the configuration, set by the presence of the list, whatever it holds; a list that is not one requires keys and leaves the version partial. Where there is no list, a call that carries a key is still refused unless the key is held: its key may have been withdrawn.

The test of before expected that a configuration without rows needs no key; it does so now for one without the list.

--- a/core/relay.c
+++ b/core/relay.c
@@ -70,6 +70,18 @@
                                                   : CT_REFUSAL_COUNT;
 }
 
+/*
+ * Whether the call runs only for the organisation that holds its key. A key
+ * is checked even if none is required: it may have been withdrawn.
+ */
+static bool
+needs_key(const struct ct_state *state, const struct ct_prefix_route *route,
+          const struct ct_relay_call *call)
+{
+    return !route->open_to_all &&
+           (state->store.keys_required || call->has_key);
+}
+
 /*
  * Sets the call's members from its route and organisation. Returns
  * CT_REFUSAL_COUNT if the call may run, else the reason for refusing it.
@@ -105,8 +117,7 @@
     if (call->timeout_ms > 0 && call->timeout_ms < route->conf.timeout_ms) {
         relay->deadline_ms = state->now_ms + call->timeout_ms;
     }
-    /* A configuration without organisations requires no keys. */
-    if (!route->conf.open_to_all && state->config.organisations.live > 0) {
+    if (needs_key(state, &route->conf, call)) {
         reason = authenticate_call(state, call, relay);
     }
     organisation =
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -223,6 +223,7 @@
     }
     store->config_known = true;
     store->config_version = config->version;
+    store->keys_required = config->keys_required;
     store->config_partial = config->n_left_out > 0;
     if (config->has_bounds) {
         ct_emit_effect(state, CT_EFFECT_SET_CALLER_LIMITS)->u.bounds =
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -44,6 +44,8 @@
 struct ct_store_sync {
     struct ct_topic_sync topics[CT_TOPIC_COUNT];
     bool config_known;
+    /* See struct ct_store_config. */
+    bool keys_required;
     /* Items of the configuration in force could not be read. */
     bool config_partial;
     int64_t config_version;
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -33,6 +33,11 @@
 /* CT_EVENT_STORE_CONFIG; rows: struct ct_config_row */
 struct ct_store_config {
     int64_t version;
+    /*
+     * Calls of routes that are not open to all need a key: the configuration
+     * has a list of organisations, even if it is empty.
+     */
+    bool keys_required;
     /* Not set if the bounds could not be read: those in force stay. */
     bool has_bounds;
     struct ct_caller_bounds bounds;
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -113,6 +113,7 @@
     struct ct_event event = {.type = CT_EVENT_STORE_CONFIG};
 
     event.u.store_config.version = version;
+    event.u.store_config.keys_required = true;
     event.rows =
         CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
     t_core_post(core, &event);
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -43,6 +43,7 @@
 
 /* Rows of the configuration of t_relay_configure(): struct ct_config_row. */
 GArray *t_relay_rows(void);
+/* Posts a version that requires keys. */
 void t_relay_post_config(struct t_core *core, int64_t version, GArray *rows);
 
 /*
--- a/t/proc-config-forms.c
+++ b/t/proc-config-forms.c
@@ -45,23 +45,30 @@
     "\",\"timeoutMs\":8000,\"type\":\"safe\"," more "}"
 #define APP "\"service\":\"app\""
 
+#define LIMITS                                                                \
+    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,"            \
+    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}"
+#define ANY_ROUTE ROUTE("any", "svc.example", "/any/", APP)
+
+static void
+put_text(char *text)
+{
+    platform_put(f.store.port, PLATFORM_TOPIC_CONFIG, "config", text);
+    g_free(text);
+}
+
 /* Publishes a version with the keys, and the routes /any/ and the given one.
  */
 static void
 put_config(const char *keys, const char *last_route, const struct form *form)
 {
-    char *text = g_strdup_printf(
-        "{\"version\":%d,\"limits\":{\"maxHeaderBytes\":16384,"
-        "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
-        "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\"}%s],"
+    put_text(g_strdup_printf(
+        "{\"version\":%d," LIMITS ",\"services\":[{\"name\":\"app\"}%s],"
         "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}%s],\"routes\":"
-        "[" ROUTE("any", "svc.example", "/any/", APP) "%s%s]}",
+        "[" ANY_ROUTE "%s%s]}",
         ++f.version, form->services ? form->services : "", keys,
         form->organisations ? form->organisations : "", last_route,
-        form->routes ? form->routes : "");
-
-    platform_put(f.store.port, PLATFORM_TOPIC_CONFIG, "config", text);
-    g_free(text);
+        form->routes ? form->routes : ""));
 }
 
 static void
@@ -99,6 +106,45 @@
     assert_in_force(form);
 }
 
+/* Forms of the list of organisations once it names none. */
+static const struct organisations_form {
+    const char *name, *member;
+    /* Status of a call with a removed key, an unknown key and without a key.
+     */
+    long removed, unknown, none;
+} organisations_forms[] = {
+    {"empty list", "\"tenants\":[],", 401, 401, 401},
+    {"null", "\"tenants\":null,", 503, 503, 401},
+    {"no list", "", 401, 401, 200},
+};
+
+static void
+assert_organisations(const struct organisations_form *form)
+{
+    AWAIT(STATUS_OF("/any/x", "Key: k1") == form->removed, TIMEOUT_MS);
+    g_assert_cmpint(STATUS_OF("/any/x", "Key: nobody"), ==, form->unknown);
+    g_assert_cmpint(STATUS_OF("/any/x", "X-None: 1"), ==, form->none);
+}
+
+/* Guards against keys that work after the last organisation was removed. */
+static void
+test_organisations(gconstpointer arg)
+{
+    static const struct form nothing = {.name = "nothing"};
+    const struct organisations_form *form = arg;
+
+    put_config("\"k1\"", "", &nothing);
+    AWAIT(STATUS_OF("/any/x", "Key: k1") == 200, TIMEOUT_MS);
+    put_text(g_strdup_printf("{\"version\":%d," LIMITS
+                             ",\"services\":[{\"name\":\"app\"}],"
+                             "%s\"routes\":[" ANY_ROUTE "]}",
+                             ++f.version, form->member));
+    assert_organisations(form);
+    process_kill(&f.host);
+    relay_process_start_host(&f);
+    assert_organisations(form);
+}
+
 #define TEN(text) text text text text text text text text text text
 #define LABEL "l3456789012345678901234567890123456789012345678."
 #define LONG_HOST LABEL LABEL LABEL LABEL LABEL "example"
@@ -181,6 +227,14 @@
         g_test_add_data_func(path, &forms[i], test_form);
         g_free(path);
     }
+    for (guint i = 0; i < G_N_ELEMENTS(organisations_forms); i++) {
+        char *path = g_strdup_printf("/config-forms/organisations/%s",
+                                     organisations_forms[i].name);
+
+        g_test_add_data_func(path, &organisations_forms[i],
+                             test_organisations);
+        g_free(path);
+    }
     rc = g_test_run();
     process_kill(&f.host);
     relay_process_stop(&f);
--- a/t/test-config-entry.c
+++ b/t/test-config-entry.c
@@ -397,6 +397,41 @@
     }
 }
 
+/* Only a configuration without a list of organisations requires no keys. */
+static void
+test_keys_required(void)
+{
+    static const struct {
+        const char *member;
+        bool required;
+        guint n_left_out;
+    } cases[] = {
+        {"", false, 0},
+        {"\"tenants\":[],", true, 0},
+        {"\"tenants\":[" GOOD_TENANT "],", true, 0},
+        {"\"tenants\":[{\"name\":\"b\",\"apiKeys\":[]}],", true, 0},
+        {"\"tenants\":null,", true, 1},
+        {"\"tenants\":{},", true, 1},
+        {"\"tenants\":\"none\",", true, 1},
+        {"\"tenants\":[7],", true, 1},
+    };
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *text =
+            g_strdup_printf("{\"version\":7," LIMITS ",\"services\":[" SERVICE
+                            "],%s\"routes\":[]}",
+                            cases[i].member);
+        struct ct_store_config config;
+        GArray *rows;
+
+        g_test_message("%s", text);
+        g_assert_cmpint(parse_config(text, &config, &rows), ==, CT_OK);
+        g_assert_cmpint(config.keys_required, ==, cases[i].required);
+        g_assert_cmpuint(config.n_left_out, ==, cases[i].n_left_out);
+        g_array_free(rows, TRUE);
+    }
+}
+
 /* Weights with fractions keep their ratio. */
 static void
 test_weights(void)
@@ -472,6 +507,7 @@
     g_test_add_func("/config-entry/left-out", test_left_out);
     g_test_add_func("/config-entry/left-out-limits", test_left_out_limits);
     g_test_add_func("/config-entry/forms", test_forms);
+    g_test_add_func("/config-entry/keys-required", test_keys_required);
     g_test_add_func("/config-entry/weights", test_weights);
     g_test_add_func("/config-entry/too-long-prefix", test_too_long_prefix);
     return g_test_run();
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -151,6 +151,7 @@
 
         t_relay_setup(&core, 2);
         event.u.store_config.version = 6;
+        event.u.store_config.keys_required = true;
         event.u.store_config.n_left_out = 1;
         event.rows =
             CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
@@ -356,15 +357,12 @@
     t_core_free(&core);
 }
 
-/* With a configuration that names no organisations, calls need no key. */
-static void
-test_no_organisations(void)
+static GArray *
+rows_without_organisations(void)
 {
     GArray *rows = t_relay_rows();
-    struct t_core core;
     guint i = 0;
 
-    t_relay_setup(&core, 2);
     while (i < rows->len) {
         enum ct_config_kind kind =
             g_array_index(rows, struct ct_config_row, i).kind;
@@ -376,10 +374,76 @@
             i++;
         }
     }
-    t_relay_post_config(&core, 6, rows);
-    t_relay_confirm(&core);
-    t_relay_call(&core, 0, T_ANY_PATH);
+    return rows;
+}
+
+/*
+ * Guards against hosts that admit every key once the last organisation is
+ * removed (review/3): an empty list admits none. Only a configuration without
+ * a list needs no key, and there too a key is refused that no organisation
+ * holds. On a running host and on one whose first configuration it is.
+ */
+static void
+test_no_organisations(void)
+{
+    static const struct {
+        bool keys_required;
+        uint8_t key;
+        const char *path;
+        enum ct_refusal reason;
+    } cases[] = {
+        {true, 0, T_ANY_PATH, CT_REFUSAL_NO_KEY},
+        {true, 1, T_ANY_PATH, CT_REFUSAL_UNKNOWN_KEY},
+        {true, 9, T_ANY_PATH, CT_REFUSAL_UNKNOWN_KEY},
+        {true, 0, T_OPEN_PATH, CT_REFUSAL_COUNT},
+        {true, 9, T_OPEN_PATH, CT_REFUSAL_COUNT},
+        {false, 0, T_ANY_PATH, CT_REFUSAL_COUNT},
+        {false, 1, T_ANY_PATH, CT_REFUSAL_UNKNOWN_KEY},
+        {false, 9, T_ANY_PATH, CT_REFUSAL_UNKNOWN_KEY},
+        {false, 9, T_OPEN_PATH, CT_REFUSAL_COUNT},
+    };
+
+    for (guint i = 0; i < 2 * G_N_ELEMENTS(cases); i++) {
+        guint c = i / 2;
+        GArray *rows = rows_without_organisations();
+        struct ct_event event = {.type = CT_EVENT_STORE_CONFIG};
+        struct t_core core;
+
+        t_relay_setup(&core, 2);
+        if (i % 2) {
+            /* As on a host that starts. */
+            core.state->store.config_known = false;
+            core.state->store.keys_required = false;
+        }
+        event.u.store_config.version = 6;
+        event.u.store_config.keys_required = cases[c].keys_required;
+        event.rows =
+            CT_ROWS((struct ct_config_row *)(void *)rows->data, rows->len);
+        t_core_post(&core, &event);
+        t_relay_confirm(&core);
+        t_relay_call(&core, cases[c].key, cases[c].path);
+        assert_result(&core, cases[c].reason);
+        g_array_free(rows, TRUE);
+        t_core_free(&core);
+    }
+}
+
+/*
+ * A call in flight keeps its organisation's row; the list is empty all the
+ * same.
+ */
+static void
+test_no_organisations_in_flight(void)
+{
+    GArray *rows = rows_without_organisations();
+    struct t_core core;
+
+    t_relay_setup(&core, 2);
+    t_relay_call(&core, 1, T_ANY_PATH);
     t_relay_started(&core);
+    t_relay_post_config(&core, 6, rows);
+    t_relay_call(&core, 1, T_ANY_PATH);
+    t_core_assert_refused(&core, CT_REFUSAL_UNKNOWN_KEY, CT_NOT_RUN);
     g_array_free(rows, TRUE);
     t_core_free(&core);
 }
@@ -495,6 +559,8 @@
     g_test_add_func("/relay/no-pool", test_no_pool);
     g_test_add_func("/relay/disconnect-after-end", test_disconnect_after_end);
     g_test_add_func("/relay/no-organisations", test_no_organisations);
+    g_test_add_func("/relay/no-organisations-in-flight",
+                    test_no_organisations_in_flight);
     g_test_add_func("/relay/caller-disconnected", test_caller_disconnected);
     g_test_add_func("/relay/timeout", test_timeout);
     g_test_add_func("/relay/counted-once", test_counted_once);
