shell: a response whose head breaks off is not complete

Cause: libcurl reports success for a connection that ends inside a head, unless a body was announced; shell/upstreams judged the framing of the body alone. Relayed calls asked for the end of the head and were not concerned.

--- a/shell/http.c
+++ b/shell/http.c
@@ -67,6 +67,17 @@
     }
 }
 
+/*
+ * libcurl takes the end of a connection inside a head for the end of a
+ * response without a body.
+ */
+static CURLcode
+check_result(const struct ct_transfer *transfer, CURLcode result)
+{
+    return result == CURLE_OK && !transfer->head_complete ? CURLE_GOT_NOTHING
+                                                          : result;
+}
+
 /* Ends the transfers that libcurl reports as done. */
 static void
 finish_transfers(struct ct_http *http)
@@ -85,7 +96,7 @@
                           (char **)&transfer);
         ct_http_cancel(http, transfer);
         end_run(transfer);
-        transfer->ops->done(transfer, result);
+        transfer->ops->done(transfer, check_result(transfer, result));
     }
 }
 
@@ -277,6 +288,27 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/* Keeps track of where heads begin and end; trailers follow the last one. */
+static void
+track_head(struct ct_transfer *transfer, const char *line, size_t n)
+{
+    static const char version[] = "HTTP/";
+    const char *status;
+
+    if (transfer->head_complete) {
+        return;
+    }
+    if (n >= strlen(version) && strncmp(line, version, strlen(version)) == 0) {
+        status = memchr(line, ' ', n);
+        transfer->interim =
+            status != NULL && status + 1 < line + n && status[1] == '1';
+        return;
+    }
+    if (line[0] == '\r' || line[0] == '\n') {
+        transfer->head_complete = !transfer->interim;
+    }
+}
+
 /* libcurl aborts a transfer whose callback returns another byte count. */
 static size_t
 on_header(char *line, size_t size, size_t n, void *arg)
@@ -288,6 +320,7 @@
     if (transfer->head_bytes > HEAD_MAX_BYTES) {
         return 0;
     }
+    track_head(transfer, line, size * n);
     if (transfer->ops->header != NULL &&
         transfer->ops->header(transfer, line, size * n) < 0) {
         return 0;
--- a/shell/http.h
+++ b/shell/http.h
@@ -50,6 +50,10 @@
     bool running;
     /* Bytes received of heads, interim ones included, and trailers. */
     size_t head_bytes;
+    /* The last head began with the status of an interim response. */
+    bool interim;
+    /* The head of the response, not of an interim one, was received whole. */
+    bool head_complete;
     size_t body_bytes;
     size_t body_max_bytes;
     /* The socket that libcurl uses, or CURL_SOCKET_BAD. */
--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -308,7 +308,8 @@
     if (!attempt->sent) {
         return CT_OUTCOME_NOT_SENT;
     }
-    if (result != CURLE_OK || !attempt->head.framed) {
+    if (result != CURLE_OK || !attempt->head_complete ||
+        !attempt->head.framed) {
         return CT_OUTCOME_CONNECTION_LOST;
     }
     /* A response without a body has no writer yet. */
--- a/t/lib-raw-server.c
+++ b/t/lib-raw-server.c
@@ -49,11 +49,11 @@
 static char *
 substitute_request_id(const char *reply, const char *request)
 {
-    const char *id = strcasestr(request, "\r\nX-Request-Id: ");
+    const char *id = strcasestr(request, "Request-Id: ");
     GString *out = g_string_new(reply);
 
     if (id != NULL) {
-        id += strlen("\r\nX-Request-Id: ");
+        id += strlen("Request-Id: ");
         char *value = g_strndup(id, strcspn(id, "\r"));
         g_string_replace(out, "%ID%", value, 0);
         g_free(value);
--- a/t/lib-raw-server.h
+++ b/t/lib-raw-server.h
@@ -6,7 +6,7 @@
 /* A server that replies to each request with scripted bytes or a fault. */
 
 struct raw_reply {
-    /* "%ID%" is replaced by the request's X-Request-Id. NULL: no bytes. */
+    /* "%ID%" is replaced by the request's id. NULL: no bytes. */
     const char *text;
     /*
      * After the bytes: read the next request, close the connection, or hang
--- a/t/test-http.c
+++ b/t/test-http.c
@@ -210,6 +210,87 @@
     g_free(block);
 }
 
+/*
+ * Guards against a response that breaks off in its head and counts as a
+ * complete one without a body: wherever the head is cut, the transfer fails.
+ */
+static void
+test_cut_head(gconstpointer arg)
+{
+    const char *head = arg;
+    size_t n = strlen(head);
+    struct script *script = script_new();
+    struct ct_http *http = ct_http_new(script->loop);
+
+    ct_loop_add(script->loop, ct_http_executor(http));
+    for (size_t cut = 0; cut < n; cut++) {
+        g_autofree char *text = g_strndup(head, cut);
+        const struct raw_reply reply = {text, RAW_CLOSE, NULL, 0};
+        struct raw_server *server = raw_server_new(&reply, 1);
+        struct get get;
+
+        run_get(http, script, raw_server_address(server), &get_ops, &get);
+        g_test_message("cut after %zu of %zu bytes", cut, n);
+        g_assert_cmpint(get.result, !=, CURLE_OK);
+        g_assert_cmpuint(get.body->len, ==, 0);
+        clear_get(&get);
+        raw_server_free(server);
+    }
+    ct_loop_free(script->loop);
+    script_free(script);
+}
+
+/* The heads of test_cut_head() are complete with their last byte. */
+static void
+test_whole_head(gconstpointer arg)
+{
+    const struct raw_reply reply = {arg, RAW_CLOSE, NULL, 0};
+    struct raw_server *server = raw_server_new(&reply, 1);
+    struct script *script = script_new();
+    struct ct_http *http = ct_http_new(script->loop);
+    struct get get;
+
+    ct_loop_add(script->loop, ct_http_executor(http));
+    run_get(http, script, raw_server_address(server), &get_ops, &get);
+    g_assert_cmpint(get.result, ==, CURLE_OK);
+    clear_get(&get);
+    ct_loop_free(script->loop);
+    script_free(script);
+    raw_server_free(server);
+}
+
+static void
+add_head_tests(void)
+{
+    static const struct {
+        const char *name, *head;
+    } heads[] = {
+        {"empty", "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 0\r\n"
+                  "X-C: d\r\n\r\n"},
+        {"until-close", "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"},
+        {"no-content", "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n"},
+        {"not-modified", "HTTP/1.1 304 Not Modified\r\nX-A: b\r\n\r\n"},
+        {"after-interim", "HTTP/1.1 102 Processing\r\n\r\n"
+                          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+        {"after-two-interim",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+         "Link: a\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"},
+        {"1.0", "HTTP/1.0 200 OK\r\nX-A: b\r\n\r\n"},
+        {"line-feeds", "HTTP/1.1 200 OK\nContent-Length: 0\n\n"},
+        {"error", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        char *path = g_strdup_printf("/http/cut-head/%s", heads[i].name);
+
+        g_test_add_data_func(path, heads[i].head, test_cut_head);
+        g_free(path);
+        path = g_strdup_printf("/http/whole-head/%s", heads[i].name);
+        g_test_add_data_func(path, heads[i].head, test_whole_head);
+        g_free(path);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -228,5 +309,6 @@
                          test_second_copy);
     g_test_add_func("/http/flush", test_flush);
     g_test_add_func("/http/fair-share", test_fair_share);
+    add_head_tests();
     return g_test_run();
 }
