core: refuse a call late in a drain if its route needs more time

Cause: a draining host asked only whether a plain call had 1 s and a stream 4.4 s left, whatever the calls of its route take.

--- a/core/config.h
+++ b/core/config.h
@@ -71,6 +71,9 @@
     bool configured;
     /* struct ct_route_pool; NULL until the route has its first pool. */
     GArray *pools;
+    /* How long calls of the route took lately, see relay-ready.h; 0: unknown.
+     */
+    ct_ms recent_ms;
 };
 
 struct ct_host_conf_row {
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -4,6 +4,7 @@
 
 #include "index.h"
 #include "relay-choice.h"
+#include "relay-ready.h"
 #include "state.h"
 
 /* Delay after which a caller may retry a refused call. */
@@ -193,7 +194,11 @@
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
     struct ct_log_effect *log = ct_relay_log(state, relay, CT_LOG_RELAY_ENDED);
 
+    struct ct_prefix_route_row *route =
+        ct_table_get(&state->config.prefix_routes, relay->route);
+
     ct_increment_counter(state, CT_COUNTER_RESPONSES_COMPLETE);
+    ct_relay_record_duration(route, state->now_ms - relay->arrived_ms);
     log->status = status;
     log->number = relay->first_event_ms;
     ct_latency_add(&state->counters.latencies[CT_LATENCY_COMPLETE],
--- a/core/relay-ready.h
+++ b/core/relay-ready.h
@@ -7,6 +7,7 @@
 
 /* What a host that relays calls can take on, now and while it drains. */
 
+struct ct_prefix_route_row;
 struct ct_state;
 
 /* Whether the host is ready for callers. */
@@ -16,9 +17,16 @@
 ct_ms ct_relay_exit_deadline_ms(const struct ct_state *state);
 
 /*
- * Whether a call of this kind that arrives now is expected to complete before
- * the process exits.
+ * Whether a call of the route that arrives now, and that ends after limit_ms
+ * at the latest, is expected to complete before the process exits.
  */
-bool ct_relay_can_finish_call(const struct ct_state *state, bool stream);
+bool ct_relay_can_finish_call(const struct ct_state *state,
+                              const struct ct_prefix_route_row *route,
+                              ct_ms limit_ms);
+
+/* Records how long a call of the route took until its response was complete.
+ */
+void ct_relay_record_duration(struct ct_prefix_route_row *route,
+                              ct_ms duration_ms);
 
 #endif
--- a/core/relay.c
+++ b/core/relay.c
@@ -104,9 +104,6 @@
         return config_is_complete(state) ? CT_REFUSAL_ROUTE_UNKNOWN
                                          : CT_REFUSAL_NOT_CURRENT;
     }
-    if (!ct_relay_can_finish_call(state, route->conf.stream)) {
-        return CT_REFUSAL_DRAINING;
-    }
     relay->repeat = route->conf.repeat;
     relay->stream = route->conf.stream;
     relay->attempts_max = route->conf.attempts;
@@ -117,6 +114,10 @@
     if (call->timeout_ms > 0 && call->timeout_ms < route->conf.timeout_ms) {
         relay->deadline_ms = state->now_ms + call->timeout_ms;
     }
+    if (!ct_relay_can_finish_call(state, route,
+                                  relay->deadline_ms - state->now_ms)) {
+        return CT_REFUSAL_DRAINING;
+    }
     if (needs_key(state, &route->conf, call)) {
         reason = authenticate_call(state, call, relay);
     }
