core, shell: a drain lasts until callers have their last byte

Cause: the reducer took the host for quiet when it had handed the last bytes of each call over, and 300 ms later the process ended, whatever was unsent.

Change: the front end reports when a caller has its whole response or is gone (CT_EVENT_RELAY_CALL_DELIVERED, one for each call that it reported as arrived and not as disconnected); the reducer counts, and is not quiet before. At the end of the grace period the process stays up to 600 ms instead of 300 for callers that still read, 100 ms before the platform's kill. The product's own front stops when its responses are written, up to 10 s, and was not concerned.

--- a/core/event.h
+++ b/core/event.h
@@ -72,6 +72,12 @@
     CT_EVENT_RELAY_BOUNDS_CHANGED,
     CT_EVENT_RELAY_CALL_ARRIVED,
     CT_EVENT_RELAY_CALLER_DISCONNECTED,
+    /*
+     * The caller has the last byte of its response, or its connection ended
+     * after the response was handed over. Follows each arrived call, unless
+     * CT_EVENT_RELAY_CALLER_DISCONNECTED does.
+     */
+    CT_EVENT_RELAY_CALL_DELIVERED,
     /* Bytes of the call are being sent. */
     CT_EVENT_RELAY_ATTEMPT_SENT,
     /* The head of the response to this call was received. */
@@ -241,7 +247,7 @@
         struct ct_call_rejected rejected;
         /*
          * CT_EVENT_CALLER_DISCONNECTED, CT_EVENT_ADDRESSES_REQUESTED,
-         * CT_EVENT_RELAY_CALLER_DISCONNECTED
+         * CT_EVENT_RELAY_CALLER_DISCONNECTED, CT_EVENT_RELAY_CALL_DELIVERED
          */
         uint64_t caller;
         struct ct_response_request response_request;
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -334,6 +334,9 @@
     case CT_EVENT_RELAY_CALLER_DISCONNECTED:
         ct_relay_on_caller_disconnected(state, event->u.caller);
         return CT_OK;
+    case CT_EVENT_RELAY_CALL_DELIVERED:
+        ct_relay_on_delivered(state);
+        return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_SENT:
         ct_relay_on_sent(state, &event->u.progress);
         return CT_OK;
--- a/core/relay.c
+++ b/core/relay.c
@@ -155,6 +155,7 @@
     struct ct_relay *row;
 
     ct_increment_counter(state, CT_COUNTER_CALLS);
+    relays->undelivered++;
     relays->arrived_ms = state->now_ms;
     memset(&relay, 0, sizeof(relay));
     relay.id = call->request_id;
@@ -189,12 +190,21 @@
     ct_relay_send(state, handle);
 }
 
+void
+ct_relay_on_delivered(struct ct_state *state)
+{
+    if (state->relays.undelivered > 0) {
+        state->relays.undelivered--;
+    }
+}
+
 void
 ct_relay_on_caller_disconnected(struct ct_state *state, uint64_t caller)
 {
     struct ct_handle handle = ct_index_get(state->relays.by_caller, &caller);
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
 
+    ct_relay_on_delivered(state);
     if (!relay) {
         return;
     }
--- a/core/relay.h
+++ b/core/relay.h
@@ -84,6 +84,8 @@
     GArray *retry_windows;
     /* Time at which the last call arrived. */
     ct_ms arrived_ms;
+    /* Arrived calls whose callers do not have their whole response yet. */
+    uint32_t undelivered;
 };
 
 struct ct_state;
@@ -93,6 +95,8 @@
 
 void ct_relay_on_arrived(struct ct_state *state,
                          const struct ct_relay_call *call);
+/* CT_EVENT_RELAY_CALL_DELIVERED */
+void ct_relay_on_delivered(struct ct_state *state);
 void ct_relay_on_caller_disconnected(struct ct_state *state, uint64_t caller);
 /*
  * Ends all calls before the process exits, so that callers which received no
--- a/coriandertrackd/daemon.c
+++ b/coriandertrackd/daemon.c
@@ -178,7 +178,8 @@
 
     ct_host_init_self(&daemon->host.self, &daemon->settings->host,
                       &daemon->settings->zone);
-    err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS);
+    err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS,
+                             FLUSH_LIMIT_MS);
     if (err < 0) {
         fprintf(stderr, "coriandertrackd: cannot start: %s\n",
                 ct_err_name(err));
--- a/coriandertrackd/host-loop.c
+++ b/coriandertrackd/host-loop.c
@@ -9,6 +9,10 @@
 #include "logger.h"
 #include "recorder.h"
 
+#define MS_PER_S 1000
+/* Interval of the checks whether callers still read, after the flush limit. */
+#define FLUSH_CHECK_MS 20
+
 static uint64_t
 random_u64(void)
 {
@@ -46,6 +50,7 @@
     if (effect->type != CT_EFFECT_DRAINED) {
         return false;
     }
+    host->drained_ms = ct_clock_steady_ms(ct_loop_clock(host->loop));
     ev_timer_start(ct_loop_ev(host->loop), &host->flush_limit);
     host->ops->drained(host);
     return true;
@@ -98,18 +103,35 @@
     ct_loop_stop(host->loop);
 }
 
+/* Whether to wait for callers that still read, after the flush limit. */
+static bool
+may_flush_longer(const struct ct_host_loop *host)
+{
+    ct_ms waited_ms =
+        ct_clock_steady_ms(ct_loop_clock(host->loop)) - host->drained_ms;
+
+    return host->ops->is_writing != NULL && host->ops->is_writing(host) &&
+           waited_ms < host->flush_max_ms;
+}
+
 static void
 on_flush_limit(struct ev_loop *ev, ev_timer *timer, int events)
 {
-    (void)ev;
+    struct ct_host_loop *host = timer->data;
+
     (void)events;
-    ct_host_loop_stop(timer->data);
+    if (may_flush_longer(host)) {
+        ev_timer_set(timer, (double)FLUSH_CHECK_MS / MS_PER_S, 0);
+        ev_timer_start(ev, timer);
+        return;
+    }
+    ct_host_loop_stop(host);
 }
 
 int
 ct_host_loop_start(struct ct_host_loop *host,
                    const struct ct_host_loop_ops *ops, const char *record,
-                   ct_ms flush_limit_ms)
+                   ct_ms flush_limit_ms, ct_ms flush_max_ms)
 {
     static const struct ct_executor_ops drain_ops = {
         .run = run_effect,
@@ -128,7 +150,8 @@
     ct_loop_add(host->loop, &host->drain.executor);
     ct_loop_add(host->loop, ct_logger_new());
     ev_timer_init(&host->flush_limit, on_flush_limit,
-                  (double)flush_limit_ms / 1000, 0);
+                  (double)flush_limit_ms / MS_PER_S, 0);
+    host->flush_max_ms = flush_max_ms;
     host->flush_limit.data = host;
     return CT_OK;
 }
--- a/coriandertrackd/host-loop.h
+++ b/coriandertrackd/host-loop.h
@@ -26,6 +26,11 @@
      * out yet.
      */
     void (*drained)(struct ct_host_loop *host);
+    /*
+     * Whether callers still read their last bytes; may be NULL. While they
+     * do, the process stays for up to flush_max_ms.
+     */
+    bool (*is_writing)(const struct ct_host_loop *host);
 };
 
 /* Executor of CT_EFFECT_DRAINED. */
@@ -43,10 +48,12 @@
     ev_signal term;
     ev_signal interrupt;
     /*
-     * Ends the process flush_limit_ms after the drain, even if callers still
-     * read.
+     * Ends the process flush_limit_ms after the drain, or flush_max_ms after
+     * it while callers still read.
      */
     ev_timer flush_limit;
+    ct_ms flush_max_ms;
+    ct_ms drained_ms;
     bool draining;
     enum ct_exit status;
 };
@@ -63,7 +70,7 @@
  */
 int ct_host_loop_start(struct ct_host_loop *host,
                        const struct ct_host_loop_ops *ops, const char *record,
-                       ct_ms flush_limit_ms);
+                       ct_ms flush_limit_ms, ct_ms flush_max_ms);
 
 /* Adds an HTTP client. Errors: CT_ERR_NO_MEMORY. */
 int ct_host_loop_add_http(struct ct_host_loop *host, struct ct_http **out);
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -24,6 +24,8 @@
 #define IDLE_TIMEOUT_MS 15000
 /* Time after the drain to write the last bytes and refuse the last calls. */
 #define FLUSH_LIMIT_MS 300
+/* The same while callers still read; the platform's kill follows after it. */
+#define FLUSH_MAX_MS 600
 
 struct relay_daemon {
     struct ct_host_loop host;
@@ -91,6 +93,13 @@
     ct_relay_io_finish(((struct relay_daemon *)host)->relay);
 }
 
+static bool
+is_relay_writing(const struct ct_host_loop *host)
+{
+    return ct_relay_io_call_count(((const struct relay_daemon *)host)->relay) >
+           0;
+}
+
 static void
 add_gauges(void *arg, GString *out)
 {
@@ -257,6 +266,7 @@
     static const struct ct_host_loop_ops ops = {
         .drain = drain_relay,
         .drained = finish_relay,
+        .is_writing = is_relay_writing,
     };
     int err;
 
@@ -264,7 +274,8 @@
                       &daemon->settings.zone);
     daemon->host.self.bounds = daemon->settings.bounds;
     daemon->host.self.first_start = daemon->settings.first_start;
-    err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS);
+    err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS,
+                             FLUSH_MAX_MS);
     if (err < 0) {
         return err;
     }
--- a/shell/relay-call.c
+++ b/shell/relay-call.c
@@ -63,14 +63,16 @@
     }
 }
 
+/* Posts the event of the call's end, once. */
 static void
-post_disconnected(struct relay_call *call)
+post_end(struct relay_call *call, enum ct_event_type type)
 {
-    struct ct_event event = {.type = CT_EVENT_RELAY_CALLER_DISCONNECTED};
+    struct ct_event event = {.type = type};
 
-    if (!call->open) {
+    if (!call->posted) {
         return;
     }
+    call->posted = false;
     call->open = false;
     event.u.caller = relay_call_number(call);
     ct_loop_post(call->io->loop, &event);
@@ -79,7 +81,8 @@
 void
 relay_call_remove(struct relay_call *call)
 {
-    post_disconnected(call);
+    post_end(call, call->open ? CT_EVENT_RELAY_CALLER_DISCONNECTED
+                              : CT_EVENT_RELAY_CALL_DELIVERED);
     ct_table_unref(&call->io->calls, call->handle);
 }
 
@@ -87,7 +90,9 @@
 relay_call_disconnect(struct relay_call *call)
 {
     call->disconnected = true;
-    post_disconnected(call);
+    if (call->open) {
+        post_end(call, CT_EVENT_RELAY_CALLER_DISCONNECTED);
+    }
     relay_call_resume(call);
 }
 
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -57,6 +57,8 @@
     /* A header cannot be parsed, or its value is too large. */
     bool malformed;
     bool too_large;
+    /* The reducer knows the call and waits for the event of its end. */
+    bool posted;
     /* An event was posted, and no effect has ended the call yet. */
     bool open;
     bool disconnected;
--- a/shell/relay-port.c
+++ b/shell/relay-port.c
@@ -90,6 +90,7 @@
         return;
     }
     event.u.relay = call->info;
+    call->posted = true;
     call->open = true;
     ct_loop_post(call->io->loop, &event);
 }
--- a/t/test-relay-host.c
+++ b/t/test-relay-host.c
@@ -1,5 +1,6 @@
 /* Tests of relay-host.h: a drain aborts no calls. */
 #include "lib-relay.h"
+#include "outcome.h"
 #include "relay-host.h"
 
 static void
@@ -107,6 +108,67 @@
     t_core_free(&core);
 }
 
+static void
+post_delivered(struct t_core *core, uint64_t caller)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_CALL_DELIVERED};
+
+    event.u.caller = caller;
+    t_core_post(core, &event);
+}
+
+/*
+ * Guards against a host that exits while callers still read responses that it
+ * has handed over: it stays until they have the last byte, or until the end of
+ * the grace period.
+ */
+static void
+test_undelivered(gconstpointer arg)
+{
+    bool delivered = GPOINTER_TO_INT(arg) != 0;
+    struct ct_handle attempt;
+    struct t_core core;
+    uint64_t caller;
+    ct_ms start_ms;
+
+    init_host(&core);
+    start_drain(&core);
+    start_ms = core.now_ms;
+    caller = t_relay_call_within(&core, 1, T_ANY_PATH, 2000);
+    attempt = t_relay_started(&core).attempt;
+    t_relay_finish(&core, attempt, CT_OUTCOME_COMPLETE, 200);
+    while (core.now_ms - start_ms < 6900) {
+        t_core_tick(&core, 50);
+        g_assert_cmpuint(t_core_count(&core, CT_EFFECT_DRAINED), ==, 0);
+        confirm_append(&core);
+        t_relay_confirm(&core);
+    }
+    if (delivered) {
+        post_delivered(&core, caller);
+        g_assert_cmpint(run_until_drained(&core), <=, 300);
+    }
+    else {
+        g_assert_cmpint(run_until_drained(&core), <, 8000 - 6900);
+        g_assert_cmpint(core.now_ms - start_ms, >=, 7300);
+    }
+    t_core_free(&core);
+}
+
+/* A refused call counts as undelivered like any other. */
+static void
+test_undelivered_refusal(void)
+{
+    struct t_core core;
+    uint64_t caller;
+
+    init_host(&core);
+    caller = t_relay_call(&core, 9, T_ANY_PATH);
+    g_assert_cmpuint(core.state->relays.undelivered, ==, 1);
+    post_delivered(&core, caller);
+    g_assert_cmpuint(core.state->relays.undelivered, ==, 0);
+    t_core_free(&core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -114,5 +176,11 @@
     g_test_add_func("/relay-host/idle-drain", test_idle_drain);
     g_test_add_func("/relay-host/second-drain-event", test_second_drain_event);
     g_test_add_func("/relay-host/busy-drain", test_busy_drain);
+    g_test_add_data_func("/relay-host/undelivered", GINT_TO_POINTER(0),
+                         test_undelivered);
+    g_test_add_data_func("/relay-host/delivered", GINT_TO_POINTER(1),
+                         test_undelivered);
+    g_test_add_func("/relay-host/undelivered-refusal",
+                    test_undelivered_refusal);
     return g_test_run();
 }
