shell: answer requests sent behind another one before closing

Cause: from the begin of a drain each response carries "Connection: close", and libmicrohttpd then drops what its buffer holds of further requests. It does not tell whether there is any.

Change: shell/input-meter compares what the host received on the connection (TCP_INFO) with the requests that were read from it; while there is more, a response does not close the connection, the last one does. On both fronts. A connection on which a body came in chunks closes as before: the size of chunks on the wire is not known.

--- a/shell/caller-request.c
+++ b/shell/caller-request.c
@@ -181,8 +181,13 @@
 static void
 suspend_for_response(struct ct_caller *caller)
 {
+    struct ct_caller_connection *connection =
+        ct_caller_connection_of(caller->connection);
+
     caller->phase = CT_CALLER_WAITING;
-    ct_caller_connection_stop(ct_caller_connection_of(caller->connection));
+    ct_caller_connection_stop(connection);
+    ct_input_meter_add(&connection->meter, caller->connection,
+                       caller->body != NULL ? caller->body->len : 0);
     ct_caller_suspend(caller);
 }
 
--- a/shell/caller-response.c
+++ b/shell/caller-response.c
@@ -12,6 +12,16 @@
 #define EVENT_STREAM "text/event-stream"
 #define RESPONSES_PATH "/v1/answers/"
 
+/* Whether the caller sent a further request on its connection. */
+static bool
+has_more_input(const struct ct_caller *caller)
+{
+    return caller->connection != NULL &&
+           ct_input_meter_has_more(
+               &ct_caller_connection_of(caller->connection)->meter,
+               caller->connection);
+}
+
 /* Sets the response, which the access handler queues after the resume. */
 static void
 set_response(struct ct_caller *caller, uint32_t status,
@@ -23,7 +33,7 @@
     caller->response = response;
     caller->status = status;
     MHD_add_response_header(response, "X-Request-Id", caller->request_id.text);
-    if (caller->callers->draining) {
+    if (caller->callers->draining && !has_more_input(caller)) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
     ct_caller_resume(caller);
--- a/shell/caller.h
+++ b/shell/caller.h
@@ -6,6 +6,7 @@
 
 #include "callers.h"
 #include "disconnect-watch.h"
+#include "input-meter.h"
 #include "http-server.h"
 
 /* Connections and requests of the callers' port; internal to its modules. */
@@ -38,6 +39,7 @@
     struct ct_handle reading;
     /* No request has begun on this connection. */
     bool unused;
+    struct ct_input_meter meter;
 };
 
 enum ct_caller_phase {
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "disconnect-watch.h"
+#include "input-meter.h"
 #include "relay-io.h"
 #include "sse-split.h"
 
@@ -117,6 +118,11 @@
 void relay_message_unref(struct relay_message *message);
 
 /* relay-port.c: turns HTTP requests into events. */
+void relay_port_notify(void *arg, struct MHD_Connection *connection,
+                       void **context,
+                       enum MHD_ConnectionNotificationCode code);
+/* Returns the meter that belongs to the connection. */
+struct ct_input_meter *relay_port_meter(struct MHD_Connection *connection);
 enum MHD_Result relay_port_handle(void *arg, struct MHD_Connection *connection,
                                   const char *url, const char *method,
                                   const char *version, const char *data,
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -97,6 +97,7 @@
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
          (intptr_t)limits->head_bytes + CONNECTION_EXTRA_BYTES, NULL},
         {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)relay_port_uri, io},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)relay_port_notify, io},
         {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)relay_port_completed, io},
         {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
         {MHD_OPTION_END, 0, NULL},
--- a/shell/relay-port.c
+++ b/shell/relay-port.c
@@ -73,6 +73,28 @@
     relay_response_refuse(call->io, &refuse);
 }
 
+void
+relay_port_notify(void *arg, struct MHD_Connection *connection, void **context,
+                  enum MHD_ConnectionNotificationCode code)
+{
+    (void)arg;
+    (void)connection;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        *context = g_new0(struct ct_input_meter, 1);
+        return;
+    }
+    g_free(*context);
+    *context = NULL;
+}
+
+struct ct_input_meter *
+relay_port_meter(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
 /* Suspends the complete call and posts its event, or refuses it. */
 static void
 dispatch_call(struct relay_call *call)
@@ -80,6 +102,8 @@
     struct ct_event event = {.type = CT_EVENT_RELAY_CALL_ARRIVED};
 
     call->phase = RELAY_WAITING;
+    ct_input_meter_add(relay_port_meter(call->connection), call->connection,
+                       call->message->body->len);
     relay_call_suspend(call);
     if (call->too_large) {
         refuse_call(call, CT_REFUSAL_TOO_LARGE);
