shell: bound what one response holds by what it can be

Cause: each response was bounded, by 16 MB, whatever it was. A stream held that much without an event, a failure with any body, for as long as the call had time; a plain response was held three times: received, pending for the caller and copied for libmicrohttpd; and the kernel kept up to 6 MB a connection.

Change: a stream may hold 256 KB between the ends of two events, and a response that is no success 1 MB; a plain response passes from the attempt to libmicrohttpd without a copy; the receive buffer of a connection to an upstream is 256 KB.

Comments without end passed before, too: libcurl hands them over chunk by chunk.

--- a/shell/http.c
+++ b/shell/http.c
@@ -15,6 +15,12 @@
 /* Limit of the connection cache, for all peers together. */
 #define IDLE_CONNECTIONS_MAX 512
 
+/*
+ * Receive buffer of a connection, which the kernel doubles: what it holds of
+ * many upstreams that send faster than they are read counts as memory of the
+ * process.
+ */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
 /* Unanswered keepalive probes, 1 s apart, until a peer counts as down. */
 #define KEEPALIVE_PROBES 2
 /* Limit of the time for which sent data may stay unacknowledged. */
@@ -516,9 +522,12 @@
 {
     int probes = KEEPALIVE_PROBES;
     unsigned unacknowledged_ms = UNACKNOWLEDGED_TIMEOUT_MS;
+    int receive_bytes = RECEIVE_BUFFER_BYTES;
 
     (void)arg;
     (void)purpose;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
                sizeof(unacknowledged_ms));
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -153,5 +153,7 @@
 /* Moves the next n bytes of the response to the end of out. */
 void relay_attempt_move_bytes(struct relay_attempt *attempt, guint n,
                               GByteArray *out);
+/* Returns all its bytes that were not moved; the caller owns the array. */
+GByteArray *relay_attempt_take_bytes(struct relay_attempt *attempt);
 
 #endif
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -110,6 +110,17 @@
     }
 }
 
+/* Makes a response of the pending bytes, which it takes ownership of. */
+static struct MHD_Response *
+make_whole_response(struct relay_call *call)
+{
+    gsize n;
+    guint8 *bytes = g_byte_array_steal(call->pending, &n);
+
+    return MHD_create_response_from_buffer_with_free_callback(n, bytes,
+                                                              g_free);
+}
+
 static void
 begin_response(struct relay_call *call, const struct relay_attempt *attempt)
 {
@@ -121,13 +132,21 @@
             MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, call, NULL);
     }
     else {
-        response = MHD_create_response_from_buffer(
-            call->pending->len, call->pending->data, MHD_RESPMEM_MUST_COPY);
+        response = make_whole_response(call);
     }
     add_response_headers(response, relay_attempt_lines(attempt));
     set_response(call, relay_attempt_status(attempt), response);
 }
 
+static void
+append_bytes(struct relay_call *call, struct relay_attempt *attempt, guint n)
+{
+    if (call->pending == NULL) {
+        call->pending = g_byte_array_new();
+    }
+    relay_attempt_move_bytes(attempt, n, call->pending);
+}
+
 void
 relay_response_forward(struct ct_relay_io *io,
                        const struct ct_relay_forward *forward)
@@ -138,10 +157,12 @@
     if (call == NULL || attempt == NULL) {
         return;
     }
-    if (call->pending == NULL) {
-        call->pending = g_byte_array_new();
+    if (call->pending == NULL && forward->is_last) {
+        call->pending = relay_attempt_take_bytes(attempt);
+    }
+    else {
+        append_bytes(call, attempt, forward->bytes);
     }
-    relay_attempt_move_bytes(attempt, forward->bytes, call->pending);
     if (call->pending->len - call->pending_offset > PENDING_MAX_BYTES) {
         relay_call_disconnect(call);
         return;
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -7,8 +7,11 @@
 
 #define FIRST_FINAL_STATUS 200
 #define FIRST_FAILED_STATUS 300
-/* A response that exceeds this is aborted. */
+/* A response that exceeds these limits is aborted. */
 #define RESPONSE_MAX_BYTES (16 * 1024 * 1024)
+#define FAILURE_MAX_BYTES (1024 * 1024)
+/* The same for what a stream sends between the ends of two events. */
+#define EVENT_MAX_BYTES (256 * 1024)
 
 struct relay_attempt *
 relay_attempt_find(const struct ct_relay_io *io, struct ct_handle handle)
@@ -33,9 +36,19 @@
                          GByteArray *out)
 {
     n = MIN(n, attempt->received->len);
+    attempt->posted_bytes -= MIN(n, attempt->posted_bytes);
     g_byte_array_append(out, attempt->received->data, n);
     g_byte_array_remove_range(attempt->received, 0, n);
-    attempt->posted_bytes -= MIN(n, attempt->posted_bytes);
+}
+
+GByteArray *
+relay_attempt_take_bytes(struct relay_attempt *attempt)
+{
+    GByteArray *bytes = attempt->received;
+
+    attempt->received = g_byte_array_new();
+    attempt->posted_bytes = 0;
+    return bytes;
 }
 
 void
@@ -159,13 +172,27 @@
            (attempt->head.proven || !is_success(attempt));
 }
 
+/*
+ * Returns how many bytes the attempt may hold that were not posted: those of a
+ * stream are posted with the end of their event, others with the response.
+ */
+static size_t
+max_unposted_bytes(const struct relay_attempt *attempt)
+{
+    if (!is_success(attempt)) {
+        return FAILURE_MAX_BYTES;
+    }
+    return attempt->start.stream ? EVENT_MAX_BYTES : RESPONSE_MAX_BYTES;
+}
+
 static int
 on_data(struct ct_transfer *transfer, const char *data, size_t n)
 {
     struct relay_attempt *attempt = (struct relay_attempt *)transfer;
+    size_t unposted = attempt->received->len - attempt->posted_bytes;
 
     if (!is_acceptable(attempt) ||
-        attempt->received->len + n > RESPONSE_MAX_BYTES) {
+        unposted + n > max_unposted_bytes(attempt)) {
         return CT_ERR_INVALID;
     }
     g_byte_array_append(attempt->received, (const guint8 *)data, (guint)n);
--- a/t/fake/fake-endless.c
+++ b/t/fake/fake-endless.c
@@ -21,6 +21,7 @@
     {"trailer", CHUNKED "2\r\nok\r\n0\r\nX-Line: ", "1", FALSE},
     {"chunks", CHUNKED, "2\r\nok\r\n", FALSE},
     {"body of unknown length", OK_HEAD "\r\n", "ok", FALSE},
+    {"failure", "HTTP/1.1 500 Failed\r\n%FIELDS%\r\n", "no", FALSE},
     {"body of large length",
      OK_HEAD "Content-Length: 1000000000000000\r\n\r\n", "ok", FALSE},
     {"comments", STREAM, "3\r\n:\n\n\r\n", FALSE},
--- a/t/proc-endless.c
+++ b/t/proc-endless.c
@@ -15,6 +15,9 @@
 /* Clock ticks of processor time for one call; less than its deadline. */
 #define CPU_MAX_TICKS 150
 
+/* Calls at a time whose upstreams all send without end. */
+#define CONCURRENT_CALLS 24
+
 /* Calls whose times are compared. */
 #define TIMED_CALLS 200
 
@@ -193,6 +196,55 @@
     g_free(set);
 }
 
+static void *
+call_stream(void *arg)
+{
+    struct http_reply reply;
+
+    (void)arg;
+    call_upstream("/s/str/x", &reply);
+    if (reply.status == 200) {
+        g_assert_cmpint(reply.error, !=, 0);
+    }
+    http_reply_free(&reply);
+    return NULL;
+}
+
+/*
+ * Guards against a host that runs out of memory because many upstreams send
+ * bytes without end at a time (review/1): what it holds of all of them stays
+ * within the growth that one response may cause.
+ */
+static void
+test_many(gconstpointer arg)
+{
+    const char *kind = arg;
+    long memory_kb = host_memory_kb();
+    GThread *threads[CONCURRENT_CALLS];
+
+    relay_process_set_runners(&f, kind);
+    for (int i = 0; i < CONCURRENT_CALLS; i++) {
+        threads[i] = g_thread_new("caller", call_stream, NULL);
+    }
+    for (int i = 0; i < CONCURRENT_CALLS; i++) {
+        g_thread_join(threads[i]);
+    }
+    relay_process_set_runners(&f, "{\"endless\":0}");
+    g_assert_cmpint(host_memory_kb(), <, memory_kb + MEMORY_GROWTH_MAX_KB);
+}
+
+/* Returns the setting of the upstreams for an endless kind. */
+static char *
+endless_setting(const char *name)
+{
+    for (guint i = 0; i < fake_endless_kinds_n; i++) {
+        if (strcmp(fake_endless_kinds[i].name, name) == 0) {
+            return g_strdup_printf("{\"endless\":%u}", i + 1);
+        }
+    }
+    g_assert_not_reached();
+}
+
 static void
 add_tests(const struct fake_endless *kind)
 {
@@ -211,10 +263,20 @@
 int
 main(int argc, char **argv)
 {
+    static const char *const many[] = {"event without an end", "comments",
+                                       "body of unknown length", "failure"};
     int rc;
 
     g_test_init(&argc, &argv, NULL);
     relay_process_start(&f);
+    /* First, while the host has not held a long response yet. */
+    for (guint i = 0; i < G_N_ELEMENTS(many); i++) {
+        char *path = g_strdup_printf("/endless/many/%s", many[i]);
+
+        g_test_add_data_func_full(path, endless_setting(many[i]), test_many,
+                                  g_free);
+        g_free(path);
+    }
     for (guint i = 0; i < fake_endless_kinds_n; i++) {
         add_tests(&fake_endless_kinds[i]);
     }
