core, shell: one memory budget for all calls and responses of a host

Cause: each message was bounded, their sum was not, and the host did not know how much memory it has.

Change: core/memory-budget charges what the front end holds to the call, from its arrival until its caller has the response or is gone; the front end reports what a response holds in steps of 64 KB. The limit is half of what the new setting bounds.memory_mb (from limits.memoryMb, else 128) exceeds 40 MB by. When it is exceeded, the largest response that is not complete is ended with 502, its upstream counts as failed, and so on until the rest fits; new calls are refused as not run, less urgent ranks first. The count of undelivered calls of the drain is the number of charges now. Counter answers_over_memory_total.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -3,6 +3,7 @@
 #include "schema.h"
 
 #define DEFAULT_MAX_CONNECTIONS 2048
+#define DEFAULT_MEMORY_MB 128
 #define SECRET_MIN_BYTES 16
 #define HOUR_MS 3600000
 
@@ -36,6 +37,8 @@
     SECONDS("upstream_pause_max_s", upstream_pause_max_ms, 300000),
     {"repeat_ratio", CT_SCHEMA_MILLI, OPTIONAL, AT(bounds, repeat_permille), 0,
      1000, .fallback = 100},
+    {"memory_mb", CT_SCHEMA_U32, OPTIONAL, AT(bounds, memory_mb), 1, 1000000,
+     .fallback = DEFAULT_MEMORY_MB, .fraction = true},
     {"repeat_burst", CT_SCHEMA_U32, OPTIONAL, AT(bounds, repeat_burst), 0,
      1000000, .fallback = 20, .fraction = true},
 };
--- a/core/bounds.h
+++ b/core/bounds.h
@@ -38,6 +38,8 @@
     ct_ms upstream_pause_max_ms;
     /* Time from the stop signal to the kill. */
     ct_ms grace_ms;
+    /* Memory that the host may use. */
+    uint32_t memory_mb;
 };
 
 #endif
--- a/core/counter.h
+++ b/core/counter.h
@@ -12,6 +12,7 @@
     X(RESPONSES_COMPLETE, "answers_whole_total")                              \
     X(RESPONSES_ABORTED, "answers_broken_total")                              \
     X(CALLERS_DISCONNECTED, "callers_gone_total")                             \
+    X(RESPONSES_OVER_MEMORY, "answers_over_memory_total")                     \
     X(ATTEMPTS, "attempts_total")                                             \
     X(RETRY_NOT_SENT, "retries_not_sent_total")                               \
     X(RETRY_DECLINED, "retries_declined_total")                               \
--- a/core/event.c
+++ b/core/event.c
@@ -36,6 +36,7 @@
         [CT_EVENT_RELAY_CALL_DELIVERED] = "relay-delivered",
         [CT_EVENT_RELAY_ATTEMPT_SENT] = "relay-sent",
         [CT_EVENT_RELAY_ATTEMPT_HEAD] = "relay-head",
+        [CT_EVENT_RELAY_ATTEMPT_HELD] = "relay-held",
         [CT_EVENT_RELAY_ATTEMPT_DATA] = "relay-data",
         [CT_EVENT_RELAY_ATTEMPT_DONE] = "relay-done",
         [CT_EVENT_STORE_CONFIG] = "store-config",
--- a/core/event.h
+++ b/core/event.h
@@ -82,6 +82,8 @@
     CT_EVENT_RELAY_ATTEMPT_SENT,
     /* The head of the response to this call was received. */
     CT_EVENT_RELAY_ATTEMPT_HEAD,
+    /* More bytes of a response that is not complete are held. */
+    CT_EVENT_RELAY_ATTEMPT_HELD,
     /* Complete events of a streamed response. */
     CT_EVENT_RELAY_ATTEMPT_DATA,
     CT_EVENT_RELAY_ATTEMPT_DONE,
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -335,7 +335,7 @@
         ct_relay_on_caller_disconnected(state, event->u.caller);
         return CT_OK;
     case CT_EVENT_RELAY_CALL_DELIVERED:
-        ct_relay_on_delivered(state);
+        ct_relay_on_delivered(state, event->u.caller);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_SENT:
         ct_relay_on_sent(state, &event->u.progress);
@@ -345,6 +345,9 @@
             state, ct_relay_attempt_upstream(state, &event->u.progress),
             &event->u.progress.notice);
         return CT_OK;
+    case CT_EVENT_RELAY_ATTEMPT_HELD:
+        ct_relay_on_held(state, &event->u.progress);
+        return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_DATA:
         ct_relay_on_data(state, &event->u.progress);
         return CT_OK;
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -222,6 +222,66 @@
     relay->response_started = true;
 }
 
+/* Returns the running call of whose response most bytes are held. */
+static struct ct_handle
+find_largest_response(const struct ct_state *state)
+{
+    const struct ct_relays *relays = &state->relays;
+    struct ct_handle largest = CT_NO_HANDLE;
+    const struct ct_relay *relay;
+    struct ct_handle handle;
+    uint64_t most = 0;
+    uint32_t cursor = 0;
+
+    while ((relay = ct_table_next(&relays->rows, &cursor, &handle))) {
+        uint64_t bytes =
+            ct_memory_budget_response(&relays->budget, relay->caller);
+
+        if (bytes > most && !ct_handle_is_none(relay->attempt)) {
+            most = bytes;
+            largest = handle;
+        }
+    }
+    return largest;
+}
+
+/* Ends the call; its upstream counts as one that failed. */
+static void
+end_for_memory(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
+
+    ct_increment_counter(state, CT_COUNTER_RESPONSES_OVER_MEMORY);
+    ct_emit_effect(state, CT_EFFECT_RELAY_CANCEL_ATTEMPT)->u.relay.attempt =
+        relay->attempt;
+    ct_memory_budget_set_response(&state->relays.budget, relay->caller, 0);
+    ct_relay_end_attempt(state, relay, CT_OUTCOME_CONNECTION_LOST);
+    ct_relay_fail(state, handle, CT_REFUSAL_UPSTREAM_FAILED);
+}
+
+void
+ct_relay_on_held(struct ct_state *state,
+                 const struct ct_relay_progress *progress)
+{
+    struct ct_relays *relays = &state->relays;
+    struct ct_relay *relay;
+    struct ct_handle largest;
+
+    if (!find_attempt(state, progress, &relay)) {
+        return;
+    }
+    ct_memory_budget_set_response(&relays->budget, relay->caller,
+                                  progress->bytes);
+    while (
+        ct_memory_budget_is_exceeded(&relays->budget, &state->self.bounds)) {
+        largest = find_largest_response(state);
+        if (ct_handle_is_none(largest)) {
+            return;
+        }
+        end_for_memory(state, largest);
+    }
+}
+
 void
 ct_relay_on_data(struct ct_state *state,
                  const struct ct_relay_progress *progress)
@@ -509,6 +569,8 @@
     if (next_step == STEP_PASS_RESPONSE) {
         count_usage(state, relay);
         if (relay->caller) {
+            ct_memory_budget_set_response(&state->relays.budget, relay->caller,
+                                          progress->remaining_bytes);
             forward_response(state, relay, progress->remaining_bytes, true);
         }
     }
@@ -520,6 +582,7 @@
         ct_relay_complete(state, handle, progress->status);
         return;
     }
+    ct_memory_budget_set_response(&state->relays.budget, relay->caller, 0);
     if (next_step != STEP_FAIL) {
         retry_call(state, handle, progress, next_step == STEP_USE_BACKUP);
         return;
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -19,6 +19,7 @@
     ct_table_init(&relays->rows, sizeof(struct ct_relay), CT_RELAYS_MAX, NULL);
     ct_table_init(&relays->attempts, sizeof(struct ct_relay_attempt), 0, NULL);
     relays->by_caller = g_hash_table_new(g_int64_hash, g_int64_equal);
+    ct_memory_budget_init(&relays->budget);
     relays->retry_windows =
         g_array_new(FALSE, TRUE, sizeof(struct ct_retry_window));
 }
@@ -28,6 +29,7 @@
 {
     g_array_free(relays->retry_windows, TRUE);
     g_hash_table_destroy(relays->by_caller);
+    ct_memory_budget_free(&relays->budget);
     ct_table_free(&relays->attempts);
     ct_table_free(&relays->rows);
 }
--- a/core/relay-host.c
+++ b/core/relay-host.c
@@ -52,7 +52,7 @@
 ct_relay_host_on_drain_timer(struct ct_state *state)
 {
     bool quiet = state->relays.rows.live == 0 &&
-                 state->relays.undelivered == 0 &&
+                 state->relays.budget.charges.live == 0 &&
                  state->now_ms - state->drain_started_ms >= MIN_DRAIN_MS &&
                  state->now_ms - state->relays.arrived_ms >= QUIET_MS;
     bool last = state->now_ms >= ct_relay_exit_deadline_ms(state) - FLUSH_MS;
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -48,6 +48,7 @@
     struct ct_prompt_parts parts;
     uint32_t prompt_tokens;
     uint32_t max_tokens;
+    uint32_t body_bytes;
 };
 
 /* What an upstream says about itself in the head of a response. */
@@ -66,6 +67,7 @@
 
 /*
  * CT_EVENT_RELAY_ATTEMPT_SENT, CT_EVENT_RELAY_ATTEMPT_HEAD,
+ * CT_EVENT_RELAY_ATTEMPT_HELD: bytes is what is held of the response;
  * CT_EVENT_RELAY_ATTEMPT_DATA, CT_EVENT_RELAY_ATTEMPT_DONE
  */
 struct ct_relay_progress {
--- a/core/relay.c
+++ b/core/relay.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "error.h"
 #include "index.h"
 #include "prefix-route.h"
 #include "relay-end.h"
@@ -155,8 +156,12 @@
     struct ct_relay *row;
 
     ct_increment_counter(state, CT_COUNTER_CALLS);
-    relays->undelivered++;
     relays->arrived_ms = state->now_ms;
+    if (ct_memory_budget_add(&relays->budget, call->caller, call->body_bytes) <
+        0) {
+        state->out->err = CT_ERR_NO_MEMORY;
+        return;
+    }
     memset(&relay, 0, sizeof(relay));
     relay.id = call->request_id;
     relay.caller = call->caller;
@@ -171,6 +176,11 @@
         !ct_prompt_quarantine_may_probe(state, &relay.parts)) {
         reason = CT_REFUSAL_PROMPT_QUARANTINED;
     }
+    if (reason == CT_REFUSAL_COUNT &&
+        !ct_memory_budget_has_room(&relays->budget, &state->self.bounds,
+                                   relay.rank, CT_RANK_LEVELS)) {
+        reason = CT_REFUSAL_OVERLOAD;
+    }
     if (reason == CT_REFUSAL_COUNT &&
         ct_table_add(&relays->rows, &handle) < 0) {
         reason = CT_REFUSAL_TABLE_FULL;
@@ -191,11 +201,9 @@
 }
 
 void
-ct_relay_on_delivered(struct ct_state *state)
+ct_relay_on_delivered(struct ct_state *state, uint64_t caller)
 {
-    if (state->relays.undelivered > 0) {
-        state->relays.undelivered--;
-    }
+    ct_memory_budget_remove(&state->relays.budget, caller);
 }
 
 void
@@ -204,7 +212,7 @@
     struct ct_handle handle = ct_index_get(state->relays.by_caller, &caller);
     struct ct_relay *relay = ct_table_get(&state->relays.rows, handle);
 
-    ct_relay_on_delivered(state);
+    ct_relay_on_delivered(state, caller);
     if (!relay) {
         return;
     }
--- a/core/relay.h
+++ b/core/relay.h
@@ -5,6 +5,7 @@
 
 #include "effect.h"
 #include "event.h"
+#include "memory-budget.h"
 #include "refusal.h"
 #include "retry-window.h"
 #include "table.h"
@@ -85,7 +86,7 @@
     /* Time at which the last call arrived. */
     ct_ms arrived_ms;
     /* Arrived calls whose callers do not have their whole response yet. */
-    uint32_t undelivered;
+    struct ct_memory_budget budget;
 };
 
 struct ct_state;
@@ -96,7 +97,7 @@
 void ct_relay_on_arrived(struct ct_state *state,
                          const struct ct_relay_call *call);
 /* CT_EVENT_RELAY_CALL_DELIVERED */
-void ct_relay_on_delivered(struct ct_state *state);
+void ct_relay_on_delivered(struct ct_state *state, uint64_t caller);
 void ct_relay_on_caller_disconnected(struct ct_state *state, uint64_t caller);
 /*
  * Ends all calls before the process exits, so that callers which received no
@@ -121,6 +122,10 @@
 struct ct_handle
 ct_relay_attempt_upstream(const struct ct_state *state,
                           const struct ct_relay_progress *progress);
+/* CT_EVENT_RELAY_ATTEMPT_HELD: ends the largest response if memory is short.
+ */
+void ct_relay_on_held(struct ct_state *state,
+                      const struct ct_relay_progress *progress);
 void ct_relay_on_data(struct ct_state *state,
                       const struct ct_relay_progress *progress);
 void ct_relay_on_done(struct ct_state *state,
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -91,6 +91,8 @@
     GByteArray *received;
     guint posted_bytes;
     struct ct_sse_split split;
+    /* Bytes held at the time of the last CT_EVENT_RELAY_ATTEMPT_HELD. */
+    guint held_bytes;
     /* Events posted so far, and the bytes up to the end of the last one. */
     uint32_t posted_events;
     uint64_t split_complete;
--- a/shell/relay-port.c
+++ b/shell/relay-port.c
@@ -113,6 +113,7 @@
         refuse_call(call, CT_REFUSAL_BAD_REQUEST);
         return;
     }
+    call->info.body_bytes = call->message->body->len;
     event.u.relay = call->info;
     call->posted = true;
     call->open = true;
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -12,6 +12,8 @@
 #define FAILURE_MAX_BYTES (1024 * 1024)
 /* The same for what a stream sends between the ends of two events. */
 #define EVENT_MAX_BYTES (256 * 1024)
+/* Growth of a response after which the reducer is told what is held. */
+#define HELD_STEP_BYTES (64 * 1024)
 
 struct relay_attempt *
 relay_attempt_find(const struct ct_relay_io *io, struct ct_handle handle)
@@ -202,6 +204,20 @@
     return CT_OK;
 }
 
+/* Posts what the attempt holds, each time that it has grown by a step. */
+static void
+post_held(struct relay_attempt *attempt)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_HELD};
+
+    if (attempt->received->len < attempt->held_bytes + HELD_STEP_BYTES) {
+        return;
+    }
+    attempt->held_bytes = attempt->received->len;
+    event.u.progress.bytes = attempt->received->len;
+    post_progress(attempt, &event);
+}
+
 /*
  * Posts the number and bytes of the stream events that became complete since
  * the last call.
@@ -213,6 +229,7 @@
     struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_DATA};
     const struct ct_sse_split *split = &attempt->split;
 
+    post_held(attempt);
     if (split->events == attempt->posted_events) {
         return;
     }
--- a/t/proc-endless.c
+++ b/t/proc-endless.c
@@ -197,12 +197,11 @@
 }
 
 static void *
-call_stream(void *arg)
+call_once(void *arg)
 {
     struct http_reply reply;
 
-    (void)arg;
-    call_upstream("/s/str/x", &reply);
+    call_upstream(arg, &reply);
     if (reply.status == 200) {
         g_assert_cmpint(reply.error, !=, 0);
     }
@@ -210,6 +209,31 @@
     return NULL;
 }
 
+/* Returns the setting of the upstreams for an endless kind. */
+static char *
+endless_setting(const char *name)
+{
+    for (guint i = 0; i < fake_endless_kinds_n; i++) {
+        if (strcmp(fake_endless_kinds[i].name, name) == 0) {
+            return g_strdup_printf("{\"endless\":%u}", i + 1);
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* Kinds of endless responses, and the path of the calls that get them. */
+static const struct many {
+    const char *kind, *path;
+} many[] = {
+    {"event without an end", "/s/str/x"},
+    {"comments", "/s/str/x"},
+    {"body of unknown length", "/s/str/x"},
+    {"failure", "/s/str/x"},
+    {"body of unknown length", "/once/x"},
+    {"body of large length", "/once/x"},
+    {"chunks", "/once/x"},
+};
+
 /*
  * Guards against a host that runs out of memory because many upstreams send
  * bytes without end at a time (review/1): what it holds of all of them stays
@@ -218,13 +242,14 @@
 static void
 test_many(gconstpointer arg)
 {
-    const char *kind = arg;
+    const struct many *c = arg;
+    g_autofree char *set = endless_setting(c->kind);
     long memory_kb = host_memory_kb();
     GThread *threads[CONCURRENT_CALLS];
 
-    relay_process_set_runners(&f, kind);
+    relay_process_set_runners(&f, set);
     for (int i = 0; i < CONCURRENT_CALLS; i++) {
-        threads[i] = g_thread_new("caller", call_stream, NULL);
+        threads[i] = g_thread_new("caller", call_once, (void *)c->path);
     }
     for (int i = 0; i < CONCURRENT_CALLS; i++) {
         g_thread_join(threads[i]);
@@ -233,18 +258,6 @@
     g_assert_cmpint(host_memory_kb(), <, memory_kb + MEMORY_GROWTH_MAX_KB);
 }
 
-/* Returns the setting of the upstreams for an endless kind. */
-static char *
-endless_setting(const char *name)
-{
-    for (guint i = 0; i < fake_endless_kinds_n; i++) {
-        if (strcmp(fake_endless_kinds[i].name, name) == 0) {
-            return g_strdup_printf("{\"endless\":%u}", i + 1);
-        }
-    }
-    g_assert_not_reached();
-}
-
 static void
 add_tests(const struct fake_endless *kind)
 {
@@ -263,18 +276,16 @@
 int
 main(int argc, char **argv)
 {
-    static const char *const many[] = {"event without an end", "comments",
-                                       "body of unknown length", "failure"};
     int rc;
 
     g_test_init(&argc, &argv, NULL);
     relay_process_start(&f);
     /* First, while the host has not held a long response yet. */
     for (guint i = 0; i < G_N_ELEMENTS(many); i++) {
-        char *path = g_strdup_printf("/endless/many/%s", many[i]);
+        char *path =
+            g_strdup_printf("/endless/many/%s%s", many[i].kind, many[i].path);
 
-        g_test_add_data_func_full(path, endless_setting(many[i]), test_many,
-                                  g_free);
+        g_test_add_data_func(path, &many[i], test_many);
         g_free(path);
     }
     for (guint i = 0; i < fake_endless_kinds_n; i++) {
--- a/t/test-relay-attempt.c
+++ b/t/test-relay-attempt.c
@@ -484,6 +484,71 @@
     t_core_free(&core);
 }
 
+static void
+post_held(struct t_core *core, struct ct_handle attempt, uint32_t bytes)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_ATTEMPT_HELD};
+
+    event.u.progress.attempt = attempt;
+    event.u.progress.bytes = bytes;
+    t_core_post(core, &event);
+}
+
+/*
+ * When the memory for calls is used up, the largest response that is not
+ * complete is ended, and nothing else; further calls are refused as not run
+ * until a caller has its response.
+ */
+static void
+test_memory(void)
+{
+    const uint32_t third = 20 * 1024 * 1024;
+    struct ct_handle attempts[3];
+    struct ct_event delivered = {.type = CT_EVENT_RELAY_CALL_DELIVERED};
+    uint64_t callers[3];
+    struct t_core core;
+
+    t_relay_setup(&core, 4);
+    core.state->self.bounds.memory_mb = 160;
+    for (guint i = 0; i < 3; i++) {
+        callers[i] = t_relay_call(&core, 1, T_ONCE_PATH);
+        attempts[i] = t_relay_started(&core).attempt;
+        t_relay_sent(&core, attempts[i]);
+    }
+    post_held(&core, attempts[0], third);
+    post_held(&core, attempts[1], third + 1);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL_ATTEMPT), ==,
+                     0);
+    post_held(&core, attempts[2], third);
+    t_core_assert_refused(&core, CT_REFUSAL_UPSTREAM_FAILED, CT_MAY_HAVE_RUN);
+    g_assert_cmpuint(
+        t_core_effect(&core, CT_EFFECT_REFUSE_REQUEST, 0)->u.refuse.caller, ==,
+        callers[1]);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_RELAY_CANCEL_ATTEMPT), ==,
+                     1);
+    g_assert_cmpuint(
+        core.state->counters.values[CT_COUNTER_RESPONSES_OVER_MEMORY], ==, 1);
+    /* Complete responses that callers still read count as well. */
+    for (guint i = 0; i < 3; i += 2) {
+        struct ct_event done = {.type = CT_EVENT_RELAY_ATTEMPT_DONE};
+
+        done.u.progress.attempt = attempts[i];
+        done.u.progress.outcome = CT_OUTCOME_COMPLETE;
+        done.u.progress.status = 200;
+        done.u.progress.remaining_bytes = 2 * third;
+        t_core_post(&core, &done);
+    }
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    t_core_assert_refused(&core, CT_REFUSAL_OVERLOAD, CT_NOT_RUN);
+    for (guint i = 0; i < 3; i++) {
+        delivered.u.caller = callers[i];
+        t_core_post(&core, &delivered);
+    }
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    t_relay_started(&core);
+    t_core_free(&core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -511,5 +576,6 @@
                          test_backup_without_copy);
     g_test_add_func("/relay-attempt/backup-leaving", test_backup_leaving);
     g_test_add_func("/relay-attempt/no-backup", test_no_backup);
+    g_test_add_func("/relay-attempt/memory", test_memory);
     return g_test_run();
 }
--- a/t/test-relay-host.c
+++ b/t/test-relay-host.c
@@ -163,9 +163,9 @@
 
     init_host(&core);
     caller = t_relay_call(&core, 9, T_ANY_PATH);
-    g_assert_cmpuint(core.state->relays.undelivered, ==, 1);
+    g_assert_cmpuint(core.state->relays.budget.charges.live, ==, 1);
     post_delivered(&core, caller);
-    g_assert_cmpuint(core.state->relays.undelivered, ==, 0);
+    g_assert_cmpuint(core.state->relays.budget.charges.live, ==, 0);
     t_core_free(&core);
 }
 
