platform, core: match host names without regard to case

Cause: the host of a route and of a call were compared as written.

Change: ct_authority_set() brings both to lower case, without port and the dot of the root.

--- a/core/config-row.h
+++ b/core/config-row.h
@@ -136,7 +136,6 @@
 /* A route of relayed calls, found by authority and longest path prefix. */
 struct ct_prefix_route {
     struct ct_name name;
-    /* Value of the Host header, without a port. */
     struct ct_authority authority;
     /* Starts and ends with a slash. */
     struct ct_call_path prefix;
--- a/core/name.c
+++ b/core/name.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #include "error.h"
 
 #define FNV_PRIME UINT64_C(1099511628211)
@@ -19,6 +21,25 @@
     return CT_OK;
 }
 
+int
+ct_authority_set(struct ct_authority *authority, const char *host)
+{
+    /* The colons of an IPv6 number in brackets are no ports. */
+    size_t n = host[0] == '[' ? strcspn(host, "]") : strcspn(host, ":");
+
+    memset(authority, 0, sizeof(*authority));
+    if (n > 0 && host[n - 1] == '.') {
+        n--;
+    }
+    if (n >= sizeof(authority->text)) {
+        return CT_ERR_TOO_LARGE;
+    }
+    for (size_t i = 0; i < n; i++) {
+        authority->text[i] = g_ascii_tolower(host[i]);
+    }
+    return CT_OK;
+}
+
 bool
 ct_name_eq(const struct ct_name *a, const struct ct_name *b)
 {
--- a/core/name.h
+++ b/core/name.h
@@ -31,7 +31,7 @@
     char text[CT_CALL_PATH_MAX];
 };
 
-/* Value of a Host header, without a port. */
+/* Host name of a call or route, see ct_authority_set(). */
 struct ct_authority {
     char text[CT_AUTHORITY_MAX];
 };
@@ -60,6 +60,13 @@
 #define CT_TEXT_SET(field, value)                                             \
     ct_text_set((field).text, sizeof((field).text), (value))
 
+/*
+ * Sets the authority to a host name in lower case, since case does not tell
+ * host names apart, without a port and the dot of the root.
+ * Errors: CT_ERR_TOO_LARGE, which leaves the field empty.
+ */
+int ct_authority_set(struct ct_authority *authority, const char *host);
+
 bool ct_name_eq(const struct ct_name *a, const struct ct_name *b);
 bool ct_digest_eq(const struct ct_digest *a, const struct ct_digest *b);
 
