wire: let names in messages between hosts be UTF-8

Cause: texts of links and records were limited to ASCII. An availability zone or an organisation of a configuration may have other letters; the message of a follower's source or a forwarded tally that carried one failed to decode.

Change: bytes of UTF-8 are accepted; control characters, quotes and backslashes are rejected as before.

Result: the round trip of test-peer-codec with such names fails without it (CT_ERR_DECODE).

Open: a name with a quote or a backslash is used by the host that reads it, but cannot be sent to others.

--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -71,6 +71,8 @@
             .recovered_age_ms = CT_MS_NEVER,
         };
         CT_TEXT_SET(entry.upstream.name, "engine-1");
+        /* Names are UTF-8, not only ASCII. */
+        CT_TEXT_SET(entry.upstream.zone, "\xc4\xb0zmir");
         entry.upstream.slots = 64;
         entry.upstream.cheap = true;
         entry.leaving = true;
@@ -88,7 +90,7 @@
         m->u.tally.closes = true;
         m->u.tally.ends = true;
         CT_TEXT_SET(m->u.tally.writer, "h2-1");
-        CT_TEXT_SET(tally_rows[1].organisation, "acme");
+        CT_TEXT_SET(tally_rows[1].organisation, "\xc5\x9eirket");
         tally_rows[1].requests = 3;
         m->rows = CT_ROWS(tally_rows, 2);
         break;
--- a/wire/message-map.c
+++ b/wire/message-map.c
@@ -190,13 +190,16 @@
 }
 
 /*
- * Texts are names, paths and addresses. Quotes and backslashes are rejected,
- * so that texts need no escaping in output for operators.
+ * Texts are names, paths and addresses, in UTF-8. Control characters, quotes
+ * and backslashes are rejected, so that texts need no escaping in output for
+ * operators.
  */
 static bool
 is_allowed_char(char c)
 {
-    return c >= ' ' && c <= '~' && c != '"' && c != '\\';
+    unsigned char byte = (unsigned char)c;
+
+    return byte >= ' ' && byte != 0x7f && byte != '"' && byte != '\\';
 }
 
 static int
