core: a read of the store that ends early does not renew its data

A store that answers one early would make the configuration seem up to 1.8 s newer than it is, and with it the time for which keys are taken for valid.

Change: only a read that took its wait covers it; an earlier one covers the time at which it was sent.

Result: store-sync/early-read fails without the change (data of age -1, not 1799 ms).

--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -318,12 +318,19 @@
     sync->recovered_ms = MAX(sync->recovered_ms, recovered_ms);
 }
 
-/* Returns the time up to which the response covers all records. */
+/*
+ * Returns the time up to which the response covers all records. A response
+ * without records that took the whole wait says that the store had none until
+ * its end; an earlier one does not say when the store looked.
+ */
 static ct_ms
-response_covers_until_ms(const struct ct_store_read_done *read)
+response_covers_until_ms(const struct ct_state *state,
+                         const struct ct_store_read_done *read)
 {
-    /* At the end of the wait the store still had no new record. */
-    return read->sent_ms + (read->entries == 0 ? read->idle_ms : 0);
+    bool waited =
+        read->entries == 0 && state->now_ms - read->sent_ms >= read->idle_ms;
+
+    return read->sent_ms + (waited ? read->idle_ms : 0);
 }
 
 /*
@@ -358,7 +365,7 @@
     sync->oversize = read->more && read->entries == 0;
     if (!read->more) {
         sync->covered_until_ms =
-            MAX(sync->covered_until_ms, response_covers_until_ms(read));
+            MAX(sync->covered_until_ms, response_covers_until_ms(state, read));
     }
 }
 
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -505,6 +505,31 @@
     t_core_free(&core);
 }
 
+/*
+ * Guards against data that looks newer than it is: a read without records
+ * renews it up to the end of its wait only if it lasted that long.
+ */
+static void
+test_early_read(void)
+{
+    static const struct {
+        ct_ms took_ms, idle_ms, age_ms;
+    } cases[] = {{1800, 1800, 0}, {1805, 1800, 5}, {1799, 1800, 1799},
+                 {40, 1800, 40},  {0, 1800, 0},    {30, 0, 30}};
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct t_core core;
+
+        t_relay_setup(&core, 1);
+        core.now_ms += 10000;
+        t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, cases[i].took_ms,
+                     cases[i].idle_ms);
+        g_assert_cmpint(ct_store_age_ms(core.state, CT_TOPIC_CONFIG), ==,
+                        cases[i].age_ms);
+        t_core_free(&core);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -525,5 +550,6 @@
     g_test_add_func("/store-sync/oversize", test_oversize);
     g_test_add_func("/store-sync/slow-store", test_slow_store);
     g_test_add_func("/store-sync/truncated", test_truncated);
+    g_test_add_func("/store-sync/early-read", test_early_read);
     return g_test_run();
 }
