core: take leases out of the circle of orders and usage

Cause: the timer of the leases asked the modules of orders and of usage whether a call is in flight, and these ask for the lease: two circles.

Change: the reducer, which knows all three, passes the answer with the timer.

--- a/core/lease.c
+++ b/core/lease.c
@@ -207,16 +207,8 @@
     return state->now_ms >= lease->claim_after_ms;
 }
 
-/* Whether an order or a report of this host may still be in flight. */
-static bool
-has_call_in_flight(const struct ct_state *state, enum ct_role role)
-{
-    return role == CT_ROLE_USAGE ? ct_usage_is_reporting(state)
-                                 : ct_orders_in_flight(state);
-}
-
 static void
-check_role(struct ct_state *state, enum ct_role role)
+check_role(struct ct_state *state, enum ct_role role, bool call_in_flight)
 {
     struct ct_lease_state *lease = &state->leases.roles[role];
 
@@ -227,7 +219,7 @@
         lease->own_term = own_term;
     }
     if (state->draining) {
-        if (lease->held && !has_call_in_flight(state, role)) {
+        if (lease->held && !call_in_flight) {
             lose_lease(state, role);
             append_lease(state, role, 0);
         }
@@ -242,7 +234,8 @@
 }
 
 void
-ct_leases_on_timer(struct ct_state *state)
+ct_leases_on_timer(struct ct_state *state,
+                   const bool call_in_flight[CT_ROLE_COUNT])
 {
     uint32_t role;
 
@@ -252,7 +245,7 @@
         return;
     }
     for (role = 0; role < CT_ROLE_COUNT; role++) {
-        check_role(state, (enum ct_role)role);
+        check_role(state, (enum ct_role)role, call_in_flight[role]);
     }
 }
 
--- a/core/lease.h
+++ b/core/lease.h
@@ -66,8 +66,12 @@
 
 /* Starts CT_TIMER_LEASE once the log has been read to its head. */
 void ct_leases_start(struct ct_state *state);
-/* CT_TIMER_LEASE: renews, claims and, in a drain, releases leases. */
-void ct_leases_on_timer(struct ct_state *state);
+/*
+ * CT_TIMER_LEASE: renews, claims and, in a drain, releases leases, but none
+ * under which a call of this host may still be in flight.
+ */
+void ct_leases_on_timer(struct ct_state *state,
+                        const bool call_in_flight[CT_ROLE_COUNT]);
 
 /*
  * Returns the monotonic end of this host's lease; 0 if the host does not hold
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -11,6 +11,17 @@
 #include "snapshot.h"
 #include "state.h"
 
+static void
+on_lease_timer(struct ct_state *state)
+{
+    const bool call_in_flight[CT_ROLE_COUNT] = {
+        [CT_ROLE_ORDERS] = ct_orders_in_flight(state),
+        [CT_ROLE_USAGE] = ct_usage_is_reporting(state),
+    };
+
+    ct_leases_on_timer(state, call_in_flight);
+}
+
 static void
 on_orders_timer(struct ct_state *state)
 {
@@ -100,7 +111,7 @@
         ct_withdrawals_on_heartbeat(state);
         return;
     case CT_TIMER_LEASE:
-        ct_leases_on_timer(state);
+        on_lease_timer(state);
         return;
     case CT_TIMER_USAGE:
         ct_usage_on_timer(state);
