core, platform: quarantine a request that crashes upstreams when repeated

Cause: the quarantine counted crashes by the parts that calls share, not by the call's own part, which repeats of one request have in common. A sound call with the same document cleared the document, again and again.

Change: the own part is listed and counted; while all crashes come from one, the parts that it shares are left alone.

Result: prompt-quarantine/repeats-of-one-request and -beside-sound-calls (three upstreams of ten calls).

Tests of the dialect expected the own part to be left out; they expect it last and marked now.

--- a/core/prompt-quarantine.c
+++ b/core/prompt-quarantine.c
@@ -63,6 +63,12 @@
     return row->quarantined_until_ms > now_ms;
 }
 
+static bool
+is_suspected(const struct ct_part_row *row, ct_ms now_ms)
+{
+    return row->score > 0 && now_ms - row->crashed_ms <= SUSPECT_MS;
+}
+
 /* Frees a row that holds neither a suspicion nor a quarantine, if any does. */
 static void
 free_unsuspected_row(struct ct_prompt_quarantine *quarantine, ct_ms now_ms)
@@ -75,7 +81,7 @@
         if (!row) {
             quarantine->cursor = 0;
         }
-        else if (row->score == 0 && !is_quarantined(row, now_ms)) {
+        else if (!is_suspected(row, now_ms) && !is_quarantined(row, now_ms)) {
             g_hash_table_remove(quarantine->by_id, &row->id);
             ct_table_unref(&quarantine->rows, handle);
             return;
@@ -154,6 +160,13 @@
     return false;
 }
 
+/* Returns the call's own part, or 0 if it is not known. */
+static uint64_t
+own_part(const struct ct_prompt_parts *parts)
+{
+    return parts->has_own && parts->n > 0 ? parts->ids[parts->n - 1] : 0;
+}
+
 static bool
 has_part(const struct ct_prompt_parts *parts, uint64_t id)
 {
@@ -238,6 +251,7 @@
     row->score = 0;
     row->n_crashes = 0;
     row->n_companions = 0;
+    row->own = 0;
     row->crashed_begun = false;
 }
 
@@ -254,12 +268,27 @@
     row->answered_ms = state->now_ms;
 }
 
+/*
+ * Returns the row of part i of a call that was answered. An own part without a
+ * row gets none: no other call will ask for it.
+ */
+static struct ct_part_row *
+find_answered_row(struct ct_state *state, const struct ct_prompt_parts *parts,
+                  uint32_t i)
+{
+    uint64_t id = parts->ids[i];
+
+    return parts->has_own && i + 1 == parts->n
+               ? find_row(&state->prompt_quarantine, id)
+               : find_or_add_row(state, id);
+}
+
 void
 ct_prompt_quarantine_on_answer(struct ct_state *state,
                                const struct ct_prompt_parts *parts)
 {
     for (uint32_t i = 0; i < parts->n; i++) {
-        struct ct_part_row *row = find_or_add_row(state, parts->ids[i]);
+        struct ct_part_row *row = find_answered_row(state, parts, i);
 
         if (!row) {
             continue;
@@ -329,8 +358,12 @@
 {
     uint32_t kept = 0;
 
+    if (row->crashed_begun && row->own != own_part(parts)) {
+        row->own = 0;
+    }
     if (!row->crashed_begun) {
         row->crashed_begun = true;
+        row->own = own_part(parts);
         for (uint32_t i = 0; i < parts->n && kept < CT_PART_COMPANIONS_MAX;
              i++) {
             if (parts->ids[i] != row->id) {
@@ -356,6 +389,16 @@
                : SCORE_LIMIT;
 }
 
+/*
+ * Whether the crashes are explained by the own part of one request, so that
+ * nothing is known about a part that it shares with others.
+ */
+static bool
+is_one_request(const struct ct_part_row *row)
+{
+    return row->own != 0 && row->own != row->id;
+}
+
 /* Counts a crash for a part of the call, whose upstream failed at at_ms. */
 static void
 suspect(struct ct_state *state, struct ct_part_row *row,
@@ -373,7 +416,7 @@
     }
     count_crash(row, crash->upstream,
                 crash->begun ? WEIGHT_BEGUN : WEIGHT_WAITING, at_ms);
-    if (!is_quarantined(row, state->now_ms) &&
+    if (!is_quarantined(row, state->now_ms) && !is_one_request(row) &&
         row->score >= score_limit(row, state->now_ms)) {
         begin_quarantine(state, row, state->now_ms + QUARANTINE_MS);
     }
@@ -397,6 +440,7 @@
 keep_suspected_parts(const struct ct_state *state,
                      struct ct_prompt_parts *parts)
 {
+    uint64_t own = own_part(parts);
     uint32_t kept = 0;
 
     for (uint32_t i = 0; i < parts->n; i++) {
@@ -408,6 +452,7 @@
         }
     }
     parts->n = kept;
+    parts->has_own = kept > 0 && parts->ids[kept - 1] == own;
 }
 
 static void
--- a/core/prompt-quarantine.h
+++ b/core/prompt-quarantine.h
@@ -15,7 +15,9 @@
  * quarantined: calls whose prompt contains it are refused, on all hosts, until
  * the quarantine ends or a call with it is answered after all. Where two parts
  * crashed upstreams only together, either may be sound: a few calls with one
- * but not the other still pass, to find out.
+ * but not the other still pass, to find out. While all crashes are those of
+ * one request and its repeats, its own part is quarantined and not the parts
+ * that other calls share with it.
  */
 
 /* Crashes of a part that are remembered. */
@@ -40,6 +42,8 @@
     /* Other parts that all calls had which crashed an upstream. */
     uint64_t companions[CT_PART_COMPANIONS_MAX];
     uint32_t n_companions;
+    /* The own part of all these calls; 0 if they have several or none. */
+    uint64_t own;
     /* The companions are known: an upstream had begun when it crashed. */
     bool crashed_begun;
     /* When a call with the part was last answered; 0 for never. */
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -459,8 +459,8 @@
 }
 
 /*
- * Logs each shared part of the prompt: a part that many upstreams met when
- * they failed may have crashed them.
+ * Logs each part of the prompt: a part that many upstreams met when they
+ * failed may have crashed them.
  */
 static void
 log_lost_parts(struct ct_state *state, const struct ct_relay *relay,
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -11,16 +11,18 @@
 
 /* Members of events and effects of relayed calls; flat values. */
 
-/* Shared parts of a prompt that a call may name; further ones are ignored. */
+/* Parts of a prompt that are listed; further shared ones are ignored. */
 #define CT_PROMPT_PARTS_MAX 32
 
-/*
- * Parts of a call's prompt that other calls may share, by id. The last part,
- * which is the call's own, is not listed.
- */
+/* Parts of a call's prompt, by id. */
 struct ct_prompt_parts {
     uint64_t ids[CT_PROMPT_PARTS_MAX];
     uint32_t n;
+    /*
+     * The last part is the call's own: only repeats of the same request have
+     * it. Other calls may share the parts before it.
+     */
+    bool has_own;
 };
 
 /* CT_EVENT_RELAY_CALL_ARRIVED: a complete call was read. */
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -293,9 +293,9 @@
     return post_call(core, key, path, &event);
 }
 
-uint64_t
-t_relay_call_with_parts(struct t_core *core, uint8_t key, const char *path,
-                        const uint64_t *parts)
+static uint64_t
+call_with_parts(struct t_core *core, uint8_t key, const char *path,
+                const uint64_t *parts, bool has_own)
 {
     struct ct_event event = {.type = 0};
     struct ct_prompt_parts *listed = &event.u.relay.parts;
@@ -304,9 +304,24 @@
         listed->ids[listed->n] = parts[listed->n];
         listed->n++;
     }
+    listed->has_own = has_own;
     return post_call(core, key, path, &event);
 }
 
+uint64_t
+t_relay_call_with_parts(struct t_core *core, uint8_t key, const char *path,
+                        const uint64_t *parts)
+{
+    return call_with_parts(core, key, path, parts, false);
+}
+
+uint64_t
+t_relay_call_with_own_part(struct t_core *core, uint8_t key, const char *path,
+                           const uint64_t *parts)
+{
+    return call_with_parts(core, key, path, parts, true);
+}
+
 struct ct_relay_start
 t_relay_started(const struct t_core *core)
 {
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -79,6 +79,9 @@
  */
 uint64_t t_relay_call_with_parts(struct t_core *core, uint8_t key,
                                  const char *path, const uint64_t *parts);
+/* The same; the last part is the call's own. */
+uint64_t t_relay_call_with_own_part(struct t_core *core, uint8_t key,
+                                    const char *path, const uint64_t *parts);
 /* Posts a call whose prompt has this prefix hash. */
 uint64_t t_relay_call_with_prefix(struct t_core *core, uint8_t key,
                                   const char *path, uint64_t prefix_hash);
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -112,7 +112,10 @@
     g_assert_cmpuint(call.prefix_hash, !=, other_call.prefix_hash);
 }
 
-/* All parts but the last are listed, up to a maximum; ids need not be hex. */
+/*
+ * All parts are listed, the last one as the call's own, shared ones up to a
+ * maximum; ids need not be hex.
+ */
 static void
 test_prompt_parts(void)
 {
@@ -122,22 +125,26 @@
 
     parse_call_header("Prefix-Hash", "5c1e07a2:800, 91BD:410,e4402b7d:250",
                       &call, &forwarded);
-    g_assert_cmpuint(call.parts.n, ==, 2);
+    g_assert_cmpuint(call.parts.n, ==, 3);
     g_assert_cmphex(call.parts.ids[0], ==, 0x5c1e07a2);
     g_assert_cmphex(call.parts.ids[1], ==, 0x91bd);
+    g_assert_cmphex(call.parts.ids[2], ==, 0xe4402b7d);
+    g_assert_true(call.parts.has_own);
     parse_call_header("Prefix-Hash", "e4402b7d:250", &call, &forwarded);
-    g_assert_cmpuint(call.parts.n, ==, 0);
+    g_assert_cmpuint(call.parts.n, ==, 1);
     parse_call_header("Prefix-Hash",
                       "any thing:1,"
                       "5c1e07a25c1e07a25c1e07a2:1,:,x",
                       &call, &forwarded);
-    g_assert_cmpuint(call.parts.n, ==, 3);
+    g_assert_cmpuint(call.parts.n, ==, 4);
     g_assert_cmphex(call.parts.ids[0], !=, call.parts.ids[1]);
     for (guint i = 0; i < 100; i++) {
         g_string_append(long_list, ",2:6");
     }
+    g_string_append(long_list, ",3:7");
     parse_call_header("Prefix-Hash", long_list->str, &call, &forwarded);
     g_assert_cmpuint(call.parts.n, ==, CT_PROMPT_PARTS_MAX);
+    g_assert_cmphex(call.parts.ids[CT_PROMPT_PARTS_MAX - 1], ==, 3);
     g_string_free(long_list, TRUE);
 }
 
--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -22,6 +22,8 @@
     uint32_t listed;
     /* Calls with the crashing part that reached an upstream. */
     uint32_t sent;
+    /* The last part of each call is its own; crashes are apart in time. */
+    bool has_own;
 };
 
 static void
@@ -61,10 +63,18 @@
 {
     uint32_t attempts = 0;
 
-    t_relay_call_with_parts(&world->core, 1, T_RESUME_PATH, parts);
+    if (world->has_own) {
+        t_relay_call_with_own_part(&world->core, 1, T_RESUME_PATH, parts);
+    }
+    else {
+        t_relay_call_with_parts(&world->core, 1, T_RESUME_PATH, parts);
+    }
     while (is_started(&world->core)) {
         struct ct_relay_start start = t_relay_started(&world->core);
 
+        if (world->has_own) {
+            world->core.now_ms += STEP_MS;
+        }
         t_relay_finish(&world->core, start.attempt, CT_OUTCOME_CONNECTION_LOST,
                        status);
         attempts++;
@@ -129,6 +139,82 @@
     t_core_free(&world.core);
 }
 
+/* Sends a call with the shared part and one of its own, which is answered. */
+static bool
+answer_other_request(struct world *world, uint64_t own)
+{
+    const uint64_t parts[] = {PART_SHARED, own, 0};
+
+    return answer_call(&world->core, parts);
+}
+
+/*
+ * Guards against a request that crashes each upstream it reaches, and is sent
+ * again and again, beside sound calls that share its document: three upstreams
+ * end, then its repeats are refused, and no other call is.
+ */
+static void
+test_repeats_of_one_request(gconstpointer arg)
+{
+    bool answered_between = GPOINTER_TO_INT(arg) != 0;
+    struct world world;
+
+    setup(&world, 12);
+    world.has_own = true;
+    for (guint i = 0; i < 10; i++) {
+        world.sent += crash_by_call(&world, crashing_parts, 200);
+        step(&world.core);
+        if (answered_between) {
+            g_assert_true(answer_other_request(&world, PART_SOUND + 1 + i));
+        }
+    }
+    g_assert_cmpuint(world.sent, ==, 3);
+    for (guint i = 0; i < 10; i++) {
+        g_assert_true(answer_other_request(&world, PART_SOUND + 20 + i));
+    }
+    g_assert_cmpuint(crash_by_call(&world, crashing_parts, 200), ==, 0);
+    t_core_free(&world.core);
+}
+
+/* Requests with own parts that crash by a part they share: it is refused. */
+static void
+test_shared_part_of_many_requests(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    world.has_own = true;
+    for (guint i = 0; i < 10; i++) {
+        const uint64_t parts[] = {PART_CRASHING, PART_SOUND + 1 + i, 0};
+
+        world.sent += crash_by_call(&world, parts, 200);
+        step(&world.core);
+    }
+    g_assert_cmpuint(world.sent, <=, 4);
+    t_core_free(&world.core);
+}
+
+/* Own parts of answered calls take no rows. */
+static void
+test_own_parts_take_no_rows(void)
+{
+    struct world world;
+
+    setup(&world, 12);
+    for (guint i = 0; i < 100; i++) {
+        const uint64_t parts[] = {PART_SHARED, PART_SOUND + 1 + i, 0};
+        struct ct_relay_start start;
+
+        t_relay_call_with_own_part(&world.core, 1, T_RESUME_PATH, parts);
+        start = t_relay_started(&world.core);
+        t_relay_sent(&world.core, start.attempt);
+        t_relay_data(&world.core, start.attempt, 1);
+        t_relay_done(&world.core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+    }
+    g_assert_cmpuint(world.core.state->prompt_quarantine.rows.live, ==, 1);
+    t_core_free(&world.core);
+}
+
 /* Parts that each come with the crashing part once are not refused. */
 static void
 test_other_parts_of_crashing_calls_stay_allowed(void)
@@ -471,6 +557,14 @@
     g_test_add_func(
         "/prompt-quarantine/one-faulty-upstream-quarantines-no-part",
         test_one_faulty_upstream_quarantines_no_part);
+    g_test_add_data_func("/prompt-quarantine/repeats-of-one-request",
+                         GINT_TO_POINTER(0), test_repeats_of_one_request);
+    g_test_add_data_func("/prompt-quarantine/repeats-beside-sound-calls",
+                         GINT_TO_POINTER(1), test_repeats_of_one_request);
+    g_test_add_func("/prompt-quarantine/shared-part-of-many-requests",
+                    test_shared_part_of_many_requests);
+    g_test_add_func("/prompt-quarantine/own-parts-take-no-rows",
+                    test_own_parts_take_no_rows);
     g_test_add_func("/prompt-quarantine/refusal", test_refusal);
     g_test_add_func("/prompt-quarantine/end-of-quarantine",
                     test_end_of_quarantine);
--- a/wire/part-record-body.c
+++ b/wire/part-record-body.c
@@ -40,7 +40,8 @@
         append_hex(out, record->parts.ids[i]);
         g_string_append_c(out, '"');
     }
-    g_string_append(out, "]}");
+    g_string_append_printf(out, "],\"own\":%s}",
+                           record->parts.has_own ? "true" : "false");
 }
 
 void
@@ -71,6 +72,15 @@
                : CT_ERR_FIELD_RANGE;
 }
 
+/* Hosts of earlier versions do not write the member. */
+static int
+parse_own(JsonObject *object, struct ct_prompt_parts *parts)
+{
+    int err = ct_json_get_bool(object, "own", &parts->has_own);
+
+    return err == CT_ERR_FIELD_MISSING ? CT_OK : err;
+}
+
 static int
 parse_parts(JsonObject *object, struct ct_prompt_parts *parts)
 {
@@ -100,7 +110,7 @@
         }
     }
     parts->n = json_array_get_length(array);
-    return CT_OK;
+    return parse_own(object, parts);
 }
 
 static int
