--- a/core/config.h
+++ b/core/config.h
@@ -71,8 +71,7 @@
     bool configured;
     /* struct ct_route_pool; NULL until the route has its first pool. */
     GArray *pools;
-    /* How long calls of the route took lately, see relay-ready.h; 0: unknown.
-     */
+    /* Recent duration of its calls, see relay-ready.h; 0 if unknown. */
     ct_ms recent_ms;
 };
 
--- a/core/relay-ready.h
+++ b/core/relay-ready.h
@@ -24,8 +24,7 @@
                               const struct ct_prefix_route_row *route,
                               ct_ms limit_ms);
 
-/* Records how long a call of the route took until its response was complete.
- */
+/* Records the time from a call's arrival to its complete response. */
 void ct_relay_record_duration(struct ct_prefix_route_row *route,
                               ct_ms duration_ms);
 
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -69,14 +69,15 @@
 
 /*
  * CT_EVENT_RELAY_ATTEMPT_SENT, CT_EVENT_RELAY_ATTEMPT_HEAD,
- * CT_EVENT_RELAY_ATTEMPT_HELD: bytes is what is held of the response;
- * CT_EVENT_RELAY_ATTEMPT_DATA, CT_EVENT_RELAY_ATTEMPT_DONE
+ * CT_EVENT_RELAY_ATTEMPT_HELD, CT_EVENT_RELAY_ATTEMPT_DATA,
+ * CT_EVENT_RELAY_ATTEMPT_DONE
  */
 struct ct_relay_progress {
     struct ct_handle attempt;
     /*
      * CT_EVENT_RELAY_ATTEMPT_DATA: number and bytes of the complete events,
-     * and the id of the last of them.
+     * and the id of the last of them. CT_EVENT_RELAY_ATTEMPT_HELD: bytes is
+     * what is held of the response.
      */
     uint32_t events;
     uint32_t bytes;
