shell: one function for the bytes received on a connection

Change: ct_socket_bytes_received(). socket.c takes the kernel's header of TCP, which has the field; the flags that only the other one names are constants.

--- a/shell/caller-connection.c
+++ b/shell/caller-connection.c
@@ -1,20 +1,7 @@
-#include <netinet/in.h>
-#include <linux/tcp.h>
 #include <sys/socket.h>
 
 #include "caller.h"
-
-static uint64_t
-bytes_received(int fd)
-{
-    struct tcp_info info = {0};
-    socklen_t size = sizeof(info);
-
-    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0) {
-        return 0;
-    }
-    return info.tcpi_bytes_received;
-}
+#include "socket.h"
 
 /*
  * Refuses a request that was left incomplete for the idle timeout.
@@ -32,8 +19,8 @@
 
     (void)events;
     ev_timer_stop(ev, timer);
-    if (caller == NULL &&
-        bytes_received(connection->fd) > connection->received_bytes) {
+    if (caller == NULL && ct_socket_bytes_received(connection->fd) >
+                              connection->received_bytes) {
         caller = ct_caller_add(callers);
     }
     if (caller == NULL) {
@@ -50,7 +37,7 @@
                           struct ct_handle reading)
 {
     connection->reading = reading;
-    connection->received_bytes = bytes_received(connection->fd);
+    connection->received_bytes = ct_socket_bytes_received(connection->fd);
     ev_timer_again(ct_loop_ev(connection->callers->loop), &connection->idle);
 }
 
--- a/shell/http.c
+++ b/shell/http.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "error.h"
+#include "socket.h"
 
 /* A transfer fails if its connection takes longer than this. */
 #define CONNECT_TIMEOUT_MS 1000
@@ -379,14 +380,9 @@
 static uint64_t
 connection_bytes(const struct ct_transfer *transfer)
 {
-    struct tcp_info info = {0};
-    socklen_t size = sizeof(info);
-
-    if (transfer->fd == CURL_SOCKET_BAD ||
-        getsockopt(transfer->fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0) {
-        return 0;
-    }
-    return info.tcpi_bytes_received;
+    return transfer->fd == CURL_SOCKET_BAD
+               ? 0
+               : ct_socket_bytes_received(transfer->fd);
 }
 
 /*
--- a/shell/input-meter.c
+++ b/shell/input-meter.c
@@ -1,8 +1,6 @@
 #include "input-meter.h"
 
-#include <linux/tcp.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include "socket.h"
 
 static uint64_t
 bytes_received(struct MHD_Connection *connection)
@@ -10,13 +8,8 @@
     int fd =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd;
-    struct tcp_info info = {0};
-    socklen_t size = sizeof(info);
 
-    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0) {
-        return 0;
-    }
-    return info.tcpi_bytes_received;
+    return ct_socket_bytes_received(fd);
 }
 
 void
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -4,8 +4,8 @@
 #include <errno.h>
 #include <glib.h>
 #include <linux/filter.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -16,6 +16,9 @@
 #define PORT_MAX 65535
 /* Offset of the flags byte in the TCP header. */
 #define TCP_FLAGS_OFFSET 13
+/* Bits of that byte. */
+#define FLAG_SYN 0x02
+#define FLAG_ACK 0x10
 
 static int
 parse_address(const char *text, struct sockaddr_in *address)
@@ -79,8 +82,8 @@
     /* Drops packets with SYN but not ACK; the filter sees the TCP header. */
     struct sock_filter code[] = {
         BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
-        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
-        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, FLAG_SYN | FLAG_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, FLAG_SYN, 0, 1),
         BPF_STMT(BPF_RET | BPF_K, 0),
         BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
     };
@@ -132,3 +135,15 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     return fd;
 }
+
+uint64_t
+ct_socket_bytes_received(int fd)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_received;
+}
--- a/shell/socket.h
+++ b/shell/socket.h
@@ -28,4 +28,7 @@
 /* Errors: CT_ERR_IO, also if no connection is pending. */
 int ct_socket_accept(int listener);
 
+/* Returns the bytes received on a connection; 0 if that is not known. */
+uint64_t ct_socket_bytes_received(int fd);
+
 #endif
