t: hold ports over a restart, and a link's time out of the oversize message

- proc-config: a host that a test stopped and started did not start; its log says "peer_address 127.0.0.1:35811: IO".
Its ports came from the range of outgoing connections, and one of another process had taken the port.
Hosts and fakes of a deployment now have ports below that range.
- test-peer-link oversize-message: both nodes share a thread, and a link that is silent for 300 ms ends.
Encoding 100,000 rows takes longer on a busy machine, more so since rows have grown; the link then lost the message that the test waits for.
The nodes of this test have no such limit, and the test checks what it said before: the link was up once.

--- a/t/lib-deployment.c
+++ b/t/lib-deployment.c
@@ -47,6 +47,11 @@
     struct host *host = &d->hosts[i];
     char *path = g_strdup_printf("%s/h%d.json", d->directory, i + 1);
 
+    if (host->caller_port == 0) {
+        host->caller_port = process_pick_port();
+        host->operator_port = process_pick_port();
+        host->peer_port = process_pick_port();
+    }
     write_settings(d, i);
     PROCESS_START(&host->process, "coriandertrackd/coriandertrackd",
                   "--config", path, NULL);
@@ -211,7 +216,8 @@
            const char *name, int i)
 {
     char *program = g_strdup_printf("t/fake/fake-%s", name);
-    char *port = g_strdup_printf("%u", process->port);
+    char *port = g_strdup_printf(
+        "%u", process->port != 0 ? process->port : process_pick_port());
     char *log = deployment_log_path(d, name, i);
 
     PROCESS_START(process, program, "--port", port, "--log", log);
--- a/t/lib-process.c
+++ b/t/lib-process.c
@@ -1,7 +1,9 @@
 #include "lib-process.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -9,6 +11,7 @@
 #include <string.h>
 #include <sys/pidfd.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -19,6 +22,10 @@
 #define START_TIMEOUT_MS 30000
 #define RUN_TIMEOUT_MS 60000
 #define LINE_MAX_BYTES 256
+/* Ports of programs that keep theirs over a restart. */
+#define PORT_MIN 10000
+#define PORT_COUNT 20000
+#define PORTS_PER_PROCESS 64
 
 static pid_t running[PROCESSES_MAX];
 static int n_running;
@@ -159,6 +166,35 @@
     return n;
 }
 
+static bool
+is_port_free(uint16_t port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bool is_free;
+
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    is_free = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+    close(fd);
+    return is_free;
+}
+
+uint16_t
+process_pick_port(void)
+{
+    static uint32_t n_picked;
+    uint16_t port;
+
+    /* Tests that run at the same time begin at different ports. */
+    do {
+        port = (uint16_t)(PORT_MIN + ((uint32_t)getpid() * PORTS_PER_PROCESS +
+                                      n_picked++) %
+                                         PORT_COUNT);
+    } while (!is_port_free(port));
+    return port;
+}
+
 void
 process_await_listening(struct process *process)
 {
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -46,6 +46,12 @@
 void process_spawn(struct process *process, const char *program,
                    const char *const *arguments);
 
+/*
+ * Returns a free port below those that the kernel gives to outgoing
+ * connections, so that a program that is started again finds it free.
+ */
+uint16_t process_pick_port(void);
+
 /* Waits for the line "listening PORT..." or "listening NAME=PORT...". */
 void process_await_listening(struct process *process);
 
--- a/t/test-peer-link.c
+++ b/t/test-peer-link.c
@@ -13,6 +13,8 @@
 #include "socket.h"
 
 #define SILENCE_MS 300
+/* No link ends for its silence within the time limit of a test. */
+#define PATIENT_MS 600000
 #define POLL_MS 20000
 
 struct node {
@@ -40,11 +42,11 @@
 }
 
 static void
-node_init(struct node *node, const char *name, const char *secret,
-          const char *listen)
+node_init_patient(struct node *node, const char *name, const char *secret,
+                  const char *listen, ct_ms silence_ms)
 {
     struct ct_peers_options options = {
-        .identity = {.secret = secret, .silence_timeout_ms = SILENCE_MS},
+        .identity = {.secret = secret, .silence_timeout_ms = silence_ms},
         .listen = listen,
         .fallback_delay_ms = 100,
     };
@@ -60,6 +62,13 @@
     ct_loop_add(node->script->loop, ct_peers_executor(node->peers));
 }
 
+static void
+node_init(struct node *node, const char *name, const char *secret,
+          const char *listen)
+{
+    node_init_patient(node, name, secret, listen, SILENCE_MS);
+}
+
 static void
 node_free(struct node *node)
 {
@@ -327,8 +336,9 @@
     struct node b;
     const uint32_t n = 100000;
 
-    node_init(&a, "a", "secret", "127.0.0.1:0");
-    node_init(&b, "b", "secret", "127.0.0.1:0");
+    /* Encoding the rows holds up the loops of both nodes. */
+    node_init_patient(&a, "a", "secret", "127.0.0.1:0", PATIENT_MS);
+    node_init_patient(&b, "b", "secret", "127.0.0.1:0", PATIENT_MS);
     node_set_peer(&a, "b", ct_peers_port(b.peers));
     wait_for(&a, &b, &a, CT_EVENT_PEER_UP, 1);
     wait_for(&a, &b, &b, CT_EVENT_PEER_UP, 1);
@@ -347,6 +357,7 @@
     g_assert_cmpuint(
         script_last(b.script, CT_EVENT_PEER_MESSAGE)->u.peer.message.rows.n,
         ==, 1);
+    g_assert_cmpuint(script_count(a.script, CT_EVENT_PEER_UP), ==, 1);
     g_free(rows);
     node_free(&a);
     node_free(&b);
