coriandertrackd: give the memory of large buffers back

Cause: once the first mapped buffer has been freed, glibc takes buffers of up to its size from the heap, where they are copied to grow and leave holes. The bytes that the memory budget counts were a third of those that the process held.

Change: buffers from 128 KB on are always mapped: they grow without a copy and go back when they are freed.

--- a/coriandertrackd/host-loop.c
+++ b/coriandertrackd/host-loop.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/resource.h>
 
@@ -10,6 +11,7 @@
 #include "recorder.h"
 
 #define MS_PER_S 1000
+#define MAPPED_MIN_BYTES (128 * 1024)
 /* Interval of the checks whether callers still read, after the flush limit. */
 #define FLUSH_CHECK_MS 20
 
@@ -42,6 +44,17 @@
     }
 }
 
+/*
+ * Large buffers are mapped each by itself: they grow without a copy, and their
+ * memory goes back when they are freed. By default glibc gives this up once
+ * the first one was freed.
+ */
+static void
+limit_heap(void)
+{
+    mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+}
+
 static bool
 run_effect(struct ct_executor *executor, const struct ct_effect *effect)
 {
@@ -140,6 +153,7 @@
     int err;
 
     raise_file_limit();
+    limit_heap();
     host->ops = ops;
     err = start_loop(host, record);
     if (err < 0) {
