core: upstreams of equal load take turns by pool

Callers saw (hosts and plain services behind them): calls without a prompt got unlike shares of a pool's upstreams.

Cause: the turn was the upstream after the one that was chosen last, whatever its pool. With 140 engines in the same table the plain upstream after the largest gap of indices was the next one nearly always. All hosts also began with the same upstream.

Change: each row keeps the number of the choice that last fell on it, and the lowest number goes first among equal loads. Upstreams without one are ordered by a hash with the host's seed.

--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -134,9 +134,9 @@
  * to the upstream with the fewest requests in flight. Some upstreams are
  * reserved for interactive requests, those with a short prompt and the
  * tightest target for gaps, whose tokens would otherwise be delayed while the
- * engine reads the prompts of other requests.
+ * engine reads the prompts of other requests. The seed differs by host.
  */
-struct ct_balance_policy *ct_balance_prefix_home_new(void);
+struct ct_balance_policy *ct_balance_prefix_home_new(uint64_t seed);
 
 /* The policy that the gateway uses; see balance-affinity.h. */
 struct ct_balance_policy *ct_balance_affinity_new(uint64_t seed);
--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -43,6 +43,9 @@
 #define RESERVED_WAIT_MS 500
 #define OVERFLOW_MS 2000
 
+/* Choices are numbered from here on; lower numbers order the first ones. */
+#define FIRST_TURNS 65536
+
 /* Copying the cache of a shorter prompt takes longer than reading it. */
 #define COPY_PROMPT_MIN_TOKENS 1024
 
@@ -124,19 +127,33 @@
     row->prompt_tokens_at_ms = now_ms;
 }
 
+/*
+ * Returns the place of an upstream that was not chosen yet among those of
+ * equal load. It differs by host: hosts that start together would otherwise
+ * all begin with the same upstream.
+ */
+static uint32_t
+first_turn(const struct ct_balance_base *base,
+           const struct ct_candidate *candidate)
+{
+    return (uint32_t)(ct_rendezvous_hash(base->seed, candidate->name_hash) %
+                      FIRST_TURNS);
+}
+
 /*
  * An upstream that is no longer reserved counts as new: it has not read the
  * prompts that it now gets.
  */
 static void
-update_row(struct ct_balance_row *row, const struct scope *scope,
-           const struct ct_candidate *candidate)
+update_row(const struct ct_balance_base *base, struct ct_balance_row *row,
+           const struct scope *scope, const struct ct_candidate *candidate)
 {
     bool reserved =
         ct_balance_reserve_hash(candidate) <= scope->reserved_up_to;
 
     if (!row->first_seen_ms) {
         row->first_seen_ms = scope->request->now_ms;
+        row->last_choice = first_turn(base, candidate);
     }
     if (row->reserved && !reserved) {
         row->unreserved_ms = scope->request->now_ms;
@@ -165,7 +182,7 @@
         if (!row) {
             return CT_ERR_NO_MEMORY;
         }
-        update_row(row, scope, &candidates[i]);
+        update_row(base, row, scope, &candidates[i]);
         if (is_in_scope(scope, &candidates[i], row)) {
             scope->in_flight += row->in_flight;
             prompt_tokens += recent_prompt_tokens(row, scope->request->now_ms);
@@ -196,13 +213,13 @@
 
 /*
  * Returns a score that is higher for fewer requests in flight; candidates with
- * equal load take turns.
+ * equal load take turns, whatever upstreams other pools got meanwhile.
  */
 static uint64_t
-load_score(const struct ct_balance_row *row, uint32_t distance)
+load_score(const struct ct_balance_row *row)
 {
     return ((uint64_t)(UINT32_MAX - row->in_flight) << 32) |
-           (UINT32_MAX - distance);
+           (UINT32_MAX - row->last_choice);
 }
 
 static bool
@@ -239,8 +256,7 @@
                                        candidates[i].name_hash);
         }
         else {
-            score = load_score(row, candidates[i].upstream.index -
-                                        base->last_index - 1);
+            score = load_score(row);
         }
         if (pick.index < 0 || score > pick.score) {
             pick = (struct pick){(int)i, score};
@@ -292,7 +308,7 @@
         struct ct_balance_row *row =
             ct_balance_row(&base->rows, candidates[pick.index].upstream);
 
-        base->last_index = candidates[pick.index].upstream.index;
+        row->last_choice = FIRST_TURNS + base->choices++;
         add_prompt_tokens(row, request->prompt_tokens, request->now_ms);
     }
     return pick.index;
@@ -490,7 +506,12 @@
 };
 
 struct ct_balance_policy *
-ct_balance_prefix_home_new(void)
+ct_balance_prefix_home_new(uint64_t seed)
 {
-    return ct_balance_base_new(&home_ops);
+    struct ct_balance_policy *policy = ct_balance_base_new(&home_ops);
+
+    if (policy) {
+        ((struct ct_balance_base *)policy)->seed = seed;
+    }
+    return policy;
 }
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -45,6 +45,8 @@
      */
     uint64_t prompt_tokens;
     ct_ms prompt_tokens_at_ms;
+    /* Home policy: number of the choice that last fell on it. */
+    uint32_t last_choice;
     /* When it was first among the candidates. */
     ct_ms first_seen_ms;
     /* Counts as full until this time, because it declined a request. */
@@ -106,8 +108,10 @@
     uint32_t last_index;
     /* Home policy: until then interactive requests may go to any upstream. */
     ct_ms overflow_until_ms;
-    /* Home policy: time of the first choice. */
+    /* Home policy: time of the first choice, and number of choices. */
     ct_ms first_choice_ms;
+    uint32_t choices;
+    uint64_t seed;
 };
 
 struct ct_balance_policy *
--- a/core/state.c
+++ b/core/state.c
@@ -48,7 +48,7 @@
     state->queue = ct_queue_tiered_new(QUEUED_REQUESTS_MAX);
     state->balance = ct_balance_affinity_new(self->seed);
     state->order_policy = ct_order_headroom_new();
-    state->relay_balance = ct_balance_prefix_home_new();
+    state->relay_balance = ct_balance_prefix_home_new(self->seed);
     if (!state->relay_balance || !state->queue || !state->balance ||
         !state->order_policy) {
         ct_state_free(state);
--- a/t/test-balance-prefix-home.c
+++ b/t/test-balance-prefix-home.c
@@ -16,7 +16,7 @@
 static void
 setup(struct fixture *f)
 {
-    *f = (struct fixture){.policy = ct_balance_prefix_home_new()};
+    *f = (struct fixture){.policy = ct_balance_prefix_home_new(1)};
     f->request.now_ms = 1000;
     f->request.cheap_allowed = true;
     f->request.tight_gap = true;
@@ -141,6 +141,60 @@
     teardown(&f);
 }
 
+/*
+ * Guards against a small pool whose upstreams get unlike shares because calls
+ * to another pool come between its own: calls go to upstreams 0, 1 and 11 in
+ * turn while calls with a prefix go to the others.
+ */
+static void
+test_turns_beside_other_pool(void)
+{
+    static const int plain[] = {0, 1, CANDIDATES - 1};
+    struct fixture f;
+    guint counts[CANDIDATES] = {0};
+
+    setup(&f);
+    for (guint i = 0; i < 300; i++) {
+        struct ct_candidate candidates[G_N_ELEMENTS(plain)];
+        int chosen;
+
+        f.request.prefix_hash = (i + 1) * G_GUINT64_CONSTANT(2654435761);
+        f.policy->ops->choose_upstream(f.policy, &f.request, &f.candidates[2],
+                                       CANDIDATES - 3);
+        f.request.prefix_hash = 0;
+        for (guint j = 0; j < G_N_ELEMENTS(plain); j++) {
+            candidates[j] = f.candidates[plain[j]];
+        }
+        chosen = f.policy->ops->choose_upstream(
+            f.policy, &f.request, candidates, G_N_ELEMENTS(plain));
+        counts[plain[chosen]]++;
+    }
+    for (guint j = 0; j < G_N_ELEMENTS(plain); j++) {
+        g_assert_cmpuint(counts[plain[j]], ==, 100);
+    }
+    teardown(&f);
+}
+
+/* Guards against hosts that start together and all begin with one upstream. */
+static void
+test_first_turns_differ(void)
+{
+    guint counts[CANDIDATES] = {0};
+
+    for (uint64_t seed = 1; seed <= 240; seed++) {
+        struct fixture f;
+
+        setup(&f);
+        f.policy->ops->free(f.policy);
+        f.policy = ct_balance_prefix_home_new(seed);
+        counts[choose_for_prefix(&f, 0)]++;
+        teardown(&f);
+    }
+    for (guint i = 0; i < CANDIDATES; i++) {
+        g_assert_cmpuint(counts[i], <, 50);
+    }
+}
+
 /* Ends a request at its home with the outcome, and returns the home. */
 static int
 end_request_at_home(struct fixture *f, enum ct_outcome outcome)
@@ -694,6 +748,10 @@
     g_test_add_func("/balance-prefix-home/home-excluded", test_home_excluded);
     g_test_add_func("/balance-prefix-home/hot-prefix", test_hot_prefix);
     g_test_add_func("/balance-prefix-home/no-prefix", test_no_prefix);
+    g_test_add_func("/balance-prefix-home/turns-beside-other-pool",
+                    test_turns_beside_other_pool);
+    g_test_add_func("/balance-prefix-home/first-turns-differ",
+                    test_first_turns_differ);
     g_test_add_func("/balance-prefix-home/aborted-response",
                     test_aborted_response);
     g_test_add_data_func("/balance-prefix-home/failing-again/declined",
