core, conf: bound on the evacuation of a zone

An evacuation request is a record of the topic that also holds the configuration. With a long bound on configurations a host gathered records for longer than an evacuation may take, and with a long bound on leaving upstreams it trusted a silent source for longer.

The setting bounds.evacuate_ms, from the platform's bounds.evacuateMs, limits the long poll, the gathering and the staleness of a source where the other bounds allow more. Left out, it limits nothing.

test-store-sync covers a config_ms of 60 s with an evacuate_ms of 5 s.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -26,6 +26,7 @@
     DURATION("revoke_ms", revoke_ms, 5000),
     DURATION("drain_ms", drain_ms, 2000),
     DURATION("config_ms", config_ms, 2000),
+    DURATION("evacuate_ms", evacuate_ms, 0),
     DURATION("steady_ms", steady_ms, 3000),
     DURATION("lease_ms", lease_ms, 3000),
     DURATION("member_ttl_min_ms", member_ttl_min_ms, 1000),
--- a/core/bounds.h
+++ b/core/bounds.h
@@ -13,6 +13,11 @@
     ct_ms drain_ms;
     /* A new configuration must be in force on every host after this time. */
     ct_ms config_ms;
+    /*
+     * Nothing must reach an upstream of an evacuated availability zone after
+     * this time; 0 if no bound is set.
+     */
+    ct_ms evacuate_ms;
     /*
      * The bounds hold for a host after it, its links and the store were
      * undisturbed for this time.
@@ -42,4 +47,13 @@
     uint32_t memory_mb;
 };
 
+/* Returns the shorter of a bound and the bound on evacuations. */
+static inline ct_ms
+ct_bounds_with_evacuation(const struct ct_bounds *bounds, ct_ms bound_ms)
+{
+    return bounds->evacuate_ms > 0 && bounds->evacuate_ms < bound_ms
+               ? bounds->evacuate_ms
+               : bound_ms;
+}
+
 #endif
--- a/core/replication.c
+++ b/core/replication.c
@@ -16,8 +16,9 @@
 /* Number of hosts in an availability zone for each host that reads. */
 #define HOSTS_PER_SOURCE 16
 /*
- * Share of the bound on leaving upstreams after which updates are stale: the
- * rest of the bound has to suffice for a read of the store.
+ * Share of the bound on leaving upstreams, or of a shorter one on evacuations,
+ * after which updates are stale: the rest of the bound has to suffice for a
+ * read of the store.
  */
 #define STALE_DRAIN_PERCENT 60
 /*
@@ -49,7 +50,10 @@
 ct_ms
 ct_replication_stale_ms(const struct ct_state *state)
 {
-    return state->self.bounds.drain_ms * STALE_DRAIN_PERCENT / 100;
+    const struct ct_bounds *bounds = &state->self.bounds;
+
+    return ct_bounds_with_evacuation(bounds, bounds->drain_ms) *
+           STALE_DRAIN_PERCENT / 100;
 }
 
 bool
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -11,7 +11,10 @@
  * read that is lost without an error has to be repeated within that time.
  */
 #define STEADY_MARGIN_MS 500
-/* Share of the bound on withdrawn keys after which the data is renewed. */
+/*
+ * Share of the bound on withdrawn keys or on evacuations after which the data
+ * is renewed.
+ */
 #define CONFIG_RENEW_PERCENT 55
 /*
  * Response time limit in addition to the wait of a read; doubled after
@@ -25,7 +28,8 @@
 /*
  * Upstream entries and configurations change in bursts: those written within
  * this time are read together. The time grows with the number of hosts that
- * read them, within the bound on leaving upstreams or on a new configuration.
+ * read them, within the bound on leaving upstreams or the shorter one of those
+ * on a new configuration and on an evacuation, which have the same topic.
  */
 #define GATHER_MS 300
 #define GATHER_PER_HOST_MS 10
@@ -53,8 +57,9 @@
  */
 #define FOLLOWERS_SPREAD_MS 50
 /*
- * Wait of a read by a source, as a share of the bound on leaving upstreams:
- * the responses show its followers that it is alive.
+ * Wait of a read by a source, as a share of the bound on leaving upstreams or
+ * of a shorter one on evacuations: the responses show its followers that it is
+ * alive.
  */
 #define SOURCE_WAIT_DRAIN_PERCENT 33
 
@@ -75,10 +80,13 @@
 
     if (ct_replication_has_followers(state)) {
         wait_ms =
-            MIN(wait_ms, bounds->drain_ms * SOURCE_WAIT_DRAIN_PERCENT / 100);
+            MIN(wait_ms, ct_bounds_with_evacuation(bounds, bounds->drain_ms) *
+                             SOURCE_WAIT_DRAIN_PERCENT / 100);
     }
     return topic == CT_TOPIC_CONFIG
-               ? MIN(wait_ms, bounds->revoke_ms * CONFIG_RENEW_PERCENT / 100)
+               ? MIN(wait_ms,
+                     ct_bounds_with_evacuation(bounds, bounds->revoke_ms) *
+                         CONFIG_RENEW_PERCENT / 100)
                : wait_ms;
 }
 
@@ -262,7 +270,8 @@
 {
     const struct ct_bounds *bounds = &state->self.bounds;
     ct_ms max_ms = topic == CT_TOPIC_CONFIG
-                       ? bounds->config_ms * GATHER_MAX_CONFIG_PERCENT / 100
+                       ? ct_bounds_with_evacuation(bounds, bounds->config_ms) *
+                             GATHER_MAX_CONFIG_PERCENT / 100
                        : bounds->drain_ms * GATHER_MAX_DRAIN_PERCENT / 100;
 
     if (!ct_group_is_known(state)) {
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -63,6 +63,8 @@
     g_assert_cmpint(settings.bounds.usage_window_ms, ==, 2500);
     g_assert_cmpint(settings.bounds.lease_ms, ==, 3000);
     g_assert_cmpint(settings.bounds.config_ms, ==, 2000);
+    /* No bound on evacuations unless the deployment sets one. */
+    g_assert_cmpint(settings.bounds.evacuate_ms, ==, 0);
     g_assert_false(settings.first_start);
     g_assert_cmpint(load_with_line(9, "\"first_start\": true,", &settings), ==,
                     CT_OK);
--- a/t/test-store-sync.c
+++ b/t/test-store-sync.c
@@ -281,8 +281,14 @@
     static const struct {
         uint32_t hosts;
         ct_ms config_ms;
+        ct_ms evacuate_ms;
         guint reads_max;
-    } cases[] = {{8, 2000, 12}, {95, 4000, 5}, {95, 2000, 10}};
+    } cases[] = {{8, 2000, 0, 12},
+                 {95, 4000, 0, 5},
+                 {95, 2000, 0, 10},
+                 /* An evacuation in the topic may have to be known sooner. */
+                 {360, 60000, 5000, 4},
+                 {95, 2000, 5000, 10}};
 
     for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct t_core core;
@@ -290,6 +296,7 @@
 
         t_relay_init(&core);
         core.state->self.bounds.config_ms = cases[i].config_ms;
+        core.state->self.bounds.evacuate_ms = cases[i].evacuate_ms;
         t_relay_configure(&core, 1, 1);
         t_relay_post_members(&core, CT_OK, cases[i].hosts);
         t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
@@ -299,6 +306,33 @@
         last_ms = core.now_ms;
         await_read(&core, CT_TOPIC_CONFIG);
         g_assert_cmpint(core.now_ms - last_ms, <=, cases[i].config_ms / 4);
+        g_assert_true(cases[i].evacuate_ms == 0 ||
+                      core.now_ms - last_ms <= cases[i].evacuate_ms / 4);
+        t_core_free(&core);
+    }
+}
+
+/*
+ * A read waits no longer for a record than the bound on evacuations allows,
+ * even if all other bounds are longer: a read that is lost must be repeated in
+ * time.
+ */
+static void
+test_evacuation_wait(void)
+{
+    static const ct_ms bounds_ms[] = {0, 5000};
+
+    for (guint i = 0; i < G_N_ELEMENTS(bounds_ms); i++) {
+        struct t_core core;
+
+        t_relay_init(&core);
+        core.state->self.bounds.steady_ms = 60000;
+        core.state->self.bounds.revoke_ms = 60000;
+        core.state->self.bounds.evacuate_ms = bounds_ms[i];
+        t_core_tick(&core, 200);
+        t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, 10, 0);
+        g_assert_cmpint(sent_read(&core, CT_TOPIC_CONFIG)->wait_ms > 3000, ==,
+                        bounds_ms[i] == 0);
         t_core_free(&core);
     }
 }
@@ -543,6 +577,7 @@
     g_test_add_func("/store-sync/read-timeout", test_read_timeout);
     g_test_add_func("/store-sync/overloaded", test_overloaded);
     g_test_add_func("/store-sync/config-burst", test_config_burst);
+    g_test_add_func("/store-sync/evacuation-wait", test_evacuation_wait);
     g_test_add_func("/store-sync/unknown-group", test_unknown_group);
     g_test_add_func("/store-sync/store-down", test_store_down);
     g_test_add_func("/store-sync/store-silent", test_store_silent);
