core, platform: evacuation of an availability zone

An operator had no means to keep all calls from the upstreams of one zone.

A record with the key evacuate/ZONE in the topic of the configuration now requests that; its removal, or a full read without it, restores the zone. Every choice of an upstream asks ct_candidate_is_barred(): first attempts, retries, resumed streams, new backups and the use of an earlier one. Calls of a pool whose upstreams are all in evacuated zones are refused as not run (503, zone-evacuated). A host admits no call before its first full read of the topic has ended. Attempts in flight run to their end.

Log events 1861 to 1864 and the gauge zones_evacuated show the state.

--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -25,7 +25,7 @@
     bool excluded;
     /* Accepts no new requests, but still has its cached prefixes. */
     bool leaving;
-    /* Must get no request now, by what it says of itself. */
+    /* Must get no request now, see ct_candidate_is_barred(). */
     bool barred;
 };
 
--- a/core/candidates.c
+++ b/core/candidates.c
@@ -14,6 +14,14 @@
     return false;
 }
 
+bool
+ct_candidate_is_barred(const struct ct_state *state, struct ct_handle upstream,
+                       uint32_t rank)
+{
+    return ct_evacuation_bars(state, upstream) ||
+           ct_upstream_notices_bar(state, upstream, rank);
+}
+
 uint32_t
 ct_candidates_list(const struct ct_state *state,
                    const struct ct_candidate_filter *filter,
@@ -39,8 +47,8 @@
                 filter->zone && ct_name_eq(filter->zone, &upstream->conf.zone),
             .excluded = ct_candidate_was_tried(filter->tried, filter->n_tried,
                                                pool->upstreams[i]),
-            .barred = ct_upstream_notices_bar(state, pool->upstreams[i],
-                                              filter->rank),
+            .barred = ct_candidate_is_barred(state, pool->upstreams[i],
+                                             filter->rank),
         };
     }
     return n;
@@ -60,6 +68,7 @@
         ct_ms free_in_ms;
 
         if (!upstream || upstream->state != filter->state ||
+            ct_evacuation_bars(state, pool->upstreams[i]) ||
             ct_candidate_was_tried(filter->tried, filter->n_tried,
                                    pool->upstreams[i])) {
             continue;
--- a/core/candidates.h
+++ b/core/candidates.h
@@ -30,10 +30,18 @@
                             const struct ct_candidate_filter *filter,
                             struct ct_candidate *out, uint32_t max);
 
+/*
+ * Whether the upstream must get no request of this level of priority from this
+ * host now. Every choice of an upstream asks this.
+ */
+bool ct_candidate_is_barred(const struct ct_state *state,
+                            struct ct_handle upstream, uint32_t rank);
+
 /*
  * Returns the time until one of the upstreams that were not tried and are
  * barred now may get a request, CT_MS_NEVER if none ever may, or 0 if none is
- * barred.
+ * barred. The end of an evacuation cannot be foreseen: upstreams in evacuated
+ * zones do not count.
  */
 ct_ms ct_candidates_free_in_ms(const struct ct_state *state,
                                const struct ct_candidate_filter *filter);
--- a/core/effect.h
+++ b/core/effect.h
@@ -239,7 +239,12 @@
     X(DUTY_TAKEN, 1831, INFO, "this host became the leader")                  \
     X(DUTY_LOST, 1832, INFO, "this host is no longer the leader")             \
     X(FEED_FOLLOWED, 1841, INFO, "following a source of store updates")       \
-    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")
+    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")         \
+    X(ZONE_EVACUATED, 1861, WARNING, "availability zone evacuated")           \
+    X(ZONE_RESTORED, 1862, INFO, "evacuation of a zone ended")                \
+    X(EVACUATION_UNKNOWN_ZONE, 1863, WARNING,                                 \
+      "evacuated zone has no upstream")                                       \
+    X(ZONE_DRAINED, 1864, INFO, "evacuated zone has no more calls")
 
 enum ct_log_event {
 #define X(name, number, level, text) CT_LOG_##name = (number),
--- a/core/event.c
+++ b/core/event.c
@@ -40,6 +40,7 @@
         [CT_EVENT_RELAY_ATTEMPT_DATA] = "relay-data",
         [CT_EVENT_RELAY_ATTEMPT_DONE] = "relay-done",
         [CT_EVENT_STORE_CONFIG] = "store-config",
+        [CT_EVENT_STORE_EVACUATION] = "store-evacuation",
         [CT_EVENT_STORE_UPSTREAM] = "store-upstream",
         [CT_EVENT_STORE_TALLY] = "store-tally",
         [CT_EVENT_STORE_FINAL] = "store-final",
--- a/core/event.h
+++ b/core/event.h
@@ -90,6 +90,7 @@
 
     /* The platform's store. rows: struct ct_config_row */
     CT_EVENT_STORE_CONFIG,
+    CT_EVENT_STORE_EVACUATION,
     CT_EVENT_STORE_UPSTREAM,
     /* rows: struct ct_tally_row */
     CT_EVENT_STORE_TALLY,
@@ -269,6 +270,7 @@
         struct ct_relay_call relay;
         struct ct_relay_progress progress;
         struct ct_store_config store_config;
+        struct ct_store_evacuation store_evacuation;
         struct ct_store_upstream store_upstream;
         struct ct_tally tally;
         struct ct_part_record part_record;
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -33,6 +33,16 @@
     }
 }
 
+static void
+on_drain_timer(struct ct_state *state)
+{
+    if (state->relaying) {
+        ct_relay_host_on_drain_timer(state);
+        return;
+    }
+    ct_drain_on_timer(state);
+}
+
 static void
 on_timer(struct ct_state *state, const struct ct_timer *timer)
 {
@@ -68,11 +78,7 @@
         ct_snapshot_on_timer(state);
         return;
     case CT_TIMER_DRAIN:
-        if (state->relaying) {
-            ct_relay_host_on_drain_timer(state);
-            return;
-        }
-        ct_drain_on_timer(state);
+        on_drain_timer(state);
         return;
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
@@ -80,6 +86,9 @@
     case CT_TIMER_RELAY_WAIT:
         ct_relay_on_wait_timer(state, timer->handle);
         return;
+    case CT_TIMER_EVACUATION:
+        ct_evacuation_on_timer(state);
+        return;
     case CT_TIMER_STORE:
         ct_store_on_timer(state);
         return;
@@ -369,6 +378,9 @@
         ct_store_on_config(state, event);
         ct_zone_orders_configure(state);
         return CT_OK;
+    case CT_EVENT_STORE_EVACUATION:
+        ct_evacuation_on_record(state, &event->u.store_evacuation);
+        return CT_OK;
     case CT_EVENT_STORE_UPSTREAM:
         ct_upstream_registry_on_entry(state, &event->u.store_upstream);
         ct_replication_on_entry_read(state, &event->u.store_upstream);
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -35,7 +35,8 @@
     X(RESPONSE_UNKNOWN, "answer-unknown", 404)                                \
     X(UPSTREAM_FULL, "upstream-full", 503)                                    \
     X(PROMPT_QUARANTINED, "prompt-quarantined", 503)                          \
-    X(UPSTREAM_LIMITED, "upstream-limited", 503)
+    X(UPSTREAM_LIMITED, "upstream-limited", 503)                              \
+    X(ZONE_EVACUATED, "zone-evacuated", 503)
 
 enum ct_refusal {
 #define X(name, text, status) CT_REFUSAL_##name,
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -83,9 +83,7 @@
         ct_relay_fail(state, handle, CT_REFUSAL_UPSTREAM_FAILED);
         return;
     }
-    ct_relay_fail(state, handle,
-                  wait_ms > 0 ? CT_REFUSAL_UPSTREAM_LIMITED
-                              : CT_REFUSAL_NO_UPSTREAM);
+    ct_relay_fail(state, handle, ct_relay_no_choice_reason(state, relay));
 }
 
 static void
--- a/core/relay-choice.c
+++ b/core/relay-choice.c
@@ -18,9 +18,22 @@
     };
 }
 
+/* Whether all of the candidates are in evacuated zones. */
+static bool
+are_evacuated(const struct ct_state *state,
+              const struct ct_candidate *candidates, uint32_t n)
+{
+    for (uint32_t i = 0; i < n; i++) {
+        if (!ct_evacuation_bars(state, candidates[i].upstream)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /*
- * Lists the running upstreams of the pool or, if there are none, the
- * unconfirmed ones.
+ * Lists the running upstreams of the pool or, if there are none outside of
+ * evacuated zones, the unconfirmed ones.
  */
 static uint32_t
 list_candidates(const struct ct_state *state, const struct ct_relay *relay,
@@ -29,7 +42,7 @@
     struct ct_candidate_filter filter = filter_running(state, relay);
     uint32_t n = ct_candidates_list(state, &filter, out, CT_CANDIDATES_MAX);
 
-    if (n > 0) {
+    if (!are_evacuated(state, out, n)) {
         return n;
     }
     filter.state = CT_UPSTREAM_UNCONFIRMED;
@@ -140,6 +153,18 @@
     return ct_candidates_free_in_ms(state, &filter);
 }
 
+enum ct_refusal
+ct_relay_no_choice_reason(const struct ct_state *state,
+                          const struct ct_relay *relay)
+{
+    if (ct_relay_upstream_free_in_ms(state, relay) > 0) {
+        return CT_REFUSAL_UPSTREAM_LIMITED;
+    }
+    return ct_evacuation_bars_pool(state, relay->pool)
+               ? CT_REFUSAL_ZONE_EVACUATED
+               : CT_REFUSAL_NO_UPSTREAM;
+}
+
 ct_ms
 ct_relay_new_call_in_ms(const struct ct_state *state,
                         const struct ct_relay *relay)
--- a/core/relay-choice.h
+++ b/core/relay-choice.h
@@ -34,6 +34,13 @@
 ct_ms ct_relay_upstream_free_in_ms(const struct ct_state *state,
                                    const struct ct_relay *relay);
 
+/*
+ * Why no upstream was chosen: all are limited, in evacuated zones, or there is
+ * none.
+ */
+enum ct_refusal ct_relay_no_choice_reason(const struct ct_state *state,
+                                          const struct ct_relay *relay);
+
 /* The same for a new call like it, which may use the upstreams it tried. */
 ct_ms ct_relay_new_call_in_ms(const struct ct_state *state,
                               const struct ct_relay *relay);
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -9,6 +9,11 @@
 
 /* Delay after which a caller may retry a refused call. */
 #define RETRY_AFTER_MS 200
+/*
+ * An operator evacuates a zone for minutes; a restored zone is known on every
+ * host within seconds.
+ */
+#define EVACUATED_RETRY_AFTER_MS 2000
 /* Notices change, so a longer time tells callers nothing. */
 #define LIMITED_RETRY_AFTER_MAX_MS 60000
 
@@ -98,6 +103,8 @@
     case CT_REFUSAL_UPSTREAM_LIMITED:
         return CLAMP(ct_relay_new_call_in_ms(state, relay), RETRY_AFTER_MS,
                      LIMITED_RETRY_AFTER_MAX_MS);
+    case CT_REFUSAL_ZONE_EVACUATED:
+        return EVACUATED_RETRY_AFTER_MS;
     default:
         return RETRY_AFTER_MS;
     }
--- a/core/relay.c
+++ b/core/relay.c
@@ -95,7 +95,9 @@
     const struct ct_prefix_route_row *route;
     enum ct_refusal reason = CT_REFUSAL_COUNT;
 
-    if (!state->store.config_known) {
+    /* The first full read of the topic contains the evacuations as well. */
+    if (!state->store.config_known ||
+        ct_store_age_ms(state, CT_TOPIC_CONFIG) == CT_MS_NEVER) {
         return CT_REFUSAL_NOT_READY;
     }
     relay->route =
--- a/core/state-view.c
+++ b/core/state-view.c
@@ -64,6 +64,7 @@
     summary->attempts = state->requests.attempts.live;
     summary->refusals_pending = state->refusals.pending->len;
     summary->refusals_dropped = state->refusals.dropped;
+    summary->zones_evacuated = state->evacuations.rows.live;
 }
 
 bool
--- a/core/state-view.h
+++ b/core/state-view.h
@@ -32,6 +32,7 @@
     uint32_t attempts;
     uint32_t refusals_pending;
     uint64_t refusals_dropped;
+    uint32_t zones_evacuated;
 };
 
 struct ct_upstream_view {
--- a/core/state.c
+++ b/core/state.c
@@ -36,6 +36,7 @@
                   RESPONSE_LOOKUPS_MAX, NULL);
     ct_slot_loans_init(&state->slot_loans);
     ct_upstream_registry_init(&state->upstream_registry);
+    ct_evacuations_init(&state->evacuations);
     ct_group_init(&state->group);
     ct_replication_init(&state->replication);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
@@ -78,6 +79,7 @@
     ct_upstream_notices_free(&state->upstream_notices);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
     ct_relays_free(&state->relays);
+    ct_evacuations_free(&state->evacuations);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
     ct_forwarded_tallies_free(&state->forwarded_tallies);
--- a/core/state.h
+++ b/core/state.h
@@ -8,6 +8,7 @@
 #include "counter.h"
 #include "effect.h"
 #include "emit.h"
+#include "evacuation.h"
 #include "event.h"
 #include "replication.h"
 #include "forwarded-tally.h"
@@ -85,6 +86,7 @@
     struct ct_wall_clock wall_clock;
     struct ct_store_sync store;
     struct ct_upstream_registry upstream_registry;
+    struct ct_evacuations evacuations;
     struct ct_group group;
     struct ct_replication replication;
     struct ct_leadership leadership;
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -109,6 +109,9 @@
     if (topic == CT_TOPIC_UPSTREAMS) {
         ct_upstream_registry_begin_full_read(state);
     }
+    else if (topic == CT_TOPIC_CONFIG) {
+        ct_evacuation_begin_full_read(state);
+    }
 }
 
 static ct_ms
@@ -262,6 +265,9 @@
     if (topic == CT_TOPIC_UPSTREAMS) {
         ct_upstream_registry_end_full_read(state);
     }
+    else if (topic == CT_TOPIC_CONFIG) {
+        ct_evacuation_end_full_read(state);
+    }
 }
 
 /* A host that does not know the group yet assumes a large one. */
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -50,6 +50,13 @@
     int32_t left_out_reason;
 };
 
+/* CT_EVENT_STORE_EVACUATION: an operator evacuates or restores a zone. */
+struct ct_store_evacuation {
+    struct ct_name zone;
+    /* The request was removed. */
+    bool ends;
+};
+
 /* CT_EVENT_STORE_UPSTREAM: an entry was written or removed. */
 struct ct_store_upstream {
     struct ct_upstream upstream;
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -104,6 +104,7 @@
 add_gauges(void *arg, GString *out)
 {
     const struct relay_daemon *daemon = arg;
+    struct ct_state_summary summary;
     uint64_t received;
     uint64_t calls;
     uint64_t bytes;
@@ -118,6 +119,10 @@
     ct_gauge_text("relay_calls", ct_relay_io_call_count(daemon->relay), out);
     ct_gauge_text("relay_attempts", ct_relay_io_attempt_count(daemon->relay),
                   out);
+    ct_state_summarise(daemon->host.state,
+                       ct_clock_steady_ms(ct_loop_clock(daemon->host.loop)),
+                       &summary);
+    ct_gauge_text("zones_evacuated", summary.zones_evacuated, out);
     ct_gauge_text("log_lines_dropped_total", ct_logger_dropped_lines(), out);
 }
 
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -147,6 +147,16 @@
     t_core_post(core, &event);
 }
 
+void
+t_relay_post_evacuation(struct t_core *core, const char *zone, bool ends)
+{
+    struct ct_event event = {.type = CT_EVENT_STORE_EVACUATION};
+
+    CT_TEXT_SET(event.u.store_evacuation.zone, zone);
+    event.u.store_evacuation.ends = ends;
+    t_core_post(core, &event);
+}
+
 void
 t_relay_post_members(struct t_core *core, int32_t result, uint32_t n)
 {
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -54,6 +54,9 @@
 void t_relay_post_upstream(struct t_core *core,
                            const struct ct_store_upstream *entry);
 
+/* Posts that a record was read which evacuates or restores a zone. */
+void t_relay_post_evacuation(struct t_core *core, const char *zone, bool ends);
+
 /* Posts a list of n members, named "h1" and so on, or a failure to read it. */
 void t_relay_post_members(struct t_core *core, int32_t result, uint32_t n);
 
--- a/t/test-store-body.c
+++ b/t/test-store-body.c
@@ -92,6 +92,39 @@
                     CT_ERR_DECODE);
 }
 
+/* A key that names no zone must not evacuate anything. */
+static void
+test_evacuation(void)
+{
+    static const struct {
+        const char *key;
+        size_t n;
+        int err;
+        const char *zone;
+        bool ends;
+    } cases[] = {
+        {"evacuate/zone-a", 1, CT_OK, "zone-a", false},
+        {"evacuate/zone-a", 0, CT_OK, "zone-a", true},
+        {"evacuate/a/b", 20, CT_OK, "a/b", false},
+        {"evacuate/", 1, CT_ERR_FIELD_MISSING, "", false},
+        {NULL, 1, CT_ERR_TOO_LARGE, "", false},
+    };
+    g_autofree char *zone = g_strnfill(CT_NAME_MAX, 'z');
+    g_autofree char *too_long = g_strconcat("evacuate/", zone, NULL);
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_event event = {.type = 0};
+
+        g_assert_cmpint(
+            ct_store_body_evacuation(cases[i].key ? cases[i].key : too_long,
+                                     cases[i].n, &event),
+            ==, cases[i].err);
+        g_assert_cmpstr(event.u.store_evacuation.zone.text, ==, cases[i].zone);
+        g_assert_cmpint(event.u.store_evacuation.ends, ==, cases[i].ends);
+        g_assert_cmpint(event.type, ==, CT_EVENT_STORE_EVACUATION);
+    }
+}
+
 static void
 collect_item(void *arg, const char *key, const char *value, size_t n)
 {
@@ -203,6 +236,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store-body/records", test_records);
     g_test_add_func("/store-body/keys", test_keys);
+    g_test_add_func("/store-body/evacuation", test_evacuation);
     g_test_add_func("/store-body/pages", test_pages);
     g_test_add_func("/store-body/joined", test_joined);
     g_test_add_func("/store-body/members", test_members);
