core: take back unsent attempts of an evacuated zone

An attempt whose connection was not established when its zone was evacuated was sent as soon as it was, up to a second (the time-out of a connection) later. Such attempts are now cancelled and their calls choose again. The upstream has seen no byte of them, so calls that may run once are sent elsewhere too. A run that was to continue from a backup fails: no other upstream has a copy.

The reducer knows of every attempt that was sent: the event of its first byte is queued before libcurl writes it, and ahead of the events of any response of the store that the same run of libcurl completes.

test-evacuation covers the kinds of routes and the backup.

--- a/core/counter.h
+++ b/core/counter.h
@@ -28,6 +28,7 @@
     X(NOTICES_LIMIT, "upstream_notices_limit_total")                          \
     X(NOTICES_PAUSE, "upstream_notices_pause_total")                          \
     X(NOTICES_LEAVING, "upstream_notices_leaving_total")                      \
+    X(ATTEMPTS_REROUTED, "attempts_rerouted_total")                           \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
     X(LATE_EVENTS, "late_attempt_events_total")                               \
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -7,6 +7,7 @@
 #include "drain.h"
 #include "error.h"
 #include "relay-host.h"
+#include "relay-reroute.h"
 #include "slot-sharing.h"
 #include "snapshot.h"
 #include "state.h"
@@ -334,6 +335,14 @@
     ct_slot_sharing_on_link(state, peer, up);
 }
 
+static void
+on_evacuation(struct ct_state *state, const struct ct_store_evacuation *record)
+{
+    if (ct_evacuation_on_record(state, record)) {
+        ct_relay_reroute_unsent(state);
+    }
+}
+
 /* Applies events of relayed calls and of the platform's store. */
 static int
 apply_relay_event(struct ct_state *state, const struct ct_event *event)
@@ -379,7 +388,7 @@
         ct_zone_orders_configure(state);
         return CT_OK;
     case CT_EVENT_STORE_EVACUATION:
-        ct_evacuation_on_record(state, &event->u.store_evacuation);
+        on_evacuation(state, &event->u.store_evacuation);
         return CT_OK;
     case CT_EVENT_STORE_UPSTREAM:
         ct_upstream_registry_on_entry(state, &event->u.store_upstream);
--- a/t/test-evacuation.c
+++ b/t/test-evacuation.c
@@ -227,6 +227,40 @@
     }
 }
 
+/*
+ * An attempt that still waits for its connection would be sent late: it is
+ * taken back, and its call goes to another zone or is refused as not run.
+ */
+static void
+test_unsent(void)
+{
+    static const char *const paths[] = {T_ANY_PATH, T_ONCE_PATH,
+                                        T_RESUME_PATH};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        struct ct_relay_start start;
+        struct ct_relay_start next;
+        struct t_core core;
+
+        t_relay_setup(&core, UPSTREAMS);
+        start = start_in_zone_a(&core, paths[i], 20000);
+        perform_steps(&core, "A");
+        g_assert_true(ct_handle_eq(
+            t_core_effect(&core, CT_EFFECT_RELAY_CANCEL_ATTEMPT, 0)
+                ->u.relay.attempt,
+            start.attempt));
+        next = t_relay_started(&core);
+        g_assert_cmpint(zone_of(&next), ==, 'b');
+        /* Late events of the attempt that was taken back change nothing. */
+        t_relay_finish(&core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+        g_assert_null(
+            t_core_effect(&core, CT_EFFECT_RELAY_FORWARD_RESPONSE, 0));
+        perform_steps(&core, "B");
+        assert_refused(&core);
+        t_core_free(&core);
+    }
+}
+
 /* Returns the zone of the upstream at an address. */
 static char
 zone_at(const char *address)
@@ -248,7 +282,7 @@
 static void
 test_backup(void)
 {
-    for (int connects = 0; connects < 1; connects++) {
+    for (int connects = 0; connects < 2; connects++) {
         struct ct_relay_start start;
         struct t_core core;
 
@@ -391,6 +425,7 @@
     g_test_add_func("/evacuation/zones", test_zones);
     g_test_add_func("/evacuation/start", test_start);
     g_test_add_func("/evacuation/in-flight", test_in_flight);
+    g_test_add_func("/evacuation/unsent", test_unsent);
     g_test_add_func("/evacuation/backup", test_backup);
     g_test_add_func("/evacuation/waiting", test_waiting);
     g_test_add_func("/evacuation/unconfirmed", test_unconfirmed);
