core: orders during the evacuation of a zone

Orders did not know of evacuations: an evacuated zone kept getting new upstreams that no host used, and the other zones were ordered more only after their load had risen.

An evacuated zone is now ordered what it has, so nothing boots there and what runs is there when the zone is restored. Its cheap upstreams no longer count as capacity, and the zones that are left are ordered its part with the event itself, as for a zone whose cheap upstreams were reclaimed.

test-zone-orders: with 3 zones of 6 running (8 at most), the two others are ordered 8 each at once, a loss from 6 to 4 in the evacuated zone is not replaced, and all zones return to 6 after the restoration.

--- a/core/reduce.c
+++ b/core/reduce.c
@@ -340,6 +340,8 @@
 {
     if (ct_evacuation_on_record(state, record)) {
         ct_relay_reroute_unsent(state);
+        /* The other zones need time to boot what they take over. */
+        ct_zone_orders_on_timer(state);
     }
 }
 
--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -146,6 +146,27 @@
     return n;
 }
 
+/*
+ * Returns the number of the pool's upstreams of a kind in the zone that do not
+ * leave, including those whose entries are missing after a store outage.
+ */
+static uint32_t
+count_present(const struct ct_state *state, const struct ct_pool_row *pool,
+              const struct ct_name *zone, bool cheap)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < pool->n_upstreams; i++) {
+        const struct ct_upstream_row *upstream =
+            ct_table_get(&state->config.upstreams, pool->upstreams[i]);
+
+        n += upstream && upstream->state != CT_UPSTREAM_LEAVING &&
+             upstream->conf.cheap == cheap &&
+             ct_name_eq(&upstream->conf.zone, zone);
+    }
+    return n;
+}
+
 /* Limits the decrease per order from the running to the wanted number. */
 static uint32_t
 limit_decrease(uint32_t wanted, uint32_t n_running)
@@ -185,9 +206,11 @@
                 wanted);
 }
 
-/* Zones of the pool, and its cheap upstreams. */
+/* Zones of the pool, and its cheap upstreams outside of evacuated zones. */
 struct pool_count {
     uint32_t zones;
+    /* Zones that are not evacuated; all other members count only these. */
+    uint32_t open;
     /* Zones in which cheap upstreams have run and none runs now. */
     uint32_t lost;
     /* Zones with fewer cheap upstreams than the pool's upper bound. */
@@ -224,6 +247,10 @@
         }
         cheap = count_running(state, pool, &row->zone, true);
         row->had_cheap |= cheap > 0;
+        if (ct_evacuation_has_zone(state, &row->zone)) {
+            continue;
+        }
+        count.open++;
         count.lost += row->had_cheap && cheap == 0;
         count.with_room += cheap < pool->conf.max_upstreams;
         count.running += cheap;
@@ -262,7 +289,7 @@
 /*
  * Returns the number of cheap upstreams to order in each zone: for the load,
  * at least the part that runs regardless of it. The other zones cover a zone
- * whose cheap upstreams were reclaimed.
+ * that is evacuated or whose cheap upstreams were reclaimed.
  */
 static uint32_t
 cheap_per_zone(const struct ct_pool_row *pool, const struct pool_count *count,
@@ -270,9 +297,11 @@
 {
     uint32_t cheap =
         MAX(pool->conf.max_upstreams * FLOOR_PERCENT / 100, needed_per_zone);
+    uint32_t covering =
+        count->lost < count->open ? count->open - count->lost : count->open;
 
-    if (count->lost < count->zones) {
-        cheap = per_zone(cheap * count->zones, count->zones - count->lost);
+    if (covering > 0) {
+        cheap = per_zone(cheap * count->zones, covering);
     }
     return CLAMP(cheap, pool->conf.min_upstreams, pool->conf.max_upstreams);
 }
@@ -327,6 +356,22 @@
     return MIN(CLAMP(firm, least, most), room);
 }
 
+/*
+ * Orders what the evacuated zone has: nothing new boots there, and what runs
+ * is there when the zone is restored.
+ */
+static void
+hold_zone(struct ct_state *state, struct ct_zone_order_row *row,
+          const struct ct_pool_row *pool)
+{
+    for (int cheap = 0; cheap < 2; cheap++) {
+        uint32_t present = count_present(state, pool, &row->zone, cheap);
+
+        order_upstreams(state, row, pool, cheap,
+                        cheap ? &row->cheap : &row->firm, present, present);
+    }
+}
+
 static void
 plan_zone(struct ct_state *state, struct ct_zone_order_row *row)
 {
@@ -340,10 +385,14 @@
     if (!pool) {
         return;
     }
+    if (ct_evacuation_has_zone(state, &row->zone)) {
+        hold_zone(state, row, pool);
+        return;
+    }
     count = count_pool(state, row->pool);
     needed = upstreams_needed(state, pool, CALLS_PER_UPSTREAM_TENTHS);
     cheap = cheap_per_zone(pool, &count, per_zone(needed, count.zones));
-    covered = covered_upstreams(state, pool, count.zones, cheap);
+    covered = covered_upstreams(state, pool, count.open, cheap);
     order_upstreams(state, row, pool, true, &row->cheap, cheap,
                     count_running(state, pool, &row->zone, true));
     if (awaits_first_call(state) && !row->cheap.confirmed) {
--- a/core/zone-orders.h
+++ b/core/zone-orders.h
@@ -10,7 +10,8 @@
  * Orders for upstreams by pool, availability zone and kind, sent while this
  * host is the leader. Cheap upstreams carry the load where they are available;
  * firm ones are ordered where the cheap ones do not cover the load or the
- * minimum that runs regardless of the load.
+ * minimum that runs regardless of the load. A zone that is evacuated gets no
+ * new upstreams; the other zones are ordered what it had to carry.
  */
 
 /* State of the orders of one kind. */
--- a/t/test-zone-orders.c
+++ b/t/test-zone-orders.c
@@ -92,12 +92,29 @@
     }
 }
 
+/* Carries out the orders that the last event caused; returns their number. */
+static guint
+execute_orders(struct platform *platform)
+{
+    struct ct_effects effects = platform->core.effects;
+    guint n = 0;
+
+    ct_effects_init(&platform->core.effects);
+    for (uint32_t i = 0; i < effects.n; i++) {
+        if (effects.items[i].type == CT_EFFECT_DUTY_ORDER_UPSTREAMS) {
+            execute_order(platform, &effects.items[i].u.duty_order);
+            n++;
+        }
+    }
+    ct_effects_free(&effects);
+    return n;
+}
+
 static void
 run_platform(struct platform *platform, ct_ms duration_ms)
 {
     for (ct_ms elapsed_ms = 0; elapsed_ms < duration_ms; elapsed_ms += 50) {
         struct ct_event join = {.type = CT_EVENT_STORE_JOIN_DONE};
-        struct ct_effects effects;
 
         if (elapsed_ms % 1000 == 0) {
             join.u.store_join.sent_ms = platform->core.now_ms;
@@ -107,14 +124,7 @@
             t_relay_confirm(&platform->core);
         }
         t_core_tick(&platform->core, 50);
-        effects = platform->core.effects;
-        ct_effects_init(&platform->core.effects);
-        for (uint32_t i = 0; i < effects.n; i++) {
-            if (effects.items[i].type == CT_EFFECT_DUTY_ORDER_UPSTREAMS) {
-                execute_order(platform, &effects.items[i].u.duty_order);
-            }
-        }
-        ct_effects_free(&effects);
+        execute_orders(platform);
     }
 }
 
@@ -391,6 +401,91 @@
     g_array_free(config_rows, TRUE);
 }
 
+/* Returns the number that was ordered last for a zone. */
+static uint32_t
+ordered_last(const struct platform *platform, guint zone, bool cheap)
+{
+    const struct ct_zone_order_row *row =
+        &g_array_index(platform->core.state->zone_orders.rows,
+                       struct ct_zone_order_row, zone);
+
+    return cheap ? row->cheap.ordered : row->firm.ordered;
+}
+
+/*
+ * An evacuated zone gets no new upstreams, not even in place of those that it
+ * loses; the other zones are ordered its part at once, before the load is
+ * there. The restored zone is ordered as before.
+ */
+static void
+test_evacuated(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    run_platform(&platform, 10000);
+    t_relay_post_evacuation(&platform.core, zones[0], false);
+    g_assert_cmpuint(execute_orders(&platform), >=, 2);
+    run_platform(&platform, 3000);
+    g_assert_cmpuint(platform.cheap[0], ==, MAX_PER_ZONE * 3 / 4);
+    g_assert_cmpuint(platform.cheap[1], ==, MAX_PER_ZONE);
+    g_assert_cmpuint(platform.cheap[2], ==, MAX_PER_ZONE);
+    set_entries(&platform, 0, true, 4);
+    run_platform(&platform, 10000);
+    g_assert_cmpuint(platform.cheap[0], ==, 4);
+    t_relay_post_evacuation(&platform.core, zones[0], true);
+    run_platform(&platform, 10000);
+    for (guint i = 0; i < ZONES; i++) {
+        g_assert_cmpuint(platform.cheap[i], ==, MAX_PER_ZONE * 3 / 4);
+        g_assert_cmpuint(platform.firm[i], ==, 0);
+    }
+    t_core_free(&platform.core);
+}
+
+/*
+ * What was ordered for a zone and has not booted when it is evacuated is
+ * cancelled. Firm upstreams take its place in the other zones only.
+ */
+static void
+test_evacuated_while_booting(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    platform.boots_never = true;
+    run_platform(&platform, 3000);
+    g_assert_cmpuint(ordered_last(&platform, 0, true), ==,
+                     MAX_PER_ZONE * 3 / 4);
+    t_relay_post_evacuation(&platform.core, zones[0], false);
+    execute_orders(&platform);
+    run_platform(&platform, 10000);
+    g_assert_cmpuint(ordered_last(&platform, 0, true), ==, 0);
+    g_assert_cmpuint(platform.firm[0], ==, 4);
+    g_assert_cmpuint(platform.firm[1] + platform.firm[2], >, 8);
+    t_core_free(&platform.core);
+}
+
+/* With all zones evacuated nothing is ordered anywhere. */
+static void
+test_all_evacuated(void)
+{
+    struct platform platform;
+
+    init_platform(&platform);
+    run_platform(&platform, 10000);
+    for (guint i = 0; i < ZONES; i++) {
+        t_relay_post_evacuation(&platform.core, zones[i], false);
+        execute_orders(&platform);
+        set_entries(&platform, i, true, 2);
+    }
+    run_platform(&platform, 10000);
+    for (guint i = 0; i < ZONES; i++) {
+        g_assert_cmpuint(platform.cheap[i], ==, 2);
+        g_assert_cmpuint(platform.firm[i], ==, 0);
+    }
+    t_core_free(&platform.core);
+}
+
 /*
  * If an order is refused because of an outdated fencing token, this host stops
  * ordering.
@@ -457,5 +552,9 @@
     g_test_add_func("/zone-orders/reconfigured", test_reconfigured);
     g_test_add_func("/zone-orders/covering-zones", test_covering_zones);
     g_test_add_func("/zone-orders/fenced", test_fenced);
+    g_test_add_func("/zone-orders/evacuated", test_evacuated);
+    g_test_add_func("/zone-orders/evacuated-while-booting",
+                    test_evacuated_while_booting);
+    g_test_add_func("/zone-orders/all-evacuated", test_all_evacuated);
     return g_test_run();
 }
