t: no wait for a paused upstream of an evacuated zone

The test now makes a call while the pool's only upstreams are paused and evacuated: it must be refused at once.

--- a/t/test-evacuation.c
+++ b/t/test-evacuation.c
@@ -331,6 +331,9 @@
     g_assert_null(t_core_effect(&core, CT_EFFECT_REFUSE_REQUEST, 0));
     g_assert_null(t_core_effect(&core, CT_EFFECT_RELAY_START_ATTEMPT, 0));
     perform_steps(&core, "A");
+    /* The end of the pause is not worth a wait any more. */
+    t_relay_call(&core, 1, T_ANY_PATH);
+    assert_refused(&core);
     t_core_tick(&core, 250);
     assert_refused(&core);
     t_core_free(&core);
