--- a/t/lib-platform.c
+++ b/t/lib-platform.c
@@ -2,6 +2,9 @@
 
 #include "lib-http.h"
 
+/* Start of upstreams that were moved to another zone: a restart. */
+#define MOVED_BORN 100
+
 void
 platform_put(uint16_t store, const char *topic, const char *key,
              const char *value)
@@ -13,13 +16,14 @@
 }
 
 static void
-put_upstream(uint16_t store, int n, uint16_t port, const char *state, int born)
+put_upstream(uint16_t store, int n, uint16_t port, const char *zone,
+             const char *state, int born)
 {
     char *key = g_strdup_printf("run-%d", n);
     char *text = g_strdup_printf(
-        "{\"service\":\"app\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"z\","
+        "{\"service\":\"app\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\","
         "\"version\":\"v1\",\"slots\":64,\"state\":\"%s\",\"born\":%d}",
-        port, state, born);
+        port, zone, state, born);
 
     platform_put(store, PLATFORM_TOPIC_UPSTREAMS, key, text);
     g_free(text);
@@ -29,13 +33,29 @@
 void
 platform_put_upstream(uint16_t store, int n, uint16_t port, const char *state)
 {
-    put_upstream(store, n, port, state, n + 1);
+    put_upstream(store, n, port, "z", state, n + 1);
 }
 
 void
 platform_put_restarted(uint16_t store, int n, uint16_t port, int born)
 {
-    put_upstream(store, n, port, "ready", born);
+    put_upstream(store, n, port, "z", "ready", born);
+}
+
+void
+platform_put_upstream_in(uint16_t store, int n, uint16_t port,
+                         const char *zone)
+{
+    put_upstream(store, n, port, zone, "ready", n + MOVED_BORN);
+}
+
+void
+platform_put_evacuation(uint16_t store, const char *zone, bool evacuate)
+{
+    char *key = g_strdup_printf("evacuate/%s", zone);
+
+    platform_put(store, PLATFORM_TOPIC_CONFIG, key, evacuate ? "1" : "");
+    g_free(key);
 }
 
 void
--- a/t/lib-platform.h
+++ b/t/lib-platform.h
@@ -2,6 +2,7 @@
 #define LIB_PLATFORM_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -29,6 +30,13 @@
 /* The same for another process, which started at born, under that name. */
 void platform_put_restarted(uint16_t store, int n, uint16_t port, int born);
 
+/* The same for another process under that name, in another zone than "z". */
+void platform_put_upstream_in(uint16_t store, int n, uint16_t port,
+                              const char *zone);
+
+/* Requests the evacuation of a zone, or removes the request. */
+void platform_put_evacuation(uint16_t store, const char *zone, bool evacuate);
+
 /* Adds an organisation to a list; keys are quoted and comma-separated. */
 void platform_add_organisation(GString *list, const char *name,
                                const char *keys);
