--- a/core/zone-orders.c
+++ b/core/zone-orders.c
@@ -48,7 +48,7 @@
 /*
  * The other zones keep the part of a restored zone for this time: its
  * upstreams may have been lost, and then boot, or take less than their full
- * load for a while. A few times BOOT_MS; not measured.
+ * load for a while.
  */
 #define RESTORE_HOLD_MS 20000
 
