t: let the raw server accept many connections at a time

Cause: its accept queue holds 16 connections. The kernel drops the first packet of further ones, and a client repeats it after a second.

Change: the longest queue that the kernel allows.

--- a/t/lib-raw-server.c
+++ b/t/lib-raw-server.c
@@ -173,7 +173,7 @@
     server->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     g_assert_no_errno(bind(server->fd, (struct sockaddr *)&name, size));
-    g_assert_no_errno(listen(server->fd, 16));
+    g_assert_no_errno(listen(server->fd, SOMAXCONN));
     g_assert_no_errno(
         getsockname(server->fd, (struct sockaddr *)&name, &size));
     g_snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
