t: let a test choose a host's memory and the size limit of bodies

Cause: tests with misbehaving clients need a host with little memory and bodies of the largest size that clients send.

Change: two fields of struct relay_process, 0 for the values that were fixed; names of two paths and a header.

--- a/t/lib-platform.c
+++ b/t/lib-platform.c
@@ -59,6 +59,14 @@
 
 void
 platform_put_config(uint16_t store, int version, const char *organisations)
+{
+    platform_put_config_for(store, version, organisations,
+                            PLATFORM_BODY_MAX_BYTES);
+}
+
+void
+platform_put_config_for(uint16_t store, int version, const char *organisations,
+                        int body_max_bytes)
 {
     GString *routes = g_string_new(NULL);
     char *text;
@@ -71,11 +79,11 @@
     add_route(routes, "str", "/s/str/", "\"type\":\"stream\"");
     text = g_strdup_printf(
         "{\"version\":%d,\"limits\":{\"maxHeaderBytes\":16384,"
-        "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
+        "\"maxBodyBytes\":%d,\"headerTimeoutMs\":3000,"
         "\"idleTimeoutMs\":15000},\"services\":[{\"name\":\"app\","
         "\"engine\":{\"backups\":true}}],"
         "\"tenants\":[%s],\"routes\":[%s]}",
-        version, organisations, routes->str);
+        version, body_max_bytes, organisations, routes->str);
     platform_put(store, PLATFORM_TOPIC_CONFIG, "config", text);
     g_free(text);
     g_string_free(routes, TRUE);
--- a/t/lib-platform.h
+++ b/t/lib-platform.h
@@ -12,11 +12,19 @@
 #define PLATFORM_TOPIC_CONFIG "keyed.op"
 #define PLATFORM_TOPIC_UPSTREAMS "keyed.servers"
 
+/* Paths of requests to the readiness address and the lookup address. */
+#define PLATFORM_PATH_READY "/v1/readyz"
+#define PLATFORM_PATH_ADDRESSES "/v1/resolve"
+
+/* Size limit of bodies that platform_put_config() sets. */
+#define PLATFORM_BODY_MAX_BYTES (64 * 1024)
+
 /* Headers of calls and responses, and the authority of all routes. */
 #define PLATFORM_HOST_HEADER "Host: svc.example"
 /* A prompt of 100 tokens and at most 20 more: short enough for a backup. */
 #define PLATFORM_TOKENS_HEADER "Token-Count: 100,20"
 #define PLATFORM_ID "Request-Id"
+#define PLATFORM_PROMPT_PARTS "Prefix-Hash"
 #define PLATFORM_PROOF "Runner-Signature"
 
 /* Writes an entry; an empty value removes it. */
@@ -41,6 +49,9 @@
  */
 void platform_put_config(uint16_t store, int version,
                          const char *organisations);
+/* The same with another size limit of bodies. */
+void platform_put_config_for(uint16_t store, int version,
+                             const char *organisations, int body_max_bytes);
 
 /* Trims the history of the store to the newest record of each key. */
 void platform_trim_history(uint16_t store);
--- a/t/lib-relay-process.c
+++ b/t/lib-relay-process.c
@@ -8,7 +8,9 @@
     GString *organisations = g_string_new(NULL);
 
     platform_add_organisation(organisations, "acme", keys);
-    platform_put_config(f->store.port, ++f->version, organisations->str);
+    platform_put_config_for(f->store.port, ++f->version, organisations->str,
+                            f->body_max_bytes > 0 ? f->body_max_bytes
+                                                  : PLATFORM_BODY_MAX_BYTES);
     g_string_free(organisations, TRUE);
 }
 
@@ -50,8 +52,12 @@
 void
 relay_process_start(struct relay_process *f)
 {
+    char memory[32] = "";
     char *text;
 
+    if (f->memory_mb > 0) {
+        g_snprintf(memory, sizeof(memory), ",\"memory_mb\":%d", f->memory_mb);
+    }
     f->directory = g_dir_make_tmp("ct-relay-XXXXXX", NULL);
     process_set_log_directory(f->directory);
     PROCESS_START(&f->store, "t/fake/fake-store", "--port", "0");
@@ -72,8 +78,8 @@
         "\"127.0.0.1:0\",\"operator_address\":\"127.0.0.1:0\",\"store\":"
         "\"127.0.0.1:%u\",\"duties\":\"127.0.0.1:%u\",\"bounds\":{"
         "\"revoke_ms\":3000,\"lease_ms\":600,\"usage_window_s\":1,"
-        "\"usage_late_s\":4,\"grace_s\":3,\"repeat_burst\":1000}}",
-        f->store.port, f->store.port);
+        "\"usage_late_s\":4,\"grace_s\":3,\"repeat_burst\":1000%s}}",
+        f->store.port, f->store.port, memory);
     g_assert_true(g_file_set_contents(f->settings, text, -1, NULL));
     g_free(text);
     relay_process_start_host(f);
--- a/t/lib-relay-process.h
+++ b/t/lib-relay-process.h
@@ -22,6 +22,12 @@
     struct process store;
     struct process runners[RELAY_PROCESS_RUNNERS];
     struct process host;
+    /*
+     * Set before the start: memory that the host may use, and the size limit
+     * of bodies; 0: the default.
+     */
+    int memory_mb;
+    int body_max_bytes;
     /* Version of the newest configuration. */
     int version;
     int calls;
