peer: encode a message to several hosts once

A source sends the same sum of loads to up to 31 followers every 500 ms, and hosts run on a tenth of a core. An effect can say that its message is that of the effect before; the shell then sends the bytes that it has. Each effect still carries the whole message, so that recorders and tests need not know. test-peer-link: a repeated message reaches a host although the first recipient has no link, and a message that cannot be encoded is not replaced by an older one.

--- a/core/effect.h
+++ b/core/effect.h
@@ -178,6 +178,11 @@
 struct ct_peer_effect {
     struct ct_name peer;
     struct ct_peer_message message;
+    /*
+     * The message is that of the CT_EFFECT_SEND_PEER_MESSAGE before, so that
+     * it need not be encoded again.
+     */
+    bool repeats;
 };
 
 /* Numbered log events: X(name, number, level, text). See docs/EVENTS.md. */
--- a/core/emit.c
+++ b/core/emit.c
@@ -70,6 +70,20 @@
     return &effect->u.peer.message;
 }
 
+void
+ct_peer_message_repeat_to(struct ct_state *state, const struct ct_name *host)
+{
+    uint32_t last = state->out->n - 1;
+    struct ct_effect *effect =
+        ct_emit_effect(state, CT_EFFECT_SEND_PEER_MESSAGE);
+
+    /* Adding an effect may move the others. */
+    effect->u.peer = state->out->items[last].u.peer;
+    effect->u.peer.peer = *host;
+    effect->u.peer.repeats = true;
+    ct_effect_set_rows(state->out, effect, state->out->items[last].rows);
+}
+
 void
 ct_arm_timer(struct ct_state *state, ct_ms delay_ms, enum ct_timer_kind kind,
              struct ct_handle handle)
--- a/core/emit.h
+++ b/core/emit.h
@@ -37,6 +37,10 @@
                                            enum ct_peer_message_type type,
                                            struct ct_rows rows);
 
+/* Sends the message that was added last to a further host. */
+void ct_peer_message_repeat_to(struct ct_state *state,
+                               const struct ct_name *host);
+
 /* Arms a reducer timer that is due delay_ms after the current event. */
 void ct_arm_timer(struct ct_state *state, ct_ms delay_ms,
                   enum ct_timer_kind kind, struct ct_handle handle);
--- a/shell/peer-link.c
+++ b/shell/peer-link.c
@@ -85,16 +85,23 @@
 }
 
 static int
-queue_frame(struct ct_peer_link *link, const struct ct_peer_frame *frame)
+append_frame(GByteArray *out, const struct ct_peer_frame *frame)
 {
-    guint start = ct_frame_begin(link->out);
-    int err = ct_peer_encode(frame, link->out);
+    guint start = ct_frame_begin(out);
+    int err = ct_peer_encode(frame, out);
 
     if (err < 0) {
-        g_byte_array_set_size(link->out, start);
+        g_byte_array_set_size(out, start);
         return err;
     }
-    err = ct_frame_end(link->out, start);
+    return ct_frame_end(out, start);
+}
+
+static int
+queue_frame(struct ct_peer_link *link, const struct ct_peer_frame *frame)
+{
+    int err = append_frame(link->out, frame);
+
     if (err < 0) {
         return err;
     }
@@ -304,11 +311,17 @@
 }
 
 int
-ct_peer_link_send(struct ct_peer_link *link,
-                  const struct ct_peer_message *message)
+ct_peer_link_encode(const struct ct_peer_message *message, GByteArray *out)
 {
     struct ct_peer_frame frame = {.kind = CT_PEER_FRAME_MESSAGE};
 
+    frame.u.message = *message;
+    return append_frame(out, &frame);
+}
+
+int
+ct_peer_link_send(struct ct_peer_link *link, const GByteArray *encoded)
+{
     if (link->state != LINK_UP) {
         return CT_ERR_PEER_GONE;
     }
@@ -316,8 +329,9 @@
         ct_peer_link_shutdown(link);
         return CT_ERR_PEER_GONE;
     }
-    frame.u.message = *message;
-    return queue_frame(link, &frame);
+    g_byte_array_append(link->out, encoded->data, encoded->len);
+    ev_io_start(link->ev, &link->writer);
+    return CT_OK;
 }
 
 const struct ct_name *
--- a/shell/peer-link.h
+++ b/shell/peer-link.h
@@ -62,11 +62,13 @@
 void ct_peer_link_shutdown(struct ct_peer_link *link);
 
 /*
- * Errors: CT_ERR_FRAME_TOO_LARGE and CT_ERR_INVALID, after which the link
- * stays usable; CT_ERR_PEER_GONE.
+ * Appends the frame of a message. Errors, after which out is as before:
+ * CT_ERR_FRAME_TOO_LARGE, CT_ERR_INVALID, CT_ERR_NO_MEMORY.
  */
-int ct_peer_link_send(struct ct_peer_link *link,
-                      const struct ct_peer_message *message);
+int ct_peer_link_encode(const struct ct_peer_message *message,
+                        GByteArray *out);
+/* Sends encoded frames. Errors: CT_ERR_PEER_GONE. */
+int ct_peer_link_send(struct ct_peer_link *link, const GByteArray *encoded);
 
 const struct ct_name *ct_peer_link_peer(const struct ct_peer_link *link);
 bool ct_peer_link_is_up(const struct ct_peer_link *link);
--- a/shell/peer.c
+++ b/shell/peer.c
@@ -44,6 +44,8 @@
     struct ct_table rows;
     /* All links, in any state. */
     GPtrArray *links;
+    /* Frame of the last message, which may go to further hosts. */
+    GByteArray *encoded;
 };
 
 static struct ct_peers *
@@ -365,18 +367,32 @@
     }
 }
 
+/* Encodes the message of an effect; on failure nothing is there to be sent. */
+static int
+encode_message(struct ct_peers *peers, const struct ct_effect *effect)
+{
+    struct ct_peer_message message = effect->u.peer.message;
+
+    message.rows = effect->rows;
+    g_byte_array_set_size(peers->encoded, 0);
+    return ct_peer_link_encode(&message, peers->encoded);
+}
+
 static void
 send_message(struct ct_peers *peers, const struct ct_effect *effect)
 {
     const struct peer_row *row = find_row(peers, &effect->u.peer.peer, NULL);
-    struct ct_peer_message message = effect->u.peer.message;
-    int err;
+    int err = CT_OK;
 
+    if (!effect->u.peer.repeats) {
+        err = encode_message(peers, effect);
+    }
     if (!row || !row->link) {
         return;
     }
-    message.rows = effect->rows;
-    err = ct_peer_link_send(row->link, &message);
+    if (err == CT_OK && peers->encoded->len > 0) {
+        err = ct_peer_link_send(row->link, peers->encoded);
+    }
     if (err < 0) {
         g_info("dropped a message to %s: %s", row->conf.name.text,
                ct_err_name(err));
@@ -413,6 +429,7 @@
         ct_peer_link_free(g_ptr_array_index(peers->links, i));
     }
     g_ptr_array_free(peers->links, TRUE);
+    g_byte_array_free(peers->encoded, TRUE);
     ct_table_free(&peers->rows);
     g_free(peers);
 }
@@ -447,6 +464,7 @@
     peers->fallback_delay_ms = options->fallback_delay_ms;
     peers->keep_accepted_links = options->keep_accepted_links;
     peers->links = g_ptr_array_new();
+    peers->encoded = g_byte_array_new();
     ct_table_init(&peers->rows, sizeof(struct peer_row), 0, clear_row);
     ev_io_init(&peers->acceptor, on_accept, peers->listener, EV_READ);
     ev_timer_init(&peers->pause, on_pause_over, 0, 0);
--- a/t/test-peer-link.c
+++ b/t/test-peer-link.c
@@ -363,6 +363,54 @@
     node_free(&b);
 }
 
+/*
+ * A message that goes to several hosts is encoded once. It must not be sent
+ * in place of one that is different, or instead of one that failed.
+ */
+static void
+test_repeated_message(void)
+{
+    struct ct_effect effect = {.type = CT_EFFECT_SEND_PEER_MESSAGE};
+    struct ct_executor *executor;
+    struct node a;
+    struct node b;
+
+    node_init_patient(&a, "a", "secret", "127.0.0.1:0", PATIENT_MS);
+    node_init_patient(&b, "b", "secret", "127.0.0.1:0", PATIENT_MS);
+    node_set_peer(&a, "b", ct_peers_port(b.peers));
+    wait_for(&a, &b, &a, CT_EVENT_PEER_UP, 1);
+    wait_for(&a, &b, &b, CT_EVENT_PEER_UP, 1);
+    executor = ct_peers_executor(a.peers);
+    effect.u.peer.message.type = CT_PEER_TALLY_DONE;
+    effect.u.peer.message.u.sequence = 1;
+    /* The first recipient has no link. */
+    CT_TEXT_SET(effect.u.peer.peer, "c");
+    executor->ops->run(executor, &effect);
+    CT_TEXT_SET(effect.u.peer.peer, "b");
+    effect.u.peer.repeats = true;
+    executor->ops->run(executor, &effect);
+    wait_for(&a, &b, &b, CT_EVENT_PEER_MESSAGE, 1);
+    g_assert_cmpuint(script_last(b.script, CT_EVENT_PEER_MESSAGE)
+                         ->u.peer.message.u.sequence,
+                     ==, 1);
+    /* A message that cannot be encoded is not replaced by the last one. */
+    effect.u.peer.repeats = false;
+    effect.u.peer.message.type = 0;
+    executor->ops->run(executor, &effect);
+    effect.u.peer.repeats = true;
+    executor->ops->run(executor, &effect);
+    effect.u.peer.repeats = false;
+    effect.u.peer.message.type = CT_PEER_TALLY_DONE;
+    effect.u.peer.message.u.sequence = 2;
+    executor->ops->run(executor, &effect);
+    wait_for(&a, &b, &b, CT_EVENT_PEER_MESSAGE, 2);
+    g_assert_cmpuint(script_last(b.script, CT_EVENT_PEER_MESSAGE)
+                         ->u.peer.message.u.sequence,
+                     ==, 2);
+    node_free(&a);
+    node_free(&b);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -390,5 +438,6 @@
         g_free(path);
     }
     g_test_add_func("/peer-link/oversize-message", test_oversize_message);
+    g_test_add_func("/peer-link/repeated-message", test_repeated_message);
     return g_test_run();
 }
