wire: messages for load shared between hosts

A row of a report is the number of an upstream in the sender's list and the calls in flight there; the list is sent once. Rows are mapped to packed columns of differences, which take 2 bytes a row in place of 8 or more with a message for each row: the numbers are in order and the loads alike. Decoding rejects columns of different lengths and values outside 32 bits.

--- a/core/peer-message.h
+++ b/core/peer-message.h
@@ -42,6 +42,63 @@
      */
     CT_PEER_TALLY,
     CT_PEER_TALLY_DONE,
+    /*
+     * The calls that the sender has in flight at each upstream, with those of
+     * its followers if it has any. rows: struct ct_load_row, not zero, in the
+     * order of their numbers
+     */
+    CT_PEER_LOAD,
+    /* The same of all hosts that a source knows of, for its followers. */
+    CT_PEER_LOAD_SUM,
+    /*
+     * The sender's list of upstreams, to whose numbers the rows of the other
+     * two refer. rows: struct ct_load_list_row
+     */
+    CT_PEER_LOAD_LIST,
+};
+
+/* Calls in flight at one upstream. */
+struct ct_load_row {
+    /* Number in the sender's list of upstreams. */
+    uint32_t number;
+    uint32_t in_flight;
+};
+
+struct ct_load_list_row {
+    /* name_hash of the upstream's row, the same on all hosts. */
+    uint64_t upstream_hash;
+};
+
+struct ct_peer_load {
+    /* Increases with each message of the process. */
+    uint32_t sequence;
+    uint32_t list_version;
+    /* Hosts whose calls are included, and the mean age of their counts. */
+    uint32_t hosts;
+    ct_ms age_ms;
+    /* The sender follows the receiver. */
+    bool follows;
+};
+
+/* Followers whose reports a sum can name. */
+#define CT_LOAD_REPORTERS_MAX 32
+
+struct ct_peer_load_sum {
+    struct ct_peer_load load;
+    /*
+     * Followers whose reports are included, as the low half of ct_name_hash(),
+     * 0 for none, and the sequence number of each report, so that a follower
+     * can subtract its own calls.
+     */
+    uint32_t reporters[CT_LOAD_REPORTERS_MAX];
+    uint32_t reported[CT_LOAD_REPORTERS_MAX];
+};
+
+/* Part of a list of upstreams, from a number on. */
+struct ct_peer_load_list {
+    /* Changes when upstreams get other numbers. */
+    uint32_t version;
+    uint32_t first;
 };
 
 /* Demand for and use of one pool at the sender, for sharing its slots. */
@@ -115,6 +172,9 @@
         struct ct_tally tally;
         /* CT_PEER_TALLY_DONE: sequence number of the tally. */
         uint64_t sequence;
+        struct ct_peer_load load;
+        struct ct_peer_load_sum load_sum;
+        struct ct_peer_load_list load_list;
     } u;
     struct ct_rows rows;
 };
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -12,6 +12,34 @@
 static struct ct_store_upstream entry;
 static struct ct_member members[2];
 static struct ct_tally_row tally_rows[2];
+/* Numbers that are not in order, and the greatest differences of counts. */
+static const struct ct_load_row load_rows[] = {
+    {3, 0}, {4, UINT32_MAX}, {600, 0}, {1, 7}};
+static const struct ct_load_list_row load_list[] = {{0}, {UINT64_MAX}, {42}};
+
+static void
+fill_load_message(struct ct_peer_message *m)
+{
+    m->rows = CT_ROWS(load_rows, G_N_ELEMENTS(load_rows));
+    switch (m->type) {
+    case CT_PEER_LOAD:
+        m->u.load = (struct ct_peer_load){
+            .sequence = 7, .list_version = 2, .hosts = 3, .age_ms = 450};
+        m->u.load.follows = true;
+        break;
+    case CT_PEER_LOAD_SUM:
+        m->u.load_sum.load.hosts = 83;
+        m->u.load_sum.reporters[CT_LOAD_REPORTERS_MAX - 1] = UINT32_MAX;
+        m->u.load_sum.reported[CT_LOAD_REPORTERS_MAX - 1] = 9;
+        break;
+    case CT_PEER_LOAD_LIST:
+        m->u.load_list = (struct ct_peer_load_list){2, 40};
+        m->rows = CT_ROWS(load_list, G_N_ELEMENTS(load_list));
+        break;
+    default:
+        break;
+    }
+}
 
 static void
 fill_message(struct ct_peer_message *m, enum ct_peer_message_type type)
@@ -97,6 +125,11 @@
     case CT_PEER_TALLY_DONE:
         m->u.sequence = 4;
         break;
+    case CT_PEER_LOAD:
+    case CT_PEER_LOAD_SUM:
+    case CT_PEER_LOAD_LIST:
+        fill_load_message(m);
+        break;
     case CT_PEER_STATE_REQUEST:
         break;
     }
@@ -121,7 +154,7 @@
     else {
         fill_message(&f->u.message, i - 1);
     }
-    return i - 1 <= CT_PEER_TALLY_DONE;
+    return i - 1 <= CT_PEER_LOAD_LIST;
 }
 
 static void
@@ -201,6 +234,10 @@
         {"hello without a nonce", "\x0a\x04\x0a\x02h1", 6},
         {"proof without a digest", "\x12\x00", 2},
         {"not protobuf", "\xff\xff\xff\xff", 4},
+        {"load with a number but no count",
+         "\x1a\x09\x08\x12\x9a\x01\x00\xb2\x01\x01\x02", 11},
+        {"load with a count below zero",
+         "\x1a\x0d\x08\x12\x9a\x01\x00\xb2\x01\x01\x02\xba\x01\x01\x01", 15},
     };
     struct ct_decoded_peer_frame decoded;
 
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -727,6 +727,141 @@
   assert(message->base.descriptor == &ct__snapshot_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ct__load__init
+                     (Ct__Load         *message)
+{
+  static const Ct__Load init_value = CT__LOAD__INIT;
+  *message = init_value;
+}
+size_t ct__load__get_packed_size
+                     (const Ct__Load *message)
+{
+  assert(message->base.descriptor == &ct__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__load__pack
+                     (const Ct__Load *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__load__pack_to_buffer
+                     (const Ct__Load *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__Load *
+       ct__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__Load *)
+     protobuf_c_message_unpack (&ct__load__descriptor,
+                                allocator, len, data);
+}
+void   ct__load__free_unpacked
+                     (Ct__Load *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ct__load_sum__init
+                     (Ct__LoadSum         *message)
+{
+  static const Ct__LoadSum init_value = CT__LOAD_SUM__INIT;
+  *message = init_value;
+}
+size_t ct__load_sum__get_packed_size
+                     (const Ct__LoadSum *message)
+{
+  assert(message->base.descriptor == &ct__load_sum__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__load_sum__pack
+                     (const Ct__LoadSum *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__load_sum__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__load_sum__pack_to_buffer
+                     (const Ct__LoadSum *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__load_sum__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__LoadSum *
+       ct__load_sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__LoadSum *)
+     protobuf_c_message_unpack (&ct__load_sum__descriptor,
+                                allocator, len, data);
+}
+void   ct__load_sum__free_unpacked
+                     (Ct__LoadSum *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__load_sum__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ct__load_list__init
+                     (Ct__LoadList         *message)
+{
+  static const Ct__LoadList init_value = CT__LOAD_LIST__INIT;
+  *message = init_value;
+}
+size_t ct__load_list__get_packed_size
+                     (const Ct__LoadList *message)
+{
+  assert(message->base.descriptor == &ct__load_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__load_list__pack
+                     (const Ct__LoadList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__load_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__load_list__pack_to_buffer
+                     (const Ct__LoadList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__load_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__LoadList *
+       ct__load_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__LoadList *)
+     protobuf_c_message_unpack (&ct__load_list__descriptor,
+                                allocator, len, data);
+}
+void   ct__load_list__free_unpacked
+                     (Ct__LoadList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__load_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ct__log_record__init
                      (Ct__LogRecord         *message)
 {
@@ -3232,6 +3367,250 @@
   (ProtobufCMessageInit) ct__snapshot_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ct__load__field_descriptors[5] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, list_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "follows",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__load__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = follows */
+  2,   /* field[2] = hosts */
+  1,   /* field[1] = list_version */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange ct__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ct__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Load",
+  "Load",
+  "Ct__Load",
+  "ct",
+  sizeof(Ct__Load),
+  5,
+  ct__load__field_descriptors,
+  ct__load__field_indices_by_name,
+  1,  ct__load__number_ranges,
+  (ProtobufCMessageInit) ct__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__load_sum__field_descriptors[6] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadSum, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadSum, list_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadSum, hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadSum, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reporters",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__LoadSum, n_reporters),
+    offsetof(Ct__LoadSum, reporters),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reported",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__LoadSum, n_reported),
+    offsetof(Ct__LoadSum, reported),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__load_sum__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = hosts */
+  1,   /* field[1] = list_version */
+  5,   /* field[5] = reported */
+  4,   /* field[4] = reporters */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange ct__load_sum__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ct__load_sum__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.LoadSum",
+  "LoadSum",
+  "Ct__LoadSum",
+  "ct",
+  sizeof(Ct__LoadSum),
+  6,
+  ct__load_sum__field_descriptors,
+  ct__load_sum__field_indices_by_name,
+  1,  ct__load_sum__number_ranges,
+  (ProtobufCMessageInit) ct__load_sum__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__load_list__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadList, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadList, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__load_list__field_indices_by_name[] = {
+  1,   /* field[1] = first */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange ct__load_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ct__load_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.LoadList",
+  "LoadList",
+  "Ct__LoadList",
+  "ct",
+  sizeof(Ct__LoadList),
+  2,
+  ct__load_list__field_descriptors,
+  ct__load_list__field_indices_by_name,
+  1,  ct__load_list__number_ranges,
+  (ProtobufCMessageInit) ct__load_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ct__log_record__field_descriptors[14] =
 {
   {
@@ -4311,7 +4690,7 @@
   (ProtobufCMessageInit) ct__tally_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[24] =
 {
   {
     "type",
@@ -4529,12 +4908,90 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PeerMessage, load),
+    &ct__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_sum",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PeerMessage, load_sum),
+    &ct__load_sum__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_list",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PeerMessage, load_list),
+    &ct__load_list__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_numbers",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Ct__PeerMessage, n_load_numbers),
+    offsetof(Ct__PeerMessage, load_numbers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_counts",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Ct__PeerMessage, n_load_counts),
+    offsetof(Ct__PeerMessage, load_counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_hashes",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ct__PeerMessage, n_load_hashes),
+    offsetof(Ct__PeerMessage, load_hashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__peer_message__field_indices_by_name[] = {
   3,   /* field[3] = digest */
   11,   /* field[11] = feed_ask */
   12,   /* field[12] = feed_news */
   2,   /* field[2] = heartbeat */
+  18,   /* field[18] = load */
+  22,   /* field[22] = load_counts */
+  23,   /* field[23] = load_hashes */
+  20,   /* field[20] = load_list */
+  21,   /* field[21] = load_numbers */
+  19,   /* field[19] = load_sum */
   14,   /* field[14] = members */
   8,   /* field[8] = refusal_rows */
   5,   /* field[5] = request_id */
@@ -4553,7 +5010,7 @@
 static const ProtobufCIntRange ct__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor ct__peer_message__descriptor =
 {
@@ -4563,7 +5020,7 @@
   "Ct__PeerMessage",
   "ct",
   sizeof(Ct__PeerMessage),
-  18,
+  24,
   ct__peer_message__field_descriptors,
   ct__peer_message__field_indices_by_name,
   1,  ct__peer_message__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -31,6 +31,9 @@
 typedef struct Ct__Order Ct__Order;
 typedef struct Ct__RefusalRow Ct__RefusalRow;
 typedef struct Ct__SnapshotRow Ct__SnapshotRow;
+typedef struct Ct__Load Ct__Load;
+typedef struct Ct__LoadSum Ct__LoadSum;
+typedef struct Ct__LoadList Ct__LoadList;
 typedef struct Ct__LogRecord Ct__LogRecord;
 typedef struct Ct__ShareRow Ct__ShareRow;
 typedef struct Ct__Heartbeat Ct__Heartbeat;
@@ -338,6 +341,48 @@
     , 0, CT__SNAPSHOT_ROW__ROW__NOT_SET, {0} }
 
 
+struct  Ct__Load
+{
+  ProtobufCMessage base;
+  uint32_t sequence;
+  uint32_t list_version;
+  uint32_t hosts;
+  int64_t age_ms;
+  protobuf_c_boolean follows;
+};
+#define CT__LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__load__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Ct__LoadSum
+{
+  ProtobufCMessage base;
+  uint32_t sequence;
+  uint32_t list_version;
+  uint32_t hosts;
+  int64_t age_ms;
+  size_t n_reporters;
+  uint32_t *reporters;
+  size_t n_reported;
+  uint32_t *reported;
+};
+#define CT__LOAD_SUM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__load_sum__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Ct__LoadList
+{
+  ProtobufCMessage base;
+  uint32_t version;
+  uint32_t first;
+};
+#define CT__LOAD_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__load_list__descriptor) \
+    , 0, 0 }
+
+
 /*
  * The type decides which body and which rows are there.
  */
@@ -552,10 +597,23 @@
   size_t n_tally_rows;
   Ct__TallyRow **tally_rows;
   Ct__TallyDone *tally_done;
+  Ct__Load *load;
+  Ct__LoadSum *load_sum;
+  Ct__LoadList *load_list;
+  /*
+   * Columns of the rows of Load and LoadSum; each value is the difference to
+   * the one before, which is small in both.
+   */
+  size_t n_load_numbers;
+  int64_t *load_numbers;
+  size_t n_load_counts;
+  int64_t *load_counts;
+  size_t n_load_hashes;
+  uint64_t *load_hashes;
 };
 #define CT__PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__peer_message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Ct__Hello
@@ -910,6 +968,63 @@
 void   ct__snapshot_row__free_unpacked
                      (Ct__SnapshotRow *message,
                       ProtobufCAllocator *allocator);
+/* Ct__Load methods */
+void   ct__load__init
+                     (Ct__Load         *message);
+size_t ct__load__get_packed_size
+                     (const Ct__Load   *message);
+size_t ct__load__pack
+                     (const Ct__Load   *message,
+                      uint8_t             *out);
+size_t ct__load__pack_to_buffer
+                     (const Ct__Load   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__Load *
+       ct__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__load__free_unpacked
+                     (Ct__Load *message,
+                      ProtobufCAllocator *allocator);
+/* Ct__LoadSum methods */
+void   ct__load_sum__init
+                     (Ct__LoadSum         *message);
+size_t ct__load_sum__get_packed_size
+                     (const Ct__LoadSum   *message);
+size_t ct__load_sum__pack
+                     (const Ct__LoadSum   *message,
+                      uint8_t             *out);
+size_t ct__load_sum__pack_to_buffer
+                     (const Ct__LoadSum   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__LoadSum *
+       ct__load_sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__load_sum__free_unpacked
+                     (Ct__LoadSum *message,
+                      ProtobufCAllocator *allocator);
+/* Ct__LoadList methods */
+void   ct__load_list__init
+                     (Ct__LoadList         *message);
+size_t ct__load_list__get_packed_size
+                     (const Ct__LoadList   *message);
+size_t ct__load_list__pack
+                     (const Ct__LoadList   *message,
+                      uint8_t             *out);
+size_t ct__load_list__pack_to_buffer
+                     (const Ct__LoadList   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__LoadList *
+       ct__load_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__load_list__free_unpacked
+                     (Ct__LoadList *message,
+                      ProtobufCAllocator *allocator);
 /* Ct__LogRecord methods */
 void   ct__log_record__init
                      (Ct__LogRecord         *message);
@@ -1283,6 +1398,15 @@
 typedef void (*Ct__SnapshotRow_Closure)
                  (const Ct__SnapshotRow *message,
                   void *closure_data);
+typedef void (*Ct__Load_Closure)
+                 (const Ct__Load *message,
+                  void *closure_data);
+typedef void (*Ct__LoadSum_Closure)
+                 (const Ct__LoadSum *message,
+                  void *closure_data);
+typedef void (*Ct__LoadList_Closure)
+                 (const Ct__LoadList *message,
+                  void *closure_data);
 typedef void (*Ct__LogRecord_Closure)
                  (const Ct__LogRecord *message,
                   void *closure_data);
@@ -1356,6 +1480,9 @@
 extern const ProtobufCMessageDescriptor ct__order__descriptor;
 extern const ProtobufCMessageDescriptor ct__refusal_row__descriptor;
 extern const ProtobufCMessageDescriptor ct__snapshot_row__descriptor;
+extern const ProtobufCMessageDescriptor ct__load__descriptor;
+extern const ProtobufCMessageDescriptor ct__load_sum__descriptor;
+extern const ProtobufCMessageDescriptor ct__load_list__descriptor;
 extern const ProtobufCMessageDescriptor ct__log_record__descriptor;
 extern const ProtobufCMessageDescriptor ct__share_row__descriptor;
 extern const ProtobufCMessageDescriptor ct__heartbeat__descriptor;
--- a/wire/message-map.c
+++ b/wire/message-map.c
@@ -110,6 +110,77 @@
     return CT_OK;
 }
 
+/* Layouts of the repeated fields of columns in protobuf-c. */
+struct wire_i64s {
+    size_t n;
+    int64_t *items;
+};
+
+struct wire_u64s {
+    size_t n;
+    uint64_t *items;
+};
+
+static int
+u32_column_to_wire(struct ct_arena *arena, const struct ct_rows *rows,
+                   const uint8_t *core, struct wire_i64s *wire)
+{
+    int64_t before = 0;
+    uint32_t value;
+
+    wire->items = ct_arena_alloc(arena, rows->n * sizeof(*wire->items));
+    if (!wire->items) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (; wire->n < rows->n; wire->n++) {
+        memcpy(&value, core, sizeof(value));
+        wire->items[wire->n] = value - before;
+        before = value;
+        core += rows->row_size;
+    }
+    return CT_OK;
+}
+
+static int
+u64_column_to_wire(struct ct_arena *arena, const struct ct_rows *rows,
+                   const uint8_t *core, struct wire_u64s *wire)
+{
+    wire->items = ct_arena_alloc(arena, rows->n * sizeof(*wire->items));
+    if (!wire->items) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (; wire->n < rows->n; wire->n++) {
+        memcpy(&wire->items[wire->n], core, sizeof(*wire->items));
+        core += rows->row_size;
+    }
+    return CT_OK;
+}
+
+static int
+columns_to_wire(struct ct_arena *arena, const struct ct_map_columns *columns,
+                const struct ct_rows *rows, uint8_t *wire)
+{
+    int err = CT_OK;
+
+    if (rows->n == 0) {
+        return CT_OK;
+    }
+    if (rows->row_size != columns->core_size) {
+        return CT_ERR_INVALID;
+    }
+    for (uint32_t i = 0; i < columns->n && err == CT_OK; i++) {
+        const struct ct_map_column *column = &columns->items[i];
+        const uint8_t *core =
+            (const uint8_t *)rows->data + column->core_offset;
+        void *field = wire + column->wire_offset;
+
+        err = column->kind == CT_MAP_COLUMN_U32
+                  ? u32_column_to_wire(arena, rows, core, field)
+                  : u64_column_to_wire(arena, rows, core, field);
+    }
+    return err;
+}
+
 static int
 variant_to_wire(struct ct_arena *arena, const struct ct_map *map,
                 const uint8_t *core, uint8_t *wire)
@@ -134,6 +205,11 @@
         }
         *(ProtobufCMessage **)(wire + variant->body_wire_offset) = body;
     }
+    if (variant->columns) {
+        return columns_to_wire(
+            arena, variant->columns,
+            (const void *)(core + variants->core_rows_offset), wire);
+    }
     if (variant->rows) {
         return rows_to_wire(arena, variant->rows,
                             (const void *)(core + variants->core_rows_offset),
@@ -297,6 +373,74 @@
     return CT_OK;
 }
 
+static int
+u32_column_from_wire(const struct wire_i64s *wire, uint8_t *core,
+                     size_t row_size)
+{
+    int64_t value = 0;
+
+    for (size_t i = 0; i < wire->n; i++) {
+        int64_t difference = wire->items[i];
+        uint32_t item;
+
+        if (difference < -value || difference > UINT32_MAX - value) {
+            return CT_ERR_DECODE;
+        }
+        value += difference;
+        item = (uint32_t)value;
+        memcpy(core, &item, sizeof(item));
+        core += row_size;
+    }
+    return CT_OK;
+}
+
+static int
+u64_column_from_wire(const struct wire_u64s *wire, uint8_t *core,
+                     size_t row_size)
+{
+    for (size_t i = 0; i < wire->n; i++) {
+        memcpy(core, &wire->items[i], sizeof(wire->items[i]));
+        core += row_size;
+    }
+    return CT_OK;
+}
+
+static int
+columns_from_wire(struct ct_arena *arena, const struct ct_map_columns *columns,
+                  const uint8_t *wire, struct ct_rows *rows)
+{
+    uint8_t *data;
+    size_t n;
+    int err = CT_OK;
+
+    /* The count of a repeated field is its first member. */
+    memcpy(&n, wire + columns->items[0].wire_offset, sizeof(n));
+    if (n == 0) {
+        return CT_OK;
+    }
+    data = ct_arena_alloc(arena, n * columns->core_size);
+    if (!data) {
+        return CT_ERR_DECODE;
+    }
+    *rows = (struct ct_rows){data, (uint32_t)n, (uint32_t)columns->core_size};
+    for (uint32_t i = 0; i < columns->n && err == CT_OK; i++) {
+        const struct ct_map_column *column = &columns->items[i];
+        const void *field = wire + column->wire_offset;
+        size_t column_n;
+
+        memcpy(&column_n, field, sizeof(column_n));
+        if (column_n != n) {
+            return CT_ERR_DECODE;
+        }
+        err = column->kind == CT_MAP_COLUMN_U32
+                  ? u32_column_from_wire(field, data + column->core_offset,
+                                         columns->core_size)
+                  : u64_column_from_wire(field, data + column->core_offset,
+                                         columns->core_size);
+    }
+    return err;
+}
+
 static int
 variant_from_wire(struct ct_arena *arena, const struct ct_map *map,
                   const uint8_t *wire, uint8_t *core)
@@ -324,6 +468,10 @@
             return err;
         }
     }
+    if (variant->columns) {
+        return columns_from_wire(arena, variant->columns, wire,
+                                 (void *)(core + variants->core_rows_offset));
+    }
     if (variant->rows) {
         return rows_from_wire(arena, variant->rows,
                               (const void *)(wire + variant->rows_wire_offset),
--- a/wire/message-map.h
+++ b/wire/message-map.h
@@ -40,6 +40,31 @@
 
 struct ct_map;
 
+enum ct_map_column_kind {
+    /*
+     * uint32_t, as repeated sint64: each value is the difference to the one
+     * before.
+     */
+    CT_MAP_COLUMN_U32 = 1,
+    /* uint64_t, as repeated fixed64. */
+    CT_MAP_COLUMN_U64,
+};
+
+/* A member of all rows, mapped to one packed repeated field. */
+struct ct_map_column {
+    enum ct_map_column_kind kind;
+    /* Offset of the count; the pointer to the values follows it. */
+    size_t wire_offset;
+    size_t core_offset;
+};
+
+/* Rows by columns, which take less space than one message for each row. */
+struct ct_map_columns {
+    size_t core_size;
+    uint32_t n;
+    const struct ct_map_column *items;
+};
+
 /* Contents of a message for one value of its type. */
 struct ct_map_variant {
     /* Map of the embedded struct; NULL if there is none. */
@@ -50,6 +75,8 @@
     const struct ct_map *rows;
     /* Offset of the count; the pointer to the rows follows it. */
     size_t rows_wire_offset;
+    /* Columns of the rows, in place of a map; NULL if there are none. */
+    const struct ct_map_columns *columns;
 };
 
 /* The variants of a message, indexed by the value of its type. */
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -4,6 +4,9 @@
 #include "error.h"
 #include "row-maps.h"
 
+/* Hosts that a load report may claim to include. */
+#define LOAD_HOSTS_MAX 65536
+
 static const struct ct_map_field heartbeat_fields[] = {
     CT_MAP_F_OFFSET(Heartbeat, peer_heartbeat, applied_offset),
     CT_MAP_F_OFFSET(Heartbeat, peer_heartbeat, known_head),
@@ -140,6 +143,64 @@
     &ct__tally_done__descriptor, sizeof(uint64_t),
     CT_MAP_COUNT(tally_done_fields), tally_done_fields, NULL};
 
+static const struct ct_map_field load_fields[] = {
+    CT_MAP_F_U32(Load, peer_load, sequence, 0, UINT32_MAX),
+    CT_MAP_F_U32(Load, peer_load, list_version, 0, UINT32_MAX),
+    CT_MAP_F_U32(Load, peer_load, hosts, 0, LOAD_HOSTS_MAX),
+    CT_MAP_F_I64(Load, peer_load, age_ms, 0, CT_MAP_MS_MAX),
+    CT_MAP_F_BOOL(Load, peer_load, follows),
+};
+static const struct ct_map load_map = {
+    &ct__load__descriptor, sizeof(struct ct_peer_load),
+    CT_MAP_COUNT(load_fields), load_fields, NULL};
+
+/* Offsets of a field of the struct ct_peer_load in a sum. */
+#define LOAD_OFFSETS(f)                                                       \
+    offsetof(Ct__LoadSum, f), offsetof(struct ct_peer_load_sum, load.f)
+#define REPORTER_FIELD(f)                                                     \
+    {                                                                         \
+        CT_MAP_U32_ARRAY, offsetof(Ct__LoadSum, n_##f),                       \
+            offsetof(struct ct_peer_load_sum, f), CT_LOAD_REPORTERS_MAX, 0, 0 \
+    }
+
+static const struct ct_map_field load_sum_fields[] = {
+    {CT_MAP_U32, LOAD_OFFSETS(sequence), 0, 0, UINT32_MAX},
+    {CT_MAP_U32, LOAD_OFFSETS(list_version), 0, 0, UINT32_MAX},
+    {CT_MAP_U32, LOAD_OFFSETS(hosts), 0, 0, LOAD_HOSTS_MAX},
+    {CT_MAP_I64, LOAD_OFFSETS(age_ms), 0, 0, CT_MAP_MS_MAX},
+    REPORTER_FIELD(reporters),
+    REPORTER_FIELD(reported),
+};
+static const struct ct_map load_sum_map = {
+    &ct__load_sum__descriptor, sizeof(struct ct_peer_load_sum),
+    CT_MAP_COUNT(load_sum_fields), load_sum_fields, NULL};
+
+static const struct ct_map_column load_columns_items[] = {
+    {CT_MAP_COLUMN_U32, offsetof(Ct__PeerMessage, n_load_numbers),
+     offsetof(struct ct_load_row, number)},
+    {CT_MAP_COLUMN_U32, offsetof(Ct__PeerMessage, n_load_counts),
+     offsetof(struct ct_load_row, in_flight)},
+};
+static const struct ct_map_columns load_columns = {
+    sizeof(struct ct_load_row), CT_MAP_COUNT(load_columns_items),
+    load_columns_items};
+
+static const struct ct_map_field load_list_fields[] = {
+    CT_MAP_F_U32(LoadList, peer_load_list, version, 0, UINT32_MAX),
+    CT_MAP_F_U32(LoadList, peer_load_list, first, 0, UINT32_MAX),
+};
+static const struct ct_map load_list_map = {
+    &ct__load_list__descriptor, sizeof(struct ct_peer_load_list),
+    CT_MAP_COUNT(load_list_fields), load_list_fields, NULL};
+
+static const struct ct_map_column load_list_columns_items[] = {
+    {CT_MAP_COLUMN_U64, offsetof(Ct__PeerMessage, n_load_hashes),
+     offsetof(struct ct_load_list_row, upstream_hash)},
+};
+static const struct ct_map_columns load_list_columns = {
+    sizeof(struct ct_load_list_row), CT_MAP_COUNT(load_list_columns_items),
+    load_list_columns_items};
+
 #define BODY(map, wire_member, member)                                        \
     .body = &(map),                                                           \
     .body_wire_offset = offsetof(Ct__PeerMessage, wire_member),               \
@@ -169,6 +230,11 @@
     [CT_PEER_TALLY] = {BODY(tally_map, tally, tally),
                        ROWS(tally_row_map, tally_rows)},
     [CT_PEER_TALLY_DONE] = {BODY(tally_done_map, tally_done, sequence)},
+    [CT_PEER_LOAD] = {BODY(load_map, load, load), .columns = &load_columns},
+    [CT_PEER_LOAD_SUM] = {BODY(load_sum_map, load_sum, load_sum),
+                          .columns = &load_columns},
+    [CT_PEER_LOAD_LIST] = {BODY(load_list_map, load_list, load_list),
+                           .columns = &load_list_columns},
 };
 
 static const struct ct_map_variants message_variants = {
