--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -63,6 +63,7 @@
     {"store", CT_SCHEMA_ADDRESS, REQUIRED, AT(relay_settings, store)},
     {"duties", CT_SCHEMA_ADDRESS, OPTIONAL, AT(relay_settings, duties)},
     {"first_start", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, first_start)},
+    {"share_load", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, share_load)},
     {"max_connections", CT_SCHEMA_U32, OPTIONAL,
      AT(relay_settings, max_connections), 1, 1000000,
      .fallback = DEFAULT_MAX_CONNECTIONS},
--- a/conf/relay-settings.h
+++ b/conf/relay-settings.h
@@ -31,6 +31,8 @@
     uint32_t max_connections;
     /* The deployment is started for the first time; it has no callers yet. */
     bool first_start;
+    /* The hosts report to each other how many calls they send where. */
+    bool share_load;
     struct ct_bounds bounds;
 };
 
--- a/core/replication.c
+++ b/core/replication.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "error.h"
+#include "source-links.h"
 #include "state.h"
 
 /* Interval between update requests to the source. */
@@ -11,10 +12,6 @@
 #define FOLLOWER_TIMEOUT_MS (3 * REQUEST_PERIOD_MS)
 /* A source that went stale is not chosen again for this long. */
 #define SOURCE_AVOID_MS 10000
-/* In an availability zone with fewer hosts every host reads the store. */
-#define ZONE_HOSTS_MIN 4
-/* Number of hosts in an availability zone for each host that reads. */
-#define HOSTS_PER_SOURCE 16
 /*
  * Share of the bound on leaving upstreams after which updates are stale: the
  * rest of the bound has to suffice for a read of the store.
@@ -36,11 +33,13 @@
                   sizeof(struct ct_replication_avoided_source), 0, NULL);
     replication->entries =
         g_array_new(FALSE, FALSE, sizeof(struct ct_store_upstream));
+    replication->links = g_array_new(FALSE, FALSE, sizeof(struct ct_host));
 }
 
 void
 ct_replication_free(struct ct_replication *replication)
 {
+    g_array_free(replication->links, TRUE);
     g_array_free(replication->entries, TRUE);
     ct_table_free(&replication->followers);
     ct_table_free(&replication->avoided);
@@ -153,44 +152,6 @@
 
 /* Source selection. */
 
-static gint
-compare_host_names(gconstpointer a, gconstpointer b)
-{
-    const struct ct_member *const *first = a;
-    const struct ct_member *const *second = b;
-
-    return strcmp((*first)->host.text, (*second)->host.text);
-}
-
-/*
- * Returns the members of this host's availability zone by name. *self is set
- * to the index of this host, or to -1 if it is not among them.
- */
-static GPtrArray *
-zone_members(const struct ct_state *state, int *self)
-{
-    GPtrArray *members = g_ptr_array_new();
-    const struct ct_group_row *row;
-    uint32_t cursor = 0;
-
-    while ((row = ct_table_next(&state->group.rows, &cursor, NULL))) {
-        if (row->missed_lists == 0 &&
-            ct_name_eq(&row->member.zone, &state->self.zone)) {
-            g_ptr_array_add(members, (gpointer)&row->member);
-        }
-    }
-    g_ptr_array_sort(members, compare_host_names);
-    *self = -1;
-    for (guint i = 0; i < members->len; i++) {
-        const struct ct_member *member = g_ptr_array_index(members, i);
-
-        if (ct_name_eq(&member->host, &state->self.host)) {
-            *self = (int)i;
-        }
-    }
-    return members;
-}
-
 /*
  * Returns the host to follow, or NULL if this host has to read the store. The
  * first hosts by name read the store. Every other host prefers one of them and
@@ -201,11 +162,10 @@
 static const struct ct_member *
 choose_source(const struct ct_state *state, const GPtrArray *members, int self)
 {
-    uint32_t n_sources =
-        (members->len + HOSTS_PER_SOURCE - 1) / HOSTS_PER_SOURCE;
+    uint32_t n_sources = ct_sources_in_zone(members->len);
     uint64_t hash = ct_name_hash(CT_HASH_SEED, &state->self.host);
 
-    if (members->len < ZONE_HOSTS_MIN || self < (int)n_sources) {
+    if (members->len < CT_ZONE_HOSTS_MIN || self < (int)n_sources) {
         return NULL;
     }
     for (uint32_t i = 0; i < (uint32_t)self; i++) {
@@ -220,14 +180,70 @@
     return NULL;
 }
 
+/*
+ * Returns the hosts to open links to, struct ct_host: the source, or for a
+ * host without one other sources to share load with.
+ */
+static GArray *
+wanted_links(const struct ct_state *state, const struct ct_member *source)
+{
+    GArray *links;
+    struct ct_host host;
+
+    if (source == NULL && state->self.share_load) {
+        return ct_source_links(state);
+    }
+    links = g_array_new(FALSE, FALSE, sizeof(struct ct_host));
+    if (source != NULL) {
+        memset(&host, 0, sizeof(host));
+        host.name = source->host;
+        host.zone = source->zone;
+        host.peer_address = source->peer_address;
+        g_array_append_val(links, host);
+    }
+    return links;
+}
+
+/* Takes ownership of the links. */
+static void
+set_links(struct ct_state *state, GArray *links)
+{
+    struct ct_effect *effect = ct_emit_effect(state, CT_EFFECT_SET_PEERS);
+    int err = ct_effect_set_rows(
+        state->out, effect,
+        CT_ROWS((const struct ct_host *)(const void *)links->data,
+                links->len));
+
+    if (err < 0) {
+        state->out->err = err;
+    }
+    g_array_free(state->replication.links, TRUE);
+    state->replication.links = links;
+}
+
+/* Follows changes of the other sources while this host has no source. */
+static void
+update_links(struct ct_state *state)
+{
+    const GArray *current = state->replication.links;
+    GArray *links = wanted_links(state, NULL);
+
+    if (links->len == current->len &&
+        (links->len == 0 ||
+         memcmp(links->data, current->data,
+                links->len * sizeof(struct ct_host)) == 0)) {
+        g_array_free(links, TRUE);
+        return;
+    }
+    set_links(state, links);
+}
+
 static void
 set_source(struct ct_state *state, const struct ct_member *member)
 {
     struct ct_replication *replication = &state->replication;
-    struct ct_effect *effect = ct_emit_effect(state, CT_EFFECT_SET_PEERS);
-    struct ct_host host;
-    int err;
 
+    set_links(state, wanted_links(state, member));
     memset(&replication->source, 0, sizeof(replication->source));
     replication->source_linked = false;
     replication->last_update_ms = 0;
@@ -237,14 +253,6 @@
         return;
     }
     replication->source = member->host;
-    memset(&host, 0, sizeof(host));
-    host.name = member->host;
-    host.zone = member->zone;
-    host.peer_address = member->peer_address;
-    err = ct_effect_set_rows(state->out, effect, CT_ROWS(&host, 1));
-    if (err < 0) {
-        state->out->err = err;
-    }
     ct_emit_log(state, CT_LOG_FEED_FOLLOWED, &member->host, NULL, 0);
 }
 
@@ -273,7 +281,7 @@
 {
     struct ct_replication *replication = &state->replication;
     int self;
-    GPtrArray *members = zone_members(state, &self);
+    GPtrArray *members = ct_zone_members(state, &state->self.zone, &self);
     const struct ct_member *member = ct_replication_has_followers(state)
                                          ? NULL
                                          : choose_source(state, members, self);
@@ -282,6 +290,9 @@
                        : has_chosen_source(replication)) {
         set_source(state, member);
     }
+    else if (member == NULL) {
+        update_links(state);
+    }
     g_ptr_array_free(members, TRUE);
 }
 
--- a/core/replication.h
+++ b/core/replication.h
@@ -40,6 +40,8 @@
     /* entries lacks some of the entries that were read. */
     bool entries_incomplete;
 
+    /* Hosts that this one opens links to, struct ct_host. */
+    GArray *links;
     /* The host that this one follows; the name is empty if there is none. */
     struct ct_name source;
     bool source_linked;
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -17,14 +17,16 @@
     t_relay_init_seeded(core, host, 1);
 }
 
-void
-t_relay_init_seeded(struct t_core *core, const char *host, uint64_t seed)
+static void
+init_host(struct t_core *core, const char *host, uint64_t seed,
+          bool share_load)
 {
     struct ct_event event = {.type = CT_EVENT_RELAY_HOST_STARTED};
     g_autofree char *writer = g_strconcat(host, "-1", NULL);
 
     t_core_init_named(core, host, writer);
     core->state->random = seed;
+    core->state->self.share_load = share_load;
     CT_TEXT_SET(event.u.relay_address, "10.0.0.1:80");
     core->state->self.bounds = (struct ct_bounds){
         .revoke_ms = 5000,
@@ -45,6 +47,18 @@
     t_core_post(core, &event);
 }
 
+void
+t_relay_init_seeded(struct t_core *core, const char *host, uint64_t seed)
+{
+    init_host(core, host, seed, false);
+}
+
+void
+t_relay_init_sharing(struct t_core *core, const char *host, uint64_t seed)
+{
+    init_host(core, host, seed, true);
+}
+
 static void
 add_route(GArray *rows, const char *prefix, const char *pool,
           enum ct_repeat repeat, bool stream)
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -25,6 +25,9 @@
 void t_relay_init_named(struct t_core *core, const char *host);
 /* The same for a host with another random sequence. */
 void t_relay_init_seeded(struct t_core *core, const char *host, uint64_t seed);
+/* The same for a host that shares its load. */
+void t_relay_init_sharing(struct t_core *core, const char *host,
+                          uint64_t seed);
 
 /*
  * Completes the pending store reads with this version of a configuration:
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -67,6 +67,10 @@
     g_assert_cmpint(load_with_line(9, "\"first_start\": true,", &settings), ==,
                     CT_OK);
     g_assert_true(settings.first_start);
+    g_assert_false(settings.share_load);
+    g_assert_cmpint(load_with_line(9, "\"share_load\": true,", &settings), ==,
+                    CT_OK);
+    g_assert_true(settings.share_load);
     g_assert_cmpint(load_with_line(0, NULL, &settings), ==, CT_OK);
     g_assert_cmpuint(settings.max_connections, ==, 2048);
 }
