core: share load between hosts

A host knew only its own calls in flight, which says almost nothing where it has hardly one at an upstream. Followers report theirs to their source every 500 ms; a source reports the sum of its own and its followers' to the other sources every second, and sends its followers the sum over all hosts every 500 ms with the number of each follower's report that it contains, so that a follower subtracts exactly the calls it counts itself. Reports of lost or frozen hosts expire after 3 s; without fresh sums a host uses its own counts. A follower sends its report just before the next sum.

--- a/core/counter.h
+++ b/core/counter.h
@@ -28,6 +28,9 @@
     X(NOTICES_LIMIT, "upstream_notices_limit_total")                          \
     X(NOTICES_PAUSE, "upstream_notices_pause_total")                          \
     X(NOTICES_LEAVING, "upstream_notices_leaving_total")                      \
+    X(LOAD_REPORTS, "load_reports_total")                                     \
+    X(LOAD_IGNORED, "load_reports_ignored_total")                             \
+    X(LOAD_EXPIRED, "load_reports_expired_total")                             \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
     X(LATE_EVENTS, "late_attempt_events_total")                               \
--- a/core/effect.h
+++ b/core/effect.h
@@ -244,7 +244,12 @@
     X(DUTY_TAKEN, 1831, INFO, "this host became the leader")                  \
     X(DUTY_LOST, 1832, INFO, "this host is no longer the leader")             \
     X(FEED_FOLLOWED, 1841, INFO, "following a source of store updates")       \
-    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")
+    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")         \
+    X(LOAD_KNOWN, 1871, INFO, "load of other hosts known")                    \
+    X(LOAD_UNKNOWN, 1872, WARNING, "load of other hosts unknown")             \
+    X(LOAD_PART_EXPIRED, 1873, INFO, "load report of a host expired")         \
+    X(LOAD_OUT_OF_ORDER, 1874, WARNING, "older load report ignored")          \
+    X(LOAD_UNREADABLE, 1875, WARNING, "load report without its list ignored")
 
 enum ct_log_event {
 #define X(name, number, level, text) CT_LOG_##name = (number),
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -106,6 +106,9 @@
     case CT_TIMER_QUARANTINE:
         ct_quarantine_sync_on_timer(state);
         return;
+    case CT_TIMER_LOAD:
+        ct_load_sharing_on_timer(state);
+        return;
     case CT_TIMER_HEARTBEAT:
         ct_peer_status_on_timer(state);
         ct_withdrawals_on_heartbeat(state);
@@ -217,6 +220,11 @@
     case CT_PEER_MEMBERS_UPDATE:
         ct_replication_on_members_update(state, message);
         return;
+    case CT_PEER_LOAD:
+    case CT_PEER_LOAD_SUM:
+    case CT_PEER_LOAD_LIST:
+        ct_load_sharing_on_message(state, message);
+        return;
     default:
         if (ct_peer_status_on_message(state, message)) {
             on_message_of_known_peer(state, message);
@@ -313,6 +321,7 @@
 {
     if (state->relaying) {
         ct_replication_on_link(state, peer, up);
+        ct_load_sharing_on_link(state, peer, up);
         return;
     }
     if (up) {
--- a/core/relay-host.c
+++ b/core/relay-host.c
@@ -31,6 +31,7 @@
     ct_leadership_join(state);
     ct_group_read_members(state);
     ct_replication_start(state);
+    ct_load_sharing_start(state);
     ct_tallies_start(state);
 }
 
--- a/core/state.c
+++ b/core/state.c
@@ -38,6 +38,7 @@
     ct_upstream_registry_init(&state->upstream_registry);
     ct_group_init(&state->group);
     ct_replication_init(&state->replication);
+    ct_load_sharing_init(&state->load_sharing);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
     ct_upstream_notices_init(&state->upstream_notices);
@@ -80,6 +81,7 @@
     ct_relays_free(&state->relays);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
+    ct_load_sharing_free(&state->load_sharing);
     ct_forwarded_tallies_free(&state->forwarded_tallies);
     ct_upstream_registry_free(&state->upstream_registry);
     if (state->queue) {
--- a/core/state.h
+++ b/core/state.h
@@ -12,6 +12,7 @@
 #include "replication.h"
 #include "forwarded-tally.h"
 #include "keys.h"
+#include "load-sharing.h"
 #include "lease.h"
 #include "upstream-notices.h"
 #include "upstream-registry.h"
@@ -87,6 +88,7 @@
     struct ct_upstream_registry upstream_registry;
     struct ct_group group;
     struct ct_replication replication;
+    struct ct_load_sharing load_sharing;
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
