core: sources report their load at the same time

The sums of a source contained reports of other sources that were half a second old on average, as each source reported at its own time. Sources now report when the first of them by name does, and send their sums 60 ms later. In the simulation of 40 hosts the mean age of an estimate falls from 642 to 528 ms.

--- a/core/load-sharing.c
+++ b/core/load-sharing.c
@@ -7,14 +7,22 @@
 
 /* Interval between the reports of a follower, and the sums for followers. */
 #define PERIOD_MS 500
-/* A source reports to the other sources at every second of its ticks. */
-#define TICKS_PER_SOURCE_REPORT 2
+/* Interval between the reports of a source to the other sources. */
+#define SOURCE_PERIOD_MS 1000
+/*
+ * A source reports to the others this long before its next sum. All sources
+ * report at the same time, so that the sums contain new reports of all.
+ */
+#define SOURCE_LEAD_MS 60
+/* Largest change of a source's interval that adapts it to the others. */
+#define SOURCE_SHIFT_MAX_MS 200
 /*
  * A follower sends its next report this long before it expects the next sum,
- * so that the sum contains counts that are hardly older. Hosts with a tenth of
- * a core run up to 100 ms late; a report that misses the sum is 500 ms older.
+ * so that its source has it when it reports to the other sources. Hosts with a
+ * tenth of a core run up to 100 ms late; a report that misses the sum is 500
+ * ms older.
  */
-#define REPORT_LEAD_MS 100
+#define REPORT_LEAD_MS 160
 /* Random part of it, which spreads the reports to a source. */
 #define REPORT_SPREAD_MS 40
 /* Limits of the interval between reports while it is adapted to the sums. */
@@ -27,8 +35,7 @@
  * in sums of the next one: the report expires at the last source, whose next
  * report replaces that at the other sources, whose next sum is without it.
  */
-#define DOUBTFUL_MS                                                           \
-    (EXPIRY_MS + TICKS_PER_SOURCE_REPORT * PERIOD_MS + PERIOD_MS)
+#define DOUBTFUL_MS (EXPIRY_MS + SOURCE_PERIOD_MS + PERIOD_MS)
 /*
  * With reports of fewer than one in so many of the other hosts, a single call
  * would count as too many for an estimate.
@@ -188,8 +195,8 @@
         ct_load_table_clear_part(&sharing->table, peer);
     }
     ct_load_report_forget(sharing);
-    if (sharing->sequence > 0) {
-        sharing->doubtful_until_ms = state->now_ms + DOUBTFUL_MS;
+    if (sharing->reported_ms > 0) {
+        sharing->doubtful_until_ms = sharing->reported_ms + DOUBTFUL_MS;
     }
 }
 
@@ -219,11 +226,72 @@
     return sharing->source.text[0] != '\0';
 }
 
+/*
+ * Returns the interval from a source's second sum to its next report, so that
+ * it reports when the first source by name is expected to.
+ */
+static ct_ms
+delay_to_source_report_ms(const struct ct_state *state)
+{
+    const struct ct_load_sharing *sharing = &state->load_sharing;
+    ct_ms delay_ms = PERIOD_MS - SOURCE_LEAD_MS;
+    ct_ms late_ms;
+
+    if (sharing->leader_ms == 0) {
+        return delay_ms;
+    }
+    late_ms =
+        (state->now_ms + delay_ms - sharing->leader_ms) % SOURCE_PERIOD_MS;
+    if (late_ms > SOURCE_PERIOD_MS / 2) {
+        late_ms -= SOURCE_PERIOD_MS;
+    }
+    return delay_ms -
+           CLAMP(late_ms, -SOURCE_SHIFT_MAX_MS, SOURCE_SHIFT_MAX_MS);
+}
+
+/*
+ * A tick as a source: a report to the other sources, then two sums. Returns
+ * the time until the next tick.
+ */
+static ct_ms
+source_tick(struct ct_state *state)
+{
+    struct ct_load_sharing *sharing = &state->load_sharing;
+
+    switch (sharing->source_step) {
+    case CT_LOAD_REPORT:
+        sharing->source_step = CT_LOAD_FIRST_SUM;
+        ct_load_report_to_sources(state);
+        return SOURCE_LEAD_MS;
+    case CT_LOAD_FIRST_SUM:
+        sharing->source_step = CT_LOAD_SECOND_SUM;
+        ct_load_report_send_sum(state);
+        return PERIOD_MS;
+    case CT_LOAD_SECOND_SUM:
+    default:
+        sharing->source_step = CT_LOAD_REPORT;
+        ct_load_report_send_sum(state);
+        return delay_to_source_report_ms(state);
+    }
+}
+
+static ct_ms
+follower_tick(struct ct_state *state)
+{
+    const struct ct_load_sharing *sharing = &state->load_sharing;
+    struct ct_load_peer *source =
+        ct_load_table_find(&sharing->table, &sharing->source);
+
+    if (source) {
+        ct_load_report_to_source(state, source);
+    }
+    return PERIOD_MS;
+}
+
 void
 ct_load_sharing_on_timer(struct ct_state *state)
 {
     struct ct_load_sharing *sharing = &state->load_sharing;
-    struct ct_load_peer *source;
 
     /* The tick was moved. */
     if (state->now_ms < sharing->next_ms || sharing->next_ms == 0) {
@@ -234,20 +302,10 @@
     update_source(state);
     expire_parts(state);
     ct_load_report_update_list(state);
-    if (has_source(sharing)) {
-        source = ct_load_table_find(&sharing->table, &sharing->source);
-        if (source) {
-            ct_load_report_to_source(state, source);
-        }
-    }
-    else {
-        if (++sharing->ticks % TICKS_PER_SOURCE_REPORT == 0) {
-            ct_load_report_to_sources(state);
-        }
-        ct_load_report_send_sum(state);
-    }
+    schedule_tick(state,
+                  state->now_ms + (has_source(sharing) ? follower_tick(state)
+                                                       : source_tick(state)));
     log_known(state);
-    schedule_tick(state, state->now_ms + PERIOD_MS);
 }
 
 /* Moves the next report to just before the next sum. */
@@ -332,12 +390,32 @@
                 own->len));
 }
 
+/* Whether no other source that reports, nor this one, has a smaller name. */
+static bool
+is_first_source(const struct ct_state *state, const struct ct_load_peer *peer)
+{
+    const struct ct_load_peer *other;
+    uint32_t cursor = 0;
+
+    while ((other = ct_table_next(&state->load_sharing.table.peers, &cursor,
+                                  NULL))) {
+        if (other->received_ms > 0 && !other->follows &&
+            strcmp(other->host.text, peer->host.text) < 0) {
+            return false;
+        }
+    }
+    return strcmp(peer->host.text, state->self.host.text) < 0;
+}
+
 static void
 on_report(struct ct_state *state, struct ct_load_peer *peer,
           const struct ct_peer_message *message)
 {
     const struct ct_peer_load *report = &message->u.load;
 
+    if (!report->follows && is_first_source(state, peer)) {
+        state->load_sharing.leader_ms = state->now_ms;
+    }
     ct_load_table_set_part(
         &state->load_sharing.table, peer,
         &(struct ct_load_part){
--- a/core/load-sharing.h
+++ b/core/load-sharing.h
@@ -27,6 +27,13 @@
     GArray *rows;
 };
 
+/* What a source does at its ticks, in turn. */
+enum ct_load_step {
+    CT_LOAD_REPORT = 0,
+    CT_LOAD_FIRST_SUM,
+    CT_LOAD_SECOND_SUM,
+};
+
 struct ct_load_sharing {
     struct ct_load_table table;
     /* The source of the reports, empty if there was none. */
@@ -43,8 +50,12 @@
     /* When the next tick is due, and when the last one was; 0 for none. */
     ct_ms next_ms;
     ct_ms last_ms;
-    /* Ticks as a source. */
-    uint32_t ticks;
+    /* The next step as a source. */
+    enum ct_load_step source_step;
+    /* When the first source by name last reported; 0 if it never did. */
+    ct_ms leader_ms;
+    /* When this host last reported its calls; 0 if it never did. */
+    ct_ms reported_ms;
     /* What was last logged about the load being known, and when. */
     bool logged_known;
     ct_ms logged_ms;
--- a/soak/relay-world.c
+++ b/soak/relay-world.c
@@ -52,7 +52,8 @@
         "\"ready_address\":\"127.0.0.1:%u\",\"operator_address\":"
         "\"127.0.0.1:%u\",\"peer_address\":\"127.0.0.1:0\","
         "\"peer_secret\":\"0123456789abcdef\",\"store\":\"127.0.0.1:%u\","
-        "\"duties\":\"127.0.0.1:%u\",\"bounds\":{\"revoke_ms\":%d,"
+        "\"duties\":\"127.0.0.1:%u\",\"share_load\":true,"
+        "\"bounds\":{\"revoke_ms\":%d,"
         "\"drain_ms\":%d,\"steady_ms\":%d,\"lease_ms\":1000,"
         "\"usage_window_s\":2,\"usage_late_s\":8,\"grace_s\":%d,"
         "\"repeat_burst\":1000,\"upstream_pause_max_s\":3}}",
--- a/t/test-load-sharing.c
+++ b/t/test-load-sharing.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "candidates.h"
 #include "lib-host-group.h"
 
 /* Time for all hosts to find their sources and the sums to arrive. */
@@ -97,7 +98,8 @@
     }
     g_test_message("mean age of the estimates %d ms",
                    (int)(age_sum_ms / samples));
-    g_assert_cmpint(age_sum_ms / samples, <, 900);
+    /* Without common times of the sources the mean is above 640 ms. */
+    g_assert_cmpint(age_sum_ms / samples, <, 600);
     t_group_free(group);
 }
 
@@ -275,6 +277,42 @@
     t_group_free(group);
 }
 
+/*
+ * The balancing policies get the estimate with each candidate, and a random
+ * number with each call.
+ */
+static void
+test_candidates(void)
+{
+    struct t_group *group = t_group_new(3, 3, 3);
+    struct ct_state *state = group->hosts[0].state;
+    struct ct_candidate_filter filter = {.state = CT_UPSTREAM_RUNNING};
+    struct ct_candidate candidates[CT_CANDIDATES_MAX];
+    struct ct_name pool = {"engines"};
+    uint64_t random;
+    uint32_t n;
+
+    filter.pool = ct_config_pool(&state->config, &pool);
+    n = ct_candidates_list(state, &filter, candidates, CT_CANDIDATES_MAX);
+    g_assert_cmpuint(n, ==, 2);
+    g_assert_false(candidates[0].load_known);
+    set_calls(group, 1, 4);
+    t_group_run(group, SETTLE_MS);
+    ct_candidates_list(state, &filter, candidates, CT_CANDIDATES_MAX);
+    for (uint32_t i = 0; i < n; i++) {
+        bool loaded = ct_handle_eq(candidates[i].upstream,
+                                   upstream_of(&group->hosts[0]));
+
+        g_assert_true(candidates[i].load_known);
+        g_assert_cmpuint(candidates[i].others_in_flight, ==, loaded ? 4 : 0);
+        g_assert_cmpint(candidates[i].load_age_ms, >, 0);
+    }
+    random = state->random;
+    t_relay_call(&group->hosts[0], 1, T_STREAM_PATH);
+    g_assert_cmpuint(state->random, !=, random);
+    t_group_free(group);
+}
+
 /* Without the setting nothing is sent, and no random number is drawn. */
 static void
 test_off(void)
@@ -343,6 +381,7 @@
     g_test_add_func("/load-sharing/old-report", test_old_report);
     g_test_add_func("/load-sharing/scaling", test_scaling);
     g_test_add_func("/load-sharing/small-zones", test_small_zones);
+    g_test_add_func("/load-sharing/candidates", test_candidates);
     g_test_add_func("/load-sharing/off", test_off);
     g_test_add_func("/load-sharing/many-upstreams", test_many_upstreams);
     return g_test_run();
