--- a/core/load-report.c
+++ b/core/load-report.c
@@ -3,11 +3,11 @@
 #include "state.h"
 
 /* The list is renumbered when it is this much longer than needed. */
-#define SPARE_SLOTS 64
+#define SPARE_NUMBERS 64
 
 /* The list of upstreams. */
 
-/* Forgets the slots in reports of this host; sums that name them are unused.
+/* Forgets the numbers in this host's reports; sums that name one are unused.
  */
 static void
 forget_own_reports(struct ct_load_sharing *sharing)
@@ -30,12 +30,12 @@
 
     while ((upstream =
                 ct_table_next(&state->config.upstreams, &cursor, &handle))) {
-        uint32_t slot = upstream->configured
-                            ? ct_load_table_upstream_slot(table, handle)
-                            : CT_LOAD_NO_SLOT;
+        uint32_t number = upstream->configured
+                              ? ct_load_table_upstream_number(table, handle)
+                              : CT_LOAD_NO_NUMBER;
 
-        if (slot != CT_LOAD_NO_SLOT) {
-            keep[slot] = true;
+        if (number != CT_LOAD_NO_NUMBER) {
+            keep[number] = true;
         }
     }
     ct_load_table_renumber(table, keep);
@@ -43,7 +43,7 @@
     forget_own_reports(sharing);
 }
 
-/* Gives each upstream of the configuration a slot. */
+/* Gives each upstream of the configuration a number. */
 static void
 number_upstreams(struct ct_state *state)
 {
@@ -65,7 +65,7 @@
 {
     const struct ct_load_table *table = &state->load_sharing.table;
     uint32_t needed =
-        MAX(state->config.upstreams.live, table->renumbered) + SPARE_SLOTS;
+        MAX(state->config.upstreams.live, table->renumbered) + SPARE_NUMBERS;
 
     number_upstreams(state);
     if (table->hashes->len > needed) {
@@ -101,7 +101,7 @@
 
 /* Sending. */
 
-/* Adds this host's own calls to the counts by slot. */
+/* Adds this host's own calls to the counts by number. */
 static void
 add_own_calls(const struct ct_state *state, uint64_t *counts)
 {
@@ -111,17 +111,17 @@
 
     while ((upstream =
                 ct_table_next(&state->config.upstreams, &cursor, &handle))) {
-        uint32_t slot =
-            ct_load_table_upstream_slot(&state->load_sharing.table, handle);
+        uint32_t number =
+            ct_load_table_upstream_number(&state->load_sharing.table, handle);
 
-        if (upstream->configured && slot != CT_LOAD_NO_SLOT) {
-            counts[slot] += upstream->in_flight;
+        if (upstream->configured && number != CT_LOAD_NO_NUMBER) {
+            counts[number] += upstream->in_flight;
         }
     }
 }
 
 /*
- * Writes the counts by slot, n of them, as rows. Upstreams without calls are
+ * Writes the counts by number, n of them, as rows. Upstreams without calls are
  * left out unless most have some: then the numbers, which count up, need not
  * be transmitted.
  */
--- a/core/load-sharing.c
+++ b/core/load-sharing.c
@@ -100,14 +100,14 @@
     const struct ct_load_sharing *sharing = &state->load_sharing;
     uint64_t others = other_hosts(sharing);
     uint64_t covered = sharing->table.hosts;
-    uint32_t slot = ct_load_table_upstream_slot(&sharing->table, upstream);
+    uint32_t number = ct_load_table_upstream_number(&sharing->table, upstream);
     uint64_t in_flight = 0;
 
     if (!is_load_known(state)) {
         return false;
     }
-    if (slot != CT_LOAD_NO_SLOT) {
-        in_flight = g_array_index(sharing->table.totals, uint64_t, slot);
+    if (number != CT_LOAD_NO_NUMBER) {
+        in_flight = g_array_index(sharing->table.totals, uint64_t, number);
     }
     /* The hosts that are not covered count as the mean of the others. */
     if (covered < others) {
--- a/core/load-sharing.h
+++ b/core/load-sharing.h
@@ -23,7 +23,7 @@
     /* 0 if there is none. */
     uint32_t sequence;
     ct_ms sent_ms;
-    /* struct ct_load_row with slots */
+    /* struct ct_load_row with this host's numbers */
     GArray *rows;
 };
 
--- a/core/load-table.c
+++ b/core/load-table.c
@@ -4,7 +4,7 @@
 
 #include "error.h"
 
-/* Newest slots of the list that renumbering always keeps. */
+/* Newest upstreams of the list that renumbering always keeps. */
 #define KEPT_NEWEST 32
 
 static void
@@ -12,7 +12,7 @@
 {
     struct ct_load_peer *peer = data;
 
-    g_array_free(peer->slots, TRUE);
+    g_array_free(peer->numbers, TRUE);
     g_array_free(peer->rows, TRUE);
 }
 
@@ -22,7 +22,7 @@
     memset(table, 0, sizeof(*table));
     table->version = 1;
     table->hashes = g_array_new(FALSE, TRUE, sizeof(uint64_t));
-    table->slots = g_hash_table_new(NULL, NULL);
+    table->numbers = g_hash_table_new(NULL, NULL);
     table->upstreams =
         g_array_new(FALSE, TRUE, sizeof(struct ct_load_upstream));
     table->totals = g_array_new(FALSE, TRUE, sizeof(uint64_t));
@@ -37,49 +37,50 @@
     g_array_free(table->scratch, TRUE);
     g_array_free(table->totals, TRUE);
     g_array_free(table->upstreams, TRUE);
-    g_hash_table_destroy(table->slots);
+    g_hash_table_destroy(table->numbers);
     g_array_free(table->hashes, TRUE);
 }
 
 uint32_t
-ct_load_table_slot(struct ct_load_table *table, uint64_t upstream_hash)
+ct_load_table_number(struct ct_load_table *table, uint64_t upstream_hash)
 {
     gpointer key = GSIZE_TO_POINTER(upstream_hash);
     uint32_t next = table->hashes->len;
     gpointer value;
 
-    if (g_hash_table_lookup_extended(table->slots, key, NULL, &value)) {
+    if (g_hash_table_lookup_extended(table->numbers, key, NULL, &value)) {
         return GPOINTER_TO_UINT(value);
     }
-    if (next == CT_LOAD_SLOTS_MAX) {
-        return CT_LOAD_NO_SLOT;
+    if (next == CT_LOAD_LIST_MAX) {
+        return CT_LOAD_NO_NUMBER;
     }
     g_array_append_val(table->hashes, upstream_hash);
     g_array_set_size(table->totals, next + 1);
     g_array_set_size(table->scratch, next + 1);
-    g_hash_table_insert(table->slots, key, GUINT_TO_POINTER(next));
+    g_hash_table_insert(table->numbers, key, GUINT_TO_POINTER(next));
     return next;
 }
 
 uint32_t
-ct_load_table_upstream_slot(const struct ct_load_table *table,
-                            struct ct_handle upstream)
+ct_load_table_upstream_number(const struct ct_load_table *table,
+                              struct ct_handle upstream)
 {
     const struct ct_load_upstream *row;
 
     if (upstream.index >= table->upstreams->len) {
-        return CT_LOAD_NO_SLOT;
+        return CT_LOAD_NO_NUMBER;
     }
     row = &g_array_index(table->upstreams, struct ct_load_upstream,
                          upstream.index);
-    return ct_handle_eq(row->upstream, upstream) ? row->slot : CT_LOAD_NO_SLOT;
+    return ct_handle_eq(row->upstream, upstream) ? row->number
+                                                 : CT_LOAD_NO_NUMBER;
 }
 
 void
 ct_load_table_add_upstream(struct ct_load_table *table,
                            struct ct_handle upstream, uint64_t upstream_hash)
 {
-    if (ct_load_table_upstream_slot(table, upstream) != CT_LOAD_NO_SLOT) {
+    if (ct_load_table_upstream_number(table, upstream) != CT_LOAD_NO_NUMBER) {
         return;
     }
     if (upstream.index >= table->upstreams->len) {
@@ -87,7 +88,7 @@
     }
     g_array_index(table->upstreams, struct ct_load_upstream, upstream.index) =
         (struct ct_load_upstream){upstream,
-                                  ct_load_table_slot(table, upstream_hash)};
+                                  ct_load_table_number(table, upstream_hash)};
 }
 
 /* Adds the peer's part to the totals, or subtracts it for sign -1. */
@@ -107,25 +108,25 @@
     table->dated_sum_ms += sign * (int64_t)peer->hosts * peer->dated_ms;
 }
 
-/* Replaces old slots by new ones; rows without a new one are removed. */
+/* Replaces old numbers by new ones; rows without a new one are removed. */
 static void
-renumber_peer(struct ct_load_peer *peer, const uint32_t *new_slots)
+renumber_peer(struct ct_load_peer *peer, const uint32_t *new_numbers)
 {
     guint kept = 0;
 
-    for (guint i = 0; i < peer->slots->len; i++) {
-        uint32_t *slot = &g_array_index(peer->slots, uint32_t, i);
+    for (guint i = 0; i < peer->numbers->len; i++) {
+        uint32_t *number = &g_array_index(peer->numbers, uint32_t, i);
 
-        if (*slot != CT_LOAD_NO_SLOT) {
-            *slot = new_slots[*slot];
+        if (*number != CT_LOAD_NO_NUMBER) {
+            *number = new_numbers[*number];
         }
     }
     for (guint i = 0; i < peer->rows->len; i++) {
         struct ct_load_row row =
             g_array_index(peer->rows, struct ct_load_row, i);
 
-        row.number = new_slots[row.number];
-        if (row.number != CT_LOAD_NO_SLOT) {
+        row.number = new_numbers[row.number];
+        if (row.number != CT_LOAD_NO_NUMBER) {
             g_array_index(peer->rows, struct ct_load_row, kept++) = row;
         }
     }
@@ -136,7 +137,7 @@
 ct_load_table_renumber(struct ct_load_table *table, const bool *keep)
 {
     guint n = table->hashes->len;
-    uint32_t *new_slots = g_new(uint32_t, MAX(n, 1));
+    uint32_t *new_numbers = g_new(uint32_t, MAX(n, 1));
     GArray *hashes = table->hashes;
     GArray *totals = table->totals;
     struct ct_load_peer *peer;
@@ -144,26 +145,26 @@
 
     table->hashes = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     table->totals = g_array_new(FALSE, TRUE, sizeof(uint64_t));
-    g_hash_table_remove_all(table->slots);
+    g_hash_table_remove_all(table->numbers);
     g_array_set_size(table->upstreams, 0);
     for (guint i = 0; i < n; i++) {
         uint64_t total = g_array_index(totals, uint64_t, i);
 
-        new_slots[i] = CT_LOAD_NO_SLOT;
+        new_numbers[i] = CT_LOAD_NO_NUMBER;
         if (keep[i] || total > 0 || i + KEPT_NEWEST >= n) {
-            new_slots[i] =
-                ct_load_table_slot(table, g_array_index(hashes, uint64_t, i));
-            g_array_index(table->totals, uint64_t, new_slots[i]) = total;
+            new_numbers[i] = ct_load_table_number(
+                table, g_array_index(hashes, uint64_t, i));
+            g_array_index(table->totals, uint64_t, new_numbers[i]) = total;
         }
     }
     while ((peer = ct_table_next(&table->peers, &cursor, NULL))) {
-        renumber_peer(peer, new_slots);
+        renumber_peer(peer, new_numbers);
     }
     table->version++;
     table->renumbered = table->hashes->len;
     g_array_free(hashes, TRUE);
     g_array_free(totals, TRUE);
-    g_free(new_slots);
+    g_free(new_numbers);
 }
 
 static struct ct_load_peer *
@@ -202,7 +203,7 @@
     }
     peer = ct_table_get(&table->peers, handle);
     peer->host = *host;
-    peer->slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    peer->numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     peer->rows = g_array_new(FALSE, FALSE, sizeof(struct ct_load_row));
     return CT_OK;
 }
@@ -228,14 +229,14 @@
     if (first == 0) {
         peer->list_version = version;
     }
-    if (version != peer->list_version || first > peer->slots->len) {
+    if (version != peer->list_version || first > peer->numbers->len) {
         return false;
     }
-    g_array_set_size(peer->slots, first);
-    for (uint32_t i = 0; i < rows.n && first + i < CT_LOAD_SLOTS_MAX; i++) {
-        uint32_t slot = ct_load_table_slot(table, row[i].upstream_hash);
+    g_array_set_size(peer->numbers, first);
+    for (uint32_t i = 0; i < rows.n && first + i < CT_LOAD_LIST_MAX; i++) {
+        uint32_t number = ct_load_table_number(table, row[i].upstream_hash);
 
-        g_array_append_val(peer->slots, slot);
+        g_array_append_val(peer->numbers, number);
     }
     return true;
 }
@@ -269,13 +270,13 @@
 
     ct_load_table_clear_part(table, peer);
     for (uint32_t i = 0; i < rows.n; i++) {
-        uint32_t slot =
-            row[i].number < peer->slots->len
-                ? g_array_index(peer->slots, uint32_t, row[i].number)
-                : CT_LOAD_NO_SLOT;
-        struct ct_load_row translated = {slot, row[i].in_flight};
+        uint32_t number =
+            row[i].number < peer->numbers->len
+                ? g_array_index(peer->numbers, uint32_t, row[i].number)
+                : CT_LOAD_NO_NUMBER;
+        struct ct_load_row translated = {number, row[i].in_flight};
 
-        if (slot != CT_LOAD_NO_SLOT) {
+        if (number != CT_LOAD_NO_NUMBER) {
             g_array_append_val(peer->rows, translated);
         }
     }
--- a/core/load-table.h
+++ b/core/load-table.h
@@ -10,15 +10,15 @@
 
 /*
  * What other hosts reported of the calls that they have in flight at the
- * upstreams, added up. Reports name upstreams by numbers of the sender's list,
- * which the sender transmits once; here each upstream has a slot, which is its
- * number in this host's own list. The report of a host, or of the hosts that
- * it adds up, is a part of the total.
+ * upstreams, added up. Reports name upstreams by their numbers in the sender's
+ * list, which the sender transmits once. In the table they have the numbers of
+ * this host's own list. The report of a host, or of the hosts that it adds up,
+ * is a part of the total.
  */
 
-#define CT_LOAD_NO_SLOT UINT32_MAX
+#define CT_LOAD_NO_NUMBER UINT32_MAX
 /* Upstreams in a list; further ones are left out. */
-#define CT_LOAD_SLOTS_MAX 4096
+#define CT_LOAD_LIST_MAX 4096
 
 /* A host that this one has a link to. */
 struct ct_load_peer {
@@ -26,9 +26,9 @@
     /* How much of which version of this host's list it was sent. */
     uint32_t listed_version;
     uint32_t listed;
-    /* Its own list: the slot of each number, uint32_t. */
+    /* Its own list: this host's number of each upstream, uint32_t. */
     uint32_t list_version;
-    GArray *slots;
+    GArray *numbers;
     /* Number of its last report. */
     uint32_t sequence;
     /*
@@ -41,33 +41,33 @@
     ct_ms dated_ms;
     /* Its part is the report of a follower of this host. */
     bool follows;
-    /* struct ct_load_row with slots for numbers */
+    /* struct ct_load_row with this host's numbers */
     GArray *rows;
 };
 
-/* The slot of an upstream of this host. */
+/* The number of an upstream of this host. */
 struct ct_load_upstream {
     struct ct_handle upstream;
-    uint32_t slot;
+    uint32_t number;
 };
 
 struct ct_load_table {
-    /* This host's list: hash of each slot, uint64_t; slot by hash. */
+    /* This host's list: hash of each upstream, uint64_t; number by hash. */
     uint32_t version;
     GArray *hashes;
-    GHashTable *slots;
+    GHashTable *numbers;
     /* struct ct_load_upstream, by the index of the upstream's row */
     GArray *upstreams;
     /* Length of the list after it was last renumbered. */
     uint32_t renumbered;
     /* struct ct_load_peer */
     struct ct_table peers;
-    /* Sum over all parts of the calls by slot, uint64_t. */
+    /* Sum over all parts of the calls by number, uint64_t. */
     GArray *totals;
     /* Sum over all parts of hosts, and of dated_ms of each host. */
     uint32_t hosts;
     int64_t dated_sum_ms;
-    /* Zeroes by slot between calls, uint32_t. */
+    /* Zeroes by number between calls, uint32_t. */
     GArray *scratch;
 };
 
@@ -75,25 +75,25 @@
 void ct_load_table_free(struct ct_load_table *table);
 
 /*
- * Returns the slot of an upstream, which is added to the list if need be, or
- * CT_LOAD_NO_SLOT if the list is full.
+ * Returns the number of an upstream, which is added to the list if need be, or
+ * CT_LOAD_NO_NUMBER if the list is full.
  */
-uint32_t ct_load_table_slot(struct ct_load_table *table,
-                            uint64_t upstream_hash);
+uint32_t ct_load_table_number(struct ct_load_table *table,
+                              uint64_t upstream_hash);
 
-/* Gives an upstream of this host a slot, unless the list is full. */
+/* Gives an upstream of this host a number, unless the list is full. */
 void ct_load_table_add_upstream(struct ct_load_table *table,
                                 struct ct_handle upstream,
                                 uint64_t upstream_hash);
-/* Returns the slot of an upstream, or CT_LOAD_NO_SLOT if it has none. */
-uint32_t ct_load_table_upstream_slot(const struct ct_load_table *table,
-                                     struct ct_handle upstream);
+/* Returns the number of an upstream, or CT_LOAD_NO_NUMBER if it has none. */
+uint32_t ct_load_table_upstream_number(const struct ct_load_table *table,
+                                       struct ct_handle upstream);
 
 /*
- * Begins a new version of the list that leaves out the slots for which keep is
- * false, unless they have calls or are among the newest, which other hosts may
- * know earlier than this one. The upstreams of this host have to be added
- * again.
+ * Begins a new version of the list that leaves out the upstreams for which
+ * keep is false, unless they have calls or are among the newest, which other
+ * hosts may know earlier than this one. The upstreams of this host have to be
+ * added again.
  */
 void ct_load_table_renumber(struct ct_load_table *table, const bool *keep);
 
@@ -126,7 +126,8 @@
 
 /*
  * Replaces the peer's part. rows: struct ct_load_row with numbers of the
- * peer's list; own: calls to subtract from it, struct ct_load_row with slots.
+ * peer's list; own: calls to subtract from it, struct ct_load_row with this
+ * host's numbers.
  */
 void ct_load_table_set_part(struct ct_load_table *table,
                             struct ct_load_peer *peer,
--- a/t/test-load-table.c
+++ b/t/test-load-table.c
@@ -1,6 +1,6 @@
 /*
  * Tests of load-table.h: lists of upstreams that do not match, and what stays
- * of the parts when slots are renumbered.
+ * of the parts when numbers are renumbered.
  */
 #include "load-table.h"
 
@@ -45,7 +45,7 @@
 total_of(struct ct_load_table *table, uint64_t upstream_hash)
 {
     return g_array_index(table->totals, uint64_t,
-                         ct_load_table_slot(table, upstream_hash));
+                         ct_load_table_number(table, upstream_hash));
 }
 
 /* A list with a gap, or of another version, is not used. */
@@ -66,7 +66,7 @@
         ct_load_table_set_list(&table, peer, 2, 2, CT_ROWS(rows, 2)));
     g_assert_false(
         ct_load_table_set_list(&table, peer, 1, 3, CT_ROWS(rows, 2)));
-    g_assert_cmpuint(peer->slots->len, ==, 2);
+    g_assert_cmpuint(peer->numbers->len, ==, 2);
     ct_load_table_free(&table);
 }
 
@@ -85,8 +85,8 @@
     ct_load_table_init(&table);
     peer = add_peer(&table, "h2");
     set_list(&table, peer, 2);
-    own[0].number = ct_load_table_slot(&table, 1);
-    own[1].number = ct_load_table_slot(&table, 2);
+    own[0].number = ct_load_table_number(&table, 1);
+    own[1].number = ct_load_table_number(&table, 2);
     set_part(&table, peer, CT_ROWS(rows, 3), CT_ROWS(own, 2));
     g_assert_cmpuint(total_of(&table, 1), ==, 2);
     g_assert_cmpuint(total_of(&table, 2), ==, 0);
@@ -106,17 +106,17 @@
 {
     struct ct_load_table table;
     struct ct_load_peer *peer;
-    const struct ct_load_row row = {CT_LOAD_SLOTS_MAX, 1};
+    const struct ct_load_row row = {CT_LOAD_LIST_MAX, 1};
 
     ct_load_table_init(&table);
     peer = add_peer(&table, "h2");
-    set_list(&table, peer, 2 * CT_LOAD_SLOTS_MAX);
-    g_assert_cmpuint(table.hashes->len, ==, CT_LOAD_SLOTS_MAX);
-    g_assert_cmpuint(peer->slots->len, ==, CT_LOAD_SLOTS_MAX);
+    set_list(&table, peer, 2 * CT_LOAD_LIST_MAX);
+    g_assert_cmpuint(table.hashes->len, ==, CT_LOAD_LIST_MAX);
+    g_assert_cmpuint(peer->numbers->len, ==, CT_LOAD_LIST_MAX);
     set_part(&table, peer, CT_ROWS(&row, 1), CT_NO_ROWS);
     g_assert_cmpuint(peer->rows->len, ==, 0);
-    g_assert_cmpuint(ct_load_table_slot(&table, 2 * CT_LOAD_SLOTS_MAX), ==,
-                     CT_LOAD_NO_SLOT);
+    g_assert_cmpuint(ct_load_table_number(&table, 2 * CT_LOAD_LIST_MAX), ==,
+                     CT_LOAD_NO_NUMBER);
     ct_load_table_free(&table);
 }
 
