--- a/core/effect.h
+++ b/core/effect.h
@@ -178,6 +178,11 @@
 struct ct_peer_effect {
     struct ct_name peer;
     struct ct_peer_message message;
+    /*
+     * The message is that of the CT_EFFECT_SEND_PEER_MESSAGE before, so that
+     * it need not be encoded again.
+     */
+    bool repeats;
 };
 
 /* Numbered log events: X(name, number, level, text). See docs/EVENTS.md. */
@@ -244,7 +249,12 @@
     X(ZONE_RESTORED, 1862, INFO, "evacuation of a zone ended")                \
     X(EVACUATION_UNKNOWN_ZONE, 1863, WARNING,                                 \
       "evacuated zone has no upstream")                                       \
-    X(ZONE_DRAINED, 1864, INFO, "evacuated zone has no more calls")
+    X(ZONE_DRAINED, 1864, INFO, "evacuated zone has no more calls")           \
+    X(LOAD_KNOWN, 1871, INFO, "load of other hosts known")                    \
+    X(LOAD_UNKNOWN, 1872, WARNING, "load of other hosts unknown")             \
+    X(LOAD_PART_EXPIRED, 1873, INFO, "load report of a host expired")         \
+    X(LOAD_OUT_OF_ORDER, 1874, WARNING, "older load report ignored")          \
+    X(LOAD_UNREADABLE, 1875, WARNING, "load report without its list ignored")
 
 enum ct_log_event {
 #define X(name, number, level, text) CT_LOG_##name = (number),
--- a/core/state.h
+++ b/core/state.h
@@ -13,6 +13,7 @@
 #include "replication.h"
 #include "forwarded-tally.h"
 #include "keys.h"
+#include "load-sharing.h"
 #include "lease.h"
 #include "upstream-notices.h"
 #include "upstream-registry.h"
@@ -89,6 +90,7 @@
     struct ct_evacuations evacuations;
     struct ct_group group;
     struct ct_replication replication;
+    struct ct_load_sharing load_sharing;
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
--- a/core/timer.h
+++ b/core/timer.h
@@ -39,6 +39,7 @@
     CT_TIMER_QUARANTINE,
     CT_TIMER_RELAY_WAIT,
     CT_TIMER_EVACUATION,
+    CT_TIMER_LOAD,
 };
 
 struct ct_timer {
--- a/wire/message-map.c
+++ b/wire/message-map.c
@@ -110,6 +110,107 @@
     return CT_OK;
 }
 
+/* Layouts of the repeated fields of columns in protobuf-c. */
+struct wire_i64s {
+    size_t n;
+    int64_t *items;
+};
+
+struct wire_u64s {
+    size_t n;
+    uint64_t *items;
+};
+
+static int
+u32_column_to_wire(struct ct_arena *arena, const struct ct_rows *rows,
+                   const uint8_t *core, struct wire_i64s *wire)
+{
+    int64_t before = 0;
+    uint32_t value;
+
+    wire->items = ct_arena_alloc(arena, rows->n * sizeof(*wire->items));
+    if (!wire->items) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (; wire->n < rows->n; wire->n++) {
+        memcpy(&value, core, sizeof(value));
+        wire->items[wire->n] = value - before;
+        before = value;
+        core += rows->row_size;
+    }
+    return CT_OK;
+}
+
+static int
+u64_column_to_wire(struct ct_arena *arena, const struct ct_rows *rows,
+                   const uint8_t *core, struct wire_u64s *wire)
+{
+    wire->items = ct_arena_alloc(arena, rows->n * sizeof(*wire->items));
+    if (!wire->items) {
+        return CT_ERR_NO_MEMORY;
+    }
+    for (; wire->n < rows->n; wire->n++) {
+        memcpy(&wire->items[wire->n], core, sizeof(*wire->items));
+        core += rows->row_size;
+    }
+    return CT_OK;
+}
+
+/* Whether the value of each row is the row's index. */
+static bool
+is_index(const struct ct_rows *rows, const uint8_t *core)
+{
+    uint32_t value;
+
+    for (uint32_t i = 0; i < rows->n; i++) {
+        memcpy(&value, core + (size_t)i * rows->row_size, sizeof(value));
+        if (value != i) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static int
+column_to_wire(struct ct_arena *arena, const struct ct_map_column *column,
+               const struct ct_rows *rows, void *wire)
+{
+    const uint8_t *core = (const uint8_t *)rows->data + column->core_offset;
+
+    switch (column->kind) {
+    case CT_MAP_COLUMN_U64:
+        return u64_column_to_wire(arena, rows, core, wire);
+    case CT_MAP_COLUMN_INDEX:
+        if (is_index(rows, core)) {
+            return CT_OK;
+        }
+        return u32_column_to_wire(arena, rows, core, wire);
+    case CT_MAP_COLUMN_U32:
+        return u32_column_to_wire(arena, rows, core, wire);
+    }
+    return CT_ERR_INVALID;
+}
+
+static int
+columns_to_wire(struct ct_arena *arena, const struct ct_map_columns *columns,
+                const struct ct_rows *rows, uint8_t *wire)
+{
+    int err = CT_OK;
+
+    if (rows->n == 0) {
+        return CT_OK;
+    }
+    if (rows->row_size != columns->core_size) {
+        return CT_ERR_INVALID;
+    }
+    for (uint32_t i = 0; i < columns->n && err == CT_OK; i++) {
+        const struct ct_map_column *column = &columns->items[i];
+
+        err = column_to_wire(arena, column, rows, wire + column->wire_offset);
+    }
+    return err;
+}
+
 static int
 variant_to_wire(struct ct_arena *arena, const struct ct_map *map,
                 const uint8_t *core, uint8_t *wire)
@@ -134,6 +235,11 @@
         }
         *(ProtobufCMessage **)(wire + variant->body_wire_offset) = body;
     }
+    if (variant->columns) {
+        return columns_to_wire(
+            arena, variant->columns,
+            (const void *)(core + variants->core_rows_offset), wire);
+    }
     if (variant->rows) {
         return rows_to_wire(arena, variant->rows,
                             (const void *)(core + variants->core_rows_offset),
@@ -297,6 +403,93 @@
     return CT_OK;
 }
 
+static int
+u32_column_from_wire(const struct wire_i64s *wire, uint8_t *core,
+                     size_t row_size)
+{
+    int64_t value = 0;
+
+    for (size_t i = 0; i < wire->n; i++) {
+        int64_t difference = wire->items[i];
+        uint32_t item;
+
+        if (difference < -value || difference > UINT32_MAX - value) {
+            return CT_ERR_DECODE;
+        }
+        value += difference;
+        item = (uint32_t)value;
+        memcpy(core, &item, sizeof(item));
+        core += row_size;
+    }
+    return CT_OK;
+}
+
+static int
+u64_column_from_wire(const struct wire_u64s *wire, uint8_t *core,
+                     size_t row_size)
+{
+    for (size_t i = 0; i < wire->n; i++) {
+        memcpy(core, &wire->items[i], sizeof(wire->items[i]));
+        core += row_size;
+    }
+    return CT_OK;
+}
+
+static void
+fill_index(const struct ct_rows *rows, uint8_t *core)
+{
+    for (uint32_t i = 0; i < rows->n; i++) {
+        memcpy(core, &i, sizeof(i));
+        core += rows->row_size;
+    }
+}
+
+static int
+column_from_wire(const struct ct_map_column *column, const void *wire,
+                 const struct ct_rows *rows, uint8_t *data)
+{
+    uint8_t *core = data + column->core_offset;
+    size_t n;
+
+    /* The count of a repeated field is its first member. */
+    memcpy(&n, wire, sizeof(n));
+    if (n == 0 && column->kind == CT_MAP_COLUMN_INDEX) {
+        fill_index(rows, core);
+        return CT_OK;
+    }
+    if (n != rows->n) {
+        return CT_ERR_DECODE;
+    }
+    return column->kind == CT_MAP_COLUMN_U64
+               ? u64_column_from_wire(wire, core, rows->row_size)
+               : u32_column_from_wire(wire, core, rows->row_size);
+}
+
+static int
+columns_from_wire(struct ct_arena *arena, const struct ct_map_columns *columns,
+                  const uint8_t *wire, struct ct_rows *rows)
+{
+    uint8_t *data;
+    size_t n;
+    int err = CT_OK;
+
+    memcpy(&n, wire + columns->items[0].wire_offset, sizeof(n));
+    data = ct_arena_alloc(arena, n * columns->core_size);
+    if (!data) {
+        return CT_ERR_DECODE;
+    }
+    *rows = (struct ct_rows){data, (uint32_t)n, (uint32_t)columns->core_size};
+    for (uint32_t i = 0; i < columns->n && err == CT_OK; i++) {
+        const struct ct_map_column *column = &columns->items[i];
+
+        err = column_from_wire(column, wire + column->wire_offset, rows, data);
+    }
+    if (n == 0) {
+        *rows = CT_NO_ROWS;
+    }
+    return err;
+}
+
 static int
 variant_from_wire(struct ct_arena *arena, const struct ct_map *map,
                   const uint8_t *wire, uint8_t *core)
@@ -324,6 +517,10 @@
             return err;
         }
     }
+    if (variant->columns) {
+        return columns_from_wire(arena, variant->columns, wire,
+                                 (void *)(core + variants->core_rows_offset));
+    }
     if (variant->rows) {
         return rows_from_wire(arena, variant->rows,
                               (const void *)(wire + variant->rows_wire_offset),
