core: interface for load shared between hosts

A balancing policy can see the calls that other hosts have in flight at an upstream, and gets a random number with each call. No host shares its load yet, so the load is unknown; the random number is drawn only if sharing is enabled, so that the random sequence of other hosts stays as it is.

--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -27,6 +27,13 @@
     bool leaving;
     /* Must get no request now, by what it says of itself. */
     bool barred;
+    /*
+     * Calls of other hosts in flight at the upstream, estimated, and how old
+     * the estimate is; set only if load_known is.
+     */
+    bool load_known;
+    uint32_t others_in_flight;
+    ct_ms load_age_ms;
 };
 
 struct ct_balance_request {
@@ -49,6 +56,8 @@
     bool cheap_allowed;
     /* May be sent to an ejected upstream as a probe. */
     bool may_probe;
+    /* Differs from call to call and host to host if hosts share their load. */
+    uint64_t random;
 };
 
 struct ct_balance_policy;
--- a/core/candidates.c
+++ b/core/candidates.c
@@ -1,5 +1,6 @@
 #include "candidates.h"
 
+#include "load-sharing.h"
 #include "state.h"
 
 bool
@@ -14,6 +15,18 @@
     return false;
 }
 
+static void
+set_shared_load(const struct ct_state *state, struct ct_candidate *candidate)
+{
+    struct ct_shared_load load;
+
+    if (ct_load_sharing_get(state, candidate->upstream, &load)) {
+        candidate->load_known = true;
+        candidate->others_in_flight = load.others_in_flight;
+        candidate->load_age_ms = load.age_ms;
+    }
+}
+
 uint32_t
 ct_candidates_list(const struct ct_state *state,
                    const struct ct_candidate_filter *filter,
@@ -30,7 +43,7 @@
         if (!upstream || upstream->state != filter->state) {
             continue;
         }
-        out[n++] = (struct ct_candidate){
+        out[n] = (struct ct_candidate){
             .upstream = pool->upstreams[i],
             .name_hash = upstream->name_hash,
             .slots = upstream->conf.slots,
@@ -42,6 +55,7 @@
             .barred = ct_upstream_notices_bar(state, pool->upstreams[i],
                                               filter->rank),
         };
+        set_shared_load(state, &out[n++]);
     }
     return n;
 }
--- a/core/reduce.h
+++ b/core/reduce.h
@@ -29,6 +29,8 @@
     struct ct_bounds bounds;
     /* The deployment is started for the first time. */
     bool first_start;
+    /* The hosts report to each other how many calls they send where. */
+    bool share_load;
 };
 
 /* Returns NULL if out of memory. */
--- a/core/relay-choice.c
+++ b/core/relay-choice.c
@@ -72,7 +72,7 @@
 }
 
 static struct ct_balance_request
-describe_request(const struct ct_state *state, const struct ct_relay *relay)
+describe_request(struct ct_state *state, const struct ct_relay *relay)
 {
     return (struct ct_balance_request){
         .now_ms = state->now_ms,
@@ -83,6 +83,7 @@
         .hosts = ct_group_size(state),
         .cheap_allowed = true,
         .may_probe = true,
+        .random = state->self.share_load ? ct_state_random(state) : 0,
     };
 }
 
