core: choose an upstream by the load that hosts share

Cause: a host has hardly one call in flight at an engine, so its own counts say almost nothing. All hosts send popular prefixes to the same homes, and slow engines fill up: with 95 hosts and 140 engines the busiest engine gets 2.7 times the mean.

Change: with known load of the other hosts, a home is bounded by 125 percent of the mean load per slot, and by three quarters of its slots. Above it, requests skip the home at random with the probability (load - bound) / load. That alone settles at the geometric mean of demand and bound, so each home also has a part of the requests that it takes, which falls slowly while the load is above the bound. Requests without a prefix draw two upstreams; the less loaded one gets them the more often, the newer the load is. The reserve for interactive requests counts the known load. Without known load all choices are as before.

--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -2,6 +2,7 @@
 
 #include "balance-reserve.h"
 #include "balance-rows.h"
+#include "balance-shared.h"
 #include "error.h"
 
 /*
@@ -79,6 +80,12 @@
      */
     uint64_t in_flight;
     uint64_t slots;
+    /*
+     * The load that hosts share is known, and decides in place of the bounds
+     * above.
+     */
+    bool shares_load;
+    struct ct_balance_shared shared;
 };
 
 struct pick {
@@ -144,6 +151,20 @@
     row->reserved = reserved;
 }
 
+static void
+adjust_parts(struct ct_balance_base *base, const struct scope *scope,
+             const struct ct_candidate *candidates, uint32_t n)
+{
+    for (uint32_t i = 0; i < n; i++) {
+        struct ct_balance_row *row =
+            ct_balance_row(&base->rows, candidates[i].upstream);
+
+        if (is_in_scope(scope, &candidates[i], row)) {
+            ct_balance_shared_adjust(&scope->shared, &candidates[i], row);
+        }
+    }
+}
+
 /*
  * Sets the requests in flight and the prompt tokens above which a home is
  * passed over, UINT64_MAX if no candidate is in scope. Errors:
@@ -158,6 +179,7 @@
 
     scope->in_flight = 0;
     scope->slots = 0;
+    scope->shared = (struct ct_balance_shared){.request = scope->request};
     for (uint32_t i = 0; i < n; i++) {
         struct ct_balance_row *row =
             ct_balance_row(&base->rows, candidates[i].upstream);
@@ -171,8 +193,14 @@
             prompt_tokens += recent_prompt_tokens(row, scope->request->now_ms);
             scope->slots += candidates[i].slots;
             n_in_scope++;
+            ct_balance_shared_add(&scope->shared, &candidates[i], row);
         }
     }
+    scope->shares_load =
+        n_in_scope > 0 && ct_balance_load_is_known(candidates, n);
+    if (scope->shares_load) {
+        adjust_parts(base, scope, candidates, n);
+    }
     scope->bound = n_in_scope > 0 ? scope->in_flight * HOME_MEAN_PERCENT /
                                             (100 * n_in_scope) +
                                         HOME_EXTRA
@@ -190,8 +218,11 @@
 are_reserved_full(const struct scope *scope)
 {
     return !scope->any_kind && scope->request->prefix_hash &&
-           ct_balance_exceeds_reserve(scope->in_flight, scope->slots,
-                                      scope->request->hosts);
+           (scope->shares_load
+                ? ct_balance_exceeds_reserve(scope->shared.load, scope->slots,
+                                             1)
+                : ct_balance_exceeds_reserve(scope->in_flight, scope->slots,
+                                             scope->request->hosts));
 }
 
 /*
@@ -206,14 +237,46 @@
 }
 
 static bool
-is_over_bound(const struct scope *scope, const struct ct_balance_row *row)
+is_over_bound(const struct scope *scope, const struct ct_candidate *candidate,
+              const struct ct_balance_row *row)
 {
+    if (scope->shares_load) {
+        return ct_balance_shared_skips(&scope->shared, candidate, row);
+    }
     return row->in_flight > scope->bound ||
            (scope->request->prefix_hash &&
             recent_prompt_tokens(row, scope->request->now_ms) >
                 scope->prompt_bound);
 }
 
+/* Returns one of two candidates in scope, drawn at random, by shared load. */
+static struct pick
+pick_of_pair(struct ct_balance_base *base, const struct scope *scope,
+             const struct ct_candidate *candidates, uint32_t n)
+{
+    struct ct_balance_pair pair = ct_balance_shared_draw(&scope->shared);
+    uint32_t first = 0;
+    uint32_t second = 0;
+    uint32_t in_scope = 0;
+
+    for (uint32_t i = 0; i < n; i++) {
+        if (is_in_scope(scope, &candidates[i],
+                        ct_balance_row(&base->rows, candidates[i].upstream))) {
+            first = in_scope == pair.first ? i : first;
+            second = in_scope == pair.second ? i : second;
+            in_scope++;
+        }
+    }
+    if (ct_balance_shared_prefers_second(
+            &scope->shared, &candidates[first],
+            ct_balance_row(&base->rows, candidates[first].upstream),
+            &candidates[second],
+            ct_balance_row(&base->rows, candidates[second].upstream))) {
+        first = second;
+    }
+    return (struct pick){.index = (int)first};
+}
+
 /*
  * Returns the candidate with the best score: by the prefix's order of homes,
  * or by the fewest requests in flight if there is no prefix or all homes are
@@ -224,17 +287,21 @@
                     const struct ct_candidate *candidates, uint32_t n)
 {
     struct pick pick = {.index = CT_ERR_NOT_FOUND};
+    bool by_home = scope->request->prefix_hash && scope->bound != UINT64_MAX;
 
+    if (scope->shares_load && !by_home) {
+        return pick_of_pair(base, scope, candidates, n);
+    }
     for (uint32_t i = 0; i < n; i++) {
         const struct ct_balance_row *row =
             ct_balance_row(&base->rows, candidates[i].upstream);
         uint64_t score;
 
         if (!is_in_scope(scope, &candidates[i], row) ||
-            is_over_bound(scope, row)) {
+            is_over_bound(scope, &candidates[i], row)) {
             continue;
         }
-        if (scope->request->prefix_hash && scope->bound != UINT64_MAX) {
+        if (by_home) {
             score = ct_rendezvous_hash(scope->request->prefix_hash,
                                        candidates[i].name_hash);
         }
--- a/core/balance-reserve.c
+++ b/core/balance-reserve.c
@@ -19,8 +19,8 @@
 
 /*
  * More upstreams are reserved if more than this percentage of their slots is
- * in use, because full engines interrupt running requests. All hosts are
- * assumed to send as much as this one.
+ * in use, because full engines interrupt running requests. If the load of the
+ * other hosts is not known, they are assumed to send as much as this one.
  */
 #define RESERVED_FULL_PERCENT 50
 uint64_t
@@ -72,7 +72,7 @@
 list_reserve(struct ct_balance_base *base,
              const struct ct_balance_request *request,
              const struct ct_candidate *candidates, uint32_t n,
-             struct reserve_entry *out)
+             bool load_known, struct reserve_entry *out)
 {
     uint32_t listed = 0;
 
@@ -84,7 +84,8 @@
             row->ejected_until_ms <= request->now_ms) {
             out[listed++] = (struct reserve_entry){
                 .hash = ct_balance_reserve_hash(&candidates[i]),
-                .in_flight = row->in_flight,
+                .in_flight = load_known ? ct_balance_load(&candidates[i], row)
+                                        : row->in_flight,
                 .slots = candidates[i].slots,
             };
         }
@@ -105,8 +106,11 @@
                    const struct ct_candidate *candidates, uint32_t n)
 {
     struct reserve_entry entries[CT_CANDIDATES_MAX];
-    uint32_t listed = list_reserve(base, request, candidates,
-                                   MIN(n, CT_CANDIDATES_MAX), entries);
+    bool load_known = ct_balance_load_is_known(candidates, n);
+    uint32_t hosts = load_known ? 1 : request->hosts;
+    uint32_t listed =
+        list_reserve(base, request, candidates, MIN(n, CT_CANDIDATES_MAX),
+                     load_known, entries);
     uint32_t least = MAX((listed * RESERVED_PERCENT + 50) / 100, 1);
     uint32_t most = MAX(listed * RESERVED_MAX_PERCENT / 100, least);
     uint64_t in_flight = 0;
@@ -118,13 +122,13 @@
     }
     while (reserved < least ||
            (reserved < most &&
-            ct_balance_exceeds_reserve(in_flight, slots, request->hosts))) {
+            ct_balance_exceeds_reserve(in_flight, slots, hosts))) {
         in_flight += entries[reserved].in_flight;
         slots += entries[reserved].slots;
         reserved++;
     }
     return (struct ct_balance_reserve){
         .up_to = entries[reserved - 1].hash,
-        .full = ct_balance_exceeds_reserve(in_flight, slots, request->hosts),
+        .full = ct_balance_exceeds_reserve(in_flight, slots, hosts),
     };
 }
--- a/core/balance-reserve.h
+++ b/core/balance-reserve.h
@@ -29,7 +29,8 @@
 
 /*
  * Whether the requests of all hosts use more than the permitted part of the
- * slots, if each host has as many in flight.
+ * slots, if each host has as many in flight; hosts is 1 if in_flight has the
+ * requests of all.
  */
 bool ct_balance_exceeds_reserve(uint64_t in_flight, uint64_t slots,
                                 uint32_t hosts);
--- a/core/balance-rows.c
+++ b/core/balance-rows.c
@@ -86,6 +86,24 @@
     record_in_flight(row, now_ms);
 }
 
+bool
+ct_balance_load_is_known(const struct ct_candidate *candidates, uint32_t n)
+{
+    for (uint32_t i = 0; i < n; i++) {
+        if (!candidates[i].load_known) {
+            return false;
+        }
+    }
+    return n > 0;
+}
+
+uint32_t
+ct_balance_load(const struct ct_candidate *candidate,
+                const struct ct_balance_row *row)
+{
+    return row->in_flight + candidate->others_in_flight;
+}
+
 bool
 ct_balance_is_failure(enum ct_outcome outcome)
 {
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -13,6 +13,9 @@
 
 #define CT_IN_FLIGHT_SAMPLES 32
 
+/* All requests, see the part of struct ct_balance_row. */
+#define CT_BALANCE_PART_FULL (INT64_C(1) << 30)
+
 enum ct_health {
     CT_HEALTHY = 0,
     /* Ejected after failures; readmitted by a successful probe. */
@@ -45,6 +48,12 @@
      */
     uint64_t prompt_tokens;
     ct_ms prompt_tokens_at_ms;
+    /*
+     * Home policy with shared load: the part of the requests that come to it
+     * which it takes, of CT_BALANCE_PART_FULL, as of part_at_ms; 0 for never.
+     */
+    int64_t part;
+    ct_ms part_at_ms;
     /* When it was first among the candidates. */
     ct_ms first_seen_ms;
     /* Counts as full until this time, because it declined a request. */
@@ -91,6 +100,13 @@
 void ct_balance_row_started(struct ct_balance_row *row, ct_ms now_ms);
 void ct_balance_row_ended(struct ct_balance_row *row, ct_ms now_ms);
 
+/* Whether the load that other hosts cause is known for all candidates. */
+bool ct_balance_load_is_known(const struct ct_candidate *candidates,
+                              uint32_t n);
+/* Returns the requests of all hosts in flight at a candidate, if known. */
+uint32_t ct_balance_load(const struct ct_candidate *candidate,
+                         const struct ct_balance_row *row);
+
 /* Whether the outcome is a fault of the upstream. */
 bool ct_balance_is_failure(enum ct_outcome outcome);
 
--- /dev/null
+++ b/core/balance-shared.c
@@ -0,0 +1,166 @@
+#include "balance-shared.h"
+
+#include <glib.h>
+
+#include "balance-reserve.h"
+
+/*
+ * A home is over its bound above this percentage of the mean load per slot
+ * plus HOME_EXTRA: in a small load, one request more says nothing.
+ */
+#define HOME_MEAN_PERCENT 125
+#define HOME_EXTRA 1
+/*
+ * It is also over its bound above this percentage of its slots, unless the
+ * mean is higher: with random arrivals an engine that is fuller than this on
+ * average often has all slots in use.
+ */
+#define HOME_SLOTS_PERCENT 75
+
+/*
+ * A part changes by at most its own size in these times. The times must be
+ * longer than the age of the load (2.5 s at most), or the part follows load
+ * that it caused itself, and swings. It rises more slowly than it falls,
+ * because requests wait at an upstream that gets too many.
+ */
+#define PART_FALL_MS 5000
+#define PART_RISE_MS 10000
+/* The longest time between two choices for which a part is adjusted. */
+#define PART_STEP_MAX_MS 1000
+#define PART_MIN (CT_BALANCE_PART_FULL / 64)
+
+/*
+ * A difference in load of two candidates, relative to their sum, changes the
+ * permille with which each is chosen by this number, divided by the age of the
+ * load in ms, within the limits below. Short calls end before a difference
+ * that is some seconds old is seen, so it says little.
+ */
+#define PAIR_PERMILLE_MS 250000
+#define PAIR_PERMILLE_MIN 100
+#define PAIR_PERMILLE_MAX 10000
+
+/* What a random number is drawn for; homes use the hash of their name. */
+enum draw_purpose {
+    DRAW_FIRST = 1,
+    DRAW_SECOND,
+    DRAW_ONE_OF_PAIR,
+};
+
+/* Returns a number below n. */
+static uint32_t
+draw_below(const struct ct_balance_shared *shared, uint64_t purpose,
+           uint32_t n)
+{
+    uint64_t random = ct_rendezvous_hash(shared->request->random, purpose);
+
+    return (uint32_t)(((random >> 32) * n) >> 32);
+}
+
+static uint64_t
+slots_of(const struct ct_candidate *candidate)
+{
+    return MAX(candidate->slots, 1);
+}
+
+void
+ct_balance_shared_add(struct ct_balance_shared *shared,
+                      const struct ct_candidate *candidate,
+                      const struct ct_balance_row *row)
+{
+    shared->n++;
+    shared->load += ct_balance_load(candidate, row);
+    shared->slots += slots_of(candidate);
+}
+
+uint64_t
+ct_balance_shared_bound(const struct ct_balance_shared *shared,
+                        const struct ct_candidate *candidate)
+{
+    uint64_t slots = slots_of(candidate);
+    uint64_t mean = shared->load * slots / MAX(shared->slots, 1);
+    uint64_t bound = shared->load * slots * HOME_MEAN_PERCENT /
+                         (100 * MAX(shared->slots, 1)) +
+                     HOME_EXTRA;
+
+    if (!shared->request->prefix_hash) {
+        return mean;
+    }
+    return MIN(bound,
+               MAX(mean + HOME_EXTRA, slots * HOME_SLOTS_PERCENT / 100));
+}
+
+void
+ct_balance_shared_adjust(const struct ct_balance_shared *shared,
+                         const struct ct_candidate *candidate,
+                         struct ct_balance_row *row)
+{
+    ct_ms elapsed_ms =
+        MIN(shared->request->now_ms - row->part_at_ms, PART_STEP_MAX_MS);
+    int64_t load = ct_balance_load(candidate, row);
+    int64_t bound = (int64_t)ct_balance_shared_bound(shared, candidate);
+    int64_t change;
+
+    if (!row->part_at_ms) {
+        row->part = CT_BALANCE_PART_FULL;
+    }
+    row->part_at_ms = shared->request->now_ms;
+    change = row->part * (bound - load) / MAX(MAX(load, bound), 1) *
+             elapsed_ms / (load > bound ? PART_FALL_MS : PART_RISE_MS);
+    row->part = CLAMP(row->part + change, PART_MIN, CT_BALANCE_PART_FULL);
+}
+
+bool
+ct_balance_shared_skips(const struct ct_balance_shared *shared,
+                        const struct ct_candidate *candidate,
+                        const struct ct_balance_row *row)
+{
+    uint64_t load = ct_balance_load(candidate, row);
+    uint64_t bound = ct_balance_shared_bound(shared, candidate);
+    uint64_t part = (uint64_t)row->part;
+
+    if (load > bound) {
+        part = part * bound / load;
+    }
+    return draw_below(shared, candidate->name_hash,
+                      (uint32_t)CT_BALANCE_PART_FULL) >= part;
+}
+
+struct ct_balance_pair
+ct_balance_shared_draw(const struct ct_balance_shared *shared)
+{
+    struct ct_balance_pair pair = {0};
+
+    pair.first = draw_below(shared, DRAW_FIRST, shared->n);
+    pair.second = pair.first;
+    if (shared->n > 1) {
+        pair.second = draw_below(shared, DRAW_SECOND, shared->n - 1);
+        pair.second += pair.second >= pair.first;
+    }
+    return pair;
+}
+
+bool
+ct_balance_shared_prefers_second(const struct ct_balance_shared *shared,
+                                 const struct ct_candidate *first,
+                                 const struct ct_balance_row *first_row,
+                                 const struct ct_candidate *second,
+                                 const struct ct_balance_row *second_row)
+{
+    int64_t first_load =
+        (int64_t)(ct_balance_load(first, first_row) * slots_of(second));
+    int64_t second_load =
+        (int64_t)(ct_balance_load(second, second_row) * slots_of(first));
+    ct_ms age_ms = MAX(MAX(first->load_age_ms, second->load_age_ms), 1);
+    int64_t weight =
+        CLAMP(PAIR_PERMILLE_MS / age_ms, PAIR_PERMILLE_MIN, PAIR_PERMILLE_MAX);
+    int64_t permille =
+        second_row->part * 1000 / (first_row->part + second_row->part);
+
+    if (first_load == second_load &&
+        first_row->in_flight != second_row->in_flight) {
+        return second_row->in_flight < first_row->in_flight;
+    }
+    permille +=
+        weight * (first_load - second_load) / MAX(first_load + second_load, 1);
+    return (int64_t)draw_below(shared, DRAW_ONE_OF_PAIR, 1000) < permille;
+}
