core: keep the arithmetic of shared load in range, reset outdated parts

Cause: a host may report any number of calls; products of loads, slots and parts could exceed 64 bits and wrap. A part that no choice adjusted for a long time was used as it was left. Change: loads are 64 bits wide, differences become permille before they are multiplied, and a part that is a minute old starts at all requests.

--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -140,7 +140,8 @@
  * For relayed calls, which the engines queue and admit themselves. Each prefix
  * has a home upstream; while that has far more requests in flight than the
  * mean, the next one in the prefix's order is used. Calls without a prefix go
- * to the upstream with the fewest requests in flight. Some upstreams are
+ * to the upstream with the fewest requests in flight. If the load of the other
+ * hosts is known, both go by the requests of all hosts. Some upstreams are
  * reserved for interactive requests, those with a short prompt and the
  * tightest target for gaps, whose tokens would otherwise be delayed while the
  * engine reads the prompts of other requests.
--- a/core/balance-reserve.c
+++ b/core/balance-reserve.c
@@ -54,7 +54,7 @@
 
 struct reserve_entry {
     uint64_t hash;
-    uint32_t in_flight;
+    uint64_t in_flight;
     uint32_t slots;
 };
 
--- a/core/balance-rows.c
+++ b/core/balance-rows.c
@@ -97,11 +97,11 @@
     return n > 0;
 }
 
-uint32_t
+uint64_t
 ct_balance_load(const struct ct_candidate *candidate,
                 const struct ct_balance_row *row)
 {
-    return row->in_flight + candidate->others_in_flight;
+    return (uint64_t)row->in_flight + candidate->others_in_flight;
 }
 
 bool
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -104,7 +104,7 @@
 bool ct_balance_load_is_known(const struct ct_candidate *candidates,
                               uint32_t n);
 /* Returns the requests of all hosts in flight at a candidate, if known. */
-uint32_t ct_balance_load(const struct ct_candidate *candidate,
+uint64_t ct_balance_load(const struct ct_candidate *candidate,
                          const struct ct_balance_row *row);
 
 /* Whether the outcome is a fault of the upstream. */
--- a/core/balance-shared.c
+++ b/core/balance-shared.c
@@ -27,6 +27,8 @@
 #define PART_RISE_MS 10000
 /* The longest time between two choices for which a part is adjusted. */
 #define PART_STEP_MAX_MS 1000
+/* A part that was not adjusted for this long is outdated and set to full. */
+#define PART_KEEP_MS 60000
 #define PART_MIN (CT_BALANCE_PART_FULL / 64)
 
 /*
@@ -94,18 +96,20 @@
                          const struct ct_candidate *candidate,
                          struct ct_balance_row *row)
 {
-    ct_ms elapsed_ms =
-        MIN(shared->request->now_ms - row->part_at_ms, PART_STEP_MAX_MS);
+    ct_ms elapsed_ms = shared->request->now_ms - row->part_at_ms;
     int64_t load = ct_balance_load(candidate, row);
     int64_t bound = (int64_t)ct_balance_shared_bound(shared, candidate);
+    int64_t off_permille;
     int64_t change;
 
-    if (!row->part_at_ms) {
+    if (!row->part_at_ms || elapsed_ms > PART_KEEP_MS) {
         row->part = CT_BALANCE_PART_FULL;
     }
     row->part_at_ms = shared->request->now_ms;
-    change = row->part * (bound - load) / MAX(MAX(load, bound), 1) *
-             elapsed_ms / (load > bound ? PART_FALL_MS : PART_RISE_MS);
+    off_permille = (bound - load) * 1000 / MAX(MAX(load, bound), 1);
+    change = row->part * off_permille / 1000 *
+             MIN(elapsed_ms, PART_STEP_MAX_MS) /
+             (load > bound ? PART_FALL_MS : PART_RISE_MS);
     row->part = CLAMP(row->part + change, PART_MIN, CT_BALANCE_PART_FULL);
 }
 
@@ -160,7 +164,7 @@
         first_row->in_flight != second_row->in_flight) {
         return second_row->in_flight < first_row->in_flight;
     }
-    permille +=
-        weight * (first_load - second_load) / MAX(first_load + second_load, 1);
+    permille += (first_load - second_load) * 1000 /
+                MAX(first_load + second_load, 1) * weight / 1000;
     return (int64_t)draw_below(shared, DRAW_ONE_OF_PAIR, 1000) < permille;
 }
