test-balance-shared: unknown load, a home over its bound, age, the reserve

Cause: the simulated hosts show only that all rules together keep the load even. Change: a test for each rule, and the mean time that calls wait for a slot.

--- a/t/test-balance-shared.c
+++ b/t/test-balance-shared.c
@@ -66,6 +66,7 @@
     struct engine engines[ENGINES_MAX];
     guint16 snapshots[SNAPSHOTS][HOSTS_MAX][ENGINES_MAX];
     guint sent;
+    /* Totals of the figures below. */
     guint read;
     guint waited;
     gint64 wait_ms;
@@ -76,6 +77,8 @@
     gint64 busiest;
     /* Calls per thousand that waited while an engine was at most half full. */
     guint waited;
+    /* Mean time that a call waits for a slot. */
+    gint64 wait_ms;
     /* Calls per thousand whose engine had to read the prefix. */
     guint read;
 };
@@ -298,19 +301,173 @@
     figures.busiest = figures.busiest * 100 * setup->engines / total_ms;
     figures.waited = w->waited * 1000 / w->sent;
     figures.read = w->read * 1000 / w->sent;
+    figures.wait_ms = w->wait_ms / w->sent;
     for (guint h = 0; h < setup->hosts; h++) {
         w->hosts[h].policy->ops->free(w->hosts[h].policy);
     }
+    g_rand_free(w->random);
+    g_free(w);
     g_test_message("%u engines, load %s: busiest %" G_GINT64_FORMAT
-                   " %% of the mean, waited %u, read %u of 1000, wait %d",
+                   " %% of the mean; of 1000 calls %u wait and %u read; mean "
+                   "wait %" G_GINT64_FORMAT " ms",
                    setup->engines, shares_load ? "shared" : "not shared",
                    figures.busiest, figures.waited, figures.read,
-                   (int)(w->wait_ms / w->sent));
-    g_rand_free(w->random);
-    g_free(w);
+                   figures.wait_ms);
     return figures;
 }
 
+#define CANDIDATES 20
+#define CHOICES 1000
+
+static struct ct_balance_policy *
+policy_new(struct ct_candidate candidates[CANDIDATES])
+{
+    for (uint32_t i = 0; i < CANDIDATES; i++) {
+        candidates[i] = (struct ct_candidate){
+            .upstream = {i, 1},
+            .name_hash = ct_hash_bytes(CT_HASH_SEED, &i, sizeof(i)),
+            .slots = 64,
+            .load_known = true,
+            .others_in_flight = 10,
+            .load_age_ms = 1000,
+        };
+    }
+    return ct_balance_prefix_home_new();
+}
+
+/* Chooses for the n-th call; each has its own random number. */
+static int
+choose(struct ct_balance_policy *policy, struct ct_candidate *candidates,
+       guint64 prefix, guint64 n)
+{
+    struct ct_balance_request request = {
+        .now_ms = 1000 + (ct_ms)n,
+        .prefix_hash = prefix,
+        .prompt_tokens = 100,
+        .tight_gap = true,
+        .hosts = 100,
+        .random = ct_hash_bytes(CT_HASH_SEED, &n, sizeof(n)),
+    };
+
+    return policy->ops->choose_upstream(policy, &request, candidates,
+                                        CANDIDATES);
+}
+
+/*
+ * If the load of only one upstream is not known, numbers left from before must
+ * not change a choice.
+ */
+static void
+test_unknown_load(void)
+{
+    struct ct_candidate unknown[CANDIDATES];
+    struct ct_candidate partly[CANDIDATES];
+    struct ct_balance_policy *policy = policy_new(unknown);
+    struct ct_balance_policy *other = policy_new(partly);
+
+    for (guint i = 0; i < CANDIDATES; i++) {
+        unknown[i].load_known = false;
+        unknown[i].others_in_flight = 0;
+        partly[i].load_known = i != 7;
+        partly[i].others_in_flight = i * 100;
+    }
+    for (guint i = 0; i < CHOICES; i++) {
+        int chosen = choose(policy, unknown, i % 5 * 99, i);
+
+        g_assert_cmpint(choose(other, partly, i % 5 * 99, i), ==, chosen);
+        policy->ops->started(policy, unknown[chosen].upstream, 1000 + i);
+        other->ops->started(other, partly[chosen].upstream, 1000 + i);
+    }
+    policy->ops->free(policy);
+    other->ops->free(other);
+}
+
+/*
+ * A home with twice the bound loses about half of its calls, not all at once,
+ * and those to one second home, which must not read the prefix elsewhere.
+ */
+static void
+test_home_over_bound(void)
+{
+    struct ct_candidate candidates[CANDIDATES];
+    struct ct_balance_policy *policy = policy_new(candidates);
+    int home = choose(policy, candidates, 99, 0);
+    int second = -1;
+    guint kept = 0;
+
+    /* The mean of the three reserved upstreams is 20, the bound 26. */
+    candidates[home].others_in_flight = 40;
+    for (guint i = 0; i < CHOICES; i++) {
+        int chosen = choose(policy, candidates, 99, i);
+
+        kept += chosen == home;
+        if (chosen != home) {
+            g_assert_true(second < 0 || chosen == second);
+            second = chosen;
+        }
+    }
+    g_assert_cmpuint(kept, >, CHOICES / 2);
+    g_assert_cmpuint(kept, <, CHOICES * 3 / 4);
+    policy->ops->free(policy);
+}
+
+/* The newer the load is, the more calls go to the less loaded upstreams. */
+static void
+test_age(void)
+{
+    struct ct_candidate candidates[CANDIDATES];
+    guint previous = CHOICES;
+
+    for (ct_ms age_ms = 10; age_ms <= 3000; age_ms = age_ms * 17) {
+        struct ct_balance_policy *policy = policy_new(candidates);
+        guint to_idle = 0;
+
+        for (guint i = 0; i < CANDIDATES; i++) {
+            candidates[i].load_age_ms = age_ms;
+            candidates[i].others_in_flight = i < CANDIDATES / 2 ? 8 : 12;
+        }
+        for (guint i = 0; i < CHOICES; i++) {
+            to_idle += choose(policy, candidates, 0, i) < CANDIDATES / 2;
+        }
+        g_assert_cmpuint(to_idle, <, previous);
+        g_assert_cmpuint(to_idle, >, CHOICES / 2);
+        previous = to_idle;
+        policy->ops->free(policy);
+    }
+}
+
+/*
+ * One call at each upstream must not count as one of every host if the load
+ * of the others is known: calls would use all upstreams, not the reserved
+ * ones.
+ */
+static void
+test_reserve(void)
+{
+    struct ct_candidate candidates[CANDIDATES];
+    guint used[2] = {0};
+
+    for (guint known = 0; known < 2; known++) {
+        struct ct_balance_policy *policy = policy_new(candidates);
+        bool seen[CANDIDATES] = {false};
+
+        for (guint i = 0; i < CANDIDATES; i++) {
+            candidates[i].load_known = known;
+            policy->ops->started(policy, candidates[i].upstream, 1000);
+        }
+        for (guint i = 1; i <= CHOICES; i++) {
+            seen[choose(policy, candidates, i * G_GUINT64_CONSTANT(2654435761),
+                        i)] = true;
+        }
+        for (guint i = 0; i < CANDIDATES; i++) {
+            used[known] += seen[i];
+        }
+        policy->ops->free(policy);
+    }
+    g_assert_cmpuint(used[0], ==, CANDIDATES);
+    g_assert_cmpuint(used[1], ==, CANDIDATES * 15 / 100);
+}
+
 /*
  * Hosts that know only their own calls keep popular prefixes and slow engines
  * far above the mean; late reports must not make all hosts crowd at the
@@ -326,6 +483,7 @@
         g_assert_cmpint(without.busiest, >, 200);
         g_assert_cmpint(with.busiest, <=, 150);
         g_assert_cmpuint(with.waited * 3, <=, without.waited * 2);
+        g_assert_cmpint(with.wait_ms * 4, <=, without.wait_ms);
         g_assert_cmpuint(with.read, <=, 100);
     }
 }
@@ -351,6 +509,10 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/balance-shared/unknown-load", test_unknown_load);
+    g_test_add_func("/balance-shared/home-over-bound", test_home_over_bound);
+    g_test_add_func("/balance-shared/age", test_age);
+    g_test_add_func("/balance-shared/reserve", test_reserve);
     g_test_add_func("/balance-shared/many-engines", test_many_engines);
     g_test_add_func("/balance-shared/few-engines", test_few_engines);
     return g_test_run();
