core: bound the load of other hosts that a choice counts

Cause: one wrong number of calls, from a host in error, raised the mean so far that no home was over its bound. Change: others count as at most eight calls per slot of an upstream.

--- a/core/balance-rows.c
+++ b/core/balance-rows.c
@@ -9,6 +9,13 @@
 /* How long an upstream stays ejected after a failure. */
 #define PLAIN_EJECT_MS 10000
 
+/*
+ * Other hosts count as at most so many requests per slot. Upstreams and hosts
+ * refuse requests long before; higher numbers are wrong, and would raise the
+ * mean so far that no upstream is over it.
+ */
+#define OTHERS_MAX_PER_SLOT 8
+
 struct ct_balance_row *
 ct_balance_row(struct ct_balance_rows *rows, struct ct_handle upstream)
 {
@@ -101,7 +108,11 @@
 ct_balance_load(const struct ct_candidate *candidate,
                 const struct ct_balance_row *row)
 {
-    return (uint64_t)row->in_flight + candidate->others_in_flight;
+    uint64_t slots = candidate->slots > 0 ? candidate->slots : 1;
+    uint64_t max = slots * OTHERS_MAX_PER_SLOT;
+    uint64_t others = candidate->others_in_flight;
+
+    return row->in_flight + (others < max ? others : max);
 }
 
 bool
--- a/core/balance-rows.h
+++ b/core/balance-rows.h
@@ -103,7 +103,10 @@
 /* Whether the load that other hosts cause is known for all candidates. */
 bool ct_balance_load_is_known(const struct ct_candidate *candidates,
                               uint32_t n);
-/* Returns the requests of all hosts in flight at a candidate, if known. */
+/*
+ * Returns the requests of all hosts in flight at a candidate whose load is
+ * known; very high numbers of other hosts are bounded.
+ */
 uint64_t ct_balance_load(const struct ct_candidate *candidate,
                          const struct ct_balance_row *row);
 
--- a/t/test-balance-shared.c
+++ b/t/test-balance-shared.c
@@ -411,6 +411,38 @@
     policy->ops->free(policy);
 }
 
+/*
+ * A wrong number, however high, must not raise the mean so far that no other
+ * home is over its bound, and must not bar an upstream without alternative.
+ */
+static void
+test_wrong_load(void)
+{
+    struct ct_candidate candidates[CANDIDATES];
+    struct ct_balance_policy *policy = policy_new(candidates);
+    guint kept = 0;
+    int home;
+
+    /* All are in use, and none is reserved. */
+    for (guint i = 0; i < CANDIDATES; i++) {
+        candidates[i].slots = 8;
+    }
+    home = choose(policy, candidates, 99, 0);
+    candidates[home].others_in_flight = 100;
+    candidates[home == 0].others_in_flight = G_MAXUINT32;
+    for (guint i = 0; i < CHOICES; i++) {
+        kept += choose(policy, candidates, 99, i) == home;
+    }
+    g_assert_cmpuint(kept, <, CHOICES / 2);
+    for (guint i = 0; i < CANDIDATES; i++) {
+        candidates[i].excluded = i != 5;
+    }
+    for (guint i = 0; i < CHOICES; i++) {
+        g_assert_cmpint(choose(policy, candidates, i % 5 * 99, i), ==, 5);
+    }
+    policy->ops->free(policy);
+}
+
 /* The newer the load is, the more calls go to the less loaded upstreams. */
 static void
 test_age(void)
@@ -511,6 +543,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/balance-shared/unknown-load", test_unknown_load);
     g_test_add_func("/balance-shared/home-over-bound", test_home_over_bound);
+    g_test_add_func("/balance-shared/wrong-load", test_wrong_load);
     g_test_add_func("/balance-shared/age", test_age);
     g_test_add_func("/balance-shared/reserve", test_reserve);
     g_test_add_func("/balance-shared/many-engines", test_many_engines);
