platform, conf, wire: read how cold upstreams are

Cause: pools may say how long their upstreams are cold after a start (coldStartS) and how many requests a second a cold one takes (coldPerS); upstreams say how long they are still cold (coldLeftMs of their entries, header Cold-Ms of their responses). Nothing read them.

Change: members of the pool, the entry and the notice; settings bounds.cold_overshoot and bounds.cold_burst; entries that a source sends to its followers have the remaining cold time. A value that cannot be read makes the notice or the entry invalid, and leaves the pool's upstreams never cold.

Result: test-config-entry, test-store-entry, test-call-dialect, test-peer-codec and test-relay-settings pass with the new cases.

--- a/core/bounds.h
+++ b/core/bounds.h
@@ -36,6 +36,12 @@
      * unless it says so again.
      */
     ct_ms upstream_pause_max_ms;
+    /*
+     * A cold upstream gets at most its pool's cold_permille times this factor,
+     * in thousandths, plus the burst in any one second.
+     */
+    int64_t cold_overshoot_permille;
+    uint32_t cold_burst;
     /* Time from the stop signal to the kill. */
     ct_ms grace_ms;
     /* Memory that the host may use. */
--- a/core/config-row.h
+++ b/core/config-row.h
@@ -86,6 +86,13 @@
     uint32_t max_upstreams;
     /* An engine can copy the cache of a running request to another engine. */
     bool backs_up;
+    /* How long an upstream is cold after its start; 0 for never. */
+    ct_ms cold_ms;
+    /*
+     * Requests that a cold upstream takes from all hosts together, in
+     * thousandths per second; 0 for any number.
+     */
+    int64_t cold_permille;
 };
 
 /* An availability zone in which upstreams of a pool can be ordered. */
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -63,6 +63,8 @@
     /* With a refusal: how long this host must send it nothing; 0 if not said.
      */
     ct_ms pause_ms;
+    /* How much longer it is cold; 0 if not said. */
+    ct_ms cold_ms;
     /* A value that cannot be read was ignored. */
     bool invalid;
 };
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -58,6 +58,8 @@
     bool leaving;
     /* When the process started, in wall time; a restart is another process. */
     ct_ms started_ms;
+    /* Remaining time for which it is cold, as of its record. */
+    ct_ms cold_left_ms;
     /* Offset of its record; 0 in a page of the newest records. */
     int64_t offset;
 };
--- a/t/test-call-dialect.c
+++ b/t/test-call-dialect.c
@@ -367,6 +367,36 @@
     }
 }
 
+/* A response of any status says how long the upstream is still cold. */
+static void
+test_cold(void)
+{
+    static const struct {
+        uint32_t status;
+        const char *value;
+        bool invalid;
+        ct_ms cold_ms;
+    } cases[] = {{200, "9000", false, 9000},
+                 {503, "12.5", false, 12},
+                 {421, "1", false, 1},
+                 {200, "0", false, 0},
+                 {200, "", true, 0},
+                 {200, "-1", true, 0},
+                 {200, "9s", true, 0},
+                 {200, "nan", true, 0},
+                 {200, "9999999999999", true, 0}};
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ct_upstream_response_head head = {.status = cases[i].status};
+        struct ct_relay_start start = {.rank = 0};
+
+        g_assert_true(ops()->response_header(
+            ct_platform_dialect(), &start, "cold-ms", cases[i].value, &head));
+        g_assert_cmpint(head.notice.invalid, ==, cases[i].invalid);
+        g_assert_cmpint(head.notice.cold_ms, ==, cases[i].cold_ms);
+    }
+}
+
 static void
 test_own_responses(void)
 {
@@ -403,6 +433,7 @@
     g_test_add_func("/call-dialect/leaving", test_leaving);
     g_test_add_func("/call-dialect/pauses", test_pauses);
     g_test_add_func("/call-dialect/limits", test_limits);
+    g_test_add_func("/call-dialect/cold", test_cold);
     g_test_add_func("/call-dialect/own-responses", test_own_responses);
     return g_test_run();
 }
--- a/t/test-config-entry.c
+++ b/t/test-config-entry.c
@@ -66,7 +66,8 @@
 {
     static const char text[] = CONFIG(
         SERVICE ",{\"name\":\"s2\",\"engine\":{\"slots\":64,"
-                "\"backups\":true},\"scaling\":{\"min\":1,"
+                "\"backups\":true},\"coldStartS\":7.5,\"coldPerS\":6.1,"
+                "\"scaling\":{\"min\":1,"
                 "\"max\":10,\"bootS\":4.5,\"spotPrice\":0.18,"
                 "\"zonePrices\":{\"za\":1.0,\"zb\":0.8}}}",
         "{\"name\":\"acme\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1},"
@@ -96,6 +97,9 @@
     g_assert_cmpint(row->u.pool.kind, ==, CT_POOL_ENGINE);
     g_assert_cmpuint(row->u.pool.max_upstreams, ==, 10);
     g_assert_true(row->u.pool.backs_up);
+    g_assert_cmpint(row->u.pool.cold_ms, ==, 7500);
+    g_assert_cmpint(row->u.pool.cold_permille, ==, 6100);
+    g_assert_cmpint(nth_row(rows, CT_CONFIG_POOL, 0)->u.pool.cold_ms, ==, 0);
     g_assert_false(nth_row(rows, CT_CONFIG_POOL, 0)->u.pool.backs_up);
     row = nth_row(rows, CT_CONFIG_ORDER_ZONE, 0);
     g_assert_cmpstr(row->u.order_zone.pool.text, ==, "s2");
@@ -262,6 +266,10 @@
          CT_ERR_FIELD_TYPE, "s2", 1, 1, 1},
         {",{\"name\":\"s2\",\"engine\":{\"backups\":1}}", "", "",
          CT_ERR_FIELD_TYPE, "s2", 1, 1, 1},
+        {",{\"name\":\"s2\",\"coldStartS\":9,\"coldPerS\":\"6\"}", "", "",
+         CT_ERR_FIELD_TYPE, "s2", 1, 1, 1},
+        {",{\"name\":\"s2\",\"coldStartS\":-9,\"coldPerS\":6}", "", "",
+         CT_ERR_FIELD_RANGE, "s2", 1, 1, 1},
         {"", ",{\"apiKeys\":[\"k2\"]}", "", CT_ERR_FIELD_MISSING, "", 1, 1, 1},
         {"", ",{\"name\":\"b\",\"apiKeys\":[{},\"k2\"]}", "",
          CT_ERR_FIELD_TYPE, "b", 1, 1, 2},
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -77,6 +77,7 @@
         entry.upstream.cheap = true;
         entry.leaving = true;
         entry.started_ms = -1;
+        entry.cold_left_ms = 9000;
         entry.offset = 5;
         m->rows = CT_ROWS(&entry, 1);
         break;
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -63,6 +63,8 @@
     g_assert_cmpint(settings.bounds.usage_window_ms, ==, 2500);
     g_assert_cmpint(settings.bounds.lease_ms, ==, 3000);
     g_assert_cmpint(settings.bounds.config_ms, ==, 2000);
+    g_assert_cmpint(settings.bounds.cold_overshoot_permille, ==, 1000);
+    g_assert_cmpuint(settings.bounds.cold_burst, ==, 0);
     g_assert_false(settings.first_start);
     g_assert_cmpint(load_with_line(9, "\"first_start\": true,", &settings), ==,
                     CT_OK);
@@ -111,6 +113,8 @@
         {12, "\"bounds\": {\"revoke_ms\": 0,", CT_ERR_FIELD_RANGE},
         {12, "\"bounds\": {\"repeat_ratio\": 1.5,", CT_ERR_FIELD_RANGE},
         {12, "\"bounds\": {\"repeat_ratio\": \"0.2\",", CT_ERR_FIELD_TYPE},
+        {12, "\"bounds\": {\"cold_overshoot\": -1,", CT_ERR_FIELD_RANGE},
+        {12, "\"bounds\": {\"cold_burst\": \"5\",", CT_ERR_FIELD_TYPE},
         {13, "\"usage_window_s\": null}", CT_ERR_FIELD_TYPE},
         {14, "", CT_ERR_JSON_SYNTAX},
     };
--- a/t/test-store-entry.c
+++ b/t/test-store-entry.c
@@ -34,10 +34,17 @@
         const char *text;
         int err;
         bool leaving, cheap;
+        ct_ms cold_left_ms;
     } cases[] = {
         {ENTRY("ready", ""), CT_OK, false, false},
         {ENTRY("ready", ",\"preemptible\":true,\"born\":5"), CT_OK, false,
          true},
+        {ENTRY("ready", ",\"coldLeftMs\":8000.5"), CT_OK, false, false, 8000},
+        {ENTRY("ready", ",\"coldLeftMs\":0"), CT_OK, false, false, 0},
+        {ENTRY("ready", ",\"coldLeftMs\":1e30"), CT_OK, false, false,
+         G_MAXINT32},
+        {ENTRY("ready", ",\"coldLeftMs\":\"1\""), CT_ERR_FIELD_TYPE, false,
+         false},
         {ENTRY("draining", ",\"leaves_ms\":2000"), CT_OK, true, false},
         {ENTRY("resting", ""), CT_ERR_INVALID, false, false},
         {ENTRY("ready", ",\"born\":\"x\""), CT_ERR_FIELD_TYPE, false, false},
@@ -61,6 +68,7 @@
             g_assert_cmpstr(entry.upstream.address.text, ==, "10.1.0.9:80");
             g_assert_cmpint(entry.leaving, ==, cases[i].leaving);
             g_assert_cmpint(entry.upstream.cheap, ==, cases[i].cheap);
+            g_assert_cmpint(entry.cold_left_ms, ==, cases[i].cold_left_ms);
         }
     }
 }
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -3900,7 +3900,7 @@
   (ProtobufCMessageInit) ct__feed_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__upstream_entry__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ct__upstream_entry__field_descriptors[11] =
 {
   {
     "name",
@@ -4022,11 +4022,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_left_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__UpstreamEntry, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__upstream_entry__field_indices_by_name[] = {
   3,   /* field[3] = address */
   8,   /* field[8] = born_ms */
   5,   /* field[5] = cheap */
+  10,   /* field[10] = cold_left_ms */
   6,   /* field[6] = gone */
   7,   /* field[7] = leaving */
   0,   /* field[0] = name */
@@ -4038,7 +4051,7 @@
 static const ProtobufCIntRange ct__upstream_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ct__upstream_entry__descriptor =
 {
@@ -4048,7 +4061,7 @@
   "Ct__UpstreamEntry",
   "ct",
   sizeof(Ct__UpstreamEntry),
-  10,
+  11,
   ct__upstream_entry__field_descriptors,
   ct__upstream_entry__field_indices_by_name,
   1,  ct__upstream_entry__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -467,10 +467,11 @@
   protobuf_c_boolean leaving;
   int64_t born_ms;
   int64_t offset;
+  int64_t cold_left_ms;
 };
 #define CT__UPSTREAM_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__upstream_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Member
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -99,6 +99,7 @@
     {CT_MAP_I64, offsetof(Ct__UpstreamEntry, born_ms),
      offsetof(struct ct_store_upstream, started_ms), 0, INT64_MIN, INT64_MAX},
     CT_MAP_F_OFFSET(UpstreamEntry, store_upstream, offset),
+    CT_MAP_F_MS(UpstreamEntry, store_upstream, cold_left_ms),
 };
 static const struct ct_map entry_map = {
     &ct__upstream_entry__descriptor, sizeof(struct ct_store_upstream),
