group: know how old the member list is, and share the order of hosts

Cause: hosts that divide what one upstream takes must know whether their member lists still agree. The order of hosts by upstream was private to upstream-notices.

Change: the list counts from the last join whose response shows the generation at which it was read. The order moves to group.c, for other uses of it.

Result: test-group list-age and order; test-upstream-notices passes unchanged.

--- a/core/group.c
+++ b/core/group.c
@@ -50,6 +50,57 @@
     return state->group.rows.live > 0;
 }
 
+ct_ms
+ct_group_list_age_ms(const struct ct_state *state)
+{
+    const struct ct_group *group = &state->group;
+    const struct ct_leadership *leadership = &state->leadership;
+    ct_ms list_ms = group->list_ms;
+
+    if (list_ms == 0) {
+        return CT_MS_NEVER;
+    }
+    if (group->list_generation == leadership->generation) {
+        list_ms = MAX(list_ms, leadership->joined_ms);
+    }
+    return state->now_ms - list_ms;
+}
+
+static uint64_t
+rank_hash(uint64_t seed, const struct ct_name *host)
+{
+    return ct_hash_bytes(seed, host->text, (uint32_t)strlen(host->text));
+}
+
+bool
+ct_group_is_among_first(const struct ct_state *state, uint64_t seed,
+                        uint32_t n)
+{
+    uint64_t own = rank_hash(seed, &state->self.host);
+    const struct ct_group_row *row;
+    uint32_t before = 0;
+    uint32_t cursor = 0;
+
+    while ((row = ct_table_next(&state->group.rows, &cursor, NULL))) {
+        before += rank_hash(seed, &row->member.host) > own;
+    }
+    return before < n;
+}
+
+bool
+ct_group_lists_self(const struct ct_state *state)
+{
+    const struct ct_group_row *row;
+    uint32_t cursor = 0;
+
+    while ((row = ct_table_next(&state->group.rows, &cursor, NULL))) {
+        if (ct_name_eq(&row->member.host, &state->self.host)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Schedules a read after the delay plus jitter, unless one is due sooner. */
 static void
 schedule_read(struct ct_state *state, ct_ms delay_ms)
@@ -74,6 +125,7 @@
 
     ct_emit_effect(state, CT_EFFECT_STORE_READ_MEMBERS);
     group->last_read_ms = state->now_ms;
+    group->read_generation = state->leadership.generation;
     group->next_read_ms = 0;
     schedule_read(state, ct_leadership_sees_group_changes(state)
                              ? STABLE_READ_PERIOD_MS
@@ -153,27 +205,18 @@
     row->listed = true;
 }
 
-void
-ct_group_on_members_update(struct ct_state *state, struct ct_rows rows)
-{
-    state->group.updated_ms = state->now_ms;
-    ct_group_on_members_read(state, CT_OK, rows);
-}
-
-void
-ct_group_on_members_read(struct ct_state *state, int32_t result,
-                         struct ct_rows rows)
+/* Applies a list that holds for the time and the group's generation. */
+static void
+apply_list(struct ct_state *state, struct ct_rows rows, ct_ms list_ms,
+           int64_t generation)
 {
     const struct ct_member *members = rows.data;
     struct ct_group_row *row;
     struct ct_handle handle;
     uint32_t cursor = 0;
 
-    /* An empty list: the group expired while the store was unavailable. */
-    if (result < 0 || rows.n == 0) {
-        ct_group_refresh_soon(state);
-        return;
-    }
+    state->group.list_ms = list_ms;
+    state->group.list_generation = generation;
     while ((row = ct_table_next(&state->group.rows, &cursor, NULL))) {
         row->listed = false;
     }
@@ -193,6 +236,30 @@
     }
 }
 
+void
+ct_group_on_members_update(struct ct_state *state, struct ct_rows rows)
+{
+    state->group.updated_ms = state->now_ms;
+    /* An empty list: the group expired while the store was unavailable. */
+    if (rows.n == 0) {
+        ct_group_refresh_soon(state);
+        return;
+    }
+    apply_list(state, rows, state->now_ms, state->leadership.generation);
+}
+
+void
+ct_group_on_members_read(struct ct_state *state, int32_t result,
+                         struct ct_rows rows)
+{
+    if (result < 0 || rows.n == 0) {
+        ct_group_refresh_soon(state);
+        return;
+    }
+    apply_list(state, rows, state->group.last_read_ms,
+               state->group.read_generation);
+}
+
 static bool
 is_self(const struct ct_state *state, const struct ct_member *member)
 {
--- a/core/group.h
+++ b/core/group.h
@@ -26,6 +26,14 @@
     ct_ms updated_ms;
     /* Time of the next read of the members; 0 if none is scheduled. */
     ct_ms next_read_ms;
+    /* The group's generation when the members were last read. */
+    int64_t read_generation;
+    /*
+     * Time and generation for which the member list holds; 0 before the first
+     * list.
+     */
+    ct_ms list_ms;
+    int64_t list_generation;
 };
 
 struct ct_state;
@@ -50,6 +58,20 @@
 /* Whether a member list was read since the start. */
 bool ct_group_is_known(const struct ct_state *state);
 
+/*
+ * Returns how old the member list is, counted from the last join whose
+ * response shows that the group is still the same; CT_MS_NEVER without a list.
+ */
+ct_ms ct_group_list_age_ms(const struct ct_state *state);
+/*
+ * Whether this host is one of the first n in an order of all hosts that
+ * depends on the seed.
+ */
+bool ct_group_is_among_first(const struct ct_state *state, uint64_t seed,
+                             uint32_t n);
+/* Whether the member list contains this host. */
+bool ct_group_lists_self(const struct ct_state *state);
+
 /* Replies to a caller with the addresses of the hosts. */
 void ct_group_on_addresses_requested(struct ct_state *state, uint64_t caller);
 
--- a/core/leadership.c
+++ b/core/leadership.c
@@ -117,6 +117,7 @@
     }
     leadership->holds_slot = joined->holds_leader_slot;
     leadership->generation = joined->generation;
+    leadership->joined_ms = joined->sent_ms;
     leadership->slot_until_ms =
         joined->sent_ms + ttl_ms(state) - CLOCK_RATE_MARGIN_MS;
     update_leading(state);
--- a/core/leadership.h
+++ b/core/leadership.h
@@ -28,6 +28,8 @@
     /* This host became the leader and has not begun its duties yet. */
     bool duties_pending;
     uint32_t failures;
+    /* When the last join that succeeded was sent; 0 for never. */
+    ct_ms joined_ms;
 };
 
 struct ct_state;
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -101,29 +101,6 @@
     log_notice(state, CT_LOG_UPSTREAM_NOTICE_BAD, upstream, NULL, 0);
 }
 
-/*
- * Whether this host is one of those that share the upstream's limit: the first
- * in an order of all hosts that differs by upstream.
- */
-static bool
-is_sharer(const struct ct_state *state, const struct ct_upstream_row *upstream,
-          uint32_t sharers)
-{
-    uint64_t own = ct_hash_bytes(upstream->name_hash, state->self.host.text,
-                                 (uint32_t)strlen(state->self.host.text));
-    const struct ct_group_row *row;
-    uint32_t before = 0;
-    uint32_t cursor = 0;
-
-    while ((row = ct_table_next(&state->group.rows, &cursor, NULL))) {
-        const char *host = row->member.host.text;
-
-        before += ct_hash_bytes(upstream->name_hash, host,
-                                (uint32_t)strlen(host)) > own;
-    }
-    return before < sharers;
-}
-
 /* Returns the tokens of the bucket now, at most one request's. */
 static int64_t
 tokens_now(const struct ct_notice_row *row, ct_ms now_ms)
@@ -148,7 +125,8 @@
     row->tokens = tokens_now(row, state->now_ms);
     row->filled_ms = state->now_ms;
     row->tokens_per_ms = 0;
-    if (upstream && is_sharer(state, upstream, sharers)) {
+    if (upstream &&
+        ct_group_is_among_first(state, upstream->name_hash, sharers)) {
         row->tokens_per_ms = limit_permille / sharers;
     }
 }
@@ -287,10 +265,17 @@
 must_yield(const struct ct_state *state, const struct ct_notice_pool *pool,
            uint32_t rank)
 {
-    return pool->waited_ms > 0 && pool->waiting_rank < rank &&
+    return pool && pool->waited_ms > 0 && pool->waiting_rank < rank &&
            state->now_ms - pool->waited_ms < TIER_HOLD_MS;
 }
 
+bool
+ct_upstream_notices_must_yield(const struct ct_state *state,
+                               struct ct_handle pool, uint32_t rank)
+{
+    return must_yield(state, find_pool(state, pool), rank);
+}
+
 bool
 ct_upstream_notices_bar(const struct ct_state *state,
                         struct ct_handle upstream, uint32_t rank)
@@ -310,7 +295,7 @@
         return true;
     }
     return row->limited && (tokens_now(row, state->now_ms) < TOKEN ||
-                            (pool && must_yield(state, pool, rank)));
+                            must_yield(state, pool, rank));
 }
 
 void
--- a/core/upstream-notices.h
+++ b/core/upstream-notices.h
@@ -78,6 +78,13 @@
 bool ct_upstream_notices_bar(const struct ct_state *state,
                              struct ct_handle upstream, uint32_t rank);
 
+/*
+ * Whether a call of this level of priority must leave what its pool's
+ * upstreams take to a more urgent one that found them all barred.
+ */
+bool ct_upstream_notices_must_yield(const struct ct_state *state,
+                                    struct ct_handle pool, uint32_t rank);
+
 /* An attempt is sent to the upstream. */
 void ct_upstream_notices_on_attempt(struct ct_state *state,
                                     struct ct_handle upstream);
--- a/t/test-group.c
+++ b/t/test-group.c
@@ -211,6 +211,71 @@
     t_core_free(&core);
 }
 
+/*
+ * The member list is as old as the last join that shows the same group; after
+ * a change of the group it ages until it is read again.
+ */
+static void
+test_list_age(void)
+{
+    struct t_core core;
+
+    t_relay_init(&core);
+    g_assert_cmpint(ct_group_list_age_ms(core.state), ==, CT_MS_NEVER);
+    t_relay_configure(&core, 1, 1);
+    post_joined(&core, CT_OK, 7);
+    t_relay_post_members(&core, CT_ERR_TIMEOUT, 0);
+    g_assert_cmpint(ct_group_list_age_ms(core.state), ==, CT_MS_NEVER);
+    t_relay_post_members(&core, CT_OK, 3);
+    for (guint i = 0; i < 30; i++) {
+        t_core_tick(&core, 100);
+        if (t_core_count(&core, CT_EFFECT_STORE_READ_MEMBERS) > 0) {
+            t_relay_post_members(&core, CT_OK, 3);
+        }
+    }
+    g_assert_cmpint(ct_group_list_age_ms(core.state), <=, 3000);
+    post_joined(&core, CT_OK, 7);
+    g_assert_cmpint(ct_group_list_age_ms(core.state), ==, 0);
+    t_core_tick(&core, 100);
+    post_joined(&core, CT_ERR_TIMEOUT, 0);
+    post_joined(&core, CT_OK, 8);
+    g_assert_cmpint(ct_group_list_age_ms(core.state), >=, 100);
+    t_core_free(&core);
+}
+
+/* Hosts with the same list agree on the first n, which differ by seed. */
+static void
+test_order(void)
+{
+    struct t_core hosts[8];
+    uint32_t same = 0;
+
+    for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        g_autofree char *name = g_strdup_printf("h%u", i + 1);
+
+        t_relay_init_named(&hosts[i], name);
+        g_assert_false(ct_group_lists_self(hosts[i].state));
+        /* The last host is not in the list. */
+        t_relay_post_members(&hosts[i], CT_OK, G_N_ELEMENTS(hosts) - 1);
+    }
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        uint32_t first = 0;
+
+        for (guint i = 0; i + 1 < G_N_ELEMENTS(hosts); i++) {
+            g_assert_true(ct_group_lists_self(hosts[i].state));
+            first += ct_group_is_among_first(hosts[i].state, seed, 3);
+        }
+        g_assert_cmpuint(first, ==, 3);
+        same += ct_group_is_among_first(hosts[0].state, seed, 3);
+    }
+    g_assert_cmpuint(same, >, 0);
+    g_assert_cmpuint(same, <, 20);
+    g_assert_false(ct_group_lists_self(hosts[7].state));
+    for (guint i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        t_core_free(&hosts[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -225,5 +290,7 @@
     g_test_add_func("/group/reads-after-change", test_reads_after_change);
     g_test_add_func("/group/reads-frequent-changes",
                     test_reads_frequent_changes);
+    g_test_add_func("/group/list-age", test_list_age);
+    g_test_add_func("/group/order", test_order);
     return g_test_run();
 }
