upstream-registry: keep how long an upstream is cold by its entries

Cause: entries that differ only in their remaining cold time were taken as unchanged and dropped.

Change: the registry keeps the latest time until which an entry says that its upstream is cold, counted from its arrival, and numbers what it passes on. Such an entry is not logged.

Result: test-upstream-registry cold.

--- a/core/upstream-registry.c
+++ b/core/upstream-registry.c
@@ -75,6 +75,7 @@
     }
     g_array_free(rows, TRUE);
     state->upstream_registry.changed = false;
+    state->upstream_registry.revision++;
 }
 
 static void
@@ -148,6 +149,8 @@
     if (state->upstream_registry.changed) {
         publish_upstreams(state);
     }
+    state->upstream_registry.revision += state->upstream_registry.cold_changed;
+    state->upstream_registry.cold_changed = false;
 }
 
 void
@@ -194,6 +197,28 @@
         &listed->upstream.name, listed->upstream.zone.text, entry->started_ms);
 }
 
+/*
+ * Returns until when the upstream is cold, counted from the arrival of its
+ * entry: what it took to arrive makes the time longer, not shorter.
+ */
+static ct_ms
+cold_until_ms(const struct ct_state *state,
+              const struct ct_store_upstream *record)
+{
+    return record->cold_left_ms > 0 ? state->now_ms + record->cold_left_ms : 0;
+}
+
+/* An entry that says less than an earlier one may be the older of the two. */
+static void
+keep_cold_until(struct ct_upstream_registry *registry,
+                struct ct_upstream_entry *entry, ct_ms until_ms)
+{
+    if (until_ms > entry->cold_until_ms) {
+        entry->cold_until_ms = until_ms;
+        registry->cold_changed = true;
+    }
+}
+
 void
 ct_upstream_registry_on_entry(struct ct_state *state,
                               const struct ct_store_upstream *record)
@@ -222,6 +247,11 @@
     new_entry.listed.leaving = record->leaving;
     new_entry.started_ms = record->started_ms;
     new_entry.seen = true;
+    new_entry.cold_until_ms = cold_until_ms(state, record);
+    if (entry) {
+        keep_cold_until(registry, entry, new_entry.cold_until_ms);
+        new_entry.cold_until_ms = entry->cold_until_ms;
+    }
     if (entry && entry->listed.leaving == record->leaving &&
         !entry->missing_ms) {
         entry->seen = true;
@@ -236,6 +266,13 @@
     add_entry(state, &new_entry);
 }
 
+const struct ct_upstream_entry *
+ct_upstream_registry_entry(const struct ct_state *state,
+                           const struct ct_name *name)
+{
+    return find_entry(&state->upstream_registry, name);
+}
+
 ct_ms
 ct_upstream_registry_started_ms(const struct ct_state *state,
                                 const struct ct_name *name)
--- a/core/upstream-registry.h
+++ b/core/upstream-registry.h
@@ -19,6 +19,8 @@
     ct_ms started_ms;
     /* When the entry was first found missing; 0 while it exists. */
     ct_ms missing_ms;
+    /* It is cold until this time by its entries; 0 if they do not say so. */
+    ct_ms cold_until_ms;
     /* Contained in a page of the full read in progress. */
     bool seen;
 };
@@ -29,6 +31,10 @@
     GHashTable *by_name;
     /* The configuration's tables do not have the latest changes. */
     bool changed;
+    /* Entries say that upstreams are cold for longer than they did. */
+    bool cold_changed;
+    /* Grows with each change that was passed on. */
+    uint64_t revision;
     /* The timer that removes missing entries is armed. */
     bool sweep_armed;
 };
@@ -54,6 +60,11 @@
 void ct_upstream_registry_begin_full_read(struct ct_state *state);
 void ct_upstream_registry_end_full_read(struct ct_state *state);
 
+/* Returns the entry of an upstream, or NULL. */
+const struct ct_upstream_entry *
+ct_upstream_registry_entry(const struct ct_state *state,
+                           const struct ct_name *name);
+
 /* Returns when the upstream's process started; 0 if it has no entry. */
 ct_ms ct_upstream_registry_started_ms(const struct ct_state *state,
                                       const struct ct_name *name);
--- a/t/test-upstream-registry.c
+++ b/t/test-upstream-registry.c
@@ -54,6 +54,42 @@
     t_core_free(&core);
 }
 
+/*
+ * An entry that differs only in its remaining cold time is not logged; one
+ * that says less than before may be older and does not shorten the time.
+ */
+static void
+test_cold(void)
+{
+    struct ct_store_upstream entry = t_upstream("desk", 0);
+    const struct ct_upstream_entry *kept;
+    struct t_core core;
+    uint64_t revision;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 2);
+    revision = core.state->upstream_registry.revision;
+    entry.cold_left_ms = 5000;
+    t_relay_post_upstream(&core, &entry);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_LOG_EVENT), ==, 0);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    g_assert_cmpuint(core.state->upstream_registry.revision, >, revision);
+    entry.cold_left_ms = 2000;
+    t_relay_post_upstream(&core, &entry);
+    kept = ct_upstream_registry_entry(core.state, &entry.upstream.name);
+    g_assert_cmpint(kept->cold_until_ms, ==, core.now_ms + 5000);
+    entry.leaving = true;
+    t_relay_post_upstream(&core, &entry);
+    g_assert_cmpint(kept->cold_until_ms, ==, core.now_ms + 5000);
+    /* Another process does not take over the cold time of the one before. */
+    entry.started_ms++;
+    entry.cold_left_ms = 0;
+    t_relay_post_upstream(&core, &entry);
+    kept = ct_upstream_registry_entry(core.state, &entry.upstream.name);
+    g_assert_cmpint(kept->cold_until_ms, ==, 0);
+    t_core_free(&core);
+}
+
 /*
  * While the store works, the upstream of a removed entry is removed at once.
  */
@@ -168,6 +204,7 @@
     g_test_add_func("/upstream-registry/missing-in-newest",
                     test_missing_in_newest);
     g_test_add_func("/upstream-registry/unchanged", test_unchanged);
+    g_test_add_func("/upstream-registry/cold", test_cold);
     g_test_add_func("/upstream-registry/removed", test_removed);
     g_test_add_func("/upstream-registry/unconfirmed", test_unconfirmed);
     g_test_add_func("/upstream-registry/leaving", test_leaving);
