core: send cold upstreams no more than they take

Cause: an upstream that has just started crashes under the load of a warm one; hosts sent it as much as to any other.

Change: core/cold-upstreams knows for each upstream of a pool that specifies coldStartS and coldPerS until when it is cold: by its start, its entries and the header of its responses. At most six hosts, the first in the order of the group that differs by upstream, are responsible for a cold one, each with a bucket of one request; other hosts send it nothing, nor does a host whose member list does not contain it or is too old while a warm upstream is left. A host that becomes responsible waits until the others know the group of now. The bucket does not fill while a request waits for its connection. Calls wait and are refused as for limited upstreams. Barred with them: candidates and the use of backups.

--- a/core/candidates.c
+++ b/core/candidates.c
@@ -39,8 +39,10 @@
                 filter->zone && ct_name_eq(filter->zone, &upstream->conf.zone),
             .excluded = ct_candidate_was_tried(filter->tried, filter->n_tried,
                                                pool->upstreams[i]),
-            .barred = ct_upstream_notices_bar(state, pool->upstreams[i],
-                                              filter->rank),
+            .barred =
+                ct_upstream_notices_bar(state, pool->upstreams[i],
+                                        filter->rank) ||
+                ct_cold_upstreams_bar(state, pool->upstreams[i], filter->rank),
         };
     }
     return n;
@@ -64,7 +66,9 @@
                                    pool->upstreams[i])) {
             continue;
         }
-        free_in_ms = ct_upstream_notices_free_in_ms(state, pool->upstreams[i]);
+        free_in_ms =
+            MAX(ct_upstream_notices_free_in_ms(state, pool->upstreams[i]),
+                ct_cold_upstreams_free_in_ms(state, pool->upstreams[i]));
         if (free_in_ms > 0 && (least_ms == 0 || free_in_ms < least_ms)) {
             least_ms = free_in_ms;
         }
--- a/core/counter.h
+++ b/core/counter.h
@@ -28,6 +28,8 @@
     X(NOTICES_LIMIT, "upstream_notices_limit_total")                          \
     X(NOTICES_PAUSE, "upstream_notices_pause_total")                          \
     X(NOTICES_LEAVING, "upstream_notices_leaving_total")                      \
+    X(COLD_UPSTREAMS, "upstreams_cold_total")                                 \
+    X(COLD_ATTEMPTS, "attempts_cold_total")                                   \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
     X(LATE_EVENTS, "late_attempt_events_total")                               \
--- a/core/effect.h
+++ b/core/effect.h
@@ -239,7 +239,13 @@
     X(DUTY_TAKEN, 1831, INFO, "this host became the leader")                  \
     X(DUTY_LOST, 1832, INFO, "this host is no longer the leader")             \
     X(FEED_FOLLOWED, 1841, INFO, "following a source of store updates")       \
-    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")
+    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")         \
+    X(UPSTREAM_COLD, 1865, INFO, "upstream is cold")                          \
+    X(UPSTREAM_WARM, 1866, INFO, "upstream is warm")                          \
+    X(COLD_LIST_OLD, 1867, WARNING,                                           \
+      "member list too old for calls to cold upstreams")                      \
+    X(COLD_LIST_CURRENT, 1868, INFO,                                          \
+      "member list current enough for calls to cold upstreams")
 
 enum ct_log_event {
 #define X(name, number, level, text) CT_LOG_##name = (number),
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -325,6 +325,16 @@
     ct_slot_sharing_on_link(state, peer, up);
 }
 
+static void
+on_attempt_head(struct ct_state *state,
+                const struct ct_relay_progress *progress)
+{
+    struct ct_handle upstream = ct_relay_attempt_upstream(state, progress);
+
+    ct_upstream_notices_on_head(state, upstream, &progress->notice);
+    ct_cold_upstreams_on_head(state, upstream, &progress->notice);
+}
+
 /* Applies events of relayed calls and of the platform's store. */
 static int
 apply_relay_event(struct ct_state *state, const struct ct_event *event)
@@ -352,9 +362,7 @@
         ct_relay_on_sent(state, &event->u.progress);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_HEAD:
-        ct_upstream_notices_on_head(
-            state, ct_relay_attempt_upstream(state, &event->u.progress),
-            &event->u.progress.notice);
+        on_attempt_head(state, &event->u.progress);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_HELD:
         ct_relay_on_held(state, &event->u.progress);
@@ -531,6 +539,7 @@
     state->wall_ms = event->wall_ms;
     ct_wall_clock_update(&state->wall_clock, event->now_ms, event->wall_ms);
     state->out = effects;
+    ct_cold_upstreams_update(state);
     err = apply_event(state, event);
     begin_duties(state);
     schedule_tick(state);
--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -121,6 +121,7 @@
     upstream->in_flight++;
     ct_increment_counter(state, CT_COUNTER_ATTEMPTS);
     ct_upstream_notices_on_attempt(state, chosen);
+    ct_cold_upstreams_on_attempt(state, chosen);
     state->relay_balance->ops->started(state->relay_balance, chosen,
                                        state->now_ms);
     emit_attempt_start(state, relay, choice);
@@ -174,6 +175,9 @@
     if (!attempt) {
         return;
     }
+    if (!attempt->sent) {
+        ct_cold_upstreams_on_sent(state, attempt->upstream);
+    }
     attempt->sent = true;
     relay->sent_attempts++;
     relay->may_have_run = true;
--- a/core/relay-backup.c
+++ b/core/relay-backup.c
@@ -74,5 +74,6 @@
         ct_table_get(&state->config.upstreams, relay->backup);
 
     return upstream && upstream->state != CT_UPSTREAM_LEAVING &&
-           !ct_upstream_notices_bar(state, relay->backup, relay->rank);
+           !ct_upstream_notices_bar(state, relay->backup, relay->rank) &&
+           !ct_cold_upstreams_bar(state, relay->backup, relay->rank);
 }
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -135,6 +135,9 @@
         ct_table_get(&state->config.upstreams, attempt->upstream);
 
     upstream->in_flight--;
+    if (!attempt->sent) {
+        ct_cold_upstreams_on_sent(state, attempt->upstream);
+    }
     state->relay_balance->ops->ended(state->relay_balance, attempt->upstream,
                                      outcome, state->now_ms);
     ct_table_unref(&state->config.upstreams, attempt->upstream);
--- a/core/state.c
+++ b/core/state.c
@@ -41,6 +41,7 @@
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
     ct_upstream_notices_init(&state->upstream_notices);
+    ct_cold_upstreams_init(&state->cold_upstreams);
     ct_prompt_quarantine_init(&state->prompt_quarantine);
     ct_tallies_init(&state->tallies);
     ct_usage_report_init(&state->usage_report);
@@ -76,6 +77,7 @@
     ct_usage_report_free(&state->usage_report);
     ct_tallies_free(&state->tallies);
     ct_upstream_notices_free(&state->upstream_notices);
+    ct_cold_upstreams_free(&state->cold_upstreams);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
     ct_relays_free(&state->relays);
     ct_group_free(&state->group);
--- a/core/state.h
+++ b/core/state.h
@@ -14,6 +14,7 @@
 #include "keys.h"
 #include "lease.h"
 #include "upstream-notices.h"
+#include "cold-upstreams.h"
 #include "upstream-registry.h"
 #include "record-append.h"
 #include "log-replay.h"
@@ -91,6 +92,7 @@
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
+    struct ct_cold_upstreams cold_upstreams;
     struct ct_prompt_quarantine prompt_quarantine;
     struct ct_quarantine_sync quarantine_sync;
     struct ct_tallies tallies;
