--- a/t/fake/fake-runner.c
+++ b/t/fake/fake-runner.c
@@ -29,11 +29,12 @@
     int64_t no_copy;
     /*
      * What it says of itself in each response: that it leaves, how many
-     * requests it takes in 1,000 s, and with a refusal, for how many
-     * milliseconds it wants nothing; 0: nothing.
+     * requests it takes in 1,000 s, for how many milliseconds it is cold, and
+     * with a refusal, for how many it wants nothing; 0: nothing.
      */
     int64_t leaving;
     int64_t limit;
+    int64_t cold_ms;
     int64_t pause_ms;
 };
 
@@ -111,6 +112,10 @@
         g_snprintf(value, sizeof(value), "%.3f", (double)runner->limit / 1000);
         fake_add_header(request, "Server-Limit", value);
     }
+    if (runner->cold_ms) {
+        g_snprintf(value, sizeof(value), "%d", (int)runner->cold_ms);
+        fake_add_header(request, "Cold-Ms", value);
+    }
     if (runner->decline && runner->pause_ms) {
         g_snprintf(value, sizeof(value), "%.3f",
                    (double)runner->pause_ms / 1000);
@@ -191,6 +196,7 @@
         {"no_copy", &runner.no_copy},
         {"leaving", &runner.leaving},
         {"limit", &runner.limit},
+        {"cold_ms", &runner.cold_ms},
         {"pause_ms", &runner.pause_ms},
         {NULL, NULL}};
     struct poptOption options[] = {
--- a/t/test-replication.c
+++ b/t/test-replication.c
@@ -119,6 +119,28 @@
     t_core_free(&core);
 }
 
+/*
+ * An entry that differs only in its remaining cold time reaches the follower,
+ * for which the time counts from then.
+ */
+static void
+test_cold_entry(void)
+{
+    struct ct_store_upstream entry = t_upstream("desk", 0);
+    const struct ct_upstream_entry *kept;
+    struct t_replication_pair pair;
+
+    t_replication_init(&pair);
+    t_replication_confirm(&pair, CT_TOPIC_UPSTREAMS);
+    entry.cold_left_ms = 5000;
+    read_entry_at_source(&pair, &entry);
+    kept =
+        ct_upstream_registry_entry(pair.follower.state, &entry.upstream.name);
+    g_assert_nonnull(kept);
+    g_assert_cmpint(kept->cold_until_ms, ==, pair.follower.now_ms + 5000);
+    t_replication_free(&pair);
+}
+
 /*
  * While updates arrive, the follower does not read the store, and its data
  * stays fresh.
@@ -412,6 +434,7 @@
     g_test_add_func("/replication/gap", test_gap);
     g_test_add_func("/replication/too-many", test_too_many);
     g_test_add_func("/replication/expired-entries", test_expired_entries);
+    g_test_add_func("/replication/cold-entry", test_cold_entry);
     g_test_add_func("/replication/members", test_members);
     g_test_add_func("/replication/source-polls-shorter",
                     test_source_polls_shorter);
