--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -25,7 +25,7 @@
     bool excluded;
     /* Accepts no new requests, but still has its cached prefixes. */
     bool leaving;
-    /* Must get no request now, by what it says of itself. */
+    /* Must get no request now, see ct_candidate_is_barred(). */
     bool barred;
 };
 
@@ -134,9 +134,9 @@
  * to the upstream with the fewest requests in flight. Some upstreams are
  * reserved for interactive requests, those with a short prompt and the
  * tightest target for gaps, whose tokens would otherwise be delayed while the
- * engine reads the prompts of other requests.
+ * engine reads the prompts of other requests. The seed differs by host.
  */
-struct ct_balance_policy *ct_balance_prefix_home_new(void);
+struct ct_balance_policy *ct_balance_prefix_home_new(uint64_t seed);
 
 /* The policy that the gateway uses; see balance-affinity.h. */
 struct ct_balance_policy *ct_balance_affinity_new(uint64_t seed);
--- a/core/cold-upstreams.c
+++ b/core/cold-upstreams.c
@@ -118,7 +118,8 @@
             find_row(&state->cold_upstreams, pool->upstreams[i]);
 
         if (upstream && upstream->state == CT_UPSTREAM_RUNNING && row &&
-            cold_until_ms(row, pool) <= state->now_ms) {
+            cold_until_ms(row, pool) <= state->now_ms &&
+            !ct_evacuation_bars(state, pool->upstreams[i])) {
             return true;
         }
     }
--- a/core/counter.h
+++ b/core/counter.h
@@ -30,6 +30,7 @@
     X(NOTICES_LEAVING, "upstream_notices_leaving_total")                      \
     X(COLD_UPSTREAMS, "upstreams_cold_total")                                 \
     X(COLD_ATTEMPTS, "attempts_cold_total")                                   \
+    X(ATTEMPTS_REROUTED, "attempts_rerouted_total")                           \
     X(HEDGES, "hedges_total")                                                 \
     X(HEDGES_WASTED, "hedges_wasted_total")                                   \
     X(LATE_EVENTS, "late_attempt_events_total")                               \
--- a/core/effect.h
+++ b/core/effect.h
@@ -240,6 +240,11 @@
     X(DUTY_LOST, 1832, INFO, "this host is no longer the leader")             \
     X(FEED_FOLLOWED, 1841, INFO, "following a source of store updates")       \
     X(FEED_LOST, 1842, INFO, "no source; reading the store directly")         \
+    X(ZONE_EVACUATED, 1861, WARNING, "availability zone evacuated")           \
+    X(ZONE_RESTORED, 1862, INFO, "evacuation of a zone ended")                \
+    X(EVACUATION_UNKNOWN_ZONE, 1863, WARNING,                                 \
+      "evacuated zone has no upstream")                                       \
+    X(ZONE_DRAINED, 1864, INFO, "evacuated zone has no more calls")           \
     X(UPSTREAM_COLD, 1865, INFO, "upstream is cold")                          \
     X(UPSTREAM_WARM, 1866, INFO, "upstream is warm")                          \
     X(COLD_LIST_OLD, 1867, WARNING,                                           \
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -7,6 +7,7 @@
 #include "drain.h"
 #include "error.h"
 #include "relay-host.h"
+#include "relay-reroute.h"
 #include "slot-sharing.h"
 #include "snapshot.h"
 #include "state.h"
@@ -33,6 +34,16 @@
     }
 }
 
+static void
+on_drain_timer(struct ct_state *state)
+{
+    if (state->relaying) {
+        ct_relay_host_on_drain_timer(state);
+        return;
+    }
+    ct_drain_on_timer(state);
+}
+
 static void
 on_timer(struct ct_state *state, const struct ct_timer *timer)
 {
@@ -68,11 +79,7 @@
         ct_snapshot_on_timer(state);
         return;
     case CT_TIMER_DRAIN:
-        if (state->relaying) {
-            ct_relay_host_on_drain_timer(state);
-            return;
-        }
-        ct_drain_on_timer(state);
+        on_drain_timer(state);
         return;
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
@@ -80,6 +87,9 @@
     case CT_TIMER_RELAY_WAIT:
         ct_relay_on_wait_timer(state, timer->handle);
         return;
+    case CT_TIMER_EVACUATION:
+        ct_evacuation_on_timer(state);
+        return;
     case CT_TIMER_STORE:
         ct_store_on_timer(state);
         return;
@@ -335,6 +345,16 @@
     ct_cold_upstreams_on_head(state, upstream, &progress->notice);
 }
 
+static void
+on_evacuation(struct ct_state *state, const struct ct_store_evacuation *record)
+{
+    if (ct_evacuation_on_record(state, record)) {
+        ct_relay_reroute_unsent(state);
+        /* The other zones need time to boot what they take over. */
+        ct_zone_orders_on_timer(state);
+    }
+}
+
 /* Applies events of relayed calls and of the platform's store. */
 static int
 apply_relay_event(struct ct_state *state, const struct ct_event *event)
@@ -377,6 +397,9 @@
         ct_store_on_config(state, event);
         ct_zone_orders_configure(state);
         return CT_OK;
+    case CT_EVENT_STORE_EVACUATION:
+        on_evacuation(state, &event->u.store_evacuation);
+        return CT_OK;
     case CT_EVENT_STORE_UPSTREAM:
         ct_upstream_registry_on_entry(state, &event->u.store_upstream);
         ct_replication_on_entry_read(state, &event->u.store_upstream);
--- a/core/state.c
+++ b/core/state.c
@@ -36,6 +36,7 @@
                   RESPONSE_LOOKUPS_MAX, NULL);
     ct_slot_loans_init(&state->slot_loans);
     ct_upstream_registry_init(&state->upstream_registry);
+    ct_evacuations_init(&state->evacuations);
     ct_group_init(&state->group);
     ct_replication_init(&state->replication);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
@@ -49,7 +50,7 @@
     state->queue = ct_queue_tiered_new(QUEUED_REQUESTS_MAX);
     state->balance = ct_balance_affinity_new(self->seed);
     state->order_policy = ct_order_headroom_new();
-    state->relay_balance = ct_balance_prefix_home_new();
+    state->relay_balance = ct_balance_prefix_home_new(self->seed);
     if (!state->relay_balance || !state->queue || !state->balance ||
         !state->order_policy) {
         ct_state_free(state);
@@ -80,6 +81,7 @@
     ct_cold_upstreams_free(&state->cold_upstreams);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
     ct_relays_free(&state->relays);
+    ct_evacuations_free(&state->evacuations);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
     ct_forwarded_tallies_free(&state->forwarded_tallies);
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -65,6 +65,8 @@
     g_assert_cmpint(settings.bounds.config_ms, ==, 2000);
     g_assert_cmpint(settings.bounds.cold_overshoot_permille, ==, 1000);
     g_assert_cmpuint(settings.bounds.cold_burst, ==, 0);
+    /* No bound on evacuations unless the deployment sets one. */
+    g_assert_cmpint(settings.bounds.evacuate_ms, ==, 0);
     g_assert_false(settings.first_start);
     g_assert_cmpint(load_with_line(9, "\"first_start\": true,", &settings), ==,
                     CT_OK);
