core: count the upstreams of a restored zone as cold at first

Cause: a host learns that a zone is restored before it reads the entries that say that the zone's upstreams are cold: until then it sent them the usual load.

Change: in pools with cold upstreams such an upstream counts as cold for bounds.steady_ms from the restoration; entries of that time extend it.

Result: test-cold-upstreams restored-zone; the upstream was called at once before.

--- a/core/cold-upstreams.c
+++ b/core/cold-upstreams.c
@@ -218,6 +218,22 @@
     }
 }
 
+/*
+ * An upstream whose zone is restored counts as cold until this host has read
+ * an entry of it that was written since.
+ */
+static void
+follow_evacuation(struct ct_state *state, struct ct_cold_row *row)
+{
+    bool evacuated = ct_evacuation_bars(state, row->upstream);
+
+    if (row->evacuated && !evacuated) {
+        row->told_until_ms = MAX(row->told_until_ms,
+                                 state->now_ms + state->self.bounds.steady_ms);
+    }
+    row->evacuated = evacuated;
+}
+
 static void
 update_row(struct ct_state *state, struct ct_cold_row *row)
 {
@@ -337,6 +353,7 @@
         struct ct_cold_row *row =
             &g_array_index(cold->rows, struct ct_cold_row, i);
 
+        follow_evacuation(state, row);
         update_row(state, row);
         any_cold |= row->cold;
     }
@@ -358,9 +375,20 @@
 }
 
 /*
- * Returns how long the upstream is still cold. One whose row does not exist
- * yet was listed a moment ago.
+ * Returns the row of an upstream if it shows what is known now. An upstream
+ * that was listed a moment ago has no row yet; the row of one whose zone was
+ * restored a moment ago does not show it yet.
  */
+static const struct ct_cold_row *
+current_row(const struct ct_state *state, struct ct_handle upstream)
+{
+    const struct ct_cold_row *row = find_row(&state->cold_upstreams, upstream);
+
+    return row && row->evacuated && !ct_evacuation_bars(state, upstream) ? NULL
+                                                                         : row;
+}
+
+/* Returns how long the upstream is still cold, 1 if it has no current row. */
 static ct_ms
 cold_left_ms(const struct ct_state *state, struct ct_handle handle,
              const struct ct_cold_row **row)
@@ -368,7 +396,7 @@
     const struct ct_pool_row *pool =
         cold_pool(state, ct_table_get(&state->config.upstreams, handle));
 
-    *row = find_row(&state->cold_upstreams, handle);
+    *row = current_row(state, handle);
     if (!pool) {
         return 0;
     }
--- a/core/cold-upstreams.h
+++ b/core/cold-upstreams.h
@@ -25,8 +25,9 @@
     ct_ms started_ms;
     /* Its entries and responses say that it is cold until this time. */
     ct_ms told_until_ms;
-    /* Cold when the row was last updated. */
+    /* Cold, and in an evacuated zone, when the row was last updated. */
     bool cold;
+    bool evacuated;
     /* When it was last logged that it is cold; 0 for never. */
     ct_ms logged_ms;
     /*
--- a/t/test-cold-upstreams.c
+++ b/t/test-cold-upstreams.c
@@ -363,6 +363,36 @@
     }
 }
 
+/*
+ * Upstreams of a restored zone count as cold until their entries can say
+ * whether they are, from the moment of the restoration on.
+ */
+static void
+test_restored_zone(void)
+{
+    struct ct_handle attempt;
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_cold_configure(&core, T_COLD_MS, T_COLD_PERMILLE, 0);
+    g_assert_true(reaches(&core, "desk-1", &attempt));
+    t_relay_finish(&core, attempt, CT_OUTCOME_COMPLETE, 200);
+    t_relay_post_evacuation(&core, "zone-b", false);
+    t_core_tick(&core, 2000);
+    t_relay_confirm(&core);
+    t_relay_post_evacuation(&core, "zone-b", true);
+    for (guint i = 0; i < 6; i++) {
+        g_assert_false(reaches(&core, "desk-1", &attempt));
+        t_core_tick(&core, 500);
+        t_relay_confirm(&core);
+    }
+    /* The host notices the restoration within a second. */
+    t_core_tick(&core, 1000);
+    t_relay_confirm(&core);
+    g_assert_true(reaches(&core, "desk-1", &attempt));
+    t_core_free(&core);
+}
+
 /* Pools that specify only one of the two members have no cold upstreams. */
 static void
 test_not_configured(void)
@@ -394,6 +424,7 @@
     g_test_add_func("/cold-upstreams/single-host", test_single_host);
     g_test_add_func("/cold-upstreams/refusal", test_refusal);
     g_test_add_func("/cold-upstreams/knowledge", test_knowledge);
+    g_test_add_func("/cold-upstreams/restored-zone", test_restored_zone);
     g_test_add_func("/cold-upstreams/not-configured", test_not_configured);
     return g_test_run();
 }
