--- a/core/candidates.c
+++ b/core/candidates.c
@@ -20,7 +20,8 @@
                        uint32_t rank)
 {
     return ct_evacuation_bars(state, upstream) ||
-           ct_upstream_notices_bar(state, upstream, rank);
+           ct_upstream_notices_bar(state, upstream, rank) ||
+           ct_cold_upstreams_bar(state, upstream, rank);
 }
 
 static void
@@ -87,7 +88,9 @@
                                    pool->upstreams[i])) {
             continue;
         }
-        free_in_ms = ct_upstream_notices_free_in_ms(state, pool->upstreams[i]);
+        free_in_ms =
+            MAX(ct_upstream_notices_free_in_ms(state, pool->upstreams[i]),
+                ct_cold_upstreams_free_in_ms(state, pool->upstreams[i]));
         if (free_in_ms > 0 && (least_ms == 0 || free_in_ms < least_ms)) {
             least_ms = free_in_ms;
         }
--- a/core/effect.h
+++ b/core/effect.h
@@ -250,6 +250,12 @@
     X(EVACUATION_UNKNOWN_ZONE, 1863, WARNING,                                 \
       "evacuated zone has no upstream")                                       \
     X(ZONE_DRAINED, 1864, INFO, "evacuated zone has no more calls")           \
+    X(UPSTREAM_COLD, 1865, INFO, "upstream is cold")                          \
+    X(UPSTREAM_WARM, 1866, INFO, "upstream is warm")                          \
+    X(COLD_LIST_OLD, 1867, WARNING,                                           \
+      "member list too old for calls to cold upstreams")                      \
+    X(COLD_LIST_CURRENT, 1868, INFO,                                          \
+      "member list current enough for calls to cold upstreams")               \
     X(LOAD_KNOWN, 1871, INFO, "load of other hosts known")                    \
     X(LOAD_UNKNOWN, 1872, WARNING, "load of other hosts unknown")             \
     X(LOAD_PART_EXPIRED, 1873, INFO, "load report of a host expired")         \
--- a/core/state.h
+++ b/core/state.h
@@ -16,6 +16,7 @@
 #include "load-sharing.h"
 #include "lease.h"
 #include "upstream-notices.h"
+#include "cold-upstreams.h"
 #include "upstream-registry.h"
 #include "record-append.h"
 #include "log-replay.h"
@@ -95,6 +96,7 @@
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
+    struct ct_cold_upstreams cold_upstreams;
     struct ct_prompt_quarantine prompt_quarantine;
     struct ct_quarantine_sync quarantine_sync;
     struct ct_tallies tallies;
