core: admit request bodies by the memory budget, before they are read

Cause: a host buffered every body of legal size whole before it decided anything about the call, and charged it to the memory budget only when it was complete. Bodies that stop before their end were never charged and never refused.

Change: CT_EVENT_RELAY_HEAD_ARRIVED asks for the admission of a call whose body is not complete. A call without a route or key is refused then. core/body-admission.c grants the body a first part and then the rest, charges each grant to the budget before the bytes are read (CT_EFFECT_RELAY_READ_BODY), lets bodies wait when the budget is short, refuses those without progress for others that wait, and refuses bodies that stop (408) or wait too long (503). Log lines about this are limited to one in ten seconds and kind (core/limited-log.c). New settings bounds.body_idle_ms and bounds.body_wait_ms. The front end does not post these events yet.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -29,6 +29,8 @@
     DURATION("steady_ms", steady_ms, 3000),
     DURATION("lease_ms", lease_ms, 3000),
     DURATION("member_ttl_min_ms", member_ttl_min_ms, 1000),
+    DURATION("body_idle_ms", body_idle_ms, 10000),
+    DURATION("body_wait_ms", body_wait_ms, 5000),
     SECONDS("repeat_window_s", repeat_window_ms, 10000),
     SECONDS("usage_window_s", usage_window_ms, 5000),
     SECONDS("usage_late_s", usage_late_ms, 10000),
--- a/core/bounds.h
+++ b/core/bounds.h
@@ -40,6 +40,21 @@
     ct_ms grace_ms;
     /* Memory that the host may use. */
     uint32_t memory_mb;
+    /*
+     * A request body that receives no byte for this time, and for the time
+     * limit of a head, is refused.
+     */
+    ct_ms body_idle_ms;
+    /* Longest time that a request body waits unread for memory. */
+    ct_ms body_wait_ms;
+    /*
+     * Connections and incomplete request bodies of one IP address; 0 for no
+     * limit.
+     */
+    uint32_t peer_connections;
+    uint32_t peer_bodies;
+    /* Bytes of a response that wait for its caller to read them. */
+    uint32_t unread_bytes;
 };
 
 #endif
--- a/core/counter.h
+++ b/core/counter.h
@@ -13,6 +13,10 @@
     X(RESPONSES_ABORTED, "answers_broken_total")                              \
     X(CALLERS_DISCONNECTED, "callers_gone_total")                             \
     X(RESPONSES_OVER_MEMORY, "answers_over_memory_total")                     \
+    X(BODIES_WAITED, "bodies_waited_total")                                   \
+    X(BODIES_SHED, "bodies_shed_total")                                       \
+    X(RESPONSES_UNREAD, "answers_unread_total")                               \
+    X(CONNECTIONS_REFUSED, "connections_refused_total")                       \
     X(ATTEMPTS, "attempts_total")                                             \
     X(RETRY_NOT_SENT, "retries_not_sent_total")                               \
     X(RETRY_DECLINED, "retries_declined_total")                               \
--- a/core/effect.h
+++ b/core/effect.h
@@ -64,6 +64,7 @@
      * it for complete.
      */
     CT_EFFECT_RELAY_ABORT_RESPONSE,
+    CT_EFFECT_RELAY_READ_BODY,
     /* Sets the limits on what callers may send. */
     CT_EFFECT_SET_CALLER_LIMITS,
 
@@ -239,7 +240,14 @@
     X(DUTY_TAKEN, 1831, INFO, "this host became the leader")                  \
     X(DUTY_LOST, 1832, INFO, "this host is no longer the leader")             \
     X(FEED_FOLLOWED, 1841, INFO, "following a source of store updates")       \
-    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")
+    X(FEED_LOST, 1842, INFO, "no source; reading the store directly")         \
+    X(BODIES_SHED, 1851, WARNING, "request bodies refused for memory")        \
+    X(BODIES_STALLED, 1852, INFO, "request bodies without progress refused")  \
+    X(BODIES_WAITING, 1853, INFO, "request bodies wait for memory")           \
+    X(BODIES_OF_PEER, 1854, WARNING, "unfinished requests of a peer refused") \
+    X(CONNECTIONS_REFUSED, 1855, WARNING, "connections refused")              \
+    X(RESPONSES_UNREAD, 1856, WARNING, "unread responses aborted")            \
+    X(CALLS_REJECTED, 1857, INFO, "calls rejected at their head")
 
 enum ct_log_event {
 #define X(name, number, level, text) CT_LOG_##name = (number),
@@ -296,6 +304,7 @@
         uint64_t caller;
         struct ct_relay_start relay;
         struct ct_relay_forward forward;
+        struct ct_body_grant body_grant;
         struct ct_caller_bounds bounds;
         struct ct_store_read_effect store_read;
         struct ct_store_append_effect store_append;
--- a/core/event.h
+++ b/core/event.h
@@ -70,6 +70,16 @@
     CT_EVENT_RELAY_HOST_STARTED,
     /* The bounds in the settings changed. */
     CT_EVENT_RELAY_BOUNDS_CHANGED,
+    /*
+     * The head of a call was read whose body is not complete. The front end
+     * reads the body only as far as CT_EFFECT_RELAY_READ_BODY allows.
+     */
+    CT_EVENT_RELAY_HEAD_ARRIVED,
+    CT_EVENT_RELAY_BODY_PROGRESS,
+    /* The front end found a call that it must not relay. */
+    CT_EVENT_RELAY_CALL_REJECTED,
+    /* A connection was closed since its peer or all have too many. */
+    CT_EVENT_RELAY_CONNECTION_REFUSED,
     CT_EVENT_RELAY_CALL_ARRIVED,
     CT_EVENT_RELAY_CALLER_DISCONNECTED,
     /*
@@ -267,6 +277,9 @@
         struct ct_address relay_address;
         struct ct_bounds relay_bounds;
         struct ct_relay_call relay;
+        struct ct_body_progress body_progress;
+        /* CT_EVENT_RELAY_CONNECTION_REFUSED: the limit was that of a peer. */
+        bool peer_limit;
         struct ct_relay_progress progress;
         struct ct_store_config store_config;
         struct ct_store_upstream store_upstream;
--- a/core/memory-budget.c
+++ b/core/memory-budget.c
@@ -66,10 +66,12 @@
 ct_memory_budget_add(struct ct_memory_budget *budget, uint64_t caller,
                      uint64_t request_bytes)
 {
-    struct ct_memory_charge *charge;
+    struct ct_memory_charge *charge = find_charge(budget, caller);
     struct ct_handle handle;
 
-    if (find_charge(budget, caller)) {
+    if (charge) {
+        budget->used_bytes += request_bytes - charge->request_bytes;
+        charge->request_bytes = request_bytes;
         return CT_OK;
     }
     if (ct_table_add(&budget->charges, &handle) < 0) {
--- a/core/memory-budget.h
+++ b/core/memory-budget.h
@@ -8,8 +8,8 @@
 
 /*
  * Bytes that the front end holds of calls and of their responses, charged to
- * the call from its arrival until its caller has the whole response or is
- * gone. The limit follows from the memory of the host.
+ * the call from the first bytes of its body until its caller has the whole
+ * response or is gone. The limit follows from the memory of the host.
  */
 
 struct ct_memory_charge {
@@ -43,7 +43,10 @@
                                const struct ct_bounds *bounds, uint32_t rank,
                                uint32_t ranks);
 
-/* Charges a call that arrived. Errors: CT_ERR_NO_MEMORY. */
+/*
+ * Sets what is held of a call, and adds its charge if it has none. Errors:
+ * CT_ERR_NO_MEMORY.
+ */
 int ct_memory_budget_add(struct ct_memory_budget *budget, uint64_t caller,
                          uint64_t request_bytes);
 /* Sets what is held of a call's response; ignored if the call has no charge.
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -33,6 +33,16 @@
     }
 }
 
+static void
+on_drain_timer(struct ct_state *state)
+{
+    if (state->relaying) {
+        ct_relay_host_on_drain_timer(state);
+        return;
+    }
+    ct_drain_on_timer(state);
+}
+
 static void
 on_timer(struct ct_state *state, const struct ct_timer *timer)
 {
@@ -68,11 +78,7 @@
         ct_snapshot_on_timer(state);
         return;
     case CT_TIMER_DRAIN:
-        if (state->relaying) {
-            ct_relay_host_on_drain_timer(state);
-            return;
-        }
-        ct_drain_on_timer(state);
+        on_drain_timer(state);
         return;
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
@@ -80,6 +86,9 @@
     case CT_TIMER_RELAY_WAIT:
         ct_relay_on_wait_timer(state, timer->handle);
         return;
+    case CT_TIMER_BODIES:
+        ct_bodies_on_timer(state);
+        return;
     case CT_TIMER_STORE:
         ct_store_on_timer(state);
         return;
@@ -325,28 +334,70 @@
     ct_slot_sharing_on_link(state, peer, up);
 }
 
-/* Applies events of relayed calls and of the platform's store. */
+/* A call is admitted at its head, before its body is read. */
+static void
+on_relay_head(struct ct_state *state, const struct ct_relay_call *call)
+{
+    struct ct_handle organisation;
+    uint32_t rank;
+
+    if (ct_relay_on_head(state, call, &organisation, &rank)) {
+        ct_bodies_open(state, call, organisation, rank);
+    }
+}
+
+/* Applies events of the callers of relayed calls. */
 static int
-apply_relay_event(struct ct_state *state, const struct ct_event *event)
+apply_caller_event(struct ct_state *state, const struct ct_event *event)
 {
     switch (event->type) {
-    case CT_EVENT_RELAY_HOST_STARTED:
-        state->relaying = true;
-        state->self.address = event->u.relay_address;
-        ct_relay_host_start(state);
+    case CT_EVENT_RELAY_HEAD_ARRIVED:
+        on_relay_head(state, &event->u.relay);
         return CT_OK;
-    case CT_EVENT_RELAY_BOUNDS_CHANGED:
-        state->self.bounds = event->u.relay_bounds;
-        ct_emit_log(state, CT_LOG_BOUNDS_TAKEN, &state->self.host, NULL, 0);
+    case CT_EVENT_RELAY_BODY_PROGRESS:
+        ct_bodies_on_progress(state, &event->u.body_progress);
+        return CT_OK;
+    case CT_EVENT_RELAY_CALL_REJECTED:
+        ct_bodies_close(state, event->u.rejected.caller);
+        ct_relay_on_rejected(state, &event->u.rejected);
+        return CT_OK;
+    case CT_EVENT_RELAY_CONNECTION_REFUSED:
+        ct_increment_counter(state, CT_COUNTER_CONNECTIONS_REFUSED);
+        ct_limited_log(state, CT_LOG_CONNECTIONS_REFUSED,
+                       event->u.peer_limit ? "peer" : "total");
         return CT_OK;
     case CT_EVENT_RELAY_CALL_ARRIVED:
+        ct_bodies_close(state, event->u.relay.caller);
         ct_relay_on_arrived(state, &event->u.relay);
+        ct_bodies_grant(state);
         return CT_OK;
     case CT_EVENT_RELAY_CALLER_DISCONNECTED:
+        ct_bodies_close(state, event->u.caller);
         ct_relay_on_caller_disconnected(state, event->u.caller);
+        ct_bodies_grant(state);
         return CT_OK;
     case CT_EVENT_RELAY_CALL_DELIVERED:
         ct_relay_on_delivered(state, event->u.caller);
+        ct_bodies_grant(state);
+        return CT_OK;
+    default:
+        return CT_ERR_INVALID;
+    }
+}
+
+/* Applies events of relayed calls and of the platform's store. */
+static int
+apply_relay_event(struct ct_state *state, const struct ct_event *event)
+{
+    switch (event->type) {
+    case CT_EVENT_RELAY_HOST_STARTED:
+        state->relaying = true;
+        state->self.address = event->u.relay_address;
+        ct_relay_host_start(state);
+        return CT_OK;
+    case CT_EVENT_RELAY_BOUNDS_CHANGED:
+        state->self.bounds = event->u.relay_bounds;
+        ct_emit_log(state, CT_LOG_BOUNDS_TAKEN, &state->self.host, NULL, 0);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_SENT:
         ct_relay_on_sent(state, &event->u.progress);
@@ -367,6 +418,10 @@
         return CT_OK;
     case CT_EVENT_STORE_CONFIG:
         ct_store_on_config(state, event);
+        if (event->u.store_config.has_bounds) {
+            ct_bodies_set_head_timeout(
+                state, event->u.store_config.bounds.head_timeout_ms);
+        }
         ct_zone_orders_configure(state);
         return CT_OK;
     case CT_EVENT_STORE_UPSTREAM:
@@ -401,7 +456,7 @@
         on_duty_done(state, &event->u.duty);
         return CT_OK;
     default:
-        return CT_ERR_INVALID;
+        return apply_caller_event(state, event);
     }
 }
 
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -35,7 +35,9 @@
     X(RESPONSE_UNKNOWN, "answer-unknown", 404)                                \
     X(UPSTREAM_FULL, "upstream-full", 503)                                    \
     X(PROMPT_QUARANTINED, "prompt-quarantined", 503)                          \
-    X(UPSTREAM_LIMITED, "upstream-limited", 503)
+    X(UPSTREAM_LIMITED, "upstream-limited", 503)                              \
+    X(BODY_MEMORY, "body-memory", 503)                                        \
+    X(PEER_LIMIT, "peer-limit", 429)
 
 enum ct_refusal {
 #define X(name, text, status) CT_REFUSAL_##name,
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -25,7 +25,10 @@
     bool has_own;
 };
 
-/* CT_EVENT_RELAY_CALL_ARRIVED: a complete call was read. */
+/*
+ * CT_EVENT_RELAY_CALL_ARRIVED: a complete call was read.
+ * CT_EVENT_RELAY_HEAD_ARRIVED: its head was read.
+ */
 struct ct_relay_call {
     /* Number by which the front end identifies the call. */
     uint64_t caller;
@@ -50,7 +53,29 @@
     struct ct_prompt_parts parts;
     uint32_t prompt_tokens;
     uint32_t max_tokens;
+    /*
+     * Size of the body; with its head alone, the declared size, or the largest
+     * one allowed for a body in chunks.
+     */
     uint32_t body_bytes;
+    bool body_chunked;
+    /* IP address of the caller; 0 if it is not known. */
+    uint64_t peer;
+};
+
+/* CT_EVENT_RELAY_BODY_PROGRESS */
+struct ct_body_progress {
+    uint64_t caller;
+    /* Bytes of the body received so far. */
+    uint32_t bytes;
+    /* All granted bytes were received, and there are more. */
+    bool blocked;
+};
+
+/* CT_EFFECT_RELAY_READ_BODY: the body may be read up to so many bytes. */
+struct ct_body_grant {
+    uint64_t caller;
+    uint32_t bytes;
 };
 
 /* What an upstream says about itself in the head of a response. */
@@ -145,6 +170,7 @@
 struct ct_caller_bounds {
     uint32_t head_bytes;
     uint32_t body_bytes;
+    ct_ms head_timeout_ms;
     ct_ms idle_timeout_ms;
 };
 
--- a/core/relay.c
+++ b/core/relay.c
@@ -146,6 +146,51 @@
     ct_table_ref(&state->config.pools, relay->pool);
 }
 
+static void
+init_relay(const struct ct_state *state, const struct ct_relay_call *call,
+           struct ct_relay *relay)
+{
+    memset(relay, 0, sizeof(*relay));
+    relay->id = call->request_id;
+    relay->caller = call->caller;
+    relay->stored_caller = call->caller;
+    relay->last_event = call->last_event;
+    relay->arrived_ms = state->now_ms;
+    relay->config_version = state->store.config_version;
+    relay->config_age_ms = ct_store_age_ms(state, CT_TOPIC_CONFIG);
+}
+
+bool
+ct_relay_on_head(struct ct_state *state, const struct ct_relay_call *call,
+                 struct ct_handle *organisation, uint32_t *rank)
+{
+    struct ct_relay relay;
+    enum ct_refusal reason;
+
+    init_relay(state, call, &relay);
+    reason = admit_call(state, call, &relay);
+    if (reason != CT_REFUSAL_COUNT) {
+        ct_increment_counter(state, CT_COUNTER_CALLS);
+        ct_relay_refuse(state, &relay, reason);
+        return false;
+    }
+    *organisation = relay.organisation;
+    *rank = relay.rank;
+    return true;
+}
+
+void
+ct_relay_on_rejected(struct ct_state *state,
+                     const struct ct_call_rejected *rejected)
+{
+    state->counters.refusals[rejected->reason]++;
+    ct_limited_log(state, CT_LOG_CALLS_REJECTED,
+                   ct_refusal_text(rejected->reason));
+    ct_emit_refusal(state, rejected->caller, &rejected->request_id,
+                    rejected->reason, CT_NOT_RUN, 0);
+    ct_memory_budget_remove(&state->relays.budget, rejected->caller);
+}
+
 void
 ct_relay_on_arrived(struct ct_state *state, const struct ct_relay_call *call)
 {
@@ -162,14 +207,7 @@
         state->out->err = CT_ERR_NO_MEMORY;
         return;
     }
-    memset(&relay, 0, sizeof(relay));
-    relay.id = call->request_id;
-    relay.caller = call->caller;
-    relay.stored_caller = call->caller;
-    relay.last_event = call->last_event;
-    relay.arrived_ms = state->now_ms;
-    relay.config_version = state->store.config_version;
-    relay.config_age_ms = ct_store_age_ms(state, CT_TOPIC_CONFIG);
+    init_relay(state, call, &relay);
     reason = admit_call(state, call, &relay);
     if (reason == CT_REFUSAL_COUNT &&
         ct_prompt_quarantine_blocks(state, &relay.parts) &&
--- a/core/relay.h
+++ b/core/relay.h
@@ -94,6 +94,15 @@
 void ct_relays_init(struct ct_relays *relays);
 void ct_relays_free(struct ct_relays *relays);
 
+/*
+ * CT_EVENT_RELAY_HEAD_ARRIVED: returns whether the call may run, and for whom,
+ * or refuses it.
+ */
+bool ct_relay_on_head(struct ct_state *state, const struct ct_relay_call *call,
+                      struct ct_handle *organisation, uint32_t *rank);
+/* CT_EVENT_RELAY_CALL_REJECTED */
+void ct_relay_on_rejected(struct ct_state *state,
+                          const struct ct_call_rejected *rejected);
 void ct_relay_on_arrived(struct ct_state *state,
                          const struct ct_relay_call *call);
 /* CT_EVENT_RELAY_CALL_DELIVERED */
--- a/core/state.c
+++ b/core/state.c
@@ -40,6 +40,7 @@
     ct_replication_init(&state->replication);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
+    ct_bodies_init(&state->bodies);
     ct_upstream_notices_init(&state->upstream_notices);
     ct_prompt_quarantine_init(&state->prompt_quarantine);
     ct_tallies_init(&state->tallies);
@@ -77,6 +78,7 @@
     ct_tallies_free(&state->tallies);
     ct_upstream_notices_free(&state->upstream_notices);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
+    ct_bodies_free(&state->bodies);
     ct_relays_free(&state->relays);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
--- a/core/state.h
+++ b/core/state.h
@@ -3,6 +3,7 @@
 
 #include "stored-response.h"
 #include "balance-policy.h"
+#include "body-admission.h"
 #include "claim.h"
 #include "config.h"
 #include "counter.h"
@@ -16,6 +17,7 @@
 #include "upstream-notices.h"
 #include "upstream-registry.h"
 #include "record-append.h"
+#include "limited-log.h"
 #include "log-replay.h"
 #include "peer-status.h"
 #include "order-plan.h"
@@ -89,6 +91,8 @@
     struct ct_replication replication;
     struct ct_leadership leadership;
     struct ct_relays relays;
+    struct ct_bodies bodies;
+    struct ct_limited_logs limited_logs;
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
     struct ct_prompt_quarantine prompt_quarantine;
--- a/core/timer.h
+++ b/core/timer.h
@@ -38,6 +38,7 @@
     CT_TIMER_FORWARDED_TALLIES,
     CT_TIMER_QUARANTINE,
     CT_TIMER_RELAY_WAIT,
+    CT_TIMER_BODIES,
 };
 
 struct ct_timer {
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -41,6 +41,9 @@
         .address_ttl_ms = 2000,
         .grace_ms = 8000,
         .upstream_pause_max_ms = 300000,
+        .body_idle_ms = 10000,
+        .body_wait_ms = 5000,
+        .unread_bytes = 16 * 1024 * 1024,
     };
     t_core_post(core, &event);
 }
