shell: read request bodies only as far as they were granted

Cause: the callers' port read all that callers sent.

Change: at the end of a head whose body was not received with it, the port suspends the connection and asks the reducer. It reads up to the grant and suspends again. Since libmicrohttpd takes no response while it reads a body, a refusal in the middle is written to the socket, then the rest of the body is discarded for up to two seconds so that closing does not reset the connection before the caller has read the refusal. A short refused body is read to its end and the connection stays open. The buffer is allocated at the size of the grant. Receive buffers of accepted connections are bounded to 128 KB (doubled by the kernel).

--- a/shell/http-server.c
+++ b/shell/http-server.c
@@ -7,6 +7,12 @@
 #include "error.h"
 #include "socket.h"
 
+/*
+ * Bytes that a connection may send without being read. A link of 10 Mbit/s
+ * needs this much at a round trip of 100 ms.
+ */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+
 /* Runs the library; effects are deferred until its callbacks have returned. */
 static void
 run_daemon(struct ct_http_server *server)
@@ -58,12 +64,15 @@
     if (fd < 0) {
         return fd;
     }
+    if (ct_socket_limit_receive_buffer(fd, RECEIVE_BUFFER_BYTES) < 0) {
+        g_warning("cannot bound receive buffers: %s", g_strerror(errno));
+    }
     server->listener = fd;
     server->loop = loop;
-    server->daemon =
-        MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
-                         NULL, handler, arg, MHD_OPTION_LISTEN_SOCKET, fd,
-                         MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    server->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, server->accept, arg,
+        handler, arg, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_ARRAY, options,
+        MHD_OPTION_END);
     if (server->daemon == NULL) {
         close(fd);
         return CT_ERR_IO;
--- a/shell/http-server.h
+++ b/shell/http-server.h
@@ -14,6 +14,11 @@
 struct ct_http_server {
     struct MHD_Daemon *daemon;
     struct ct_loop *loop;
+    /*
+     * Decides about each new connection, with the argument of the handler;
+     * NULL accepts all. Set before the start.
+     */
+    MHD_AcceptPolicyCallback accept;
     ev_io io;
     ev_timer timer;
     ev_prepare prepare;
--- a/shell/input-meter.c
+++ b/shell/input-meter.c
@@ -34,3 +34,15 @@
 {
     return !meter->unknown && bytes_received(connection) > meter->consumed;
 }
+
+bool
+ct_input_meter_has_body(const struct ct_input_meter *meter,
+                        struct MHD_Connection *connection, size_t body_bytes)
+{
+    const union MHD_ConnectionInfo *head = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+    return head != NULL && !meter->unknown &&
+           bytes_received(connection) >=
+               meter->consumed + head->header_size + body_bytes;
+}
--- a/shell/input-meter.h
+++ b/shell/input-meter.h
@@ -31,4 +31,12 @@
 bool ct_input_meter_has_more(const struct ct_input_meter *meter,
                              struct MHD_Connection *connection);
 
+/*
+ * Whether the host has received the whole body, of so many bytes, of the
+ * request whose head was just read. False if that is not known.
+ */
+bool ct_input_meter_has_body(const struct ct_input_meter *meter,
+                             struct MHD_Connection *connection,
+                             size_t body_bytes);
+
 #endif
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -6,6 +6,7 @@
 #include "disconnect-watch.h"
 #include "input-meter.h"
 #include "relay-io.h"
+#include "socket.h"
 #include "sse-split.h"
 
 /* Calls and attempts of the relay; internal to its modules. */
@@ -23,11 +24,17 @@
     /* Maps the reducer's handle of an attempt to struct relay_attempt. */
     GHashTable *by_handle;
     bool draining;
+    /* Reports the progress of bodies, while any is being read. */
+    ev_timer progress_timer;
 };
 
 enum relay_phase {
     RELAY_HEAD = 0,
+    /* Suspended until the reducer admits or refuses the call. */
+    RELAY_ADMISSION,
     RELAY_BODY,
+    /* Refused; the rest of the body is read and discarded. */
+    RELAY_DISCARDING,
     /* An event was posted; waits for the effect that responds to it. */
     RELAY_WAITING,
     RELAY_RESPONDING,
@@ -64,6 +71,17 @@
     bool open;
     bool disconnected;
     bool suspended;
+    /* The reducer admitted the call at its head. */
+    bool admitted;
+    /* How much of the body may be read, and what the reducer knows of it. */
+    uint32_t granted_bytes;
+    uint32_t reported_bytes;
+    /* The library calls the handler for the head once more. */
+    bool repeats_head;
+    /* RELAY_DISCARDING: text of the response, and when it is sent. */
+    GString *refusal;
+    bool refusal_sent;
+    ev_timer discard_timer;
     struct ct_disconnect_watch watch;
     struct MHD_Response *response;
     uint32_t status;
@@ -135,6 +153,40 @@
                           void **context,
                           enum MHD_RequestTerminationCode code);
 
+/* Response to a refused call. */
+struct relay_refusal {
+    const char *media_type;
+    const GString *body;
+    /* Header with the delay for a retry; NULL for none. */
+    const char *retry_name;
+    const char *retry_value;
+};
+
+/* relay-body.c: reads bodies as far as the reducer grants it. */
+void relay_body_init(struct ct_relay_io *io);
+void relay_body_stop(struct ct_relay_io *io);
+/* Sets the members of the call's size from its head. */
+void relay_body_read_size(struct relay_call *call);
+bool relay_body_is_expected(const struct relay_call *call);
+/* Suspends the call and posts CT_EVENT_RELAY_HEAD_ARRIVED. */
+void relay_body_request(struct relay_call *call);
+/* Posts CT_EVENT_RELAY_CALL_REJECTED. */
+void relay_body_reject(struct relay_call *call, enum ct_refusal reason);
+enum MHD_Result relay_body_read(struct relay_call *call, const char *data,
+                                size_t *n);
+/* CT_EFFECT_RELAY_READ_BODY */
+void relay_body_grant(struct ct_relay_io *io,
+                      const struct ct_body_grant *grant);
+/*
+ * Frees the body of a call that is refused before it is complete. Returns
+ * whether the refusal was sent; otherwise the caller sets the response.
+ */
+bool relay_body_refuse(struct relay_call *call, uint32_t status,
+                       const struct relay_refusal *refusal);
+/* Stops a refusal that was to be sent before the body's end. */
+void relay_body_end_discard(struct relay_call *call);
+void relay_body_clear(struct relay_call *call);
+
 /* relay-response.c: turns effects into HTTP responses. */
 void relay_response_refuse(struct ct_relay_io *io,
                            const struct ct_refuse_effect *refuse);
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -52,6 +52,9 @@
     case CT_EFFECT_REFUSE_REQUEST:
         relay_response_refuse(io, &effect->u.refuse);
         return true;
+    case CT_EFFECT_RELAY_READ_BODY:
+        relay_body_grant(io, &effect->u.body_grant);
+        return true;
     case CT_EFFECT_SET_CALLER_LIMITS:
         set_limits(io, &effect->u.bounds);
         return true;
@@ -79,6 +82,7 @@
         relay_call_resume(call);
     }
     ct_http_server_stop(&io->server);
+    relay_body_stop(io);
     g_hash_table_destroy(io->by_handle);
     ct_table_free(&io->attempts);
     ct_table_free(&io->calls);
@@ -127,6 +131,7 @@
     ct_table_init(&io->calls, sizeof(struct relay_call), 0, relay_call_clear);
     ct_table_init(&io->attempts, sizeof(struct relay_attempt), 0, NULL);
     io->by_handle = g_hash_table_new(ct_handle_hash, ct_handle_equal);
+    relay_body_init(io);
     err = start_server(io, options->address);
     if (err < 0) {
         g_hash_table_destroy(io->by_handle);
--- a/shell/relay-port.c
+++ b/shell/relay-port.c
@@ -3,6 +3,12 @@
 #include "error.h"
 #include "relay-call.h"
 
+/*
+ * A body up to this size that was received with its head is read at once;
+ * it is charged when it is complete.
+ */
+#define WITH_HEAD_MAX_BYTES (64 * 1024)
+
 /* Iterates over the headers of a call, which the dialect parses. */
 struct header_scan {
     struct relay_call *call;
@@ -39,16 +45,6 @@
     return MHD_YES;
 }
 
-static bool
-is_declared_too_large(struct relay_call *call)
-{
-    const char *length = MHD_lookup_connection_value(
-        call->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-
-    return length != NULL &&
-           g_ascii_strtoull(length, NULL, 10) > call->io->limits.body_bytes;
-}
-
 static void
 set_path(struct relay_call *call)
 {
@@ -60,19 +56,6 @@
     memcpy(call->info.path.text, call->message->target, n);
 }
 
-static void
-refuse_call(struct relay_call *call, enum ct_refusal reason)
-{
-    struct ct_refuse_effect refuse = {
-        .caller = relay_call_number(call),
-        .request_id = call->info.request_id,
-        .reason = reason,
-        .run_state = CT_NOT_RUN,
-    };
-
-    relay_response_refuse(call->io, &refuse);
-}
-
 void
 relay_port_notify(void *arg, struct MHD_Connection *connection, void **context,
                   enum MHD_ConnectionNotificationCode code)
@@ -95,7 +78,13 @@
         ->socket_context;
 }
 
-/* Suspends the complete call and posts its event, or refuses it. */
+static bool
+is_invalid(const struct relay_call *call)
+{
+    return call->malformed || call->info.request_id.text[0] == '\0';
+}
+
+/* Suspends the complete call and posts its event. */
 static void
 dispatch_call(struct relay_call *call)
 {
@@ -105,12 +94,8 @@
     ct_input_meter_add(relay_port_meter(call->connection), call->connection,
                        call->message->body->len);
     relay_call_suspend(call);
-    if (call->too_large) {
-        refuse_call(call, CT_REFUSAL_TOO_LARGE);
-        return;
-    }
-    if (call->malformed || call->info.request_id.text[0] == '\0') {
-        refuse_call(call, CT_REFUSAL_BAD_REQUEST);
+    if (is_invalid(call)) {
+        relay_body_reject(call, CT_REFUSAL_BAD_REQUEST);
         return;
     }
     call->info.body_bytes = call->message->body->len;
@@ -120,6 +105,19 @@
     ct_loop_post(call->io->loop, &event);
 }
 
+/*
+ * Whether the body is short and was received with the head, so that the call
+ * needs no admission before it.
+ */
+static bool
+is_body_received(const struct relay_call *call)
+{
+    return !call->info.body_chunked &&
+           call->info.body_bytes <= WITH_HEAD_MAX_BYTES &&
+           ct_input_meter_has_body(relay_port_meter(call->connection),
+                                   call->connection, call->info.body_bytes);
+}
+
 static enum MHD_Result
 read_head(struct relay_call *call, const char *method)
 {
@@ -130,29 +128,21 @@
                               &scan);
     call->malformed = scan.err < 0;
     set_path(call);
-    if (is_declared_too_large(call)) {
-        /* Refused now; libmicrohttpd then closes the connection. */
-        call->too_large = true;
-        dispatch_call(call);
+    relay_body_read_size(call);
+    if (relay_body_is_expected(call) &&
+        (call->too_large || is_invalid(call))) {
+        call->phase = RELAY_ADMISSION;
+        relay_call_suspend(call);
+        relay_body_reject(call, call->too_large ? CT_REFUSAL_TOO_LARGE
+                                                : CT_REFUSAL_BAD_REQUEST);
         return MHD_YES;
     }
-    call->phase = RELAY_BODY;
-    return MHD_YES;
-}
-
-static enum MHD_Result
-read_body_part(struct relay_call *call, const char *data, size_t *n)
-{
-    GByteArray *body = call->message->body;
-
-    if (!call->too_large && body->len + *n <= call->io->limits.body_bytes) {
-        g_byte_array_append(body, (const guint8 *)data, (guint)*n);
-    }
-    else {
-        call->too_large = true;
-        g_byte_array_set_size(body, 0);
+    if (relay_body_is_expected(call) && !is_body_received(call)) {
+        relay_body_request(call);
+        return MHD_YES;
     }
-    *n = 0;
+    call->granted_bytes = call->info.body_bytes;
+    call->phase = RELAY_BODY;
     return MHD_YES;
 }
 
@@ -170,6 +160,24 @@
     return MHD_queue_response(call->connection, call->status, call->response);
 }
 
+/* Discards what was read; responds at the end unless that was done before. */
+static enum MHD_Result
+discard_body(struct relay_call *call, size_t *n)
+{
+    if (call->repeats_head || *n > 0) {
+        call->repeats_head = false;
+        *n = 0;
+        return MHD_YES;
+    }
+    if (call->refusal_sent) {
+        return MHD_NO;
+    }
+    relay_body_end_discard(call);
+    ct_input_meter_add(relay_port_meter(call->connection), call->connection,
+                       call->info.body_bytes);
+    return queue_response(call);
+}
+
 enum MHD_Result
 relay_port_handle(void *arg, struct MHD_Connection *connection,
                   const char *url, const char *method, const char *version,
@@ -187,12 +195,24 @@
     case RELAY_HEAD:
         call->connection = connection;
         return read_head(call, method);
+    case RELAY_ADMISSION:
+        /* Called again for the head, now that the call was admitted. */
+        if (call->disconnected) {
+            return MHD_NO;
+        }
+        call->phase = RELAY_BODY;
+        return MHD_YES;
     case RELAY_BODY:
+        if (call->disconnected) {
+            return MHD_NO;
+        }
         if (*n > 0) {
-            return read_body_part(call, data, n);
+            return relay_body_read(call, data, n);
         }
         dispatch_call(call);
         return MHD_YES;
+    case RELAY_DISCARDING:
+        return discard_body(call, n);
     case RELAY_WAITING:
         return queue_response(call);
     default:
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -24,12 +24,28 @@
     relay_call_resume(call);
 }
 
+static struct MHD_Response *
+make_refusal(const struct relay_refusal *refusal)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        refusal->body->len, refusal->body->str, MHD_RESPMEM_MUST_COPY);
+
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                            refusal->media_type);
+    if (refusal->retry_name != NULL) {
+        MHD_add_response_header(response, refusal->retry_name,
+                                refusal->retry_value);
+    }
+    return response;
+}
+
 void
 relay_response_refuse(struct ct_relay_io *io,
                       const struct ct_refuse_effect *refuse)
 {
     struct relay_call *call = relay_call_find(io, refuse->caller);
-    struct MHD_Response *response;
+    uint32_t status = (uint32_t)ct_refusal_status(refuse->reason);
+    struct relay_refusal refusal = {.media_type = JSON};
     GString *body;
     char value[32];
 
@@ -40,17 +56,16 @@
     body = g_string_new(NULL);
     ct_refusal_body(refuse->reason, refuse->run_state, &refuse->request_id,
                     refuse->retry_after_ms, body);
-    response = MHD_create_response_from_buffer(body->len, body->str,
-                                               MHD_RESPMEM_MUST_COPY);
-    g_string_free(body, TRUE);
-    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, JSON);
+    refusal.body = body;
     if (refuse->retry_after_ms > 0 && refuse->run_state == CT_NOT_RUN) {
-        const char *name = io->dialect->ops->retry_after(
+        refusal.retry_name = io->dialect->ops->retry_after(
             io->dialect, refuse->retry_after_ms, value, sizeof(value));
-
-        MHD_add_response_header(response, name, value);
+        refusal.retry_value = value;
     }
-    set_response(call, (uint32_t)ct_refusal_status(refuse->reason), response);
+    if (!relay_body_refuse(call, status, &refusal)) {
+        set_response(call, status, make_refusal(&refusal));
+    }
+    g_string_free(body, TRUE);
 }
 
 /* Frees the written bytes, but not after each small write. */
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -147,3 +147,24 @@
     }
     return info.tcpi_bytes_received;
 }
+
+uint64_t
+ct_socket_peer_address(const struct sockaddr *address)
+{
+    struct sockaddr_in ip;
+
+    if (address == NULL || address->sa_family != AF_INET) {
+        return 0;
+    }
+    memcpy(&ip, address, sizeof(ip));
+    return ntohl(ip.sin_addr.s_addr);
+}
+
+int
+ct_socket_limit_receive_buffer(int listener, int bytes)
+{
+    return setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)) <
+                   0
+               ? CT_ERR_IO
+               : CT_OK;
+}
--- a/shell/socket.h
+++ b/shell/socket.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/socket.h>
 
 /* TCP sockets by "IP:port" address; all are non-blocking and close-on-exec. */
 
@@ -28,6 +29,15 @@
 /* Errors: CT_ERR_IO, also if no connection is pending. */
 int ct_socket_accept(int listener);
 
+/* Returns the IP address as a number; 0 if it is not one of IPv4. */
+uint64_t ct_socket_peer_address(const struct sockaddr *address);
+
+/*
+ * Bounds what the kernel buffers of connections accepted from now on that are
+ * not read. Errors: CT_ERR_IO.
+ */
+int ct_socket_limit_receive_buffer(int listener, int bytes);
+
 /* Returns the bytes received on a connection; 0 if that is not known. */
 uint64_t ct_socket_bytes_received(int fd);
 
