core: refuse bodies for memory only if that makes the room that is needed

Cause: when a body waited for 4 MB, all others that held a first grant of 16 KB were refused after a second, although their sum was less than what was wanted, and although they made no progress only because they waited themselves. Of 64 complete calls of 4 MB sent at once to a host with memory_mb 64, 62 were refused within a second.

Change: bodies are refused for a waiting one, or for a response, only if what they hold suffices. Bodies that wait are refused for others only if all that hold more than a first grant wait, which bodies in chunks can bring about.

--- a/core/body-admission.c
+++ b/core/body-admission.c
@@ -53,26 +53,34 @@
     state->bodies.head_timeout_ms = head_timeout_ms;
 }
 
-static uint64_t *
-organisation_sum(struct ct_bodies *bodies, const struct ct_body *body)
+static guint
+organisation_index(const struct ct_body *body)
 {
-    GArray *sums = bodies->granted_by_organisation;
-    guint i = ct_handle_is_none(body->organisation)
-                  ? 0
-                  : body->organisation.index + 1;
+    return ct_handle_is_none(body->organisation)
+               ? 0
+               : body->organisation.index + 1;
+}
 
-    if (i >= sums->len) {
-        g_array_set_size(sums, i + 1);
-    }
-    return &g_array_index(sums, uint64_t, i);
+/* Returns what all bodies of the same organisation were granted. */
+static uint64_t
+organisation_sum(const struct ct_bodies *bodies, const struct ct_body *body)
+{
+    const GArray *sums = bodies->granted_by_organisation;
+    guint i = organisation_index(body);
+
+    return i < sums->len ? g_array_index(sums, uint64_t, i) : 0;
 }
 
 static void
 set_granted(struct ct_bodies *bodies, struct ct_body *body, uint32_t bytes)
 {
-    uint64_t *sum = organisation_sum(bodies, body);
+    GArray *sums = bodies->granted_by_organisation;
+    guint i = organisation_index(body);
 
-    *sum += (uint64_t)bytes - body->granted_bytes;
+    if (i >= sums->len) {
+        g_array_set_size(sums, i + 1);
+    }
+    g_array_index(sums, uint64_t, i) += (uint64_t)bytes - body->granted_bytes;
     bodies->granted_bytes += (uint64_t)bytes - body->granted_bytes;
     body->granted_bytes = bytes;
 }
@@ -112,35 +120,36 @@
 }
 
 /*
- * Whether the body may get the grant that it wants. One body alone may always
- * have it, whatever the configured sizes are.
+ * Whether the body may get the grant that it wants, once so many bytes of
+ * other bodies are freed. One body alone may always have it, whatever the
+ * configured sizes are.
  */
 static bool
-fits(const struct ct_state *state, const struct ct_body *body)
+fits(const struct ct_state *state, const struct ct_body *body,
+     uint64_t freed_bytes)
 {
-    const struct ct_bodies *bodies = &state->bodies;
     uint64_t limit = ct_memory_budget_limit(&state->self.bounds);
     uint64_t share = limit - limit / SHARE_DIVISOR;
+    uint64_t used = state->relays.budget.used_bytes - freed_bytes;
+    uint64_t granted = state->bodies.granted_bytes - freed_bytes;
     uint64_t more = body->wanted_bytes - body->granted_bytes;
 
-    if (bodies->granted_bytes == body->granted_bytes) {
-        return state->relays.budget.used_bytes + more <= limit ||
-               state->relays.budget.used_bytes == body->granted_bytes;
+    if (granted == body->granted_bytes) {
+        return used + more <= limit || used == body->granted_bytes;
     }
     if (body->granted_bytes > 0) {
         share -= share / FIRST_DIVISOR;
     }
-    return bodies->granted_bytes + more <= share &&
-           state->relays.budget.used_bytes + more <= limit;
+    return granted + more <= share && used + more <= limit;
 }
 
 /* Whether the first body is granted before the second one. */
 static bool
-precedes(struct ct_bodies *bodies, const struct ct_body *first,
+precedes(const struct ct_bodies *bodies, const struct ct_body *first,
          const struct ct_body *second)
 {
-    uint64_t first_sum = *organisation_sum(bodies, first);
-    uint64_t second_sum = *organisation_sum(bodies, second);
+    uint64_t first_sum = organisation_sum(bodies, first);
+    uint64_t second_sum = organisation_sum(bodies, second);
 
     if ((first->granted_bytes == 0) != (second->granted_bytes == 0)) {
         return first->granted_bytes == 0;
@@ -155,7 +164,7 @@
 }
 
 static struct ct_body *
-next_waiting(struct ct_bodies *bodies, struct ct_handle *out)
+next_waiting(const struct ct_bodies *bodies)
 {
     struct ct_body *next = NULL;
     struct ct_handle handle;
@@ -169,7 +178,6 @@
         if (body->wanted_bytes > 0 &&
             (!next || precedes(bodies, body, next))) {
             next = body;
-            *out = handle;
         }
     }
     return next;
@@ -191,13 +199,30 @@
     return first->rank > second->rank;
 }
 
-/*
- * Returns the body to refuse next, other than one: of those with a grant whose
- * last progress was not after the given time.
+/* Selects bodies that may be refused for memory. */
+struct shed_rule {
+    /* Never refused; may be NULL. */
+    const struct ct_body *except;
+    /* The last progress was not after this time. */
+    ct_ms until_ms;
+    uint32_t least_bytes;
+    /* Also those that wait themselves. */
+    bool waiting;
+};
+
+static bool
+may_shed(const struct shed_rule *rule, const struct ct_body *body)
+{
+    return body != rule->except && body->progress_ms <= rule->until_ms &&
+           body->granted_bytes >= rule->least_bytes &&
+           (body->wanted_bytes == 0 || rule->waiting);
+}
+
+/* Returns the body to refuse next, and the bytes of all that may be refused.
  */
 static struct ct_handle
-next_to_shed(const struct ct_bodies *bodies, const struct ct_body *except,
-             ct_ms until_ms)
+next_to_shed(const struct ct_bodies *bodies, const struct shed_rule *rule,
+             uint64_t *bytes)
 {
     struct ct_handle found = CT_NO_HANDLE;
     const struct ct_body *next = NULL;
@@ -205,10 +230,13 @@
     struct ct_handle handle;
     uint32_t cursor = 0;
 
+    *bytes = 0;
     while ((body = ct_table_next(&bodies->rows, &cursor, &handle))) {
-        if (body != except && body->granted_bytes > 0 &&
-            body->progress_ms <= until_ms &&
-            (!next || is_shed_before(body, next))) {
+        if (!may_shed(rule, body)) {
+            continue;
+        }
+        *bytes += body->granted_bytes;
+        if (!next || is_shed_before(body, next)) {
             next = body;
             found = handle;
         }
@@ -216,6 +244,23 @@
     return found;
 }
 
+/* Whether all bodies wait that hold more than a first grant. */
+static bool
+is_stuck(const struct ct_bodies *bodies)
+{
+    const struct ct_body *body;
+    struct ct_handle handle;
+    uint32_t cursor = 0;
+
+    while ((body = ct_table_next(&bodies->rows, &cursor, &handle))) {
+        if (body->granted_bytes > FIRST_GRANT_BYTES &&
+            body->wanted_bytes == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 shed_body(struct ct_state *state, struct ct_handle handle)
 {
@@ -240,23 +285,45 @@
     }
 }
 
+/*
+ * Refuses one body, if the waiting one then fits or can be made to fit.
+ * Returns whether one was refused.
+ */
+static bool
+make_room(struct ct_state *state, const struct ct_body *waiting)
+{
+    struct shed_rule rule = {
+        .except = waiting,
+        .until_ms = state->now_ms - STALL_MS,
+        .least_bytes = 1,
+    };
+    uint64_t bytes;
+    struct ct_handle handle = next_to_shed(&state->bodies, &rule, &bytes);
+
+    if (!fits(state, waiting, bytes) && is_stuck(&state->bodies)) {
+        rule.waiting = true;
+        rule.least_bytes = FIRST_GRANT_BYTES + 1;
+        handle = next_to_shed(&state->bodies, &rule, &bytes);
+    }
+    if (ct_handle_is_none(handle) || !fits(state, waiting, bytes)) {
+        return false;
+    }
+    shed_body(state, handle);
+    return true;
+}
+
 void
 ct_bodies_grant(struct ct_state *state)
 {
-    struct ct_handle handle;
     struct ct_body *body;
 
-    while ((body = next_waiting(&state->bodies, &handle))) {
-        if (fits(state, body)) {
+    while ((body = next_waiting(&state->bodies))) {
+        if (fits(state, body, 0)) {
             give_grant(state, body);
-            continue;
         }
-        handle =
-            next_to_shed(&state->bodies, body, state->now_ms - STALL_MS);
-        if (ct_handle_is_none(handle)) {
+        else if (!make_room(state, body)) {
             return;
         }
-        shed_body(state, handle);
     }
 }
 
@@ -337,9 +404,8 @@
     body->size_bytes = MAX(call->body_bytes, 1);
     body->chunked = call->body_chunked;
     body->last_byte_ms = body->progress_ms = state->now_ms;
-    body->deadline_ms = call->timeout_ms > 0
-                            ? state->now_ms + call->timeout_ms
-                            : CT_MS_NEVER;
+    body->deadline_ms =
+        call->timeout_ms > 0 ? state->now_ms + call->timeout_ms : CT_MS_NEVER;
     ct_index_add(bodies->by_caller, &body->caller, handle);
     if (bounds->peer_bodies > 0 && call->peer != 0 &&
         count_of_peer(bodies, call->peer) > bounds->peer_bodies) {
@@ -395,12 +461,19 @@
 void
 ct_bodies_shed(struct ct_state *state)
 {
-    struct ct_handle handle;
+    const struct shed_rule rule = {
+        .until_ms = state->now_ms,
+        .least_bytes = 1,
+        .waiting = true,
+    };
+    const struct ct_memory_budget *budget = &state->relays.budget;
+    uint64_t limit = ct_memory_budget_limit(&state->self.bounds);
+
+    while (budget->used_bytes > limit) {
+        uint64_t bytes;
+        struct ct_handle handle = next_to_shed(&state->bodies, &rule, &bytes);
 
-    while (ct_memory_budget_is_exceeded(&state->relays.budget,
-                                        &state->self.bounds)) {
-        handle = next_to_shed(&state->bodies, NULL, state->now_ms);
-        if (ct_handle_is_none(handle)) {
+        if (budget->used_bytes - bytes > limit) {
             return;
         }
         shed_body(state, handle);
--- a/core/body-admission.h
+++ b/core/body-admission.h
@@ -58,8 +58,7 @@
 void ct_bodies_init(struct ct_bodies *bodies);
 void ct_bodies_free(struct ct_bodies *bodies);
 
-void ct_bodies_set_head_timeout(struct ct_state *state,
-                                ct_ms head_timeout_ms);
+void ct_bodies_set_head_timeout(struct ct_state *state, ct_ms head_timeout_ms);
 
 /*
  * Adds the body of a call whose head was admitted. Grants its first bytes, or
@@ -78,8 +77,8 @@
 /* Grants what waiting bodies want, as far as the budget allows. */
 void ct_bodies_grant(struct ct_state *state);
 /*
- * Refuses calls with incomplete bodies until the budget is no longer exceeded
- * or none is left.
+ * Refuses calls with incomplete bodies until the budget is no longer exceeded;
+ * none if that does not suffice.
  */
 void ct_bodies_shed(struct ct_state *state);
 /* CT_TIMER_BODIES */
--- a/core/limited-log.c
+++ b/core/limited-log.c
@@ -12,8 +12,7 @@
 
     state->limited_logs.kinds[i].occurrences++;
     if (state->limited_logs.kinds[i].logged &&
-        state->now_ms - state->limited_logs.kinds[i].logged_ms <
-            INTERVAL_MS) {
+        state->now_ms - state->limited_logs.kinds[i].logged_ms < INTERVAL_MS) {
         return;
     }
     ct_emit_log(state, event, NULL, reason,
--- a/shell/relay-body.c
+++ b/shell/relay-body.c
@@ -54,16 +54,14 @@
 relay_body_read_size(struct relay_call *call)
 {
     uint32_t max_bytes = call->io->limits.body_bytes;
-    const char *length =
-        request_header(call, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    const char *length = request_header(call, MHD_HTTP_HEADER_CONTENT_LENGTH);
     guint64 bytes = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
 
     call->info.body_chunked =
         request_header(call, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
     call->too_large = bytes > max_bytes;
-    call->info.body_bytes = call->info.body_chunked
-                                ? max_bytes
-                                : (uint32_t)MIN(bytes, max_bytes);
+    call->info.body_bytes =
+        call->info.body_chunked ? max_bytes : (uint32_t)MIN(bytes, max_bytes);
     call->info.peer = peer_address(call);
 }
 
--- a/t/test-body-admission.c
+++ b/t/test-body-admission.c
@@ -225,8 +225,8 @@
     g_assert_cmpuint(granted(&core, small), ==, 100);
     post_end(&core, CT_EVENT_RELAY_CALLER_DISCONNECTED, callers[0]);
     g_assert_cmpuint(granted(&core, callers[2]), ==, 4 * MB);
-    g_assert_cmpuint(core.state->counters.values[CT_COUNTER_BODIES_WAITED],
-                     ==, 1);
+    g_assert_cmpuint(core.state->counters.values[CT_COUNTER_BODIES_WAITED], ==,
+                     1);
     g_assert_cmpuint(core.state->counters.values[CT_COUNTER_BODIES_SHED], ==,
                      0);
     t_core_free(&core);
@@ -263,6 +263,41 @@
     t_core_free(&core);
 }
 
+/*
+ * Bodies that wait are not refused for that, except when all do: bodies in
+ * chunks can hold all of the budget and each want more.
+ */
+static void
+test_stuck(void)
+{
+    struct t_core core;
+    uint64_t callers[9];
+    guint n = 0;
+
+    set_up(&core);
+    for (guint i = 0; i < G_N_ELEMENTS(callers); i++) {
+        callers[i] = post_head(&core, 1, T_ANY_PATH, 4 * MB, true);
+        for (uint32_t step = FIRST_BYTES; step <= 128 * KB; step *= 8) {
+            post_progress(&core, callers[i], step, true);
+        }
+    }
+    /* Eight have 1 MB; the last one waits for it. */
+    for (guint i = 0; i < 8; i++) {
+        post_progress(&core, callers[i], MB, true);
+    }
+    for (guint t = CHECK_MS; t < 1000; t += CHECK_MS) {
+        t_core_tick(&core, CHECK_MS);
+        g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE_REQUEST), ==, 0);
+    }
+    t_core_tick(&core, CHECK_MS);
+    for (guint i = 0; i < G_N_ELEMENTS(callers); i++) {
+        n += granted(&core, callers[i]) > 0;
+    }
+    g_assert_cmpuint(n, >, 0);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE_REQUEST), <, 4);
+    t_core_free(&core);
+}
+
 /* A crowd of one organisation must not be served before another one's call. */
 static void
 test_organisations(void)
@@ -365,8 +400,8 @@
         lines += t_core_count(&core, CT_EFFECT_LOG_EVENT);
     }
     g_assert_cmpuint(lines, ==, 2);
-    g_assert_cmpint(
-        t_core_effect(&core, CT_EFFECT_LOG_EVENT, 0)->u.log.number, ==, 99);
+    g_assert_cmpint(t_core_effect(&core, CT_EFFECT_LOG_EVENT, 0)->u.log.number,
+                    ==, 99);
     t_core_free(&core);
 }
 
@@ -400,6 +435,7 @@
     g_test_add_func("/body-admission/released", test_released);
     g_test_add_func("/body-admission/wait", test_wait);
     g_test_add_func("/body-admission/shed", test_shed);
+    g_test_add_func("/body-admission/stuck", test_stuck);
     g_test_add_func("/body-admission/organisations", test_organisations);
     g_test_add_func("/body-admission/time-outs", test_time_outs);
     g_test_add_func("/body-admission/head-timeout", test_head_timeout);
