shell, conf: limit the connections and unfinished requests of an IP address

Cause: one client could hold all connections of a host, and max_connections could exceed what the limit on open files allows, so that a crowd left no descriptor for connections to upstreams.

Result: test-relay-settings (new case limits) passes.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -3,8 +3,21 @@
 #include "schema.h"
 
 #define DEFAULT_MAX_CONNECTIONS 2048
+#define MAX_CONNECTIONS 1000000
 #define DEFAULT_MEMORY_MB 128
+/* Upstreams buffer less for a reader before they end its response. */
+#define DEFAULT_UNREAD_BYTES (16 * 1024 * 1024)
+#define UNREAD_MIN_BYTES (64 * 1024)
 #define SECRET_MIN_BYTES 16
+/* Descriptors besides those of calls: the other ports, links, the store. */
+#define FILES_RESERVED 128
+/* The caller's connection and the one to the upstream. */
+#define FILES_PER_CALL 2
+/*
+ * All callers may share the address of a proxy, so by default one address may
+ * have three quarters of the total.
+ */
+#define PEER_DIVISOR 4
 #define HOUR_MS 3600000
 
 #define REQUIRED CT_SCHEMA_REQUIRED
@@ -41,6 +54,13 @@
      1000, .fallback = 100},
     {"memory_mb", CT_SCHEMA_U32, OPTIONAL, AT(bounds, memory_mb), 1, 1000000,
      .fallback = DEFAULT_MEMORY_MB, .fraction = true},
+    {"peer_connections", CT_SCHEMA_U32, OPTIONAL, AT(bounds, peer_connections),
+     0, MAX_CONNECTIONS, .fraction = true},
+    {"peer_bodies", CT_SCHEMA_U32, OPTIONAL, AT(bounds, peer_bodies), 0,
+     MAX_CONNECTIONS, .fraction = true},
+    {"unread_bytes", CT_SCHEMA_U32, OPTIONAL, AT(bounds, unread_bytes),
+     UNREAD_MIN_BYTES, UINT32_MAX, .fallback = DEFAULT_UNREAD_BYTES,
+     .fraction = true},
     {"repeat_burst", CT_SCHEMA_U32, OPTIONAL, AT(bounds, repeat_burst), 0,
      1000000, .fallback = 20, .fraction = true},
 };
@@ -66,7 +86,7 @@
     {"duties", CT_SCHEMA_ADDRESS, OPTIONAL, AT(relay_settings, duties)},
     {"first_start", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, first_start)},
     {"max_connections", CT_SCHEMA_U32, OPTIONAL,
-     AT(relay_settings, max_connections), 1, 1000000,
+     AT(relay_settings, max_connections), 1, MAX_CONNECTIONS,
      .fallback = DEFAULT_MAX_CONNECTIONS},
     {"bounds", CT_SCHEMA_OBJECT, REQUIRED, AT(relay_settings, bounds),
      .object = &bounds_schema},
@@ -79,3 +99,21 @@
 {
     return ct_schema_load(&schema, path, settings, sizeof(*settings), diags);
 }
+
+void
+ct_relay_settings_limit(struct ct_relay_settings *settings, uint64_t max_files)
+{
+    uint64_t most = max_files > FILES_RESERVED + FILES_PER_CALL
+                        ? (max_files - FILES_RESERVED) / FILES_PER_CALL
+                        : 1;
+    uint32_t *total = &settings->max_connections;
+    struct ct_bounds *bounds = &settings->bounds;
+
+    *total = (uint32_t)MIN(*total, most);
+    if (bounds->peer_connections == 0) {
+        bounds->peer_connections = *total - *total / PEER_DIVISOR;
+    }
+    if (bounds->peer_bodies == 0) {
+        bounds->peer_bodies = *total - *total / PEER_DIVISOR;
+    }
+}
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "call-dialect.h"
@@ -54,6 +55,15 @@
     g_string_free(text, TRUE);
 }
 
+/* The limit on open files is raised to the hard limit at the start. */
+static uint64_t
+max_files(void)
+{
+    struct rlimit files;
+
+    return getrlimit(RLIMIT_NOFILE, &files) == 0 ? files.rlim_max : 0;
+}
+
 /* Reloads the bounds from the settings; ports and addresses do not change. */
 static void
 on_hangup(struct ev_loop *ev, ev_signal *signal, int events)
@@ -67,6 +77,9 @@
     (void)events;
     ct_diags_init(&diags);
     if (ct_relay_settings_load(daemon->path, &settings, &diags) == CT_OK) {
+        ct_relay_settings_limit(&settings, max_files());
+        ct_relay_io_limit_peers(daemon->relay,
+                                settings.bounds.peer_connections);
         daemon->settings.bounds = settings.bounds;
         event.u.relay_bounds = settings.bounds;
         ct_loop_post(daemon->host.loop, &event);
@@ -205,6 +218,7 @@
     const struct ct_relay_options options = {
         .dialect = ct_platform_dialect(),
         .address = daemon->settings.caller_address.text,
+        .peer_connections = daemon->settings.bounds.peer_connections,
         .limits =
             {
                 .max_connections = daemon->settings.max_connections,
@@ -270,6 +284,7 @@
     };
     int err;
 
+    ct_relay_settings_limit(&daemon->settings, max_files());
     ct_host_init_self(&daemon->host.self, &daemon->settings.host,
                       &daemon->settings.zone);
     daemon->host.self.bounds = daemon->settings.bounds;
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -18,6 +18,10 @@
     const struct ct_dialect *dialect;
     struct ct_caller_limits limits;
     struct ct_http_server server;
+    uint32_t connections;
+    /* Limit on those of one IP address, 0 for none, and their numbers. */
+    uint32_t peer_connections;
+    GHashTable *connections_by_peer;
     /* struct relay_call, struct relay_attempt */
     struct ct_table calls;
     struct ct_table attempts;
@@ -137,12 +141,20 @@
 void relay_call_resume(struct relay_call *call);
 void relay_message_unref(struct relay_message *message);
 
-/* relay-port.c: turns HTTP requests into events. */
-void relay_port_notify(void *arg, struct MHD_Connection *connection,
-                       void **context,
-                       enum MHD_ConnectionNotificationCode code);
+/* relay-connections.c: counts and limits connections. */
+void relay_connections_init(struct ct_relay_io *io);
+void relay_connections_free(struct ct_relay_io *io);
+enum MHD_Result relay_connections_accept(void *arg,
+                                         const struct sockaddr *address,
+                                         socklen_t size);
+void relay_connections_notify(void *arg, struct MHD_Connection *connection,
+                              void **context,
+                              enum MHD_ConnectionNotificationCode code);
 /* Returns the meter that belongs to the connection. */
-struct ct_input_meter *relay_port_meter(struct MHD_Connection *connection);
+struct ct_input_meter *
+relay_connections_meter(struct MHD_Connection *connection);
+
+/* relay-port.c: turns HTTP requests into events. */
 enum MHD_Result relay_port_handle(void *arg, struct MHD_Connection *connection,
                                   const char *url, const char *method,
                                   const char *version, const char *data,
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -83,6 +83,7 @@
     }
     ct_http_server_stop(&io->server);
     relay_body_stop(io);
+    relay_connections_free(io);
     g_hash_table_destroy(io->by_handle);
     ct_table_free(&io->attempts);
     ct_table_free(&io->calls);
@@ -101,12 +102,13 @@
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
          (intptr_t)limits->head_bytes + CONNECTION_EXTRA_BYTES, NULL},
         {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)relay_port_uri, io},
-        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)relay_port_notify, io},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)relay_connections_notify, io},
         {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)relay_port_completed, io},
         {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
         {MHD_OPTION_END, 0, NULL},
     };
 
+    io->server.accept = relay_connections_accept;
     return ct_http_server_start(&io->server, io->loop, address,
                                 relay_port_handle, io, options);
 }
@@ -132,8 +134,11 @@
     ct_table_init(&io->attempts, sizeof(struct relay_attempt), 0, NULL);
     io->by_handle = g_hash_table_new(ct_handle_hash, ct_handle_equal);
     relay_body_init(io);
+    relay_connections_init(io);
+    io->peer_connections = options->peer_connections;
     err = start_server(io, options->address);
     if (err < 0) {
+        relay_connections_free(io);
         g_hash_table_destroy(io->by_handle);
         ct_table_free(&io->attempts);
         ct_table_free(&io->calls);
@@ -156,6 +161,12 @@
     return io->server.port;
 }
 
+void
+ct_relay_io_limit_peers(struct ct_relay_io *io, uint32_t connections)
+{
+    io->peer_connections = connections;
+}
+
 void
 ct_relay_io_drain(struct ct_relay_io *io)
 {
--- a/shell/relay-io.h
+++ b/shell/relay-io.h
@@ -19,6 +19,8 @@
     const char *address;
     /* Limits until a configuration sets others. */
     struct ct_caller_limits limits;
+    /* Limit on the connections of one IP address; 0 for none. */
+    uint32_t peer_connections;
 };
 
 /* Errors: CT_ERR_INVALID for a bad address, CT_ERR_IO. */
@@ -28,6 +30,9 @@
 struct ct_executor *ct_relay_io_executor(struct ct_relay_io *io);
 uint16_t ct_relay_io_port(const struct ct_relay_io *io);
 
+/* Changes the limit on the connections of one IP address. */
+void ct_relay_io_limit_peers(struct ct_relay_io *io, uint32_t connections);
+
 /* From now on each response closes its connection. */
 void ct_relay_io_drain(struct ct_relay_io *io);
 /* Stops accepting connections; those already open are still served. */
--- a/shell/relay-port.c
+++ b/shell/relay-port.c
@@ -56,28 +56,6 @@
     memcpy(call->info.path.text, call->message->target, n);
 }
 
-void
-relay_port_notify(void *arg, struct MHD_Connection *connection, void **context,
-                  enum MHD_ConnectionNotificationCode code)
-{
-    (void)arg;
-    (void)connection;
-    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        *context = g_new0(struct ct_input_meter, 1);
-        return;
-    }
-    g_free(*context);
-    *context = NULL;
-}
-
-struct ct_input_meter *
-relay_port_meter(struct MHD_Connection *connection)
-{
-    return MHD_get_connection_info(connection,
-                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-        ->socket_context;
-}
-
 static bool
 is_invalid(const struct relay_call *call)
 {
@@ -91,8 +69,8 @@
     struct ct_event event = {.type = CT_EVENT_RELAY_CALL_ARRIVED};
 
     call->phase = RELAY_WAITING;
-    ct_input_meter_add(relay_port_meter(call->connection), call->connection,
-                       call->message->body->len);
+    ct_input_meter_add(relay_connections_meter(call->connection),
+                       call->connection, call->message->body->len);
     relay_call_suspend(call);
     if (is_invalid(call)) {
         relay_body_reject(call, CT_REFUSAL_BAD_REQUEST);
@@ -114,7 +92,7 @@
 {
     return !call->info.body_chunked &&
            call->info.body_bytes <= WITH_HEAD_MAX_BYTES &&
-           ct_input_meter_has_body(relay_port_meter(call->connection),
+           ct_input_meter_has_body(relay_connections_meter(call->connection),
                                    call->connection, call->info.body_bytes);
 }
 
@@ -173,8 +151,8 @@
         return MHD_NO;
     }
     relay_body_end_discard(call);
-    ct_input_meter_add(relay_port_meter(call->connection), call->connection,
-                       call->info.body_bytes);
+    ct_input_meter_add(relay_connections_meter(call->connection),
+                       call->connection, call->info.body_bytes);
     return queue_response(call);
 }
 
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -17,7 +17,7 @@
     call->response = response;
     call->status = status;
     if (call->io->draining &&
-        !ct_input_meter_has_more(relay_port_meter(call->connection),
+        !ct_input_meter_has_more(relay_connections_meter(call->connection),
                                  call->connection)) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -71,6 +71,44 @@
     g_assert_cmpuint(settings.max_connections, ==, 2048);
 }
 
+/*
+ * By default no limit per address stops callers behind one proxy before they
+ * have three quarters of all connections.
+ */
+static void
+test_limits(void)
+{
+    static const struct {
+        uint64_t max_files;
+        uint32_t total;
+        uint32_t peer;
+    } cases[] = {
+        {1048576, 2048, 1536}, {4224, 2048, 1536}, {1024, 448, 336},
+        {128, 1, 1},           {0, 1, 1},
+    };
+    struct ct_relay_settings settings;
+
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_cmpint(load_with_line(0, NULL, &settings), ==, CT_OK);
+        ct_relay_settings_limit(&settings, cases[i].max_files);
+        g_assert_cmpuint(settings.max_connections, ==, cases[i].total);
+        g_assert_cmpuint(settings.bounds.peer_connections, ==, cases[i].peer);
+        g_assert_cmpuint(settings.bounds.peer_bodies, ==, cases[i].peer);
+    }
+    g_assert_cmpint(
+        load_with_line(12,
+                       "\"bounds\": {\"revoke_ms\": 4000, \"body_idle_ms\": "
+                       "200, \"peer_connections\": 9, \"peer_bodies\": 8,",
+                       &settings),
+        ==, CT_OK);
+    ct_relay_settings_limit(&settings, cases[0].max_files);
+    g_assert_cmpuint(settings.bounds.peer_connections, ==, 9);
+    g_assert_cmpuint(settings.bounds.peer_bodies, ==, 8);
+    g_assert_cmpint(settings.bounds.body_idle_ms, ==, 200);
+    g_assert_cmpint(settings.bounds.body_wait_ms, ==, 5000);
+    g_assert_cmpuint(settings.bounds.unread_bytes, ==, 16 * 1024 * 1024);
+}
+
 /* Bounds may have a fraction, which is cut off. */
 static void
 test_fractions(void)
@@ -129,6 +167,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay-settings/valid", test_valid);
+    g_test_add_func("/relay-settings/limits", test_limits);
     g_test_add_func("/relay-settings/fractions", test_fractions);
     g_test_add_func("/relay-settings/invalid", test_invalid);
     return g_test_run();
