core, shell: count unread responses, and cut off the largest when memory is short

Cause: what a host buffered for a caller that reads slowly was bounded by 16 MB for each caller, but not counted: a crowd that did not read its streams could use any amount, and complete responses that nobody read kept new calls out (429) until the connection's time-out.

--- a/core/effect.c
+++ b/core/effect.c
@@ -112,6 +112,7 @@
         [CT_EFFECT_RELAY_CANCEL_ATTEMPT] = "relay-cancel",
         [CT_EFFECT_RELAY_FORWARD_RESPONSE] = "relay-forward",
         [CT_EFFECT_RELAY_ABORT_RESPONSE] = "relay-break",
+        [CT_EFFECT_RELAY_DISCONNECT_CALLER] = "relay-disconnect",
         [CT_EFFECT_RELAY_READ_BODY] = "relay-read-body",
         [CT_EFFECT_SET_CALLER_LIMITS] = "caller-limits",
         [CT_EFFECT_STORE_READ] = "store-read",
--- a/core/effect.h
+++ b/core/effect.h
@@ -65,6 +65,8 @@
      */
     CT_EFFECT_RELAY_ABORT_RESPONSE,
     CT_EFFECT_RELAY_READ_BODY,
+    /* Closes the caller's connection and frees what is buffered for it. */
+    CT_EFFECT_RELAY_DISCONNECT_CALLER,
     /* Sets the limits on what callers may send. */
     CT_EFFECT_SET_CALLER_LIMITS,
 
@@ -300,7 +302,10 @@
         struct ct_report_effect report;
         struct ct_peer_effect peer;
         struct ct_log_effect log;
-        /* CT_EFFECT_REPLY_WITHDRAWAL, CT_EFFECT_RELAY_ABORT_RESPONSE */
+        /*
+         * CT_EFFECT_REPLY_WITHDRAWAL, CT_EFFECT_RELAY_ABORT_RESPONSE,
+         * CT_EFFECT_RELAY_DISCONNECT_CALLER
+         */
         uint64_t caller;
         struct ct_relay_start relay;
         struct ct_relay_forward forward;
--- a/core/event.c
+++ b/core/event.c
@@ -38,6 +38,7 @@
         [CT_EVENT_RELAY_CALL_ARRIVED] = "relay-arrived",
         [CT_EVENT_RELAY_CALLER_DISCONNECTED] = "relay-gone",
         [CT_EVENT_RELAY_CALL_DELIVERED] = "relay-delivered",
+        [CT_EVENT_RELAY_RESPONSE_UNREAD] = "relay-unread",
         [CT_EVENT_RELAY_ATTEMPT_SENT] = "relay-sent",
         [CT_EVENT_RELAY_ATTEMPT_HEAD] = "relay-head",
         [CT_EVENT_RELAY_ATTEMPT_HELD] = "relay-held",
--- a/core/event.h
+++ b/core/event.h
@@ -88,6 +88,8 @@
      * CT_EVENT_RELAY_CALLER_DISCONNECTED does.
      */
     CT_EVENT_RELAY_CALL_DELIVERED,
+    /* The response grows faster than its caller reads it, or was read. */
+    CT_EVENT_RELAY_RESPONSE_UNREAD,
     /* Bytes of the call are being sent. */
     CT_EVENT_RELAY_ATTEMPT_SENT,
     /* The head of the response to this call was received. */
@@ -278,6 +280,7 @@
         struct ct_bounds relay_bounds;
         struct ct_relay_call relay;
         struct ct_body_progress body_progress;
+        struct ct_unread_report unread;
         /* CT_EVENT_RELAY_CONNECTION_REFUSED: the limit was that of a peer. */
         bool peer_limit;
         struct ct_relay_progress progress;
--- a/core/memory-budget.c
+++ b/core/memory-budget.c
@@ -97,6 +97,24 @@
     }
 }
 
+void
+ct_memory_budget_set_unread(struct ct_memory_budget *budget, uint64_t caller,
+                            uint64_t bytes)
+{
+    struct ct_memory_charge *charge = find_charge(budget, caller);
+
+    if (charge) {
+        budget->used_bytes += bytes - charge->unread_bytes;
+        charge->unread_bytes = bytes;
+    }
+}
+
+bool
+ct_memory_budget_has(const struct ct_memory_budget *budget, uint64_t caller)
+{
+    return find_charge(budget, caller) != NULL;
+}
+
 uint64_t
 ct_memory_budget_response(const struct ct_memory_budget *budget,
                           uint64_t caller)
@@ -115,7 +133,8 @@
     if (!charge) {
         return;
     }
-    budget->used_bytes -= charge->request_bytes + charge->response_bytes;
+    budget->used_bytes -=
+        charge->request_bytes + charge->response_bytes + charge->unread_bytes;
     g_hash_table_remove(budget->by_caller, &charge->caller);
     ct_table_unref(&budget->charges, handle);
 }
--- a/core/memory-budget.h
+++ b/core/memory-budget.h
@@ -16,6 +16,7 @@
     uint64_t caller;
     uint64_t request_bytes;
     uint64_t response_bytes;
+    uint64_t unread_bytes;
 };
 
 struct ct_memory_budget {
@@ -53,6 +54,15 @@
  */
 void ct_memory_budget_set_response(struct ct_memory_budget *budget,
                                    uint64_t caller, uint64_t bytes);
+/*
+ * Sets what is buffered of a stream for a caller that reads slowly; ignored if
+ * the call has no charge.
+ */
+void ct_memory_budget_set_unread(struct ct_memory_budget *budget,
+                                 uint64_t caller, uint64_t bytes);
+/* Whether the call has a charge. */
+bool ct_memory_budget_has(const struct ct_memory_budget *budget,
+                          uint64_t caller);
 /* Returns what is held of a call's response. */
 uint64_t ct_memory_budget_response(const struct ct_memory_budget *budget,
                                    uint64_t caller);
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -33,6 +33,25 @@
     }
 }
 
+/* Least urgent rank, for whose calls most room must be left. */
+#define LAST_RANK (CT_RANK_LEVELS - 1)
+
+/* New calls go before responses that their callers do not read. */
+static void
+make_room(struct ct_state *state)
+{
+    ct_unread_responses_make_room(state, LAST_RANK);
+}
+
+static void
+on_bodies_timer(struct ct_state *state)
+{
+    if (state->bodies.waiting > 0) {
+        make_room(state);
+    }
+    ct_bodies_on_timer(state);
+}
+
 static void
 on_drain_timer(struct ct_state *state)
 {
@@ -87,7 +106,7 @@
         ct_relay_on_wait_timer(state, timer->handle);
         return;
     case CT_TIMER_BODIES:
-        ct_bodies_on_timer(state);
+        on_bodies_timer(state);
         return;
     case CT_TIMER_STORE:
         ct_store_on_timer(state);
@@ -366,17 +385,23 @@
         ct_limited_log(state, CT_LOG_CONNECTIONS_REFUSED,
                        event->u.peer_limit ? "peer" : "total");
         return CT_OK;
+    case CT_EVENT_RELAY_RESPONSE_UNREAD:
+        ct_unread_responses_on_report(state, &event->u.unread);
+        return CT_OK;
     case CT_EVENT_RELAY_CALL_ARRIVED:
         ct_bodies_close(state, event->u.relay.caller);
+        make_room(state);
         ct_relay_on_arrived(state, &event->u.relay);
         ct_bodies_grant(state);
         return CT_OK;
     case CT_EVENT_RELAY_CALLER_DISCONNECTED:
         ct_bodies_close(state, event->u.caller);
+        ct_unread_responses_close(state, event->u.caller);
         ct_relay_on_caller_disconnected(state, event->u.caller);
         ct_bodies_grant(state);
         return CT_OK;
     case CT_EVENT_RELAY_CALL_DELIVERED:
+        ct_unread_responses_close(state, event->u.caller);
         ct_relay_on_delivered(state, event->u.caller);
         ct_bodies_grant(state);
         return CT_OK;
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -37,7 +37,8 @@
     X(PROMPT_QUARANTINED, "prompt-quarantined", 503)                          \
     X(UPSTREAM_LIMITED, "upstream-limited", 503)                              \
     X(BODY_MEMORY, "body-memory", 503)                                        \
-    X(PEER_LIMIT, "peer-limit", 429)
+    X(PEER_LIMIT, "peer-limit", 429)                                          \
+    X(RESPONSE_UNREAD, "answer-unread", 502)
 
 enum ct_refusal {
 #define X(name, text, status) CT_REFUSAL_##name,
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -72,6 +72,17 @@
     bool blocked;
 };
 
+/* CT_EVENT_RELAY_RESPONSE_UNREAD */
+struct ct_unread_report {
+    uint64_t caller;
+    /* Bytes of the response that wait for the caller to read them. */
+    uint32_t unread_bytes;
+    /* Those of them that are buffered besides a complete response. */
+    uint32_t buffered_bytes;
+    /* The caller has read a part since the last report. */
+    bool has_read;
+};
+
 /* CT_EFFECT_RELAY_READ_BODY: the body may be read up to so many bytes. */
 struct ct_body_grant {
     uint64_t caller;
--- a/core/state.c
+++ b/core/state.c
@@ -41,6 +41,7 @@
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
     ct_bodies_init(&state->bodies);
+    ct_unread_responses_init(&state->unread_responses);
     ct_upstream_notices_init(&state->upstream_notices);
     ct_prompt_quarantine_init(&state->prompt_quarantine);
     ct_tallies_init(&state->tallies);
@@ -79,6 +80,7 @@
     ct_upstream_notices_free(&state->upstream_notices);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
     ct_bodies_free(&state->bodies);
+    ct_unread_responses_free(&state->unread_responses);
     ct_relays_free(&state->relays);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
--- a/core/state.h
+++ b/core/state.h
@@ -14,6 +14,7 @@
 #include "forwarded-tally.h"
 #include "keys.h"
 #include "lease.h"
+#include "unread-responses.h"
 #include "upstream-notices.h"
 #include "upstream-registry.h"
 #include "record-append.h"
@@ -92,6 +93,7 @@
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_bodies bodies;
+    struct ct_unread_responses unread_responses;
     struct ct_limited_logs limited_logs;
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -93,6 +93,10 @@
     /* Response bytes; those from pending_offset on are not written yet. */
     GByteArray *pending;
     guint pending_offset;
+    /* What the reducer knows of the bytes that are not written. */
+    guint reported_unread;
+    /* A complete response that is written in parts. */
+    bool whole;
     bool ended;
     bool aborted;
 };
@@ -205,6 +209,8 @@
 void relay_response_forward(struct ct_relay_io *io,
                             const struct ct_relay_forward *forward);
 void relay_response_abort(struct ct_relay_io *io, uint64_t caller);
+/* CT_EFFECT_RELAY_DISCONNECT_CALLER */
+void relay_response_cut_off(struct ct_relay_io *io, uint64_t caller);
 
 /* relay-upstream.c: the HTTP client of upstreams. */
 void relay_attempt_start(struct ct_relay_io *io,
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -52,6 +52,9 @@
     case CT_EFFECT_REFUSE_REQUEST:
         relay_response_refuse(io, &effect->u.refuse);
         return true;
+    case CT_EFFECT_RELAY_DISCONNECT_CALLER:
+        relay_response_cut_off(io, effect->u.caller);
+        return true;
     case CT_EFFECT_RELAY_READ_BODY:
         relay_body_grant(io, &effect->u.body_grant);
         return true;
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -5,8 +5,13 @@
 #include "relay-call.h"
 
 #define STREAM_BLOCK_BYTES 4096
-/* A caller that leaves this much of its response unread is disconnected. */
-#define PENDING_MAX_BYTES (16 * 1024 * 1024)
+/* The same of a complete response that is written in parts. */
+#define WHOLE_BLOCK_BYTES (16 * 1024)
+/*
+ * Change of the unread bytes after which the reducer is told; shorter complete
+ * responses are passed to libmicrohttpd at once and not reported.
+ */
+#define UNREAD_STEP_BYTES (16 * 1024)
 #define COMPACT_MIN_BYTES (64 * 1024)
 #define JSON "application/json"
 
@@ -68,13 +73,43 @@
     g_string_free(body, TRUE);
 }
 
+static void
+report_unread(struct relay_call *call)
+{
+    struct ct_event event = {.type = CT_EVENT_RELAY_RESPONSE_UNREAD};
+    guint unread = call->pending->len - call->pending_offset;
+    guint reported = call->reported_unread;
+
+    if (MAX(unread, reported) - MIN(unread, reported) < UNREAD_STEP_BYTES &&
+        (unread > 0 || reported == 0)) {
+        return;
+    }
+    call->reported_unread = unread;
+    event.u.unread.caller = relay_call_number(call);
+    event.u.unread.unread_bytes = unread;
+    event.u.unread.buffered_bytes = call->whole ? 0 : unread;
+    event.u.unread.has_read = unread < reported;
+    ct_loop_post(call->io->loop, &event);
+}
+
+/* Large buffers are mapped each by itself, so that freeing returns them. */
+static void
+empty_pending(struct relay_call *call)
+{
+    if (call->pending->len > COMPACT_MIN_BYTES) {
+        g_byte_array_unref(call->pending);
+        call->pending = g_byte_array_new();
+    }
+    g_byte_array_set_size(call->pending, 0);
+    call->pending_offset = 0;
+}
+
 /* Frees the written bytes, but not after each small write. */
 static void
 compact_pending(struct relay_call *call)
 {
     if (call->pending_offset == call->pending->len) {
-        g_byte_array_set_size(call->pending, 0);
-        call->pending_offset = 0;
+        empty_pending(call);
     }
     else if (call->pending_offset > COMPACT_MIN_BYTES &&
              call->pending_offset > call->pending->len / 2) {
@@ -98,6 +133,7 @@
         memcpy(out, call->pending->data + call->pending_offset, n);
         call->pending_offset += (guint)n;
         compact_pending(call);
+        report_unread(call);
         return (ssize_t)n;
     }
     if (call->aborted) {
@@ -125,12 +161,19 @@
     }
 }
 
-/* Makes a response of the pending bytes, which it takes ownership of. */
+/* Makes a response of the pending bytes; short ones are handed over. */
 static struct MHD_Response *
 make_whole_response(struct relay_call *call)
 {
-    gsize n;
-    guint8 *bytes = g_byte_array_steal(call->pending, &n);
+    gsize n = call->pending->len;
+    guint8 *bytes;
+
+    call->whole = true;
+    if (n >= UNREAD_STEP_BYTES) {
+        return MHD_create_response_from_callback(n, WHOLE_BLOCK_BYTES,
+                                                 read_stream, call, NULL);
+    }
+    bytes = g_byte_array_steal(call->pending, &n);
 
     return MHD_create_response_from_buffer_with_free_callback(n, bytes,
                                                               g_free);
@@ -178,19 +221,17 @@
     else {
         append_bytes(call, attempt, forward->bytes);
     }
-    if (call->pending->len - call->pending_offset > PENDING_MAX_BYTES) {
-        relay_call_disconnect(call);
-        return;
-    }
     if (forward->is_last) {
         call->ended = true;
         call->open = false;
     }
     if (forward->is_first) {
         begin_response(call, attempt);
-        return;
     }
-    relay_call_resume(call);
+    else {
+        relay_call_resume(call);
+    }
+    report_unread(call);
 }
 
 void
@@ -205,3 +246,28 @@
     call->aborted = true;
     relay_call_resume(call);
 }
+
+/* A reset frees what the kernel still holds for the caller. */
+void
+relay_response_cut_off(struct ct_relay_io *io, uint64_t caller)
+{
+    struct relay_call *call = relay_call_find(io, caller);
+    const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    int fd;
+
+    if (call == NULL) {
+        return;
+    }
+    call->open = false;
+    call->disconnected = true;
+    if (call->pending != NULL) {
+        call->pending_offset = call->pending->len;
+        empty_pending(call);
+    }
+    fd = MHD_get_connection_info(call->connection,
+                                 MHD_CONNECTION_INFO_CONNECTION_FD)
+             ->connect_fd;
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    shutdown(fd, SHUT_RDWR);
+    relay_call_resume(call);
+}
