core: cut off unread responses before ending responses of running calls

Cause: when a response grew beyond the memory budget, the largest running one was ended (502), although the budget was held by responses whose callers read nothing.

Change: the reducer cuts those off first, after calls with incomplete bodies.

Result: test-unread-responses, new case before-running.

--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -273,6 +273,7 @@
     ct_memory_budget_set_response(&relays->budget, relay->caller,
                                   progress->bytes);
     ct_bodies_shed(state);
+    ct_unread_responses_make_room(state, 0);
     while (
         ct_memory_budget_is_exceeded(&relays->budget, &state->self.bounds)) {
         largest = find_largest_response(state);
--- a/core/unread-responses.c
+++ b/core/unread-responses.c
@@ -83,9 +83,8 @@
 {
     const struct ct_unread_response *largest;
 
-    while (!ct_memory_budget_has_room(&state->relays.budget,
-                                      &state->self.bounds, rank,
-                                      CT_RANK_LEVELS)) {
+    while (!ct_memory_budget_has_room(
+        &state->relays.budget, &state->self.bounds, rank, CT_RANK_LEVELS)) {
         largest = find_largest(state);
         if (!largest) {
             return;
--- a/t/test-unread-responses.c
+++ b/t/test-unread-responses.c
@@ -119,6 +119,28 @@
     t_core_free(&core);
 }
 
+/* Nor may they end the responses of calls that run. */
+static void
+test_before_running(void)
+{
+    struct ct_event held = {.type = CT_EVENT_RELAY_ATTEMPT_HELD};
+    struct t_core core;
+    uint64_t caller;
+
+    set_up(&core);
+    caller = start_stream(&core);
+    report(&core, caller, 5 * MB, false);
+    t_relay_call(&core, 1, T_ONCE_PATH);
+    held.u.progress.attempt = t_relay_started(&core).attempt;
+    t_relay_sent(&core, held.u.progress.attempt);
+    core.now_ms += 2000;
+    held.u.progress.bytes = 8 * MB;
+    t_core_post(&core, &held);
+    assert_cut_off(&core, caller);
+    g_assert_cmpuint(t_core_count(&core, CT_EFFECT_REFUSE_REQUEST), ==, 0);
+    t_core_free(&core);
+}
+
 /* One caller must not make the host buffer without limit. */
 static void
 test_limit(void)
@@ -143,6 +165,7 @@
     g_test_add_func("/unread-responses/charges", test_charges);
     g_test_add_func("/unread-responses/cut-off", test_cut_off);
     g_test_add_func("/unread-responses/new-call", test_new_call);
+    g_test_add_func("/unread-responses/before-running", test_before_running);
     g_test_add_func("/unread-responses/limit", test_limit);
     return g_test_run();
 }
