shell: bound the kernel's send buffers of connections

Cause: the kernel keeps up to 4 MB of responses for each connection whose caller does not read, which the memory budget does not see.

Change: the listening sockets set SO_SNDBUF to 256 KB (doubled by the kernel), which accepted connections inherit.

--- a/shell/http-server.c
+++ b/shell/http-server.c
@@ -12,6 +12,11 @@
  * needs this much at a round trip of 100 ms.
  */
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
+/*
+ * Bytes of a response that the kernel keeps for a caller that does not read
+ * them; by default it keeps up to 4 MB, which the memory budget cannot see.
+ */
+#define SEND_BUFFER_BYTES (256 * 1024)
 
 /* Runs the library; effects are deferred until its callbacks have returned. */
 static void
@@ -64,8 +69,9 @@
     if (fd < 0) {
         return fd;
     }
-    if (ct_socket_limit_receive_buffer(fd, RECEIVE_BUFFER_BYTES) < 0) {
-        g_warning("cannot bound receive buffers: %s", g_strerror(errno));
+    if (ct_socket_limit_buffers(fd, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES) <
+        0) {
+        g_warning("cannot bound socket buffers: %s", g_strerror(errno));
     }
     server->listener = fd;
     server->loop = loop;
--- a/shell/relay-connections.c
+++ b/shell/relay-connections.c
@@ -9,8 +9,8 @@
 static uint32_t
 count_of_peer(const struct ct_relay_io *io, uint64_t peer)
 {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(io->connections_by_peer,
-                                                GSIZE_TO_POINTER(peer)));
+    return GPOINTER_TO_UINT(
+        g_hash_table_lookup(io->connections_by_peer, GSIZE_TO_POINTER(peer)));
 }
 
 static void
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -161,10 +161,12 @@
 }
 
 int
-ct_socket_limit_receive_buffer(int listener, int bytes)
+ct_socket_limit_buffers(int listener, int receive_bytes, int send_bytes)
 {
-    return setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)) <
-                   0
+    return setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                      sizeof(receive_bytes)) < 0 ||
+                   setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &send_bytes,
+                              sizeof(send_bytes)) < 0
                ? CT_ERR_IO
                : CT_OK;
 }
--- a/shell/socket.h
+++ b/shell/socket.h
@@ -33,10 +33,10 @@
 uint64_t ct_socket_peer_address(const struct sockaddr *address);
 
 /*
- * Bounds what the kernel buffers of connections accepted from now on that are
- * not read. Errors: CT_ERR_IO.
+ * Bounds what the kernel buffers, in each direction, of connections accepted
+ * from now on. Errors: CT_ERR_IO.
  */
-int ct_socket_limit_receive_buffer(int listener, int bytes);
+int ct_socket_limit_buffers(int listener, int receive_bytes, int send_bytes);
 
 /* Returns the bytes received on a connection; 0 if that is not known. */
 uint64_t ct_socket_bytes_received(int fd);
