shell: hand responses under 64 KB to libmicrohttpd at once again

Change: only responses of 64 KB and more are written in parts, of 64 KB. The kernel's send buffer takes shorter ones whole.

--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -5,12 +5,13 @@
 #include "relay-call.h"
 
 #define STREAM_BLOCK_BYTES 4096
-/* The same of a complete response that is written in parts. */
-#define WHOLE_BLOCK_BYTES (16 * 1024)
 /*
- * Change of the unread bytes after which the reducer is told; shorter complete
- * responses are passed to libmicrohttpd at once and not reported.
+ * Complete responses from this size on are written in parts of it. Shorter
+ * ones are passed to libmicrohttpd at once: the kernel's send buffer takes
+ * them whole.
  */
+#define WHOLE_BLOCK_BYTES (64 * 1024)
+/* Change of the unread bytes after which the reducer is told. */
 #define UNREAD_STEP_BYTES (16 * 1024)
 #define COMPACT_MIN_BYTES (64 * 1024)
 #define JSON "application/json"
@@ -169,7 +170,7 @@
     guint8 *bytes;
 
     call->whole = true;
-    if (n >= UNREAD_STEP_BYTES) {
+    if (n >= WHOLE_BLOCK_BYTES) {
         return MHD_create_response_from_callback(n, WHOLE_BLOCK_BYTES,
                                                  read_stream, call, NULL);
     }
