coriandertrack: count the causes that are logged at most once in ten seconds

Cause: refusals that outside clients can cause at any rate are not logged one by one, so causes left them out.

Change: causes adds the number of calls for which such a line stands, by reason.

Result: proc-cli passes with lines of 1851 and 1853 added to its log.

--- a/coriandertrack/causes.c
+++ b/coriandertrack/causes.c
@@ -97,6 +97,35 @@
            event == CT_LOG_RELAY_BROKEN || event == CT_LOG_RELAY_GONE;
 }
 
+/*
+ * Lines about calls and connections of misbehaving clients stand for several
+ * occurrences. Those of aborted responses are calls with a line of their own.
+ */
+static bool
+count_limited(struct report *report, JsonObject *line)
+{
+    int64_t event = get_number(line, "event");
+    uint64_t n = (uint64_t)MAX(get_number(line, "number"), 0);
+    bool are_calls =
+        event == CT_LOG_BODIES_SHED || event == CT_LOG_BODIES_STALLED ||
+        event == CT_LOG_BODIES_OF_PEER || event == CT_LOG_CALLS_REJECTED;
+
+    if (!are_calls && event != CT_LOG_CONNECTIONS_REFUSED &&
+        event != CT_LOG_RESPONSES_UNREAD) {
+        return false;
+    }
+    if (are_calls) {
+        report->calls += n;
+        report->failed += n;
+    }
+    find_cause(report,
+               g_strdup_printf("%-12s %-14s %-16s %-14s %s", UNKNOWN,
+                               get_field(line, "name"),
+                               get_field(line, "reason"), UNKNOWN, UNKNOWN))
+        ->calls += n;
+    return true;
+}
+
 static void
 count_line(struct report *report, JsonObject *line)
 {
@@ -104,7 +133,7 @@
     int64_t elapsed_ms = get_number(line, "elapsed_ms");
     bool failed;
 
-    if (!ends_call(line, &failed)) {
+    if (count_limited(report, line) || !ends_call(line, &failed)) {
         return;
     }
     report->calls++;
@@ -179,6 +208,9 @@
 static int64_t
 median_ms(struct cause *cause)
 {
+    if (cause->elapsed_ms->len == 0) {
+        return 0;
+    }
     g_array_sort(cause->elapsed_ms, compare_times);
     return g_array_index(cause->elapsed_ms, int64_t,
                          cause->elapsed_ms->len / 2);
--- a/t/proc-cli.c
+++ b/t/proc-cli.c
@@ -450,7 +450,10 @@
 #define ADD(name, function)                                                   \
     g_test_add("/cli/" name, struct fixture, NULL, set_up, function, tear_down)
 
-/* Failed calls are counted by cause; lines that are no calls are ignored. */
+/*
+ * Failed calls are counted by cause, also those for which one line stands;
+ * lines that are no calls are ignored.
+ */
 static void
 test_causes(void)
 {
@@ -466,6 +469,12 @@
         "{\"event\":\"1704\",\"name\":\"RELAY_GONE\",\"other\":\"r2\","
         "\"elapsed_ms\":\"2000\"}\n"
         "{\"event\":\"1705\",\"name\":\"RELAY_REPEATED\"}\n"
+        "{\"event\":\"1851\",\"name\":\"BODIES_SHED\","
+        "\"reason\":\"body-memory\",\"number\":\"2\"}\n"
+        "{\"event\":\"1851\",\"name\":\"BODIES_SHED\","
+        "\"reason\":\"body-memory\",\"number\":\"5\"}\n"
+        "{\"event\":\"1853\",\"name\":\"BODIES_WAITING\","
+        "\"number\":\"9\"}\n"
         "listening {not an object\n{\"event\": 7, \"status\": null}\n[1]\n";
     char *path = g_build_filename(g_get_tmp_dir(), "ct-causes-XXXXXX", NULL);
     char *command;
@@ -475,8 +484,10 @@
     g_assert_true(g_file_set_contents(path, log, -1, NULL));
     command = g_strdup_printf("causes %s", path);
     g_assert_cmpint(run_command(&output, command), ==, DONE);
-    g_assert_true(g_str_has_prefix(output, "3 of 4 calls failed\n"
-                                           "      2  r1 "));
+    g_assert_true(g_str_has_prefix(output, "10 of 11 calls failed\n"
+                                           "      7  - "));
+    g_assert_nonnull(strstr(output, "BODIES_SHED    body-memory"));
+    g_assert_nonnull(strstr(output, "\n      2  r1 "));
     g_assert_nonnull(
         strstr(output, "median_ms=30 upstream=u1:2\n      1  r2"));
     g_free(output);
