conf: limit the connections of a host by its memory

Cause: libmicrohttpd allocates 24 KB for a connection. With memory_mb 64 the default of 2,048 connections alone could take 48 MB beside the process and the budget for calls.

Change: max_connections is lowered to what fits beside 16 MB for the process and the budget, at 32 KB each: 1,152 with memory_mb 64; 2,048 with 128 stay.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -1,5 +1,6 @@
 #include "relay-settings.h"
 
+#include "memory-budget.h"
 #include "schema.h"
 
 #define DEFAULT_MAX_CONNECTIONS 2048
@@ -13,6 +14,12 @@
 #define FILES_RESERVED 128
 /* The caller's connection and the one to the upstream. */
 #define FILES_PER_CALL 2
+#define BYTES_PER_MB (1024 * 1024)
+/* The process without connections and calls, and one connection. */
+#define PROCESS_MB 16
+#define CONNECTION_BYTES (32 * 1024)
+/* Connections that even the smallest host accepts. */
+#define LEAST_CONNECTIONS 64
 /*
  * All callers may share the address of a proxy, so by default one address may
  * have three quarters of the total.
@@ -100,12 +107,31 @@
     return ct_schema_load(&schema, path, settings, sizeof(*settings), diags);
 }
 
+static uint64_t
+connections_by_files(uint64_t max_files)
+{
+    return max_files > FILES_RESERVED + FILES_PER_CALL
+               ? (max_files - FILES_RESERVED) / FILES_PER_CALL
+               : 1;
+}
+
+/* Returns how many connections fit beside the process and its calls. */
+static uint64_t
+connections_by_memory(const struct ct_bounds *bounds)
+{
+    uint64_t bytes = (uint64_t)bounds->memory_mb * BYTES_PER_MB;
+    uint64_t others =
+        PROCESS_MB * BYTES_PER_MB + ct_memory_budget_limit(bounds);
+
+    return MAX(bytes > others ? (bytes - others) / CONNECTION_BYTES : 0,
+               LEAST_CONNECTIONS);
+}
+
 void
 ct_relay_settings_limit(struct ct_relay_settings *settings, uint64_t max_files)
 {
-    uint64_t most = max_files > FILES_RESERVED + FILES_PER_CALL
-                        ? (max_files - FILES_RESERVED) / FILES_PER_CALL
-                        : 1;
+    uint64_t most = MIN(connections_by_files(max_files),
+                        connections_by_memory(&settings->bounds));
     uint32_t *total = &settings->max_connections;
     struct ct_bounds *bounds = &settings->bounds;
 
--- a/conf/relay-settings.h
+++ b/conf/relay-settings.h
@@ -43,8 +43,8 @@
                            struct ct_diags *diags);
 
 /*
- * Lowers the number of connections to what a limit on open descriptors allows,
- * and sets limits per IP address that the file leaves out.
+ * Lowers the number of connections to what a limit on open descriptors and the
+ * memory allow, and sets limits per IP address that the file leaves out.
  */
 void ct_relay_settings_limit(struct ct_relay_settings *settings,
                              uint64_t max_files);
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -80,16 +80,23 @@
 {
     static const struct {
         uint64_t max_files;
+        uint32_t memory_mb;
         uint32_t total;
         uint32_t peer;
     } cases[] = {
-        {1048576, 2048, 1536}, {4224, 2048, 1536}, {1024, 448, 336},
-        {128, 1, 1},           {0, 1, 1},
+        {1048576, 128, 2048, 1536},
+        {4224, 128, 2048, 1536},
+        {1024, 128, 448, 336},
+        {128, 128, 1, 1},
+        {0, 128, 1, 1},
+        {1048576, 64, 1152, 864},
+        {1048576, 20, 64, 48},
     };
     struct ct_relay_settings settings;
 
     for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
         g_assert_cmpint(load_with_line(0, NULL, &settings), ==, CT_OK);
+        settings.bounds.memory_mb = cases[i].memory_mb;
         ct_relay_settings_limit(&settings, cases[i].max_files);
         g_assert_cmpuint(settings.max_connections, ==, cases[i].total);
         g_assert_cmpuint(settings.bounds.peer_connections, ==, cases[i].peer);
