core: count calls that are refused before their body is complete

Cause: calls_total counted only complete calls, so refusals for memory exceeded it.

Result: test-body-admission, case shed.

--- a/core/body-admission.c
+++ b/core/body-admission.c
@@ -111,6 +111,7 @@
 {
     struct ct_body *body = ct_table_get(&state->bodies.rows, handle);
 
+    ct_increment_counter(state, CT_COUNTER_CALLS);
     state->counters.refusals[reason]++;
     ct_limited_log(state, event, ct_refusal_text(reason));
     ct_emit_refusal(state, body->caller, &body->request_id, reason, CT_NOT_RUN,
--- a/core/relay.c
+++ b/core/relay.c
@@ -183,6 +183,7 @@
 ct_relay_on_rejected(struct ct_state *state,
                      const struct ct_call_rejected *rejected)
 {
+    ct_increment_counter(state, CT_COUNTER_CALLS);
     state->counters.refusals[rejected->reason]++;
     ct_limited_log(state, CT_LOG_CALLS_REJECTED,
                    ct_refusal_text(rejected->reason));
--- a/t/test-body-admission.c
+++ b/t/test-body-admission.c
@@ -258,6 +258,7 @@
         t_core_tick(&core, CHECK_MS);
     }
     g_assert_cmpint(refused(&core, slow), ==, CT_REFUSAL_BODY_MEMORY);
+    g_assert_cmpuint(core.state->counters.values[CT_COUNTER_CALLS], ==, 1);
     g_assert_cmpint(refused(&core, steady), ==, CT_REFUSAL_COUNT);
     g_assert_cmpuint(granted(&core, waiting), ==, 4 * MB);
     t_core_free(&core);
