--- a/core/effect.h
+++ b/core/effect.h
@@ -64,6 +64,9 @@
      * it for complete.
      */
     CT_EFFECT_RELAY_ABORT_RESPONSE,
+    CT_EFFECT_RELAY_READ_BODY,
+    /* Closes the caller's connection and frees what is buffered for it. */
+    CT_EFFECT_RELAY_DISCONNECT_CALLER,
     /* Sets the limits on what callers may send. */
     CT_EFFECT_SET_CALLER_LIMITS,
 
@@ -245,6 +248,13 @@
     X(DUTY_LOST, 1832, INFO, "this host is no longer the leader")             \
     X(FEED_FOLLOWED, 1841, INFO, "following a source of store updates")       \
     X(FEED_LOST, 1842, INFO, "no source; reading the store directly")         \
+    X(BODIES_SHED, 1851, WARNING, "request bodies refused for memory")        \
+    X(BODIES_STALLED, 1852, INFO, "request bodies without progress refused")  \
+    X(BODIES_WAITING, 1853, INFO, "request bodies wait for memory")           \
+    X(BODIES_OF_PEER, 1854, WARNING, "unfinished requests of a peer refused") \
+    X(CONNECTIONS_REFUSED, 1855, WARNING, "connections refused")              \
+    X(RESPONSES_UNREAD, 1856, WARNING, "unread responses aborted")            \
+    X(CALLS_REJECTED, 1857, INFO, "calls rejected at their head")             \
     X(ZONE_EVACUATED, 1861, WARNING, "availability zone evacuated")           \
     X(ZONE_RESTORED, 1862, INFO, "evacuation of a zone ended")                \
     X(EVACUATION_UNKNOWN_ZONE, 1863, WARNING,                                 \
@@ -313,10 +323,14 @@
         struct ct_report_effect report;
         struct ct_peer_effect peer;
         struct ct_log_effect log;
-        /* CT_EFFECT_REPLY_WITHDRAWAL, CT_EFFECT_RELAY_ABORT_RESPONSE */
+        /*
+         * CT_EFFECT_REPLY_WITHDRAWAL, CT_EFFECT_RELAY_ABORT_RESPONSE,
+         * CT_EFFECT_RELAY_DISCONNECT_CALLER
+         */
         uint64_t caller;
         struct ct_relay_start relay;
         struct ct_relay_forward forward;
+        struct ct_body_grant body_grant;
         struct ct_caller_bounds bounds;
         struct ct_store_read_effect store_read;
         struct ct_store_append_effect store_append;
--- a/core/event.h
+++ b/core/event.h
@@ -70,6 +70,16 @@
     CT_EVENT_RELAY_HOST_STARTED,
     /* The bounds in the settings changed. */
     CT_EVENT_RELAY_BOUNDS_CHANGED,
+    /*
+     * The head of a call was read whose body is not complete. The front end
+     * reads the body only as far as CT_EFFECT_RELAY_READ_BODY allows.
+     */
+    CT_EVENT_RELAY_HEAD_ARRIVED,
+    CT_EVENT_RELAY_BODY_PROGRESS,
+    /* The front end found a call that it must not relay. */
+    CT_EVENT_RELAY_CALL_REJECTED,
+    /* A connection was closed since its peer or all have too many. */
+    CT_EVENT_RELAY_CONNECTION_REFUSED,
     CT_EVENT_RELAY_CALL_ARRIVED,
     CT_EVENT_RELAY_CALLER_DISCONNECTED,
     /*
@@ -78,6 +88,8 @@
      * CT_EVENT_RELAY_CALLER_DISCONNECTED does.
      */
     CT_EVENT_RELAY_CALL_DELIVERED,
+    /* The response grows faster than its caller reads it, or was read. */
+    CT_EVENT_RELAY_RESPONSE_UNREAD,
     /* Bytes of the call are being sent. */
     CT_EVENT_RELAY_ATTEMPT_SENT,
     /* The head of the response to this call was received. */
@@ -268,6 +280,10 @@
         struct ct_address relay_address;
         struct ct_bounds relay_bounds;
         struct ct_relay_call relay;
+        struct ct_body_progress body_progress;
+        struct ct_unread_report unread;
+        /* CT_EVENT_RELAY_CONNECTION_REFUSED: the limit was that of a peer. */
+        bool peer_limit;
         struct ct_relay_progress progress;
         struct ct_store_config store_config;
         struct ct_store_evacuation store_evacuation;
--- a/core/memory-budget.c
+++ b/core/memory-budget.c
@@ -66,10 +66,12 @@
 ct_memory_budget_add(struct ct_memory_budget *budget, uint64_t caller,
                      uint64_t request_bytes)
 {
-    struct ct_memory_charge *charge;
+    struct ct_memory_charge *charge = find_charge(budget, caller);
     struct ct_handle handle;
 
-    if (find_charge(budget, caller)) {
+    if (charge) {
+        budget->used_bytes += request_bytes - charge->request_bytes;
+        charge->request_bytes = request_bytes;
         return CT_OK;
     }
     if (ct_table_add(&budget->charges, &handle) < 0) {
@@ -95,6 +97,24 @@
     }
 }
 
+void
+ct_memory_budget_set_unread(struct ct_memory_budget *budget, uint64_t caller,
+                            uint64_t bytes)
+{
+    struct ct_memory_charge *charge = find_charge(budget, caller);
+
+    if (charge) {
+        budget->used_bytes += bytes - charge->unread_bytes;
+        charge->unread_bytes = bytes;
+    }
+}
+
+bool
+ct_memory_budget_has(const struct ct_memory_budget *budget, uint64_t caller)
+{
+    return find_charge(budget, caller) != NULL;
+}
+
 uint64_t
 ct_memory_budget_response(const struct ct_memory_budget *budget,
                           uint64_t caller)
@@ -113,7 +133,8 @@
     if (!charge) {
         return;
     }
-    budget->used_bytes -= charge->request_bytes + charge->response_bytes;
+    budget->used_bytes -=
+        charge->request_bytes + charge->response_bytes + charge->unread_bytes;
     g_hash_table_remove(budget->by_caller, &charge->caller);
     ct_table_unref(&budget->charges, handle);
 }
--- a/core/state.c
+++ b/core/state.c
@@ -42,6 +42,8 @@
     ct_load_sharing_init(&state->load_sharing);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
+    ct_bodies_init(&state->bodies);
+    ct_unread_responses_init(&state->unread_responses);
     ct_upstream_notices_init(&state->upstream_notices);
     ct_cold_upstreams_init(&state->cold_upstreams);
     ct_prompt_quarantine_init(&state->prompt_quarantine);
@@ -81,6 +83,8 @@
     ct_upstream_notices_free(&state->upstream_notices);
     ct_cold_upstreams_free(&state->cold_upstreams);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
+    ct_bodies_free(&state->bodies);
+    ct_unread_responses_free(&state->unread_responses);
     ct_relays_free(&state->relays);
     ct_evacuations_free(&state->evacuations);
     ct_group_free(&state->group);
--- a/core/state.h
+++ b/core/state.h
@@ -3,6 +3,7 @@
 
 #include "stored-response.h"
 #include "balance-policy.h"
+#include "body-admission.h"
 #include "claim.h"
 #include "config.h"
 #include "counter.h"
@@ -15,10 +16,12 @@
 #include "keys.h"
 #include "load-sharing.h"
 #include "lease.h"
+#include "unread-responses.h"
 #include "upstream-notices.h"
 #include "cold-upstreams.h"
 #include "upstream-registry.h"
 #include "record-append.h"
+#include "limited-log.h"
 #include "log-replay.h"
 #include "peer-status.h"
 #include "order-plan.h"
@@ -94,6 +97,9 @@
     struct ct_load_sharing load_sharing;
     struct ct_leadership leadership;
     struct ct_relays relays;
+    struct ct_bodies bodies;
+    struct ct_unread_responses unread_responses;
+    struct ct_limited_logs limited_logs;
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
     struct ct_cold_upstreams cold_upstreams;
--- a/core/timer.h
+++ b/core/timer.h
@@ -40,6 +40,7 @@
     CT_TIMER_RELAY_WAIT,
     CT_TIMER_EVACUATION,
     CT_TIMER_LOAD,
+    CT_TIMER_BODIES,
 };
 
 struct ct_timer {
--- a/shell/http-server.c
+++ b/shell/http-server.c
@@ -7,6 +7,17 @@
 #include "error.h"
 #include "socket.h"
 
+/*
+ * Bytes that a connection may send without being read. A link of 10 Mbit/s
+ * needs this much at a round trip of 100 ms.
+ */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+/*
+ * Bytes of a response that the kernel keeps for a caller that does not read
+ * them; by default it keeps up to 4 MB, which the memory budget cannot see.
+ */
+#define SEND_BUFFER_BYTES (256 * 1024)
+
 /* Runs the library; effects are deferred until its callbacks have returned. */
 static void
 run_daemon(struct ct_http_server *server)
@@ -58,12 +69,16 @@
     if (fd < 0) {
         return fd;
     }
+    if (ct_socket_limit_buffers(fd, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES) <
+        0) {
+        g_warning("cannot bound socket buffers: %s", g_strerror(errno));
+    }
     server->listener = fd;
     server->loop = loop;
-    server->daemon =
-        MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
-                         NULL, handler, arg, MHD_OPTION_LISTEN_SOCKET, fd,
-                         MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    server->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, server->accept, arg,
+        handler, arg, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_ARRAY, options,
+        MHD_OPTION_END);
     if (server->daemon == NULL) {
         close(fd);
         return CT_ERR_IO;
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -6,6 +6,7 @@
 #include "disconnect-watch.h"
 #include "input-meter.h"
 #include "relay-io.h"
+#include "socket.h"
 #include "sse-split.h"
 
 /* Calls and attempts of the relay; internal to its modules. */
@@ -17,17 +18,27 @@
     const struct ct_dialect *dialect;
     struct ct_caller_limits limits;
     struct ct_http_server server;
+    uint32_t connections;
+    /* Limit on those of one IP address, 0 for none, and their numbers. */
+    uint32_t peer_connections;
+    GHashTable *connections_by_peer;
     /* struct relay_call, struct relay_attempt */
     struct ct_table calls;
     struct ct_table attempts;
     /* Maps the reducer's handle of an attempt to struct relay_attempt. */
     GHashTable *by_handle;
     bool draining;
+    /* Reports the progress of bodies, while any is being read. */
+    ev_timer progress_timer;
 };
 
 enum relay_phase {
     RELAY_HEAD = 0,
+    /* Suspended until the reducer admits or refuses the call. */
+    RELAY_ADMISSION,
     RELAY_BODY,
+    /* Refused; the rest of the body is read and discarded. */
+    RELAY_DISCARDING,
     /* An event was posted; waits for the effect that responds to it. */
     RELAY_WAITING,
     RELAY_RESPONDING,
@@ -64,6 +75,17 @@
     bool open;
     bool disconnected;
     bool suspended;
+    /* The reducer admitted the call at its head. */
+    bool admitted;
+    /* How much of the body may be read, and what the reducer knows of it. */
+    uint32_t granted_bytes;
+    uint32_t reported_bytes;
+    /* The library calls the handler for the head once more. */
+    bool repeats_head;
+    /* RELAY_DISCARDING: text of the response, and when it is sent. */
+    GString *refusal;
+    bool refusal_sent;
+    ev_timer discard_timer;
     struct ct_disconnect_watch watch;
     struct MHD_Response *response;
     uint32_t status;
@@ -71,6 +93,10 @@
     /* Response bytes; those from pending_offset on are not written yet. */
     GByteArray *pending;
     guint pending_offset;
+    /* What the reducer knows of the bytes that are not written. */
+    guint reported_unread;
+    /* A complete response that is written in parts. */
+    bool whole;
     bool ended;
     bool aborted;
 };
@@ -119,12 +145,20 @@
 void relay_call_resume(struct relay_call *call);
 void relay_message_unref(struct relay_message *message);
 
-/* relay-port.c: turns HTTP requests into events. */
-void relay_port_notify(void *arg, struct MHD_Connection *connection,
-                       void **context,
-                       enum MHD_ConnectionNotificationCode code);
+/* relay-connections.c: counts and limits connections. */
+void relay_connections_init(struct ct_relay_io *io);
+void relay_connections_free(struct ct_relay_io *io);
+enum MHD_Result relay_connections_accept(void *arg,
+                                         const struct sockaddr *address,
+                                         socklen_t size);
+void relay_connections_notify(void *arg, struct MHD_Connection *connection,
+                              void **context,
+                              enum MHD_ConnectionNotificationCode code);
 /* Returns the meter that belongs to the connection. */
-struct ct_input_meter *relay_port_meter(struct MHD_Connection *connection);
+struct ct_input_meter *
+relay_connections_meter(struct MHD_Connection *connection);
+
+/* relay-port.c: turns HTTP requests into events. */
 enum MHD_Result relay_port_handle(void *arg, struct MHD_Connection *connection,
                                   const char *url, const char *method,
                                   const char *version, const char *data,
@@ -135,12 +169,48 @@
                           void **context,
                           enum MHD_RequestTerminationCode code);
 
+/* Response to a refused call. */
+struct relay_refusal {
+    const char *media_type;
+    const GString *body;
+    /* Header with the delay for a retry; NULL for none. */
+    const char *retry_name;
+    const char *retry_value;
+};
+
+/* relay-body.c: reads bodies as far as the reducer grants it. */
+void relay_body_init(struct ct_relay_io *io);
+void relay_body_stop(struct ct_relay_io *io);
+/* Sets the members of the call's size from its head. */
+void relay_body_read_size(struct relay_call *call);
+bool relay_body_is_expected(const struct relay_call *call);
+/* Suspends the call and posts CT_EVENT_RELAY_HEAD_ARRIVED. */
+void relay_body_request(struct relay_call *call);
+/* Posts CT_EVENT_RELAY_CALL_REJECTED. */
+void relay_body_reject(struct relay_call *call, enum ct_refusal reason);
+enum MHD_Result relay_body_read(struct relay_call *call, const char *data,
+                                size_t *n);
+/* CT_EFFECT_RELAY_READ_BODY */
+void relay_body_grant(struct ct_relay_io *io,
+                      const struct ct_body_grant *grant);
+/*
+ * Frees the body of a call that is refused before it is complete. Returns
+ * whether the refusal was sent; otherwise the caller sets the response.
+ */
+bool relay_body_refuse(struct relay_call *call, uint32_t status,
+                       const struct relay_refusal *refusal);
+/* Stops a refusal that was to be sent before the body's end. */
+void relay_body_end_discard(struct relay_call *call);
+void relay_body_clear(struct relay_call *call);
+
 /* relay-response.c: turns effects into HTTP responses. */
 void relay_response_refuse(struct ct_relay_io *io,
                            const struct ct_refuse_effect *refuse);
 void relay_response_forward(struct ct_relay_io *io,
                             const struct ct_relay_forward *forward);
 void relay_response_abort(struct ct_relay_io *io, uint64_t caller);
+/* CT_EFFECT_RELAY_DISCONNECT_CALLER */
+void relay_response_cut_off(struct ct_relay_io *io, uint64_t caller);
 
 /* relay-upstream.c: the HTTP client of upstreams. */
 void relay_attempt_start(struct ct_relay_io *io,
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -52,6 +52,12 @@
     case CT_EFFECT_REFUSE_REQUEST:
         relay_response_refuse(io, &effect->u.refuse);
         return true;
+    case CT_EFFECT_RELAY_DISCONNECT_CALLER:
+        relay_response_cut_off(io, effect->u.caller);
+        return true;
+    case CT_EFFECT_RELAY_READ_BODY:
+        relay_body_grant(io, &effect->u.body_grant);
+        return true;
     case CT_EFFECT_SET_CALLER_LIMITS:
         set_limits(io, &effect->u.bounds);
         return true;
@@ -79,6 +85,8 @@
         relay_call_resume(call);
     }
     ct_http_server_stop(&io->server);
+    relay_body_stop(io);
+    relay_connections_free(io);
     g_hash_table_destroy(io->by_handle);
     ct_table_free(&io->attempts);
     ct_table_free(&io->calls);
@@ -97,12 +105,13 @@
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
          (intptr_t)limits->head_bytes + CONNECTION_EXTRA_BYTES, NULL},
         {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)relay_port_uri, io},
-        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)relay_port_notify, io},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)relay_connections_notify, io},
         {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)relay_port_completed, io},
         {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
         {MHD_OPTION_END, 0, NULL},
     };
 
+    io->server.accept = relay_connections_accept;
     return ct_http_server_start(&io->server, io->loop, address,
                                 relay_port_handle, io, options);
 }
@@ -127,8 +136,12 @@
     ct_table_init(&io->calls, sizeof(struct relay_call), 0, relay_call_clear);
     ct_table_init(&io->attempts, sizeof(struct relay_attempt), 0, NULL);
     io->by_handle = g_hash_table_new(ct_handle_hash, ct_handle_equal);
+    relay_body_init(io);
+    relay_connections_init(io);
+    io->peer_connections = options->peer_connections;
     err = start_server(io, options->address);
     if (err < 0) {
+        relay_connections_free(io);
         g_hash_table_destroy(io->by_handle);
         ct_table_free(&io->attempts);
         ct_table_free(&io->calls);
@@ -151,6 +164,12 @@
     return io->server.port;
 }
 
+void
+ct_relay_io_limit_peers(struct ct_relay_io *io, uint32_t connections)
+{
+    io->peer_connections = connections;
+}
+
 void
 ct_relay_io_drain(struct ct_relay_io *io)
 {
--- a/shell/socket.c
+++ b/shell/socket.c
@@ -147,3 +147,26 @@
     }
     return info.tcpi_bytes_received;
 }
+
+uint64_t
+ct_socket_peer_address(const struct sockaddr *address)
+{
+    struct sockaddr_in ip;
+
+    if (address == NULL || address->sa_family != AF_INET) {
+        return 0;
+    }
+    memcpy(&ip, address, sizeof(ip));
+    return ntohl(ip.sin_addr.s_addr);
+}
+
+int
+ct_socket_limit_buffers(int listener, int receive_bytes, int send_bytes)
+{
+    return setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                      sizeof(receive_bytes)) < 0 ||
+                   setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &send_bytes,
+                              sizeof(send_bytes)) < 0
+               ? CT_ERR_IO
+               : CT_OK;
+}
