shell: refuse a large body on the operators' port at its head

Cause: a body above 4 KB was read until it exceeded the limit, and the connection then closed without a response.

Change: a declared length above the limit is refused with 413 before the body is read.

Result: test-operators, new case large-body.

--- a/shell/operators.c
+++ b/shell/operators.c
@@ -246,6 +246,28 @@
     return request;
 }
 
+static bool
+is_declared_too_large(struct MHD_Connection *connection)
+{
+    const char *length = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+    return length != NULL &&
+           g_ascii_strtoull(length, NULL, 10) > BODY_MAX_BYTES;
+}
+
+/* Responds to a head whose body is too large, before any of it is read. */
+static enum MHD_Result
+begin_request(struct operator_request *request)
+{
+    if (!is_declared_too_large(request->connection)) {
+        return MHD_YES;
+    }
+    set_error_response(request, MHD_HTTP_CONTENT_TOO_LARGE, "too-large");
+    return MHD_queue_response(request->connection, request->status,
+                              request->response);
+}
+
 static enum MHD_Result
 handle_request(void *arg, struct MHD_Connection *connection, const char *url,
                const char *method, const char *version, const char *data,
@@ -257,7 +279,7 @@
     (void)version;
     if (request == NULL) {
         *context = request = add_request(op, connection);
-        return request != NULL ? MHD_YES : MHD_NO;
+        return request != NULL ? begin_request(request) : MHD_NO;
     }
     if (*n > 0) {
         if (request->body->len + *n > BODY_MAX_BYTES) {
--- a/t/test-operators.c
+++ b/t/test-operators.c
@@ -133,6 +133,23 @@
     {"POST", "/drain", "", 202, "{}"},
 };
 
+/* A body that is refused must not be waited for. */
+static void
+test_large_body(void)
+{
+    struct client client;
+    struct fixture f;
+
+    set_up(&f);
+    client_open(ct_operators_port(f.operators), &client);
+    client_send(&client, "POST /keys/withdraw HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 5000000\r\n\r\n");
+    client_await(f.script, &client, NULL);
+    g_assert_true(g_str_has_prefix(client.in->str, "HTTP/1.1 413 "));
+    client_close(&client);
+    tear_down(&f);
+}
+
 static void
 test_responses(void)
 {
@@ -205,6 +222,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/operators/large-body", test_large_body);
     g_test_add_func("/operators/responses", test_responses);
     g_test_add_func("/operators/counters", test_counters);
     g_test_add_func("/operators/health", test_health);
