t: cover the bounded socket buffers and the charges of growing bodies

Change: test-socket checks that accepted connections inherit the buffer sizes, and the peer's address; test-memory-budget a charge that is set again and that of an unread stream.

--- a/t/test-memory-budget.c
+++ b/t/test-memory-budget.c
@@ -17,8 +17,15 @@
     g_assert_cmpuint(budget.used_bytes, ==, 3110);
     g_assert_cmpuint(ct_memory_budget_response(&budget, 7), ==, 3000);
     g_assert_cmpuint(ct_memory_budget_response(&budget, 9), ==, 0);
+    /* A body that grows, and a stream that is not read. */
+    g_assert_cmpint(ct_memory_budget_add(&budget, 8, 30), ==, 0);
+    g_assert_cmpint(ct_memory_budget_add(&budget, 8, 10), ==, 0);
+    ct_memory_budget_set_unread(&budget, 7, 900);
+    g_assert_cmpuint(budget.used_bytes, ==, 4010);
+    g_assert_true(ct_memory_budget_has(&budget, 7));
     ct_memory_budget_remove(&budget, 7);
     ct_memory_budget_remove(&budget, 7);
+    g_assert_false(ct_memory_budget_has(&budget, 7));
     g_assert_cmpuint(budget.used_bytes, ==, 10);
     ct_memory_budget_remove(&budget, 8);
     g_assert_cmpuint(budget.used_bytes, ==, 0);
--- a/t/test-socket.c
+++ b/t/test-socket.c
@@ -1,6 +1,6 @@
 /*
- * Tests of socket.h: address errors, accepting, and closing a listener without
- * resetting connections.
+ * Tests of socket.h: address errors, buffers, accepting, and closing a
+ * listener without resetting connections.
  */
 #include "socket.h"
 
@@ -52,6 +52,44 @@
     return err;
 }
 
+/* Unread connections must not fill the kernel's memory. */
+static void
+test_buffers(void)
+{
+    struct sockaddr_storage peer;
+    socklen_t peer_size = sizeof(peer);
+    char *address;
+    int listener = listen_on_any_port(&address);
+    struct pollfd pending = {.fd = listener, .events = POLLIN};
+    int accepted;
+    int fd;
+
+    g_assert_cmpint(ct_socket_limit_buffers(listener, 8192, 16384), ==, CT_OK);
+    fd = ct_socket_connect(address);
+    g_assert_cmpint(poll(&pending, 1, WAIT_MS), ==, 1);
+    accepted = ct_socket_accept(listener);
+    for (int i = 0; i < 2; i++) {
+        socklen_t size = sizeof(int);
+        int bytes;
+
+        g_assert_cmpint(getsockopt(accepted, SOL_SOCKET,
+                                   i == 0 ? SO_RCVBUF : SO_SNDBUF, &bytes,
+                                   &size),
+                        ==, 0);
+        /* The kernel doubles what was set. */
+        g_assert_cmpint(bytes, ==, i == 0 ? 16384 : 32768);
+    }
+    g_assert_cmpint(
+        getpeername(accepted, (struct sockaddr *)&peer, &peer_size), ==, 0);
+    g_assert_cmpuint(ct_socket_peer_address((struct sockaddr *)&peer), ==,
+                     INADDR_LOOPBACK);
+    g_assert_cmpuint(ct_socket_peer_address(NULL), ==, 0);
+    close(accepted);
+    close(fd);
+    close(listener);
+    g_free(address);
+}
+
 static void
 test_addresses(void)
 {
@@ -124,6 +162,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/socket/buffers", test_buffers);
     g_test_add_func("/socket/addresses", test_addresses);
     g_test_add_func("/socket/accept", test_accept);
     g_test_add_func("/socket/stop-accepting", test_stop_accepting);
