core: measure the speed of upstreams by their streams

Cause: engines of a pool differ in speed by more than a factor of two, and nothing measured it. Change: core/upstream-speed.c keeps, for each upstream, the shortest mean gap between the events of the streams that ended in the last 30 to 40 s, and compares it with the median of the pool once a second. Streams of less than 500 ms or four gaps, and resumed ones, are not measured. Only with share_load. Nothing uses the speeds yet. Result: test-upstream-speed; the tests of relayed calls are unchanged.

--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -111,6 +111,7 @@
     attempt->relay = handle;
     attempt->upstream = chosen;
     attempt->started_ms = state->now_ms;
+    attempt->timing.resumes = relay->last_event > 0;
     relay->backup = choice->backup;
     if (relay->n_tried < CT_RELAY_TRIED_MAX) {
         relay->tried[relay->n_tried++] = chosen;
@@ -307,6 +308,7 @@
         return;
     }
     relay->last_event = progress->last_event;
+    ct_stream_timing_add(&attempt->timing, progress->events, state->now_ms);
     forward_response(state, relay, progress->bytes, false);
 }
 
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -144,6 +144,7 @@
     upstream->in_flight--;
     state->relay_balance->ops->ended(state->relay_balance, attempt->upstream,
                                      outcome, state->now_ms);
+    ct_upstream_speed_on_stream(state, attempt->upstream, &attempt->timing);
     ct_table_unref(&state->config.upstreams, attempt->upstream);
     ct_table_unref(&state->relays.attempts, relay->attempt);
     relay->attempt = CT_NO_HANDLE;
--- a/core/relay.h
+++ b/core/relay.h
@@ -9,6 +9,7 @@
 #include "refusal.h"
 #include "retry-window.h"
 #include "table.h"
+#include "upstream-speed.h"
 
 /*
  * Calls relayed unchanged to an upstream, whose response goes to the caller
@@ -75,6 +76,7 @@
     bool sent;
     /* An event of the attempt's response was received. */
     bool first_event_seen;
+    struct ct_stream_timing timing;
 };
 
 struct ct_relays {
--- a/core/state.c
+++ b/core/state.c
@@ -43,6 +43,7 @@
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
     ct_upstream_notices_init(&state->upstream_notices);
+    ct_upstream_speeds_init(&state->upstream_speeds);
     ct_prompt_quarantine_init(&state->prompt_quarantine);
     ct_tallies_init(&state->tallies);
     ct_usage_report_init(&state->usage_report);
@@ -77,6 +78,7 @@
     ct_zone_orders_free(&state->zone_orders);
     ct_usage_report_free(&state->usage_report);
     ct_tallies_free(&state->tallies);
+    ct_upstream_speeds_free(&state->upstream_speeds);
     ct_upstream_notices_free(&state->upstream_notices);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
     ct_relays_free(&state->relays);
--- a/core/state.h
+++ b/core/state.h
@@ -17,6 +17,7 @@
 #include "lease.h"
 #include "upstream-notices.h"
 #include "upstream-registry.h"
+#include "upstream-speed.h"
 #include "record-append.h"
 #include "log-replay.h"
 #include "peer-status.h"
@@ -95,6 +96,7 @@
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
+    struct ct_upstream_speeds upstream_speeds;
     struct ct_prompt_quarantine prompt_quarantine;
     struct ct_quarantine_sync quarantine_sync;
     struct ct_tallies tallies;
