core: choose upstreams by their speed

Cause: with equal load for each slot a quarter of the engines, those of half the speed, run 167 of 1000 calls whose gap target they miss. Change: with known load the capacity of an upstream is its slots times its speed, and calls with a gap target below the longest of the pool pass over upstreams with less than 70 percent of the median speed while the others together are below their bound. Pools know their longest gap target.

--- a/core/balance-policy.h
+++ b/core/balance-policy.h
@@ -34,6 +34,11 @@
     bool load_known;
     uint32_t others_in_flight;
     ct_ms load_age_ms;
+    /*
+     * Speed in percent of the median of the pool, 100 if unknown; 0 counts as
+     * 100.
+     */
+    uint32_t speed_percent;
 };
 
 struct ct_balance_request {
@@ -47,6 +52,11 @@
      * two parts of a response.
      */
     bool tight_gap;
+    /*
+     * The request has a target for this gap, and others to the pool have a
+     * longer one.
+     */
+    bool short_gap;
     uint32_t tier;
     /*
      * Hosts that send requests to the pool, including this one; 0 if unknown.
--- a/core/balance-prefix-home.c
+++ b/core/balance-prefix-home.c
@@ -111,6 +111,7 @@
             const struct ct_balance_row *row)
 {
     return !candidate->excluded && !candidate->barred &&
+           !ct_balance_shared_passes_over(&scope->shared, candidate) &&
            (scope->any_health ||
             row->ejected_until_ms <= scope->request->now_ms) &&
            (scope->any_kind || matches_kind(scope, candidate));
@@ -217,6 +218,7 @@
         n_in_scope > 0 && ct_balance_load_is_known(candidates, n);
     if (scope->shares_load) {
         adjust_parts(base, scope, candidates, n);
+        ct_balance_shared_decide_speed(&scope->shared);
     }
     scope->bound = n_in_scope > 0 ? scope->in_flight * HOME_MEAN_PERCENT /
                                             (100 * n_in_scope) +
@@ -236,8 +238,8 @@
 {
     return !scope->any_kind && scope->request->prefix_hash &&
            (scope->shares_load
-                ? ct_balance_exceeds_reserve(scope->shared.load, scope->slots,
-                                             1)
+                ? ct_balance_exceeds_reserve(scope->shared.all.load,
+                                             scope->slots, 1)
                 : ct_balance_exceeds_reserve(scope->in_flight, scope->slots,
                                              scope->request->hosts));
 }
--- a/core/balance-shared.c
+++ b/core/balance-shared.c
@@ -41,6 +41,14 @@
 #define PAIR_PERMILLE_MIN 100
 #define PAIR_PERMILLE_MAX 10000
 
+/*
+ * Requests with a short target for gaps pass over upstreams with less than
+ * this percentage of the median speed. It is between the speed of engines
+ * whose streams miss such a target and that of the others with the error of
+ * its measurement.
+ */
+#define SLOW_PERCENT 70
+
 /* What a random number is drawn for; homes use the hash of their name. */
 enum draw_purpose {
     DRAW_FIRST = 1,
@@ -64,31 +72,90 @@
     return MAX(candidate->slots, 1);
 }
 
+static uint32_t
+speed_of(const struct ct_candidate *candidate)
+{
+    return candidate->speed_percent ? candidate->speed_percent : 100;
+}
+
+static uint64_t
+capacity_of(const struct ct_candidate *candidate)
+{
+    return slots_of(candidate) * speed_of(candidate);
+}
+
+static bool
+is_slow(const struct ct_candidate *candidate)
+{
+    return speed_of(candidate) < SLOW_PERCENT;
+}
+
+static void
+add_to_totals(struct ct_balance_totals *totals,
+              const struct ct_candidate *candidate, uint64_t load)
+{
+    totals->n++;
+    totals->load += load;
+    totals->slots += slots_of(candidate);
+    totals->capacity += capacity_of(candidate);
+}
+
 void
 ct_balance_shared_add(struct ct_balance_shared *shared,
                       const struct ct_candidate *candidate,
                       const struct ct_balance_row *row)
 {
-    shared->n++;
-    shared->load += ct_balance_load(candidate, row);
-    shared->slots += slots_of(candidate);
+    uint64_t load = ct_balance_load(candidate, row);
+
+    add_to_totals(&shared->all, candidate, load);
+    if (!is_slow(candidate)) {
+        add_to_totals(&shared->quick, candidate, load);
+    }
+}
+
+/* Returns the bound of n homes together, with these slots and capacity. */
+static uint64_t
+home_bound(const struct ct_balance_shared *shared, uint32_t n, uint64_t slots,
+           uint64_t capacity)
+{
+    uint64_t all = MAX(shared->all.capacity, 1);
+    uint64_t extra = (uint64_t)n * HOME_EXTRA;
+    uint64_t mean = shared->all.load * capacity / all;
+    uint64_t bound =
+        shared->all.load * capacity * HOME_MEAN_PERCENT / (100 * all) + extra;
+
+    return MIN(bound, MAX(mean + extra, slots * HOME_SLOTS_PERCENT / 100));
 }
 
 uint64_t
 ct_balance_shared_bound(const struct ct_balance_shared *shared,
                         const struct ct_candidate *candidate)
 {
-    uint64_t slots = slots_of(candidate);
-    uint64_t mean = shared->load * slots / MAX(shared->slots, 1);
-    uint64_t bound = shared->load * slots * HOME_MEAN_PERCENT /
-                         (100 * MAX(shared->slots, 1)) +
-                     HOME_EXTRA;
+    uint64_t capacity = capacity_of(candidate);
 
     if (!shared->request->prefix_hash) {
-        return mean;
+        return shared->all.load * capacity / MAX(shared->all.capacity, 1);
     }
-    return MIN(bound,
-               MAX(mean + HOME_EXTRA, slots * HOME_SLOTS_PERCENT / 100));
+    return home_bound(shared, 1, slots_of(candidate), capacity);
+}
+
+void
+ct_balance_shared_decide_speed(struct ct_balance_shared *shared)
+{
+    const struct ct_balance_totals *quick = &shared->quick;
+
+    shared->passes_slow =
+        shared->request->short_gap && quick->n > 0 &&
+        quick->n < shared->all.n &&
+        quick->load <
+            home_bound(shared, quick->n, quick->slots, quick->capacity);
+}
+
+bool
+ct_balance_shared_passes_over(const struct ct_balance_shared *shared,
+                              const struct ct_candidate *candidate)
+{
+    return shared->passes_slow && is_slow(candidate);
 }
 
 void
@@ -132,12 +199,13 @@
 struct ct_balance_pair
 ct_balance_shared_draw(const struct ct_balance_shared *shared)
 {
+    uint32_t n = shared->passes_slow ? shared->quick.n : shared->all.n;
     struct ct_balance_pair pair = {0};
 
-    pair.first = draw_below(shared, DRAW_FIRST, shared->n);
+    pair.first = draw_below(shared, DRAW_FIRST, n);
     pair.second = pair.first;
-    if (shared->n > 1) {
-        pair.second = draw_below(shared, DRAW_SECOND, shared->n - 1);
+    if (n > 1) {
+        pair.second = draw_below(shared, DRAW_SECOND, n - 1);
         pair.second += pair.second >= pair.first;
     }
     return pair;
@@ -151,9 +219,9 @@
                                  const struct ct_balance_row *second_row)
 {
     int64_t first_load =
-        (int64_t)(ct_balance_load(first, first_row) * slots_of(second));
+        (int64_t)(ct_balance_load(first, first_row) * capacity_of(second));
     int64_t second_load =
-        (int64_t)(ct_balance_load(second, second_row) * slots_of(first));
+        (int64_t)(ct_balance_load(second, second_row) * capacity_of(first));
     ct_ms age_ms = MAX(MAX(first->load_age_ms, second->load_age_ms), 1);
     int64_t weight =
         CLAMP(PAIR_PERMILLE_MS / age_ms, PAIR_PERMILLE_MIN, PAIR_PERMILLE_MAX);
--- a/core/balance-shared.h
+++ b/core/balance-shared.h
@@ -10,12 +10,23 @@
  * docs/design/even-load.md.
  */
 
-/* The candidates among which a request chooses, and their load. */
-struct ct_balance_shared {
-    const struct ct_balance_request *request;
+/* Totals over candidates. */
+struct ct_balance_totals {
     uint32_t n;
     uint64_t load;
     uint64_t slots;
+    /* Slots times speed in percent. */
+    uint64_t capacity;
+};
+
+/* The candidates among which a request chooses, and their load. */
+struct ct_balance_shared {
+    const struct ct_balance_request *request;
+    struct ct_balance_totals all;
+    /* Those of them that are not slow. */
+    struct ct_balance_totals quick;
+    /* The request passes over the slow ones. */
+    bool passes_slow;
 };
 
 /* Adds a candidate whose load is known. */
@@ -23,6 +34,15 @@
                            const struct ct_candidate *candidate,
                            const struct ct_balance_row *row);
 
+/*
+ * Decides, after the candidates were added, whether the request passes over
+ * the slow ones: if its target for gaps is short, and the others have room.
+ */
+void ct_balance_shared_decide_speed(struct ct_balance_shared *shared);
+/* Whether the request passes over the candidate because it is slow. */
+bool ct_balance_shared_passes_over(const struct ct_balance_shared *shared,
+                                   const struct ct_candidate *candidate);
+
 /* Returns the load above which a candidate gets fewer requests. */
 uint64_t ct_balance_shared_bound(const struct ct_balance_shared *shared,
                                  const struct ct_candidate *candidate);
@@ -49,15 +69,18 @@
     uint32_t second;
 };
 
-/* Draws two different candidates; the same twice if there is only one. */
+/*
+ * Draws two different candidates of those that the request does not pass over;
+ * the same twice if there is only one.
+ */
 struct ct_balance_pair
 ct_balance_shared_draw(const struct ct_balance_shared *shared);
 
 /*
  * Whether the second of two candidates gets the request rather than the first.
- * Both get it in proportion to their parts, and the one with less load per
- * slot the more often, the greater and the newer the difference is. With equal
- * load, the one with fewer requests of this host gets it.
+ * Both get it in proportion to their parts, and the one with less load for
+ * its capacity the more often, the greater and the newer the difference is.
+ * With equal load, the one with fewer requests of this host gets it.
  */
 bool ct_balance_shared_prefers_second(const struct ct_balance_shared *shared,
                                       const struct ct_candidate *first,
--- a/core/candidates.c
+++ b/core/candidates.c
@@ -62,6 +62,8 @@
                                                pool->upstreams[i]),
             .barred = ct_candidate_is_barred(state, pool->upstreams[i],
                                              filter->rank),
+            .speed_percent =
+                ct_upstream_speed_percent(state, pool->upstreams[i]),
         };
         set_shared_load(state, &out[n++]);
     }
--- a/core/config.h
+++ b/core/config.h
@@ -45,6 +45,8 @@
     GArray *order_zones;
     /* Shortest gap target of the streams routed to it; 0 if there is none. */
     ct_ms tightest_gap_ms;
+    /* Longest gap target of these streams; 0 if there is none. */
+    ct_ms longest_gap_ms;
     /* Tier inversions that the counter already includes. */
     uint64_t inversions;
     uint32_t slots_held;
--- a/core/prefix-route.c
+++ b/core/prefix-route.c
@@ -33,6 +33,7 @@
 include_gap_target(struct ct_pool_row *pool,
                    const struct ct_prefix_route *route)
 {
+    pool->longest_gap_ms = MAX(pool->longest_gap_ms, route->gap_target_ms);
     if (route->gap_target_ms > 0 &&
         (!pool->tightest_gap_ms ||
          route->gap_target_ms < pool->tightest_gap_ms)) {
@@ -95,6 +96,7 @@
     cursor = 0;
     while ((pool = ct_table_next(&config->pools, &cursor, NULL))) {
         pool->tightest_gap_ms = 0;
+        pool->longest_gap_ms = 0;
         if (pool->order_zones) {
             g_array_set_size(pool->order_zones, 0);
         }
--- a/core/relay-choice.c
+++ b/core/relay-choice.c
@@ -84,6 +84,19 @@
     return route->conf.gap_target_ms <= pool->tightest_gap_ms;
 }
 
+/* Whether a route to the pool has a longer gap target than the call's. */
+static bool
+has_short_gap(const struct ct_state *state, const struct ct_relay *relay)
+{
+    const struct ct_prefix_route_row *route =
+        ct_table_get(&state->config.prefix_routes, relay->route);
+    const struct ct_pool_row *pool =
+        ct_table_get(&state->config.pools, relay->pool);
+
+    return route->conf.gap_target_ms > 0 &&
+           route->conf.gap_target_ms < pool->longest_gap_ms;
+}
+
 static struct ct_balance_request
 describe_request(struct ct_state *state, const struct ct_relay *relay)
 {
@@ -92,6 +105,7 @@
         .prefix_hash = relay->prefix_hash,
         .prompt_tokens = relay->prompt_tokens,
         .tight_gap = has_tight_gap(state, relay),
+        .short_gap = has_short_gap(state, relay),
         .tier = relay->rank,
         .hosts = ct_group_size(state),
         .cheap_allowed = true,
@@ -112,6 +126,7 @@
     int donor;
 
     ct_upstream_notices_share(state);
+    ct_upstream_speed_compare(state);
     n = list_candidates(state, relay, candidates);
     chosen =
         ops->choose_upstream(state->relay_balance, &request, candidates, n);
--- a/t/test-prefix-route.c
+++ b/t/test-prefix-route.c
@@ -177,16 +177,18 @@
 }
 
 /*
- * A pool's tightest gap is the shortest target of the routes to it that have
- * one, also after a new configuration.
+ * A pool's tightest and longest gap are those targets of the routes to it that
+ * have one, also after a new configuration.
  */
 static void
 test_tightest_gap(void)
 {
     static const struct {
-        ct_ms gap_ms[2], tightest_ms;
-    } cases[] = {
-        {{800, 200}, 200}, {{200, 800}, 200}, {{0, 300}, 300}, {{0, 0}, 0}};
+        ct_ms gap_ms[2], tightest_ms, longest_ms;
+    } cases[] = {{{800, 200}, 200, 800},
+                 {{200, 800}, 200, 800},
+                 {{0, 300}, 300, 300},
+                 {{0, 0}, 0, 0}};
     const struct ct_pool_row *pool;
     struct ct_config config;
     struct ct_name name = {{0}};
@@ -209,6 +211,7 @@
         apply_config(&config, i + 1, rows);
         pool = ct_table_get(&config.pools, ct_config_pool(&config, &name));
         g_assert_cmpint(pool->tightest_gap_ms, ==, cases[i].tightest_ms);
+        g_assert_cmpint(pool->longest_gap_ms, ==, cases[i].longest_ms);
         g_array_free(rows, TRUE);
     }
     ct_config_free(&config);
--- a/t/test-upstream-speed.c
+++ b/t/test-upstream-speed.c
@@ -1,4 +1,5 @@
 /* Tests of upstream-speed.h: the speed of upstreams by their streams. */
+#include "candidates.h"
 #include "lib-relay.h"
 #include "upstream-speed.h"
 
@@ -92,6 +93,37 @@
     t_core_free(&core);
 }
 
+/* Choices get the speeds as of the last second, and those of no measurement.
+ */
+static void
+test_candidates(void)
+{
+    struct ct_candidate_filter filter = {.state = CT_UPSTREAM_RUNNING};
+    struct ct_candidate candidates[UPSTREAMS];
+    struct ct_name pool = {"engines"};
+    struct t_core core;
+
+    setup(&core, UPSTREAMS);
+    filter.pool = ct_config_pool(&core.state->config, &pool);
+    for (uint32_t i = 0; i < UPSTREAMS - 1; i++) {
+        add_stream(&core, i, i == 0 ? 80 : 40);
+    }
+    t_core_tick(&core, 1000);
+    t_relay_call(&core, 1, T_STREAM_PATH);
+    add_stream(&core, 1, 30);
+    t_relay_call(&core, 1, T_STREAM_PATH);
+    g_assert_cmpuint(
+        ct_candidates_list(core.state, &filter, candidates, UPSTREAMS), ==,
+        UPSTREAMS);
+    for (uint32_t i = 0; i < UPSTREAMS; i++) {
+        bool slow =
+            ct_handle_eq(candidates[i].upstream, upstream_at(&core, 0));
+
+        g_assert_cmpuint(candidates[i].speed_percent, ==, slow ? 50 : 100);
+    }
+    t_core_free(&core);
+}
+
 /* Another process under the same name is not taken for the slow one. */
 static void
 test_restart(void)
@@ -213,6 +245,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/upstream-speed/speeds", test_speeds);
     g_test_add_func("/upstream-speed/few-measured", test_few_measured);
+    g_test_add_func("/upstream-speed/candidates", test_candidates);
     g_test_add_func("/upstream-speed/restart", test_restart);
     g_test_add_func("/upstream-speed/others", test_others);
     g_test_add_func("/upstream-speed/streams", test_streams);
