core: share the measured gaps of upstreams between hosts

Cause: a host sees a stream of an upstream every 20 s or so, so that it knows few speeds, and none when it starts. Change: hosts that share load send the shortest gaps that they measured over the same links each 5 s (CT_PEER_LOAD_GAPS, core/speed-sharing.c): followers their own, sources those of their followers and, to their followers, the shortest of all. Gaps are codes of 9 bits, whose differences take one byte. No host passes on what it learned from another source. For 25 s after a restart of an upstream a host ignores what others measured. Without the setting no message.

--- a/bench/bench-wire.c
+++ b/bench/bench-wire.c
@@ -9,6 +9,7 @@
 #include "frame.h"
 #include "peer-codec.h"
 #include "record-codec.h"
+#include "speed-sharing.h"
 
 #define ORGANISATIONS 2400
 #define HOSTS 360
@@ -287,6 +288,20 @@
     return CT_ROWS(rows, n);
 }
 
+/* The gaps of upstreams of which one in four has half the speed. */
+static struct ct_rows
+fill_gap_rows(const struct load_case *c, GRand *random,
+              struct ct_load_gap_row *rows)
+{
+    for (uint32_t i = 0; i < c->upstreams; i++) {
+        uint32_t gap_us = (uint32_t)g_rand_int_range(random, 20000, 30000);
+
+        rows[i] = (struct ct_load_gap_row){
+            i, ct_speed_encode_gap(i % 4 == 0 ? gap_us * 2 : gap_us)};
+    }
+    return CT_ROWS(rows, c->upstreams);
+}
+
 static void
 print_load(const struct load_case *c)
 {
@@ -294,6 +309,8 @@
     struct ct_load_row *rows = g_new0(struct ct_load_row, c->upstreams);
     struct ct_load_list_row *list =
         g_new0(struct ct_load_list_row, c->upstreams);
+    struct ct_load_gap_row *gaps =
+        g_new0(struct ct_load_gap_row, c->upstreams);
     struct ct_peer_message m = {.type = CT_PEER_LOAD};
     uint32_t followers = (c->hosts + c->sources - 1) / c->sources - 1;
     guint report;
@@ -323,10 +340,14 @@
     m.type = CT_PEER_LOAD_LIST;
     m.rows = CT_ROWS(list, c->upstreams);
     print_peer_message("list, once for each link", &m);
+    m.type = CT_PEER_LOAD_GAPS;
+    m.rows = fill_gap_rows(c, random, gaps);
+    print_peer_message("gaps of all upstreams, each 5 s", &m);
     printf("follower sends %u, receives %u bytes/s\n", 2 * report, 2 * sum);
     printf("source sends %u, receives %u bytes/s\n",
            2 * followers * sum + (c->sources - 1) * source_report,
            2 * followers * report + (c->sources - 1) * source_report);
+    g_free(gaps);
     g_free(list);
     g_free(rows);
     g_rand_free(random);
--- a/core/load-report.c
+++ b/core/load-report.c
@@ -74,9 +74,8 @@
     }
 }
 
-/* Sends a peer what it lacks of the list. */
-static void
-send_list(struct ct_state *state, struct ct_load_peer *peer)
+void
+ct_load_report_send_list(struct ct_state *state, struct ct_load_peer *peer)
 {
     const struct ct_load_table *table = &state->load_sharing.table;
     struct ct_peer_message *message;
@@ -194,7 +193,7 @@
     own->sent_ms = state->now_ms;
     report.follows = true;
     sharing->reported_ms = state->now_ms;
-    send_list(state, source);
+    ct_load_report_send_list(state, source);
     ct_peer_message_to(state, &source->host, CT_PEER_LOAD, rows_of(own->rows))
         ->u.load = report;
     g_free(counts);
@@ -227,15 +226,11 @@
            (!is_follower(peer) && is_dialled_source(state, &peer->host));
 }
 
-/*
- * Sends a message to all followers, or to all other sources, encoded once.
- * Returns whether there are any.
- */
-static bool
-send_to_peers(struct ct_state *state, const struct ct_peer_message *message,
-              struct ct_rows rows)
+bool
+ct_load_report_send_to_peers(struct ct_state *state,
+                             const struct ct_peer_message *message,
+                             struct ct_rows rows, bool to_followers)
 {
-    bool to_followers = message->type == CT_PEER_LOAD_SUM;
     struct ct_load_peer *peer;
     uint32_t cursor = 0;
     bool sent = false;
@@ -243,7 +238,7 @@
     while ((peer = ct_table_next(&state->load_sharing.table.peers, &cursor,
                                  NULL))) {
         if (to_followers ? is_follower(peer) : is_source(state, peer)) {
-            send_list(state, peer);
+            ct_load_report_send_list(state, peer);
         }
     }
     cursor = 0;
@@ -293,7 +288,7 @@
     }
     set_age(state, &message.u.load, dated_sum_ms);
     counts_to_rows(counts, n, rows);
-    if (send_to_peers(state, &message, rows_of(rows))) {
+    if (ct_load_report_send_to_peers(state, &message, rows_of(rows), false)) {
         state->load_sharing.reported_ms = state->now_ms;
     }
     g_array_free(rows, TRUE);
@@ -334,7 +329,7 @@
     add_own_calls(state, counts);
     counts_to_rows(counts, n, rows);
     if (n_reporters > 0) {
-        send_to_peers(state, &message, rows_of(rows));
+        ct_load_report_send_to_peers(state, &message, rows_of(rows), true);
     }
     g_array_free(rows, TRUE);
     g_free(counts);
--- a/core/load-report.h
+++ b/core/load-report.h
@@ -16,6 +16,18 @@
 /* Sends the followers the sum over all hosts. */
 void ct_load_report_send_sum(struct ct_state *state);
 
+/* Sends a peer what it lacks of the list, before a message that refers to it.
+ */
+void ct_load_report_send_list(struct ct_state *state,
+                              struct ct_load_peer *peer);
+/*
+ * Sends a message to all followers, or to all other sources, encoded once.
+ * Returns whether there are any.
+ */
+bool ct_load_report_send_to_peers(struct ct_state *state,
+                                  const struct ct_peer_message *message,
+                                  struct ct_rows rows, bool to_followers);
+
 /* How a sum names a follower. */
 uint32_t ct_load_reporter_id(const struct ct_name *host);
 
--- a/core/load-sharing.c
+++ b/core/load-sharing.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "load-report.h"
+#include "speed-sharing.h"
 #include "state.h"
 
 /* Interval between the reports of a follower, and the sums for followers. */
@@ -301,6 +302,9 @@
     update_source(state);
     expire_parts(state);
     ct_load_report_update_list(state);
+    ct_speed_sharing_on_tick(
+        state, has_source(sharing),
+        ct_load_table_find(&sharing->table, &sharing->source));
     schedule_tick(state,
                   state->now_ms + (has_source(sharing) ? follower_tick(state)
                                                        : source_tick(state)));
@@ -433,8 +437,10 @@
     struct ct_load_sharing *sharing = &state->load_sharing;
     struct ct_load_peer *peer =
         ct_load_table_find(&sharing->table, &message->sender);
-    /* Both kinds of reports begin with the same members. */
+    /* All kinds of reports begin with the same members. */
     const struct ct_peer_load *report = &message->u.load;
+    bool has_gaps = message->type == CT_PEER_LOAD_GAPS;
+    uint32_t *last;
 
     if (!peer) {
         return;
@@ -445,15 +451,21 @@
                                message->u.load_list.first, message->rows);
         return;
     }
-    if (report->sequence <= peer->sequence) {
+    last = has_gaps ? &peer->gaps.sequence : &peer->sequence;
+    if (report->sequence <= *last) {
         ignore_message(state, message, CT_LOG_LOAD_OUT_OF_ORDER);
         return;
     }
-    peer->sequence = report->sequence;
-    if (report->list_version != peer->list_version || report->hosts == 0) {
+    *last = report->sequence;
+    if (report->list_version != peer->list_version ||
+        (!has_gaps && report->hosts == 0)) {
         ignore_message(state, message, CT_LOG_LOAD_UNREADABLE);
         return;
     }
+    if (has_gaps) {
+        ct_speed_sharing_on_message(state, peer, message);
+        return;
+    }
     ct_increment_counter(state, CT_COUNTER_LOAD_REPORTS);
     update_source(state);
     if (message->type == CT_PEER_LOAD_SUM) {
--- a/core/load-sharing.h
+++ b/core/load-sharing.h
@@ -88,7 +88,7 @@
 /* Handles a link to another host that came up or went down. */
 void ct_load_sharing_on_link(struct ct_state *state,
                              const struct ct_name *peer, bool up);
-/* CT_PEER_LOAD, CT_PEER_LOAD_SUM, CT_PEER_LOAD_LIST */
+/* CT_PEER_LOAD and the messages after it */
 void ct_load_sharing_on_message(struct ct_state *state,
                                 const struct ct_peer_message *message);
 
--- a/core/load-table.c
+++ b/core/load-table.c
@@ -12,6 +12,7 @@
 {
     struct ct_load_peer *peer = data;
 
+    g_array_free(peer->gaps.codes, TRUE);
     g_array_free(peer->numbers, TRUE);
     g_array_free(peer->rows, TRUE);
 }
@@ -114,6 +115,8 @@
 {
     guint kept = 0;
 
+    /* They arrive again within seconds. */
+    ct_load_table_clear_gaps(peer);
     for (guint i = 0; i < peer->numbers->len; i++) {
         uint32_t *number = &g_array_index(peer->numbers, uint32_t, i);
 
@@ -204,6 +207,7 @@
     peer = ct_table_get(&table->peers, handle);
     peer->host = *host;
     peer->numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    peer->gaps.codes = g_array_new(FALSE, TRUE, sizeof(uint32_t));
     peer->rows = g_array_new(FALSE, FALSE, sizeof(struct ct_load_row));
     return CT_OK;
 }
@@ -300,3 +304,34 @@
     peer->received_ms = 0;
     peer->dated_ms = 0;
 }
+
+void
+ct_load_table_set_gaps(const struct ct_load_table *table,
+                       struct ct_load_peer *peer, bool follows,
+                       ct_ms received_ms, struct ct_rows rows)
+{
+    const struct ct_load_gap_row *row = rows.data;
+
+    ct_load_table_clear_gaps(peer);
+    g_array_set_size(peer->gaps.codes, table->hashes->len);
+    for (uint32_t i = 0; i < rows.n; i++) {
+        uint32_t number =
+            row[i].number < peer->numbers->len
+                ? g_array_index(peer->numbers, uint32_t, row[i].number)
+                : CT_LOAD_NO_NUMBER;
+
+        if (number != CT_LOAD_NO_NUMBER) {
+            g_array_index(peer->gaps.codes, uint32_t, number) =
+                row[i].gap_code;
+        }
+    }
+    peer->gaps.follows = follows;
+    peer->gaps.received_ms = received_ms;
+}
+
+void
+ct_load_table_clear_gaps(struct ct_load_peer *peer)
+{
+    g_array_set_size(peer->gaps.codes, 0);
+    peer->gaps.received_ms = 0;
+}
--- a/core/load-table.h
+++ b/core/load-table.h
@@ -20,6 +20,18 @@
 /* Upstreams in a list; further ones are left out. */
 #define CT_LOAD_LIST_MAX 4096
 
+/* The shortest gaps of upstreams that a host reported. */
+struct ct_load_gaps {
+    /* Number of its last message of these. */
+    uint32_t sequence;
+    /* When that arrived; 0 if it is not used any more. */
+    ct_ms received_ms;
+    /* It is a follower of this host, and sent its own measurements. */
+    bool follows;
+    /* gap_code of struct ct_load_gap_row, by this host's number. */
+    GArray *codes;
+};
+
 /* A host that this one has a link to. */
 struct ct_load_peer {
     struct ct_name host;
@@ -43,6 +55,7 @@
     bool follows;
     /* struct ct_load_row with this host's numbers */
     GArray *rows;
+    struct ct_load_gaps gaps;
 };
 
 /* The number of an upstream of this host. */
@@ -136,4 +149,10 @@
 void ct_load_table_clear_part(struct ct_load_table *table,
                               struct ct_load_peer *peer);
 
+/* Replaces the gaps of a peer; rows: struct ct_load_gap_row. */
+void ct_load_table_set_gaps(const struct ct_load_table *table,
+                            struct ct_load_peer *peer, bool follows,
+                            ct_ms received_ms, struct ct_rows rows);
+void ct_load_table_clear_gaps(struct ct_load_peer *peer);
+
 #endif
--- a/core/peer-message.h
+++ b/core/peer-message.h
@@ -52,9 +52,16 @@
     CT_PEER_LOAD_SUM,
     /*
      * The sender's list of upstreams, to whose numbers the rows of the other
-     * two refer. rows: struct ct_load_list_row
+     * messages refer. rows: struct ct_load_list_row
      */
     CT_PEER_LOAD_LIST,
+    /*
+     * The shortest gaps of the upstreams' streams that the sender measured,
+     * with those of its followers if it has any; to its followers, those of
+     * all hosts that it knows of. rows: struct ct_load_gap_row, in the order
+     * of their numbers
+     */
+    CT_PEER_LOAD_GAPS,
 };
 
 /* Calls in flight at one upstream. */
@@ -69,6 +76,13 @@
     uint64_t upstream_hash;
 };
 
+struct ct_load_gap_row {
+    /* Number in the sender's list of upstreams. */
+    uint32_t number;
+    /* ct_speed_encode_gap() */
+    uint32_t gap_code;
+};
+
 struct ct_peer_load {
     /* Increases with each message of the process. */
     uint32_t sequence;
@@ -101,6 +115,14 @@
     uint32_t first;
 };
 
+struct ct_peer_load_gaps {
+    /* Increases with each of these messages of the process. */
+    uint32_t sequence;
+    uint32_t list_version;
+    /* The sender follows the receiver. */
+    bool follows;
+};
+
 /* Demand for and use of one pool at the sender, for sharing its slots. */
 struct ct_slot_row {
     struct ct_name pool;
@@ -175,6 +197,7 @@
         struct ct_peer_load load;
         struct ct_peer_load_sum load_sum;
         struct ct_peer_load_list load_list;
+        struct ct_peer_load_gaps load_gaps;
     } u;
     struct ct_rows rows;
 };
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -233,6 +233,7 @@
     case CT_PEER_LOAD:
     case CT_PEER_LOAD_SUM:
     case CT_PEER_LOAD_LIST:
+    case CT_PEER_LOAD_GAPS:
         ct_load_sharing_on_message(state, message);
         return;
     default:
--- a/core/state.c
+++ b/core/state.c
@@ -40,6 +40,7 @@
     ct_group_init(&state->group);
     ct_replication_init(&state->replication);
     ct_load_sharing_init(&state->load_sharing);
+    ct_speed_sharing_init(&state->speed_sharing);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
     ct_upstream_notices_init(&state->upstream_notices);
@@ -85,6 +86,7 @@
     ct_evacuations_free(&state->evacuations);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
+    ct_speed_sharing_free(&state->speed_sharing);
     ct_load_sharing_free(&state->load_sharing);
     ct_forwarded_tallies_free(&state->forwarded_tallies);
     ct_upstream_registry_free(&state->upstream_registry);
--- a/core/state.h
+++ b/core/state.h
@@ -33,6 +33,7 @@
 #include "request.h"
 #include "group.h"
 #include "slot-loan.h"
+#include "speed-sharing.h"
 #include "store-sync.h"
 #include "tally.h"
 #include "leadership.h"
@@ -92,6 +93,7 @@
     struct ct_group group;
     struct ct_replication replication;
     struct ct_load_sharing load_sharing;
+    struct ct_speed_sharing speed_sharing;
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_balance_policy *relay_balance;
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -18,6 +18,7 @@
 /* Numbers that count up are left out. */
 static const struct ct_load_row dense_rows[] = {{0, 9}, {1, 0}, {2, 8}};
 static const struct ct_load_list_row load_list[] = {{0}, {UINT64_MAX}, {42}};
+static const struct ct_load_gap_row gap_rows[] = {{0, 149}, {1, 0}, {2, 416}};
 
 static void
 fill_load_message(struct ct_peer_message *m)
@@ -39,6 +40,10 @@
         m->u.load_list = (struct ct_peer_load_list){2, 40};
         m->rows = CT_ROWS(load_list, G_N_ELEMENTS(load_list));
         break;
+    case CT_PEER_LOAD_GAPS:
+        m->u.load_gaps = (struct ct_peer_load_gaps){8, 2, true};
+        m->rows = CT_ROWS(gap_rows, G_N_ELEMENTS(gap_rows));
+        break;
     default:
         break;
     }
@@ -117,9 +122,8 @@
         m->rows = CT_ROWS(members, 2);
         break;
     case CT_PEER_TALLY:
-        m->u.tally = (struct ct_tally){.window = 9, .sequence = 4};
-        m->u.tally.closes = true;
-        m->u.tally.ends = true;
+        m->u.tally = (struct ct_tally){
+            .window = 9, .sequence = 4, .closes = true, .ends = true};
         CT_TEXT_SET(m->u.tally.writer, "h2-1");
         CT_TEXT_SET(tally_rows[1].organisation, "\xc5\x9eirket");
         tally_rows[1].requests = 3;
@@ -131,6 +135,7 @@
     case CT_PEER_LOAD:
     case CT_PEER_LOAD_SUM:
     case CT_PEER_LOAD_LIST:
+    case CT_PEER_LOAD_GAPS:
         fill_load_message(m);
         break;
     case CT_PEER_STATE_REQUEST:
@@ -157,7 +162,7 @@
     else {
         fill_message(&f->u.message, i - 1);
     }
-    return i - 1 <= CT_PEER_LOAD_LIST;
+    return i - 1 <= CT_PEER_LOAD_GAPS;
 }
 
 static void
--- a/t/test-upstream-speed.c
+++ b/t/test-upstream-speed.c
@@ -35,16 +35,24 @@
     ct_upstream_speed_on_stream(core->state, upstream_at(core, i), &timing);
 }
 
+/* Asserts the speed after a new comparison. */
 static void
-assert_speed(struct t_core *core, uint32_t i, uint32_t percent)
+assert_compared(struct t_core *core, uint32_t i, uint32_t percent)
 {
-    t_core_tick(core, 1000);
+    core->state->upstream_speeds.compared_ms = 0;
     ct_upstream_speed_compare(core->state);
     g_assert_cmpuint(
         ct_upstream_speed_percent(core->state, upstream_at(core, i)), ==,
         percent);
 }
 
+static void
+assert_speed(struct t_core *core, uint32_t i, uint32_t percent)
+{
+    t_core_tick(core, 1000);
+    assert_compared(core, i, percent);
+}
+
 /*
  * The shortest mean gap decides, so that neither load nor a short slowdown
  * makes an upstream slow; what was measured is forgotten after a while.
@@ -137,7 +145,7 @@
         ct_upstream_speed_set_others(core.state, upstream_at(&core, i),
                                      i == 0 ? 90000 : 40000);
     }
-    assert_speed(&core, 0, 44);
+    assert_compared(&core, 0, 44);
     entry.removed = true;
     t_relay_post_upstream(&core, &entry);
     t_relay_confirm(&core);
@@ -145,7 +153,7 @@
     entry.started_ms = 2;
     t_relay_post_upstream(&core, &entry);
     t_relay_confirm(&core);
-    assert_speed(&core, 0, CT_SPEED_UNKNOWN_PERCENT);
+    assert_compared(&core, 0, CT_SPEED_UNKNOWN_PERCENT);
     t_core_free(&core);
 }
 
@@ -160,13 +168,13 @@
         ct_upstream_speed_set_others(core.state, upstream_at(&core, i),
                                      i == 0 ? 80000 : 40000);
     }
-    assert_speed(&core, 0, 50);
+    assert_compared(&core, 0, 50);
     g_assert_cmpuint(
         ct_upstream_speed_gap_us(core.state, upstream_at(&core, 0)), ==, 0);
     add_stream(&core, 0, 50);
-    assert_speed(&core, 0, 80);
+    assert_compared(&core, 0, 80);
     ct_upstream_speed_set_others(core.state, upstream_at(&core, 0), 0);
-    assert_speed(&core, 0, 80);
+    assert_compared(&core, 0, 80);
     t_core_free(&core);
 }
 
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &ct__load_list__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ct__load_gaps__init
+                     (Ct__LoadGaps         *message)
+{
+  static const Ct__LoadGaps init_value = CT__LOAD_GAPS__INIT;
+  *message = init_value;
+}
+size_t ct__load_gaps__get_packed_size
+                     (const Ct__LoadGaps *message)
+{
+  assert(message->base.descriptor == &ct__load_gaps__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__load_gaps__pack
+                     (const Ct__LoadGaps *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__load_gaps__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__load_gaps__pack_to_buffer
+                     (const Ct__LoadGaps *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__load_gaps__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__LoadGaps *
+       ct__load_gaps__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__LoadGaps *)
+     protobuf_c_message_unpack (&ct__load_gaps__descriptor,
+                                allocator, len, data);
+}
+void   ct__load_gaps__free_unpacked
+                     (Ct__LoadGaps *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__load_gaps__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ct__log_record__init
                      (Ct__LogRecord         *message)
 {
@@ -3611,6 +3656,70 @@
   (ProtobufCMessageInit) ct__load_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ct__load_gaps__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadGaps, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadGaps, list_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "follows",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__LoadGaps, follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__load_gaps__field_indices_by_name[] = {
+  2,   /* field[2] = follows */
+  1,   /* field[1] = list_version */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange ct__load_gaps__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ct__load_gaps__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.LoadGaps",
+  "LoadGaps",
+  "Ct__LoadGaps",
+  "ct",
+  sizeof(Ct__LoadGaps),
+  3,
+  ct__load_gaps__field_descriptors,
+  ct__load_gaps__field_indices_by_name,
+  1,  ct__load_gaps__number_ranges,
+  (ProtobufCMessageInit) ct__load_gaps__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ct__log_record__field_descriptors[14] =
 {
   {
@@ -4690,7 +4799,7 @@
   (ProtobufCMessageInit) ct__tally_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[24] =
+static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[25] =
 {
   {
     "type",
@@ -4980,6 +5089,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_gaps",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PeerMessage, load_gaps),
+    &ct__load_gaps__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__peer_message__field_indices_by_name[] = {
   3,   /* field[3] = digest */
@@ -4988,6 +5109,7 @@
   2,   /* field[2] = heartbeat */
   18,   /* field[18] = load */
   22,   /* field[22] = load_counts */
+  24,   /* field[24] = load_gaps */
   23,   /* field[23] = load_hashes */
   20,   /* field[20] = load_list */
   21,   /* field[21] = load_numbers */
@@ -5010,7 +5132,7 @@
 static const ProtobufCIntRange ct__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor ct__peer_message__descriptor =
 {
@@ -5020,7 +5142,7 @@
   "Ct__PeerMessage",
   "ct",
   sizeof(Ct__PeerMessage),
-  24,
+  25,
   ct__peer_message__field_descriptors,
   ct__peer_message__field_indices_by_name,
   1,  ct__peer_message__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Ct__Load Ct__Load;
 typedef struct Ct__LoadSum Ct__LoadSum;
 typedef struct Ct__LoadList Ct__LoadList;
+typedef struct Ct__LoadGaps Ct__LoadGaps;
 typedef struct Ct__LogRecord Ct__LogRecord;
 typedef struct Ct__ShareRow Ct__ShareRow;
 typedef struct Ct__Heartbeat Ct__Heartbeat;
@@ -383,6 +384,18 @@
     , 0, 0 }
 
 
+struct  Ct__LoadGaps
+{
+  ProtobufCMessage base;
+  uint32_t sequence;
+  uint32_t list_version;
+  protobuf_c_boolean follows;
+};
+#define CT__LOAD_GAPS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__load_gaps__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * The type decides which body and which rows are there.
  */
@@ -611,10 +624,14 @@
   int64_t *load_counts;
   size_t n_load_hashes;
   uint64_t *load_hashes;
+  /*
+   * Its rows have the columns of Load; the counts are codes of gaps.
+   */
+  Ct__LoadGaps *load_gaps;
 };
 #define CT__PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__peer_message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, NULL }
 
 
 struct  Ct__Hello
@@ -1026,6 +1043,25 @@
 void   ct__load_list__free_unpacked
                      (Ct__LoadList *message,
                       ProtobufCAllocator *allocator);
+/* Ct__LoadGaps methods */
+void   ct__load_gaps__init
+                     (Ct__LoadGaps         *message);
+size_t ct__load_gaps__get_packed_size
+                     (const Ct__LoadGaps   *message);
+size_t ct__load_gaps__pack
+                     (const Ct__LoadGaps   *message,
+                      uint8_t             *out);
+size_t ct__load_gaps__pack_to_buffer
+                     (const Ct__LoadGaps   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__LoadGaps *
+       ct__load_gaps__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__load_gaps__free_unpacked
+                     (Ct__LoadGaps *message,
+                      ProtobufCAllocator *allocator);
 /* Ct__LogRecord methods */
 void   ct__log_record__init
                      (Ct__LogRecord         *message);
@@ -1408,6 +1444,9 @@
 typedef void (*Ct__LoadList_Closure)
                  (const Ct__LoadList *message,
                   void *closure_data);
+typedef void (*Ct__LoadGaps_Closure)
+                 (const Ct__LoadGaps *message,
+                  void *closure_data);
 typedef void (*Ct__LogRecord_Closure)
                  (const Ct__LogRecord *message,
                   void *closure_data);
@@ -1484,6 +1523,7 @@
 extern const ProtobufCMessageDescriptor ct__load__descriptor;
 extern const ProtobufCMessageDescriptor ct__load_sum__descriptor;
 extern const ProtobufCMessageDescriptor ct__load_list__descriptor;
+extern const ProtobufCMessageDescriptor ct__load_gaps__descriptor;
 extern const ProtobufCMessageDescriptor ct__log_record__descriptor;
 extern const ProtobufCMessageDescriptor ct__share_row__descriptor;
 extern const ProtobufCMessageDescriptor ct__heartbeat__descriptor;
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -201,6 +201,25 @@
     sizeof(struct ct_load_list_row), CT_MAP_COUNT(load_list_columns_items),
     load_list_columns_items};
 
+static const struct ct_map_field load_gaps_fields[] = {
+    CT_MAP_F_U32(LoadGaps, peer_load_gaps, sequence, 0, UINT32_MAX),
+    CT_MAP_F_U32(LoadGaps, peer_load_gaps, list_version, 0, UINT32_MAX),
+    CT_MAP_F_BOOL(LoadGaps, peer_load_gaps, follows),
+};
+static const struct ct_map load_gaps_map = {
+    &ct__load_gaps__descriptor, sizeof(struct ct_peer_load_gaps),
+    CT_MAP_COUNT(load_gaps_fields), load_gaps_fields, NULL};
+
+static const struct ct_map_column load_gaps_columns_items[] = {
+    {CT_MAP_COLUMN_U32, offsetof(Ct__PeerMessage, n_load_counts),
+     offsetof(struct ct_load_gap_row, gap_code)},
+    {CT_MAP_COLUMN_INDEX, offsetof(Ct__PeerMessage, n_load_numbers),
+     offsetof(struct ct_load_gap_row, number)},
+};
+static const struct ct_map_columns load_gaps_columns = {
+    sizeof(struct ct_load_gap_row), CT_MAP_COUNT(load_gaps_columns_items),
+    load_gaps_columns_items};
+
 #define BODY(map, wire_member, member)                                        \
     .body = &(map),                                                           \
     .body_wire_offset = offsetof(Ct__PeerMessage, wire_member),               \
@@ -235,6 +254,8 @@
                           .columns = &load_columns},
     [CT_PEER_LOAD_LIST] = {BODY(load_list_map, load_list, load_list),
                            .columns = &load_list_columns},
+    [CT_PEER_LOAD_GAPS] = {BODY(load_gaps_map, load_gaps, load_gaps),
+                           .columns = &load_gaps_columns},
 };
 
 static const struct ct_map_variants message_variants = {
