core: format the sharing of gaps

Cause: make format leaves out files that are not yet in git. Change: core/speed-sharing.c and its test as the formatter has them. Result: make check-format passes.

--- a/core/speed-sharing.c
+++ b/core/speed-sharing.c
@@ -89,9 +89,9 @@
             ct_load_table_upstream_number(&state->load_sharing.table, handle);
 
         if (upstream->configured && number != CT_LOAD_NO_NUMBER) {
-            take_shorter(&codes[number],
-                         ct_speed_encode_gap(
-                             ct_upstream_speed_gap_us(state, handle)));
+            take_shorter(
+                &codes[number],
+                ct_speed_encode_gap(ct_upstream_speed_gap_us(state, handle)));
         }
     }
 }
@@ -150,9 +150,8 @@
     const struct ct_load_table *table = &state->load_sharing.table;
     struct ct_peer_message message = {.type = CT_PEER_LOAD_GAPS};
     GArray *gaps = codes_to_rows(codes, table->hashes->len);
-    struct ct_rows rows =
-        CT_ROWS((const struct ct_load_gap_row *)(const void *)gaps->data,
-                gaps->len);
+    struct ct_rows rows = CT_ROWS(
+        (const struct ct_load_gap_row *)(const void *)gaps->data, gaps->len);
 
     state->speed_sharing.sent_any |= gaps->len > 0;
     if (!state->speed_sharing.sent_any) {
@@ -256,11 +255,11 @@
             continue;
         }
         upstream = update_upstream(state, number, handle);
-        ct_upstream_speed_set_others(
-            state, handle,
-            state->now_ms < upstream->doubtful_until_ms
-                ? 0
-                : ct_speed_decode_gap(codes[number]));
+        ct_upstream_speed_set_others(state, handle,
+                                     state->now_ms <
+                                             upstream->doubtful_until_ms
+                                         ? 0
+                                         : ct_speed_decode_gap(codes[number]));
     }
     g_free(codes);
 }
--- a/t/test-speed-sharing.c
+++ b/t/test-speed-sharing.c
@@ -132,9 +132,8 @@
 restart_upstream(struct t_group *group)
 {
     for (uint32_t i = 0; i < group->n; i++) {
-        int64_t next = group->hosts[i]
-                           .state->store.topics[CT_TOPIC_UPSTREAMS]
-                           .next;
+        int64_t next =
+            group->hosts[i].state->store.topics[CT_TOPIC_UPSTREAMS].next;
         struct ct_event event = {.type = CT_EVENT_STORE_UPSTREAM};
 
         event.u.store_upstream = t_upstream("engines", 1);
@@ -181,8 +180,7 @@
     struct ct_event event = {.type = CT_EVENT_PEER_MESSAGE};
     struct ct_peer_message *message = &event.u.peer.message;
     const uint64_t *ignored =
-        &group->hosts[0]
-             .state->counters.values[CT_COUNTER_LOAD_IGNORED];
+        &group->hosts[0].state->counters.values[CT_COUNTER_LOAD_IGNORED];
     const struct ct_load_gap_row row = {UINT32_MAX, 1};
     uint64_t before;
 
