t: calls by their gap target, from the configuration to the upstream

Cause: no test covered that a route's target and the speed of an upstream reach the choice. Change: test-speed-sharing /targets: a host that knows the load of the others sends calls with a target below the longest one to no slow upstream, and the others to all.

--- a/t/test-speed-sharing.c
+++ b/t/test-speed-sharing.c
@@ -2,6 +2,8 @@
  * Tests of speed-sharing.h: a group of hosts whose links and messages are
  * simulated; the tests add the streams of its upstreams.
  */
+#include <string.h>
+
 #include "lib-host-group.h"
 #include "speed-sharing.h"
 
@@ -22,13 +24,20 @@
 }
 
 static void
-add_stream(struct t_group *group, uint32_t host, ct_ms gap_ms)
+add_stream_of(struct t_core *core, struct ct_handle upstream, ct_ms gap_ms)
 {
     const struct ct_stream_timing timing = {
         .first_ms = 1000, .last_ms = 1000 + 20 * gap_ms, .gaps = 20};
 
-    ct_upstream_speed_on_stream(group->hosts[host].state,
-                                upstream_of(&group->hosts[host]), &timing);
+    ct_upstream_speed_on_stream(core->state, upstream, &timing);
+}
+
+static void
+add_stream(struct t_group *group, uint32_t host, ct_ms gap_ms)
+{
+    struct t_core *core = &group->hosts[host];
+
+    add_stream_of(core, upstream_of(core), gap_ms);
 }
 
 /* Returns the shortest gap that a host knows, in ms; 0 for none. */
@@ -127,26 +136,36 @@
     t_group_free(group);
 }
 
+/* A host reads an entry of an upstream. */
+static void
+read_entry(struct t_group *group, uint32_t host,
+           const struct ct_store_upstream *entry)
+{
+    int64_t next =
+        group->hosts[host].state->store.topics[CT_TOPIC_UPSTREAMS].next;
+    struct ct_event event = {.type = CT_EVENT_STORE_UPSTREAM};
+
+    event.u.store_upstream = *entry;
+    t_group_post(group, host, &event);
+    event = (struct ct_event){.type = CT_EVENT_STORE_READ_DONE};
+    event.u.store_read = (struct ct_store_read_done){
+        .topic = CT_TOPIC_UPSTREAMS,
+        .sent_ms = group->now_ms,
+        .from = next,
+        .next = next,
+    };
+    t_group_post(group, host, &event);
+}
+
 /* All hosts read the entry of another start of the upstream. */
 static void
 restart_upstream(struct t_group *group)
 {
+    struct ct_store_upstream entry = t_upstream("engines", 1);
+
+    entry.started_ms++;
     for (uint32_t i = 0; i < group->n; i++) {
-        int64_t next =
-            group->hosts[i].state->store.topics[CT_TOPIC_UPSTREAMS].next;
-        struct ct_event event = {.type = CT_EVENT_STORE_UPSTREAM};
-
-        event.u.store_upstream = t_upstream("engines", 1);
-        event.u.store_upstream.started_ms++;
-        t_group_post(group, i, &event);
-        event = (struct ct_event){.type = CT_EVENT_STORE_READ_DONE};
-        event.u.store_read = (struct ct_store_read_done){
-            .topic = CT_TOPIC_UPSTREAMS,
-            .sent_ms = group->now_ms,
-            .from = next,
-            .next = next,
-        };
-        t_group_post(group, i, &event);
+        read_entry(group, i, &entry);
     }
 }
 
@@ -204,6 +223,84 @@
     t_group_free(group);
 }
 
+#define ENGINES 4
+#define CALLS 100
+
+/* Returns how many of the calls on a path go to engines-0. */
+static uint32_t
+count_calls(struct t_core *core, const char *path)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < CALLS; i++) {
+        struct ct_relay_start start;
+
+        t_relay_call_with_prefix(core, 1, path,
+                                 ct_hash_bytes(CT_HASH_SEED, &i, sizeof(i)));
+        start = t_relay_started(core);
+        n += strcmp(start.upstream.text, "engines-0") == 0;
+        t_relay_finish(core, start.attempt, CT_OUTCOME_COMPLETE, 200);
+    }
+    return n;
+}
+
+/* Sets the gap targets of the routes to the engines; 0 for none. */
+static void
+set_targets(struct t_core *core, int64_t version, ct_ms stream_ms,
+            ct_ms resume_ms)
+{
+    GArray *rows = t_relay_rows();
+
+    for (guint i = 0; i < rows->len; i++) {
+        struct ct_config_row *row =
+            &g_array_index(rows, struct ct_config_row, i);
+
+        if (row->kind == CT_CONFIG_PREFIX_ROUTE) {
+            row->u.prefix_route.gap_target_ms =
+                strcmp(row->u.prefix_route.name.text, "/resume/") == 0
+                    ? resume_ms
+                    : stream_ms;
+        }
+    }
+    t_relay_post_config(core, version, rows);
+    t_relay_confirm(core);
+    g_array_free(rows, TRUE);
+}
+
+/*
+ * Of the calls to a pool, those with a target below the longest one pass over
+ * the slow upstream. The others must not: nobody would use it.
+ */
+static void
+test_targets(void)
+{
+    struct t_group *group = t_group_new(3, 3, 3);
+    struct t_core *core = &group->hosts[0];
+
+    for (uint32_t i = 2; i < ENGINES; i++) {
+        struct ct_store_upstream entry = t_upstream("engines", i);
+
+        read_entry(group, 0, &entry);
+    }
+    t_group_run(group, SETTLE_MS);
+    for (uint32_t i = 0; i < ENGINES; i++) {
+        struct ct_store_upstream entry = t_upstream("engines", i);
+
+        add_stream_of(
+            core,
+            ct_config_upstream(&core->state->config, &entry.upstream.name),
+            i == 0 ? 100 : 50);
+    }
+    set_targets(core, 6, 80, 200);
+    g_assert_cmpuint(count_calls(core, T_STREAM_PATH), ==, 0);
+    g_assert_cmpuint(count_calls(core, T_RESUME_PATH), >, 0);
+    set_targets(core, 7, 0, 200);
+    g_assert_cmpuint(count_calls(core, T_STREAM_PATH), >, 0);
+    set_targets(core, 8, 200, 200);
+    g_assert_cmpuint(count_calls(core, T_STREAM_PATH), >, 0);
+    t_group_free(group);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -213,5 +310,6 @@
     g_test_add_func("/speed-sharing/lost-host", test_lost_host);
     g_test_add_func("/speed-sharing/restart", test_restart);
     g_test_add_func("/speed-sharing/old-message", test_old_message);
+    g_test_add_func("/speed-sharing/targets", test_targets);
     return g_test_run();
 }
