--- a/core/state.c
+++ b/core/state.c
@@ -40,12 +40,14 @@
     ct_group_init(&state->group);
     ct_replication_init(&state->replication);
     ct_load_sharing_init(&state->load_sharing);
+    ct_speed_sharing_init(&state->speed_sharing);
     ct_forwarded_tallies_init(&state->forwarded_tallies);
     ct_relays_init(&state->relays);
     ct_bodies_init(&state->bodies);
     ct_unread_responses_init(&state->unread_responses);
     ct_upstream_notices_init(&state->upstream_notices);
     ct_cold_upstreams_init(&state->cold_upstreams);
+    ct_upstream_speeds_init(&state->upstream_speeds);
     ct_prompt_quarantine_init(&state->prompt_quarantine);
     ct_tallies_init(&state->tallies);
     ct_usage_report_init(&state->usage_report);
@@ -80,6 +82,7 @@
     ct_zone_orders_free(&state->zone_orders);
     ct_usage_report_free(&state->usage_report);
     ct_tallies_free(&state->tallies);
+    ct_upstream_speeds_free(&state->upstream_speeds);
     ct_upstream_notices_free(&state->upstream_notices);
     ct_cold_upstreams_free(&state->cold_upstreams);
     ct_prompt_quarantine_free(&state->prompt_quarantine);
@@ -89,6 +92,7 @@
     ct_evacuations_free(&state->evacuations);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
+    ct_speed_sharing_free(&state->speed_sharing);
     ct_load_sharing_free(&state->load_sharing);
     ct_forwarded_tallies_free(&state->forwarded_tallies);
     ct_upstream_registry_free(&state->upstream_registry);
--- a/core/state.h
+++ b/core/state.h
@@ -20,6 +20,7 @@
 #include "upstream-notices.h"
 #include "cold-upstreams.h"
 #include "upstream-registry.h"
+#include "upstream-speed.h"
 #include "record-append.h"
 #include "limited-log.h"
 #include "log-replay.h"
@@ -36,6 +37,7 @@
 #include "request.h"
 #include "group.h"
 #include "slot-loan.h"
+#include "speed-sharing.h"
 #include "store-sync.h"
 #include "tally.h"
 #include "leadership.h"
@@ -95,6 +97,7 @@
     struct ct_group group;
     struct ct_replication replication;
     struct ct_load_sharing load_sharing;
+    struct ct_speed_sharing speed_sharing;
     struct ct_leadership leadership;
     struct ct_relays relays;
     struct ct_bodies bodies;
@@ -103,6 +106,7 @@
     struct ct_balance_policy *relay_balance;
     struct ct_upstream_notices upstream_notices;
     struct ct_cold_upstreams cold_upstreams;
+    struct ct_upstream_speeds upstream_speeds;
     struct ct_prompt_quarantine prompt_quarantine;
     struct ct_quarantine_sync quarantine_sync;
     struct ct_tallies tallies;
