--- a/t/test-config-entry.c
+++ b/t/test-config-entry.c
@@ -323,6 +323,65 @@
     }
 }
 
+/*
+ * Guards against a list for checks that ends at the first item left out, or
+ * that does not say which item and member it is.
+ */
+static void
+test_list_of_left_out(void)
+{
+    static const char text[] =
+        "{\"version\":7,\"limits\":{\"maxHeaderBytes\":1,\"headerTimeoutMs\":"
+        "5},"
+        "\"services\":[" SERVICE
+        ",5,{\"name\":\"s2\",\"engine\":{\"backups\":1},"
+        "\"scaling\":{\"min\":1}}],\"tenants\":[{\"name\":\"b\",\"apiKeys\":"
+        "[{}]}],\"routes\":[" GOOD_ROUTE ADDED(
+            "\"type\":\"safe\",\"timeoutMs\":9,\"sloMs\":4,"
+            "\"resumable\":true,\"service\":\"s3\"") "]}";
+    static const struct {
+        enum ct_config_kind kind;
+        const char *name;
+        uint32_t position;
+        const char *member, *reference;
+        int reason;
+    } expected[] = {
+        {0, "", 0, "maxBodyBytes", "", CT_ERR_FIELD_MISSING},
+        {CT_CONFIG_KEY, "b", 1, "apiKeys", "", CT_ERR_FIELD_TYPE},
+        {CT_CONFIG_POOL, "", 2, "", "", CT_ERR_FIELD_TYPE},
+        {CT_CONFIG_POOL, "s2", 3, "backups", "", CT_ERR_FIELD_TYPE},
+        {CT_CONFIG_POOL, "s2", 3, "max", "", CT_ERR_FIELD_MISSING},
+        {CT_CONFIG_PREFIX_ROUTE, "added", 2, "service", "s3",
+         CT_ERR_REFERENCE_UNKNOWN},
+    };
+    const struct ct_decoded_route *route;
+    struct ct_decoded_config decoded;
+
+    ct_decoded_config_init(&decoded);
+    g_assert_cmpint(ct_config_entry_decode(text, strlen(text), &decoded), ==,
+                    CT_OK);
+    g_assert_cmpuint(decoded.left_out->len, ==, G_N_ELEMENTS(expected));
+    for (guint i = 0; i < decoded.left_out->len; i++) {
+        const struct ct_left_out *item =
+            &g_array_index(decoded.left_out, struct ct_left_out, i);
+
+        g_assert_cmpint(item->kind, ==, expected[i].kind);
+        g_assert_cmpstr(item->name.text, ==, expected[i].name);
+        g_assert_cmpuint(item->position, ==, expected[i].position);
+        g_assert_cmpstr(item->member, ==, expected[i].member);
+        g_assert_cmpstr(item->reference.text, ==, expected[i].reference);
+        g_assert_cmpint(item->reason, ==, expected[i].reason);
+    }
+    g_assert_cmpuint(decoded.config.n_left_out, ==, decoded.left_out->len);
+    g_assert_cmpint(decoded.head_timeout_ms, ==, 5);
+    g_assert_cmpuint(decoded.routes->len, ==, 2);
+    route = &g_array_index(decoded.routes, struct ct_decoded_route, 1);
+    g_assert_cmpstr(route->written_name.text, ==, "added");
+    g_assert_cmpint(route->target_ms, ==, 4);
+    g_assert_true(route->may_resume);
+    ct_decoded_config_free(&decoded);
+}
+
 /* Limits that cannot be read leave those in force; the rest applies. */
 static void
 test_left_out_limits(void)
@@ -505,6 +564,7 @@
     g_test_add_func("/config-entry/route-types", test_route_types);
     g_test_add_func("/config-entry/invalid-configs", test_invalid_configs);
     g_test_add_func("/config-entry/left-out", test_left_out);
+    g_test_add_func("/config-entry/list-of-left-out", test_list_of_left_out);
     g_test_add_func("/config-entry/left-out-limits", test_left_out_limits);
     g_test_add_func("/config-entry/forms", test_forms);
     g_test_add_func("/config-entry/keys-required", test_keys_required);
