--- a/conf/diag.c
+++ b/conf/diag.c
@@ -58,8 +58,8 @@
     return &g_array_index(diags->items, struct ct_diag, i);
 }
 
-static const char *
-err_text(int err)
+const char *
+ct_diag_err_text(int err)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(err_texts); i++) {
         if (err_texts[i].err == err) {
@@ -79,7 +79,7 @@
     if (diag->field[0]) {
         g_string_append_printf(out, ": %s", diag->field);
     }
-    g_string_append_printf(out, ": %s", err_text(diag->err));
+    g_string_append_printf(out, ": %s", ct_diag_err_text(diag->err));
     if (diag->value[0]) {
         g_string_append_printf(out, " (%s)", diag->value);
     }
--- a/conf/diag.h
+++ b/conf/diag.h
@@ -37,6 +37,9 @@
 guint ct_diags_count(const struct ct_diags *diags);
 const struct ct_diag *ct_diags_get(const struct ct_diags *diags, guint i);
 
+/* Returns the text of an error for operators. */
+const char *ct_diag_err_text(int err);
+
 /* Appends "FILE:LINE: FIELD: text (VALUE)" without a newline. */
 void ct_diag_format(const struct ct_diag *diag, GString *out);
 
--- a/core/decoded-config.h
+++ b/core/decoded-config.h
@@ -35,6 +35,8 @@
     ct_ms target_ms;
     /* The route is marked to be resumed, whether it is a stream or not. */
     bool may_resume;
+    /* A member could not be read: the route has no pools. */
+    bool left_out;
 };
 
 struct ct_decoded_config {
@@ -53,4 +55,12 @@
 void ct_decoded_config_init(struct ct_decoded_config *decoded);
 void ct_decoded_config_free(struct ct_decoded_config *decoded);
 
+/*
+ * Sets name to the name of a route for messages: the written one, or host and
+ * prefix where hosts replace the name by a hash.
+ */
+void ct_decoded_route_name(const struct ct_prefix_route *route,
+                           const struct ct_decoded_route *decoded,
+                           struct ct_name *name);
+
 #endif
--- a/core/relay-types.h
+++ b/core/relay-types.h
@@ -141,6 +141,12 @@
     bool is_last;
 };
 
+/*
+ * A host reserves memory for heads of this size when it starts; a larger limit
+ * of the configuration does not enlarge it.
+ */
+#define CT_HEAD_BYTES_MAX (16 * 1024)
+
 /* CT_EFFECT_SET_CALLER_LIMITS */
 struct ct_caller_bounds {
     uint32_t head_bytes;
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -19,7 +19,6 @@
 #include "store.h"
 
 /* Limits on callers until the configuration in force sets others. */
-#define HEAD_BYTES_MAX (16 * 1024)
 #define BODY_BYTES_MAX (4 * 1024 * 1024)
 #define IDLE_TIMEOUT_MS 15000
 /* Time after the drain to write the last bytes and refuse the last calls. */
@@ -213,7 +212,7 @@
         .limits =
             {
                 .max_connections = daemon->settings.max_connections,
-                .head_bytes = HEAD_BYTES_MAX,
+                .head_bytes = CT_HEAD_BYTES_MAX,
                 .body_bytes = BODY_BYTES_MAX,
                 .idle_timeout_ms = IDLE_TIMEOUT_MS,
             },
