coriandertrack: check a configuration of the platform

The command check took directories of service files only, so a configuration in the platform's format could not be checked before it was sent. Directories are checked as before; the reading of service files that check and publish share moves to service-dirs.c.

--- a/coriandertrack/arguments.c
+++ b/coriandertrack/arguments.c
@@ -26,6 +26,8 @@
                      "may be repeated"},
     {CT_OPTION_TIMEOUT, "--timeout=MS      time to wait for the log or a host "
                         "(10000)"},
+    {CT_OPTION_AGAINST, "--against=FILE    compare with the version in force"},
+    {CT_OPTION_JSON, "--json            print findings as a JSON array"},
 };
 
 void
@@ -82,6 +84,9 @@
          NULL},
         {"timeout", '\0', POPT_ARG_LONGLONG, &timeout_ms, CT_OPTION_TIMEOUT,
          NULL, NULL},
+        {"against", '\0', POPT_ARG_STRING, &arguments->against,
+         CT_OPTION_AGAINST, NULL, NULL},
+        {"json", '\0', POPT_ARG_NONE, NULL, CT_OPTION_JSON, NULL, NULL},
         {"help", '?', POPT_ARG_NONE, NULL, CT_OPTION_HELP, NULL, NULL},
         POPT_TABLEEND,
     };
@@ -112,6 +117,7 @@
     free(arguments->platform_url);
     free(arguments->label);
     free(arguments->digest);
+    free(arguments->against);
     for (char **host = arguments->hosts; host && *host; host++) {
         free(*host);
     }
--- a/coriandertrack/arguments.h
+++ b/coriandertrack/arguments.h
@@ -13,6 +13,8 @@
     CT_OPTION_HOST = 1 << 4,
     CT_OPTION_TIMEOUT = 1 << 5,
     CT_OPTION_HELP = 1 << 6,
+    CT_OPTION_AGAINST = 1 << 7,
+    CT_OPTION_JSON = 1 << 8,
 };
 
 struct poptContext_s;
@@ -30,6 +32,7 @@
     /* Addresses of operators' ports, NULL-terminated; NULL if none given. */
     char **hosts;
     int64_t timeout_ms;
+    char *against;
     /* Arguments after the command's name, NULL-terminated. */
     const char *const *words;
     int n_words;
--- a/coriandertrack/command.h
+++ b/coriandertrack/command.h
@@ -9,8 +9,12 @@
     CT_EXIT_OK = 0,
     /* The command line is invalid. */
     CT_EXIT_USAGE = 1,
+    /* The check of a file found errors or warnings. */
+    CT_EXIT_FINDINGS = 1,
     /* Rejected by a check; nothing was changed. */
     CT_EXIT_REFUSED = 2,
+    /* The checked file cannot be read or is no configuration. */
+    CT_EXIT_UNREADABLE = 2,
     /* Another configuration was published first; nothing was changed. */
     CT_EXIT_LOST = 3,
     /* The platform or host did not respond; the log was not changed. */
--- a/coriandertrack/main.c
+++ b/coriandertrack/main.c
@@ -35,7 +35,8 @@
     "    4  the platform or host did not respond; the log was not changed\n"
     "    5  sent, but the response was lost; it may still take effect\n"
     "    6  no such key or refusal\n"
-    "    7  partly done; the output says what is missing\n";
+    "    7  partly done; the output says what is missing\n"
+    "    check FILE: 1 errors or warnings, 2 not readable\n";
 
 static void
 print_overview(FILE *out)
--- a/coriandertrack/publish.c
+++ b/coriandertrack/publish.c
@@ -1,63 +1,10 @@
-/* The commands check and publish. */
+/* The command publish. */
 #include <stdio.h>
 
 #include "command.h"
 #include "error.h"
 #include "log-view.h"
-#include "service-files.h"
-
-/* Reads and checks the service files and prints all findings. */
-static int
-load_files(const struct ct_arguments *arguments,
-           struct ct_service_files *files)
-{
-    GString *line = g_string_new(NULL);
-    struct ct_diags diags;
-    int err;
-
-    ct_diags_init(&diags);
-    err = ct_service_files_load(files, arguments->words,
-                                (size_t)arguments->n_words, &diags);
-    for (guint i = 0; i < ct_diags_count(&diags); i++) {
-        g_string_truncate(line, 0);
-        ct_diag_format(ct_diags_get(&diags, i), line);
-        fprintf(stderr, "%s\n", line->str);
-    }
-    ct_diags_free(&diags);
-    g_string_free(line, TRUE);
-    return err;
-}
-
-static guint
-count_rows(const struct ct_service_files *files, enum ct_config_kind kind)
-{
-    guint n = 0;
-
-    for (guint i = 0; i < files->rows->len; i++) {
-        n += g_array_index(files->rows, struct ct_config_row, i).kind == kind;
-    }
-    return n;
-}
-
-static enum ct_exit
-run_check(const struct ct_arguments *arguments)
-{
-    struct ct_service_files files;
-    int err = load_files(arguments, &files);
-
-    if (err == CT_OK) {
-        printf("ok: %u classes, %u routes, %u organisations, %u hosts, "
-               "%u pools, %u upstreams\n",
-               count_rows(&files, CT_CONFIG_CLASS),
-               count_rows(&files, CT_CONFIG_ROUTE),
-               count_rows(&files, CT_CONFIG_ORGANISATION),
-               count_rows(&files, CT_CONFIG_HOST),
-               count_rows(&files, CT_CONFIG_POOL),
-               count_rows(&files, CT_CONFIG_UPSTREAM));
-    }
-    ct_service_files_free(&files);
-    return err < 0 ? CT_EXIT_REFUSED : CT_EXIT_OK;
-}
+#include "service-dirs.h"
 
 static enum ct_exit
 report_lost(int64_t offset)
@@ -116,7 +63,7 @@
     int64_t base_offset;
     int err;
 
-    if (load_files(arguments, &files) < 0) {
+    if (ct_service_dirs_load(arguments, &files) < 0) {
         ct_service_files_free(&files);
         return CT_EXIT_REFUSED;
     }
@@ -138,21 +85,8 @@
     return code;
 }
 
-static const struct ct_command_ops check_ops = {run_check};
 static const struct ct_command_ops publish_ops = {run_publish};
 
-const struct ct_command ct_command_check = {
-    .ops = &check_ops,
-    .name = "check",
-    .synopsis = "DIR...",
-    .summary = "check service files",
-    .text = "    Reads every *.json file of the directories, merges them and\n"
-            "    checks the result. Each finding is one line on standard\n"
-            "    error: FILE:LINE: FIELD: what is wrong (value).\n",
-    .min_words = 1,
-    .max_words = INT32_MAX,
-};
-
 const struct ct_command ct_command_publish = {
     .ops = &publish_ops,
     .name = "publish",
