--- a/t/lib-relay-process.c
+++ b/t/lib-relay-process.c
@@ -85,12 +85,12 @@
     relay_process_start_host(f);
 }
 
-void
-relay_process_call(struct relay_process *f, const char *path, const char *body,
-                   const char *const *more_headers, struct http_reply *reply,
-                   char id[24])
+static void
+call_host(struct relay_process *f, const char *host_header, const char *path,
+          const char *body, const char *const *more_headers,
+          struct http_reply *reply, char id[24])
 {
-    const char *headers[8] = {PLATFORM_HOST_HEADER, NULL};
+    const char *headers[8] = {host_header, NULL};
     struct http_call call = {.body = body, .headers = headers};
     char line[48];
     size_t n = 1;
@@ -105,6 +105,28 @@
     http_call(f->host.port, path, &call, reply);
 }
 
+void
+relay_process_call(struct relay_process *f, const char *path, const char *body,
+                   const char *const *more_headers, struct http_reply *reply,
+                   char id[24])
+{
+    call_host(f, PLATFORM_HOST_HEADER, path, body, more_headers, reply, id);
+}
+
+long
+relay_process_status(struct relay_process *f, const char *host_header,
+                     const char *path, const char *const *more_headers)
+{
+    struct http_reply reply;
+    char id[24];
+    long status;
+
+    call_host(f, host_header, path, "{}", more_headers, &reply, id);
+    status = reply.error == 0 ? reply.status : 0;
+    http_reply_free(&reply);
+    return status;
+}
+
 int
 relay_process_count_runs(struct relay_process *f, const char *id)
 {
--- a/t/lib-relay-process.h
+++ b/t/lib-relay-process.h
@@ -55,6 +55,23 @@
                         const char *body, const char *const *more_headers,
                         struct http_reply *reply, char id[24]);
 
+/*
+ * Makes a call with a new request id and the given Host header; returns its
+ * status, or 0 if the response did not arrive whole.
+ */
+long relay_process_status(struct relay_process *f, const char *host_header,
+                          const char *path, const char *const *more_headers);
+
+/* The same for the usual host, with the headers listed inline. */
+#define RELAY_PROCESS_STATUS(f, path, ...)                                    \
+    relay_process_status((f), PLATFORM_HOST_HEADER, (path),                   \
+                         (const char *const[]){__VA_ARGS__, NULL})
+
+/* Makes such calls until one ends with the status. */
+#define RELAY_PROCESS_AWAIT_STATUS(f, status, path, ...)                      \
+    AWAIT(RELAY_PROCESS_STATUS((f), (path), __VA_ARGS__) == (status),         \
+          RELAY_PROCESS_TIMEOUT_MS)
+
 /* Returns how often all upstreams together ran the request. */
 int relay_process_count_runs(struct relay_process *f, const char *id);
 
--- a/t/proc-config-forms.c
+++ b/t/proc-config-forms.c
@@ -8,8 +8,6 @@
 
 #include "lib-relay-process.h"
 
-#define TIMEOUT_MS RELAY_PROCESS_TIMEOUT_MS
-
 static struct relay_process f;
 
 /* What a version adds; NULL members add nothing. */
@@ -22,24 +20,6 @@
     long status, removed_key_status;
 };
 
-static long
-status_of(const char *path, const char *host_header, const char *key_header)
-{
-    const char *const headers[] = {host_header, key_header, "Request-Id: f-1",
-                                   NULL};
-    struct http_call call = {.body = "{}", .headers = headers};
-    struct http_reply reply;
-    long status;
-
-    http_call(f.host.port, path, &call, &reply);
-    status = reply.error == 0 ? reply.status : 0;
-    http_reply_free(&reply);
-    return status;
-}
-
-#define STATUS_OF(path, key_header)                                           \
-    status_of((path), PLATFORM_HOST_HEADER, (key_header))
-
 #define ROUTE(name, host, prefix, more)                                       \
     "{\"name\":\"" name "\",\"host\":\"" host "\",\"pathPrefix\":\"" prefix   \
     "\",\"timeoutMs\":8000,\"type\":\"safe\"," more "}"
@@ -74,16 +54,19 @@
 static void
 assert_in_force(const struct form *form)
 {
-    AWAIT(STATUS_OF("/any/x", "Key: k2") == form->removed_key_status,
-          TIMEOUT_MS);
-    g_assert_cmpint(STATUS_OF("/old/x", "Key: k1"), ==,
+    RELAY_PROCESS_AWAIT_STATUS(&f, form->removed_key_status, "/any/x",
+                               "Key: k2");
+    g_assert_cmpint(RELAY_PROCESS_STATUS(&f, "/old/x", "Key: k1"), ==,
                     form->removed_key_status == 401 ? 404 : 503);
-    g_assert_cmpint(STATUS_OF("/any/x", "Key: k1"), ==, 200);
+    g_assert_cmpint(RELAY_PROCESS_STATUS(&f, "/any/x", "Key: k1"), ==, 200);
     if (form->path != NULL) {
-        g_assert_cmpint(status_of(form->path,
-                                  form->host_header ? form->host_header
-                                                    : PLATFORM_HOST_HEADER,
-                                  "Key: k1"),
+        const char *const headers[] = {"Key: k1", NULL};
+
+        g_assert_cmpint(relay_process_status(&f,
+                                             form->host_header
+                                                 ? form->host_header
+                                                 : PLATFORM_HOST_HEADER,
+                                             form->path, headers),
                         ==, form->status);
     }
 }
@@ -96,9 +79,9 @@
 
     put_config("\"k1\",\"k2\"", "," ROUTE("old", "svc.example", "/old/", APP),
                &nothing);
-    AWAIT(STATUS_OF("/any/x", "Key: k2") == 200 &&
-              STATUS_OF("/old/x", "Key: k1") == 200,
-          TIMEOUT_MS);
+    AWAIT(RELAY_PROCESS_STATUS(&f, "/any/x", "Key: k2") == 200 &&
+              RELAY_PROCESS_STATUS(&f, "/old/x", "Key: k1") == 200,
+          RELAY_PROCESS_TIMEOUT_MS);
     put_config("\"k1\"", "", form);
     assert_in_force(form);
     process_kill(&f.host);
@@ -121,9 +104,11 @@
 static void
 assert_organisations(const struct organisations_form *form)
 {
-    AWAIT(STATUS_OF("/any/x", "Key: k1") == form->removed, TIMEOUT_MS);
-    g_assert_cmpint(STATUS_OF("/any/x", "Key: nobody"), ==, form->unknown);
-    g_assert_cmpint(STATUS_OF("/any/x", "X-None: 1"), ==, form->none);
+    RELAY_PROCESS_AWAIT_STATUS(&f, form->removed, "/any/x", "Key: k1");
+    g_assert_cmpint(RELAY_PROCESS_STATUS(&f, "/any/x", "Key: nobody"), ==,
+                    form->unknown);
+    g_assert_cmpint(RELAY_PROCESS_STATUS(&f, "/any/x", "X-None: 1"), ==,
+                    form->none);
 }
 
 /* Guards against keys that work after the last organisation was removed. */
@@ -134,7 +119,7 @@
     const struct organisations_form *form = arg;
 
     put_config("\"k1\"", "", &nothing);
-    AWAIT(STATUS_OF("/any/x", "Key: k1") == 200, TIMEOUT_MS);
+    RELAY_PROCESS_AWAIT_STATUS(&f, 200, "/any/x", "Key: k1");
     put_text(g_strdup_printf("{\"version\":%d," LIMITS
                              ",\"services\":[{\"name\":\"app\"}],"
                              "%s\"routes\":[" ANY_ROUTE "]}",
--- a/t/proc-cut-head.c
+++ b/t/proc-cut-head.c
@@ -35,18 +35,8 @@
 static const char *const paths[] = {"/once/x", "/any/x", "/s/str/x",
                                     "/s/res/x"};
 
-static long
-call(const char *path)
-{
-    const char *const headers[] = {RELAY_PROCESS_KEY, "Deadline-Ms: 2000",
-                                   NULL};
-    struct http_reply reply;
-    char id[24];
-
-    relay_process_call(&f, path, "{}", headers, &reply, id);
-    http_reply_free(&reply);
-    return reply.status;
-}
+/* Headers of each call. */
+#define CALL_HEADERS RELAY_PROCESS_KEY, "Deadline-Ms: 2000"
 
 /* Lists the server as the only upstream. */
 static void
@@ -60,7 +50,7 @@
     for (int i = 0; i < RELAY_PROCESS_RUNNERS; i++) {
         relay_process_put_runner(&f, i, "draining");
     }
-    AWAIT(call("/once/x") == 503, RELAY_PROCESS_TIMEOUT_MS);
+    RELAY_PROCESS_AWAIT_STATUS(&f, 503, "/once/x", CALL_HEADERS);
     platform_put(f.store.port, PLATFORM_TOPIC_UPSTREAMS, name, text);
     g_free(text);
 }
@@ -72,7 +62,7 @@
 static guint
 check_call(struct raw_server *server, const char *path)
 {
-    long status = call(path);
+    long status = RELAY_PROCESS_STATUS(&f, path, CALL_HEADERS);
 
     g_assert_true(status == 502 || status == 503 || status == 504);
     return raw_server_request_count(server);
