--- a/bench/bench-path.c
+++ b/bench/bench-path.c
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "call-load.h"
 #include "lib-http.h"
 #include "lib-process.h"
 
@@ -23,13 +24,9 @@
 #define LATENCY_CONCURRENCY 4
 #define SATURATION_CALLS 20000
 #define SATURATION_CONCURRENCY 64
-/* Processes that generate the load of the saturation scenarios. */
-#define GENERATORS 4
 #define IDLE_CONNECTIONS 1000
 #define STREAMS 200
-#define CALL_TIMEOUT_MS 60000L
 #define START_TIMEOUT_MS 30000
-#define POLL_MS 1000
 #define US_PER_S 1e6
 
 #define CHAT(stream)                                                          \
@@ -46,177 +43,6 @@
     char *key;
 };
 
-/* Load on one port. */
-struct load {
-    unsigned port;
-    const char *key;
-    const char *body;
-    int calls;
-    int concurrency;
-};
-
-struct result {
-    /* double: times to the first byte of the body, sorted. */
-    GArray *first_byte_us;
-    int failed;
-};
-
-static int
-compare_doubles(gconstpointer a, gconstpointer b)
-{
-    double x = *(const double *)a;
-    double y = *(const double *)b;
-
-    return (x > y) - (x < y);
-}
-
-static double
-percentile(const struct result *result, double p)
-{
-    guint n = result->first_byte_us->len;
-
-    g_assert_cmpuint(n, >, 0);
-    return g_array_index(result->first_byte_us, double, (guint)((n - 1) * p));
-}
-
-struct call {
-    CURL *easy;
-    struct curl_slist *headers;
-    gint64 start_us;
-    /* Arrival of the first data of the body; 0 before it. */
-    gint64 first_us;
-};
-
-static size_t
-on_data(char *data, size_t size, size_t n, void *arg)
-{
-    struct call *call = arg;
-
-    (void)data;
-    if (call->first_us == 0) {
-        call->first_us = g_get_monotonic_time();
-    }
-    return size * n;
-}
-
-static void
-start_call(CURLM *multi, const struct load *load)
-{
-    static unsigned long next_id;
-    struct call *call = g_new0(struct call, 1);
-    char *url =
-        g_strdup_printf("http://127.0.0.1:%u/v1/chat/completions", load->port);
-    char *auth = g_strdup_printf("Authorization: Bearer %s", load->key);
-    char *id = g_strdup_printf("X-Request-Id: bench-%d-%lu", (int)getpid(),
-                               next_id++);
-
-    call->headers = curl_slist_append(NULL, auth);
-    call->headers = curl_slist_append(call->headers, id);
-    call->easy = curl_easy_init();
-    curl_easy_setopt(call->easy, CURLOPT_URL, url);
-    curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
-    curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, load->body);
-    curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
-    curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
-    curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
-    call->start_us = g_get_monotonic_time();
-    curl_multi_add_handle(multi, call->easy);
-    g_free(url);
-    g_free(auth);
-    g_free(id);
-}
-
-static void
-end_call(CURLM *multi, const CURLMsg *message, struct result *result)
-{
-    CURLcode code = message->data.result;
-    struct call *call;
-    double us;
-    long status = 0;
-
-    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
-    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (code == CURLE_OK && status == 200 && call->first_us != 0) {
-        us = (double)(call->first_us - call->start_us);
-        g_array_append_val(result->first_byte_us, us);
-    }
-    else {
-        result->failed++;
-    }
-    curl_multi_remove_handle(multi, call->easy);
-    curl_easy_cleanup(call->easy);
-    curl_slist_free_all(call->headers);
-    g_free(call);
-}
-
-/* Runs a closed loop of load->concurrency calls until all have ended. */
-static void
-run_load(const struct load *load, struct result *result)
-{
-    CURLM *multi = curl_multi_init();
-    int started = 0;
-    int running = 0;
-
-    result->first_byte_us = g_array_new(FALSE, FALSE, sizeof(double));
-    result->failed = 0;
-    while (started < load->calls || running > 0) {
-        CURLMsg *message;
-        int left;
-
-        while (running < load->concurrency && started < load->calls) {
-            start_call(multi, load);
-            started++;
-            running++;
-        }
-        curl_multi_perform(multi, &left);
-        while ((message = curl_multi_info_read(multi, &left)) != NULL) {
-            end_call(multi, message, result);
-            running--;
-        }
-        if (running == load->concurrency || started == load->calls) {
-            curl_multi_poll(multi, NULL, 0, running > 0 ? POLL_MS : 0, NULL);
-        }
-    }
-    g_array_sort(result->first_byte_us, compare_doubles);
-    curl_multi_cleanup(multi);
-}
-
-/*
- * Runs the load from several processes, because a single one would be the
- * bottleneck. Returns the duration in seconds and the number of failed calls.
- */
-static double
-run_load_processes(const struct load *load, int *failed)
-{
-    gint64 start_us = g_get_monotonic_time();
-    struct load share = *load;
-    int pipes[2];
-
-    share.calls = load->calls / GENERATORS;
-    share.concurrency = load->concurrency / GENERATORS;
-    g_assert_no_errno(pipe(pipes));
-    for (int i = 0; i < GENERATORS; i++) {
-        if (fork() == 0) {
-            struct result result;
-
-            run_load(&share, &result);
-            _exit(write(pipes[1], &result.failed, sizeof(int)) != sizeof(int));
-        }
-    }
-    *failed = 0;
-    for (int i = 0; i < GENERATORS; i++) {
-        int part;
-
-        g_assert_cmpint(read(pipes[0], &part, sizeof(part)), ==, sizeof(part));
-        *failed += part;
-    }
-    close(pipes[0]);
-    close(pipes[1]);
-    return (double)(g_get_monotonic_time() - start_us) / US_PER_S;
-}
-
 static void
 print_pair(const char *scenario, const char *figure, double direct,
            double host)
@@ -349,11 +175,11 @@
 static bool
 is_serving(const struct bench *bench)
 {
-    const struct load load = {bench->caller_port, bench->key, CHAT("false"), 1,
-                              1};
-    struct result result;
+    const struct call_load load = {bench->caller_port, bench->key,
+                                   CHAT("false"), 1, 1};
+    struct call_result result;
 
-    run_load(&load, &result);
+    call_load_run(&load, &result);
     g_array_unref(result.first_byte_us);
     return result.failed == 0;
 }
@@ -410,17 +236,17 @@
 measure_latency(const struct bench *bench, const char *scenario,
                 const char *setting)
 {
-    struct load load = {0, bench->key, CHAT("true"), LATENCY_CALLS / 4,
-                        LATENCY_CONCURRENCY};
-    struct result sums[2] = {{0}, {0}};
+    struct call_load load = {0, bench->key, CHAT("true"), LATENCY_CALLS / 4,
+                             LATENCY_CONCURRENCY};
+    struct call_result sums[2] = {{0}, {0}};
 
     http_set(bench->engine.port, "/fake/set", setting);
     for (int round = 0; round < 8; round++) {
-        struct result part;
+        struct call_result part;
         int side = round % 2;
 
         load.port = side ? bench->caller_port : bench->engine.port;
-        run_load(&load, &part);
+        call_load_run(&load, &part);
         if (sums[side].first_byte_us == NULL) {
             sums[side] = part;
             continue;
@@ -431,13 +257,15 @@
         g_array_unref(part.first_byte_us);
     }
     for (int side = 0; side < 2; side++) {
-        g_array_sort(sums[side].first_byte_us, compare_doubles);
+        call_result_sort(&sums[side]);
         g_assert_cmpint(sums[side].failed, ==, 0);
     }
-    print_pair(scenario, "first-byte-p50-us", percentile(&sums[0], 0.5),
-               percentile(&sums[1], 0.5));
-    print_pair(scenario, "first-byte-p99-us", percentile(&sums[0], 0.99),
-               percentile(&sums[1], 0.99));
+    print_pair(scenario, "first-byte-p50-us",
+               call_result_percentile(&sums[0], 0.5),
+               call_result_percentile(&sums[1], 0.5));
+    print_pair(scenario, "first-byte-p99-us",
+               call_result_percentile(&sums[0], 0.99),
+               call_result_percentile(&sums[1], 0.99));
     g_array_unref(sums[0].first_byte_us);
     g_array_unref(sums[1].first_byte_us);
 }
@@ -446,8 +274,8 @@
 measure_saturation(const struct bench *bench, const char *scenario,
                    const char *setting, const char *body, int calls)
 {
-    struct load load = {bench->engine.port, bench->key, body, calls,
-                        SATURATION_CONCURRENCY};
+    struct call_load load = {bench->engine.port, bench->key, body, calls,
+                             SATURATION_CONCURRENCY};
     double direct_s;
     double host_s;
     double direct_cpu;
@@ -458,12 +286,12 @@
 
     http_set(bench->engine.port, "/fake/set", setting);
     direct_cpu = cpu_us(&bench->engine);
-    direct_s = run_load_processes(&load, &direct_failed);
+    direct_s = call_load_run_processes(&load, &direct_failed);
     direct_cpu = (cpu_us(&bench->engine) - direct_cpu) / calls;
     load.port = bench->caller_port;
     engine_cpu = cpu_us(&bench->engine);
     host_cpu = cpu_us(&bench->host);
-    host_s = run_load_processes(&load, &host_failed);
+    host_s = call_load_run_processes(&load, &host_failed);
     engine_cpu = (cpu_us(&bench->engine) - engine_cpu) / calls;
     host_cpu = (cpu_us(&bench->host) - host_cpu) / calls;
     print_pair(scenario, "requests-per-s", (calls - direct_failed) / direct_s,
