--- a/t/test-http.c
+++ b/t/test-http.c
@@ -19,7 +19,6 @@
 
 struct get {
     struct ct_transfer transfer;
-    struct script *script;
     GString *body;
     guint flushes;
     CURLcode result;
@@ -57,18 +56,41 @@
 static const struct ct_transfer_ops get_ops = {
     .data = on_data, .flush = on_flush, .done = on_done};
 
+/* A client, and a server with scripted replies unless it is NULL. */
+struct fixture {
+    struct script *script;
+    struct ct_http *http;
+    struct raw_server *server;
+};
+
+static void
+set_up(struct fixture *f, const struct raw_reply *replies, guint n)
+{
+    f->server = n > 0 ? raw_server_new(replies, n) : NULL;
+    f->script = script_new();
+    f->http = ct_http_new(f->script->loop);
+    ct_loop_add(f->script->loop, ct_http_executor(f->http));
+}
+
 static void
-run_get(struct ct_http *http, struct script *script, const char *address,
-        const struct ct_transfer_ops *ops, struct get *get)
+tear_down(struct fixture *f)
+{
+    ct_loop_free(f->script->loop);
+    script_free(f->script);
+    g_clear_pointer(&f->server, raw_server_free);
+}
+
+static void
+run_get(struct fixture *f, const struct ct_transfer_ops *ops, struct get *get)
 {
     memset(get, 0, sizeof(*get));
-    get->script = script;
     get->body = g_string_new(NULL);
-    get->transfer.http = http;
-    g_assert_cmpint(ct_transfer_init(&get->transfer, http, ops, address, "/"),
+    get->transfer.http = f->http;
+    g_assert_cmpint(ct_transfer_init(&get->transfer, f->http, ops,
+                                     raw_server_address(f->server), "/"),
                     ==, 0);
-    g_assert_cmpint(ct_http_start(http, &get->transfer), ==, 0);
-    script_wait_until(script, is_done, get);
+    g_assert_cmpint(ct_http_start(f->http, &get->transfer), ==, 0);
+    script_wait_until(f->script, is_done, get);
 }
 
 static void
@@ -101,24 +123,20 @@
 {
     const struct raw_reply *first = arg;
     struct raw_reply replies[] = {*first, {SECOND, RAW_KEEP_ALIVE, NULL, 0}};
-    struct raw_server *server = raw_server_new(replies, 2);
-    struct script *script = script_new();
-    struct ct_http *http = ct_http_new(script->loop);
+    struct fixture f;
     struct get get;
 
-    ct_loop_add(script->loop, ct_http_executor(http));
-    run_get(http, script, raw_server_address(server), &get_ops, &get);
+    set_up(&f, replies, 2);
+    run_get(&f, &get_ops, &get);
     g_assert_cmpint(get.result, ==, CURLE_OK);
     g_assert_cmpstr(get.body->str, ==, "first");
     clear_get(&get);
-    wait_ms(script, LATE_MS);
-    run_get(http, script, raw_server_address(server), &get_ops, &get);
+    wait_ms(f.script, LATE_MS);
+    run_get(&f, &get_ops, &get);
     g_assert_cmpint(get.result, ==, CURLE_OK);
     g_assert_cmpstr(get.body->str, ==, "second");
     clear_get(&get);
-    ct_loop_free(script->loop);
-    script_free(script);
-    raw_server_free(server);
+    tear_down(&f);
 }
 
 /* However many chunks arrive at once, they are flushed together. */
@@ -128,9 +146,7 @@
     GString *text =
         g_string_new("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     struct raw_reply reply = {NULL, RAW_KEEP_ALIVE, NULL, 0};
-    struct raw_server *server;
-    struct script *script = script_new();
-    struct ct_http *http = ct_http_new(script->loop);
+    struct fixture f;
     struct get get;
 
     for (int i = 0; i < 1000; i++) {
@@ -138,16 +154,13 @@
     }
     g_string_append(text, "0\r\n\r\n");
     reply.text = text->str;
-    server = raw_server_new(&reply, 1);
-    ct_loop_add(script->loop, ct_http_executor(http));
-    run_get(http, script, raw_server_address(server), &get_ops, &get);
+    set_up(&f, &reply, 1);
+    run_get(&f, &get_ops, &get);
     g_assert_cmpuint(get.body->len, ==, 1000);
     g_assert_cmpuint(get.flushes, >=, 1);
     g_assert_cmpuint(get.flushes, <, 100);
     clear_get(&get);
-    ct_loop_free(script->loop);
-    script_free(script);
-    raw_server_free(server);
+    tear_down(&f);
     g_string_free(text, TRUE);
 }
 
@@ -188,25 +201,21 @@
         .data = on_counted_data, .flush = on_flush, .done = on_done};
     char *block = g_strnfill(64 * 1024, 'x');
     struct raw_reply reply = {"HTTP/1.1 200 OK\r\n\r\n", RAW_REPEAT, block, 0};
-    struct raw_server *server = raw_server_new(&reply, 1);
-    struct script *script = script_new();
-    struct ct_http *http = ct_http_new(script->loop);
+    struct fixture f;
     struct get get;
 
-    ct_loop_add(script->loop, ct_http_executor(http));
+    set_up(&f, &reply, 1);
     ev_prepare_init(&iteration.prepare, on_prepare);
-    ev_prepare_start(ct_loop_ev(script->loop), &iteration.prepare);
-    run_get(http, script, raw_server_address(server), &ops, &get);
+    ev_prepare_start(ct_loop_ev(f.script->loop), &iteration.prepare);
+    run_get(&f, &ops, &get);
     g_assert_cmpint(get.result, ==, CURLE_WRITE_ERROR);
     g_assert_cmpuint(get.body->len, >, 15 * 1024 * 1024);
     g_assert_cmpuint(strspn(get.body->str, "x"), ==, get.body->len);
     g_assert_cmpuint(iteration.most_bytes, >, 0);
     g_assert_cmpuint(iteration.most_bytes, <=, 128 * 1024);
-    ev_prepare_stop(ct_loop_ev(script->loop), &iteration.prepare);
+    ev_prepare_stop(ct_loop_ev(f.script->loop), &iteration.prepare);
     clear_get(&get);
-    ct_loop_free(script->loop);
-    script_free(script);
-    raw_server_free(server);
+    tear_down(&f);
     g_free(block);
 }
 
@@ -219,25 +228,23 @@
 {
     const char *head = arg;
     size_t n = strlen(head);
-    struct script *script = script_new();
-    struct ct_http *http = ct_http_new(script->loop);
+    struct fixture f;
 
-    ct_loop_add(script->loop, ct_http_executor(http));
+    set_up(&f, NULL, 0);
     for (size_t cut = 0; cut < n; cut++) {
         g_autofree char *text = g_strndup(head, cut);
         const struct raw_reply reply = {text, RAW_CLOSE, NULL, 0};
-        struct raw_server *server = raw_server_new(&reply, 1);
         struct get get;
 
-        run_get(http, script, raw_server_address(server), &get_ops, &get);
+        f.server = raw_server_new(&reply, 1);
+        run_get(&f, &get_ops, &get);
         g_test_message("cut after %zu of %zu bytes", cut, n);
         g_assert_cmpint(get.result, !=, CURLE_OK);
         g_assert_cmpuint(get.body->len, ==, 0);
         clear_get(&get);
-        raw_server_free(server);
+        g_clear_pointer(&f.server, raw_server_free);
     }
-    ct_loop_free(script->loop);
-    script_free(script);
+    tear_down(&f);
 }
 
 /* The heads of test_cut_head() are complete with their last byte. */
@@ -245,18 +252,14 @@
 test_whole_head(gconstpointer arg)
 {
     const struct raw_reply reply = {arg, RAW_CLOSE, NULL, 0};
-    struct raw_server *server = raw_server_new(&reply, 1);
-    struct script *script = script_new();
-    struct ct_http *http = ct_http_new(script->loop);
+    struct fixture f;
     struct get get;
 
-    ct_loop_add(script->loop, ct_http_executor(http));
-    run_get(http, script, raw_server_address(server), &get_ops, &get);
+    set_up(&f, &reply, 1);
+    run_get(&f, &get_ops, &get);
     g_assert_cmpint(get.result, ==, CURLE_OK);
     clear_get(&get);
-    ct_loop_free(script->loop);
-    script_free(script);
-    raw_server_free(server);
+    tear_down(&f);
 }
 
 static void
