core: move the table of slot loans to a file of its own

Change: hosts, pools, loans and the slots that they make up move to core/slot-loan-table.[ch]; requests and grants stay. The functions that both files use get the prefix of the module.

--- a/core/slot-loan.c
+++ b/core/slot-loan.c
@@ -1,6 +1,5 @@
 #include "slot-loan.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "error.h"
@@ -15,243 +14,6 @@
 /* Time for which slots are owed to a peer unless it requests again. */
 #define OWED_TIMEOUT_MS 1000
 
-void
-ct_slot_loans_init(struct ct_slot_loans *slot_loans)
-{
-    memset(slot_loans, 0, sizeof(*slot_loans));
-}
-
-void
-ct_slot_loans_free(struct ct_slot_loans *slot_loans)
-{
-    for (uint32_t i = 0; i < slot_loans->n_pools; i++) {
-        free(slot_loans->pools[i].loans);
-    }
-    free(slot_loans->pools);
-    free(slot_loans->hosts);
-}
-
-static int
-find_host(const struct ct_slot_loans *slot_loans, const struct ct_name *name)
-{
-    for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
-        if (ct_name_eq(&slot_loans->hosts[i].name, name)) {
-            return (int)i;
-        }
-    }
-    return CT_ERR_NOT_FOUND;
-}
-
-static int
-compare_hosts(const void *a, const void *b)
-{
-    const struct ct_slot_host *x = a;
-    const struct ct_slot_host *y = b;
-
-    return strcmp(x->name.text, y->name.text);
-}
-
-/* Copies the loans of a pool into the order of a new list of hosts. */
-static struct ct_slot_loan *
-move_loans(const struct ct_slot_loans *slot_loans,
-           const struct ct_slot_pool *pool, const struct ct_slot_host *hosts,
-           uint32_t n)
-{
-    struct ct_slot_loan *loans = calloc(n ? n : 1, sizeof(*loans));
-
-    for (uint32_t i = 0; loans && i < n; i++) {
-        int old = find_host(slot_loans, &hosts[i].name);
-
-        if (old >= 0) {
-            loans[i] = pool->loans[old];
-        }
-    }
-    return loans;
-}
-
-int
-ct_slot_loans_set_hosts(struct ct_slot_loans *slot_loans,
-                        const struct ct_name *names, uint32_t n,
-                        const struct ct_name *self, ct_ms now_ms)
-{
-    struct ct_slot_host *hosts = calloc(n ? n : 1, sizeof(*hosts));
-
-    if (!hosts) {
-        return CT_ERR_NO_MEMORY;
-    }
-    for (uint32_t i = 0; i < n; i++) {
-        int old = find_host(slot_loans, &names[i]);
-
-        hosts[i].name = names[i];
-        hosts[i].down_ms = now_ms;
-        if (old >= 0) {
-            hosts[i] = slot_loans->hosts[old];
-        }
-        hosts[i].self = ct_name_eq(&names[i], self);
-    }
-    qsort(hosts, n, sizeof(*hosts), compare_hosts);
-    for (uint32_t i = 0; i < slot_loans->n_pools; i++) {
-        struct ct_slot_loan *loans =
-            move_loans(slot_loans, &slot_loans->pools[i], hosts, n);
-
-        if (!loans) {
-            free(hosts);
-            return CT_ERR_NO_MEMORY;
-        }
-        free(slot_loans->pools[i].loans);
-        slot_loans->pools[i].loans = loans;
-        slot_loans->pools[i].last_peer = 0;
-    }
-    free(slot_loans->hosts);
-    slot_loans->hosts = hosts;
-    slot_loans->n_hosts = n;
-    return CT_OK;
-}
-
-int
-ct_slot_loans_find_pool(const struct ct_slot_loans *slot_loans,
-                        const struct ct_name *name, bool cheap)
-{
-    for (uint32_t i = 0; i < slot_loans->n_pools; i++) {
-        if (slot_loans->pools[i].cheap == cheap &&
-            ct_name_eq(&slot_loans->pools[i].name, name)) {
-            return (int)i;
-        }
-    }
-    return CT_ERR_NOT_FOUND;
-}
-
-int
-ct_slot_loans_set_pool(struct ct_slot_loans *slot_loans,
-                       const struct ct_name *name, bool cheap, uint32_t slots)
-{
-    int found = ct_slot_loans_find_pool(slot_loans, name, cheap);
-    struct ct_slot_pool *pools;
-    struct ct_slot_loan *loans;
-
-    if (found >= 0) {
-        slot_loans->pools[found].slots = slots;
-        return found;
-    }
-    loans =
-        calloc(slot_loans->n_hosts ? slot_loans->n_hosts : 1, sizeof(*loans));
-    if (!loans) {
-        return CT_ERR_NO_MEMORY;
-    }
-    pools =
-        realloc(slot_loans->pools, (slot_loans->n_pools + 1) * sizeof(*pools));
-    if (!pools) {
-        free(loans);
-        return CT_ERR_NO_MEMORY;
-    }
-    slot_loans->pools = pools;
-    pools[slot_loans->n_pools] = (struct ct_slot_pool){
-        .name = *name, .cheap = cheap, .slots = slots, .loans = loans};
-    pools[slot_loans->n_pools].last_request_ms = -CT_SLOT_REQUEST_INTERVAL_MS;
-    return (int)slot_loans->n_pools++;
-}
-
-void
-ct_slot_loans_on_link(struct ct_slot_loans *slot_loans,
-                      const struct ct_name *peer, bool up, ct_ms now_ms)
-{
-    int host = find_host(slot_loans, peer);
-
-    if (host < 0) {
-        return;
-    }
-    slot_loans->hosts[host].up = up;
-    slot_loans->hosts[host].down_ms = now_ms;
-    for (uint32_t i = 0; i < slot_loans->n_pools; i++) {
-        struct ct_slot_loan *loan = &slot_loans->pools[i].loans[host];
-
-        loan->borrowed = 0;
-        loan->awaiting_grant = false;
-        loan->owed = 0;
-        loan->no_request_until_ms = 0;
-        /* Lent slots stay lent, because the peer may still use them. */
-    }
-}
-
-static bool
-has_base_share(const struct ct_slot_host *host, ct_ms now_ms)
-{
-    return host->self || host->up ||
-           now_ms - host->down_ms < CT_SLOT_HOST_DEAD_MS;
-}
-
-/*
- * Returns this host's part of the pool's slots. The parts fit together on all
- * hosts that agree about which hosts are down.
- */
-static uint32_t
-base_share(const struct ct_slot_loans *slot_loans,
-           const struct ct_slot_pool *pool, ct_ms now_ms)
-{
-    uint64_t rotation = ct_name_hash(CT_HASH_SEED, &pool->name);
-    uint32_t n = 0;
-    uint32_t rank = 0;
-
-    for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
-        if (slot_loans->hosts[i].self) {
-            rank = n;
-        }
-        n += has_base_share(&slot_loans->hosts[i], now_ms);
-    }
-    if (n == 0) {
-        return pool->slots;
-    }
-    rank = (uint32_t)((rank + rotation) % n);
-    return pool->slots / n + (rank < pool->slots % n ? 1 : 0);
-}
-
-static uint32_t
-lent_slots(const struct ct_slot_loan *loan, ct_ms now_ms)
-{
-    return loan->lent_until_ms > now_ms ? loan->lent : 0;
-}
-
-static uint32_t
-borrowed_slots(const struct ct_slot_loan *loan, ct_ms now_ms)
-{
-    return loan->borrowed_until_ms > now_ms ? loan->borrowed : 0;
-}
-
-static uint32_t
-owed_slots(const struct ct_slot_loan *loan, ct_ms now_ms)
-{
-    return loan->owed_until_ms > now_ms ? loan->owed : 0;
-}
-
-/* Returns the slots that belong to this host now, including those it owes. */
-static uint32_t
-owned_slots(const struct ct_slot_loans *slot_loans,
-            const struct ct_slot_pool *pool, ct_ms now_ms)
-{
-    uint32_t slots = base_share(slot_loans, pool, now_ms);
-    uint32_t lent = 0;
-
-    for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
-        slots += borrowed_slots(&pool->loans[i], now_ms);
-        lent += lent_slots(&pool->loans[i], now_ms);
-    }
-    return slots > lent ? slots - lent : 0;
-}
-
-uint32_t
-ct_slot_loans_held(const struct ct_slot_loans *slot_loans, uint32_t index,
-                   ct_ms now_ms)
-{
-    const struct ct_slot_pool *pool = &slot_loans->pools[index];
-    uint32_t slots = owned_slots(slot_loans, pool, now_ms);
-    uint32_t owed = 0;
-
-    for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
-        owed += owed_slots(&pool->loans[i], now_ms);
-    }
-    return slots > owed ? slots - owed : 0;
-}
-
 static uint32_t
 count_waiting_up_to(const struct ct_slot_demand *demand, uint32_t tier)
 {
@@ -284,7 +46,7 @@
     memset(row, 0, sizeof(*row));
     row->pool = pool->name;
     row->cheap = pool->cheap;
-    row->slots_held = owned_slots(slot_loans, pool, now_ms);
+    row->slots_held = ct_slot_loans_owned(slot_loans, pool, now_ms);
     row->slots_busy = demand->busy;
     memcpy(row->waiting, demand->waiting, sizeof(row->waiting));
 }
@@ -300,7 +62,8 @@
     for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
         const struct ct_slot_loan *loan = &pool->loans[i];
 
-        if (borrowed_slots(loan, now_ms) > 0 && slot_loans->hosts[i].up &&
+        if (ct_slot_loan_borrowed(loan, now_ms) > 0 &&
+            slot_loans->hosts[i].up &&
             loan->borrowed_until_ms - now_ms < CT_SLOT_LOAN_MS / 2 &&
             (!loan->awaiting_grant ||
              now_ms - loan->requested_ms >= CT_SLOT_REQUEST_TIMEOUT_MS)) {
@@ -385,7 +148,7 @@
         return false;
     }
     loan = &pool->loans[peer];
-    wanted = borrowed_slots(loan, now_ms);
+    wanted = ct_slot_loan_borrowed(loan, now_ms);
     if (waiting > unused) {
         wanted += waiting - unused;
     }
@@ -402,12 +165,12 @@
 lendable_slots(const struct ct_slot_loans *slot_loans,
                const struct ct_slot_pool *pool, ct_ms now_ms)
 {
-    uint32_t base = base_share(slot_loans, pool, now_ms);
+    uint32_t base = ct_slot_loans_base_share(slot_loans, pool, now_ms);
     uint32_t not_lendable = base * NOT_LENDABLE_PERCENT / 100;
 
     not_lendable = not_lendable > 0 ? not_lendable : 1;
     for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
-        not_lendable += lent_slots(&pool->loans[i], now_ms);
+        not_lendable += ct_slot_loan_lent(&pool->loans[i], now_ms);
     }
     /* Borrowed slots are not lent on: their term is set by another host. */
     return base > not_lendable ? base - not_lendable : 0;
@@ -419,7 +182,7 @@
             const struct ct_slot_pool *pool,
             const struct ct_slot_demand *demand, uint32_t tier, ct_ms now_ms)
 {
-    uint32_t own = owned_slots(slot_loans, pool, now_ms);
+    uint32_t own = ct_slot_loans_owned(slot_loans, pool, now_ms);
     uint32_t used = demand->busy + count_waiting_up_to(demand, tier);
     uint32_t spare = own > used ? own - used : 0;
     uint32_t limit = lendable_slots(slot_loans, pool, now_ms);
@@ -436,7 +199,7 @@
     message->peer = slot_loans->hosts[host].name;
     message->type = CT_PEER_SLOT_GRANT;
     fill_slot_row(slot_loans, pool, demand, now_ms, &message->row);
-    message->row.slots = lent_slots(&pool->loans[host], now_ms);
+    message->row.slots = ct_slot_loan_lent(&pool->loans[host], now_ms);
     message->row.request_number = request_number;
 }
 
@@ -462,9 +225,9 @@
                       struct ct_slot_message *message)
 {
     struct ct_slot_loan *loan = &pool->loans[host];
-    uint32_t own = owned_slots(slot_loans, pool, now_ms);
+    uint32_t own = ct_slot_loans_owned(slot_loans, pool, now_ms);
     uint32_t used = demand->busy;
-    uint32_t slots = borrowed_slots(loan, now_ms);
+    uint32_t slots = ct_slot_loan_borrowed(loan, now_ms);
 
     /* The lender is served before waiting requests of the same tier. */
     if (loan->owed_tier > 0) {
@@ -514,7 +277,7 @@
                          struct ct_slot_message *message)
 {
     int index = ct_slot_loans_find_pool(slot_loans, &row->pool, row->cheap);
-    int host = find_host(slot_loans, peer);
+    int host = ct_slot_loans_find_host(slot_loans, peer);
     struct ct_slot_pool *pool;
     struct ct_slot_loan *loan;
     uint32_t tier = highest_waiting_tier(row->waiting);
@@ -527,7 +290,7 @@
     loan = &pool->loans[host];
     loan->awaiting_grant = false;
     loan->owed = 0;
-    loan->lent = lent_slots(loan, now_ms);
+    loan->lent = ct_slot_loan_lent(loan, now_ms);
     if (row->slots < loan->lent) {
         loan->lent = row->slots;
     }
@@ -537,14 +300,14 @@
      */
     loan->lent_until_ms = now_ms + CT_SLOT_LOAN_MS + CT_SLOT_LOAN_MARGIN_MS;
     more = row->slots - loan->lent;
-    if (borrowed_slots(loan, now_ms) > 0 && more > 0) {
+    if (ct_slot_loan_borrowed(loan, now_ms) > 0 && more > 0) {
         /*
          * No slots are owed to the lender while requests of a higher tier wait
          * at this host.
          */
         if (tier == 0 || count_waiting_up_to(demand, tier - 1) == 0) {
-            record_owed_slots(loan, more, borrowed_slots(loan, now_ms), tier,
-                              row->request_number, now_ms);
+            record_owed_slots(loan, more, ct_slot_loan_borrowed(loan, now_ms),
+                              tier, row->request_number, now_ms);
         }
         if (return_borrowed_slots(slot_loans, pool, (uint32_t)host, demand,
                                   now_ms, message)) {
@@ -568,13 +331,13 @@
 
     for (uint32_t i = 0; i < slot_loans->n_hosts; i++) {
         struct ct_slot_loan *loan = &pool->loans[i];
-        uint32_t owed = owed_slots(loan, now_ms);
+        uint32_t owed = ct_slot_loan_owed(loan, now_ms);
         uint32_t spare;
 
         if (owed == 0) {
             continue;
         }
-        if (borrowed_slots(loan, now_ms) > 0) {
+        if (ct_slot_loan_borrowed(loan, now_ms) > 0) {
             if (return_borrowed_slots(slot_loans, pool, i, demand, now_ms,
                                       message)) {
                 return true;
@@ -587,7 +350,7 @@
         }
         spare = spare < owed ? spare : owed;
         loan->owed -= spare;
-        loan->lent = lent_slots(loan, now_ms) + spare;
+        loan->lent = ct_slot_loan_lent(loan, now_ms) + spare;
         loan->lent_until_ms =
             now_ms + CT_SLOT_LOAN_MS + CT_SLOT_LOAN_MARGIN_MS;
         fill_slot_grant(slot_loans, pool, i, loan->owed_request_number, demand,
@@ -603,7 +366,7 @@
                        const struct ct_slot_row *row, ct_ms now_ms)
 {
     int index = ct_slot_loans_find_pool(slot_loans, &row->pool, row->cheap);
-    int host = find_host(slot_loans, peer);
+    int host = ct_slot_loans_find_host(slot_loans, peer);
     struct ct_slot_loan *loan;
 
     if (index < 0 || host < 0) {
