shell: move the cancel requests of upstreams to a file of its own

Change: the requests to engines to stop a cancelled attempt move to shell/cancel-request.[ch]. The executor passes the value of the Authorization header.

--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "attempt.h"
+#include "cancel-request.h"
 #include "error.h"
 #include "index.h"
 
@@ -25,15 +26,7 @@
     GHashTable *by_handle;
     /* Maps a pool to the value of its Authorization header. */
     GHashTable *credentials;
-    /* Cancel requests in progress. */
-    GHashTable *cancel_requests;
-};
-
-/* A request to an engine to stop the work of a cancelled attempt. */
-struct cancel_request {
-    struct ct_transfer transfer;
-    struct ct_upstreams *upstreams;
-    char *body;
+    struct ct_cancel_requests *cancel_requests;
 };
 
 static void
@@ -341,72 +334,11 @@
                 attempt->sent ? CT_OUTCOME_GAP_TIMEOUT : CT_OUTCOME_NOT_SENT);
 }
 
-static int
-ignore_data(struct ct_transfer *transfer, const char *data, size_t n)
-{
-    (void)transfer;
-    (void)data;
-    (void)n;
-    return CT_OK;
-}
-
-static void
-free_cancel(struct cancel_request *cancel)
+/* Returns the value of the Authorization header, or NULL. */
+static const char *
+find_credential(const struct ct_upstreams *up, const struct ct_name *pool)
 {
-    ct_transfer_clear(&cancel->transfer);
-    g_free(cancel->body);
-    g_free(cancel);
-}
-
-static void
-on_cancel_done(struct ct_transfer *transfer, CURLcode result)
-{
-    struct cancel_request *cancel = (struct cancel_request *)transfer;
-
-    (void)result;
-    g_hash_table_remove(cancel->upstreams->cancel_requests, cancel);
-}
-
-static int
-add_credential(struct ct_upstreams *up, struct ct_transfer *transfer,
-               const struct ct_name *pool)
-{
-    const char *value = g_hash_table_lookup(up->credentials, pool->text);
-
-    return value ? ct_transfer_add_header(transfer, "Authorization", value)
-                 : CT_OK;
-}
-
-/*
- * Requests that the engine stops. The response is ignored: if the request
- * fails, only work of the engine is wasted.
- */
-static void
-send_cancel(struct ct_upstreams *up, const struct ct_attempt_effect *effect)
-{
-    static const struct ct_transfer_ops ops = {
-        .data = ignore_data,
-        .done = on_cancel_done,
-    };
-    struct cancel_request *cancel = g_new0(struct cancel_request, 1);
-
-    cancel->upstreams = up;
-    if (ct_transfer_init(&cancel->transfer, up->http, &ops,
-                         effect->address.text, "/cancel") < 0) {
-        free_cancel(cancel);
-        return;
-    }
-    cancel->body =
-        g_strdup_printf("{\"request_id\":\"%s\"}", effect->request_id.text);
-    ct_transfer_set_body(&cancel->transfer, cancel->body,
-                         strlen(cancel->body));
-    ct_transfer_add_header(&cancel->transfer, "Content-Type",
-                           "application/json");
-    add_credential(up, &cancel->transfer, &effect->pool);
-    g_hash_table_add(up->cancel_requests, cancel);
-    if (ct_http_start(up->http, &cancel->transfer) < 0) {
-        g_hash_table_remove(up->cancel_requests, cancel);
-    }
+    return g_hash_table_lookup(up->credentials, pool->text);
 }
 
 static void
@@ -418,7 +350,8 @@
         return;
     }
     if (attempt->sent && attempt->effect.kind == CT_CALL_CHAT) {
-        send_cancel(up, &attempt->effect);
+        ct_cancel_requests_send(up->cancel_requests, &attempt->effect,
+                                find_credential(up, &attempt->effect.pool));
     }
     end_attempt(attempt, CT_OUTCOME_CANCELLED);
 }
@@ -430,6 +363,8 @@
     const struct ct_attempt_effect *effect = &attempt->effect;
     const struct ct_stored_call *body = attempt->body;
     struct ct_transfer *transfer = &attempt->transfer;
+    const char *credential =
+        find_credential(attempt->upstreams, &effect->pool);
     char number[24];
     int err;
 
@@ -457,7 +392,9 @@
                    effect->resume_offset);
         err |= ct_transfer_add_header(transfer, "X-Resume-From", number);
     }
-    err |= add_credential(attempt->upstreams, transfer, &effect->pool);
+    if (credential != NULL) {
+        err |= ct_transfer_add_header(transfer, "Authorization", credential);
+    }
     return err < 0 ? CT_ERR_NO_MEMORY : CT_OK;
 }
 
@@ -576,7 +513,7 @@
     while ((attempt = ct_table_next(&up->attempts, &cursor, &handle))) {
         remove_attempt(attempt);
     }
-    g_hash_table_destroy(up->cancel_requests);
+    ct_cancel_requests_free(up->cancel_requests);
     g_hash_table_destroy(up->by_handle);
     g_hash_table_destroy(up->credentials);
     ct_table_free(&up->attempts);
@@ -601,8 +538,7 @@
     up->by_handle = g_hash_table_new(ct_handle_hash, ct_handle_equal);
     up->credentials =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    up->cancel_requests =
-        g_hash_table_new_full(NULL, NULL, (GDestroyNotify)free_cancel, NULL);
+    up->cancel_requests = ct_cancel_requests_new(http);
     return up;
 }
 
