core: leadership no longer calls the group

Cause: group and leadership called each other. Change: ct_leadership_on_join_done() returns whether the group has or may have changed, and the reducer has its members read. In the effects of a join the timer of that read now comes after the log entry on the leadership.

--- a/core/leadership.c
+++ b/core/leadership.c
@@ -88,21 +88,23 @@
             joined->generation != leadership->generation);
 }
 
-void
+bool
 ct_leadership_on_join_done(struct ct_state *state,
                            const struct ct_store_join_done *joined)
 {
     struct ct_leadership *leadership = &state->leadership;
+    bool group_changed;
 
     leadership->joining = false;
     if (joined->result < 0) {
-        if (leadership->failures++ == 0) {
+        bool first = leadership->failures++ == 0;
+
+        if (first) {
             ct_emit_log(state, CT_LOG_STORE_LOST, NULL,
                         ct_err_name(joined->result), CT_TOPIC_COUNT);
-            ct_group_refresh_soon(state);
         }
         update_leading(state);
-        return;
+        return first;
     }
     if (leadership->failures > 0) {
         ct_emit_log(state, CT_LOG_STORE_BACK, NULL, NULL, CT_TOPIC_COUNT);
@@ -111,15 +113,16 @@
     if (joined->holds_leader_slot && may_have_lost_slot(state, joined)) {
         leadership->slot_held_since_ms = state->now_ms;
     }
-    if (joined->generation != leadership->generation) {
+    group_changed = joined->generation != leadership->generation;
+    if (group_changed) {
         leadership->changed_ms = state->now_ms;
-        ct_group_refresh_soon(state);
     }
     leadership->holds_slot = joined->holds_leader_slot;
     leadership->generation = joined->generation;
     leadership->slot_until_ms =
         joined->sent_ms + ttl_ms(state) - CLOCK_RATE_MARGIN_MS;
     update_leading(state);
+    return group_changed;
 }
 
 void
--- a/core/leadership.h
+++ b/core/leadership.h
@@ -35,7 +35,11 @@
 void ct_leadership_join(struct ct_state *state);
 /* CT_TIMER_JOIN */
 void ct_leadership_on_timer(struct ct_state *state);
-void ct_leadership_on_join_done(struct ct_state *state,
+/*
+ * Returns whether the group has changed, or may change unseen because joins
+ * have begun to fail.
+ */
+bool ct_leadership_on_join_done(struct ct_state *state,
                                 const struct ct_store_join_done *joined);
 /*
  * Handles the refusal of a call with this fencing token: another leader has a
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -424,7 +424,9 @@
         on_store_append_done(state, &event->u.store_append);
         return CT_OK;
     case CT_EVENT_STORE_JOIN_DONE:
-        ct_leadership_on_join_done(state, &event->u.store_join);
+        if (ct_leadership_on_join_done(state, &event->u.store_join)) {
+            ct_group_refresh_soon(state);
+        }
         return CT_OK;
     case CT_EVENT_STORE_MEMBERS_READ:
         on_members_read(state, event);
