--- a/core/reduce.c
+++ b/core/reduce.c
@@ -44,43 +44,11 @@
     ct_drain_on_timer(state);
 }
 
+/* Timers of relayed calls and of the platform's store. */
 static void
-on_timer(struct ct_state *state, const struct ct_timer *timer)
+on_relay_timer(struct ct_state *state, const struct ct_timer *timer)
 {
     switch (timer->kind) {
-    case CT_TIMER_QUEUE:
-        ct_dispatch_on_queue_timer(state, timer->handle);
-        return;
-    case CT_TIMER_HEDGE:
-        ct_attempt_on_hedge_timer(state, timer->handle);
-        return;
-    case CT_TIMER_RETRY:
-        ct_dispatch_on_retry_timer(state, timer->handle);
-        return;
-    case CT_TIMER_RESPONSE_RETENTION:
-        ct_stored_response_on_retention_timer(state, timer->handle);
-        return;
-    case CT_TIMER_RESPONSE_LOOKUP:
-        ct_stored_response_on_lookup_timer(state, timer->handle);
-        return;
-    case CT_TIMER_CLAIM:
-        ct_dispatch_on_claim_timer(state, timer->handle);
-        return;
-    case CT_TIMER_REFUSALS:
-        ct_refusal_log_on_timer(state);
-        return;
-    case CT_TIMER_SLOT_SHARING:
-        ct_slot_sharing_on_timer(state);
-        return;
-    case CT_TIMER_SLOT_RECOUNT:
-        ct_dispatch_on_slot_recount_timer(state);
-        return;
-    case CT_TIMER_SNAPSHOT:
-        ct_snapshot_on_timer(state);
-        return;
-    case CT_TIMER_DRAIN:
-        on_drain_timer(state);
-        return;
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
         return;
@@ -119,6 +87,48 @@
     case CT_TIMER_LOAD:
         ct_load_sharing_on_timer(state);
         return;
+    default:
+        return;
+    }
+}
+
+static void
+on_timer(struct ct_state *state, const struct ct_timer *timer)
+{
+    switch (timer->kind) {
+    case CT_TIMER_QUEUE:
+        ct_dispatch_on_queue_timer(state, timer->handle);
+        return;
+    case CT_TIMER_HEDGE:
+        ct_attempt_on_hedge_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RETRY:
+        ct_dispatch_on_retry_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RESPONSE_RETENTION:
+        ct_stored_response_on_retention_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RESPONSE_LOOKUP:
+        ct_stored_response_on_lookup_timer(state, timer->handle);
+        return;
+    case CT_TIMER_CLAIM:
+        ct_dispatch_on_claim_timer(state, timer->handle);
+        return;
+    case CT_TIMER_REFUSALS:
+        ct_refusal_log_on_timer(state);
+        return;
+    case CT_TIMER_SLOT_SHARING:
+        ct_slot_sharing_on_timer(state);
+        return;
+    case CT_TIMER_SLOT_RECOUNT:
+        ct_dispatch_on_slot_recount_timer(state);
+        return;
+    case CT_TIMER_SNAPSHOT:
+        ct_snapshot_on_timer(state);
+        return;
+    case CT_TIMER_DRAIN:
+        on_drain_timer(state);
+        return;
     case CT_TIMER_HEARTBEAT:
         ct_peer_status_on_timer(state);
         ct_withdrawals_on_heartbeat(state);
@@ -134,7 +144,9 @@
         on_orders_timer(state);
         return;
     case CT_TIMER_LOG:
+        return;
     default:
+        on_relay_timer(state, timer);
         return;
     }
 }
