core: replication no longer calls the group

Cause: replication called the group for the member list of its source, and the group asks replication whether the source is fresh. Change: the reducer gives the group a member list that comes from the source, as ct_replication_is_from_source() tells. Result: test-replication, test-group, test-source-links, test-store-sync, test-reduce and test-log-replay pass.

--- a/core/reduce.c
+++ b/core/reduce.c
@@ -240,7 +240,9 @@
         ct_tallies_on_forward_done(state, message->u.sequence);
         return;
     case CT_PEER_MEMBERS_UPDATE:
-        ct_replication_on_members_update(state, message);
+        if (ct_replication_is_from_source(state, message)) {
+            ct_group_on_members_update(state, message->rows);
+        }
         return;
     case CT_PEER_LOAD:
     case CT_PEER_LOAD_SUM:
--- a/core/replication.c
+++ b/core/replication.c
@@ -479,11 +479,12 @@
 
 /* Receiving updates. */
 
-/* Rejects messages of a previous source. */
-static bool
-is_from_source(const struct ct_replication *replication,
-               const struct ct_peer_message *message)
+bool
+ct_replication_is_from_source(const struct ct_state *state,
+                              const struct ct_peer_message *message)
 {
+    const struct ct_replication *replication = &state->replication;
+
     return replication->source_linked &&
            ct_name_eq(&message->sender, &replication->source);
 }
@@ -495,18 +496,9 @@
     struct ct_replication *replication = &state->replication;
     const struct ct_store_update *update = &message->u.store_update;
 
-    if (!is_from_source(replication, message)) {
+    if (!ct_replication_is_from_source(state, message)) {
         return;
     }
     replication->last_update_ms = state->now_ms;
     ct_store_on_update(state, update, message->rows);
 }
-
-void
-ct_replication_on_members_update(struct ct_state *state,
-                                 const struct ct_peer_message *message)
-{
-    if (is_from_source(&state->replication, message)) {
-        ct_group_on_members_update(state, message->rows);
-    }
-}
--- a/core/replication.h
+++ b/core/replication.h
@@ -65,9 +65,9 @@
                                       const struct ct_peer_message *message);
 void ct_replication_on_update(struct ct_state *state,
                               const struct ct_peer_message *message);
-
-void ct_replication_on_members_update(struct ct_state *state,
-                                      const struct ct_peer_message *message);
+/* Whether the message is from the source, not from a previous one. */
+bool ct_replication_is_from_source(const struct ct_state *state,
+                                   const struct ct_peer_message *message);
 
 /*
  * Sends the group's members that this host read to its followers; rows: struct
