core: replication no longer calls the synchronisation with the store

Cause: replication and store-sync called each other, and the group was on a circle with both. Change: ct_replication_on_update() and ct_replication_on_link() return whether an update is to be applied and whether the source was lost; the reducer calls store-sync. The order of effects is unchanged.

--- a/core/reduce.c
+++ b/core/reduce.c
@@ -231,7 +231,9 @@
         ct_replication_on_update_request(state, message);
         return;
     case CT_PEER_STORE_UPDATE:
-        ct_replication_on_update(state, message);
+        if (ct_replication_on_update(state, message)) {
+            ct_store_on_update(state, &message->u.store_update, message->rows);
+        }
         return;
     case CT_PEER_TALLY:
         ct_forwarded_tallies_on_tally(state, message);
@@ -344,7 +346,9 @@
 on_peer_link(struct ct_state *state, const struct ct_name *peer, bool up)
 {
     if (state->relaying) {
-        ct_replication_on_link(state, peer, up);
+        if (ct_replication_on_link(state, peer, up)) {
+            ct_store_on_source_lost(state);
+        }
         ct_load_sharing_on_link(state, peer, up);
         return;
     }
--- a/core/replication.c
+++ b/core/replication.c
@@ -335,7 +335,7 @@
     ct_arm_timer(state, REQUEST_PERIOD_MS, CT_TIMER_REPLICATION, CT_NO_HANDLE);
 }
 
-void
+bool
 ct_replication_on_link(struct ct_state *state, const struct ct_name *peer,
                        bool up)
 {
@@ -346,14 +346,13 @@
         ct_table_unref(&replication->followers, handle);
     }
     if (!ct_name_eq(peer, &replication->source)) {
-        return;
+        return false;
     }
     replication->source_linked = up;
     if (up) {
         request_updates(state);
-        return;
     }
-    ct_store_on_source_lost(state);
+    return !up;
 }
 
 /* Sending updates. */
@@ -489,16 +488,13 @@
            ct_name_eq(&message->sender, &replication->source);
 }
 
-void
+bool
 ct_replication_on_update(struct ct_state *state,
                          const struct ct_peer_message *message)
 {
-    struct ct_replication *replication = &state->replication;
-    const struct ct_store_update *update = &message->u.store_update;
-
     if (!ct_replication_is_from_source(state, message)) {
-        return;
+        return false;
     }
-    replication->last_update_ms = state->now_ms;
-    ct_store_on_update(state, update, message->rows);
+    state->replication.last_update_ms = state->now_ms;
+    return true;
 }
--- a/core/replication.h
+++ b/core/replication.h
@@ -58,12 +58,16 @@
 void ct_replication_start(struct ct_state *state);
 /* CT_TIMER_REPLICATION */
 void ct_replication_on_timer(struct ct_state *state);
-/* Handles a link to another host that came up or went down. */
-void ct_replication_on_link(struct ct_state *state, const struct ct_name *peer,
+/*
+ * Handles a link to another host that came up or went down. Returns whether
+ * the link to the source was lost.
+ */
+bool ct_replication_on_link(struct ct_state *state, const struct ct_name *peer,
                             bool up);
 void ct_replication_on_update_request(struct ct_state *state,
                                       const struct ct_peer_message *message);
-void ct_replication_on_update(struct ct_state *state,
+/* Returns whether the update is to be applied: it is from the source. */
+bool ct_replication_on_update(struct ct_state *state,
                               const struct ct_peer_message *message);
 /* Whether the message is from the source, not from a previous one. */
 bool ct_replication_is_from_source(const struct ct_state *state,
