core: slot sharing no longer calls the dispatch

Cause: slot-sharing and dispatch called each other. Change: ct_slot_sharing_on_message() returns the pool whose slots change, and ct_slot_sharing_next_active() yields the pools of a timer one by one; dispatch, which the reducer calls for both, recomputes the slots and serves the pool. The timer is started before a pool is served, not after it, at the same time and with the same delay.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -425,6 +425,31 @@
                  CT_NO_HANDLE);
 }
 
+void
+ct_dispatch_on_slot_message(struct ct_state *state,
+                            const struct ct_peer_message *message)
+{
+    struct ct_handle pool = ct_slot_sharing_on_message(state, message);
+
+    if (!ct_handle_is_none(pool)) {
+        ct_dispatch_update_slots(state, pool);
+        ct_dispatch_serve_pool(state, pool);
+    }
+}
+
+void
+ct_dispatch_on_slot_sharing_timer(struct ct_state *state)
+{
+    struct ct_handle pool;
+    uint32_t cursor = 0;
+
+    ct_slot_sharing_on_timer(state);
+    while (ct_slot_sharing_next_active(state, &cursor, &pool)) {
+        ct_dispatch_update_slots(state, pool);
+        ct_dispatch_serve_pool(state, pool);
+    }
+}
+
 void
 ct_dispatch_on_retry_timer(struct ct_state *state, struct ct_handle handle)
 {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -73,6 +73,12 @@
  */
 void ct_dispatch_on_slot_recount_timer(struct ct_state *state);
 
+/* Handles a peer's request for slots, or its grant. */
+void ct_dispatch_on_slot_message(struct ct_state *state,
+                                 const struct ct_peer_message *message);
+/* CT_TIMER_SLOT_SHARING */
+void ct_dispatch_on_slot_sharing_timer(struct ct_state *state);
+
 /* Appends the result of a claimed request. */
 void ct_dispatch_append_claim_done(struct ct_state *state,
                                    const struct ct_claim *claim,
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -118,7 +118,7 @@
         ct_refusal_log_on_timer(state);
         return;
     case CT_TIMER_SLOT_SHARING:
-        ct_slot_sharing_on_timer(state);
+        ct_dispatch_on_slot_sharing_timer(state);
         return;
     case CT_TIMER_SLOT_RECOUNT:
         ct_dispatch_on_slot_recount_timer(state);
@@ -213,7 +213,7 @@
     switch (message->type) {
     case CT_PEER_SLOT_REQUEST:
     case CT_PEER_SLOT_GRANT:
-        ct_slot_sharing_on_message(state, message);
+        ct_dispatch_on_slot_message(state, message);
         return;
     case CT_PEER_DEMAND:
         ct_order_plan_on_demand(state, message);
--- a/core/slot-sharing.c
+++ b/core/slot-sharing.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "dispatch.h"
 #include "peer-status.h"
 #include "slot-loan.h"
 #include "state.h"
@@ -152,7 +151,7 @@
     ct_slot_loans_on_link(&state->slot_loans, peer, up, state->now_ms);
 }
 
-void
+struct ct_handle
 ct_slot_sharing_on_message(struct ct_state *state,
                            const struct ct_peer_message *message)
 {
@@ -162,7 +161,7 @@
     struct ct_slot_message slot_message;
 
     if (ct_handle_is_none(pool)) {
-        return;
+        return CT_NO_HANDLE;
     }
     if (message->type == CT_PEER_SLOT_GRANT) {
         /* An error means a late grant, which is void on both hosts. */
@@ -174,9 +173,8 @@
                                       &slot_message) == 0) {
         send_slot_message(state, &slot_message);
     }
-    ct_dispatch_update_slots(state, pool);
-    ct_dispatch_serve_pool(state, pool);
     arm_sharing_timer(state);
+    return pool;
 }
 
 /*
@@ -207,22 +205,20 @@
 void
 ct_slot_sharing_on_timer(struct ct_state *state)
 {
-    struct ct_handle pool;
-    uint32_t cursor = 0;
-    bool active = false;
-
     state->slot_sharing_armed = false;
-    while (ct_table_next(&state->config.pools, &cursor, &pool)) {
-        if (!needs_timer(state, pool)) {
-            continue;
+}
+
+bool
+ct_slot_sharing_next_active(struct ct_state *state, uint32_t *cursor,
+                            struct ct_handle *pool)
+{
+    while (ct_table_next(&state->config.pools, cursor, pool)) {
+        if (needs_timer(state, *pool)) {
+            send_slot_requests(state, *pool, false);
+            send_slot_requests(state, *pool, true);
+            arm_sharing_timer(state);
+            return true;
         }
-        active = true;
-        send_slot_requests(state, pool, false);
-        send_slot_requests(state, pool, true);
-        ct_dispatch_update_slots(state, pool);
-        ct_dispatch_serve_pool(state, pool);
-    }
-    if (active) {
-        arm_sharing_timer(state);
     }
+    return false;
 }
--- a/core/slot-sharing.h
+++ b/core/slot-sharing.h
@@ -39,10 +39,23 @@
 
 void ct_slot_sharing_on_link(struct ct_state *state,
                              const struct ct_name *peer, bool up);
-void ct_slot_sharing_on_message(struct ct_state *state,
-                                const struct ct_peer_message *message);
+/*
+ * Handles a request or a grant. Returns the pool, whose slots the caller
+ * recomputes; CT_NO_HANDLE if this host does not know it.
+ */
+struct ct_handle
+ct_slot_sharing_on_message(struct ct_state *state,
+                           const struct ct_peer_message *message);
 
-/* CT_TIMER_SLOT_SHARING */
+/* The timer has expired; ct_slot_sharing_next_active() starts it again. */
 void ct_slot_sharing_on_timer(struct ct_state *state);
 
+/*
+ * Finds the next pool whose slots are lent, borrowed, owed or busy, sends its
+ * requests for slots and starts the timer. The caller recomputes the pool's
+ * slots. *cursor begins at 0. Returns false if there is no further pool.
+ */
+bool ct_slot_sharing_next_active(struct ct_state *state, uint32_t *cursor,
+                                 struct ct_handle *pool);
+
 #endif
