core: attempts no longer call the dispatch or the requests

Cause: attempt, dispatch and request called each other. Change: ct_attempt_on_data() and ct_attempt_on_done() return what must follow (write, retry, fail, complete), and dispatch, which the reducer calls for both and for the timer of hedges, does it. After a failure the slots of the pool are recomputed after the budget of retries was charged, not before; neither depends on the other, and the order of effects is unchanged.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "dispatch.h"
 #include "error.h"
 #include "retry.h"
 #include "state.h"
@@ -330,8 +329,11 @@
     }
 }
 
-/* Starts a further attempt; from the third attempt on, after a delay. */
-static void
+/*
+ * Returns the step of a further attempt: from the third attempt on, the timer
+ * starts it after a delay.
+ */
+static enum ct_attempt_step
 retry_request(struct ct_state *state, struct ct_handle handle,
               enum ct_outcome outcome)
 {
@@ -343,13 +345,13 @@
         ct_increment_counter(state, CT_COUNTER_RESUMES);
     }
     if (request->attempts < 2) {
-        ct_dispatch_start_attempt(state, handle);
-        return;
+        return CT_ATTEMPT_STEP_RETRY;
     }
     request->state = CT_REQUEST_BACKOFF;
     delay_ms = (ct_ms)BACKOFF_MS << request->attempts;
     delay_ms += (ct_ms)(ct_state_random(state) % (uint64_t)delay_ms);
     ct_arm_timer(state, delay_ms, CT_TIMER_RETRY, handle);
+    return CT_ATTEMPT_STEP_NONE;
 }
 
 /*
@@ -365,54 +367,54 @@
         request->earlier_may_have_run || (other && other->sent);
 }
 
-static void
+static struct ct_attempt_result
 handle_failed_attempt(struct ct_state *state, struct ct_handle attempt_handle,
                       enum ct_outcome outcome)
 {
     const struct ct_attempt *attempt = get_attempt(state, attempt_handle);
-    struct ct_handle handle = attempt->request;
-    struct ct_request *request = ct_request_get(state, handle);
-    struct ct_handle pool = request->pool;
+    struct ct_request *request = ct_request_get(state, attempt->request);
+    struct ct_attempt_result result = {.request = attempt->request,
+                                       .pool = request->pool,
+                                       .reason = failure_reason(outcome)};
     const struct ct_upstream_row *upstream =
         ct_table_get(&state->config.upstreams, attempt->upstream);
 
     ct_emit_log(state, CT_LOG_ATTEMPT_FAILED, &upstream->conf.name,
-                ct_refusal_text(failure_reason(outcome)), outcome);
+                ct_refusal_text(result.reason), outcome);
     request->earlier_may_have_run |=
         attempt->sent && ct_outcome_may_have_run(outcome);
     add_tried_upstream(request, attempt->upstream);
     end_attempt(state, attempt_handle, outcome);
-    ct_dispatch_update_slots(state, pool);
     if (ct_handle_eq(request->attempt, attempt_handle)) {
         request->attempt = request->hedge;
     }
     request->hedge = CT_NO_HANDLE;
     update_may_have_run(state, request);
     if (!ct_handle_is_none(request->attempt)) {
-        return;
+        return result;
     }
-    if (may_retry(state, request, outcome)) {
-        retry_request(state, handle, outcome);
-        return;
-    }
-    ct_request_fail(state, handle, failure_reason(outcome), 0);
+    result.step = may_retry(state, request, outcome)
+                      ? retry_request(state, result.request, outcome)
+                      : CT_ATTEMPT_STEP_FAIL;
+    return result;
 }
 
-void
+struct ct_attempt_result
 ct_attempt_on_data(struct ct_state *state,
                    const struct ct_attempt_event *event)
 {
     struct ct_request *request = request_of_event(state, event);
+    struct ct_attempt_result result = {0};
     struct ct_attempt *attempt;
 
     if (!request) {
-        return;
+        return result;
     }
     attempt = get_attempt(state, event->attempt);
     cancel_losing_attempt(state, request, event->attempt);
     if (event->offset < request->response_bytes) {
         ct_increment_counter(state, CT_COUNTER_LATE_EVENTS);
-        return;
+        return result;
     }
     if (event->offset > request->response_bytes) {
         /*
@@ -420,32 +422,34 @@
          * received.
          */
         emit_cancel_attempt(state, event->attempt);
-        handle_failed_attempt(state, event->attempt, CT_OUTCOME_MISMATCH);
-        return;
+        return handle_failed_attempt(state, event->attempt,
+                                     CT_OUTCOME_MISMATCH);
     }
     request->status = attempt->status;
     request->response_bytes = event->offset + event->bytes;
     record_tokens(state, request, attempt, event->tokens);
-    ct_request_write_progress(state, attempt->request);
+    result.step = CT_ATTEMPT_STEP_WRITE;
+    result.request = attempt->request;
+    return result;
 }
 
-void
+struct ct_attempt_result
 ct_attempt_on_done(struct ct_state *state,
                    const struct ct_attempt_event *event)
 {
     struct ct_request *request = request_of_event(state, event);
+    struct ct_attempt_result result = {0};
     const struct ct_attempt *attempt;
-    struct ct_handle handle;
 
     if (!request) {
-        return;
+        return result;
     }
     if (event->outcome != CT_OUTCOME_COMPLETE) {
-        handle_failed_attempt(state, event->attempt, event->outcome);
-        return;
+        return handle_failed_attempt(state, event->attempt, event->outcome);
     }
     attempt = get_attempt(state, event->attempt);
-    handle = attempt->request;
+    result.step = CT_ATTEMPT_STEP_COMPLETE;
+    result.request = attempt->request;
     cancel_losing_attempt(state, request, event->attempt);
     request->status = attempt->status;
     if (event->total_tokens) {
@@ -457,28 +461,34 @@
     state->counters.values[CT_COUNTER_TOKENS_IN] += request->prompt_tokens;
     end_attempt(state, event->attempt, event->outcome);
     request->attempt = CT_NO_HANDLE;
-    ct_request_complete(state, handle);
+    return result;
 }
 
-void
-ct_attempt_on_hedge_timer(struct ct_state *state, struct ct_handle handle)
+bool
+ct_attempt_awaits_hedge(struct ct_state *state, struct ct_handle handle)
 {
     struct ct_request *request = ct_request_get(state, handle);
     const struct ct_attempt *first;
-    struct ct_handle upstream;
 
     if (!request || request->state != CT_REQUEST_RUNNING ||
         request->response_bytes || request->attempts != 1) {
-        return;
+        return false;
     }
     first = get_attempt(state, request->attempt);
     if (!first) {
-        return;
+        return false;
     }
     add_tried_upstream(request, first->upstream);
-    upstream = ct_dispatch_choose_hedge(state, handle);
-    if (ct_handle_is_none(upstream) ||
-        !ct_hedge_allowed(&class_of(state, request)->retry,
+    return true;
+}
+
+void
+ct_attempt_start_hedge(struct ct_state *state, struct ct_handle handle,
+                       struct ct_handle upstream)
+{
+    struct ct_request *request = ct_request_get(state, handle);
+
+    if (!ct_hedge_allowed(&class_of(state, request)->retry,
                           request->idempotent)) {
         return;
     }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -224,8 +224,12 @@
     request->attempt = ct_attempt_start(state, handle, upstream);
 }
 
-struct ct_handle
-ct_dispatch_choose_hedge(struct ct_state *state, struct ct_handle handle)
+/*
+ * Returns an upstream for a hedge of the running attempt, or CT_NO_HANDLE if
+ * no other upstream is available.
+ */
+static struct ct_handle
+choose_hedge(struct ct_state *state, struct ct_handle handle)
 {
     const struct ct_request *request = ct_request_get(state, handle);
     struct ct_handle upstream = choose_upstream(state, request);
@@ -459,3 +463,59 @@
         ct_dispatch_start_attempt(state, handle);
     }
 }
+
+void
+ct_dispatch_on_hedge_timer(struct ct_state *state, struct ct_handle handle)
+{
+    struct ct_handle upstream;
+
+    if (!ct_attempt_awaits_hedge(state, handle)) {
+        return;
+    }
+    upstream = choose_hedge(state, handle);
+    if (!ct_handle_is_none(upstream)) {
+        ct_attempt_start_hedge(state, handle, upstream);
+    }
+}
+
+static void
+take_attempt_step(struct ct_state *state,
+                  const struct ct_attempt_result *result)
+{
+    ct_dispatch_update_slots(state, result->pool);
+    switch (result->step) {
+    case CT_ATTEMPT_STEP_WRITE:
+        ct_request_write_progress(state, result->request);
+        return;
+    case CT_ATTEMPT_STEP_RETRY:
+        ct_dispatch_start_attempt(state, result->request);
+        return;
+    case CT_ATTEMPT_STEP_FAIL:
+        ct_request_fail(state, result->request, result->reason, 0);
+        return;
+    case CT_ATTEMPT_STEP_COMPLETE:
+        ct_request_complete(state, result->request);
+        return;
+    case CT_ATTEMPT_STEP_NONE:
+    default:
+        return;
+    }
+}
+
+void
+ct_dispatch_on_attempt_data(struct ct_state *state,
+                            const struct ct_attempt_event *event)
+{
+    struct ct_attempt_result result = ct_attempt_on_data(state, event);
+
+    take_attempt_step(state, &result);
+}
+
+void
+ct_dispatch_on_attempt_done(struct ct_state *state,
+                            const struct ct_attempt_event *event)
+{
+    struct ct_attempt_result result = ct_attempt_on_done(state, event);
+
+    take_attempt_step(state, &result);
+}
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -60,12 +60,15 @@
 void ct_dispatch_on_append_done(struct ct_state *state,
                                 const struct ct_append_done *done);
 
-/*
- * Returns an upstream for a hedge of the running attempt, or CT_NO_HANDLE if
- * no other upstream is available.
- */
-struct ct_handle ct_dispatch_choose_hedge(struct ct_state *state,
-                                          struct ct_handle handle);
+/* CT_TIMER_HEDGE */
+void ct_dispatch_on_hedge_timer(struct ct_state *state,
+                                struct ct_handle request);
+
+/* Events of attempts that may end the request or start a further attempt. */
+void ct_dispatch_on_attempt_data(struct ct_state *state,
+                                 const struct ct_attempt_event *event);
+void ct_dispatch_on_attempt_done(struct ct_state *state,
+                                 const struct ct_attempt_event *event);
 
 /*
  * CT_TIMER_SLOT_RECOUNT: recounts the slots, because upstreams are ejected and
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -100,7 +100,7 @@
         ct_dispatch_on_queue_timer(state, timer->handle);
         return;
     case CT_TIMER_HEDGE:
-        ct_attempt_on_hedge_timer(state, timer->handle);
+        ct_dispatch_on_hedge_timer(state, timer->handle);
         return;
     case CT_TIMER_RETRY:
         ct_dispatch_on_retry_timer(state, timer->handle);
@@ -495,10 +495,10 @@
         ct_attempt_on_head(state, &event->u.attempt);
         return CT_OK;
     case CT_EVENT_ATTEMPT_DATA:
-        ct_attempt_on_data(state, &event->u.attempt);
+        ct_dispatch_on_attempt_data(state, &event->u.attempt);
         return CT_OK;
     case CT_EVENT_ATTEMPT_DONE:
-        ct_attempt_on_done(state, &event->u.attempt);
+        ct_dispatch_on_attempt_done(state, &event->u.attempt);
         return CT_OK;
     case CT_EVENT_LOAD_REPORT:
         on_load_report(state, &event->u.load);
