--- a/core/reduce.c
+++ b/core/reduce.c
@@ -45,43 +45,11 @@
     ct_drain_on_timer(state);
 }
 
+/* Timers of relayed calls and of the platform's store. */
 static void
-on_timer(struct ct_state *state, const struct ct_timer *timer)
+on_relay_timer(struct ct_state *state, const struct ct_timer *timer)
 {
     switch (timer->kind) {
-    case CT_TIMER_QUEUE:
-        ct_dispatch_on_queue_timer(state, timer->handle);
-        return;
-    case CT_TIMER_HEDGE:
-        ct_attempt_on_hedge_timer(state, timer->handle);
-        return;
-    case CT_TIMER_RETRY:
-        ct_dispatch_on_retry_timer(state, timer->handle);
-        return;
-    case CT_TIMER_RESPONSE_RETENTION:
-        ct_stored_response_on_retention_timer(state, timer->handle);
-        return;
-    case CT_TIMER_RESPONSE_LOOKUP:
-        ct_stored_response_on_lookup_timer(state, timer->handle);
-        return;
-    case CT_TIMER_CLAIM:
-        ct_dispatch_on_claim_timer(state, timer->handle);
-        return;
-    case CT_TIMER_REFUSALS:
-        ct_refusal_log_on_timer(state);
-        return;
-    case CT_TIMER_SLOT_SHARING:
-        ct_slot_sharing_on_timer(state);
-        return;
-    case CT_TIMER_SLOT_RECOUNT:
-        ct_dispatch_on_slot_recount_timer(state);
-        return;
-    case CT_TIMER_SNAPSHOT:
-        ct_snapshot_on_timer(state);
-        return;
-    case CT_TIMER_DRAIN:
-        on_drain_timer(state);
-        return;
     case CT_TIMER_RELAY:
         ct_relay_on_timer(state, timer->handle);
         return;
@@ -123,6 +91,48 @@
     case CT_TIMER_LOAD:
         ct_load_sharing_on_timer(state);
         return;
+    default:
+        return;
+    }
+}
+
+static void
+on_timer(struct ct_state *state, const struct ct_timer *timer)
+{
+    switch (timer->kind) {
+    case CT_TIMER_QUEUE:
+        ct_dispatch_on_queue_timer(state, timer->handle);
+        return;
+    case CT_TIMER_HEDGE:
+        ct_dispatch_on_hedge_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RETRY:
+        ct_dispatch_on_retry_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RESPONSE_RETENTION:
+        ct_stored_response_on_retention_timer(state, timer->handle);
+        return;
+    case CT_TIMER_RESPONSE_LOOKUP:
+        ct_stored_response_on_lookup_timer(state, timer->handle);
+        return;
+    case CT_TIMER_CLAIM:
+        ct_dispatch_on_claim_timer(state, timer->handle);
+        return;
+    case CT_TIMER_REFUSALS:
+        ct_refusal_log_on_timer(state);
+        return;
+    case CT_TIMER_SLOT_SHARING:
+        ct_dispatch_on_slot_sharing_timer(state);
+        return;
+    case CT_TIMER_SLOT_RECOUNT:
+        ct_dispatch_on_slot_recount_timer(state);
+        return;
+    case CT_TIMER_SNAPSHOT:
+        ct_snapshot_on_timer(state);
+        return;
+    case CT_TIMER_DRAIN:
+        on_drain_timer(state);
+        return;
     case CT_TIMER_HEARTBEAT:
         ct_peer_status_on_timer(state);
         ct_withdrawals_on_heartbeat(state);
@@ -138,7 +148,9 @@
         on_orders_timer(state);
         return;
     case CT_TIMER_LOG:
+        return;
     default:
+        on_relay_timer(state, timer);
         return;
     }
 }
@@ -205,7 +217,7 @@
     switch (message->type) {
     case CT_PEER_SLOT_REQUEST:
     case CT_PEER_SLOT_GRANT:
-        ct_slot_sharing_on_message(state, message);
+        ct_dispatch_on_slot_message(state, message);
         return;
     case CT_PEER_DEMAND:
         ct_order_plan_on_demand(state, message);
@@ -223,7 +235,9 @@
         ct_replication_on_update_request(state, message);
         return;
     case CT_PEER_STORE_UPDATE:
-        ct_replication_on_update(state, message);
+        if (ct_replication_on_update(state, message)) {
+            ct_store_on_update(state, &message->u.store_update, message->rows);
+        }
         return;
     case CT_PEER_TALLY:
         ct_forwarded_tallies_on_tally(state, message);
@@ -232,7 +246,9 @@
         ct_tallies_on_forward_done(state, message->u.sequence);
         return;
     case CT_PEER_MEMBERS_UPDATE:
-        ct_replication_on_members_update(state, message);
+        if (ct_replication_is_from_source(state, message)) {
+            ct_group_on_members_update(state, message->rows);
+        }
         return;
     case CT_PEER_LOAD:
     case CT_PEER_LOAD_SUM:
@@ -335,7 +351,9 @@
 on_peer_link(struct ct_state *state, const struct ct_name *peer, bool up)
 {
     if (state->relaying) {
-        ct_replication_on_link(state, peer, up);
+        if (ct_replication_on_link(state, peer, up)) {
+            ct_store_on_source_lost(state);
+        }
         ct_load_sharing_on_link(state, peer, up);
         return;
     }
@@ -432,7 +450,9 @@
         on_store_append_done(state, &event->u.store_append);
         return CT_OK;
     case CT_EVENT_STORE_JOIN_DONE:
-        ct_leadership_on_join_done(state, &event->u.store_join);
+        if (ct_leadership_on_join_done(state, &event->u.store_join)) {
+            ct_group_refresh_soon(state);
+        }
         return CT_OK;
     case CT_EVENT_STORE_MEMBERS_READ:
         on_members_read(state, event);
@@ -483,10 +503,10 @@
         ct_attempt_on_head(state, &event->u.attempt);
         return CT_OK;
     case CT_EVENT_ATTEMPT_DATA:
-        ct_attempt_on_data(state, &event->u.attempt);
+        ct_dispatch_on_attempt_data(state, &event->u.attempt);
         return CT_OK;
     case CT_EVENT_ATTEMPT_DONE:
-        ct_attempt_on_done(state, &event->u.attempt);
+        ct_dispatch_on_attempt_done(state, &event->u.attempt);
         return CT_OK;
     case CT_EVENT_LOAD_REPORT:
         on_load_report(state, &event->u.load);
--- a/core/replication.c
+++ b/core/replication.c
@@ -335,7 +335,7 @@
     ct_arm_timer(state, REQUEST_PERIOD_MS, CT_TIMER_REPLICATION, CT_NO_HANDLE);
 }
 
-void
+bool
 ct_replication_on_link(struct ct_state *state, const struct ct_name *peer,
                        bool up)
 {
@@ -346,14 +346,13 @@
         ct_table_unref(&replication->followers, handle);
     }
     if (!ct_name_eq(peer, &replication->source)) {
-        return;
+        return false;
     }
     replication->source_linked = up;
     if (up) {
         request_updates(state);
-        return;
     }
-    ct_store_on_source_lost(state);
+    return !up;
 }
 
 /* Sending updates. */
@@ -479,34 +478,23 @@
 
 /* Receiving updates. */
 
-/* Rejects messages of a previous source. */
-static bool
-is_from_source(const struct ct_replication *replication,
-               const struct ct_peer_message *message)
+bool
+ct_replication_is_from_source(const struct ct_state *state,
+                              const struct ct_peer_message *message)
 {
+    const struct ct_replication *replication = &state->replication;
+
     return replication->source_linked &&
            ct_name_eq(&message->sender, &replication->source);
 }
 
-void
+bool
 ct_replication_on_update(struct ct_state *state,
                          const struct ct_peer_message *message)
 {
-    struct ct_replication *replication = &state->replication;
-    const struct ct_store_update *update = &message->u.store_update;
-
-    if (!is_from_source(replication, message)) {
-        return;
-    }
-    replication->last_update_ms = state->now_ms;
-    ct_store_on_update(state, update, message->rows);
-}
-
-void
-ct_replication_on_members_update(struct ct_state *state,
-                                 const struct ct_peer_message *message)
-{
-    if (is_from_source(&state->replication, message)) {
-        ct_group_on_members_update(state, message->rows);
+    if (!ct_replication_is_from_source(state, message)) {
+        return false;
     }
+    state->replication.last_update_ms = state->now_ms;
+    return true;
 }
