core: a misdirected attempt does not count as one of the call's attempts

Cause: an answer 421 says that another process has the address, but the attempt counted as one at an upstream, and the upstream was avoided for 0.5 s only, while its new entry came after 1.2 s.

Change: such an attempt counts as one that was not sent (four at most a call; each takes a retry of the budget), and the upstream is avoided for as long as one that accepts no connection. The quarantine's part of relay-attempt.c moves to a file of its own.

Result: test-relay-misdirected fails before (the second attempt is refused) and passes.

--- a/core/relay-attempt.c
+++ b/core/relay-attempt.c
@@ -6,6 +6,7 @@
 #include "relay-backup.h"
 #include "relay-choice.h"
 #include "relay-end.h"
+#include "relay-quarantine.h"
 #include "retry.h"
 #include "state.h"
 
@@ -20,6 +21,7 @@
 #define LIMIT_WAIT_MAX_MS 400
 #define LIMIT_WAIT_STEP_MS 10
 #define STATUS_OK 200
+#define STATUS_MISDIRECTED 421
 #define FIRST_SERVER_ERROR 500
 
 static void
@@ -411,7 +413,9 @@
                    ? STEP_RETRY
                    : STEP_FAIL;
     case CT_OUTCOME_DECLINED:
-        return !ct_relay_backup_needed(relay) && try_spend_retry(state, relay)
+        return !ct_relay_backup_needed(relay) &&
+                       relay->unsent_attempts < UNSENT_ATTEMPTS_MAX &&
+                       try_spend_retry(state, relay)
                    ? STEP_RETRY
                    : STEP_FAIL;
     default:
@@ -464,63 +468,6 @@
     log->number = (int64_t)relay->last_event;
 }
 
-/*
- * Logs each part of the prompt: a part that many upstreams met when they
- * failed may have crashed them.
- */
-static void
-log_lost_parts(struct ct_state *state, const struct ct_relay *relay,
-               const struct ct_relay_progress *progress)
-{
-    for (uint32_t i = 0; i < relay->parts.n; i++) {
-        struct ct_log_effect *log =
-            ct_relay_log(state, relay, CT_LOG_RELAY_PART_LOST);
-
-        log->prompt_part = relay->parts.ids[i];
-        log->status = progress->status;
-    }
-}
-
-/* Whether the upstream failed before the first event of its response. */
-static bool
-lost_before_first_event(const struct ct_relay_attempt *attempt,
-                        const struct ct_relay_progress *progress)
-{
-    return progress->outcome == CT_OUTCOME_CONNECTION_LOST &&
-           progress->closed_early && !attempt->first_event_seen;
-}
-
-/* Identifies an upstream and its start, the same on all hosts. */
-static uint64_t
-hash_upstream_start(const struct ct_state *state,
-                    const struct ct_upstream_row *upstream)
-{
-    ct_ms started_ms =
-        ct_upstream_registry_started_ms(state, &upstream->conf.name);
-
-    return ct_hash_bytes(upstream->name_hash, &started_ms, sizeof(started_ms));
-}
-
-/* Tells the quarantine whether the call's prompt was answered. */
-static void
-report_to_quarantine(struct ct_state *state, const struct ct_relay *relay,
-                     const struct ct_relay_attempt *attempt,
-                     const struct ct_relay_progress *progress)
-{
-    if (lost_before_first_event(attempt, progress)) {
-        log_lost_parts(state, relay, progress);
-        ct_prompt_quarantine_on_crash(
-            state, &relay->parts,
-            hash_upstream_start(state, ct_table_get(&state->config.upstreams,
-                                                    attempt->upstream)),
-            progress->status == STATUS_OK);
-    }
-    else if (progress->outcome == CT_OUTCOME_COMPLETE &&
-             progress->status == STATUS_OK && !attempt->first_event_seen) {
-        ct_prompt_quarantine_on_answer(state, &relay->parts);
-    }
-}
-
 static void
 retry_call(struct ct_state *state, struct ct_handle handle,
            const struct ct_relay_progress *progress, bool from_backup)
@@ -538,17 +485,35 @@
     start_attempt(state, handle, &choice);
 }
 
-/* Records whether the call may have run; a declined attempt did not run. */
+/*
+ * Whether another process has the upstream's address, which says that it is
+ * not the one that the call names.
+ */
+static bool
+is_misdirected(const struct ct_relay_progress *progress)
+{
+    return progress->outcome == CT_OUTCOME_DECLINED &&
+           progress->status == STATUS_MISDIRECTED;
+}
+
+/*
+ * Records whether the call may have run; a declined attempt did not run. A
+ * misdirected one did not reach its upstream, as if it were not sent.
+ */
 static void
 record_attempt_end(struct ct_relay *relay,
                    const struct ct_relay_attempt *attempt,
-                   enum ct_outcome outcome)
+                   const struct ct_relay_progress *progress)
 {
     if (!attempt->sent) {
         relay->unsent_attempts++;
         return;
     }
-    relay->earlier_may_have_run |= outcome != CT_OUTCOME_DECLINED;
+    if (is_misdirected(progress)) {
+        relay->sent_attempts--;
+        relay->unsent_attempts++;
+    }
+    relay->earlier_may_have_run |= progress->outcome != CT_OUTCOME_DECLINED;
     relay->may_have_run = relay->earlier_may_have_run;
 }
 
@@ -569,8 +534,8 @@
     upstream = ct_table_get(&state->config.upstreams, attempt->upstream);
     relay->last_upstream = upstream->conf.name;
     relay->last_outcome = progress->outcome;
-    record_attempt_end(relay, attempt, progress->outcome);
-    report_to_quarantine(state, relay, attempt, progress);
+    record_attempt_end(relay, attempt, progress);
+    ct_relay_report_to_quarantine(state, relay, attempt, progress);
     next_step = step_after_attempt(state, relay, progress);
     if (next_step == STEP_PASS_RESPONSE) {
         count_usage(state, relay);
@@ -583,7 +548,9 @@
     /* Frees the bytes that the front end holds for the attempt. */
     ct_emit_effect(state, CT_EFFECT_RELAY_CANCEL_ATTEMPT)->u.relay.attempt =
         relay->attempt;
-    ct_relay_end_attempt(state, relay, progress->outcome);
+    ct_relay_end_attempt(state, relay,
+                         is_misdirected(progress) ? CT_OUTCOME_NOT_SENT
+                                                  : progress->outcome);
     if (next_step == STEP_PASS_RESPONSE) {
         ct_relay_complete(state, handle, progress->status);
         return;
