--- a/core/reduce.c
+++ b/core/reduce.c
@@ -7,6 +7,7 @@
 #include "drain.h"
 #include "error.h"
 #include "reduce-callers.h"
+#include "reduce-peers.h"
 #include "relay-host.h"
 #include "relay-reroute.h"
 #include "slot-sharing.h"
@@ -187,83 +188,6 @@
     }
 }
 
-static void
-on_message_of_known_peer(struct ct_state *state,
-                         const struct ct_peer_message *message)
-{
-    switch (message->type) {
-    case CT_PEER_WITHDRAW:
-        ct_withdrawals_on_withdraw(state, message);
-        return;
-    case CT_PEER_WITHDRAWN:
-        ct_withdrawals_on_withdrawn(state, message);
-        return;
-    case CT_PEER_STATE_REQUEST:
-        ct_snapshot_on_state_request(state, message);
-        return;
-    case CT_PEER_STATE:
-        if (ct_peer_status_needs_state(state, message->u.offset)) {
-            ct_log_on_peer_state(state, message->u.offset, message->rows);
-        }
-        return;
-    default:
-        return;
-    }
-}
-
-static void
-on_peer_message(struct ct_state *state, const struct ct_peer_message *message)
-{
-    switch (message->type) {
-    case CT_PEER_SLOT_REQUEST:
-    case CT_PEER_SLOT_GRANT:
-        ct_dispatch_on_slot_message(state, message);
-        return;
-    case CT_PEER_DEMAND:
-        ct_order_plan_on_demand(state, message);
-        return;
-    case CT_PEER_USAGE_COPY:
-        ct_usage_on_copy(state, message);
-        return;
-    case CT_PEER_RESPONSE_LOOKUP:
-        ct_stored_response_on_peer_lookup(state, message);
-        return;
-    case CT_PEER_RESPONSE_FOUND:
-        ct_stored_response_on_peer_found(state, message);
-        return;
-    case CT_PEER_STORE_UPDATE_REQUEST:
-        ct_replication_on_update_request(state, message);
-        return;
-    case CT_PEER_STORE_UPDATE:
-        if (ct_replication_on_update(state, message)) {
-            ct_store_on_update(state, &message->u.store_update, message->rows);
-        }
-        return;
-    case CT_PEER_TALLY:
-        ct_forwarded_tallies_on_tally(state, message);
-        return;
-    case CT_PEER_TALLY_DONE:
-        ct_tallies_on_forward_done(state, message->u.sequence);
-        return;
-    case CT_PEER_MEMBERS_UPDATE:
-        if (ct_replication_is_from_source(state, message)) {
-            ct_group_on_members_update(state, message->rows);
-        }
-        return;
-    case CT_PEER_LOAD:
-    case CT_PEER_LOAD_SUM:
-    case CT_PEER_LOAD_LIST:
-    case CT_PEER_LOAD_GAPS:
-        ct_load_sharing_on_message(state, message);
-        return;
-    default:
-        if (ct_peer_status_on_message(state, message)) {
-            on_message_of_known_peer(state, message);
-        }
-        return;
-    }
-}
-
 static int
 on_upstream_list(struct ct_state *state, const struct ct_event *event)
 {
@@ -347,26 +271,6 @@
     }
 }
 
-static void
-on_peer_link(struct ct_state *state, const struct ct_name *peer, bool up)
-{
-    if (state->relaying) {
-        if (ct_replication_on_link(state, peer, up)) {
-            ct_store_on_source_lost(state);
-        }
-        ct_load_sharing_on_link(state, peer, up);
-        return;
-    }
-    if (up) {
-        ct_peer_status_on_link_up(state, peer);
-        ct_withdrawals_on_peer_up(state, peer);
-    }
-    else {
-        ct_peer_status_on_link_down(state, peer);
-    }
-    ct_slot_sharing_on_link(state, peer, up);
-}
-
 static void
 on_attempt_head(struct ct_state *state,
                 const struct ct_relay_progress *progress)
@@ -533,13 +437,13 @@
     case CT_EVENT_UPSTREAM_LIST:
         return on_upstream_list(state, event);
     case CT_EVENT_PEER_UP:
-        on_peer_link(state, &event->u.peer.peer, true);
+        ct_reduce_peer_link(state, &event->u.peer.peer, true);
         return CT_OK;
     case CT_EVENT_PEER_DOWN:
-        on_peer_link(state, &event->u.peer.peer, false);
+        ct_reduce_peer_link(state, &event->u.peer.peer, false);
         return CT_OK;
     case CT_EVENT_PEER_MESSAGE:
-        on_peer_message(state, &event->u.peer.message);
+        ct_reduce_peer_message(state, &event->u.peer.message);
         return CT_OK;
     case CT_EVENT_HOST_LIST:
         ct_peer_status_on_host_list(state, event->rows);
