--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -49,6 +49,29 @@
     }
 }
 
+static void
+fill_store_update(struct ct_peer_message *m)
+{
+    m->u.store_update = (struct ct_store_update){
+        .topic = CT_TOPIC_UPSTREAMS,
+        .from = 5,
+        .next = 6,
+        .requested_ms = 77,
+        .known_after_ms = -3,
+        .recovered_age_ms = CT_MS_NEVER,
+    };
+    CT_TEXT_SET(entry.upstream.name, "engine-1");
+    /* Names are UTF-8, not only ASCII. */
+    CT_TEXT_SET(entry.upstream.zone, "\xc4\xb0zmir");
+    entry.upstream.slots = 64;
+    entry.upstream.cheap = true;
+    entry.leaving = true;
+    entry.started_ms = -1;
+    entry.cold_left_ms = 9000;
+    entry.offset = 5;
+    m->rows = CT_ROWS(&entry, 1);
+}
+
 static void
 fill_message(struct ct_peer_message *m, enum ct_peer_message_type type)
 {
@@ -98,24 +121,7 @@
         m->u.requested_ms = 77;
         break;
     case CT_PEER_STORE_UPDATE:
-        m->u.store_update = (struct ct_store_update){
-            .topic = CT_TOPIC_UPSTREAMS,
-            .from = 5,
-            .next = 6,
-            .requested_ms = 77,
-            .known_after_ms = -3,
-            .recovered_age_ms = CT_MS_NEVER,
-        };
-        CT_TEXT_SET(entry.upstream.name, "engine-1");
-        /* Names are UTF-8, not only ASCII. */
-        CT_TEXT_SET(entry.upstream.zone, "\xc4\xb0zmir");
-        entry.upstream.slots = 64;
-        entry.upstream.cheap = true;
-        entry.leaving = true;
-        entry.started_ms = -1;
-        entry.cold_left_ms = 9000;
-        entry.offset = 5;
-        m->rows = CT_ROWS(&entry, 1);
+        fill_store_update(m);
         break;
     case CT_PEER_MEMBERS_UPDATE:
         CT_TEXT_SET(members[0].host, "h1");
