shell: stop reading streams that their callers do not read

64 callers of streams of 4 MB that read nothing, or 16 bytes every 50 ms, made a host with memory_mb 64 grow to 244 MB.

Cause: the port read a stream as fast as its upstream sent it, and buffered what the caller did not read. These bytes were charged, but a response is cut off only after two seconds without progress, when all of it is buffered, and a slow reader makes progress.

Change: a transfer asks whether it may pass data, and is paused otherwise until it is continued. A stream is paused while the unread bytes of its caller exceed an eighth of what the unread bytes of all streams leave of half the memory for calls (16 KB to 1 MB), and continued when its caller reads. A part of an event does not count, since no reading makes room for it. Written bytes are freed when they are a quarter of a buffer, not half.

--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -13,6 +13,7 @@
 #include "discovery-port.h"
 #include "host-loop.h"
 #include "logger.h"
+#include "memory-budget.h"
 #include "operators.h"
 #include "peer.h"
 #include "relay-io.h"
@@ -224,6 +225,7 @@
         .dialect = ct_platform_dialect(),
         .address = daemon->settings.caller_address.text,
         .peer_connections = daemon->settings.bounds.peer_connections,
+        .memory_bytes = ct_memory_budget_limit(&daemon->settings.bounds),
         .limits =
             {
                 .max_connections = daemon->settings.max_connections,
--- a/shell/http.c
+++ b/shell/http.c
@@ -346,14 +346,12 @@
     return transfer->run_bytes >= RUN_MAX_BYTES;
 }
 
-static size_t
-pause_transfer(struct ct_transfer *transfer)
+/* Resumes a paused transfer when the loop has looked at the other sockets. */
+static void
+resume_later(struct ct_transfer *transfer)
 {
-    struct ct_http *http = transfer->http;
-
-    g_queue_push_tail(&http->paused, transfer);
-    ev_timer_start(ct_loop_ev(http->loop), &http->resume);
-    return CURL_WRITEFUNC_PAUSE;
+    g_queue_push_tail(&transfer->http->paused, transfer);
+    ev_timer_start(ct_loop_ev(transfer->http->loop), &transfer->http->resume);
 }
 
 static size_t
@@ -362,7 +360,13 @@
     struct ct_transfer *transfer = arg;
 
     if (is_run_over(transfer)) {
-        return pause_transfer(transfer);
+        resume_later(transfer);
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    transfer->held = transfer->ops->takes_data != NULL &&
+                     !transfer->ops->takes_data(transfer);
+    if (transfer->held) {
+        return CURL_WRITEFUNC_PAUSE;
     }
     transfer->run_bytes += size * n + PART_OVERHEAD_BYTES;
     transfer->received = true;
@@ -401,7 +405,8 @@
     (void)down;
     (void)up_total;
     (void)up;
-    if (transfer->received) {
+    /* What the kernel receives for a transfer on hold was not discarded. */
+    if (transfer->received || transfer->held) {
         end_run(transfer);
         return 0;
     }
@@ -573,11 +578,21 @@
     return CT_OK;
 }
 
+void
+ct_http_continue(struct ct_transfer *transfer)
+{
+    if (transfer->held) {
+        transfer->held = false;
+        resume_later(transfer);
+    }
+}
+
 void
 ct_http_cancel(struct ct_http *http, struct ct_transfer *transfer)
 {
     if (transfer->running) {
         transfer->running = false;
+        transfer->held = false;
         g_queue_remove(&http->paused, transfer);
         curl_multi_remove_handle(http->multi, transfer->easy);
     }
--- a/shell/http.h
+++ b/shell/http.h
@@ -26,6 +26,12 @@
      * Receives a header line or the status line, with its CRLF. May be NULL.
      */
     int (*header)(struct ct_transfer *transfer, const char *line, size_t n);
+    /*
+     * Whether data() may be called now; otherwise the transfer is paused until
+     * ct_http_continue(), and the server finds its connection unread. NULL:
+     * always.
+     */
+    bool (*takes_data)(const struct ct_transfer *transfer);
     /* Receives a part of the body; a negative error stops the transfer. */
     int (*data)(struct ct_transfer *transfer, const char *data, size_t n);
     /*
@@ -61,6 +67,8 @@
     /* The run of libcurl that passed body bytes last, and how many. */
     unsigned run;
     size_t run_bytes;
+    /* Paused until ct_http_continue(). */
+    bool held;
     /* Part of the response was received since libcurl last ran. */
     bool received;
     /* Times that libcurl ran since a part of the response was received. */
@@ -113,6 +121,8 @@
 
 /* Errors: CT_ERR_IO. */
 int ct_http_start(struct ct_http *http, struct ct_transfer *transfer);
+/* Resumes a transfer that is paused because takes_data() returned false. */
+void ct_http_continue(struct ct_transfer *transfer);
 /* Stops a transfer; none of its functions are called afterwards. */
 void ct_http_cancel(struct ct_http *http, struct ct_transfer *transfer);
 
--- a/shell/relay-call.c
+++ b/shell/relay-call.c
@@ -53,6 +53,7 @@
     struct relay_call *call = row;
 
     relay_body_clear(call);
+    relay_response_clear(call);
     if (call->message != NULL) {
         relay_message_unref(call->message);
     }
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -28,6 +28,9 @@
     /* Maps the reducer's handle of an attempt to struct relay_attempt. */
     GHashTable *by_handle;
     bool draining;
+    /* Memory for calls, and what of it the unread bytes of streams hold. */
+    uint64_t memory_bytes;
+    uint64_t unread_bytes;
     /* Reports the progress of bodies, while any is being read. */
     ev_timer progress_timer;
 };
@@ -95,6 +98,10 @@
     guint pending_offset;
     /* What the reducer knows of the bytes that are not written. */
     guint reported_unread;
+    /* What io->unread_bytes contains of this call. */
+    guint counted_unread;
+    /* The attempt whose bytes were forwarded last. */
+    struct ct_handle source;
     /* A complete response that is written in parts. */
     bool whole;
     bool ended;
@@ -209,12 +216,22 @@
 void relay_response_forward(struct ct_relay_io *io,
                             const struct ct_relay_forward *forward);
 void relay_response_abort(struct ct_relay_io *io, uint64_t caller);
+/*
+ * Whether the caller's unread bytes, and those posted but not yet forwarded,
+ * leave room for more of the stream from this attempt.
+ */
+bool relay_response_has_room(const struct ct_relay_io *io, uint64_t caller,
+                             struct ct_handle attempt, guint posted_bytes);
+/* Removes the call from the count of unread bytes. */
+void relay_response_clear(struct relay_call *call);
 /* CT_EFFECT_RELAY_DISCONNECT_CALLER */
 void relay_response_cut_off(struct ct_relay_io *io, uint64_t caller);
 
 /* relay-upstream.c: the HTTP client of upstreams. */
 void relay_attempt_start(struct ct_relay_io *io,
                          const struct ct_relay_start *start);
+/* Reads on from the upstream if that was stopped for the caller's sake. */
+void relay_attempt_continue(struct relay_attempt *attempt);
 /* Cancels the transfer if it is still running, and frees the row. */
 void relay_attempt_free(struct relay_attempt *attempt);
 struct relay_attempt *relay_attempt_find(const struct ct_relay_io *io,
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -139,6 +139,7 @@
     relay_body_init(io);
     relay_connections_init(io);
     io->peer_connections = options->peer_connections;
+    io->memory_bytes = options->memory_bytes;
     err = start_server(io, options->address);
     if (err < 0) {
         relay_connections_free(io);
--- a/shell/relay-io.h
+++ b/shell/relay-io.h
@@ -21,6 +21,8 @@
     struct ct_caller_limits limits;
     /* Limit on the connections of one IP address; 0 for none. */
     uint32_t peer_connections;
+    /* Memory for calls; what streams may hold unread follows from it. */
+    uint64_t memory_bytes;
 };
 
 /* Errors: CT_ERR_INVALID for a bad address, CT_ERR_IO. */
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -14,6 +14,17 @@
 /* Change of the unread bytes after which the reducer is told. */
 #define UNREAD_STEP_BYTES (16 * 1024)
 #define COMPACT_MIN_BYTES (64 * 1024)
+/* Written bytes are freed when they are more than this part of a buffer. */
+#define COMPACT_DIVISOR 4
+/*
+ * Streams together may hold this part of the memory for calls unread. Each may
+ * hold a part of what the others leave: few streams are buffered far ahead,
+ * and many stay within the limit together.
+ */
+#define STREAMS_DIVISOR 2
+#define STREAM_DIVISOR 8
+#define STREAM_MIN_BYTES (16 * 1024)
+#define STREAM_MAX_BYTES (1024 * 1024)
 #define JSON "application/json"
 
 static void
@@ -93,6 +104,63 @@
     ct_loop_post(call->io->loop, &event);
 }
 
+static guint
+unread_bytes(const struct relay_call *call)
+{
+    return call->pending != NULL ? call->pending->len - call->pending_offset
+                                 : 0;
+}
+
+/* Keeps the sum of the unread bytes of all streams. */
+static void
+count_unread(struct relay_call *call)
+{
+    guint unread = call->whole ? 0 : unread_bytes(call);
+
+    call->io->unread_bytes += unread;
+    call->io->unread_bytes -= call->counted_unread;
+    call->counted_unread = unread;
+}
+
+void
+relay_response_clear(struct relay_call *call)
+{
+    call->io->unread_bytes -= call->counted_unread;
+    call->counted_unread = 0;
+}
+
+/* Returns how many bytes of one stream may be unread now. */
+static uint64_t
+stream_limit(const struct ct_relay_io *io)
+{
+    uint64_t limit = io->memory_bytes / STREAMS_DIVISOR;
+    uint64_t left = limit > io->unread_bytes ? limit - io->unread_bytes : 0;
+
+    return CLAMP(left / STREAM_DIVISOR, STREAM_MIN_BYTES, STREAM_MAX_BYTES);
+}
+
+bool
+relay_response_has_room(const struct ct_relay_io *io, uint64_t caller,
+                        struct ct_handle attempt, guint posted_bytes)
+{
+    const struct relay_call *call = relay_call_find(io, caller);
+
+    /* Before its first event is forwarded, no reading resumes an attempt. */
+    return call == NULL || !ct_handle_eq(call->source, attempt) ||
+           unread_bytes(call) + posted_bytes < stream_limit(io);
+}
+
+/* Lets the upstream send on once the caller has read enough. */
+static void
+continue_source(struct relay_call *call)
+{
+    struct relay_attempt *attempt = relay_attempt_find(call->io, call->source);
+
+    if (attempt != NULL && unread_bytes(call) < stream_limit(call->io)) {
+        relay_attempt_continue(attempt);
+    }
+}
+
 /* Large buffers are mapped each by itself, so that freeing returns them. */
 static void
 empty_pending(struct relay_call *call)
@@ -113,7 +181,7 @@
         empty_pending(call);
     }
     else if (call->pending_offset > COMPACT_MIN_BYTES &&
-             call->pending_offset > call->pending->len / 2) {
+             call->pending_offset > call->pending->len / COMPACT_DIVISOR) {
         g_byte_array_remove_range(call->pending, 0, call->pending_offset);
         call->pending_offset = 0;
     }
@@ -134,7 +202,9 @@
         memcpy(out, call->pending->data + call->pending_offset, n);
         call->pending_offset += (guint)n;
         compact_pending(call);
+        count_unread(call);
         report_unread(call);
+        continue_source(call);
         return (ssize_t)n;
     }
     if (call->aborted) {
@@ -222,6 +292,7 @@
     else {
         append_bytes(call, attempt, forward->bytes);
     }
+    call->source = forward->attempt;
     if (forward->is_last) {
         call->ended = true;
         call->open = false;
@@ -232,6 +303,7 @@
     else {
         relay_call_resume(call);
     }
+    count_unread(call);
     report_unread(call);
 }
 
@@ -264,6 +336,7 @@
     if (call->pending != NULL) {
         call->pending_offset = call->pending->len;
         empty_pending(call);
+        count_unread(call);
     }
     fd = MHD_get_connection_info(call->connection,
                                  MHD_CONNECTION_INFO_CONNECTION_FD)
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -53,6 +53,12 @@
     return bytes;
 }
 
+void
+relay_attempt_continue(struct relay_attempt *attempt)
+{
+    ct_http_continue(&attempt->transfer);
+}
+
 void
 relay_attempt_free(struct relay_attempt *attempt)
 {
@@ -187,6 +193,19 @@
     return attempt->start.stream ? EVENT_MAX_BYTES : RESPONSE_MAX_BYTES;
 }
 
+/* A part of an event always is, since no reading would make room for it. */
+static bool
+takes_data(const struct ct_transfer *transfer)
+{
+    const struct relay_attempt *attempt =
+        (const struct relay_attempt *)transfer;
+
+    return !attempt->start.stream ||
+           relay_response_has_room(attempt->io, attempt->start.caller,
+                                   attempt->start.attempt,
+                                   attempt->posted_bytes);
+}
+
 static int
 on_data(struct ct_transfer *transfer, const char *data, size_t n)
 {
@@ -327,6 +346,7 @@
     static const struct ct_transfer_ops ops = {
         .before_send = on_before_send,
         .header = on_header,
+        .takes_data = takes_data,
         .data = on_data,
         .flush = on_flush,
         .done = on_done,
--- a/t/test-http.c
+++ b/t/test-http.c
@@ -1,6 +1,7 @@
 /*
  * Tests of http.h: a response never goes to another transfer that reuses the
- * connection, and parts of a response are flushed once a run.
+ * connection, parts of a response are flushed once a run, and a transfer on
+ * hold takes no data.
  */
 #include <ev.h>
 #include <glib.h>
@@ -58,8 +59,8 @@
     .data = on_data, .flush = on_flush, .done = on_done};
 
 static void
-run_get(struct ct_http *http, struct script *script, const char *address,
-        const struct ct_transfer_ops *ops, struct get *get)
+start_get(struct ct_http *http, struct script *script, const char *address,
+          const struct ct_transfer_ops *ops, struct get *get)
 {
     memset(get, 0, sizeof(*get));
     get->script = script;
@@ -68,6 +69,13 @@
     g_assert_cmpint(ct_transfer_init(&get->transfer, http, ops, address, "/"),
                     ==, 0);
     g_assert_cmpint(ct_http_start(http, &get->transfer), ==, 0);
+}
+
+static void
+run_get(struct ct_http *http, struct script *script, const char *address,
+        const struct ct_transfer_ops *ops, struct get *get)
+{
+    start_get(http, script, address, ops, get);
     script_wait_until(script, is_done, get);
 }
 
@@ -210,6 +218,65 @@
     g_free(block);
 }
 
+static size_t held_bytes;
+
+static bool
+takes_data(const struct ct_transfer *transfer)
+{
+    return ((const struct get *)transfer)->body->len < held_bytes;
+}
+
+/*
+ * Guards against a transfer that goes on while it is on hold, or ends, and one
+ * that loses bytes or does not go on afterwards.
+ */
+static void
+test_hold(void)
+{
+    static const struct ct_transfer_ops ops = {.takes_data = takes_data,
+                                               .data = on_data,
+                                               .flush = on_flush,
+                                               .done = on_done};
+    char *body = g_strnfill(4 * 1024 * 1024, 'x');
+    char *text = g_strconcat("HTTP/1.1 200 OK\r\n\r\n", body, NULL);
+    struct raw_reply reply = {text, RAW_CLOSE, NULL, 0};
+    struct raw_server *server = raw_server_new(&reply, 1);
+    struct script *script = script_new();
+    struct ct_http *http = ct_http_new(script->loop);
+    struct get get;
+
+    ct_loop_add(script->loop, ct_http_executor(http));
+    held_bytes = 0;
+    start_get(http, script, raw_server_address(server), &ops, &get);
+    for (int i = 0; i < 4; i++) {
+        wait_ms(script, LATE_MS);
+        g_assert_false(get.done);
+        g_assert_cmpuint(get.body->len, >=, held_bytes);
+        g_assert_cmpuint(get.body->len, <=, held_bytes + CURL_MAX_WRITE_SIZE);
+        held_bytes += 256 * 1024;
+        ct_http_continue(&get.transfer);
+    }
+    held_bytes = SIZE_MAX;
+    wait_ms(script, LATE_MS);
+    ct_http_continue(&get.transfer);
+    script_wait_until(script, is_done, &get);
+    g_assert_cmpint(get.result, ==, CURLE_OK);
+    g_assert_cmpstr(get.body->str, ==, body);
+    clear_get(&get);
+    /* One that is cancelled on hold leaves nothing behind. */
+    held_bytes = 0;
+    start_get(http, script, raw_server_address(server), &ops, &get);
+    wait_ms(script, LATE_MS);
+    ct_http_continue(&get.transfer);
+    clear_get(&get);
+    wait_ms(script, LATE_MS);
+    ct_loop_free(script->loop);
+    script_free(script);
+    raw_server_free(server);
+    g_free(text);
+    g_free(body);
+}
+
 /*
  * Guards against a response that breaks off in its head and counts as a
  * complete one without a body: wherever the head is cut, the transfer fails.
@@ -309,6 +376,7 @@
                          test_second_copy);
     g_test_add_func("/http/flush", test_flush);
     g_test_add_func("/http/fair-share", test_fair_share);
+    g_test_add_func("/http/hold", test_hold);
     add_head_tests();
     return g_test_run();
 }
