--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -6,7 +6,7 @@
 #define DEFAULT_MAX_CONNECTIONS 2048
 #define MAX_CONNECTIONS 1000000
 #define DEFAULT_MEMORY_MB 128
-/* Upstreams buffer less for a reader before they end its response. */
+/* More than upstreams buffer for a slow reader: they end it first. */
 #define DEFAULT_UNREAD_BYTES (16 * 1024 * 1024)
 #define UNREAD_MIN_BYTES (64 * 1024)
 #define SECRET_MIN_BYTES 16
@@ -18,8 +18,8 @@
 /* The process without connections and calls, and one connection. */
 #define PROCESS_MB 16
 #define CONNECTION_BYTES (32 * 1024)
-/* Connections that even the smallest host accepts. */
-#define LEAST_CONNECTIONS 64
+/* Connections for which memory is assumed to suffice on any host. */
+#define MEMORY_CONNECTIONS_MIN 64
 /*
  * All callers may share the address of a proxy, so by default one address may
  * have three quarters of the total.
@@ -130,7 +130,7 @@
         PROCESS_MB * BYTES_PER_MB + ct_memory_budget_limit(bounds);
 
     return MAX(bytes > others ? (bytes - others) / CONNECTION_BYTES : 0,
-               LEAST_CONNECTIONS);
+               MEMORY_CONNECTIONS_MIN);
 }
 
 void
--- a/core/balance-reserve.c
+++ b/core/balance-reserve.c
@@ -23,6 +23,7 @@
  * other hosts is not known, they are assumed to send as much as this one.
  */
 #define RESERVED_FULL_PERCENT 50
+
 uint64_t
 ct_rendezvous_hash(uint64_t prefix_hash, uint64_t name_hash)
 {
--- a/core/balance-shared.c
+++ b/core/balance-shared.c
@@ -32,10 +32,10 @@
 #define PART_MIN (CT_BALANCE_PART_FULL / 64)
 
 /*
- * A difference in load of two candidates, relative to their sum, changes the
- * permille with which each is chosen by this number, divided by the age of the
- * load in ms, within the limits below. Short calls end before a difference
- * that is some seconds old is seen, so it says little.
+ * The relative difference in load of two candidates, times a weight, is added
+ * to the probability of the one with less load. The weight in permille is
+ * PAIR_PERMILLE_MS divided by the age of the load in ms, within the limits
+ * below: short calls that ended since make an old difference say little.
  */
 #define PAIR_PERMILLE_MS 250000
 #define PAIR_PERMILLE_MIN 100
@@ -43,9 +43,7 @@
 
 /*
  * Requests with a short target for gaps pass over upstreams with less than
- * this percentage of the median speed. It is between the speed of engines
- * whose streams miss such a target and that of the others with the error of
- * its measurement.
+ * this percentage of the median speed, whose streams would miss the target.
  */
 #define SLOW_PERCENT 70
 
--- a/core/body-admission.c
+++ b/core/body-admission.c
@@ -219,8 +219,7 @@
            (body->wanted_bytes == 0 || rule->waiting);
 }
 
-/* Returns the body to refuse next, and the bytes of all that may be refused.
- */
+/* Returns the body to refuse next; sets the bytes of all candidates. */
 static struct ct_handle
 next_to_shed(const struct ct_bodies *bodies, const struct shed_rule *rule,
              uint64_t *bytes)
--- a/core/bounds.h
+++ b/core/bounds.h
@@ -59,8 +59,8 @@
     /* Longest time that a request body waits unread for memory. */
     ct_ms body_wait_ms;
     /*
-     * Connections and incomplete request bodies of one IP address; 0 for no
-     * limit.
+     * Most connections and incomplete request bodies of one IP address; 0 for
+     * no limit. In the settings 0 stands for the default.
      */
     uint32_t peer_connections;
     uint32_t peer_bodies;
--- a/core/cold-upstreams.c
+++ b/core/cold-upstreams.c
@@ -82,9 +82,10 @@
 };
 
 /*
- * A bucket of one request with this rate lets each host send at most
- * per_window requests in a window, so that LIST_VERSIONS sets of responsible
- * hosts stay within the bound, and one set within the pool's rate.
+ * Returns how many hosts are responsible for a cold upstream of the pool, and
+ * the rate of each. One set of these hosts keeps to the pool's rate;
+ * LIST_VERSIONS sets, by member lists that differ, keep to the bound in each
+ * window.
  */
 static struct cold_plan
 plan_hosts(const struct ct_state *state, const struct ct_pool_row *pool)
@@ -102,6 +103,7 @@
     per_window = MAX(bound / (LIST_VERSIONS * hosts), 1);
     return (struct cold_plan){
         .hosts = (uint32_t)hosts,
+        /* Thousandths per second are millionths per millisecond. */
         .tokens_per_ms = MIN(rate_permille / hosts,
                              per_window * PERMILLE * SECOND_MS / WINDOW_MS),
     };
--- a/core/config-changes.c
+++ b/core/config-changes.c
@@ -21,7 +21,7 @@
 /* A kind of items that are compared. */
 struct item_kind {
     enum ct_config_kind kind;
-    /* An index by what tells the items apart, with which u begins. */
+    /* Makes an index of rows by the key of the item, the first member of u. */
     GHashTable *(*new_index)(void);
     /* Appends what differs between two rows of an item, each with a comma. */
     void (*compare)(const struct comparison *c, const struct ct_config_row *a,
@@ -48,7 +48,7 @@
     }
 }
 
-/* Whether two routes share their calls alike; the shares follow their rows. */
+/* Whether two routes have different shares, which follow their rows. */
 static bool
 shares_differ(const struct comparison *c, const struct ct_config_row *a,
               const struct ct_config_row *b)
--- a/core/evacuation.c
+++ b/core/evacuation.c
@@ -4,8 +4,7 @@
 
 #include "state.h"
 
-/* Interval at which the calls that still run in evacuated zones are counted.
- */
+/* Interval at which calls in evacuated zones are counted. */
 #define DRAIN_CHECK_MS 1000
 
 void
--- a/core/evacuation.h
+++ b/core/evacuation.h
@@ -43,9 +43,9 @@
 bool ct_evacuation_on_record(struct ct_state *state,
                              const struct ct_store_evacuation *record);
 
-/* Ends the evacuation of zones that a full read of the topic did not contain.
- */
+/* A full read of the topic begins. */
 void ct_evacuation_begin_full_read(struct ct_state *state);
+/* It is complete: zones that it did not contain are restored. */
 void ct_evacuation_end_full_read(struct ct_state *state);
 
 /* CT_TIMER_EVACUATION: logs zones that are drained or have no upstream. */
--- a/core/limited-log.c
+++ b/core/limited-log.c
@@ -2,7 +2,7 @@
 
 #include "state.h"
 
-#define INTERVAL_MS 10000
+#define LOG_INTERVAL_MS 10000
 
 void
 ct_limited_log(struct ct_state *state, enum ct_log_event event,
@@ -12,7 +12,8 @@
 
     state->limited_logs.kinds[i].occurrences++;
     if (state->limited_logs.kinds[i].logged &&
-        state->now_ms - state->limited_logs.kinds[i].logged_ms < INTERVAL_MS) {
+        state->now_ms - state->limited_logs.kinds[i].logged_ms <
+            LOG_INTERVAL_MS) {
         return;
     }
     ct_emit_log(state, event, NULL, reason,
--- a/core/load-sharing.c
+++ b/core/load-sharing.c
@@ -19,9 +19,8 @@
 #define SOURCE_SHIFT_MAX_MS 200
 /*
  * A follower sends its next report this long before it expects the next sum,
- * so that its source has it when it reports to the other sources. Hosts with a
- * tenth of a core run up to 100 ms late; a report that misses the sum is 500
- * ms older.
+ * so that its source has it, even if one of them runs late, when it reports to
+ * the other sources. A report that misses the sum is 500 ms older.
  */
 #define REPORT_LEAD_MS 160
 /* Random part of it, which spreads the reports to a source. */
@@ -237,11 +236,11 @@
     ct_ms delay_ms = PERIOD_MS - SOURCE_LEAD_MS;
     ct_ms late_ms;
 
-    if (sharing->leader_ms == 0) {
+    if (sharing->first_source_ms == 0) {
         return delay_ms;
     }
-    late_ms =
-        (state->now_ms + delay_ms - sharing->leader_ms) % SOURCE_PERIOD_MS;
+    late_ms = (state->now_ms + delay_ms - sharing->first_source_ms) %
+              SOURCE_PERIOD_MS;
     if (late_ms > SOURCE_PERIOD_MS / 2) {
         late_ms -= SOURCE_PERIOD_MS;
     }
@@ -417,7 +416,7 @@
     const struct ct_peer_load *report = &message->u.load;
 
     if (!report->follows && is_first_source(state, peer)) {
-        state->load_sharing.leader_ms = state->now_ms;
+        state->load_sharing.first_source_ms = state->now_ms;
     }
     ct_load_table_set_part(
         &state->load_sharing.table, peer,
--- a/core/load-sharing.h
+++ b/core/load-sharing.h
@@ -53,7 +53,7 @@
     /* The next step as a source. */
     enum ct_load_step source_step;
     /* When the first source by name last reported; 0 if it never did. */
-    ct_ms leader_ms;
+    ct_ms first_source_ms;
     /* When this host last reported its calls; 0 if it never did. */
     ct_ms reported_ms;
     /* What was last logged about the load being known, and when. */
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -1,7 +1,6 @@
 #include "reduce.h"
 
 #include "addresses.h"
-#include "stored-response.h"
 #include "attempt.h"
 #include "dispatch.h"
 #include "drain.h"
@@ -13,6 +12,7 @@
 #include "slot-sharing.h"
 #include "snapshot.h"
 #include "state.h"
+#include "stored-response.h"
 
 static void
 on_lease_timer(struct ct_state *state)
--- a/core/relay-end.c
+++ b/core/relay-end.c
@@ -10,8 +10,8 @@
 /* Delay after which a caller may retry a refused call. */
 #define RETRY_AFTER_MS 200
 /*
- * An operator evacuates a zone for minutes; a restored zone is known on every
- * host within seconds.
+ * Delay after which a caller may retry a call whose upstreams are all in
+ * evacuated zones; every host knows of a restored zone within seconds.
  */
 #define EVACUATED_RETRY_AFTER_MS 2000
 /* Notices change, so a longer time tells callers nothing. */
--- a/core/upstream-speed.c
+++ b/core/upstream-speed.c
@@ -7,9 +7,8 @@
 /* Samples of the last CT_SPEED_SAMPLES periods count: those of 30 to 40 s. */
 #define PERIOD_MS 10000
 /*
- * Streams with fewer gaps, or shorter ones, are not measured. A host with a
- * tenth of a core receives the first event up to 100 ms late, which shortens
- * the mean gap of a shorter stream by more than a fifth.
+ * Streams with fewer gaps, or shorter ones, are not measured: a host that
+ * receives the first event late would find their mean gap too short.
  */
 #define GAPS_MIN 4
 #define STREAM_MIN_MS 500
--- a/coriandertrack/causes.c
+++ b/coriandertrack/causes.c
@@ -98,11 +98,12 @@
 }
 
 /*
- * Lines about calls and connections of misbehaving clients stand for several
- * occurrences. Those of aborted responses are calls with a line of their own.
+ * Counts a rate-limited line, whose number is that of its occurrences; returns
+ * whether it is one. Refused connections are no calls, and calls whose
+ * response was aborted have a line of their own.
  */
 static bool
-count_limited(struct report *report, JsonObject *line)
+count_limited_line(struct report *report, JsonObject *line)
 {
     int64_t event = get_number(line, "event");
     uint64_t n = (uint64_t)MAX(get_number(line, "number"), 0);
@@ -133,7 +134,7 @@
     int64_t elapsed_ms = get_number(line, "elapsed_ms");
     bool failed;
 
-    if (count_limited(report, line) || !ends_call(line, &failed)) {
+    if (count_limited_line(report, line) || !ends_call(line, &failed)) {
         return;
     }
     report->calls++;
--- a/shell/http.c
+++ b/shell/http.c
@@ -346,7 +346,7 @@
     return transfer->run_bytes >= RUN_MAX_BYTES;
 }
 
-/* Resumes a paused transfer when the loop has looked at the other sockets. */
+/* Queues a transfer, to be resumed after the other sockets were looked at. */
 static void
 resume_later(struct ct_transfer *transfer)
 {
@@ -405,7 +405,7 @@
     (void)down;
     (void)up_total;
     (void)up;
-    /* What the kernel receives for a transfer on hold was not discarded. */
+    /* Bytes for a held transfer wait in the kernel; none were discarded. */
     if (transfer->received || transfer->held) {
         end_run(transfer);
         return 0;
--- a/shell/http.h
+++ b/shell/http.h
@@ -67,7 +67,7 @@
     /* The run of libcurl that passed body bytes last, and how many. */
     unsigned run;
     size_t run_bytes;
-    /* Paused until ct_http_continue(). */
+    /* takes_data() returned false; held until ct_http_continue(). */
     bool held;
     /* Part of the response was received since libcurl last ran. */
     bool received;
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -19,8 +19,9 @@
     struct ct_caller_limits limits;
     struct ct_http_server server;
     uint32_t connections;
-    /* Limit on those of one IP address, 0 for none, and their numbers. */
+    /* Limit on the connections of one IP address; 0 for none. */
     uint32_t peer_connections;
+    /* Maps an IP address to the number of its connections. */
     GHashTable *connections_by_peer;
     /* struct relay_call, struct relay_attempt */
     struct ct_table calls;
@@ -80,8 +81,9 @@
     bool suspended;
     /* The reducer admitted the call at its head. */
     bool admitted;
-    /* How much of the body may be read, and what the reducer knows of it. */
+    /* Bytes of the body that the reducer permits to read. */
     uint32_t granted_bytes;
+    /* Bytes of the body in the last CT_EVENT_RELAY_BODY_PROGRESS. */
     uint32_t reported_bytes;
     /* The library calls the handler for the head once more. */
     bool repeats_head;
@@ -96,7 +98,7 @@
     /* Response bytes; those from pending_offset on are not written yet. */
     GByteArray *pending;
     guint pending_offset;
-    /* What the reducer knows of the bytes that are not written. */
+    /* Unread bytes in the last CT_EVENT_RELAY_RESPONSE_UNREAD. */
     guint reported_unread;
     /* What io->unread_bytes contains of this call. */
     guint counted_unread;
@@ -185,7 +187,7 @@
     const char *retry_value;
 };
 
-/* relay-body.c: reads bodies as far as the reducer grants it. */
+/* relay-body.c: reads request bodies up to what the reducer grants. */
 void relay_body_init(struct ct_relay_io *io);
 void relay_body_stop(struct ct_relay_io *io);
 /* Sets the members of the call's size from its head. */
--- a/shell/relay-connections.c
+++ b/shell/relay-connections.c
@@ -1,6 +1,6 @@
 #include "relay-call.h"
 
-/* Data of one connection; its meter is the first member. */
+/* What is kept for one connection of a caller. */
 struct relay_connection {
     struct ct_input_meter meter;
     uint64_t peer;
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -21,8 +21,8 @@
  * hold a part of what the others leave: few streams are buffered far ahead,
  * and many stay within the limit together.
  */
-#define STREAMS_DIVISOR 2
-#define STREAM_DIVISOR 8
+#define ALL_STREAMS_DIVISOR 2
+#define ONE_STREAM_DIVISOR 8
 #define STREAM_MIN_BYTES (16 * 1024)
 #define STREAM_MAX_BYTES (1024 * 1024)
 #define JSON "application/json"
@@ -111,7 +111,7 @@
                                  : 0;
 }
 
-/* Keeps the sum of the unread bytes of all streams. */
+/* Updates the call's part of io->unread_bytes. */
 static void
 count_unread(struct relay_call *call)
 {
@@ -133,10 +133,11 @@
 static uint64_t
 stream_limit(const struct ct_relay_io *io)
 {
-    uint64_t limit = io->memory_bytes / STREAMS_DIVISOR;
+    uint64_t limit = io->memory_bytes / ALL_STREAMS_DIVISOR;
     uint64_t left = limit > io->unread_bytes ? limit - io->unread_bytes : 0;
 
-    return CLAMP(left / STREAM_DIVISOR, STREAM_MIN_BYTES, STREAM_MAX_BYTES);
+    return CLAMP(left / ONE_STREAM_DIVISOR, STREAM_MIN_BYTES,
+                 STREAM_MAX_BYTES);
 }
 
 bool
@@ -145,7 +146,10 @@
 {
     const struct relay_call *call = relay_call_find(io, caller);
 
-    /* Before its first event is forwarded, no reading resumes an attempt. */
+    /*
+     * Until an attempt's first event is forwarded, the caller's reading cannot
+     * resume it, so it is not held.
+     */
     return call == NULL || !ct_handle_eq(call->source, attempt) ||
            unread_bytes(call) + posted_bytes < stream_limit(io);
 }
@@ -161,7 +165,10 @@
     }
 }
 
-/* Large buffers are mapped each by itself, so that freeing returns them. */
+/*
+ * Empties the buffer. A large one is freed, which returns its memory to the
+ * system (M_MMAP_THRESHOLD).
+ */
 static void
 empty_pending(struct relay_call *call)
 {
@@ -320,7 +327,10 @@
     relay_call_resume(call);
 }
 
-/* A reset frees what the kernel still holds for the caller. */
+/*
+ * With SO_LINGER of 0 the later close() is a reset, which frees what the
+ * kernel holds for the caller.
+ */
 void
 relay_response_cut_off(struct ct_relay_io *io, uint64_t caller)
 {
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -193,7 +193,10 @@
     return attempt->start.stream ? EVENT_MAX_BYTES : RESPONSE_MAX_BYTES;
 }
 
-/* A part of an event always is, since no reading would make room for it. */
+/*
+ * Whether more of a stream may be read. The part of an event that is not
+ * complete does not count as unread: the caller can read nothing of it.
+ */
 static bool
 takes_data(const struct ct_transfer *transfer)
 {
