t: free what a second host of the test allocates

Cause: proc-slow-callers starts a host for each case; under the sanitizers the names of the first one were leaked (149 bytes) and the program exited with 1. Change: they are freed.

--- a/t/proc-slow-callers.c
+++ b/t/proc-slow-callers.c
@@ -151,6 +151,8 @@
     g_test_message("peak %ld KB", hostile_peak_memory_kb(f.host.pid));
     process_kill(&f.host);
     relay_process_stop(&f);
+    g_free(f.directory);
+    g_free(f.settings);
     raw_server_free(server);
 }
 
