shell: serve legal heads of very many short fields

A call with 2,500 header lines or 3,500 query arguments, within the limit of 16 KB for a head, got 431 or no response at all. libmicrohttpd keeps a record of 64 bytes beside each field in a connection's pool, which has the same size for all connections of a server: 24 KB. Larger pools for all were ruled out, since hostile clients would fill them.

The callers' port now accepts connections itself, looks at the bytes of the first head without taking them, and gives a connection whose head needs more to a second server with large pools and few connections, each for one call. The fake upstreams get large pools too.

--- a/shell/http-server.c
+++ b/shell/http-server.c
@@ -58,31 +58,25 @@
     }
 }
 
-int
-ct_http_server_start(struct ct_http_server *server, struct ct_loop *loop,
-                     const char *address, MHD_AccessHandlerCallback handler,
-                     void *arg, const struct MHD_OptionItem *options)
+void
+ct_http_server_limit_buffers(int listener)
 {
-    struct ev_loop *ev = ct_loop_ev(loop);
-    int fd = ct_socket_listen(address, &server->port);
-
-    if (fd < 0) {
-        return fd;
-    }
-    if (ct_socket_limit_buffers(fd, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES) <
-        0) {
+    if (ct_socket_limit_buffers(listener, RECEIVE_BUFFER_BYTES,
+                                SEND_BUFFER_BYTES) < 0) {
         g_warning("cannot bound socket buffers: %s", g_strerror(errno));
     }
-    server->listener = fd;
-    server->loop = loop;
-    server->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, server->accept, arg,
-        handler, arg, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_ARRAY, options,
-        MHD_OPTION_END);
+}
+
+/* Connects a started daemon with the loop. */
+static int
+run_in_loop(struct ct_http_server *server, struct ct_loop *loop)
+{
+    struct ev_loop *ev = ct_loop_ev(loop);
+
     if (server->daemon == NULL) {
-        close(fd);
         return CT_ERR_IO;
     }
+    server->loop = loop;
     ev_io_init(&server->io, on_io,
                MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD)
                    ->epoll_fd,
@@ -95,6 +89,54 @@
     return CT_OK;
 }
 
+int
+ct_http_server_start(struct ct_http_server *server, struct ct_loop *loop,
+                     const char *address, MHD_AccessHandlerCallback handler,
+                     void *arg, const struct MHD_OptionItem *options)
+{
+    int fd = ct_socket_listen(address, &server->port);
+    int err;
+
+    if (fd < 0) {
+        return fd;
+    }
+    ct_http_server_limit_buffers(fd);
+    server->listener = fd;
+    server->daemon =
+        MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+                         NULL, handler, arg, MHD_OPTION_LISTEN_SOCKET, fd,
+                         MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    err = run_in_loop(server, loop);
+    if (err < 0) {
+        close(fd);
+    }
+    return err;
+}
+
+int
+ct_http_server_start_unbound(struct ct_http_server *server,
+                             struct ct_loop *loop,
+                             MHD_AccessHandlerCallback handler, void *arg,
+                             const struct MHD_OptionItem *options)
+{
+    server->listener = -1;
+    server->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET, 0,
+        NULL, NULL, handler, arg, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    return run_in_loop(server, loop);
+}
+
+void
+ct_http_server_add(struct ct_http_server *server, int fd,
+                   const struct sockaddr *address, socklen_t size)
+{
+    ct_loop_hold(server->loop);
+    if (MHD_add_connection(server->daemon, fd, address, size) != MHD_YES) {
+        g_warning("cannot serve a connection: %s", g_strerror(errno));
+    }
+    ct_loop_release(server->loop);
+}
+
 void
 ct_http_server_wake(struct ct_http_server *server)
 {
--- a/shell/relay-call.c
+++ b/shell/relay-call.c
@@ -126,5 +126,7 @@
     call->suspended = false;
     ct_disconnect_watch_stop(&call->watch);
     MHD_resume_connection(call->connection);
-    ct_http_server_wake(&call->io->server);
+    ct_http_server_wake(relay_connections_is_large(call->connection)
+                            ? &call->io->accept.large
+                            : &call->io->accept.server);
 }
--- a/shell/relay-call.h
+++ b/shell/relay-call.h
@@ -11,13 +11,35 @@
 
 /* Calls and attempts of the relay; internal to its modules. */
 
+/*
+ * The callers' port. An accepted connection is given to one of two servers
+ * by what its first head needs: libmicrohttpd allocates the same pool for each
+ * connection of a server, and a pool that is large enough for each legal head
+ * would leave memory for few connections.
+ */
+struct relay_accept {
+    ev_io listener;
+    uint16_t port;
+    struct ct_http_server server;
+    /* For heads that need more than head_max_bytes of their pool. */
+    struct ct_http_server large;
+    uint32_t large_connections;
+    uint32_t large_max;
+    uint32_t head_max_bytes;
+    /* Connections whose head has not arrived yet. */
+    GQueue pending;
+    /* Connections with a large head that wait for room. */
+    GQueue waiting;
+    ev_timer ended;
+};
+
 struct ct_relay_io {
     struct ct_executor executor;
     struct ct_loop *loop;
     struct ct_http *http;
     const struct ct_dialect *dialect;
     struct ct_caller_limits limits;
-    struct ct_http_server server;
+    struct relay_accept accept;
     uint32_t connections;
     /* Limit on the connections of one IP address; 0 for none. */
     uint32_t peer_connections;
@@ -157,15 +179,32 @@
 /* relay-connections.c: counts and limits connections. */
 void relay_connections_init(struct ct_relay_io *io);
 void relay_connections_free(struct ct_relay_io *io);
-enum MHD_Result relay_connections_accept(void *arg,
-                                         const struct sockaddr *address,
-                                         socklen_t size);
+/* Whether the address may have one more connection; reports a refusal. */
+bool relay_connections_admit(struct ct_relay_io *io,
+                             const struct sockaddr *address);
+/* Count a connection of an address. */
+void relay_connections_add(struct ct_relay_io *io, uint64_t peer);
+void relay_connections_remove(struct ct_relay_io *io, uint64_t peer);
 void relay_connections_notify(void *arg, struct MHD_Connection *connection,
                               void **context,
                               enum MHD_ConnectionNotificationCode code);
 /* Returns the meter that belongs to the connection. */
 struct ct_input_meter *
 relay_connections_meter(struct MHD_Connection *connection);
+/* Whether the connection belongs to the server for large heads. */
+bool relay_connections_is_large(struct MHD_Connection *connection);
+
+/* relay-accept.c: accepts connections and selects their server. */
+int relay_accept_start(struct ct_relay_io *io, const char *address);
+/* Accepts no connections until one has ended. */
+void relay_accept_pause(struct ct_relay_io *io);
+void relay_accept_connection_ended(struct ct_relay_io *io);
+/* Connections no longer wait for their heads. */
+void relay_accept_drain(struct ct_relay_io *io);
+/* Stops new connections; those that the kernel has established are served. */
+void relay_accept_finish(struct ct_relay_io *io);
+/* Closes all connections and stops the servers. */
+void relay_accept_stop(struct ct_relay_io *io);
 
 /* relay-port.c: turns HTTP requests into events. */
 enum MHD_Result relay_port_handle(void *arg, struct MHD_Connection *connection,
--- a/shell/relay-connections.c
+++ b/shell/relay-connections.c
@@ -4,6 +4,7 @@
 struct relay_connection {
     struct ct_input_meter meter;
     uint64_t peer;
+    bool large;
 };
 
 static uint32_t
@@ -46,20 +47,37 @@
     g_hash_table_destroy(io->connections_by_peer);
 }
 
-enum MHD_Result
-relay_connections_accept(void *arg, const struct sockaddr *address,
-                         socklen_t size)
+bool
+relay_connections_admit(struct ct_relay_io *io, const struct sockaddr *address)
 {
-    struct ct_relay_io *io = arg;
     uint64_t peer = ct_socket_peer_address(address);
 
-    (void)size;
     if (io->peer_connections == 0 ||
         count_of_peer(io, peer) < io->peer_connections) {
-        return MHD_YES;
+        return true;
     }
     post_refused(io, true);
-    return MHD_NO;
+    return false;
+}
+
+void
+relay_connections_add(struct ct_relay_io *io, uint64_t peer)
+{
+    set_count(io, peer, count_of_peer(io, peer) + 1);
+    io->connections++;
+    if (io->connections == io->limits.max_connections) {
+        /* Further connections wait in the accept queue. */
+        relay_accept_pause(io);
+        post_refused(io, false);
+    }
+}
+
+void
+relay_connections_remove(struct ct_relay_io *io, uint64_t peer)
+{
+    io->connections--;
+    set_count(io, peer, count_of_peer(io, peer) - 1);
+    relay_accept_connection_ended(io);
 }
 
 static void
@@ -67,17 +85,16 @@
                  void **context)
 {
     struct relay_connection *data = g_new0(struct relay_connection, 1);
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+    const union MHD_ConnectionInfo *address = MHD_get_connection_info(
         connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const union MHD_ConnectionInfo *server =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_DAEMON);
 
-    data->peer = ct_socket_peer_address(info->client_addr);
-    set_count(io, data->peer, count_of_peer(io, data->peer) + 1);
+    data->peer = ct_socket_peer_address(address->client_addr);
+    data->large = server->daemon == io->accept.large.daemon;
     *context = data;
-    io->connections++;
-    if (io->connections == io->limits.max_connections) {
-        /* Further connections wait in the accept queue. */
-        post_refused(io, false);
-    }
+    relay_connections_add(io, data->peer);
+    io->accept.large_connections += data->large;
 }
 
 void
@@ -92,18 +109,28 @@
         begin_connection(io, connection, context);
         return;
     }
-    io->connections--;
-    set_count(io, data->peer, count_of_peer(io, data->peer) - 1);
+    io->accept.large_connections -= data->large;
+    relay_connections_remove(io, data->peer);
     g_free(data);
     *context = NULL;
 }
 
+static struct relay_connection *
+connection_data(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
+bool
+relay_connections_is_large(struct MHD_Connection *connection)
+{
+    return connection_data(connection)->large;
+}
+
 struct ct_input_meter *
 relay_connections_meter(struct MHD_Connection *connection)
 {
-    struct relay_connection *data =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-            ->socket_context;
-
-    return &data->meter;
+    return &connection_data(connection)->meter;
 }
--- a/shell/relay-io.c
+++ b/shell/relay-io.c
@@ -4,15 +4,6 @@
 #include "index.h"
 #include "relay-call.h"
 
-#define MS_PER_S 1000
-/* Memory besides the request head: the response head and one write buffer. */
-#define CONNECTION_EXTRA_BYTES (8 * 1024)
-/*
- * Added to the callers' idle limit, so that this host does not close a
- * connection on which a caller is just sending a call.
- */
-#define IDLE_MARGIN_MS 15000
-
 static void
 cancel_attempt(struct ct_relay_io *io, struct ct_handle handle)
 {
@@ -84,7 +75,7 @@
         call->disconnected = true;
         relay_call_resume(call);
     }
-    ct_http_server_stop(&io->server);
+    relay_accept_stop(io);
     relay_body_stop(io);
     relay_connections_free(io);
     g_hash_table_destroy(io->by_handle);
@@ -93,29 +84,6 @@
     g_free(io);
 }
 
-static int
-start_server(struct ct_relay_io *io, const char *address)
-{
-    const struct ct_caller_limits *limits = &io->limits;
-    const intptr_t timeout_s =
-        (intptr_t)((limits->idle_timeout_ms + IDLE_MARGIN_MS) / MS_PER_S);
-    const struct MHD_OptionItem options[] = {
-        {MHD_OPTION_CONNECTION_LIMIT, limits->max_connections, NULL},
-        {MHD_OPTION_CONNECTION_TIMEOUT, timeout_s, NULL},
-        {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-         (intptr_t)limits->head_bytes + CONNECTION_EXTRA_BYTES, NULL},
-        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)relay_port_uri, io},
-        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)relay_connections_notify, io},
-        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)relay_port_completed, io},
-        {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
-        {MHD_OPTION_END, 0, NULL},
-    };
-
-    io->server.accept = relay_connections_accept;
-    return ct_http_server_start(&io->server, io->loop, address,
-                                relay_port_handle, io, options);
-}
-
 int
 ct_relay_io_new(struct ct_loop *loop, struct ct_http *http,
                 const struct ct_relay_options *options,
@@ -140,7 +108,7 @@
     relay_connections_init(io);
     io->peer_connections = options->peer_connections;
     io->memory_bytes = options->memory_bytes;
-    err = start_server(io, options->address);
+    err = relay_accept_start(io, options->address);
     if (err < 0) {
         relay_connections_free(io);
         g_hash_table_destroy(io->by_handle);
@@ -162,7 +130,7 @@
 uint16_t
 ct_relay_io_port(const struct ct_relay_io *io)
 {
-    return io->server.port;
+    return io->accept.port;
 }
 
 void
@@ -175,12 +143,13 @@
 ct_relay_io_drain(struct ct_relay_io *io)
 {
     io->draining = true;
+    relay_accept_drain(io);
 }
 
 void
 ct_relay_io_finish(struct ct_relay_io *io)
 {
-    ct_http_server_stop_accepting(&io->server);
+    relay_accept_finish(io);
 }
 
 uint32_t
--- a/shell/relay-port.c
+++ b/shell/relay-port.c
@@ -96,11 +96,41 @@
                                    call->connection, call->info.body_bytes);
 }
 
+/* Whether the pool had room for a head above the limit. */
+static bool
+is_head_too_large(const struct relay_call *call)
+{
+    const union MHD_ConnectionInfo *head = MHD_get_connection_info(
+        call->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+    return relay_connections_is_large(call->connection) && head != NULL &&
+           head->header_size > call->io->accept.head_max_bytes;
+}
+
+/* Responds as the library does if a head does not fit in the pool. */
+static enum MHD_Result
+refuse_head(struct relay_call *call)
+{
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+    enum MHD_Result queued;
+
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    queued = MHD_queue_response(
+        call->connection, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, response);
+    MHD_destroy_response(response);
+    call->phase = RELAY_RESPONDING;
+    return queued;
+}
+
 static enum MHD_Result
 read_head(struct relay_call *call, const char *method)
 {
     struct header_scan scan = {call, CT_OK};
 
+    if (is_head_too_large(call)) {
+        return refuse_head(call);
+    }
     call->message->method = g_strdup(method);
     MHD_get_connection_values(call->connection, MHD_HEADER_KIND, add_header,
                               &scan);
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -27,15 +27,25 @@
 #define STREAM_MAX_BYTES (1024 * 1024)
 #define JSON "application/json"
 
+static bool
+closes_connection(const struct relay_call *call)
+{
+    /* Few connections can have a large pool, so each serves one call. */
+    if (relay_connections_is_large(call->connection)) {
+        return true;
+    }
+    return call->io->draining &&
+           !ct_input_meter_has_more(relay_connections_meter(call->connection),
+                                    call->connection);
+}
+
 static void
 set_response(struct relay_call *call, uint32_t status,
              struct MHD_Response *response)
 {
     call->response = response;
     call->status = status;
-    if (call->io->draining &&
-        !ct_input_meter_has_more(relay_connections_meter(call->connection),
-                                 call->connection)) {
+    if (closes_connection(call)) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
     relay_call_resume(call);
--- a/t/fake/fake-http.c
+++ b/t/fake/fake-http.c
@@ -8,6 +8,8 @@
 
 #define PEEK_INTERVAL_S 0.2
 #define CONNECTION_LIMIT 8192
+/* Enough for each head that a host may relay, with a record for each line. */
+#define CONNECTION_POOL_BYTES (1024 * 1024)
 #define STREAM_BLOCK_BYTES 16384
 #define MS_PER_S 1000
 
@@ -518,6 +520,7 @@
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
         MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
         MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_POOL_BYTES,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
 }
 
