--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -98,6 +98,8 @@
     {"duties", CT_SCHEMA_ADDRESS, OPTIONAL, AT(relay_settings, duties)},
     {"first_start", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, first_start)},
     {"share_load", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, share_load)},
+    {"share_config", CT_SCHEMA_BOOL, OPTIONAL,
+     AT(relay_settings, share_config)},
     {"max_connections", CT_SCHEMA_U32, OPTIONAL,
      AT(relay_settings, max_connections), 1, MAX_CONNECTIONS,
      .fallback = DEFAULT_MAX_CONNECTIONS},
--- a/conf/relay-settings.h
+++ b/conf/relay-settings.h
@@ -33,6 +33,8 @@
     bool first_start;
     /* The hosts report to each other how many calls they send where. */
     bool share_load;
+    /* Sources send the configurations that they read to their followers. */
+    bool share_config;
     struct ct_bounds bounds;
 };
 
--- a/core/peer-message.h
+++ b/core/peer-message.h
@@ -62,6 +62,11 @@
      * of their numbers
      */
     CT_PEER_LOAD_GAPS,
+    /*
+     * A configuration that was read, before the CT_PEER_STORE_UPDATE of that
+     * read. rows: struct ct_config_row
+     */
+    CT_PEER_STORE_CONFIG,
 };
 
 /* Calls in flight at one upstream. */
@@ -198,6 +203,7 @@
         struct ct_peer_load_sum load_sum;
         struct ct_peer_load_list load_list;
         struct ct_peer_load_gaps load_gaps;
+        struct ct_store_config_update store_config;
     } u;
     struct ct_rows rows;
 };
--- a/core/reduce-peers.c
+++ b/core/reduce-peers.c
@@ -30,6 +30,17 @@
     }
 }
 
+void
+ct_reduce_config(struct ct_state *state, const struct ct_store_config *config,
+                 struct ct_rows rows)
+{
+    ct_store_on_config(state, config, rows);
+    if (config->has_bounds) {
+        ct_bodies_set_head_timeout(state, config->bounds.head_timeout_ms);
+    }
+    ct_zone_orders_configure(state);
+}
+
 void
 ct_reduce_peer_message(struct ct_state *state,
                        const struct ct_peer_message *message)
@@ -59,6 +70,13 @@
             ct_store_on_update(state, &message->u.store_update, message->rows);
         }
         return;
+    case CT_PEER_STORE_CONFIG:
+        if (ct_replication_is_from_source(state, message) &&
+            ct_store_accepts_config(state, &message->u.store_config)) {
+            ct_reduce_config(state, &message->u.store_config.config,
+                             message->rows);
+        }
+        return;
     case CT_PEER_TALLY:
         ct_forwarded_tallies_on_tally(state, message);
         return;
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -321,15 +321,13 @@
         ct_relay_on_done(state, &event->u.progress);
         return CT_OK;
     case CT_EVENT_STORE_CONFIG:
-        ct_store_on_config(state, event);
-        if (event->u.store_config.has_bounds) {
-            ct_bodies_set_head_timeout(
-                state, event->u.store_config.bounds.head_timeout_ms);
-        }
-        ct_zone_orders_configure(state);
+        ct_reduce_config(state, &event->u.store_config, event->rows);
+        ct_replication_on_config_read(state, &event->u.store_config,
+                                      event->rows);
         return CT_OK;
     case CT_EVENT_STORE_EVACUATION:
         on_evacuation(state, &event->u.store_evacuation);
+        ct_replication_on_other_record_read(state);
         return CT_OK;
     case CT_EVENT_STORE_UPSTREAM:
         ct_upstream_registry_on_entry(state, &event->u.store_upstream);
@@ -346,6 +344,9 @@
         return CT_OK;
     case CT_EVENT_STORE_INVALID_ENTRY:
         ct_store_on_invalid_entry(state, &event->u.store_invalid_entry);
+        if (event->u.store_invalid_entry.topic == CT_TOPIC_CONFIG) {
+            ct_replication_on_other_record_read(state);
+        }
         return CT_OK;
     case CT_EVENT_STORE_READ_DONE:
         on_store_read_done(state, &event->u.store_read);
--- a/core/replication.c
+++ b/core/replication.c
@@ -23,6 +23,11 @@
  * reads them from the store itself.
  */
 #define UPDATE_ENTRIES_MAX 128
+/*
+ * Rows of a configuration that is sent to followers. Their texts fill a frame
+ * between hosts in part; a larger configuration is read by every host.
+ */
+#define UPDATE_CONFIG_ROWS_MAX 2048
 
 void
 ct_replication_init(struct ct_replication *replication)
@@ -34,6 +39,8 @@
                   sizeof(struct ct_replication_avoided_source), 0, NULL);
     replication->entries =
         g_array_new(FALSE, FALSE, sizeof(struct ct_store_upstream));
+    replication->config_rows =
+        g_array_new(FALSE, FALSE, sizeof(struct ct_config_row));
     replication->links = g_array_new(FALSE, FALSE, sizeof(struct ct_host));
 }
 
@@ -41,6 +48,7 @@
 ct_replication_free(struct ct_replication *replication)
 {
     g_array_free(replication->links, TRUE);
+    g_array_free(replication->config_rows, TRUE);
     g_array_free(replication->entries, TRUE);
     ct_table_free(&replication->followers);
     ct_table_free(&replication->avoided);
@@ -449,6 +457,72 @@
     g_array_append_val(replication->entries, *entry);
 }
 
+void
+ct_replication_on_config_read(struct ct_state *state,
+                              const struct ct_store_config *config,
+                              struct ct_rows rows)
+{
+    struct ct_replication *replication = &state->replication;
+
+    if (!state->self.share_config || !ct_replication_has_followers(state) ||
+        rows.n > UPDATE_CONFIG_ROWS_MAX) {
+        replication->config_incomplete = true;
+        return;
+    }
+    replication->config = *config;
+    replication->config_read = true;
+    g_array_set_size(replication->config_rows, 0);
+    g_array_append_vals(replication->config_rows, rows.data, rows.n);
+}
+
+void
+ct_replication_on_other_record_read(struct ct_state *state)
+{
+    state->replication.config_incomplete = true;
+}
+
+/* Sends the followers the configuration that was read from an offset on. */
+static void
+send_config(struct ct_state *state, int64_t from)
+{
+    struct ct_replication *replication = &state->replication;
+    const struct ct_replication_follower *follower;
+    struct ct_store_config_update *update;
+    bool sent = false;
+    uint32_t cursor = 0;
+
+    while (
+        (follower = ct_table_next(&replication->followers, &cursor, NULL))) {
+        if (sent) {
+            ct_peer_message_repeat_to(state, &follower->host);
+            continue;
+        }
+        update =
+            &ct_peer_message_to(state, &follower->host, CT_PEER_STORE_CONFIG,
+                                CT_ROWS((struct ct_config_row *)(void *)
+                                            replication->config_rows->data,
+                                        replication->config_rows->len))
+                 ->u.store_config;
+        update->from = from;
+        update->next = state->store.topics[CT_TOPIC_CONFIG].next;
+        update->config = replication->config;
+        sent = true;
+    }
+}
+
+/* Frees the rows: they are many, and configurations are rare. */
+static void
+forget_config(struct ct_replication *replication)
+{
+    if (replication->config_read) {
+        g_array_free(replication->config_rows, TRUE);
+        replication->config_rows =
+            g_array_new(FALSE, FALSE, sizeof(struct ct_config_row));
+    }
+    replication->config_read = false;
+    replication->config_incomplete = false;
+}
+
 void
 ct_replication_on_read_done(struct ct_state *state,
                             const struct ct_store_read_done *read)
@@ -466,6 +540,10 @@
             (struct ct_store_upstream *)(void *)replication->entries->data,
             replication->entries->len);
     }
+    if (read->topic == CT_TOPIC_CONFIG && !read->newest &&
+        replication->config_read && !replication->config_incomplete) {
+        send_config(state, read->from);
+    }
     while (
         (follower = ct_table_next(&replication->followers, &cursor, NULL))) {
         send_update(state, follower, &update, rows);
@@ -474,6 +552,9 @@
         g_array_set_size(replication->entries, 0);
         replication->entries_incomplete = false;
     }
+    else {
+        forget_config(replication);
+    }
 }
 
 /* Receiving updates. */
--- a/core/replication.h
+++ b/core/replication.h
@@ -39,6 +39,15 @@
     GArray *entries;
     /* entries lacks some of the entries that were read. */
     bool entries_incomplete;
+    /*
+     * The newest configuration read since the last update, with its rows,
+     * struct ct_config_row.
+     */
+    struct ct_store_config config;
+    GArray *config_rows;
+    bool config_read;
+    /* Other records of its topic were read, or it is too large. */
+    bool config_incomplete;
 
     /* Hosts that this one opens links to, struct ct_host. */
     GArray *links;
@@ -79,9 +88,16 @@
  */
 void ct_replication_on_members_read(struct ct_state *state,
                                     struct ct_rows rows);
-/* This host read an entry from the store, and then completed the read. */
+/*
+ * This host read from the store: an entry of an upstream, a configuration,
+ * another record of the configuration's topic. The end of the read follows.
+ */
 void ct_replication_on_entry_read(struct ct_state *state,
                                   const struct ct_store_upstream *entry);
+void ct_replication_on_config_read(struct ct_state *state,
+                                   const struct ct_store_config *config,
+                                   struct ct_rows rows);
+void ct_replication_on_other_record_read(struct ct_state *state);
 void ct_replication_on_read_done(struct ct_state *state,
                                  const struct ct_store_read_done *read);
 
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -211,9 +211,9 @@
 }
 
 void
-ct_store_on_config(struct ct_state *state, const struct ct_event *event)
+ct_store_on_config(struct ct_state *state,
+                   const struct ct_store_config *config, struct ct_rows rows)
 {
-    const struct ct_store_config *config = &event->u.store_config;
     struct ct_store_sync *store = &state->store;
     int err;
 
@@ -223,9 +223,9 @@
         }
         return;
     }
-    err = ct_config_apply(&state->config, config->version, event->rows);
+    err = ct_config_apply(&state->config, config->version, rows);
     if (err == CT_OK) {
-        err = apply_keys(state, event->rows);
+        err = apply_keys(state, rows);
     }
     if (err < 0) {
         ct_emit_log(state, CT_LOG_STORE_ODD, NULL, ct_err_name(err),
@@ -453,6 +453,30 @@
     return is_back;
 }
 
+/*
+ * Whether updates can be applied: a read in progress would apply older records
+ * after them.
+ */
+static bool
+accepts_updates(const struct ct_topic_sync *sync)
+{
+    return sync->full_read_done && !sync->behind && sync->next_read_ms != 0;
+}
+
+bool
+ct_store_accepts_config(struct ct_state *state,
+                        const struct ct_store_config_update *update)
+{
+    struct ct_topic_sync *sync = &state->store.topics[CT_TOPIC_CONFIG];
+
+    if (!accepts_updates(sync) || update->from > sync->next ||
+        update->next <= sync->next) {
+        return false;
+    }
+    sync->next = update->next;
+    return true;
+}
+
 void
 ct_store_on_update(struct ct_state *state,
                    const struct ct_store_update *update, struct ct_rows rows)
@@ -460,7 +484,7 @@
     struct ct_topic_sync *sync = &state->store.topics[update->topic];
     const struct ct_store_upstream *entry = rows.data;
 
-    if (!sync->full_read_done || sync->behind || sync->next_read_ms == 0) {
+    if (!accepts_updates(sync)) {
         return;
     }
     if (update->from > sync->next ||
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -57,7 +57,10 @@
 /* Starts to follow the topics that every host needs. */
 void ct_store_sync_start(struct ct_state *state);
 
-void ct_store_on_config(struct ct_state *state, const struct ct_event *event);
+/* rows: struct ct_config_row */
+void ct_store_on_config(struct ct_state *state,
+                        const struct ct_store_config *config,
+                        struct ct_rows rows);
 void ct_store_on_invalid_entry(struct ct_state *state,
                                const struct ct_store_invalid_entry *invalid);
 /* Returns whether the store responds again after reads that failed. */
@@ -70,6 +73,12 @@
 void ct_store_on_update(struct ct_state *state,
                         const struct ct_store_update *update,
                         struct ct_rows rows);
+/*
+ * Whether a configuration from the source contains all records that this host
+ * lacks up to its end. It then counts as read.
+ */
+bool ct_store_accepts_config(struct ct_state *state,
+                             const struct ct_store_config_update *update);
 /*
  * Handles the loss of the link to the source, after which no more updates
  * arrive.
--- a/core/store-types.h
+++ b/core/store-types.h
@@ -50,6 +50,20 @@
     int32_t left_out_reason;
 };
 
+/*
+ * The configuration as a source read it, for its followers. rows: struct
+ * ct_config_row
+ */
+struct ct_store_config_update {
+    /*
+     * The records from offset `from` up to, but not including, `next` are
+     * versions of the configuration, of which this one is the newest.
+     */
+    int64_t from;
+    int64_t next;
+    struct ct_store_config config;
+};
+
 /* CT_EVENT_STORE_EVACUATION: an operator evacuates or restores a zone. */
 struct ct_store_evacuation {
     struct ct_name zone;
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -72,6 +72,53 @@
     m->rows = CT_ROWS(&entry, 1);
 }
 
+/* One row of each kind, with the members that only relaying hosts use. */
+static void
+fill_config(struct ct_peer_message *m)
+{
+    static struct ct_config_row rows[CT_CONFIG_KEY];
+    struct ct_prefix_route *route =
+        &rows[CT_CONFIG_PREFIX_ROUTE - 1].u.prefix_route;
+
+    memset(rows, 0, sizeof(rows));
+    for (guint i = 0; i < G_N_ELEMENTS(rows); i++) {
+        rows[i].kind = (enum ct_config_kind)(i + 1);
+    }
+    rows[CT_CONFIG_ORGANISATION - 1].u.organisation =
+        (struct ct_organisation){.weight = 1, .has_rank = true, .rank = 7};
+    rows[CT_CONFIG_POOL - 1].u.pool = (struct ct_pool){.kind = CT_POOL_PLAIN,
+                                                       .backs_up = true,
+                                                       .cold_ms = 9000,
+                                                       .cold_permille = 6100};
+    rows[CT_CONFIG_UPSTREAM - 1].u.upstream.slots = 1;
+    *route = (struct ct_prefix_route){.stream = true,
+                                      .repeat = CT_REPEAT_RESUME,
+                                      .open_to_all = true,
+                                      .sticky = true,
+                                      .rank = 2,
+                                      .attempts = 3,
+                                      .timeout_ms = 8000,
+                                      .gap_target_ms = 250};
+    CT_TEXT_SET(route->name, "r1");
+    CT_TEXT_SET(route->authority, "svc.example");
+    CT_TEXT_SET(route->prefix, "/any/");
+    rows[CT_CONFIG_POOL_SHARE - 1].u.pool_share.weight = 5;
+    CT_TEXT_SET(rows[CT_CONFIG_ORDER_ZONE - 1].u.order_zone.zone, "Konya");
+    memset(&rows[CT_CONFIG_KEY - 1].u.key.digest, 0x5a,
+           sizeof(struct ct_digest));
+    m->u.store_config = (struct ct_store_config_update){
+        .from = 3,
+        .next = 5,
+        .config = {.version = 9,
+                   .keys_required = true,
+                   .has_bounds = true,
+                   .bounds = {1, 2, 3, 4},
+                   .n_left_out = 1,
+                   .left_out_reason = CT_ERR_DECODE}};
+    CT_TEXT_SET(m->u.store_config.config.left_out_name, "r2");
+    m->rows = CT_ROWS(rows, G_N_ELEMENTS(rows));
+}
+
 static void
 fill_message(struct ct_peer_message *m, enum ct_peer_message_type type)
 {
@@ -145,6 +192,9 @@
     case CT_PEER_LOAD_GAPS:
         fill_load_message(m);
         break;
+    case CT_PEER_STORE_CONFIG:
+        fill_config(m);
+        break;
     case CT_PEER_STATE_REQUEST:
         break;
     }
@@ -169,7 +219,7 @@
     else {
         fill_message(&f->u.message, i - 1);
     }
-    return i - 1 <= CT_PEER_LOAD_GAPS;
+    return i - 1 <= CT_PEER_STORE_CONFIG;
 }
 
 static void
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -72,6 +72,7 @@
                     CT_OK);
     g_assert_true(settings.first_start);
     g_assert_false(settings.share_load);
+    g_assert_false(settings.share_config);
     g_assert_cmpint(load_with_line(9, "\"share_load\": true,", &settings), ==,
                     CT_OK);
     g_assert_true(settings.share_load);
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -322,6 +322,186 @@
   assert(message->base.descriptor == &ct__upstream__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ct__prefix_route__init
+                     (Ct__PrefixRoute         *message)
+{
+  static const Ct__PrefixRoute init_value = CT__PREFIX_ROUTE__INIT;
+  *message = init_value;
+}
+size_t ct__prefix_route__get_packed_size
+                     (const Ct__PrefixRoute *message)
+{
+  assert(message->base.descriptor == &ct__prefix_route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__prefix_route__pack
+                     (const Ct__PrefixRoute *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__prefix_route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__prefix_route__pack_to_buffer
+                     (const Ct__PrefixRoute *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__prefix_route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__PrefixRoute *
+       ct__prefix_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__PrefixRoute *)
+     protobuf_c_message_unpack (&ct__prefix_route__descriptor,
+                                allocator, len, data);
+}
+void   ct__prefix_route__free_unpacked
+                     (Ct__PrefixRoute *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__prefix_route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ct__pool_share__init
+                     (Ct__PoolShare         *message)
+{
+  static const Ct__PoolShare init_value = CT__POOL_SHARE__INIT;
+  *message = init_value;
+}
+size_t ct__pool_share__get_packed_size
+                     (const Ct__PoolShare *message)
+{
+  assert(message->base.descriptor == &ct__pool_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__pool_share__pack
+                     (const Ct__PoolShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__pool_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__pool_share__pack_to_buffer
+                     (const Ct__PoolShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__pool_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__PoolShare *
+       ct__pool_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__PoolShare *)
+     protobuf_c_message_unpack (&ct__pool_share__descriptor,
+                                allocator, len, data);
+}
+void   ct__pool_share__free_unpacked
+                     (Ct__PoolShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__pool_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ct__order_zone__init
+                     (Ct__OrderZone         *message)
+{
+  static const Ct__OrderZone init_value = CT__ORDER_ZONE__INIT;
+  *message = init_value;
+}
+size_t ct__order_zone__get_packed_size
+                     (const Ct__OrderZone *message)
+{
+  assert(message->base.descriptor == &ct__order_zone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__order_zone__pack
+                     (const Ct__OrderZone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__order_zone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__order_zone__pack_to_buffer
+                     (const Ct__OrderZone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__order_zone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__OrderZone *
+       ct__order_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__OrderZone *)
+     protobuf_c_message_unpack (&ct__order_zone__descriptor,
+                                allocator, len, data);
+}
+void   ct__order_zone__free_unpacked
+                     (Ct__OrderZone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__order_zone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ct__config_key__init
+                     (Ct__ConfigKey         *message)
+{
+  static const Ct__ConfigKey init_value = CT__CONFIG_KEY__INIT;
+  *message = init_value;
+}
+size_t ct__config_key__get_packed_size
+                     (const Ct__ConfigKey *message)
+{
+  assert(message->base.descriptor == &ct__config_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__config_key__pack
+                     (const Ct__ConfigKey *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__config_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__config_key__pack_to_buffer
+                     (const Ct__ConfigKey *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__config_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__ConfigKey *
+       ct__config_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__ConfigKey *)
+     protobuf_c_message_unpack (&ct__config_key__descriptor,
+                                allocator, len, data);
+}
+void   ct__config_key__free_unpacked
+                     (Ct__ConfigKey *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__config_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ct__config_row__init
                      (Ct__ConfigRow         *message)
 {
@@ -1267,6 +1447,51 @@
   assert(message->base.descriptor == &ct__feed_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ct__config_update__init
+                     (Ct__ConfigUpdate         *message)
+{
+  static const Ct__ConfigUpdate init_value = CT__CONFIG_UPDATE__INIT;
+  *message = init_value;
+}
+size_t ct__config_update__get_packed_size
+                     (const Ct__ConfigUpdate *message)
+{
+  assert(message->base.descriptor == &ct__config_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__config_update__pack
+                     (const Ct__ConfigUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__config_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__config_update__pack_to_buffer
+                     (const Ct__ConfigUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__config_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__ConfigUpdate *
+       ct__config_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__ConfigUpdate *)
+     protobuf_c_message_unpack (&ct__config_update__descriptor,
+                                allocator, len, data);
+}
+void   ct__config_update__free_unpacked
+                     (Ct__ConfigUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__config_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ct__upstream_entry__init
                      (Ct__UpstreamEntry         *message)
 {
@@ -1672,7 +1897,7 @@
   assert(message->base.descriptor == &ct__peer_frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__organisation__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ct__organisation__field_descriptors[4] =
 {
   {
     "name",
@@ -1698,15 +1923,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_rank",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Organisation, has_rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Organisation, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__organisation__field_indices_by_name[] = {
+  2,   /* field[2] = has_rank */
   0,   /* field[0] = name */
+  3,   /* field[3] = rank */
   1,   /* field[1] = weight */
 };
 static const ProtobufCIntRange ct__organisation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ct__organisation__descriptor =
 {
@@ -1716,7 +1967,7 @@
   "Ct__Organisation",
   "ct",
   sizeof(Ct__Organisation),
-  2,
+  4,
   ct__organisation__field_descriptors,
   ct__organisation__field_indices_by_name,
   1,  ct__organisation__number_ranges,
@@ -1981,7 +2232,7 @@
   (ProtobufCMessageInit) ct__class__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__pool__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ct__pool__field_descriptors[7] =
 {
   {
     "name",
@@ -2031,8 +2282,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backs_up",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Pool, backs_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Pool, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Pool, cold_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__pool__field_indices_by_name[] = {
+  4,   /* field[4] = backs_up */
+  5,   /* field[5] = cold_ms */
+  6,   /* field[6] = cold_permille */
   1,   /* field[1] = kind */
   3,   /* field[3] = max_upstreams */
   2,   /* field[2] = min_upstreams */
@@ -2041,7 +2331,7 @@
 static const ProtobufCIntRange ct__pool__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ct__pool__descriptor =
 {
@@ -2051,7 +2341,7 @@
   "Ct__Pool",
   "ct",
   sizeof(Ct__Pool),
-  4,
+  7,
   ct__pool__field_descriptors,
   ct__pool__field_indices_by_name,
   1,  ct__pool__number_ranges,
@@ -2276,72 +2566,406 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
-    5,
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Upstream, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cheap",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Upstream, cheap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checks_fencing",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Upstream, checks_fencing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__upstream__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  5,   /* field[5] = cheap */
+  6,   /* field[6] = checks_fencing */
+  0,   /* field[0] = name */
+  1,   /* field[1] = pool */
+  4,   /* field[4] = slots */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange ct__upstream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ct__upstream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Upstream",
+  "Upstream",
+  "Ct__Upstream",
+  "ct",
+  sizeof(Ct__Upstream),
+  7,
+  ct__upstream__field_descriptors,
+  ct__upstream__field_indices_by_name,
+  1,  ct__upstream__number_ranges,
+  (ProtobufCMessageInit) ct__upstream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__prefix_route__field_descriptors[11] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "authority",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, authority),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeat",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, repeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open_to_all",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, open_to_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sticky",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, sticky),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gap_target_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PrefixRoute, gap_target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__prefix_route__field_indices_by_name[] = {
+  8,   /* field[8] = attempts */
+  1,   /* field[1] = authority */
+  10,   /* field[10] = gap_target_ms */
+  0,   /* field[0] = name */
+  5,   /* field[5] = open_to_all */
+  2,   /* field[2] = prefix */
+  7,   /* field[7] = rank */
+  4,   /* field[4] = repeat */
+  6,   /* field[6] = sticky */
+  3,   /* field[3] = stream */
+  9,   /* field[9] = timeout_ms */
+};
+static const ProtobufCIntRange ct__prefix_route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor ct__prefix_route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.PrefixRoute",
+  "PrefixRoute",
+  "Ct__PrefixRoute",
+  "ct",
+  sizeof(Ct__PrefixRoute),
+  11,
+  ct__prefix_route__field_descriptors,
+  ct__prefix_route__field_indices_by_name,
+  1,  ct__prefix_route__number_ranges,
+  (ProtobufCMessageInit) ct__prefix_route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__pool_share__field_descriptors[3] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PoolShare, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PoolShare, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PoolShare, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__pool_share__field_indices_by_name[] = {
+  1,   /* field[1] = pool */
+  0,   /* field[0] = route */
+  2,   /* field[2] = weight */
+};
+static const ProtobufCIntRange ct__pool_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ct__pool_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.PoolShare",
+  "PoolShare",
+  "Ct__PoolShare",
+  "ct",
+  sizeof(Ct__PoolShare),
+  3,
+  ct__pool_share__field_descriptors,
+  ct__pool_share__field_indices_by_name,
+  1,  ct__pool_share__number_ranges,
+  (ProtobufCMessageInit) ct__pool_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__order_zone__field_descriptors[2] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__OrderZone, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Ct__Upstream, slots),
-    NULL,
+    offsetof(Ct__OrderZone, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned ct__order_zone__field_indices_by_name[] = {
+  0,   /* field[0] = pool */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange ct__order_zone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ct__order_zone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.OrderZone",
+  "OrderZone",
+  "Ct__OrderZone",
+  "ct",
+  sizeof(Ct__OrderZone),
+  2,
+  ct__order_zone__field_descriptors,
+  ct__order_zone__field_indices_by_name,
+  1,  ct__order_zone__number_ranges,
+  (ProtobufCMessageInit) ct__order_zone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__config_key__field_descriptors[2] =
+{
   {
-    "cheap",
-    6,
+    "digest",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Ct__Upstream, cheap),
+    offsetof(Ct__ConfigKey, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checks_fencing",
-    7,
+    "organisation",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Ct__Upstream, checks_fencing),
-    NULL,
+    offsetof(Ct__ConfigKey, organisation),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned ct__upstream__field_indices_by_name[] = {
-  3,   /* field[3] = address */
-  5,   /* field[5] = cheap */
-  6,   /* field[6] = checks_fencing */
-  0,   /* field[0] = name */
-  1,   /* field[1] = pool */
-  4,   /* field[4] = slots */
-  2,   /* field[2] = zone */
+static const unsigned ct__config_key__field_indices_by_name[] = {
+  0,   /* field[0] = digest */
+  1,   /* field[1] = organisation */
 };
-static const ProtobufCIntRange ct__upstream__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__config_key__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor ct__upstream__descriptor =
+const ProtobufCMessageDescriptor ct__config_key__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "ct.Upstream",
-  "Upstream",
-  "Ct__Upstream",
+  "ct.ConfigKey",
+  "ConfigKey",
+  "Ct__ConfigKey",
   "ct",
-  sizeof(Ct__Upstream),
-  7,
-  ct__upstream__field_descriptors,
-  ct__upstream__field_indices_by_name,
-  1,  ct__upstream__number_ranges,
-  (ProtobufCMessageInit) ct__upstream__init,
+  sizeof(Ct__ConfigKey),
+  2,
+  ct__config_key__field_descriptors,
+  ct__config_key__field_indices_by_name,
+  1,  ct__config_key__number_ranges,
+  (ProtobufCMessageInit) ct__config_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__config_row__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ct__config_row__field_descriptors[11] =
 {
   {
     "organisation",
@@ -2427,20 +3051,72 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefix_route",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__ConfigRow, row_case),
+    offsetof(Ct__ConfigRow, prefix_route),
+    &ct__prefix_route__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool_share",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__ConfigRow, row_case),
+    offsetof(Ct__ConfigRow, pool_share),
+    &ct__pool_share__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_zone",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__ConfigRow, row_case),
+    offsetof(Ct__ConfigRow, order_zone),
+    &ct__order_zone__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__ConfigRow, row_case),
+    offsetof(Ct__ConfigRow, key),
+    &ct__config_key__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__config_row__field_indices_by_name[] = {
   4,   /* field[4] = access */
   1,   /* field[1] = host */
+  10,   /* field[10] = key */
   2,   /* field[2] = klass */
+  9,   /* field[9] = order_zone */
   0,   /* field[0] = organisation */
   5,   /* field[5] = pool */
+  8,   /* field[8] = pool_share */
+  7,   /* field[7] = prefix_route */
   3,   /* field[3] = route */
   6,   /* field[6] = upstream */
 };
 static const ProtobufCIntRange ct__config_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ct__config_row__descriptor =
 {
@@ -2450,7 +3126,7 @@
   "Ct__ConfigRow",
   "ct",
   sizeof(Ct__ConfigRow),
-  7,
+  11,
   ct__config_row__field_descriptors,
   ct__config_row__field_indices_by_name,
   1,  ct__config_row__number_ranges,
@@ -4388,6 +5064,187 @@
   (ProtobufCMessageInit) ct__feed_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ct__config_update__field_descriptors[12] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys_required",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, keys_required),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_bounds",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, has_bounds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "head_bytes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, head_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_bytes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "head_timeout_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, head_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_timeout_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_left_out",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, n_left_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_out_name",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, left_out_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_out_reason",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigUpdate, left_out_reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ct__config_update__field_indices_by_name[] = {
+  6,   /* field[6] = body_bytes */
+  0,   /* field[0] = from */
+  4,   /* field[4] = has_bounds */
+  5,   /* field[5] = head_bytes */
+  7,   /* field[7] = head_timeout_ms */
+  8,   /* field[8] = idle_timeout_ms */
+  3,   /* field[3] = keys_required */
+  10,   /* field[10] = left_out_name */
+  11,   /* field[11] = left_out_reason */
+  9,   /* field[9] = n_left_out */
+  1,   /* field[1] = next */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange ct__config_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor ct__config_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.ConfigUpdate",
+  "ConfigUpdate",
+  "Ct__ConfigUpdate",
+  "ct",
+  sizeof(Ct__ConfigUpdate),
+  12,
+  ct__config_update__field_descriptors,
+  ct__config_update__field_indices_by_name,
+  1,  ct__config_update__number_ranges,
+  (ProtobufCMessageInit) ct__config_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ct__upstream_entry__field_descriptors[11] =
 {
   {
@@ -4812,7 +5669,7 @@
   (ProtobufCMessageInit) ct__tally_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[25] =
+static const ProtobufCFieldDescriptor ct__peer_message__field_descriptors[27] =
 {
   {
     "type",
@@ -5114,8 +5971,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_update",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__PeerMessage, config_update),
+    &ct__config_update__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_rows",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__PeerMessage, n_config_rows),
+    offsetof(Ct__PeerMessage, config_rows),
+    &ct__config_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__peer_message__field_indices_by_name[] = {
+  26,   /* field[26] = config_rows */
+  25,   /* field[25] = config_update */
   3,   /* field[3] = digest */
   11,   /* field[11] = feed_ask */
   12,   /* field[12] = feed_news */
@@ -5145,7 +6028,7 @@
 static const ProtobufCIntRange ct__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor ct__peer_message__descriptor =
 {
@@ -5155,7 +6038,7 @@
   "Ct__PeerMessage",
   "ct",
   sizeof(Ct__PeerMessage),
-  25,
+  27,
   ct__peer_message__field_descriptors,
   ct__peer_message__field_indices_by_name,
   1,  ct__peer_message__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -22,6 +22,10 @@
 typedef struct Ct__Route Ct__Route;
 typedef struct Ct__Access Ct__Access;
 typedef struct Ct__Upstream Ct__Upstream;
+typedef struct Ct__PrefixRoute Ct__PrefixRoute;
+typedef struct Ct__PoolShare Ct__PoolShare;
+typedef struct Ct__OrderZone Ct__OrderZone;
+typedef struct Ct__ConfigKey Ct__ConfigKey;
 typedef struct Ct__ConfigRow Ct__ConfigRow;
 typedef struct Ct__Key Ct__Key;
 typedef struct Ct__Lease Ct__Lease;
@@ -43,6 +47,7 @@
 typedef struct Ct__StateOffset Ct__StateOffset;
 typedef struct Ct__FeedAsk Ct__FeedAsk;
 typedef struct Ct__FeedNews Ct__FeedNews;
+typedef struct Ct__ConfigUpdate Ct__ConfigUpdate;
 typedef struct Ct__UpstreamEntry Ct__UpstreamEntry;
 typedef struct Ct__Member Ct__Member;
 typedef struct Ct__Tally Ct__Tally;
@@ -64,10 +69,12 @@
   ProtobufCMessage base;
   char *name;
   uint32_t weight;
+  protobuf_c_boolean has_rank;
+  uint32_t rank;
 };
 #define CT__ORGANISATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__organisation__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Ct__Host
@@ -111,10 +118,13 @@
   uint32_t kind;
   uint32_t min_upstreams;
   uint32_t max_upstreams;
+  protobuf_c_boolean backs_up;
+  int64_t cold_ms;
+  int64_t cold_permille;
 };
 #define CT__POOL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__pool__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Route
@@ -160,6 +170,60 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+struct  Ct__PrefixRoute
+{
+  ProtobufCMessage base;
+  char *name;
+  char *authority;
+  char *prefix;
+  protobuf_c_boolean stream;
+  uint32_t repeat;
+  protobuf_c_boolean open_to_all;
+  protobuf_c_boolean sticky;
+  uint32_t rank;
+  uint32_t attempts;
+  int64_t timeout_ms;
+  int64_t gap_target_ms;
+};
+#define CT__PREFIX_ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__prefix_route__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Ct__PoolShare
+{
+  ProtobufCMessage base;
+  char *route;
+  char *pool;
+  uint32_t weight;
+};
+#define CT__POOL_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__pool_share__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Ct__OrderZone
+{
+  ProtobufCMessage base;
+  char *pool;
+  char *zone;
+};
+#define CT__ORDER_ZONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__order_zone__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Ct__ConfigKey
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData digest;
+  char *organisation;
+};
+#define CT__CONFIG_KEY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__config_key__descriptor) \
+    , {0,NULL}, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   CT__CONFIG_ROW__ROW__NOT_SET = 0,
   CT__CONFIG_ROW__ROW_ORGANISATION = 1,
@@ -168,7 +232,11 @@
   CT__CONFIG_ROW__ROW_ROUTE = 4,
   CT__CONFIG_ROW__ROW_ACCESS = 5,
   CT__CONFIG_ROW__ROW_POOL = 6,
-  CT__CONFIG_ROW__ROW_UPSTREAM = 7
+  CT__CONFIG_ROW__ROW_UPSTREAM = 7,
+  CT__CONFIG_ROW__ROW_PREFIX_ROUTE = 8,
+  CT__CONFIG_ROW__ROW_POOL_SHARE = 9,
+  CT__CONFIG_ROW__ROW_ORDER_ZONE = 10,
+  CT__CONFIG_ROW__ROW_KEY = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CT__CONFIG_ROW__ROW__CASE)
 } Ct__ConfigRow__RowCase;
 
@@ -187,6 +255,10 @@
     Ct__Access *access;
     Ct__Pool *pool;
     Ct__Upstream *upstream;
+    Ct__PrefixRoute *prefix_route;
+    Ct__PoolShare *pool_share;
+    Ct__OrderZone *order_zone;
+    Ct__ConfigKey *key;
   };
 };
 #define CT__CONFIG_ROW__INIT \
@@ -512,6 +584,30 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A configuration that a source read from the store; its rows are beside it.
+ */
+struct  Ct__ConfigUpdate
+{
+  ProtobufCMessage base;
+  int64_t from;
+  int64_t next;
+  int64_t version;
+  protobuf_c_boolean keys_required;
+  protobuf_c_boolean has_bounds;
+  uint32_t head_bytes;
+  uint32_t body_bytes;
+  int64_t head_timeout_ms;
+  int64_t idle_timeout_ms;
+  uint32_t n_left_out;
+  char *left_out_name;
+  int32_t left_out_reason;
+};
+#define CT__CONFIG_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ct__config_update__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Ct__UpstreamEntry
 {
   ProtobufCMessage base;
@@ -629,10 +725,13 @@
    * Its rows have the columns of Load; the counts are codes of gaps.
    */
   Ct__LoadGaps *load_gaps;
+  Ct__ConfigUpdate *config_update;
+  size_t n_config_rows;
+  Ct__ConfigRow **config_rows;
 };
 #define CT__PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__peer_message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0,NULL }
 
 
 struct  Ct__Hello
@@ -816,6 +915,82 @@
 void   ct__upstream__free_unpacked
                      (Ct__Upstream *message,
                       ProtobufCAllocator *allocator);
+/* Ct__PrefixRoute methods */
+void   ct__prefix_route__init
+                     (Ct__PrefixRoute         *message);
+size_t ct__prefix_route__get_packed_size
+                     (const Ct__PrefixRoute   *message);
+size_t ct__prefix_route__pack
+                     (const Ct__PrefixRoute   *message,
+                      uint8_t             *out);
+size_t ct__prefix_route__pack_to_buffer
+                     (const Ct__PrefixRoute   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__PrefixRoute *
+       ct__prefix_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__prefix_route__free_unpacked
+                     (Ct__PrefixRoute *message,
+                      ProtobufCAllocator *allocator);
+/* Ct__PoolShare methods */
+void   ct__pool_share__init
+                     (Ct__PoolShare         *message);
+size_t ct__pool_share__get_packed_size
+                     (const Ct__PoolShare   *message);
+size_t ct__pool_share__pack
+                     (const Ct__PoolShare   *message,
+                      uint8_t             *out);
+size_t ct__pool_share__pack_to_buffer
+                     (const Ct__PoolShare   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__PoolShare *
+       ct__pool_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__pool_share__free_unpacked
+                     (Ct__PoolShare *message,
+                      ProtobufCAllocator *allocator);
+/* Ct__OrderZone methods */
+void   ct__order_zone__init
+                     (Ct__OrderZone         *message);
+size_t ct__order_zone__get_packed_size
+                     (const Ct__OrderZone   *message);
+size_t ct__order_zone__pack
+                     (const Ct__OrderZone   *message,
+                      uint8_t             *out);
+size_t ct__order_zone__pack_to_buffer
+                     (const Ct__OrderZone   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__OrderZone *
+       ct__order_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__order_zone__free_unpacked
+                     (Ct__OrderZone *message,
+                      ProtobufCAllocator *allocator);
+/* Ct__ConfigKey methods */
+void   ct__config_key__init
+                     (Ct__ConfigKey         *message);
+size_t ct__config_key__get_packed_size
+                     (const Ct__ConfigKey   *message);
+size_t ct__config_key__pack
+                     (const Ct__ConfigKey   *message,
+                      uint8_t             *out);
+size_t ct__config_key__pack_to_buffer
+                     (const Ct__ConfigKey   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__ConfigKey *
+       ct__config_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__config_key__free_unpacked
+                     (Ct__ConfigKey *message,
+                      ProtobufCAllocator *allocator);
 /* Ct__ConfigRow methods */
 void   ct__config_row__init
                      (Ct__ConfigRow         *message);
@@ -1215,6 +1390,25 @@
 void   ct__feed_news__free_unpacked
                      (Ct__FeedNews *message,
                       ProtobufCAllocator *allocator);
+/* Ct__ConfigUpdate methods */
+void   ct__config_update__init
+                     (Ct__ConfigUpdate         *message);
+size_t ct__config_update__get_packed_size
+                     (const Ct__ConfigUpdate   *message);
+size_t ct__config_update__pack
+                     (const Ct__ConfigUpdate   *message,
+                      uint8_t             *out);
+size_t ct__config_update__pack_to_buffer
+                     (const Ct__ConfigUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Ct__ConfigUpdate *
+       ct__config_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ct__config_update__free_unpacked
+                     (Ct__ConfigUpdate *message,
+                      ProtobufCAllocator *allocator);
 /* Ct__UpstreamEntry methods */
 void   ct__upstream_entry__init
                      (Ct__UpstreamEntry         *message);
@@ -1409,6 +1603,18 @@
 typedef void (*Ct__Upstream_Closure)
                  (const Ct__Upstream *message,
                   void *closure_data);
+typedef void (*Ct__PrefixRoute_Closure)
+                 (const Ct__PrefixRoute *message,
+                  void *closure_data);
+typedef void (*Ct__PoolShare_Closure)
+                 (const Ct__PoolShare *message,
+                  void *closure_data);
+typedef void (*Ct__OrderZone_Closure)
+                 (const Ct__OrderZone *message,
+                  void *closure_data);
+typedef void (*Ct__ConfigKey_Closure)
+                 (const Ct__ConfigKey *message,
+                  void *closure_data);
 typedef void (*Ct__ConfigRow_Closure)
                  (const Ct__ConfigRow *message,
                   void *closure_data);
@@ -1472,6 +1678,9 @@
 typedef void (*Ct__FeedNews_Closure)
                  (const Ct__FeedNews *message,
                   void *closure_data);
+typedef void (*Ct__ConfigUpdate_Closure)
+                 (const Ct__ConfigUpdate *message,
+                  void *closure_data);
 typedef void (*Ct__UpstreamEntry_Closure)
                  (const Ct__UpstreamEntry *message,
                   void *closure_data);
@@ -1512,6 +1721,10 @@
 extern const ProtobufCMessageDescriptor ct__route__descriptor;
 extern const ProtobufCMessageDescriptor ct__access__descriptor;
 extern const ProtobufCMessageDescriptor ct__upstream__descriptor;
+extern const ProtobufCMessageDescriptor ct__prefix_route__descriptor;
+extern const ProtobufCMessageDescriptor ct__pool_share__descriptor;
+extern const ProtobufCMessageDescriptor ct__order_zone__descriptor;
+extern const ProtobufCMessageDescriptor ct__config_key__descriptor;
 extern const ProtobufCMessageDescriptor ct__config_row__descriptor;
 extern const ProtobufCMessageDescriptor ct__key__descriptor;
 extern const ProtobufCMessageDescriptor ct__lease__descriptor;
@@ -1533,6 +1746,7 @@
 extern const ProtobufCMessageDescriptor ct__state_offset__descriptor;
 extern const ProtobufCMessageDescriptor ct__feed_ask__descriptor;
 extern const ProtobufCMessageDescriptor ct__feed_news__descriptor;
+extern const ProtobufCMessageDescriptor ct__config_update__descriptor;
 extern const ProtobufCMessageDescriptor ct__upstream_entry__descriptor;
 extern const ProtobufCMessageDescriptor ct__member__descriptor;
 extern const ProtobufCMessageDescriptor ct__tally__descriptor;
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -221,6 +221,35 @@
     sizeof(struct ct_load_gap_row), CT_MAP_COUNT(load_gaps_columns_items),
     load_gaps_columns_items};
 
+/* Fields of the configuration in an update. */
+#define CONFIG_FIELD(kind, wire, f, size, min, max)                           \
+    {                                                                         \
+        kind, offsetof(Ct__ConfigUpdate, wire),                               \
+            offsetof(struct ct_store_config_update, config.f), size, min, max \
+    }
+
+static const struct ct_map_field config_update_fields[] = {
+    CT_MAP_F_OFFSET(ConfigUpdate, store_config_update, from),
+    CT_MAP_F_OFFSET(ConfigUpdate, store_config_update, next),
+    CONFIG_FIELD(CT_MAP_I64, version, version, 0, INT64_MIN, INT64_MAX),
+    CONFIG_FIELD(CT_MAP_BOOL, keys_required, keys_required, 0, 0, 0),
+    CONFIG_FIELD(CT_MAP_BOOL, has_bounds, has_bounds, 0, 0, 0),
+    CONFIG_FIELD(CT_MAP_U32, head_bytes, bounds.head_bytes, 0, 0, UINT32_MAX),
+    CONFIG_FIELD(CT_MAP_U32, body_bytes, bounds.body_bytes, 0, 0, UINT32_MAX),
+    CONFIG_FIELD(CT_MAP_I64, head_timeout_ms, bounds.head_timeout_ms, 0, 0,
+                 CT_MAP_MS_MAX),
+    CONFIG_FIELD(CT_MAP_I64, idle_timeout_ms, bounds.idle_timeout_ms, 0, 0,
+                 CT_MAP_MS_MAX),
+    CONFIG_FIELD(CT_MAP_U32, n_left_out, n_left_out, 0, 0, UINT32_MAX),
+    CONFIG_FIELD(CT_MAP_TEXT, left_out_name, left_out_name,
+                 sizeof(struct ct_name), 0, 0),
+    CONFIG_FIELD(CT_MAP_I32, left_out_reason, left_out_reason, 0, INT32_MIN,
+                 INT32_MAX),
+};
+static const struct ct_map config_update_map = {
+    &ct__config_update__descriptor, sizeof(struct ct_store_config_update),
+    CT_MAP_COUNT(config_update_fields), config_update_fields, NULL};
+
 #define BODY(map, wire_member, member)                                        \
     .body = &(map),                                                           \
     .body_wire_offset = offsetof(Ct__PeerMessage, wire_member),               \
@@ -257,6 +286,9 @@
                            .columns = &load_list_columns},
     [CT_PEER_LOAD_GAPS] = {BODY(load_gaps_map, load_gaps, load_gaps),
                            .columns = &load_gaps_columns},
+    [CT_PEER_STORE_CONFIG] = {BODY(config_update_map, config_update,
+                                   store_config),
+                              ROWS(ct_map_config_row, config_rows)},
 };
 
 static const struct ct_map_variants message_variants = {
--- a/wire/row-maps.c
+++ b/wire/row-maps.c
@@ -16,6 +16,8 @@
 static const struct ct_map_field organisation_fields[] = {
     CT_MAP_F_TEXT(Organisation, organisation, name),
     CT_MAP_F_U32(Organisation, organisation, weight, 1, WEIGHT_MAX),
+    CT_MAP_F_BOOL(Organisation, organisation, has_rank),
+    CT_MAP_F_U32(Organisation, organisation, rank, 0, UINT32_MAX),
 };
 static DEFINE_MAP(organisation, organisation, organisation);
 
@@ -48,6 +50,9 @@
     CT_MAP_F_U32(Pool, pool, kind, CT_POOL_ENGINE, CT_POOL_PLAIN),
     CT_MAP_F_U32(Pool, pool, min_upstreams, 0, UPSTREAMS_MAX),
     CT_MAP_F_U32(Pool, pool, max_upstreams, 0, UPSTREAMS_MAX),
+    CT_MAP_F_BOOL(Pool, pool, backs_up),
+    CT_MAP_F_MS(Pool, pool, cold_ms),
+    CT_MAP_F_I64(Pool, pool, cold_permille, 0, INT64_MAX),
 };
 static DEFINE_MAP(pool, pool, pool);
 
@@ -79,6 +84,41 @@
 };
 static DEFINE_MAP(upstream, upstream, upstream);
 
+static const struct ct_map_field prefix_route_fields[] = {
+    CT_MAP_F_TEXT(PrefixRoute, prefix_route, name),
+    CT_MAP_F_TEXT(PrefixRoute, prefix_route, authority),
+    CT_MAP_F_TEXT(PrefixRoute, prefix_route, prefix),
+    CT_MAP_F_BOOL(PrefixRoute, prefix_route, stream),
+    CT_MAP_F_U32(PrefixRoute, prefix_route, repeat, CT_REPEAT_ANY,
+                 CT_REPEAT_RESUME),
+    CT_MAP_F_BOOL(PrefixRoute, prefix_route, open_to_all),
+    CT_MAP_F_BOOL(PrefixRoute, prefix_route, sticky),
+    CT_MAP_F_U32(PrefixRoute, prefix_route, rank, 0, UINT32_MAX),
+    CT_MAP_F_U32(PrefixRoute, prefix_route, attempts, 0, UINT32_MAX),
+    CT_MAP_F_MS(PrefixRoute, prefix_route, timeout_ms),
+    CT_MAP_F_MS(PrefixRoute, prefix_route, gap_target_ms),
+};
+static DEFINE_MAP(prefix_route, prefix_route, prefix_route);
+
+static const struct ct_map_field pool_share_fields[] = {
+    CT_MAP_F_TEXT(PoolShare, pool_share, route),
+    CT_MAP_F_TEXT(PoolShare, pool_share, pool),
+    CT_MAP_F_U32(PoolShare, pool_share, weight, 0, UINT32_MAX),
+};
+static DEFINE_MAP(pool_share, pool_share, pool_share);
+
+static const struct ct_map_field order_zone_fields[] = {
+    CT_MAP_F_TEXT(OrderZone, order_zone, pool),
+    CT_MAP_F_TEXT(OrderZone, order_zone, zone),
+};
+static DEFINE_MAP(order_zone, order_zone, order_zone);
+
+static const struct ct_map_field config_key_fields[] = {
+    CT_MAP_F_BYTES(ConfigKey, config_key, digest),
+    CT_MAP_F_TEXT(ConfigKey, config_key, organisation),
+};
+static DEFINE_MAP(config_key, config_key, config_key);
+
 static const struct ct_map_field key_fields[] = {
     CT_MAP_F_BYTES(Key, key, digest),
     CT_MAP_F_TEXT(Key, key, organisation),
@@ -172,6 +212,10 @@
     [CT_CONFIG_ACCESS] = CONFIG_VARIANT(access, access),
     [CT_CONFIG_POOL] = CONFIG_VARIANT(pool, pool),
     [CT_CONFIG_UPSTREAM] = CONFIG_VARIANT(upstream, upstream),
+    [CT_CONFIG_PREFIX_ROUTE] = CONFIG_VARIANT(prefix_route, prefix_route),
+    [CT_CONFIG_POOL_SHARE] = CONFIG_VARIANT(pool_share, pool_share),
+    [CT_CONFIG_ORDER_ZONE] = CONFIG_VARIANT(order_zone, order_zone),
+    [CT_CONFIG_KEY] = CONFIG_VARIANT(config_key, key),
 };
 
 static const struct ct_map_variants config_row_variants = {
