core, platform: ignore the state of an upstream's report that is outdated

The platform's store may carry out a write seconds late, after a newer one of the same upstream. A report of an upstream that was ready, carried out after the one that it leaves, made the upstream ready again: hosts sent it new calls until its next report. The number of the report (seq) was not read.

An entry now has that number, also in updates between hosts. A report of the same process with a lower number changes neither the state nor the number that is kept. Entries without a number are taken as before.

/upstream-registry/outdated fails without the comparison (desk-0 is running instead of leaving).

--- a/core/store-types.h
+++ b/core/store-types.h
@@ -81,6 +81,11 @@
     ct_ms started_ms;
     /* Remaining time for which it is cold, as of its record. */
     ct_ms cold_left_ms;
+    /*
+     * Number of the report in the entry, which grows during the life of the
+     * process; 0 if not given.
+     */
+    int64_t sequence;
     /* Offset of its record; 0 in a page of the newest records. */
     int64_t offset;
 };
--- a/core/upstream-registry.c
+++ b/core/upstream-registry.c
@@ -220,6 +220,14 @@
     }
 }
 
+/* Whether the store carried out the report after a newer one. */
+static bool
+is_outdated(const struct ct_upstream_entry *entry,
+            const struct ct_store_upstream *record)
+{
+    return record->sequence > 0 && record->sequence < entry->sequence;
+}
+
 void
 ct_upstream_registry_on_entry(struct ct_state *state,
                               const struct ct_store_upstream *record)
@@ -247,6 +255,7 @@
     new_entry.listed.upstream = record->upstream;
     new_entry.listed.leaving = record->leaving;
     new_entry.started_ms = record->started_ms;
+    new_entry.sequence = record->sequence;
     new_entry.seen = true;
     new_entry.cold_until_ms = cold_until_ms(state, record);
     new_entry.added_ms = registry->first_read_done ? state->now_ms : 0;
@@ -254,9 +263,14 @@
         new_entry.added_ms = entry->added_ms;
         keep_cold_until(registry, entry, new_entry.cold_until_ms);
         new_entry.cold_until_ms = entry->cold_until_ms;
+        if (is_outdated(entry, record)) {
+            new_entry.listed.leaving = entry->listed.leaving;
+            new_entry.sequence = entry->sequence;
+        }
     }
-    if (entry && entry->listed.leaving == record->leaving &&
+    if (entry && entry->listed.leaving == new_entry.listed.leaving &&
         !entry->missing_ms) {
+        entry->sequence = new_entry.sequence;
         entry->seen = true;
         return;
     }
--- a/core/upstream-registry.h
+++ b/core/upstream-registry.h
@@ -17,6 +17,8 @@
 struct ct_upstream_entry {
     struct ct_listed_upstream listed;
     ct_ms started_ms;
+    /* The newest report that was read; 0 if reports have no number. */
+    int64_t sequence;
     /* When the entry was first found missing; 0 while it exists. */
     ct_ms missing_ms;
     /* When it was first read; 0 for entries of this host's first full read. */
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -68,6 +68,7 @@
     entry.leaving = true;
     entry.started_ms = -1;
     entry.cold_left_ms = 9000;
+    entry.sequence = 8;
     entry.offset = 5;
     m->rows = CT_ROWS(&entry, 1);
 }
--- a/t/test-upstream-registry.c
+++ b/t/test-upstream-registry.c
@@ -172,6 +172,40 @@
     t_core_free(&core);
 }
 
+/*
+ * A report that the store carried out after a newer one must not make a
+ * leaving upstream take calls again; a newer report may, and so may the first
+ * one of another process.
+ */
+static void
+test_outdated(void)
+{
+    struct ct_store_upstream entry = t_upstream("desk", 0);
+    struct t_core core;
+
+    t_relay_init(&core);
+    t_relay_configure(&core, 1, 1);
+    entry.sequence = 5;
+    entry.leaving = true;
+    t_relay_post_upstream(&core, &entry);
+    for (int64_t sequence = 4; sequence <= 6; sequence += 2) {
+        entry.sequence = sequence;
+        entry.leaving = false;
+        t_relay_post_upstream(&core, &entry);
+        t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+        t_relay_assert_state(&core, "desk-0", true,
+                             sequence < 5 ? CT_UPSTREAM_LEAVING
+                                          : CT_UPSTREAM_RUNNING);
+    }
+    entry.sequence = 1;
+    entry.started_ms++;
+    entry.leaving = true;
+    t_relay_post_upstream(&core, &entry);
+    t_relay_read(&core, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
+    t_relay_assert_state(&core, "desk-0", true, CT_UPSTREAM_LEAVING);
+    t_core_free(&core);
+}
+
 /*
  * An entry with the same name but another start time is a different upstream.
  */
@@ -208,6 +242,7 @@
     g_test_add_func("/upstream-registry/removed", test_removed);
     g_test_add_func("/upstream-registry/unconfirmed", test_unconfirmed);
     g_test_add_func("/upstream-registry/leaving", test_leaving);
+    g_test_add_func("/upstream-registry/outdated", test_outdated);
     g_test_add_func("/upstream-registry/restarted", test_restarted);
     return g_test_run();
 }
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -5245,7 +5245,7 @@
   (ProtobufCMessageInit) ct__config_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__upstream_entry__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ct__upstream_entry__field_descriptors[12] =
 {
   {
     "name",
@@ -5379,6 +5379,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__UpstreamEntry, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__upstream_entry__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -5390,13 +5402,14 @@
   0,   /* field[0] = name */
   9,   /* field[9] = offset */
   1,   /* field[1] = pool */
+  11,   /* field[11] = sequence */
   4,   /* field[4] = slots */
   2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange ct__upstream_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ct__upstream_entry__descriptor =
 {
@@ -5406,7 +5419,7 @@
   "Ct__UpstreamEntry",
   "ct",
   sizeof(Ct__UpstreamEntry),
-  11,
+  12,
   ct__upstream_entry__field_descriptors,
   ct__upstream_entry__field_indices_by_name,
   1,  ct__upstream_entry__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -622,10 +622,11 @@
   int64_t born_ms;
   int64_t offset;
   int64_t cold_left_ms;
+  int64_t sequence;
 };
 #define CT__UPSTREAM_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__upstream_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Member
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -103,6 +103,7 @@
      offsetof(struct ct_store_upstream, started_ms), 0, INT64_MIN, INT64_MAX},
     CT_MAP_F_OFFSET(UpstreamEntry, store_upstream, offset),
     CT_MAP_F_MS(UpstreamEntry, store_upstream, cold_left_ms),
+    CT_MAP_F_I64(UpstreamEntry, store_upstream, sequence, 0, INT64_MAX),
 };
 static const struct ct_map entry_map = {
     &ct__upstream_entry__descriptor, sizeof(struct ct_store_upstream),
