shell: do not wait for a body in the response to HEAD

A call with HEAD got its response only at its time limit: libcurl was given the method as a custom one, and then waits for the body that the head announces and that never comes. Both fronts set method and body by the same lines.

One function now sets both, for both fronts, and asks libcurl for a response without a body if the method is HEAD.

--- a/shell/http.c
+++ b/shell/http.c
@@ -505,9 +505,17 @@
 }
 
 void
-ct_transfer_set_method(struct ct_transfer *transfer, const char *method)
+ct_transfer_set_request(struct ct_transfer *transfer, const char *method,
+                        const void *body, size_t n)
 {
-    curl_easy_setopt(transfer->easy, CURLOPT_CUSTOMREQUEST, method);
+    if (strcmp(method, "HEAD") == 0) {
+        /* Otherwise libcurl waits for the body that the head announces. */
+        curl_easy_setopt(transfer->easy, CURLOPT_NOBODY, 1L);
+    }
+    else if (n > 0 || strcmp(method, "GET") != 0) {
+        ct_transfer_set_body(transfer, body, n);
+        curl_easy_setopt(transfer->easy, CURLOPT_CUSTOMREQUEST, method);
+    }
 }
 
 void
--- a/shell/http.h
+++ b/shell/http.h
@@ -99,8 +99,12 @@
 /* Sets the method POST and the body, borrowed until ct_transfer_clear(). */
 void ct_transfer_set_body(struct ct_transfer *transfer, const void *body,
                           size_t n);
-/* Sets a method other than GET or POST; copied. */
-void ct_transfer_set_method(struct ct_transfer *transfer, const char *method);
+/*
+ * Sets the method, copied, and the body, borrowed until ct_transfer_clear().
+ * HEAD is sent without a body.
+ */
+void ct_transfer_set_request(struct ct_transfer *transfer, const char *method,
+                             const void *body, size_t n);
 /*
  * Allows a connection that served an earlier transfer, and keeps it for a
  * later one; by default each transfer has its own. A copy of an earlier
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -364,11 +364,8 @@
     if (err < 0) {
         return err;
     }
-    if (message->body->len > 0 || strcmp(message->method, "GET") != 0) {
-        ct_transfer_set_body(transfer, message->body->data,
-                             message->body->len);
-        ct_transfer_set_method(transfer, message->method);
-    }
+    ct_transfer_set_request(transfer, message->method, message->body->data,
+                            message->body->len);
     if (attempt->start.stream) {
         /* Its events are forwarded; only those not yet complete are kept. */
         ct_transfer_set_body_limit(transfer, SIZE_MAX);
--- a/shell/upstreams.c
+++ b/shell/upstreams.c
@@ -426,10 +426,7 @@
         return err;
     }
     bytes = body->bytes ? g_bytes_get_data(body->bytes, &n) : NULL;
-    if (n > 0 || strcmp(body->method, "GET") != 0) {
-        ct_transfer_set_body(&attempt->transfer, bytes, n);
-        ct_transfer_set_method(&attempt->transfer, body->method);
-    }
+    ct_transfer_set_request(&attempt->transfer, body->method, bytes, n);
     if (!attempt->effect.at_most_once) {
         ct_transfer_share_connection(&attempt->transfer);
     }
--- a/t/test-http.c
+++ b/t/test-http.c
@@ -82,8 +82,7 @@
 }
 
 static void
-start_get(struct fixture *f, const struct ct_transfer_ops *ops,
-          struct get *get)
+init_get(struct fixture *f, const struct ct_transfer_ops *ops, struct get *get)
 {
     memset(get, 0, sizeof(*get));
     get->body = g_string_new(NULL);
@@ -91,6 +90,13 @@
     g_assert_cmpint(ct_transfer_init(&get->transfer, f->http, ops,
                                      raw_server_address(f->server), "/"),
                     ==, 0);
+}
+
+static void
+start_get(struct fixture *f, const struct ct_transfer_ops *ops,
+          struct get *get)
+{
+    init_get(f, ops, get);
     g_assert_cmpint(ct_http_start(f->http, &get->transfer), ==, 0);
 }
 
@@ -325,6 +331,34 @@
     tear_down(&f);
 }
 
+/*
+ * Guards against a wait for a body that a response to HEAD announces but does
+ * not have: its connection stays open and carries the next response.
+ */
+static void
+test_head_request(void)
+{
+    static const struct raw_reply replies[] = {
+        {OK_HEAD "5\r\n\r\n", RAW_KEEP_ALIVE, NULL, 0},
+        {SECOND, RAW_KEEP_ALIVE, NULL, 0},
+    };
+    struct fixture f;
+    struct get get;
+
+    set_up(&f, replies, G_N_ELEMENTS(replies));
+    init_get(&f, &get_ops, &get);
+    ct_transfer_set_request(&get.transfer, "HEAD", NULL, 0);
+    g_assert_cmpint(ct_http_start(f.http, &get.transfer), ==, 0);
+    script_wait_until(f.script, is_done, &get);
+    g_assert_cmpint(get.result, ==, CURLE_OK);
+    g_assert_cmpuint(get.body->len, ==, 0);
+    clear_get(&get);
+    run_get(&f, &get_ops, &get);
+    g_assert_cmpstr(get.body->str, ==, "second");
+    clear_get(&get);
+    tear_down(&f);
+}
+
 static void
 add_head_tests(void)
 {
@@ -376,6 +410,7 @@
     g_test_add_func("/http/flush", test_flush);
     g_test_add_func("/http/fair-share", test_fair_share);
     g_test_add_func("/http/hold", test_hold);
+    g_test_add_func("/http/head-request", test_head_request);
     add_head_tests();
     return g_test_run();
 }
