soak: evacuate a zone, throw crowds, and let sources send configurations

The relay soak knew nothing of what was added to hosts lately: evacuations, crowds of clients that hold bodies and heads of many short fields, and configurations that come from another host.

Half of the upstreams are now in a zone that is evacuated for 4 s each 10 s; their log must show no request later than the bound, by the check that draining upstreams have. All hosts share configurations, so the check of withdrawn keys covers them.

Cold upstreams are not thrown: the shared configuration of the fakes has no rate for them.

--- a/soak/relay-check-results.c
+++ b/soak/relay-check-results.c
@@ -52,7 +52,10 @@
     return false;
 }
 
-/* A draining runner must get no new request after RELAY_DRAIN_MS. */
+/*
+ * A draining runner, or one of an evacuated zone, must get no new request
+ * after RELAY_DRAIN_MS.
+ */
 static void
 check_drains(struct relay_soak *s, int runner, JsonObject *entry)
 {
@@ -67,7 +70,7 @@
             !overlaps_disturbance(s, drain->from_ms, at_ms)) {
             fault_violation(&s->world,
                             "%s reached run-%d %" G_GINT64_FORMAT
-                            " ms after it was listed as draining",
+                            " ms after it or its zone was to be drained",
                             log_entry_text(entry, "request"), runner,
                             at_ms - drain->from_ms);
         }
--- a/soak/relay-faults.c
+++ b/soak/relay-faults.c
@@ -1,6 +1,7 @@
 /* Table of the fault kinds of the relay soak. */
 #include <signal.h>
 
+#include "lib-hostile.h"
 #include "lib-platform.h"
 #include "relay.h"
 
@@ -114,6 +115,73 @@
     process_signal(&host_of(world, fault)->process, SIGHUP);
 }
 
+/* Bodies of all but the last byte, and heads of many short lines. */
+#define CROWD_HEAD                                                            \
+    "POST /any/x HTTP/1.1\r\n" PLATFORM_HOST_HEADER                           \
+    "\r\nKey: key-0\r\n" PLATFORM_ID ": %ID%\r\n"
+
+static const struct hostile_plan body_crowd = {
+    .first = CROWD_HEAD "Content-Length: 1048576\r\n\r\n",
+    .repeated = "0123456789abcdef",
+    .repetitions = 65535,
+    .last = "0123456789abcde",
+};
+static const struct hostile_plan head_crowd = {
+    .first = CROWD_HEAD,
+    .repeated = "A: 1\r\n",
+    .repetitions = 2500,
+    .last = "\r\n",
+};
+
+struct crowd_thread {
+    const struct hostile_plan *plan;
+    uint16_t port;
+    pid_t pid;
+};
+
+static gpointer
+run_crowd(gpointer arg)
+{
+    struct crowd_thread *crowd = arg;
+
+    hostile_run(crowd->plan, crowd->port, crowd->pid);
+    g_free(crowd);
+    return NULL;
+}
+
+static void
+start_crowd(struct relay_host *host, const struct hostile_plan *plan)
+{
+    struct crowd_thread *crowd = g_new0(struct crowd_thread, 1);
+
+    crowd->plan = plan;
+    crowd->port = host->process.port;
+    crowd->pid = host->process.pid;
+    host->crowd = g_thread_new("crowd", run_crowd, crowd);
+}
+
+static void
+start_body_crowd(struct fault_world *world, const struct fault *fault)
+{
+    start_crowd(host_of(world, fault), &body_crowd);
+}
+
+static void
+start_head_crowd(struct fault_world *world, const struct fault *fault)
+{
+    start_crowd(host_of(world, fault), &head_crowd);
+}
+
+/* No other fault hits the host before its crowd has gone. */
+static void
+end_crowd(struct fault_world *world, const struct fault *fault)
+{
+    struct relay_host *host = host_of(world, fault);
+
+    g_thread_join(host->crowd);
+    host->crowd = NULL;
+}
+
 static void
 set_store_link(struct fault_world *world, const struct fault *fault)
 {
@@ -213,6 +281,10 @@
     {stop_host, await_exit, TARGET_HOST, "host stopped", NULL, NULL, false},
     {reload_settings, reload_settings, TARGET_HOST, "settings reloaded", NULL,
      NULL, false},
+    {start_body_crowd, end_crowd, TARGET_HOST, "crowd with incomplete bodies",
+     NULL, NULL, false},
+    {start_head_crowd, end_crowd, TARGET_HOST, "crowd with many header lines",
+     NULL, NULL, false},
     STORE_LINK("silent"),
     STORE_LINK("cut"),
     STORE_LINK("refuse"),
--- a/soak/relay-operators.c
+++ b/soak/relay-operators.c
@@ -1,4 +1,7 @@
-/* Operators of the relay soak: keys, configurations, draining upstreams. */
+/*
+ * Operators of the relay soak: keys, configurations, draining upstreams, an
+ * availability zone that is evacuated.
+ */
 #include <stdio.h>
 #include <string.h>
 
@@ -10,6 +13,8 @@
 #define DRAIN_EVERY_MS 9000
 /* Time for which a runner is listed as draining. */
 #define DRAIN_LASTS_MS 5000
+#define EVACUATE_EVERY_MS 6000
+#define EVACUATION_LASTS_MS 4000
 #define CHECK_EVERY_MS 500
 
 struct relay_operators {
@@ -17,9 +22,12 @@
     int64_t key_ms;
     int64_t publish_ms;
     int64_t drain_ms;
+    int64_t evacuate_ms;
     int64_t check_ms;
-    /* The draining runner; -1 for none. */
-    int draining;
+    /* The drain in progress; its runner is -1 if there is none. */
+    struct relay_drain drain;
+    /* When the evacuation in progress began; 0 if there is none. */
+    int64_t evacuated_ms;
     /* Version last read from a host, and the restarts of the host by then. */
     int64_t versions[RELAY_HOSTS_MAX];
     gint restarts[RELAY_HOSTS_MAX];
@@ -65,34 +73,60 @@
     }
 }
 
+static void
+add_drain(struct relay_soak *s, const struct relay_drain *drain)
+{
+    if (s->n_drains < RELAY_DRAINS_MAX) {
+        s->drains[s->n_drains++] = *drain;
+    }
+}
+
 static void
 drain_or_restore_runner(struct relay_operators *o, int64_t now_ms)
 {
     struct relay_soak *s = o->soak;
-    struct relay_drain *drain = &s->drains[s->n_drains];
+    struct relay_drain *drain = &o->drain;
 
-    if (o->draining >= 0) {
+    if (drain->runner >= 0) {
         /*
          * The runner may get requests as soon as the store has its entry, so
          * the period ends before the write.
          */
         drain->until_ms = process_now_ms();
-        relay_world_put_runner(s, o->draining, "ready");
-        s->n_drains++;
-        o->draining = -1;
+        relay_world_put_runner(s, drain->runner, "ready");
+        add_drain(s, drain);
+        drain->runner = -1;
         o->drain_ms = now_ms + DRAIN_EVERY_MS;
         return;
     }
-    if (s->n_drains == RELAY_DRAINS_MAX) {
-        return;
-    }
-    o->draining = s->n_drains % RELAY_RUNNERS;
-    drain->runner = o->draining;
-    relay_world_put_runner(s, o->draining, "draining");
+    drain->runner = s->n_drains % RELAY_RUNNERS;
+    relay_world_put_runner(s, drain->runner, "draining");
     drain->from_ms = process_now_ms();
     o->drain_ms = now_ms + DRAIN_LASTS_MS;
 }
 
+static void
+evacuate_or_restore_zone(struct relay_operators *o, int64_t now_ms)
+{
+    struct relay_soak *s = o->soak;
+    struct relay_drain drain = {.from_ms = o->evacuated_ms};
+
+    if (o->evacuated_ms == 0) {
+        platform_put_evacuation(s->store.port, RELAY_EVACUATED_ZONE, true);
+        o->evacuated_ms = process_now_ms();
+        o->evacuate_ms = now_ms + EVACUATION_LASTS_MS;
+        return;
+    }
+    drain.until_ms = process_now_ms();
+    platform_put_evacuation(s->store.port, RELAY_EVACUATED_ZONE, false);
+    for (drain.runner = RELAY_EVACUATED_FROM; drain.runner < RELAY_RUNNERS;
+         drain.runner++) {
+        add_drain(s, &drain);
+    }
+    o->evacuated_ms = 0;
+    o->evacuate_ms = now_ms + EVACUATE_EVERY_MS;
+}
+
 /* The configuration version of a host; -1 if it sends none. */
 static int64_t
 config_version(struct relay_soak *s, int i)
@@ -145,10 +179,11 @@
     int64_t now_ms = process_now_ms();
 
     o->soak = s;
-    o->draining = -1;
+    o->drain.runner = -1;
     o->key_ms = now_ms + KEY_EVERY_MS;
     o->publish_ms = now_ms + PUBLISH_EVERY_MS;
     o->drain_ms = now_ms + DRAIN_EVERY_MS;
+    o->evacuate_ms = now_ms + EVACUATE_EVERY_MS;
     return o;
 }
 
@@ -168,6 +203,9 @@
     if (now_ms >= o->drain_ms) {
         drain_or_restore_runner(o, now_ms);
     }
+    if (now_ms >= o->evacuate_ms) {
+        evacuate_or_restore_zone(o, now_ms);
+    }
     if (now_ms >= o->check_ms) {
         o->check_ms = now_ms + CHECK_EVERY_MS;
         check_config_versions(o);
@@ -177,8 +215,11 @@
 void
 relay_operators_free(struct relay_operators *o)
 {
-    if (o->draining >= 0) {
+    if (o->drain.runner >= 0) {
         drain_or_restore_runner(o, process_now_ms());
     }
+    if (o->evacuated_ms != 0) {
+        evacuate_or_restore_zone(o, process_now_ms());
+    }
     g_free(o);
 }
--- a/soak/relay-world.c
+++ b/soak/relay-world.c
@@ -11,7 +11,9 @@
 void
 relay_world_put_runner(struct relay_soak *s, int i, const char *state)
 {
-    platform_put_upstream(s->store.port, i, s->runner_proxies[i].port, state);
+    platform_put_upstream_of(
+        s->store.port, i, s->runner_proxies[i].port,
+        i >= RELAY_EVACUATED_FROM ? RELAY_EVACUATED_ZONE : "z", state);
 }
 
 static char *
@@ -53,14 +55,15 @@
         "\"127.0.0.1:%u\",\"peer_address\":\"127.0.0.1:0\","
         "\"peer_secret\":\"0123456789abcdef\",\"store\":\"127.0.0.1:%u\","
         "\"duties\":\"127.0.0.1:%u\",\"share_load\":true,"
-        "\"bounds\":{\"revoke_ms\":%d,"
-        "\"drain_ms\":%d,\"steady_ms\":%d,\"lease_ms\":1000,"
+        "\"share_config\":true,\"bounds\":{\"revoke_ms\":%d,"
+        "\"drain_ms\":%d,\"evacuate_ms\":%d,\"steady_ms\":%d,\"lease_ms\":"
+        "1000,"
         "\"usage_window_s\":2,\"usage_late_s\":8,\"grace_s\":%d,"
         "\"repeat_burst\":1000,\"upstream_pause_max_s\":3}}",
         i + 1, host->process.port, host->process.second_port,
         host->process.third_port, host->process.fourth_port,
         host->store_proxy.port, host->store_proxy.port, RELAY_REVOKE_MS,
-        RELAY_DRAIN_MS, RELAY_STEADY_MS, RELAY_GRACE_S);
+        RELAY_DRAIN_MS, RELAY_DRAIN_MS, RELAY_STEADY_MS, RELAY_GRACE_S);
 
     g_free(host->settings);
     host->settings = g_build_filename(s->directory, name, NULL);
--- a/soak/relay.h
+++ b/soak/relay.h
@@ -19,7 +19,10 @@
 #define RELAY_HOSTS_MAX 80
 #define RELAY_RUNNERS 4
 #define RELAY_KEYS_MAX 64
-#define RELAY_DRAINS_MAX 64
+#define RELAY_DRAINS_MAX 256
+/* Runners from this one on are in a zone that is evacuated now and then. */
+#define RELAY_EVACUATED_FROM 2
+#define RELAY_EVACUATED_ZONE "y"
 
 /* Time limits; all but RELAY_RECOVER_MS stand in the hosts' settings. */
 #define RELAY_REVOKE_MS 3000
@@ -74,7 +77,10 @@
     int64_t withdrawn_ms;
 };
 
-/* Period in which the store listed a runner as draining. */
+/*
+ * Period in which the store listed a runner as draining, or its zone as
+ * evacuated.
+ */
 struct relay_drain {
     int runner;
     int64_t from_ms;
@@ -90,6 +96,8 @@
     /* Number of such faults since the start. */
     gint disruptions;
     gint restarts;
+    /* Runs a crowd of hostile clients; NULL if there is none. */
+    GThread *crowd;
 };
 
 struct relay_soak {
--- a/t/lib-platform.c
+++ b/t/lib-platform.c
@@ -36,6 +36,13 @@
     put_upstream(store, n, port, "z", state, n + 1);
 }
 
+void
+platform_put_upstream_of(uint16_t store, int n, uint16_t port,
+                         const char *zone, const char *state)
+{
+    put_upstream(store, n, port, zone, state, n + 1);
+}
+
 void
 platform_put_restarted(uint16_t store, int n, uint16_t port, int born)
 {
--- a/t/lib-platform.h
+++ b/t/lib-platform.h
@@ -42,6 +42,9 @@
 void platform_put_upstream_in(uint16_t store, int n, uint16_t port,
                               const char *zone);
 
+/* The same in a zone other than "z". */
+void platform_put_upstream_of(uint16_t store, int n, uint16_t port,
+                              const char *zone, const char *state);
 /* Requests the evacuation of a zone, or removes the request. */
 void platform_put_evacuation(uint16_t store, const char *zone, bool evacuate);
 
