core: leave out availability zones whose upstreams do not answer

When a zone lost power or was cut from the others, calls went on to its upstreams until their entries expired. Nothing refuses a connection there, so each such call waited for the connection time-out of 1 s, and each host learned of each upstream by itself.

With the setting skip_unreachable_zones a host leaves a zone out once connections to two of its upstreams timed out and none was established since, takes back the attempts that still wait there, and tests the zone by one call each 3 s.

--- a/conf/relay-settings.c
+++ b/conf/relay-settings.c
@@ -100,6 +100,8 @@
     {"share_load", CT_SCHEMA_BOOL, OPTIONAL, AT(relay_settings, share_load)},
     {"share_config", CT_SCHEMA_BOOL, OPTIONAL,
      AT(relay_settings, share_config)},
+    {"skip_unreachable_zones", CT_SCHEMA_BOOL, OPTIONAL,
+     AT(relay_settings, skip_unreachable_zones)},
     {"max_connections", CT_SCHEMA_U32, OPTIONAL,
      AT(relay_settings, max_connections), 1, MAX_CONNECTIONS,
      .fallback = DEFAULT_MAX_CONNECTIONS},
--- a/conf/relay-settings.h
+++ b/conf/relay-settings.h
@@ -35,6 +35,8 @@
     bool share_load;
     /* Sources send the configurations that they read to their followers. */
     bool share_config;
+    /* Calls avoid zones in which connections time out. */
+    bool skip_unreachable_zones;
     struct ct_bounds bounds;
 };
 
--- a/core/counter.h
+++ b/core/counter.h
@@ -35,6 +35,7 @@
     X(COLD_UPSTREAMS, "upstreams_cold_total")                                 \
     X(COLD_ATTEMPTS, "attempts_cold_total")                                   \
     X(ATTEMPTS_REROUTED, "attempts_rerouted_total")                           \
+    X(ZONES_UNREACHABLE, "zones_unreachable_total")                           \
     X(LOAD_REPORTS, "load_reports_total")                                     \
     X(LOAD_IGNORED, "load_reports_ignored_total")                             \
     X(LOAD_EXPIRED, "load_reports_expired_total")                             \
--- a/core/effect.h
+++ b/core/effect.h
@@ -270,7 +270,9 @@
     X(LOAD_UNKNOWN, 1872, WARNING, "load of other hosts unknown")             \
     X(LOAD_PART_EXPIRED, 1873, INFO, "load report of a host expired")         \
     X(LOAD_OUT_OF_ORDER, 1874, WARNING, "older load report ignored")          \
-    X(LOAD_UNREADABLE, 1875, WARNING, "load report without its list ignored")
+    X(LOAD_UNREADABLE, 1875, WARNING, "load report without its list ignored") \
+    X(ZONE_UNREACHABLE, 1881, WARNING, "availability zone is unreachable")    \
+    X(ZONE_REACHED, 1882, INFO, "availability zone is reached again")
 
 enum ct_log_event {
 #define X(name, number, level, text) CT_LOG_##name = (number),
@@ -344,6 +346,8 @@
      * and CT_EFFECT_REPLY_WITHDRAWAL, and rows of a record, report or message.
      */
     struct ct_rows rows;
+    /* The rows belong to an earlier effect of the list. */
+    bool rows_borrowed;
 };
 
 struct ct_effects {
--- a/core/reduce.c
+++ b/core/reduce.c
@@ -281,6 +281,38 @@
     ct_cold_upstreams_on_head(state, upstream, &progress->notice);
 }
 
+/* The connection of the attempt is established. */
+static void
+on_attempt_sent(struct ct_state *state,
+                const struct ct_relay_progress *progress)
+{
+    const struct ct_upstream_row *upstream = ct_table_get(
+        &state->config.upstreams, ct_relay_attempt_upstream(state, progress));
+
+    if (upstream) {
+        ct_zone_reachability_on_reached(state, &upstream->conf.zone);
+    }
+    ct_relay_on_sent(state, progress);
+}
+
+static void
+on_attempt_done(struct ct_state *state,
+                const struct ct_relay_progress *progress)
+{
+    const struct ct_relay_attempt *attempt =
+        ct_table_get(&state->relays.attempts, progress->attempt);
+    bool zone_lost =
+        attempt && !attempt->sent &&
+        progress->outcome == CT_OUTCOME_NOT_SENT &&
+        ct_zone_reachability_on_failed(state, attempt->upstream,
+                                       state->now_ms - attempt->started_ms);
+
+    ct_relay_on_done(state, progress);
+    if (zone_lost) {
+        ct_relay_reroute_unsent(state);
+    }
+}
+
 static void
 on_evacuation(struct ct_state *state, const struct ct_store_evacuation *record)
 {
@@ -306,7 +338,7 @@
         ct_emit_log(state, CT_LOG_BOUNDS_TAKEN, &state->self.host, NULL, 0);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_SENT:
-        ct_relay_on_sent(state, &event->u.progress);
+        on_attempt_sent(state, &event->u.progress);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_HEAD:
         on_attempt_head(state, &event->u.progress);
@@ -318,7 +350,7 @@
         ct_relay_on_data(state, &event->u.progress);
         return CT_OK;
     case CT_EVENT_RELAY_ATTEMPT_DONE:
-        ct_relay_on_done(state, &event->u.progress);
+        on_attempt_done(state, &event->u.progress);
         return CT_OK;
     case CT_EVENT_STORE_CONFIG:
         ct_reduce_config(state, &event->u.store_config, event->rows);
--- a/core/reduce.h
+++ b/core/reduce.h
@@ -31,6 +31,8 @@
     bool first_start;
     /* The hosts report to each other how many calls they send where. */
     bool share_load;
+    /* Calls avoid zones in which connections time out. */
+    bool skip_unreachable_zones;
     /* This host sends the configurations that it reads to its followers. */
     bool share_config;
 };
--- a/core/relay-choice.c
+++ b/core/relay-choice.c
@@ -4,6 +4,12 @@
 #include "relay-backup.h"
 #include "state.h"
 
+/*
+ * A call with less time left does not test whether a zone can be reached. The
+ * connection of a test may take its whole time-out, 1 s.
+ */
+#define ZONE_TEST_MIN_REMAINING_MS 4000
+
 /* Selects the running upstreams of the call's pool. */
 static struct ct_candidate_filter
 filter_running(const struct ct_state *state, const struct ct_relay *relay)
@@ -114,6 +120,14 @@
     };
 }
 
+/* Whether the call has time for a connection that is not established. */
+static bool
+may_test_zone(const struct ct_state *state, const struct ct_relay *relay)
+{
+    return relay->n_tried == 0 &&
+           relay->deadline_ms - state->now_ms >= ZONE_TEST_MIN_REMAINING_MS;
+}
+
 struct ct_relay_choice
 ct_relay_choose_upstream(struct ct_state *state, const struct ct_relay *relay)
 {
@@ -128,6 +142,8 @@
     ct_upstream_notices_share(state);
     ct_upstream_speed_compare(state);
     n = list_candidates(state, relay, candidates);
+    ct_zone_reachability_filter(state, may_test_zone(state, relay), candidates,
+                                n);
     chosen =
         ops->choose_upstream(state->relay_balance, &request, candidates, n);
     if (chosen < 0) {
--- a/core/relay-reroute.c
+++ b/core/relay-reroute.c
@@ -24,6 +24,20 @@
     ct_relay_send(state, handle);
 }
 
+/*
+ * A call that only one upstream can continue may still reach it in a zone that
+ * is unreachable now.
+ */
+static bool
+is_to_be_rerouted(const struct ct_state *state,
+                  const struct ct_relay_attempt *attempt)
+{
+    return ct_evacuation_bars(state, attempt->upstream) ||
+           (ct_zone_reachability_bars(state, attempt->upstream) &&
+            !ct_relay_backup_needed(
+                ct_table_get(&state->relays.rows, attempt->relay)));
+}
+
 void
 ct_relay_reroute_unsent(struct ct_state *state)
 {
@@ -31,7 +45,7 @@
     uint32_t cursor = 0;
 
     while ((attempt = ct_table_next(&state->relays.attempts, &cursor, NULL))) {
-        if (!attempt->sent && ct_evacuation_bars(state, attempt->upstream)) {
+        if (!attempt->sent && is_to_be_rerouted(state, attempt)) {
             reroute_call(state, attempt);
         }
     }
--- a/core/state.c
+++ b/core/state.c
@@ -37,6 +37,7 @@
     ct_slot_loans_init(&state->slot_loans);
     ct_upstream_registry_init(&state->upstream_registry);
     ct_evacuations_init(&state->evacuations);
+    ct_zone_reachability_init(&state->zone_reachability);
     ct_group_init(&state->group);
     ct_replication_init(&state->replication);
     ct_load_sharing_init(&state->load_sharing);
@@ -89,6 +90,7 @@
     ct_bodies_free(&state->bodies);
     ct_unread_responses_free(&state->unread_responses);
     ct_relays_free(&state->relays);
+    ct_zone_reachability_free(&state->zone_reachability);
     ct_evacuations_free(&state->evacuations);
     ct_group_free(&state->group);
     ct_replication_free(&state->replication);
--- a/core/state.h
+++ b/core/state.h
@@ -48,6 +48,7 @@
 #include "wall-clock.h"
 #include "withdrawal.h"
 #include "zone-orders.h"
+#include "zone-reachability.h"
 
 /*
  * The state of one host. Each module owns the members of its own types and
@@ -94,6 +95,7 @@
     struct ct_store_sync store;
     struct ct_upstream_registry upstream_registry;
     struct ct_evacuations evacuations;
+    struct ct_zone_reachability zone_reachability;
     struct ct_group group;
     struct ct_replication replication;
     struct ct_load_sharing load_sharing;
--- a/coriandertrackd/relay-daemon.c
+++ b/coriandertrackd/relay-daemon.c
@@ -297,6 +297,8 @@
     daemon->host.self.first_start = daemon->settings.first_start;
     daemon->host.self.share_load = daemon->settings.share_load;
     daemon->host.self.share_config = daemon->settings.share_config;
+    daemon->host.self.skip_unreachable_zones =
+        daemon->settings.skip_unreachable_zones;
     err = ct_host_loop_start(&daemon->host, &ops, record, FLUSH_LIMIT_MS,
                              FLUSH_MAX_MS);
     if (err < 0) {
--- a/t/test-relay-settings.c
+++ b/t/test-relay-settings.c
@@ -73,6 +73,7 @@
     g_assert_true(settings.first_start);
     g_assert_false(settings.share_load);
     g_assert_false(settings.share_config);
+    g_assert_false(settings.skip_unreachable_zones);
     g_assert_cmpint(load_with_line(9, "\"share_load\": true,", &settings), ==,
                     CT_OK);
     g_assert_true(settings.share_load);
