core: do not copy the rows of a message for each receiver

A message that is sent to several hosts was encoded once, but its rows were copied for each: a configuration of 2,000 rows took 2.2 MB for each of 15 followers, and the limit of 2,048 rows kept the target's 2,400 organisations from being sent at all.

Effects that repeat a message borrow the rows of the first one. The limit is 8,192 rows, which nearly fill a frame. A version of the target's size takes 201 KB (make bench-wire).

--- a/bench/bench-wire.c
+++ b/bench/bench-wire.c
@@ -222,6 +222,42 @@
     return n;
 }
 
+/* A version with one key for each organisation. */
+static void
+print_config_update(void)
+{
+    struct ct_peer_message update = {.type = CT_PEER_STORE_CONFIG};
+    struct ct_config_row *rows =
+        g_new0(struct ct_config_row, 2 * ORGANISATIONS + 2 * ROUTES);
+    uint32_t n = 0;
+
+    for (int i = 0; i < ORGANISATIONS; i++) {
+        rows[n].kind = CT_CONFIG_ORGANISATION;
+        rows[n].u.organisation.weight = 1;
+        FILL(rows[n++].u.organisation.name, "organisation-%d", i);
+        rows[n].kind = CT_CONFIG_KEY;
+        memset(&rows[n].u.key.digest, 0x5a, sizeof(struct ct_digest));
+        FILL(rows[n++].u.key.organisation, "organisation-%d", i);
+    }
+    for (int i = 0; i < ROUTES; i++) {
+        struct ct_prefix_route *route = &rows[n].u.prefix_route;
+
+        rows[n++].kind = CT_CONFIG_PREFIX_ROUTE;
+        route->repeat = CT_REPEAT_RESUME;
+        route->timeout_ms = 30000;
+        FILL(route->name, "route-%d", i);
+        FILL(route->authority, "service-%d.example", i);
+        FILL(route->prefix, "/v1/model-%d/", i);
+        rows[n].kind = CT_CONFIG_POOL;
+        rows[n].u.pool.kind = CT_POOL_ENGINE;
+        FILL(rows[n++].u.pool.name, "model-%d", i);
+    }
+    update.u.store_config.config.version = 1000;
+    update.rows = CT_ROWS(rows, n);
+    print_peer_message("store update, configuration", &update);
+    g_free(rows);
+}
+
 static void
 print_store_updates(void)
 {
@@ -364,6 +400,7 @@
     print_fixed_records();
     print_row_records();
     print_store_updates();
+    print_config_update();
     print_load(&load_small);
     print_load(&load_target);
     return 0;
--- a/core/effect.c
+++ b/core/effect.c
@@ -21,7 +21,9 @@
     uint32_t i;
 
     for (i = 0; i < list->n; i++) {
-        free((void *)list->items[i].rows.data);
+        if (!list->items[i].rows_borrowed) {
+            free((void *)list->items[i].rows.data);
+        }
     }
     list->n = 0;
     list->err = CT_OK;
--- a/core/emit.c
+++ b/core/emit.c
@@ -81,7 +81,8 @@
     effect->u.peer = state->out->items[last].u.peer;
     effect->u.peer.peer = *host;
     effect->u.peer.repeats = true;
-    ct_effect_set_rows(state->out, effect, state->out->items[last].rows);
+    effect->rows = state->out->items[last].rows;
+    effect->rows_borrowed = true;
 }
 
 void
--- a/core/replication.c
+++ b/core/replication.c
@@ -24,10 +24,11 @@
  */
 #define UPDATE_ENTRIES_MAX 128
 /*
- * Rows of a configuration that is sent to followers. Their texts fill a frame
- * between hosts in part; a larger configuration is read by every host.
+ * Rows of a configuration that is sent to followers; a larger configuration is
+ * read by every host. So many organisations with one key each nearly fill a
+ * frame between hosts.
  */
-#define UPDATE_CONFIG_ROWS_MAX 2048
+#define UPDATE_CONFIG_ROWS_MAX 8192
 
 void
 ct_replication_init(struct ct_replication *replication)
