core: state once what stood in several modules

Cold upstreams and announced limits had the same arithmetic of tokens, rates and waiting times; reports of load and of gaps walked the upstreams in the same loop; the rule that a line is logged once in ten seconds at most stood in four modules with four constants.

The walk and the rule are one function each.

--- a/core/cold-upstreams.c
+++ b/core/cold-upstreams.c
@@ -4,8 +4,6 @@
 
 #include "state.h"
 
-/* A token is one request; buckets count in millionths of one. */
-#define TOKEN INT64_C(1000000)
 #define PERMILLE 1000
 /* Most hosts that are responsible for a cold upstream. */
 #define HOSTS_MAX 6
@@ -25,8 +23,6 @@
 #define NOT_RESPONSIBLE_RETRY_MS 1000
 /* A start before this wall time, the begin of 2020, is no time of day. */
 #define STARTED_MIN_MS INT64_C(1577836800000)
-/* That one upstream becomes cold is logged this often at most. */
-#define LOG_PERIOD_MS 10000
 
 void
 ct_cold_upstreams_init(struct ct_cold_upstreams *cold)
@@ -155,18 +151,8 @@
 static int64_t
 tokens_now(const struct ct_cold_row *row, ct_ms now_ms)
 {
-    if (row->unsent > 0) {
-        return row->tokens;
-    }
-    return MIN(row->tokens + row->tokens_per_ms * (now_ms - row->filled_ms),
-               TOKEN);
-}
-
-static void
-set_tokens(struct ct_state *state, struct ct_cold_row *row, int64_t tokens)
-{
-    row->tokens = tokens;
-    row->filled_ms = state->now_ms;
+    return row->unsent > 0 ? row->bucket.tokens
+                           : ct_token_bucket_tokens(&row->bucket, now_ms);
 }
 
 /*
@@ -181,7 +167,9 @@
         state->leadership.changed_ms + state->self.bounds.steady_ms;
     ct_ms delay_ms = MAX(agreed_ms - state->now_ms, WINDOW_MS);
 
-    set_tokens(state, row, TOKEN - row->tokens_per_ms * delay_ms);
+    ct_token_bucket_set(&row->bucket,
+                        CT_TOKEN - row->bucket.tokens_per_ms * delay_ms,
+                        state->now_ms);
 }
 
 /* Sets whether this host is responsible, and its rate. */
@@ -191,12 +179,13 @@
          const struct ct_pool_row *pool, bool becomes_cold)
 {
     struct cold_plan plan = plan_hosts(state, pool);
-    bool was_responsible = row->tokens_per_ms > 0 && !becomes_cold;
+    bool was_responsible = row->bucket.tokens_per_ms > 0 && !becomes_cold;
 
-    set_tokens(state, row, tokens_now(row, state->now_ms));
-    row->tokens_per_ms =
+    ct_token_bucket_set(&row->bucket, tokens_now(row, state->now_ms),
+                        state->now_ms);
+    row->bucket.tokens_per_ms =
         is_responsible(state, upstream, pool, &plan) ? plan.tokens_per_ms : 0;
-    if (row->tokens_per_ms > 0 && !was_responsible) {
+    if (row->bucket.tokens_per_ms > 0 && !was_responsible) {
         delay_first_token(state, row);
     }
 }
@@ -213,8 +202,7 @@
         return;
     }
     ct_increment_counter(state, CT_COUNTER_COLD_UPSTREAMS);
-    if (!row->logged_ms || state->now_ms - row->logged_ms >= LOG_PERIOD_MS) {
-        row->logged_ms = state->now_ms;
+    if (ct_log_is_due(state->now_ms, &row->logged_ms)) {
         ct_emit_log(state, CT_LOG_UPSTREAM_COLD, &upstream->conf.name, NULL,
                     left_ms);
     }
@@ -419,8 +407,8 @@
     if (cold_left_ms(state, upstream, &row) == 0) {
         return false;
     }
-    return !row || row->tokens_per_ms == 0 ||
-           tokens_now(row, state->now_ms) < TOKEN ||
+    return !row || row->bucket.tokens_per_ms == 0 ||
+           tokens_now(row, state->now_ms) < CT_TOKEN ||
            ct_upstream_notices_must_yield(state, conf->pool, rank);
 }
 
@@ -430,16 +418,15 @@
 {
     const struct ct_cold_row *row;
     ct_ms left_ms = cold_left_ms(state, upstream, &row);
-    int64_t missing;
 
     if (left_ms == 0 || !row) {
         return left_ms;
     }
-    if (row->tokens_per_ms == 0) {
+    if (row->bucket.tokens_per_ms == 0) {
         return MIN(left_ms, NOT_RESPONSIBLE_RETRY_MS);
     }
-    missing = TOKEN - tokens_now(row, state->now_ms);
-    return MIN(left_ms, MAX(missing / row->tokens_per_ms + 1, 1));
+    return MIN(left_ms, ct_token_bucket_wait_ms(
+                            &row->bucket, tokens_now(row, state->now_ms)));
 }
 
 void
@@ -452,8 +439,11 @@
     }
     if (row->cold) {
         ct_increment_counter(state, CT_COUNTER_COLD_ATTEMPTS);
-        set_tokens(state, row,
-                   MAX(tokens_now(row, state->now_ms) - TOKEN, -TOKEN));
+        if (row->unsent > 0) {
+            /* None were added while the earlier request waited. */
+            row->bucket.filled_ms = state->now_ms;
+        }
+        ct_token_bucket_take(&row->bucket, state->now_ms);
     }
     row->unsent++;
 }
@@ -465,6 +455,6 @@
 
     if (row && row->unsent > 0) {
         row->unsent--;
-        row->filled_ms = state->now_ms;
+        row->bucket.filled_ms = state->now_ms;
     }
 }
--- a/core/cold-upstreams.h
+++ b/core/cold-upstreams.h
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "relay-types.h"
 #include "table.h"
+#include "token-bucket.h"
 
 /*
  * Upstreams that have started a short time ago, or say that they are cold,
@@ -30,14 +31,8 @@
     bool evacuated;
     /* When it was last logged that it is cold; 0 for never. */
     ct_ms logged_ms;
-    /*
-     * Token bucket of a responsible host: tokens as of filled_ms, in
-     * millionths of a request, and their rate per millisecond, 0 if this host
-     * is not responsible.
-     */
-    int64_t tokens;
-    int64_t tokens_per_ms;
-    ct_ms filled_ms;
+    /* Its rate is 0 if this host is not responsible. */
+    struct ct_token_bucket bucket;
     /* Attempts of this host whose first byte was not sent yet. */
     uint32_t unsent;
 };
--- a/core/limited-log.c
+++ b/core/limited-log.c
@@ -4,6 +4,16 @@
 
 #define LOG_INTERVAL_MS 10000
 
+bool
+ct_log_is_due(ct_ms now_ms, ct_ms *logged_ms)
+{
+    if (*logged_ms && now_ms - *logged_ms < LOG_INTERVAL_MS) {
+        return false;
+    }
+    *logged_ms = now_ms;
+    return true;
+}
+
 void
 ct_limited_log(struct ct_state *state, enum ct_log_event event,
                const char *reason)
@@ -11,14 +21,11 @@
     unsigned i = event - CT_LIMITED_LOG_FIRST;
 
     state->limited_logs.kinds[i].occurrences++;
-    if (state->limited_logs.kinds[i].logged &&
-        state->now_ms - state->limited_logs.kinds[i].logged_ms <
-            LOG_INTERVAL_MS) {
+    if (!ct_log_is_due(state->now_ms,
+                       &state->limited_logs.kinds[i].logged_ms)) {
         return;
     }
     ct_emit_log(state, event, NULL, reason,
                 state->limited_logs.kinds[i].occurrences);
-    state->limited_logs.kinds[i].logged = true;
-    state->limited_logs.kinds[i].logged_ms = state->now_ms;
     state->limited_logs.kinds[i].occurrences = 0;
 }
--- a/core/limited-log.h
+++ b/core/limited-log.h
@@ -15,7 +15,7 @@
 
 struct ct_limited_logs {
     struct {
-        bool logged;
+        /* 0 if it never was. */
         ct_ms logged_ms;
         int64_t occurrences;
     } kinds[CT_LIMITED_LOGS];
@@ -23,6 +23,12 @@
 
 struct ct_state;
 
+/*
+ * Whether an event is logged now of which the last line was at *logged_ms, 0
+ * for never: at most once in ten seconds. If so, sets *logged_ms.
+ */
+bool ct_log_is_due(ct_ms now_ms, ct_ms *logged_ms);
+
 /*
  * Counts an occurrence of an event from CT_LIMITED_LOG_FIRST to
  * CT_LIMITED_LOG_LAST; reason may be NULL.
--- a/core/load-report.c
+++ b/core/load-report.c
@@ -98,6 +98,23 @@
     peer->listed = table->hashes->len;
 }
 
+const struct ct_upstream_row *
+ct_load_report_next(const struct ct_state *state, uint32_t *cursor,
+                    struct ct_handle *handle, uint32_t *number)
+{
+    const struct ct_upstream_row *upstream;
+
+    while (
+        (upstream = ct_table_next(&state->config.upstreams, cursor, handle))) {
+        *number =
+            ct_load_table_upstream_number(&state->load_sharing.table, *handle);
+        if (upstream->configured && *number != CT_LOAD_NO_NUMBER) {
+            return upstream;
+        }
+    }
+    return NULL;
+}
+
 /* Sending. */
 
 /* Adds this host's own calls to the counts by number. */
@@ -107,15 +124,11 @@
     const struct ct_upstream_row *upstream;
     struct ct_handle handle;
     uint32_t cursor = 0;
+    uint32_t number;
 
-    while ((upstream =
-                ct_table_next(&state->config.upstreams, &cursor, &handle))) {
-        uint32_t number =
-            ct_load_table_upstream_number(&state->load_sharing.table, handle);
-
-        if (upstream->configured && number != CT_LOAD_NO_NUMBER) {
-            counts[number] += upstream->in_flight;
-        }
+    while (
+        (upstream = ct_load_report_next(state, &cursor, &handle, &number))) {
+        counts[number] += upstream->in_flight;
     }
 }
 
--- a/core/load-report.h
+++ b/core/load-report.h
@@ -1,6 +1,7 @@
 #ifndef CT_LOAD_REPORT_H
 #define CT_LOAD_REPORT_H
 
+#include "config.h"
 #include "load-sharing.h"
 
 /* The messages by which hosts share their load, see load-sharing.h. */
@@ -28,6 +29,15 @@
                                   const struct ct_peer_message *message,
                                   struct ct_rows rows, bool to_followers);
 
+/*
+ * Returns the next configured upstream that has a number in this host's list,
+ * or NULL; *cursor is 0 first.
+ */
+const struct ct_upstream_row *ct_load_report_next(const struct ct_state *state,
+                                                  uint32_t *cursor,
+                                                  struct ct_handle *handle,
+                                                  uint32_t *number);
+
 /* How a sum names a follower. */
 uint32_t ct_load_reporter_id(const struct ct_name *host);
 
--- a/core/load-sharing.c
+++ b/core/load-sharing.c
@@ -41,8 +41,6 @@
  * would count as too many for an estimate.
  */
 #define COVERAGE_DIVISOR 4
-/* Each kind of event is logged this often at most. */
-#define LOG_INTERVAL_MS 10000
 
 void
 ct_load_sharing_init(struct ct_load_sharing *sharing)
@@ -120,17 +118,6 @@
 
 /* Logging. */
 
-/* Whether to log an event of which the last was logged at *logged_ms. */
-static bool
-may_log(const struct ct_state *state, ct_ms *logged_ms)
-{
-    if (*logged_ms && state->now_ms - *logged_ms < LOG_INTERVAL_MS) {
-        return false;
-    }
-    *logged_ms = state->now_ms;
-    return true;
-}
-
 static void
 log_known(struct ct_state *state)
 {
@@ -138,7 +125,7 @@
     bool known = is_load_known(state);
 
     if (known != sharing->logged_known &&
-        may_log(state, &sharing->logged_ms)) {
+        ct_log_is_due(state->now_ms, &sharing->logged_ms)) {
         sharing->logged_known = known;
         ct_emit_log(state, known ? CT_LOG_LOAD_KNOWN : CT_LOG_LOAD_UNKNOWN,
                     &state->self.host, NULL, sharing->table.hosts);
@@ -150,7 +137,7 @@
                enum ct_log_event event)
 {
     ct_increment_counter(state, CT_COUNTER_LOAD_IGNORED);
-    if (may_log(state, &state->load_sharing.ignored_logged_ms)) {
+    if (ct_log_is_due(state->now_ms, &state->load_sharing.ignored_logged_ms)) {
         ct_emit_log(state, event, &message->sender, NULL,
                     message->u.load.sequence);
     }
@@ -213,7 +200,7 @@
         }
         ct_load_table_clear_part(&sharing->table, peer);
         ct_increment_counter(state, CT_COUNTER_LOAD_EXPIRED);
-        if (may_log(state, &sharing->expired_logged_ms)) {
+        if (ct_log_is_due(state->now_ms, &sharing->expired_logged_ms)) {
             ct_emit_log(state, CT_LOG_LOAD_PART_EXPIRED, &peer->host, NULL, 0);
         }
     }
--- a/core/speed-sharing.c
+++ b/core/speed-sharing.c
@@ -79,20 +79,14 @@
 static void
 add_own_gaps(const struct ct_state *state, uint32_t *codes)
 {
-    const struct ct_upstream_row *upstream;
     struct ct_handle handle;
     uint32_t cursor = 0;
+    uint32_t number;
 
-    while ((upstream =
-                ct_table_next(&state->config.upstreams, &cursor, &handle))) {
-        uint32_t number =
-            ct_load_table_upstream_number(&state->load_sharing.table, handle);
-
-        if (upstream->configured && number != CT_LOAD_NO_NUMBER) {
-            take_shorter(
-                &codes[number],
-                ct_speed_encode_gap(ct_upstream_speed_gap_us(state, handle)));
-        }
+    while (ct_load_report_next(state, &cursor, &handle, &number)) {
+        take_shorter(
+            &codes[number],
+            ct_speed_encode_gap(ct_upstream_speed_gap_us(state, handle)));
     }
 }
 
--- a/core/upstream-notices.c
+++ b/core/upstream-notices.c
@@ -5,8 +5,6 @@
 #include "error.h"
 #include "state.h"
 
-/* A token is one request; buckets count in millionths of one. */
-#define TOKEN INT64_C(1000000)
 /*
  * Hosts that share a limit. Each may send one request at once after a pause,
  * so the fewer there are, the less a small limit can be exceeded.
@@ -22,8 +20,6 @@
 #define FORGET_MS 120000
 /* How long less urgent calls yield to one that found no upstream. */
 #define TIER_HOLD_MS 1000
-/* Invalid notices are logged this often at most. */
-#define INVALID_LOG_MS 10000
 
 void
 ct_upstream_notices_init(struct ct_upstream_notices *notices)
@@ -93,20 +89,9 @@
 {
     struct ct_upstream_notices *notices = &state->upstream_notices;
 
-    if (notices->invalid_logged_ms &&
-        state->now_ms - notices->invalid_logged_ms < INVALID_LOG_MS) {
-        return;
+    if (ct_log_is_due(state->now_ms, &notices->invalid_logged_ms)) {
+        log_notice(state, CT_LOG_UPSTREAM_NOTICE_BAD, upstream, NULL, 0);
     }
-    notices->invalid_logged_ms = state->now_ms;
-    log_notice(state, CT_LOG_UPSTREAM_NOTICE_BAD, upstream, NULL, 0);
-}
-
-/* Returns the tokens of the bucket now, at most one request's. */
-static int64_t
-tokens_now(const struct ct_notice_row *row, ct_ms now_ms)
-{
-    return MIN(row->tokens + row->tokens_per_ms * (now_ms - row->filled_ms),
-               TOKEN);
 }
 
 /* Sets the rate of the bucket to this host's share of the limit. */
@@ -122,12 +107,13 @@
         (uint32_t)MIN((int64_t)hosts, SHARERS_MIN + SHARERS_PER_REQUEST *
                                                         limit_permille / 1000);
 
-    row->tokens = tokens_now(row, state->now_ms);
-    row->filled_ms = state->now_ms;
-    row->tokens_per_ms = 0;
+    ct_token_bucket_set(&row->bucket,
+                        ct_token_bucket_tokens(&row->bucket, state->now_ms),
+                        state->now_ms);
+    row->bucket.tokens_per_ms = 0;
     if (upstream &&
         ct_group_is_among_first(state, upstream->name_hash, sharers)) {
-        row->tokens_per_ms = limit_permille / sharers;
+        row->bucket.tokens_per_ms = limit_permille / sharers;
     }
 }
 
@@ -152,9 +138,7 @@
     if (!row->limited) {
         /* The response belongs to a request, which counts for the limit. */
         row->limited = true;
-        row->tokens = 0;
-        row->tokens_per_ms = 0;
-        row->filled_ms = state->now_ms;
+        row->bucket = (struct ct_token_bucket){.filled_ms = state->now_ms};
     }
     row->limit_permille = limit_permille;
     share_limit(state, row);
@@ -242,7 +226,7 @@
         }
         share_limit(state, row);
         if (!ct_table_get(&state->config.upstreams, row->upstream) ||
-            (row->tokens_per_ms == 0 &&
+            (row->bucket.tokens_per_ms == 0 &&
              state->now_ms - row->heard_ms > FORGET_MS)) {
             end_limit(state, row, "expired");
         }
@@ -294,8 +278,9 @@
         row->paused_until_ms > state->now_ms) {
         return true;
     }
-    return row->limited && (tokens_now(row, state->now_ms) < TOKEN ||
-                            must_yield(state, pool, rank));
+    return row->limited &&
+           (ct_token_bucket_tokens(&row->bucket, state->now_ms) < CT_TOKEN ||
+            must_yield(state, pool, rank));
 }
 
 void
@@ -309,8 +294,7 @@
     }
     row = get_row(&state->upstream_notices, upstream);
     if (row->limited) {
-        row->tokens = MAX(tokens_now(row, state->now_ms) - TOKEN, -TOKEN);
-        row->filled_ms = state->now_ms;
+        ct_token_bucket_take(&row->bucket, state->now_ms);
     }
 }
 
@@ -318,16 +302,10 @@
 static ct_ms
 token_in_ms(const struct ct_notice_row *row, ct_ms now_ms)
 {
-    int64_t missing = TOKEN - tokens_now(row, now_ms);
-
-    if (!row->limited) {
-        return 0;
-    }
-    if (missing <= 0) {
-        return 1;
-    }
-    return row->tokens_per_ms > 0 ? missing / row->tokens_per_ms + 1
-                                  : CT_MS_NEVER;
+    return row->limited ? ct_token_bucket_wait_ms(
+                              &row->bucket,
+                              ct_token_bucket_tokens(&row->bucket, now_ms))
+                        : 0;
 }
 
 ct_ms
--- a/core/upstream-notices.h
+++ b/core/upstream-notices.h
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "relay-types.h"
 #include "table.h"
+#include "token-bucket.h"
 
 /*
  * What upstreams say about themselves in their responses. A notice belongs to
@@ -25,13 +26,8 @@
     int64_t limit_permille;
     /* When the upstream last sent a head. */
     ct_ms heard_ms;
-    /*
-     * Token bucket of this host's share of the limit: tokens as of filled_ms,
-     * in millionths of a request, and their rate per millisecond.
-     */
-    int64_t tokens;
-    int64_t tokens_per_ms;
-    ct_ms filled_ms;
+    /* This host's share of the limit; its rate is 0 if it has none. */
+    struct ct_token_bucket bucket;
 };
 
 /* Calls of a pool that found every upstream barred. */
