core: in an outage of the store, followers leave it to their source

While the store did not respond, every host asked it for both topics and for prompt parts about once a second, and went from source to source, because a source whose reads fail said nothing. In an outage of 8 s, 70 hosts made 967 reads of the two topics in the first 6 s and 339 of prompt parts, more than in calm.

A source now tells its followers that a read failed (failed in the update message). A follower whose own reads fail too keeps its source, and repeats a read after some 4 s instead of within 1.4 s; the source's first read that succeeds reaches it by the update, and starts a prompt part read that waits. If the follower's reads succeed, the source alone was turned away: the follower takes another one, as before. What a source says of a failure makes no data newer.

--- a/bench/bench-wire.c
+++ b/bench/bench-wire.c
@@ -234,23 +234,27 @@
     for (int i = 0; i < ORGANISATIONS; i++) {
         rows[n].kind = CT_CONFIG_ORGANISATION;
         rows[n].u.organisation.weight = 1;
-        FILL(rows[n++].u.organisation.name, "organisation-%d", i);
+        FILL(rows[n].u.organisation.name, "organisation-%d", i);
+        n++;
         rows[n].kind = CT_CONFIG_KEY;
         memset(&rows[n].u.key.digest, 0x5a, sizeof(struct ct_digest));
-        FILL(rows[n++].u.key.organisation, "organisation-%d", i);
+        FILL(rows[n].u.key.organisation, "organisation-%d", i);
+        n++;
     }
     for (int i = 0; i < ROUTES; i++) {
         struct ct_prefix_route *route = &rows[n].u.prefix_route;
 
-        rows[n++].kind = CT_CONFIG_PREFIX_ROUTE;
+        rows[n].kind = CT_CONFIG_PREFIX_ROUTE;
         route->repeat = CT_REPEAT_RESUME;
         route->timeout_ms = 30000;
         FILL(route->name, "route-%d", i);
         FILL(route->authority, "service-%d.example", i);
         FILL(route->prefix, "/v1/model-%d/", i);
+        n++;
         rows[n].kind = CT_CONFIG_POOL;
         rows[n].u.pool.kind = CT_POOL_ENGINE;
-        FILL(rows[n++].u.pool.name, "model-%d", i);
+        FILL(rows[n].u.pool.name, "model-%d", i);
+        n++;
     }
     update.u.store_config.config.version = 1000;
     update.rows = CT_ROWS(rows, n);
--- a/core/peer-message.h
+++ b/core/peer-message.h
@@ -178,6 +178,11 @@
      * failed.
      */
     ct_ms recovered_age_ms;
+    /*
+     * The sender's read failed: the message only says that the sender is
+     * alive and that the store does not respond to it.
+     */
+    bool failed;
 };
 
 struct ct_peer_message {
--- a/core/quarantine-sync.c
+++ b/core/quarantine-sync.c
@@ -24,6 +24,13 @@
 /* Delay after a failed read; doubled with each failure up to the limit. */
 #define BACKOFF_MS 200
 #define BACKOFF_MAX_MS 1600
+/* The same while this host's source says that its reads fail as well. */
+#define FOLLOWER_BACKOFF_MS 4000
+/*
+ * The source of many hosts tells them at the same time that the store is back:
+ * their reads are spread over this time.
+ */
+#define BACK_SPREAD_MS 500
 /*
  * Each topic reports that the store is back: a read sent within this time was
  * sent after the outage.
@@ -80,6 +87,9 @@
     if (sync->reading && state->now_ms - sync->sent_ms > RECENT_READ_MS) {
         replace_read(state);
     }
+    else if (!sync->reading && sync->failures > 0) {
+        read_at(state, 1 + (ct_ms)(ct_state_random(state) % BACK_SPREAD_MS));
+    }
 }
 
 void
@@ -117,6 +127,9 @@
          i++) {
         delay_ms *= 2;
     }
+    if (ct_replication_source_fails(state)) {
+        delay_ms = FOLLOWER_BACKOFF_MS;
+    }
     if (sync->failures++ == 0) {
         ct_emit_log(state, CT_LOG_STORE_LOST, NULL, ct_err_name(result),
                     CT_TOPIC_PROMPT_PARTS);
--- a/core/reduce-peers.c
+++ b/core/reduce-peers.c
@@ -30,6 +30,20 @@
     }
 }
 
+static void
+on_store_update(struct ct_state *state, const struct ct_peer_message *message)
+{
+    bool failed = ct_replication_source_fails(state);
+
+    if (!ct_replication_on_update(state, message)) {
+        return;
+    }
+    ct_store_on_update(state, &message->u.store_update, message->rows);
+    if (failed) {
+        ct_quarantine_sync_on_store_back(state);
+    }
+}
+
 void
 ct_reduce_config(struct ct_state *state, const struct ct_store_config *config,
                  struct ct_rows rows)
@@ -66,9 +80,7 @@
         ct_replication_on_update_request(state, message);
         return;
     case CT_PEER_STORE_UPDATE:
-        if (ct_replication_on_update(state, message)) {
-            ct_store_on_update(state, &message->u.store_update, message->rows);
-        }
+        on_store_update(state, message);
         return;
     case CT_PEER_STORE_CONFIG:
         if (ct_replication_is_from_source(state, message) &&
--- a/core/replication.c
+++ b/core/replication.c
@@ -86,6 +86,16 @@
                ct_replication_stale_ms(state);
 }
 
+bool
+ct_replication_source_fails(const struct ct_state *state)
+{
+    const struct ct_replication *replication = &state->replication;
+
+    return replication->source_linked && replication->source_failed_ms > 0 &&
+           state->now_ms - replication->source_failed_ms <
+               2 * ct_replication_stale_ms(state);
+}
+
 static bool
 is_source_avoided(const struct ct_state *state, const struct ct_name *host)
 {
@@ -260,6 +270,7 @@
     memset(&replication->source, 0, sizeof(replication->source));
     replication->source_linked = false;
     replication->last_update_ms = 0;
+    replication->source_failed_ms = 0;
     replication->source_chosen_ms = state->now_ms;
     if (member == NULL) {
         ct_emit_log(state, CT_LOG_FEED_LOST, NULL, NULL, 0);
@@ -283,6 +294,11 @@
     ct_ms last_update_ms =
         MAX(replication->source_chosen_ms, replication->last_update_ms);
 
+    /* In an outage of the store another source could not say more. */
+    if (ct_replication_source_fails(state) &&
+        state->store.topics[CT_TOPIC_UPSTREAMS].failures > 0) {
+        return;
+    }
     if (has_chosen_source(replication) &&
         state->now_ms - last_update_ms >= 2 * ct_replication_stale_ms(state)) {
         avoid_source(state, &replication->source);
@@ -558,6 +574,20 @@
     }
 }
 
+void
+ct_replication_on_read_failed(struct ct_state *state, enum ct_topic topic)
+{
+    struct ct_store_update update = topic_state(state, topic);
+    const struct ct_replication_follower *follower;
+    uint32_t cursor = 0;
+
+    update.failed = true;
+    while ((follower =
+                ct_table_next(&state->replication.followers, &cursor, NULL))) {
+        send_update(state, follower, &update, CT_NO_ROWS);
+    }
+}
+
 /* Receiving updates. */
 
 bool
@@ -577,6 +607,11 @@
     if (!ct_replication_is_from_source(state, message)) {
         return false;
     }
+    if (message->u.store_update.failed) {
+        state->replication.source_failed_ms = state->now_ms;
+        return false;
+    }
     state->replication.last_update_ms = state->now_ms;
+    state->replication.source_failed_ms = 0;
     return true;
 }
--- a/core/replication.h
+++ b/core/replication.h
@@ -57,6 +57,8 @@
     /* When the source was chosen, and when its last update arrived. */
     ct_ms source_chosen_ms;
     ct_ms last_update_ms;
+    /* When the source last said that its reads fail; 0 if it did not. */
+    ct_ms source_failed_ms;
 };
 
 struct ct_state;
@@ -101,6 +103,12 @@
 void ct_replication_on_read_done(struct ct_state *state,
                                  const struct ct_store_read_done *read);
 
+/* A read of this host failed; tells its followers. */
+void ct_replication_on_read_failed(struct ct_state *state,
+                                   enum ct_topic topic);
+/* Whether the source is alive but gets no response from the store either. */
+bool ct_replication_source_fails(const struct ct_state *state);
+
 /* Whether other hosts receive updates from this one. */
 bool ct_replication_has_followers(const struct ct_state *state);
 /* Creates a message to the source, which must be set. */
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -49,6 +49,12 @@
  * are rare enough by their timeout.
  */
 #define OVERLOAD_BACKOFF_MAX_MS 1400
+/*
+ * Delay for a follower whose source says that its reads fail too: the source
+ * tells when the store responds again. The follower still tries, since the
+ * store may have turned away the source alone.
+ */
+#define FOLLOWER_BACKOFF_MS 4000
 /* All hosts may start at once: their first reads are spread over this time. */
 #define START_SPREAD_MS 150
 /*
@@ -299,10 +305,10 @@
     return false;
 }
 
-static void
-on_read_failed(struct ct_state *state, const struct ct_store_read_done *read)
+/* Returns the delay before a failed read is repeated, without jitter. */
+static ct_ms
+backoff_ms(const struct ct_state *state, const struct ct_store_read_done *read)
 {
-    struct ct_topic_sync *sync = &state->store.topics[read->topic];
     bool rarely = read->result == CT_ERR_OVERLOADED ||
                   ct_replication_has_source(state) ||
                   (read->result != CT_ERR_TIMEOUT &&
@@ -310,9 +316,23 @@
     ct_ms max_ms = rarely ? OVERLOAD_BACKOFF_MAX_MS : BACKOFF_MAX_MS;
     ct_ms delay_ms = BACKOFF_MS;
 
-    for (uint32_t i = 0; i < sync->failures && delay_ms < max_ms; i++) {
+    if (ct_replication_source_fails(state)) {
+        return FOLLOWER_BACKOFF_MS;
+    }
+    for (uint32_t i = 0;
+         i < state->store.topics[read->topic].failures && delay_ms < max_ms;
+         i++) {
         delay_ms = MIN(2 * delay_ms, max_ms);
     }
+    return delay_ms;
+}
+
+static void
+on_read_failed(struct ct_state *state, const struct ct_store_read_done *read)
+{
+    struct ct_topic_sync *sync = &state->store.topics[read->topic];
+    ct_ms delay_ms = backoff_ms(state, read);
+
     if (sync->failures++ == 0) {
         ct_emit_log(state, CT_LOG_STORE_LOST, NULL, ct_err_name(read->result),
                     read->topic);
@@ -433,6 +453,7 @@
     }
     if (read->result < 0) {
         on_read_failed(state, read);
+        ct_replication_on_read_failed(state, read->topic);
         return false;
     }
     if (is_back) {
--- a/t/lib-replication.c
+++ b/t/lib-replication.c
@@ -79,6 +79,19 @@
     return effect != NULL && effect->rows.n == 1 ? effect->rows.data : NULL;
 }
 
+bool
+t_replication_is_reading(const struct t_core *core, enum ct_topic topic)
+{
+    for (uint32_t i = 0;; i++) {
+        const struct ct_effect *effect =
+            t_core_effect(core, CT_EFFECT_STORE_READ, i);
+
+        if (effect == NULL || effect->u.store_read.topic == topic) {
+            return effect != NULL;
+        }
+    }
+}
+
 void
 t_replication_complete_reads(struct t_core *core)
 {
--- a/t/lib-replication.h
+++ b/t/lib-replication.h
@@ -31,6 +31,9 @@
 /* The one peer that the last event requested a link to, or NULL. */
 const struct ct_host *t_replication_requested_peer(const struct t_core *core);
 
+/* Whether the last event of the host started a read of the topic. */
+bool t_replication_is_reading(const struct t_core *core, enum ct_topic topic);
+
 /* Completes the reads that the host has in progress. */
 void t_replication_complete_reads(struct t_core *core);
 
--- a/t/test-peer-codec.c
+++ b/t/test-peer-codec.c
@@ -59,6 +59,7 @@
         .requested_ms = 77,
         .known_after_ms = -3,
         .recovered_age_ms = CT_MS_NEVER,
+        .failed = true,
     };
     CT_TEXT_SET(entry.upstream.name, "engine-1");
     /* Names are UTF-8, not only ASCII. */
--- a/t/test-quarantine-sync.c
+++ b/t/test-quarantine-sync.c
@@ -198,6 +198,29 @@
     t_core_free(&core);
 }
 
+/* A read that failed in an outage is repeated at its end, not a delay later.
+ */
+static void
+test_repeated_when_store_is_back(void)
+{
+    struct t_core core;
+    uint32_t id = begin_following(&core);
+
+    for (int i = 0; i < 6; i++) {
+        complete(&core, id, CT_ERR_UNAVAILABLE, false, 7);
+        while (find_read(&core) == NULL) {
+            t_core_tick(&core, 10);
+        }
+        id = find_read(&core)->read_id;
+    }
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_ERR_UNAVAILABLE, 0, 0, 0);
+    complete(&core, id, CT_ERR_UNAVAILABLE, false, 7);
+    t_relay_read(&core, CT_TOPIC_CONFIG, CT_OK, 0, 0, 0);
+    t_core_tick(&core, 500);
+    g_assert_nonnull(find_read(&core));
+    t_core_free(&core);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -212,5 +235,7 @@
                     test_returned_record_keeps_read);
     g_test_add_func("/quarantine-sync/replaced-when-store-is-back",
                     test_replaced_when_store_is_back);
+    g_test_add_func("/quarantine-sync/repeated-when-store-is-back",
+                    test_repeated_when_store_is_back);
     return g_test_run();
 }
--- a/t/test-replication.c
+++ b/t/test-replication.c
@@ -6,19 +6,6 @@
 
 #include "lib-replication.h"
 
-static bool
-is_reading_topic(const struct t_core *core, enum ct_topic topic)
-{
-    for (uint32_t i = 0;; i++) {
-        const struct ct_effect *effect =
-            t_core_effect(core, CT_EFFECT_STORE_READ, i);
-
-        if (effect == NULL || effect->u.store_read.topic == topic) {
-            return effect != NULL;
-        }
-    }
-}
-
 /*
  * The source reads one entry at the end offset of its topic and sends the
  * update.
@@ -181,7 +168,7 @@
     do {
         t_core_tick(&pair.follower, 100);
         waited_ms += 100;
-    } while (!is_reading_topic(&pair.follower, CT_TOPIC_UPSTREAMS));
+    } while (!t_replication_is_reading(&pair.follower, CT_TOPIC_UPSTREAMS));
     g_assert_cmpint(waited_ms, <,
                     pair.follower.state->self.bounds.drain_ms * 3 / 4);
     /*
@@ -205,8 +192,125 @@
     t_replication_init(&pair);
     t_replication_link(&pair.follower, "h1", false);
     t_core_tick(&pair.follower, 60);
-    g_assert_true(is_reading_topic(&pair.follower, CT_TOPIC_CONFIG));
-    g_assert_true(is_reading_topic(&pair.follower, CT_TOPIC_UPSTREAMS));
+    g_assert_true(t_replication_is_reading(&pair.follower, CT_TOPIC_CONFIG));
+    g_assert_true(
+        t_replication_is_reading(&pair.follower, CT_TOPIC_UPSTREAMS));
+    t_replication_free(&pair);
+}
+
+/* Keeps the effects of the follower's last event. */
+static void
+deliver_requests(struct t_replication_pair *pair)
+{
+    if (t_core_count(&pair->follower, CT_EFFECT_SEND_PEER_MESSAGE) > 0) {
+        t_replication_deliver_all(&pair->follower, &pair->source);
+    }
+}
+
+/* Fails the reads that the last event of the host started; returns them. */
+static guint
+fail_reads(struct t_core *core)
+{
+    bool started[CT_TOPIC_UPSTREAMS + 1] = {false};
+    guint n = 0;
+
+    for (uint32_t i = 0; i <= CT_TOPIC_UPSTREAMS; i++) {
+        started[i] = t_replication_is_reading(core, (enum ct_topic)i);
+    }
+    for (uint32_t i = 0; i <= CT_TOPIC_UPSTREAMS; i++) {
+        if (started[i]) {
+            t_relay_read(core, (enum ct_topic)i, CT_ERR_UNAVAILABLE, 0, 0, 0);
+            n++;
+        }
+    }
+    return n;
+}
+
+/*
+ * The store refuses both hosts for 20 s. The source says so unless its
+ * messages are dropped. Returns the follower's reads, and whether it changed
+ * its source.
+ */
+static guint
+run_outage(struct t_replication_pair *pair, bool says_so, bool *changed)
+{
+    guint reads = 0;
+
+    t_replication_init(pair);
+    t_relay_read(&pair->source, CT_TOPIC_UPSTREAMS, CT_ERR_UNAVAILABLE, 0, 0,
+                 0);
+    for (int i = 0; i < 200; i++) {
+        t_core_tick(&pair->source, 100);
+        if (t_replication_is_reading(&pair->source, CT_TOPIC_UPSTREAMS)) {
+            t_relay_read(&pair->source, CT_TOPIC_UPSTREAMS, CT_ERR_UNAVAILABLE,
+                         0, 0, 0);
+            if (says_so) {
+                t_replication_deliver_all(&pair->source, &pair->follower);
+            }
+        }
+        t_core_tick(&pair->follower, 100);
+        *changed |= t_core_count(&pair->follower, CT_EFFECT_SET_PEERS) > 0;
+        deliver_requests(pair);
+        reads += fail_reads(&pair->follower);
+    }
+    return reads;
+}
+
+/*
+ * In an outage of the store a follower asks rarely: its source tells when the
+ * store responds again. It does not go from source to source, and what the
+ * source says makes its data no newer.
+ */
+static void
+test_outage(void)
+{
+    struct t_replication_pair pair;
+    bool changed = false;
+    guint silent = run_outage(&pair, false, &changed);
+    guint told;
+
+    g_assert_true(changed);
+    t_replication_free(&pair);
+    changed = false;
+    told = run_outage(&pair, true, &changed);
+    g_test_message("reads of the follower: %u, %u", silent, told);
+    g_assert_cmpuint(told * 2, <=, silent);
+    g_assert_cmpuint(told, >, 0);
+    g_assert_false(changed);
+    g_assert_cmpint(ct_store_age_ms(pair.follower.state, CT_TOPIC_CONFIG), >=,
+                    20000);
+    t_replication_deliver_all(&pair.follower, &pair.source);
+    t_replication_confirm(&pair, CT_TOPIC_CONFIG);
+    g_assert_cmpint(ct_store_age_ms(pair.follower.state, CT_TOPIC_CONFIG), <=,
+                    2000);
+    t_replication_free(&pair);
+}
+
+/*
+ * If the store refuses the source alone, its followers take another one: they
+ * must not read for themselves until the source is served again.
+ */
+static void
+test_source_refused(void)
+{
+    struct t_replication_pair pair;
+    bool changed = false;
+
+    t_replication_init(&pair);
+    for (int i = 0; i < 100 && !changed; i++) {
+        t_core_tick(&pair.source, 100);
+        if (t_replication_is_reading(&pair.source, CT_TOPIC_UPSTREAMS) ||
+            i == 0) {
+            t_relay_read(&pair.source, CT_TOPIC_UPSTREAMS, CT_ERR_UNAVAILABLE,
+                         0, 0, 0);
+            t_replication_deliver_all(&pair.source, &pair.follower);
+        }
+        t_core_tick(&pair.follower, 100);
+        changed = t_core_count(&pair.follower, CT_EFFECT_SET_PEERS) > 0;
+        deliver_requests(&pair);
+        t_replication_complete_reads(&pair.follower);
+    }
+    g_assert_true(changed);
     t_replication_free(&pair);
 }
 
@@ -253,121 +357,8 @@
     t_relay_read(&pair.source, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
     t_replication_deliver_all(&pair.source, &pair.follower);
     t_core_tick(&pair.follower, 60);
-    g_assert_true(is_reading_topic(&pair.follower, CT_TOPIC_CONFIG));
-    t_replication_free(&pair);
-}
-
-/*
- * The source reads a version without its routes and sends the followers what
- * it is to send.
- */
-static void
-read_config_at_source(struct t_replication_pair *pair, int64_t version)
-{
-    GArray *rows = t_relay_rows();
-
-    pair->source.state->self.share_config = true;
-    g_array_set_size(rows, 1);
-    t_relay_post_config(&pair->source, version, rows);
-    t_relay_read(&pair->source, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
-    t_replication_deliver_all(&pair->source, &pair->follower);
-    g_array_free(rows, TRUE);
-}
-
-static bool
-has_version(const struct t_core *core, int64_t version)
-{
-    return core->state->store.config_version == version;
-}
-
-/*
- * A configuration that the source sends is in force at its followers without
- * a read of theirs: reads of each host grow with hosts times versions, and a
- * host that the store turns away would refuse calls with keys.
- */
-static void
-test_config(void)
-{
-    struct t_replication_pair pair;
-
-    t_replication_init(&pair);
-    read_config_at_source(&pair, 6);
-    g_assert_true(has_version(&pair.follower, 6));
-    g_assert_cmpuint(pair.follower.state->config.prefix_routes.live, ==, 0);
-    t_core_tick(&pair.follower, 60);
-    g_assert_false(is_reading_topic(&pair.follower, CT_TOPIC_CONFIG));
-    t_replication_confirm(&pair, CT_TOPIC_CONFIG);
-    g_assert_cmpint(ct_store_age_ms(pair.follower.state, CT_TOPIC_CONFIG), <=,
-                    60);
-    t_replication_free(&pair);
-}
-
-/*
- * The follower reads the store if the configuration it is sent is not all that
- * it lacks: records before it or beside it could be a newer version or an
- * evacuation.
- */
-static void
-test_config_incomplete(void)
-{
-    enum { GAP, EVACUATION, INVALID, READING, CASES };
-
-    for (int c = 0; c < CASES; c++) {
-        struct ct_event invalid = {.type = CT_EVENT_STORE_INVALID_ENTRY};
-        struct t_replication_pair pair;
-
-        t_replication_init(&pair);
-        switch (c) {
-        case GAP:
-            t_relay_read(&pair.source, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
-            break;
-        case EVACUATION:
-            t_relay_post_evacuation(&pair.source, "zone-b", false);
-            break;
-        case INVALID:
-            invalid.u.store_invalid_entry.topic = CT_TOPIC_CONFIG;
-            t_core_post(&pair.source, &invalid);
-            break;
-        default:
-            do {
-                t_core_tick(&pair.follower, 100);
-            } while (!is_reading_topic(&pair.follower, CT_TOPIC_CONFIG));
-            break;
-        }
-        read_config_at_source(&pair, 6);
-        g_assert_true(has_version(&pair.source, 6));
-        g_assert_false(has_version(&pair.follower, 6));
-        t_core_tick(&pair.follower, 60);
-        g_assert_true(c == READING ||
-                      is_reading_topic(&pair.follower, CT_TOPIC_CONFIG));
-        t_replication_free(&pair);
-    }
-}
-
-/*
- * A host that is not the source could have older data, and one without the
- * setting sends no configurations.
- */
-static void
-test_config_not_sent(void)
-{
-    struct t_replication_pair pair;
-    GArray *rows = t_relay_rows();
-
-    t_replication_init(&pair);
-    CT_TEXT_SET(pair.source.state->self.host, "h9");
-    read_config_at_source(&pair, 6);
-    g_assert_false(has_version(&pair.follower, 6));
-    t_replication_free(&pair);
-    t_replication_init(&pair);
-    t_relay_post_config(&pair.source, 6, rows);
-    t_relay_read(&pair.source, CT_TOPIC_CONFIG, CT_OK, 1, 0, 0);
-    g_assert_cmpuint(
-        t_core_effect(&pair.source, CT_EFFECT_SEND_PEER_MESSAGE, 0)
-            ->u.peer.message.type,
-        ==, CT_PEER_STORE_UPDATE);
+    g_assert_true(t_replication_is_reading(&pair.follower, CT_TOPIC_CONFIG));
     t_replication_free(&pair);
-    g_array_free(rows, TRUE);
 }
 
 /*
@@ -403,7 +394,7 @@
     t_replication_confirm(&pair, CT_TOPIC_UPSTREAMS);
     do {
         t_core_tick(&pair.follower, 100);
-    } while (!is_reading_topic(&pair.follower, CT_TOPIC_UPSTREAMS));
+    } while (!t_replication_is_reading(&pair.follower, CT_TOPIC_UPSTREAMS));
     entry.leaving = true;
     read_entry_at_source(&pair, &entry);
     t_relay_assert_state(&pair.follower, "desk-0", true, CT_UPSTREAM_RUNNING);
@@ -422,7 +413,8 @@
     t_relay_read(&pair.source, CT_TOPIC_UPSTREAMS, CT_OK, 1, 0, 0);
     read_entry_at_source(&pair, &entry);
     t_core_tick(&pair.follower, 60);
-    g_assert_true(is_reading_topic(&pair.follower, CT_TOPIC_UPSTREAMS));
+    g_assert_true(
+        t_replication_is_reading(&pair.follower, CT_TOPIC_UPSTREAMS));
     t_replication_free(&pair);
 }
 
@@ -447,7 +439,8 @@
         ==, 0);
     t_replication_deliver_all(&pair.source, &pair.follower);
     t_core_tick(&pair.follower, 60);
-    g_assert_true(is_reading_topic(&pair.follower, CT_TOPIC_UPSTREAMS));
+    g_assert_true(
+        t_replication_is_reading(&pair.follower, CT_TOPIC_UPSTREAMS));
     t_replication_free(&pair);
 }
 
@@ -540,11 +533,10 @@
     g_test_add_func("/replication/fresh-updates", test_fresh_updates);
     g_test_add_func("/replication/missing-updates", test_missing_updates);
     g_test_add_func("/replication/link-lost", test_link_lost);
+    g_test_add_func("/replication/outage", test_outage);
+    g_test_add_func("/replication/source-refused", test_source_refused);
     g_test_add_func("/replication/age", test_age);
     g_test_add_func("/replication/records", test_records);
-    g_test_add_func("/replication/config", test_config);
-    g_test_add_func("/replication/config-incomplete", test_config_incomplete);
-    g_test_add_func("/replication/config-not-sent", test_config_not_sent);
     g_test_add_func("/replication/older-records", test_older_records);
     g_test_add_func("/replication/read-running", test_read_running);
     g_test_add_func("/replication/gap", test_gap);
--- a/wire/coriandertrack.pb-c.c
+++ b/wire/coriandertrack.pb-c.c
@@ -4961,7 +4961,7 @@
   (ProtobufCMessageInit) ct__feed_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__feed_news__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ct__feed_news__field_descriptors[7] =
 {
   {
     "topic",
@@ -5035,10 +5035,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FeedNews, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__feed_news__field_indices_by_name[] = {
   3,   /* field[3] = asked_ms */
   5,   /* field[5] = back_age_ms */
+  6,   /* field[6] = failed */
   1,   /* field[1] = from */
   4,   /* field[4] = lead_ms */
   2,   /* field[2] = next */
@@ -5047,7 +5060,7 @@
 static const ProtobufCIntRange ct__feed_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ct__feed_news__descriptor =
 {
@@ -5057,7 +5070,7 @@
   "Ct__FeedNews",
   "ct",
   sizeof(Ct__FeedNews),
-  6,
+  7,
   ct__feed_news__field_descriptors,
   ct__feed_news__field_indices_by_name,
   1,  ct__feed_news__number_ranges,
--- a/wire/coriandertrack.pb-c.h
+++ b/wire/coriandertrack.pb-c.h
@@ -578,10 +578,11 @@
   int64_t asked_ms;
   int64_t lead_ms;
   int64_t back_age_ms;
+  protobuf_c_boolean failed;
 };
 #define CT__FEED_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__feed_news__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/peer-codec.c
+++ b/wire/peer-codec.c
@@ -74,6 +74,7 @@
     /* CT_MS_NEVER if the sender has had no store outage. */
     {CT_MAP_I64, offsetof(Ct__FeedNews, back_age_ms),
      offsetof(struct ct_store_update, recovered_age_ms), 0, 0, CT_MS_NEVER},
+    CT_MAP_F_BOOL(FeedNews, store_update, failed),
 };
 static const struct ct_map update_map = {
     &ct__feed_news__descriptor, sizeof(struct ct_store_update),
