core: name what keeps a follower at a source whose reads fail

The condition that both this host's and its source's reads fail stood inside the choice of a source; it is a function now.

--- a/core/replication.c
+++ b/core/replication.c
@@ -96,6 +96,13 @@
                2 * ct_replication_stale_ms(state);
 }
 
+bool
+ct_replication_is_outage(const struct ct_state *state)
+{
+    return ct_replication_source_fails(state) &&
+           state->store.topics[CT_TOPIC_UPSTREAMS].failures > 0;
+}
+
 static bool
 is_source_avoided(const struct ct_state *state, const struct ct_name *host)
 {
@@ -294,12 +301,7 @@
     ct_ms last_update_ms =
         MAX(replication->source_chosen_ms, replication->last_update_ms);
 
-    /* In an outage of the store another source could not say more. */
-    if (ct_replication_source_fails(state) &&
-        state->store.topics[CT_TOPIC_UPSTREAMS].failures > 0) {
-        return;
-    }
-    if (has_chosen_source(replication) &&
+    if (has_chosen_source(replication) && !ct_replication_is_outage(state) &&
         state->now_ms - last_update_ms >= 2 * ct_replication_stale_ms(state)) {
         avoid_source(state, &replication->source);
     }
--- a/core/replication.h
+++ b/core/replication.h
@@ -106,8 +106,10 @@
 /* A read of this host failed; tells its followers. */
 void ct_replication_on_read_failed(struct ct_state *state,
                                    enum ct_topic topic);
-/* Whether the source is alive but gets no response from the store either. */
+/* Whether the source is alive and says that its reads fail. */
 bool ct_replication_source_fails(const struct ct_state *state);
+/* Whether this host's reads fail too: another source could not say more. */
+bool ct_replication_is_outage(const struct ct_state *state);
 
 /* Whether other hosts receive updates from this one. */
 bool ct_replication_has_followers(const struct ct_state *state);
