--- a/t/lib-hostile.c
+++ b/t/lib-hostile.c
@@ -37,7 +37,7 @@
 
 struct crowd {
     const struct hostile_plan *plan;
-    struct client clients[HOSTILE_CONNECTIONS];
+    struct client clients[HOSTILE_CONNECTIONS_MAX];
     guint n_ids;
     int64_t progress_ms;
 };
@@ -181,10 +181,11 @@
 static void
 run_once(struct crowd *crowd)
 {
-    struct pollfd fds[HOSTILE_CONNECTIONS];
+    struct pollfd fds[HOSTILE_CONNECTIONS_MAX];
+    guint n = hostile_connections(crowd->plan);
     int64_t now_ms = process_now_ms();
 
-    for (guint i = 0; i < HOSTILE_CONNECTIONS; i++) {
+    for (guint i = 0; i < n; i++) {
         const struct client *client = &crowd->clients[i];
         short events = 0;
 
@@ -196,8 +197,8 @@
         }
         fds[i] = (struct pollfd){client->fd, events, 0};
     }
-    g_assert_no_errno(poll(fds, HOSTILE_CONNECTIONS, POLL_MS));
-    for (guint i = 0; i < HOSTILE_CONNECTIONS; i++) {
+    g_assert_no_errno(poll(fds, n, POLL_MS));
+    for (guint i = 0; i < n; i++) {
         if (fds[i].revents != 0) {
             run_client(crowd, &crowd->clients[i], fds[i].revents);
         }
@@ -207,7 +208,7 @@
 static void
 open_crowd(struct crowd *crowd, uint16_t port)
 {
-    for (guint i = 0; i < HOSTILE_CONNECTIONS; i++) {
+    for (guint i = 0; i < hostile_connections(crowd->plan); i++) {
         crowd->clients[i] = (struct client){
             .fd = connect_client(port),
             .block = g_string_new(NULL),
@@ -222,7 +223,7 @@
 {
     const struct linger reset = {.l_onoff = 1, .l_linger = 0};
 
-    for (guint i = 0; i < HOSTILE_CONNECTIONS; i++) {
+    for (guint i = 0; i < hostile_connections(crowd->plan); i++) {
         struct client *client = &crowd->clients[i];
 
         g_string_free(client->block, TRUE);
@@ -237,6 +238,12 @@
     }
 }
 
+guint
+hostile_connections(const struct hostile_plan *plan)
+{
+    return plan->connections > 0 ? plan->connections : HOSTILE_CONNECTIONS;
+}
+
 int
 hostile_run(const struct hostile_plan *plan, uint16_t port, pid_t pid)
 {
--- a/t/lib-hostile.h
+++ b/t/lib-hostile.h
@@ -13,8 +13,9 @@
  * connections of a crowd.
  */
 
-/* Most connections of a crowd at a time. */
+/* Connections of a crowd, if its plan names no number, and the most. */
 #define HOSTILE_CONNECTIONS 64
+#define HOSTILE_CONNECTIONS_MAX 512
 
 /* What each client of a crowd does. */
 struct hostile_plan {
@@ -42,8 +43,12 @@
     bool reset;
     /* Crowds one after the other; 0: one. */
     guint rounds;
+    /* 0: HOSTILE_CONNECTIONS */
+    guint connections;
 };
 
+guint hostile_connections(const struct hostile_plan *plan);
+
 /*
  * Runs the plan against a port of the process. A crowd ends some time after it
  * last sent or received a byte, or after the longest time for a crowd. Returns
--- a/t/proc-hostile-clients.c
+++ b/t/proc-hostile-clients.c
@@ -15,9 +15,9 @@
 
 /*
  * A connection of the crowd may have one upstream connection. The host has
- * less than 64 descriptors without callers.
+ * fewer descriptors than this without callers.
  */
-#define DESCRIPTORS_MAX (2 * HOSTILE_CONNECTIONS + 64)
+#define DESCRIPTORS_BESIDE 64
 
 /* Longer than the idle time-outs of the host's ports, 30 s and 60 s. */
 #define CLOSE_TIMEOUT_MS 90000
@@ -139,6 +139,8 @@
     const char *name, *path;
     bool stream;
     struct hostile_plan plan;
+    /* 0: MEMORY_MB */
+    int memory_mb;
 } readings[] = {
     {"stream-unread", "/s/str/x", true, {.first = GET "\r\n"}},
     {"stream-read-slowly",
@@ -157,6 +159,12 @@
       .stagger_ms = STAGGER_MS,
       .read_bytes = 16,
       .read_pause_ms = 50}},
+    /* As many as the descriptors of a small host allow, and its memory. */
+    {"many-streams-unread",
+     "/s/str/x",
+     true,
+     {.first = GET "\r\n", .connections = 500},
+     110},
 };
 
 /* Single requests within the limits. */
@@ -183,10 +191,10 @@
 static guint n_run;
 
 static void
-start(void)
+start(int memory_mb)
 {
     n_run++;
-    f = (struct relay_process){.memory_mb = MEMORY_MB,
+    f = (struct relay_process){.memory_mb = memory_mb,
                                .body_max_bytes = BODY_MAX_BYTES};
     relay_process_start(&f);
 }
@@ -239,8 +247,10 @@
  * the host still ends the crowd's connections; it is made again then.
  */
 static void
-check_host(int descriptors_before, int descriptors)
+check_host(const struct hostile_plan *plan, int descriptors_before,
+           int descriptors)
 {
+    int connections = (int)hostile_connections(plan);
     long memory_kb;
 
     AWAIT(serves_call(), RELAY_PROCESS_TIMEOUT_MS);
@@ -252,12 +262,12 @@
                    hostile_count_descriptors(f.host.pid));
     g_assert_cmpint(memory_kb, >, 0);
     if (MEMORY_IS_CHECKED) {
-        g_assert_cmpint(memory_kb, <=, MEMORY_MB * 1024);
+        g_assert_cmpint(memory_kb, <=, f.memory_mb * 1024);
     }
-    g_assert_cmpint(descriptors, <=, DESCRIPTORS_MAX);
+    g_assert_cmpint(descriptors, <=, 2 * connections + DESCRIPTORS_BESIDE);
     /* A host that keeps the connections of the crowd stays above this. */
     AWAIT(hostile_count_descriptors(f.host.pid) <
-              descriptors_before + HOSTILE_CONNECTIONS / 2,
+              descriptors_before + connections / 2,
           CLOSE_TIMEOUT_MS);
 }
 
@@ -305,10 +315,11 @@
     const struct case_data *c = arg;
     int before;
 
-    start();
+    start(MEMORY_MB);
     before = hostile_count_descriptors(f.host.pid);
-    check_host(before, run_crowd(&c->sending->plan, c->target->path,
-                                 target_port(c->target)));
+    check_host(
+        &c->sending->plan, before,
+        run_crowd(&c->sending->plan, c->target->path, target_port(c->target)));
     stop();
 }
 
@@ -391,7 +402,7 @@
     int before;
     int descriptors;
 
-    start();
+    start(c->memory_mb > 0 ? c->memory_mb : MEMORY_MB);
     before = hostile_count_descriptors(f.host.pid);
     use_server(server);
     descriptors = run_crowd(&c->plan, c->path, f.host.port);
@@ -400,7 +411,7 @@
                    raw_server_request_count(server) - 1);
     use_server(NULL);
     raw_server_free(server);
-    check_host(before, descriptors);
+    check_host(&c->plan, before, descriptors);
     stop();
 }
 
@@ -412,10 +423,10 @@
     struct hostile_plan plan = make_plan(&c->plan, "/once/x");
     int before;
 
-    start();
+    start(MEMORY_MB);
     before = hostile_count_descriptors(f.host.pid);
     g_assert_cmpint(hostile_request(&plan, f.host.port), ==, 200);
-    check_host(before, hostile_count_descriptors(f.host.pid));
+    check_host(&c->plan, before, hostile_count_descriptors(f.host.pid));
     stop();
     free_plan(&plan);
 }
