shell: free the buffers of streams that are not read

A crowd of 500 streams that nobody reads took a host with memory_mb 110 to 123 MB, which ends its process. Beside what is charged for a stream, its buffer kept up to 64 KB that were written already, and the buffer of its upstream's bytes kept its size when it was empty.

Written bytes are now freed from 4 KB on (and a quarter of the buffer, as before), and an empty buffer that held 4 KB or more is freed.

--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -13,8 +13,11 @@
 #define WHOLE_BLOCK_BYTES (64 * 1024)
 /* Change of the unread bytes after which the reducer is told. */
 #define UNREAD_STEP_BYTES (16 * 1024)
-#define COMPACT_MIN_BYTES (64 * 1024)
-/* Written bytes are freed when they are more than this part of a buffer. */
+/*
+ * Written bytes are freed when they are more than this, and more than this part
+ * of a buffer. A stream that nobody reads keeps the rest of them.
+ */
+#define COMPACT_MIN_BYTES (4 * 1024)
 #define COMPACT_DIVISOR 4
 /*
  * Streams together may hold this part of the memory for calls unread. Each may
@@ -175,10 +178,7 @@
     }
 }
 
-/*
- * Empties the buffer. A large one is freed, which returns its memory to the
- * system (M_MMAP_THRESHOLD).
- */
+/* Empties the buffer; one of more than a few small writes is freed. */
 static void
 empty_pending(struct relay_call *call)
 {
--- a/shell/relay-upstream.c
+++ b/shell/relay-upstream.c
@@ -12,6 +12,11 @@
 #define FAILURE_MAX_BYTES (1024 * 1024)
 /* The same for what a stream sends between the ends of two events. */
 #define EVENT_MAX_BYTES (256 * 1024)
+/*
+ * A buffer that held so much is freed when it is empty: the next bytes may be
+ * far away if the caller does not read.
+ */
+#define FREE_MIN_BYTES (4 * 1024)
 /* Growth of a response after which the reducer is told what is held. */
 #define HELD_STEP_BYTES (64 * 1024)
 
@@ -40,6 +45,11 @@
     n = MIN(n, attempt->received->len);
     attempt->posted_bytes -= MIN(n, attempt->posted_bytes);
     g_byte_array_append(out, attempt->received->data, n);
+    if (n == attempt->received->len && n >= FREE_MIN_BYTES) {
+        g_byte_array_unref(attempt->received);
+        attempt->received = g_byte_array_new();
+        return;
+    }
     g_byte_array_remove_range(attempt->received, 0, n);
 }
 
