core: charge running calls for more than their bodies

A running call is charged 64 KB besides, so that 560 run at a time with memory_mb 110 and 704 with 128, twice the target's streams of a node. Beyond that, calls are refused as not run or unread responses are cut off, as before.

Tests: sums of charges contain the 64 KB; the hosts of the reducer's tests have the default memory instead of none set; a test of 5,000 responses that no caller confirms has 1 GB.

--- a/core/relay.c
+++ b/core/relay.c
@@ -205,8 +205,8 @@
 
     ct_increment_counter(state, CT_COUNTER_CALLS);
     relays->arrived_ms = state->now_ms;
-    if (ct_memory_budget_add(&relays->budget, call->caller, call->body_bytes) <
-        0) {
+    if (ct_memory_budget_add(&relays->budget, call->caller,
+                             call->body_bytes + CT_RELAY_CALL_BYTES) < 0) {
         state->out->err = CT_ERR_NO_MEMORY;
         return;
     }
--- a/core/relay.h
+++ b/core/relay.h
@@ -20,6 +20,12 @@
 #define CT_RELAYS_MAX 16384
 #define CT_RELAY_TRIED_MAX 8
 
+/*
+ * Charged for a running call besides its body: the connection to its upstream,
+ * and the least that is buffered of a stream.
+ */
+#define CT_RELAY_CALL_BYTES (64 * 1024)
+
 struct ct_relay {
     struct ct_request_id id;
     /* 0 once the caller has disconnected. */
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -46,6 +46,7 @@
         .body_idle_ms = 10000,
         .body_wait_ms = 5000,
         .unread_bytes = 16 * 1024 * 1024,
+        .memory_mb = 128,
     };
     t_core_post(core, &event);
 }
--- a/t/test-body-admission.c
+++ b/t/test-body-admission.c
@@ -186,7 +186,7 @@
             event.u.relay.caller = caller;
             event.u.relay.body_bytes = 1000;
             t_core_post(&core, &event);
-            g_assert_cmpuint(used(&core), ==, 1000);
+            g_assert_cmpuint(used(&core), ==, 1000 + CT_RELAY_CALL_BYTES);
             post_end(&core, CT_EVENT_RELAY_CALL_DELIVERED, caller);
         }
         else if (ends[i] == CT_EVENT_RELAY_CALL_REJECTED) {
--- a/t/test-prompt-quarantine.c
+++ b/t/test-prompt-quarantine.c
@@ -523,6 +523,8 @@
     struct world world;
 
     setup(&world, 12);
+    /* The responses count as memory: no caller says that it has them. */
+    world.core.state->self.bounds.memory_mb = 1024;
     crash_by_crashing_calls(&world, true);
     for (guint i = 0; i < 5000; i++) {
         const uint64_t parts[] = {0x10000 + i, 0};
--- a/t/test-unread-responses.c
+++ b/t/test-unread-responses.c
@@ -62,9 +62,11 @@
     set_up(&core);
     caller = start_stream(&core);
     report(&core, caller, 3 * MB, false);
-    g_assert_cmpuint(core.state->relays.budget.used_bytes, ==, 3 * MB);
+    g_assert_cmpuint(core.state->relays.budget.used_bytes, ==,
+                     3 * MB + CT_RELAY_CALL_BYTES);
     report(&core, caller, MB, true);
-    g_assert_cmpuint(core.state->relays.budget.used_bytes, ==, MB);
+    g_assert_cmpuint(core.state->relays.budget.used_bytes, ==,
+                     MB + CT_RELAY_CALL_BYTES);
     gone.u.caller = caller;
     t_core_post(&core, &gone);
     g_assert_cmpuint(core.state->relays.budget.used_bytes, ==, 0);
@@ -88,13 +90,13 @@
     set_up(&core);
     for (guint i = 0; i < 3; i++) {
         callers[i] = start_stream(&core);
-        report(&core, callers[i], (3 + i) * MB, false);
+        report(&core, callers[i], (3 + i) * MB - CT_RELAY_CALL_BYTES, false);
         assert_cut_off(&core, 0);
     }
     core.now_ms += 2000;
-    report(&core, callers[2], 5 * MB, true);
+    report(&core, callers[2], 5 * MB - CT_RELAY_CALL_BYTES, true);
     assert_cut_off(&core, 0);
-    report(&core, callers[0], 3 * MB + 1, false);
+    report(&core, callers[0], 3 * MB - CT_RELAY_CALL_BYTES + 1, false);
     assert_cut_off(&core, callers[1]);
     g_assert_cmpuint(core.state->relays.budget.used_bytes, ==, 8 * MB + 1);
     g_assert_cmpuint(core.state->counters.values[CT_COUNTER_RESPONSES_UNREAD],
