shell: do not spin without descriptors, nor keep large heads in a drain

Found while reading the change: a listener that is readable while accept() fails for want of descriptors would be reported again and again; it is paused for 100 ms now. A connection with a large head that waits for room would be closed without a response when the host drains; it goes to the usual server at once, which refuses its head. ct_store_take_config() is named for what it does: it changes the state.

--- a/core/reduce-peers.c
+++ b/core/reduce-peers.c
@@ -84,7 +84,7 @@
         return;
     case CT_PEER_STORE_CONFIG:
         if (ct_replication_is_from_source(state, message) &&
-            ct_store_accepts_config(state, &message->u.store_config)) {
+            ct_store_take_config(state, &message->u.store_config)) {
             ct_reduce_config(state, &message->u.store_config.config,
                              message->rows);
         }
--- a/core/store-sync.c
+++ b/core/store-sync.c
@@ -485,8 +485,8 @@
 }
 
 bool
-ct_store_accepts_config(struct ct_state *state,
-                        const struct ct_store_config_update *update)
+ct_store_take_config(struct ct_state *state,
+                     const struct ct_store_config_update *update)
 {
     struct ct_topic_sync *sync = &state->store.topics[CT_TOPIC_CONFIG];
 
--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -74,10 +74,10 @@
                         const struct ct_store_update *update,
                         struct ct_rows rows);
 /*
- * Whether a configuration from the source contains all records that this host
- * lacks up to its end. It then counts as read.
+ * Counts a configuration from the source as read, and returns true, if it has
+ * all records that this host lacks up to its end.
  */
-bool ct_store_accepts_config(struct ct_state *state,
+bool ct_store_take_config(struct ct_state *state,
                              const struct ct_store_config_update *update);
 /*
  * Handles the loss of the link to the source, after which no more updates
--- a/shell/relay-accept.c
+++ b/shell/relay-accept.c
@@ -9,6 +9,8 @@
 #define MS_PER_S 1000
 /* Connections accepted before other work of the loop gets its turn. */
 #define ACCEPT_BATCH 64
+/* Time until the next attempt when there are no descriptors. */
+#define ACCEPT_RETRY_MS 100
 /* How long a connection may wait for the end of its first head. */
 #define HEAD_WAIT_MS 500
 /* Time between two looks at a head of which a part has arrived. */
@@ -95,7 +97,9 @@
     hand_over(pending, &pending->io->accept.server);
 }
 
-/* Gives the connection to the server for large heads as soon as it has room.
+/*
+ * Gives the connection to the server for large heads as soon as it has room. A
+ * host that drains does not wait: the other server refuses the head.
  */
 static void
 serve_large(struct pending *pending)
@@ -106,6 +110,10 @@
         hand_over(pending, &accept->large);
         return;
     }
+    if (pending->io->draining) {
+        hand_over(pending, &accept->server);
+        return;
+    }
     stop_watching(pending);
     g_queue_unlink(&accept->pending, &pending->link);
     g_queue_push_tail_link(&accept->waiting, &pending->link);
@@ -195,6 +203,22 @@
     look_at_head(pending);
 }
 
+/*
+ * Without descriptors or memory the listener stays readable; it is looked at
+ * again a little later, or when a connection has ended.
+ */
+static void
+pause_without_resources(struct ct_relay_io *io, int error)
+{
+    if (error != EMFILE && error != ENFILE && error != ENOBUFS &&
+        error != ENOMEM) {
+        return;
+    }
+    relay_accept_pause(io);
+    ev_timer_set(&io->accept.ended, (ev_tstamp)ACCEPT_RETRY_MS / MS_PER_S, 0);
+    ev_timer_start(ct_loop_ev(io->loop), &io->accept.ended);
+}
+
 static void
 on_accept(struct ev_loop *ev, ev_io *listener, int events)
 {
@@ -209,6 +233,7 @@
                          SOCK_NONBLOCK | SOCK_CLOEXEC);
 
         if (fd < 0) {
+            pause_without_resources(io, errno);
             return;
         }
         if (!relay_connections_admit(io, (struct sockaddr *)&address)) {
@@ -228,6 +253,7 @@
     struct pending *pending;
 
     (void)events;
+    ev_timer_set(timer, 0, 0);
     while (accept->large_connections < accept->large_max &&
            (pending = g_queue_peek_head(&accept->waiting)) != NULL) {
         hand_over(pending, &accept->large);
@@ -317,6 +343,8 @@
 void
 relay_accept_connection_ended(struct ct_relay_io *io)
 {
+    ev_timer_stop(ct_loop_ev(io->loop), &io->accept.ended);
+    ev_timer_set(&io->accept.ended, 0, 0);
     ev_timer_start(ct_loop_ev(io->loop), &io->accept.ended);
 }
 
@@ -324,6 +352,7 @@
 relay_accept_drain(struct ct_relay_io *io)
 {
     GList *link = io->accept.pending.head;
+    struct pending *pending;
 
     while (link != NULL) {
         GList *next = link->next;
@@ -331,6 +360,9 @@
         look_at_head(link->data);
         link = next;
     }
+    while ((pending = g_queue_peek_head(&io->accept.waiting)) != NULL) {
+        hand_over(pending, &io->accept.server);
+    }
 }
 
 void
