--- a/core/store-sync.h
+++ b/core/store-sync.h
@@ -78,7 +78,7 @@
  * all records that this host lacks up to its end.
  */
 bool ct_store_take_config(struct ct_state *state,
-                             const struct ct_store_config_update *update);
+                          const struct ct_store_config_update *update);
 /*
  * Handles the loss of the link to the source, after which no more updates
  * arrive.
--- a/shell/relay-response.c
+++ b/shell/relay-response.c
@@ -14,8 +14,8 @@
 /* Change of the unread bytes after which the reducer is told. */
 #define UNREAD_STEP_BYTES (16 * 1024)
 /*
- * Written bytes are freed when they are more than this, and more than this part
- * of a buffer. A stream that nobody reads keeps the rest of them.
+ * Written bytes are freed when they are more than this, and more than this
+ * part of a buffer. A stream that nobody reads keeps the rest of them.
  */
 #define COMPACT_MIN_BYTES (4 * 1024)
 #define COMPACT_DIVISOR 4
