--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -13,6 +13,11 @@
 work=
 started=
 
+# The names of headers that the stand-ins use.
+export HEADER_EXPECT=Expect-Instance HEADER_INSTANCE=Instance-Id
+export HEADER_PROOF=Runner-Signature HEADER_DEADLINE=Deadline-Ms
+export HEADER_NOT_RUN=Not-Executed
+
 say() {
 	echo "$*" | tee -a "$record"
 }
--- a/review/stand-ins-2/chunks.c
+++ b/review/stand-ins-2/chunks.c
@@ -46,9 +46,9 @@
     if (fd >= 0 && zeros != NULL) {
         snprintf(head, sizeof(head),
                  "POST /once/upload HTTP/1.1\r\nHost: svc.example\r\n"
-                 "Key: k1\r\nRequest-Id: %s\r\nDeadline-Ms: %ld\r\n"
+                 "Key: k1\r\nRequest-Id: %s\r\n%s: %ld\r\n"
                  "Transfer-Encoding: chunked\r\n\r\n",
-                 argv[2], timeout_ms);
+                 argv[2], net_header("HEADER_DEADLINE"), timeout_ms);
         net_send(fd, head, strlen(head));
         send_chunk(fd, zeros, first);
         net_sleep_ms(strtol(argv[4], NULL, 10));
--- a/review/stand-ins-2/net.c
+++ b/review/stand-ins-2/net.c
@@ -20,6 +20,18 @@
 #define READ_BYTES 65536
 #define HEX_BASE 16
 
+const char *
+net_header(const char *variable)
+{
+    const char *name = getenv(variable);
+
+    if (name == NULL) {
+        fprintf(stderr, "%s is not set\n", variable);
+        exit(2);
+    }
+    return name;
+}
+
 int64_t
 net_now_ms(void)
 {
--- a/review/stand-ins-2/net.h
+++ b/review/stand-ins-2/net.h
@@ -10,6 +10,12 @@
 #define NET_HEAD_MAX 32768
 #define NET_ID_MAX 64
 
+/*
+ * Returns the name of a header, which the scripts give in the environment, and
+ * ends the program if it is missing.
+ */
+const char *net_header(const char *variable);
+
 /* Milliseconds of the monotonic clock. */
 int64_t net_now_ms(void);
 void net_sleep_ms(int64_t ms);
--- a/review/stand-ins-2/runner.c
+++ b/review/stand-ins-2/runner.c
@@ -3,7 +3,7 @@
  *
  * A server that runs plain requests: it reads the whole request, logs it,
  * and answers 200 after the delay. As the pages ask, it answers 421 to a
- * request that expects another server, and 400 with Not-Executed to one
+ * request that expects another server, and 400 as not run to one
  * without an id. Prints "listening PORT".
  */
 #include <arpa/inet.h>
@@ -26,6 +26,10 @@
 static const char *own_id;
 static FILE *log_file;
 static int64_t delay_ms;
+static const char *header_expect;
+static const char *header_instance;
+static const char *header_proof;
+static const char *header_not_run;
 
 struct request {
     char head[NET_HEAD_MAX];
@@ -79,7 +83,7 @@
     request->after_head = filled - (size_t)(end + 4 - request->head);
     end[2] = '\0';
     copy_header(request->head, "Request-Id", request->id);
-    copy_header(request->head, "Expect-Instance", request->expected);
+    copy_header(request->head, header_expect, request->expected);
     copy_header(request->head, "Content-Length", length);
     request->length = strtol(length, NULL, 10);
     return true;
@@ -131,9 +135,8 @@
 
     log_request("ran", request);
     net_sleep_ms(delay_ms);
-    snprintf(headers, sizeof(headers),
-             "Request-Id: %s\r\nRunner-Signature: %s\r\n", request->id,
-             own_id);
+    snprintf(headers, sizeof(headers), "Request-Id: %s\r\n%s: %s\r\n",
+             request->id, header_proof, own_id);
     respond(fd, 200, headers, "done");
     log_request("ended", request);
 }
@@ -148,10 +151,11 @@
     if (request == NULL || !read_head(fd, request)) {
         goto out;
     }
-    snprintf(headers, sizeof(headers), "Request-Id: %s\r\nInstance-Id: %s\r\n",
-             request->id, own_id);
+    snprintf(headers, sizeof(headers), "Request-Id: %s\r\n%s: %s\r\n",
+             request->id, header_instance, own_id);
     if (request->id[0] == '\0') {
-        respond(fd, 400, "Not-Executed: 1\r\n", "");
+        snprintf(headers, sizeof(headers), "%s: 1\r\n", header_not_run);
+        respond(fd, 400, headers, "");
     }
     else if (request->expected[0] != '\0' &&
              strcmp(request->expected, own_id) != 0) {
@@ -195,6 +199,10 @@
         fprintf(stderr, "usage: runner ID LOG DELAY_MS\n");
         return 2;
     }
+    header_expect = net_header("HEADER_EXPECT");
+    header_instance = net_header("HEADER_INSTANCE");
+    header_proof = net_header("HEADER_PROOF");
+    header_not_run = net_header("HEADER_NOT_RUN");
     own_id = argv[1];
     delay_ms = strtol(argv[3], NULL, 10);
     signal(SIGPIPE, SIG_IGN);
--- a/review/stand-ins-2/uploads.c
+++ b/review/stand-ins-2/uploads.c
@@ -66,8 +66,8 @@
     snprintf(framing, sizeof(framing), "Content-Length: %ld", BODY_BYTES);
     snprintf(head, sizeof(head),
              "POST /once/upload HTTP/1.1\r\nHost: svc.example\r\n"
-             "Key: k1\r\nRequest-Id: %s\r\nDeadline-Ms: 8000\r\n%s\r\n\r\n",
-             upload->id,
+             "Key: k1\r\nRequest-Id: %s\r\n%s: 8000\r\n%s\r\n\r\n",
+             upload->id, net_header("HEADER_DEADLINE"),
              upload->chunked ? "Transfer-Encoding: chunked" : framing);
     upload->fd = net_connect(port, 0);
     if (upload->fd >= 0) {
