review: scripts of cases 6 to 10 can be run, and from any folder

Cause: run.sh had no run bit, and lib-2.sh worked out the folder of the record from the name by which the script was called: run as ./run.sh in its own folder it wrote to review/record.txt.

Change: the run bits; each script sets $record to the record.txt of its folder.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,12 +1,11 @@
-# Functions of the scripts of this review; sourced by review/N/run.sh.
+# Functions of the scripts of this review. A script sets $record to the
+# record.txt of its folder and sources this file.
 #
 # A deployment is one or more hosts of the deploy file with the settings that
 # its template renders for the site minder-vakfi, the project's fake store,
 # and runners. TROUBLE=0 leaves the disruption out.
 
 root=$(cd "$(dirname "$0")/../.." && pwd)
-here=$root/review/$(basename "$(dirname "$0")")
-record=$here/record.txt
 trouble=${TROUBLE:-1}
 tools=$root/target/review-2
 daemon=$root/target/coriandertrackd/coriandertrackd
